--- /dev/null
+++ b/crates/buckthornmast_types/src/lib.rs
@@ -0,0 +1,27 @@
+//! Shared vocabulary of buckthornmast.
+//!
+//! The other crates of the workspace exchange the plain data of this crate: identifiers that are
+//! validated when they are parsed, sizes and rates with their units, the artifacts that a target can
+//! load, the reports that a target publishes, the orders it accepts, and the clock that pure
+//! protocol logic is driven by. Nothing here does any I/O.
+
+pub mod artifact;
+pub mod id;
+pub mod order;
+pub mod rate;
+pub mod report;
+pub mod size;
+pub mod time;
+
+/// Names that most users of this crate import together.
+pub mod prelude {
+    pub use crate::{
+        artifact::Artifact,
+        id,
+        order::{self, Order},
+        rate::Rate,
+        report::{self, Report},
+        size::Bytes,
+        time::{self, Clock, Point},
+    };
+}
--- /dev/null
+++ b/crates/buckthornmast_types/src/report.rs
@@ -0,0 +1,90 @@
+//! Reports that targets publish about themselves.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{artifact::Artifact, id, size::Bytes};
+
+/// State of an artifact on a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Being loaded; its memory is taken.
+    Loading,
+    /// Ready for work.
+    Ready,
+    /// Being unloaded; its memory is still taken.
+    Unloading,
+}
+
+/// Artifact on a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copy {
+    /// Artifact.
+    pub artifact: Artifact,
+    /// State.
+    pub phase: Phase,
+    /// Accelerator memory taken.
+    pub bytes: Bytes,
+}
+
+/// Load of a target, sampled some time before the report left.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests being worked on.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that the target can work on at once.
+    pub slots: u32,
+}
+
+/// Report of a target about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Target.
+    pub target: id::Target,
+    /// Failure domain.
+    pub domain: id::Domain,
+    /// Kind, which names the capabilities in the platform's settings.
+    pub kind: id::Kind,
+    /// Service that the target belongs to.
+    pub service: id::Service,
+    /// Address for orders and work.
+    pub address: SocketAddr,
+    /// Start of the target.
+    pub incarnation: id::Incarnation,
+    /// Number of the report within the incarnation.
+    pub sequence: u64,
+    /// Whether the target wants no new work.
+    pub leaving: bool,
+    /// Accelerators of the target; 0 for a plain service.
+    pub accelerators: u32,
+    /// Accelerator memory for artifacts.
+    pub memory: Bytes,
+    /// Artifacts.
+    pub copies: Vec<Copy>,
+    /// Highest fencing token seen.
+    pub token: id::Token,
+    /// Load.
+    pub load: Load,
+}
+
+impl Report {
+    /// Returns whether this report is newer than another one of the same target.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        (self.incarnation, self.sequence) > (other.incarnation, other.sequence)
+    }
+
+    /// Returns the copy of an artifact.
+    pub fn copy(&self, artifact: &Artifact) -> Option<&Copy> {
+        self.copies.iter().find(|copy| copy.artifact == *artifact)
+    }
+
+    /// Returns whether an artifact is ready for work here.
+    pub fn is_ready(&self, artifact: &Artifact) -> bool {
+        self.copy(artifact)
+            .is_some_and(|copy| copy.phase == Phase::Ready)
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_types/src/time.rs
@@ -0,0 +1,122 @@
+//! Time as protocol logic sees it.
+//!
+//! Pure logic never reads a clock: each call is given the current [`Point`]. Points of one process
+//! come from one monotonic clock and mean nothing to another process, so messages carry ages and
+//! durations instead.
+
+use std::{
+    fmt,
+    ops::{Add, Sub},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds on the monotonic clock of one process.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Point(pub u64);
+
+impl Point {
+    /// Start of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns the point this many milliseconds after the start of the clock.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1000)
+    }
+
+    /// Returns the time since an earlier point, or zero if that point is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Point {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
+impl Sub<Duration> for Point {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
+impl fmt::Display for Point {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}us", self.0)
+    }
+}
+
+/// Source of the current time.
+pub trait Clock: Clone + Send + Sync + 'static {
+    /// Returns the current point.
+    fn now(&self) -> Point;
+}
+
+/// Monotonic clock of the process.
+#[derive(Debug, Clone, Copy)]
+pub struct System {
+    start: Instant,
+}
+
+impl System {
+    /// Starts a clock at [`Point::ZERO`].
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Clock for System {
+    fn now(&self) -> Point {
+        Point::ZERO + self.start.elapsed()
+    }
+}
+
+/// Clock that tests advance by hand.
+#[derive(Debug, Clone, Default)]
+pub struct Manual {
+    now: Arc<AtomicU64>,
+}
+
+impl Manual {
+    /// Moves the clock forward.
+    pub fn advance(&self, span: Duration) {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        self.now.fetch_add(micros, Ordering::SeqCst);
+    }
+}
+
+impl Clock for Manual {
+    fn now(&self) -> Point {
+        Point(self.now.load(Ordering::SeqCst))
+    }
+}
+
+/// Returns milliseconds since the epoch on the wall clock.
+pub fn unix_millis() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |span| {
+        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+    })
+}
