Add INI settings of the daemon and declarations

Cause: operators need checked files before anything can run. Change: config crate with daemon settings, the folder of declarations, a schema table, typed declarations and reference checks; every fault names file, section, key, line and expected value. Conclusion: the daemon and the command-line tool can share one checker.

--- /dev/null
+++ b/crates/buckthornmast_config/src/daemon.rs
@@ -0,0 +1,357 @@
+//! Settings of one daemon.
+//!
+//! They hold what a process must know before it can talk to anybody: its name, failure domain and
+//! addresses, its peers, its data folder and its keys. Everything that operators change while the
+//! system runs is a declaration instead.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    str::FromStr,
+    time::Duration,
+};
+
+use buckthornmast_types::{id, size::Bytes};
+
+use crate::{
+    fault::Fault,
+    source::{Reader, Source},
+};
+
+/// Shortest cluster key in bytes; a shorter one could be guessed offline from one datagram.
+pub const MIN_KEY_BYTES: usize = 32;
+
+/// Duration in the form `250ms` or `2s`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub Duration);
+
+impl FromStr for Span {
+    type Err = humantime::DurationError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        humantime::parse_duration(text).map(Self)
+    }
+}
+
+/// Addresses that an instance listens on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listen {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Operators.
+    pub operators: SocketAddr,
+    /// Reports of targets.
+    pub targets: SocketAddr,
+    /// Calls of peers, over TCP.
+    pub peers: SocketAddr,
+    /// Heartbeats of peers, over UDP.
+    pub heartbeat: SocketAddr,
+}
+
+/// Another instance, or this one, as all instances know it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Name.
+    pub instance: id::Instance,
+    /// Failure domain.
+    pub domain: id::Domain,
+    /// Address for calls.
+    pub address: SocketAddr,
+    /// Address for heartbeats.
+    pub heartbeat: SocketAddr,
+    /// Whether it has a disk and votes in the replicated log.
+    pub voter: bool,
+}
+
+/// Limits of one instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections and exchanges of callers in progress.
+    pub exchanges: usize,
+    /// Largest body of a caller.
+    pub body: Bytes,
+    /// Deadline of a request that names none.
+    pub deadline: Duration,
+    /// Longest deadline that a caller may name.
+    pub max_deadline: Duration,
+    /// Longest wait between two tokens of a target.
+    pub token_gap: Duration,
+    /// Longest wait for requests in progress at a planned stop.
+    pub drain: Duration,
+}
+
+/// Keys of one instance.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Keys {
+    /// Key that authenticates messages between instances.
+    pub cluster: Vec<u8>,
+    /// SHA-256 of the platform operators' bearer token, in hexadecimal.
+    pub platform: String,
+    /// Bearer token sent to targets that check it.
+    pub targets: String,
+}
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Keys(redacted)")
+    }
+}
+
+/// Settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: id::Instance,
+    /// Failure domain of this instance.
+    pub domain: id::Domain,
+    /// Data folder; an instance without one keeps no state of its own.
+    pub data: Option<PathBuf>,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// All instances, this one included.
+    pub peers: Vec<Peer>,
+    /// Limits.
+    pub limits: Limits,
+    /// Keys.
+    pub keys: Keys,
+}
+
+/// Sections and keys that the file may hold.
+const KNOWN: &[(&str, &[&str])] = &[
+    ("instance", &["name", "domain", "data"]),
+    (
+        "listen",
+        &["callers", "operators", "targets", "peers", "heartbeat"],
+    ),
+    (
+        "limits",
+        &[
+            "exchanges",
+            "body",
+            "deadline",
+            "max-deadline",
+            "token-gap",
+            "drain",
+        ],
+    ),
+    ("keys", &["cluster", "platform-token-sha256", "targets"]),
+    ("peer", &["domain", "address", "heartbeat", "voter"]),
+];
+
+const ADDRESS: &str = "an address such as 10.0.0.1:8080";
+
+/// Reads a yes-or-no value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Flag(pub(crate) bool);
+
+impl FromStr for Flag {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "yes" => Ok(Self(true)),
+            "no" => Ok(Self(false)),
+            _ => Err(()),
+        }
+    }
+}
+
+impl Settings {
+    /// Parses the text of an INI file and returns every fault.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        let source = Source::parse(file, text)?;
+        let mut reader = Reader::new(&source);
+        reject_unknown(&source, &mut reader);
+        let instance = reader.required("instance", "name", "a label");
+        let domain = reader.required("instance", "domain", "a label");
+        let data = source.get("instance", "data").map(PathBuf::from);
+        let listen = read_listen(&mut reader);
+        let limits = read_limits(&mut reader);
+        let keys = read_keys(&mut reader);
+        let peers = read_peers(&source, &mut reader);
+        let settings = (|| {
+            Some(Self {
+                instance: instance?,
+                domain: domain?,
+                data,
+                listen: listen?,
+                peers,
+                limits,
+                keys: keys?,
+            })
+        })();
+        if let Some(settings) = &settings {
+            check_peers(settings, &mut reader);
+        }
+        match settings {
+            Some(settings) if reader.faults.is_empty() => Ok(settings),
+            _ => Err(reader.faults),
+        }
+    }
+
+    /// Returns this instance as its peers know it.
+    pub fn own(&self) -> Option<&Peer> {
+        self.peers
+            .iter()
+            .find(|peer| peer.instance == self.instance)
+    }
+
+    /// Returns the instances of a failure domain.
+    pub fn candidates<'a>(&'a self, domain: &'a id::Domain) -> impl Iterator<Item = &'a Peer> {
+        self.peers.iter().filter(move |peer| peer.domain == *domain)
+    }
+}
+
+fn reject_unknown(source: &Source, reader: &mut Reader<'_>) {
+    for (section, values) in source.sections() {
+        let kind = section.split_whitespace().next().unwrap_or_default();
+        let Some((_, keys)) = KNOWN.iter().find(|(name, _)| *name == kind) else {
+            let names: Vec<_> = KNOWN.iter().map(|(name, _)| *name).collect();
+            reader.reject(
+                section,
+                "",
+                format!("unknown section, expected {}", names.join(", ")),
+            );
+            continue;
+        };
+        for key in values.keys().filter(|key| !keys.contains(&key.as_str())) {
+            reader.reject(
+                section,
+                key,
+                format!("unknown key, expected {}", keys.join(", ")),
+            );
+        }
+    }
+}
+
+fn read_listen(reader: &mut Reader<'_>) -> Option<Listen> {
+    let mut read = |key| reader.required("listen", key, ADDRESS);
+    let (callers, operators) = (read("callers"), read("operators"));
+    let (targets, peers, heartbeat) = (read("targets"), read("peers"), read("heartbeat"));
+    Some(Listen {
+        callers: callers?,
+        operators: operators?,
+        targets: targets?,
+        peers: peers?,
+        heartbeat: heartbeat?,
+    })
+}
+
+fn read_limits(reader: &mut Reader<'_>) -> Limits {
+    let mut span = |key, default| {
+        let expected = "a duration such as 250ms or 2s";
+        reader.or("limits", key, expected, Span(default)).0
+    };
+    let deadline = span("deadline", Duration::from_secs(30));
+    let max_deadline = span("max-deadline", Duration::from_secs(600));
+    let token_gap = span("token-gap", Duration::from_secs(2));
+    let drain = span("drain", Duration::from_secs(600));
+    let body = reader.or("limits", "body", "a size such as 1MiB", Bytes::mib(1));
+    let exchanges = reader.or("limits", "exchanges", "a count of 1 or more", 2000_usize);
+    if exchanges == 0 {
+        reader.reject("limits", "exchanges", "0 is not a count of 1 or more");
+    }
+    Limits {
+        exchanges,
+        body,
+        deadline,
+        max_deadline,
+        token_gap,
+        drain,
+    }
+}
+
+fn read_keys(reader: &mut Reader<'_>) -> Option<Keys> {
+    let expected = "a secret of 32 characters or more, equal on all instances";
+    let cluster: Option<String> = reader.required("keys", "cluster", expected);
+    if cluster
+        .as_ref()
+        .is_some_and(|key| key.len() < MIN_KEY_BYTES)
+    {
+        reader.reject("keys", "cluster", format!("too short, expected {expected}"));
+    }
+    let expected = "the SHA-256 of a token as 64 hexadecimal digits";
+    let platform: Option<String> = reader.required("keys", "platform-token-sha256", expected);
+    if platform.as_ref().is_some_and(|digest| !is_sha256(digest)) {
+        reader.reject("keys", "platform-token-sha256", format!("not {expected}"));
+    }
+    let targets = reader.required("keys", "targets", "the token that targets check");
+    Some(Keys {
+        cluster: cluster?.into_bytes(),
+        platform: platform?,
+        targets: targets?,
+    })
+}
+
+/// Returns whether a text is a SHA-256 digest in lower-case hexadecimal.
+pub fn is_sha256(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+}
+
+fn read_peers(source: &Source, reader: &mut Reader<'_>) -> Vec<Peer> {
+    let mut peers = Vec::new();
+    for (section, _) in source.sections() {
+        let Some(name) = section.strip_prefix("peer ") else {
+            continue;
+        };
+        let instance: Result<id::Instance, _> = name.trim().parse();
+        if let Err(error) = &instance {
+            reader.reject(section, "", error.to_string());
+        }
+        let domain = reader.required(section, "domain", "a label");
+        let address = reader.required(section, "address", ADDRESS);
+        let heartbeat = reader.required(section, "heartbeat", ADDRESS);
+        let voter = reader.or(section, "voter", "yes or no", Flag(false)).0;
+        let (Ok(instance), Some(domain), Some(address), Some(heartbeat)) =
+            (instance, domain, address, heartbeat)
+        else {
+            continue;
+        };
+        peers.push(Peer {
+            instance,
+            domain,
+            address,
+            heartbeat,
+            voter,
+        });
+    }
+    peers
+}
+
+fn check_peers(settings: &Settings, reader: &mut Reader<'_>) {
+    let section = format!("peer {}", settings.instance);
+    let voters = settings.peers.iter().filter(|peer| peer.voter).count();
+    if voters == 0 {
+        reader.reject(
+            "",
+            "",
+            "no peer has voter = yes, expected 1, 3, 5 or 7 voters",
+        );
+    }
+    let Some(own) = settings.own() else {
+        reader.reject(
+            &section,
+            "",
+            "missing, expected this instance among the peers",
+        );
+        return;
+    };
+    if own.domain != settings.domain {
+        let message = format!("{} differs from the domain in [instance]", own.domain);
+        reader.reject(&section, "domain", message);
+    }
+    if own.voter && settings.data.is_none() {
+        reader.reject(
+            "instance",
+            "data",
+            "missing, expected a folder since this is a voter",
+        );
+    }
+    let mut seen = std::collections::BTreeSet::<(IpAddr, u16)>::new();
+    for peer in &settings.peers {
+        if !seen.insert((peer.address.ip(), peer.address.port())) {
+            let message = format!("{} is used by another peer too", peer.address);
+            reader.reject(&format!("peer {}", peer.instance), "address", message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_config/src/folder.rs
@@ -0,0 +1,257 @@
+//! Folder of declarations.
+//!
+//! `platform.ini` belongs to the platform and `teams/NAME.ini` to the team of that name. Each file
+//! becomes a map from paths to values: `[model pistachio] version = 3` is `model/pistachio/version`.
+
+use std::{collections::BTreeMap, fmt, fs, path::Path, str::FromStr};
+
+use buckthornmast_types::id;
+
+use crate::{
+    fault::Fault,
+    schema::{self, Section},
+    source::{Reader, Source},
+};
+
+/// Values by path.
+pub type Values = BTreeMap<String, String>;
+
+/// Owner of a subtree of settings.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Scope {
+    /// The platform.
+    Platform,
+    /// A team.
+    Team(id::Team),
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform => f.write_str("platform"),
+            Self::Team(team) => write!(f, "team/{team}"),
+        }
+    }
+}
+
+impl FromStr for Scope {
+    type Err = id::LabelError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.strip_prefix("team/") {
+            Some(team) => team.parse().map(Self::Team),
+            None if text == "platform" => Ok(Self::Platform),
+            None => text.parse().map(Self::Team),
+        }
+    }
+}
+
+/// Declarations of one folder, one map of values per scope.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Folder {
+    /// Values per scope.
+    pub scopes: BTreeMap<Scope, Values>,
+}
+
+impl Folder {
+    /// Reads and checks a folder and returns every fault of form.
+    pub fn read(path: &Path) -> Result<Self, Vec<Fault>> {
+        let mut folder = Self::default();
+        let mut faults = Vec::new();
+        let mut names = Vec::new();
+        let mut add = |scope: Scope, path: &Path| match read_file(&scope, path) {
+            Ok(values) => {
+                folder.scopes.insert(scope, values);
+            }
+            Err(found) => faults.extend(found),
+        };
+        add(Scope::Platform, &path.join("platform.ini"));
+        for (team, path) in team_files(path)? {
+            match team.parse() {
+                Ok(team) => add(Scope::Team(team), &path),
+                Err(error) => names.push(file_fault(&path, error.to_string())),
+            }
+        }
+        if faults.is_empty() {
+            Ok(folder)
+        } else {
+            Err(faults)
+        }
+    }
+}
+
+fn file_fault(path: &Path, message: String) -> Fault {
+    Fault {
+        file: path.display().to_string(),
+        section: String::new(),
+        key: String::new(),
+        line: None,
+        message,
+    }
+}
+
+fn team_files(path: &Path) -> Result<Vec<(String, std::path::PathBuf)>, Vec<Fault>> {
+    let teams = path.join("teams");
+    if !teams.exists() {
+        return Ok(Vec::new());
+    }
+    let list = || -> std::io::Result<Vec<_>> {
+        let mut files = Vec::new();
+        for entry in fs::read_dir(&teams)? {
+            let path = entry?.path();
+            if path.extension().is_some_and(|extension| extension == "ini") {
+                let stem = path
+                    .file_stem()
+                    .unwrap_or_default()
+                    .to_string_lossy()
+                    .into_owned();
+                files.push((stem, path));
+            }
+        }
+        files.sort();
+        Ok(files)
+    };
+    list().map_err(|error| vec![file_fault(&teams, error.to_string())])
+}
+
+fn read_file(scope: &Scope, path: &Path) -> Result<Values, Vec<Fault>> {
+    let text =
+        fs::read_to_string(path).map_err(|error| vec![file_fault(path, error.to_string())])?;
+    parse(scope, &path.display().to_string(), &text)
+}
+
+/// Returns the sections that a scope may hold.
+pub fn schema(scope: &Scope) -> &'static [Section] {
+    match scope {
+        Scope::Platform => schema::PLATFORM,
+        Scope::Team(_) => schema::TEAM,
+    }
+}
+
+/// Parses and checks the text of one file and returns every fault of form.
+pub fn parse(scope: &Scope, file: &str, text: &str) -> Result<Values, Vec<Fault>> {
+    let source = Source::parse(file, text)?;
+    let mut reader = Reader::new(&source);
+    let mut values = Values::new();
+    for (title, entries) in source.sections() {
+        let Some((section, name)) = find_section(schema(scope), title) else {
+            let titles: Vec<_> = schema(scope).iter().map(title_of).collect();
+            reader.reject(
+                title,
+                "",
+                format!("unknown section, expected {}", titles.join(", ")),
+            );
+            continue;
+        };
+        check_section(section, title, entries, &mut reader);
+        let prefix = if name.is_empty() {
+            section.kind.to_owned()
+        } else {
+            format!("{}/{name}", section.kind)
+        };
+        if entries.is_empty() {
+            // A section without keys, such as a domain, is still declared.
+            values.insert(prefix.clone(), String::new());
+        }
+        for (key, value) in entries {
+            values.insert(format!("{prefix}/{key}"), value.clone());
+        }
+    }
+    if reader.faults.is_empty() {
+        Ok(values)
+    } else {
+        Err(reader.faults)
+    }
+}
+
+fn title_of(section: &Section) -> String {
+    if section.named {
+        format!("[{} NAME]", section.kind)
+    } else {
+        format!("[{}]", section.kind)
+    }
+}
+
+fn find_section<'a>(
+    sections: &'static [Section],
+    title: &'a str,
+) -> Option<(&'static Section, &'a str)> {
+    let (kind, name) = title.split_once(' ').unwrap_or((title, ""));
+    let name = name.trim();
+    let section = sections.iter().find(|section| section.kind == kind)?;
+    let fits = if section.named {
+        name.parse::<id::Kind>().is_ok()
+    } else {
+        name.is_empty()
+    };
+    fits.then_some((section, name))
+}
+
+fn check_section(section: &Section, title: &str, entries: &Values, reader: &mut Reader<'_>) {
+    for key in section.keys {
+        match entries.get(key.name) {
+            Some(text) if !key.form.accepts(text) => {
+                reader.reject(
+                    title,
+                    key.name,
+                    format!("{text:?} is not {}", key.form.expected()),
+                );
+            }
+            None if key.required => {
+                reader.reject(
+                    title,
+                    key.name,
+                    format!("missing, expected {}", key.form.expected()),
+                );
+            }
+            _ => {}
+        }
+    }
+    let known = |name: &str| section.keys.iter().any(|key| key.name == name);
+    for name in entries.keys().filter(|name| !section.open && !known(name)) {
+        let names: Vec<_> = section.keys.iter().map(|key| key.name).collect();
+        reader.reject(
+            title,
+            name,
+            format!("unknown key, expected {}", names.join(", ")),
+        );
+    }
+}
+
+/// Checks values that did not come from a file, for example those of a write.
+pub fn check_values(scope: &Scope, values: &Values) -> Vec<Fault> {
+    let text = to_text(values);
+    parse(scope, "", &text).err().unwrap_or_default()
+}
+
+/// Writes values as INI text, sections in the order of their paths.
+pub fn to_text(values: &Values) -> String {
+    let mut text = String::new();
+    let mut open = String::new();
+    for (path, value) in values {
+        let (section, key) = split_path(path);
+        if section != open || text.is_empty() {
+            text.push_str(&format!("[{section}]\n"));
+            open = section;
+        }
+        if let Some(key) = key {
+            text.push_str(&format!("{key} = {value}\n"));
+        }
+    }
+    text
+}
+
+/// Splits a path into the title of its section and the key.
+pub fn split_path(path: &str) -> (String, Option<&str>) {
+    let parts: Vec<&str> = path.split('/').collect();
+    let named = |kind: &str| {
+        let mut sections = schema::PLATFORM.iter().chain(schema::TEAM);
+        sections.any(|section| section.kind == kind && section.named)
+    };
+    match parts.as_slice() {
+        [kind, name, key] => (format!("{kind} {name}"), Some(key)),
+        [kind, name] if named(kind) => (format!("{kind} {name}"), None),
+        [kind, key] => ((*kind).to_owned(), Some(key)),
+        _ => (path.to_owned(), None),
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_config/tests/declarations.rs
@@ -0,0 +1,164 @@
+//! Declarations: reading a folder, faults with their places, references between sections.
+
+use std::{collections::BTreeMap, fs};
+
+use buckthornmast_config::{
+    declaration::{self, Role},
+    folder,
+    prelude::*,
+};
+
+const PLATFORM: &str = "\
+[platform]
+name = test
+[domain north]
+[kind engine]
+role = model
+fencing = honoured
+access = checked
+[kind counter]
+role = plain
+fencing = ignored
+access = open
+[service chat]
+kind = engine
+[service ledger]
+kind = counter
+repeat = never
+[store]
+loads-per-second = 3
+loads-at-once = 10
+[team press]
+token-sha256 = e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855
+share = 0.5
+";
+
+const TEAM: &str = "\
+[policy]
+name = greedy
+burst = 2
+[objective chat]
+deadline = 5s
+attainment = 0.95
+[model m1]
+service = chat
+version = 1
+memory = 14GiB
+objective = chat
+[adapter a1]
+model = m1
+version = 2
+memory = 300MiB
+";
+
+fn write(platform: &str, team: &str) -> std::io::Result<tempfile::TempDir> {
+    let folder = tempfile::tempdir()?;
+    fs::create_dir(folder.path().join("teams"))?;
+    fs::write(folder.path().join("platform.ini"), platform)?;
+    fs::write(folder.path().join("teams/press.ini"), team)?;
+    Ok(folder)
+}
+
+fn read(platform: &str, team: &str) -> Result<Folder, Vec<Fault>> {
+    #[expect(clippy::expect_used, reason = "the lint excepts only test functions")]
+    let folder = write(platform, team).expect("a temporary folder can be written");
+    Folder::read(folder.path())
+}
+
+/// Guards against values that are lost between the file and the typed data.
+#[test]
+fn read_good_folder() {
+    let folder = read(PLATFORM, TEAM).unwrap();
+    let declarations = Declarations::read(&folder.scopes);
+    assert_eq!(declarations.check(), Vec::new());
+    let platform = &declarations.platform;
+    assert_eq!(platform.domains.len(), 1);
+    assert_eq!(
+        platform.kinds[&"counter".parse().unwrap()].role,
+        Role::Plain
+    );
+    assert!(!platform.services[&"ledger".parse().unwrap()].repeatable);
+    let team = &declarations.teams[&"press".parse().unwrap()];
+    assert_eq!(team.policy.parameters["burst"], "2");
+    let artifact = team.adapter_artifact(&"a1".parse().unwrap()).unwrap();
+    assert_eq!(artifact.to_string(), "m1@1+a1@2");
+}
+
+/// Guards against faults of form without file, section, key and line.
+#[test]
+fn read_fault_table() {
+    let cases = [
+        (
+            "memory = 14GiB",
+            "memory = big",
+            "press.ini:10: [model m1] memory: \"big\" is not a size",
+        ),
+        (
+            "attainment = 0.95",
+            "attainment = 95",
+            "[objective chat] attainment: \"95\" is not a share",
+        ),
+        ("deadline = 5s\n", "", "[objective chat] deadline: missing"),
+        ("[model m1]", "[modell m1]", "[modell m1] unknown section"),
+        ("[model m1]", "[model]", "[model] unknown section"),
+        (
+            "service = chat",
+            "service = chat\ncolour = red",
+            "[model m1] colour: unknown key",
+        ),
+    ];
+    for (from, to, expected) in cases {
+        let faults = read(PLATFORM, &TEAM.replacen(from, to, 1)).unwrap_err();
+        let texts: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        assert!(
+            texts.iter().any(|text| text.contains(expected)),
+            "{expected:?} not in {texts:?}"
+        );
+    }
+}
+
+/// Guards against references to sections that do not exist.
+#[test]
+fn check_reference_table() {
+    let cases = [
+        (
+            "service = chat",
+            "service = ledger",
+            "ledger is not a service of model engines",
+        ),
+        (
+            "objective = chat",
+            "objective = phone",
+            "objective phone is not declared",
+        ),
+        ("model = m1", "model = m2", "model m2 is not declared"),
+        ("[adapter a1]", "[adapter m1]", "the name is taken already"),
+    ];
+    for (from, to, expected) in cases {
+        let folder = read(PLATFORM, &TEAM.replacen(from, to, 1)).unwrap();
+        let faults = Declarations::read(&folder.scopes).check();
+        let texts: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        assert!(
+            texts.iter().any(|text| text.contains(expected)),
+            "{expected:?} not in {texts:?}"
+        );
+    }
+}
+
+/// Guards against a written value that reads back as another one.
+#[test]
+fn to_text_round_trip() {
+    let folder = read(PLATFORM, TEAM).unwrap();
+    for (scope, values) in &folder.scopes {
+        assert_eq!(
+            folder::parse(scope, "", &folder::to_text(values)).as_ref(),
+            Ok(values)
+        );
+    }
+    let scope: Scope = "team/press".parse().unwrap();
+    let others = BTreeMap::from([(Scope::Platform, folder.scopes[&Scope::Platform].clone())]);
+    assert_eq!(
+        declaration::check_scope(&scope, &folder.scopes[&scope], &others),
+        Vec::new()
+    );
+}
