--- a/crates/buckthornmast_types/src/lib.rs
+++ b/crates/buckthornmast_types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod artifact;
 pub mod id;
 pub mod order;
+pub mod outcome;
 pub mod rate;
 pub mod report;
 pub mod size;
@@ -19,6 +20,7 @@
         artifact::Artifact,
         id,
         order::{self, Order},
+        outcome::Run,
         rate::Rate,
         report::{self, Report},
         size::Bytes,
--- /dev/null
+++ b/crates/buckthornmast_types/src/outcome.rs
@@ -0,0 +1,24 @@
+//! What a client may conclude from an error about its request.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a request that failed was run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Run {
+    /// The request was not run: nothing was dispatched, or the target positively refused.
+    No,
+    /// The request may have been run.
+    Unknown,
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::No => "no",
+            Self::Unknown => "unknown",
+        })
+    }
+}
