Add target protocol, stand-in targets and the request path

Cause: the whole path needs a caller side and something to call. Change: target crate (traits and HTTP mapping), stand-in engine and plain service, gateway crate (catalog, chat completions, answer assembly, claims interface, plain services). Conclusion: the daemon can be assembled.

--- /dev/null
+++ b/crates/buckthornmast_gateway/src/catalog.rs
@@ -0,0 +1,102 @@
+//! Names that callers use, and what stands behind them.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use buckthornmast_config::declaration::{Declarations, Role};
+use buckthornmast_types::{artifact::Artifact, id};
+
+/// Model or adapter that callers may name.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Model {
+    /// Team that declared it.
+    pub team: id::Team,
+    /// Artifact at the declared version.
+    pub artifact: Artifact,
+    /// Service whose targets may hold it.
+    pub service: id::Service,
+    /// Priority, higher first.
+    pub priority: u8,
+    /// Objective by name.
+    pub objective: String,
+    /// Time for the whole answer.
+    pub deadline: Duration,
+    /// Time to the first token, if the objective names one.
+    pub first_token: Option<Duration>,
+}
+
+/// Plain service that callers may name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plain {
+    /// Name.
+    pub service: id::Service,
+    /// Whether a call may be repeated.
+    pub repeatable: bool,
+    /// Calls that one target works on at once.
+    pub concurrency: u32,
+}
+
+/// All names of one revision of the settings.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Catalog {
+    /// Models and adapters by the name that callers use.
+    pub models: BTreeMap<String, Model>,
+    /// Plain services by name.
+    pub services: BTreeMap<String, Plain>,
+}
+
+impl Catalog {
+    /// Builds the catalog of a set of declarations.
+    pub fn build(declarations: &Declarations) -> Self {
+        let mut catalog = Self::default();
+        for (name, team) in &declarations.teams {
+            for (model, declared) in &team.models {
+                let artifact = team.model_artifact(model);
+                let entry = artifact.and_then(|a| entry(name, team, declared, a));
+                catalog
+                    .models
+                    .extend(entry.map(|entry| (model.to_string(), entry)));
+            }
+            for (adapter, declared) in &team.adapters {
+                let base = team.models.get(&declared.model);
+                let artifact = team.adapter_artifact(adapter);
+                let entry = base
+                    .zip(artifact)
+                    .and_then(|(base, a)| entry(name, team, base, a));
+                catalog
+                    .models
+                    .extend(entry.map(|entry| (adapter.to_string(), entry)));
+            }
+        }
+        let platform = &declarations.platform;
+        for (name, service) in &platform.services {
+            let kind = platform.kinds.get(&service.kind);
+            if kind.is_some_and(|kind| kind.role == Role::Plain) {
+                let plain = Plain {
+                    service: name.clone(),
+                    repeatable: service.repeatable,
+                    concurrency: service.concurrency,
+                };
+                catalog.services.insert(name.to_string(), plain);
+            }
+        }
+        catalog
+    }
+}
+
+fn entry(
+    name: &id::Team,
+    team: &buckthornmast_config::declaration::Team,
+    model: &buckthornmast_config::declaration::Model,
+    artifact: Artifact,
+) -> Option<Model> {
+    let objective = team.objectives.get(&model.objective)?;
+    Some(Model {
+        team: name.clone(),
+        artifact,
+        service: model.service.clone(),
+        priority: model.priority,
+        objective: model.objective.clone(),
+        deadline: objective.deadline,
+        first_token: objective.first_token,
+    })
+}
--- /dev/null
+++ b/crates/buckthornmast_gateway/src/chat.rs
@@ -0,0 +1,153 @@
+//! Chat completions in the form that existing clients expect.
+
+use buckthornmast_target::work::{Finish, Message};
+use buckthornmast_types::id;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use snafu::Snafu;
+
+/// Tokens of an answer where the caller names no limit.
+pub const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Largest limit of tokens that a caller may name.
+pub const MAX_TOKENS: u32 = 32_768;
+
+/// Most messages of a conversation.
+pub const MAX_MESSAGES: usize = 4096;
+
+/// Reason why a body is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum ParseError {
+    /// The body is not the expected JSON.
+    #[snafu(display("{reason}"))]
+    Json {
+        /// Reason in words.
+        reason: String,
+    },
+    /// A value is out of range.
+    #[snafu(display("{field}: {reason}"))]
+    Value {
+        /// Field.
+        field: &'static str,
+        /// Reason in words.
+        reason: String,
+    },
+}
+
+#[derive(Deserialize)]
+struct Body {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    n: Option<u32>,
+}
+
+/// Parsed request. Sampling parameters that a stand-in does not know are accepted and ignored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Name of a model or adapter.
+    pub model: String,
+    /// Conversation.
+    pub messages: Vec<Message>,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Tokens of the answer at the most.
+    pub max_tokens: u32,
+}
+
+fn value_error<T>(field: &'static str, reason: impl Into<String>) -> Result<T, ParseError> {
+    Err(ParseError::Value {
+        field,
+        reason: reason.into(),
+    })
+}
+
+/// Parses the body of `POST /v1/chat/completions`.
+pub fn parse(text: &str) -> Result<Request, ParseError> {
+    let body: Body = serde_json::from_str(text).map_err(|error| ParseError::Json {
+        reason: error.to_string(),
+    })?;
+    if body.messages.is_empty() || body.messages.len() > MAX_MESSAGES {
+        return value_error("messages", format!("expected 1 to {MAX_MESSAGES} messages"));
+    }
+    if body.n.is_some_and(|n| n != 1) {
+        return value_error("n", "expected 1, one answer per request");
+    }
+    let limit = body
+        .max_completion_tokens
+        .or(body.max_tokens)
+        .unwrap_or(DEFAULT_MAX_TOKENS);
+    if !(1..=MAX_TOKENS).contains(&limit) {
+        return value_error("max_tokens", format!("expected 1 to {MAX_TOKENS}"));
+    }
+    let Body {
+        model,
+        messages,
+        stream,
+        ..
+    } = body;
+    Ok(Request {
+        model,
+        messages,
+        stream,
+        max_tokens: limit,
+    })
+}
+
+/// Identity that every part of one answer repeats.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Request.
+    pub request: id::Request,
+    /// Model as the caller named it.
+    pub model: String,
+    /// Seconds since the epoch.
+    pub created: u64,
+}
+
+impl Head {
+    fn object(&self, kind: &str, choice: Value) -> Value {
+        json!({
+            "id": format!("chatcmpl-{}", self.request),
+            "object": kind,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+        })
+    }
+
+    /// Returns the event that carries one token.
+    pub fn token(&self, token: &str, first: bool) -> String {
+        let delta = if first {
+            json!({ "role": "assistant", "content": token })
+        } else {
+            json!({ "content": token })
+        };
+        let choice = json!({ "index": 0, "delta": delta, "finish_reason": null });
+        self.object("chat.completion.chunk", choice).to_string()
+    }
+
+    /// Returns the event that ends a stream.
+    pub fn end(&self, finish: Finish) -> String {
+        let choice = json!({ "index": 0, "delta": {}, "finish_reason": finish.as_str() });
+        self.object("chat.completion.chunk", choice).to_string()
+    }
+
+    /// Returns the whole answer.
+    pub fn whole(&self, tokens: &[String], finish: Finish) -> String {
+        let message = json!({ "role": "assistant", "content": tokens.concat() });
+        let choice = json!({ "index": 0, "message": message, "finish_reason": finish.as_str() });
+        let mut object = self.object("chat.completion", choice);
+        object["usage"] = json!({ "completion_tokens": tokens.len() });
+        object.to_string()
+    }
+}
+
+/// Returns the body of `GET /v1/models`.
+pub fn models<'a>(names: impl Iterator<Item = (&'a str, &'a id::Team)>) -> String {
+    let entry = |(name, team): (&str, &id::Team)| json!({ "id": name, "object": "model", "owned_by": team.as_str() });
+    json!({ "object": "list", "data": names.map(entry).collect::<Vec<_>>() }).to_string()
+}
--- /dev/null
+++ b/crates/buckthornmast_gateway/src/claim.rs
@@ -0,0 +1,82 @@
+//! Claims of requests that must not be repeated.
+//!
+//! A claim is committed by a quorum before the first byte of dispatch. The store behind
+//! [`Claims`] is the replicated state; the request path only knows these outcomes.
+
+use std::time::Duration;
+
+use buckthornmast_types::id;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Answers above this size are not kept for a resend.
+pub const MAX_KEPT_BYTES: usize = 16 << 10;
+
+/// Request that must not be repeated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// Service that it goes to; a key is unique within its service.
+    pub service: id::Service,
+    /// Idempotency key.
+    pub key: id::Key,
+    /// Hash of method, path and body; a key may not be used for another request.
+    pub fingerprint: u64,
+    /// Request that claims.
+    pub request: id::Request,
+}
+
+/// Outcome of a request that must not be repeated, kept for resends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// Status code.
+    pub status: u16,
+    /// Content type.
+    pub content_type: String,
+    /// Body, unless it was too large to keep.
+    pub body: Option<Vec<u8>>,
+}
+
+/// Permission to dispatch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Grant {
+    /// Attempt that was granted.
+    pub attempt: id::Attempt,
+}
+
+/// Reason why a claim is not granted. In every case this request was not dispatched.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum Denied {
+    /// The request ran before; this is its outcome.
+    #[snafu(display("the request has run"))]
+    Done {
+        /// Outcome.
+        outcome: Outcome,
+    },
+    /// Another attempt holds the claim and may have run the request.
+    #[snafu(display("another attempt holds the claim"))]
+    Held,
+    /// The key was used for another request.
+    #[snafu(display("the key was used for another request"))]
+    Mismatch,
+    /// The key's time lies outside of the retention.
+    #[snafu(display("the key is older than the retention of claims or ahead of time"))]
+    Expired,
+    /// No quorum could be reached; the claim will be released.
+    #[snafu(display("no quorum: {reason}"))]
+    Unavailable {
+        /// Reason in words.
+        reason: String,
+    },
+}
+
+/// Store of claims.
+pub trait Claims {
+    /// Claims a request.
+    fn claim(&self, claim: &Claim, bound: Duration) -> Result<Grant, Denied>;
+
+    /// Records the outcome. It is stored in the background until it is committed.
+    fn complete(&self, claim: &Claim, grant: Grant, outcome: Outcome);
+
+    /// Gives a claim back, because the request was certainly not run.
+    fn release(&self, claim: &Claim, grant: Grant);
+}
--- /dev/null
+++ b/crates/buckthornmast_gateway/src/gateway.rs
@@ -0,0 +1,210 @@
+//! Assembly of the request path and its routes.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use buckthornmast_http::{exchange::Exchange, problem::Problem, response::Response};
+use buckthornmast_target::engine::{Engine, Plain};
+use buckthornmast_types::{id, outcome::Run, time::Clock};
+
+use crate::{
+    catalog::Catalog,
+    chat,
+    claim::Claims,
+    deadline::{Bounds, Deadline, HEADER},
+    generate,
+    observe::Observer,
+    router::Router,
+    service,
+};
+
+/// Parts that the request path is made of.
+pub trait Parts: Send + Sync + 'static {
+    /// Protocol to targets.
+    type Targets: Engine + Plain + Send + Sync;
+    /// Routing.
+    type Router: Router + Send + Sync;
+    /// Store of claims.
+    type Claims: Claims + Send + Sync;
+    /// Receiver of samples.
+    type Observer: Observer + Send + Sync;
+    /// Clock.
+    type Clock: Clock;
+}
+
+/// Limits of the request path.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Largest body of a request in bytes.
+    pub body: usize,
+    /// Deadline where neither caller nor objective names one.
+    pub deadline: Duration,
+    /// Bounds of deadlines and gaps.
+    pub bounds: Bounds,
+}
+
+/// Source of the names in force.
+pub trait Names: Send + Sync {
+    /// Returns the catalog, or `None` before the first settings arrived.
+    fn catalog(&self) -> Option<Arc<Catalog>>;
+}
+
+/// Request path.
+pub struct Gateway<P: Parts, N> {
+    /// Protocol to targets.
+    pub targets: P::Targets,
+    /// Routing.
+    pub router: Arc<P::Router>,
+    /// Store of claims.
+    pub claims: P::Claims,
+    /// Receiver of samples.
+    pub observer: P::Observer,
+    /// Clock.
+    pub clock: P::Clock,
+    /// Names in force.
+    pub names: N,
+    /// Limits.
+    pub limits: Limits,
+    /// Whether the balancer may send callers here.
+    pub ready: Arc<AtomicBool>,
+}
+
+/// Answers an exchange; a caller that is gone is only logged.
+pub(crate) fn respond(exchange: Exchange, response: impl Into<Response>) {
+    if let Err(error) = exchange.respond(response) {
+        log::debug!(step = "respond"; "{error}");
+    }
+}
+
+/// Returns a problem that names a bad value of the request.
+pub(crate) fn bad_request(step: &str, detail: impl Into<String>) -> Problem {
+    Problem::new(400, "bad request", step).detail(detail)
+}
+
+impl<P: Parts, N: Names> Gateway<P, N> {
+    /// Serves one exchange.
+    pub fn serve(&self, exchange: Exchange) {
+        match (exchange.method(), exchange.path()) {
+            ("GET", "/healthz") => respond(exchange, Response::new(200).body("ok\n")),
+            ("GET", "/readyz") => respond(exchange, self.readiness()),
+            ("GET", "/v1/models") => self.models(exchange),
+            ("POST", "/v1/chat/completions") => self.chat(exchange),
+            (_, path) if path.starts_with("/services/") => self.service(exchange),
+            (_, "/healthz" | "/readyz" | "/v1/models") => method_problem(exchange, "GET"),
+            (_, "/v1/chat/completions") => method_problem(exchange, "POST"),
+            _ => respond(exchange, Problem::new(404, "no such path", "route")),
+        }
+    }
+
+    fn readiness(&self) -> Response {
+        if !self.ready.load(Ordering::Relaxed) {
+            return Response::new(503).body("stopping or not started\n");
+        }
+        match self.names.catalog() {
+            Some(_) => Response::new(200).body("ready\n"),
+            None => Response::new(503).body("no settings in force yet\n"),
+        }
+    }
+
+    /// Returns the catalog or answers 503.
+    fn catalog(&self, exchange: Exchange) -> Option<(Arc<Catalog>, Exchange)> {
+        match self.names.catalog() {
+            Some(catalog) => Some((catalog, exchange)),
+            None => {
+                let problem = Problem::new(503, "no settings in force yet", "settings");
+                respond(exchange, problem.retry_after(Duration::from_secs(1)));
+                None
+            }
+        }
+    }
+
+    fn models(&self, exchange: Exchange) {
+        let Some((catalog, exchange)) = self.catalog(exchange) else {
+            return;
+        };
+        let names = catalog
+            .models
+            .iter()
+            .map(|(name, model)| (name.as_str(), &model.team));
+        respond(exchange, Response::json(200, chat::models(names)));
+    }
+
+    /// Reads the deadline header or answers 400.
+    pub(crate) fn deadline(
+        &self,
+        exchange: Exchange,
+        default: Duration,
+    ) -> Option<(Deadline, Exchange)> {
+        let header = exchange.header(HEADER);
+        match Deadline::read(header, self.clock.now(), default, self.limits.bounds.max) {
+            Ok(deadline) => Some((deadline, exchange)),
+            Err(error) => {
+                respond(exchange, bad_request("deadline", error.to_string()));
+                None
+            }
+        }
+    }
+
+    fn chat(&self, mut exchange: Exchange) {
+        let text = match exchange.text(self.limits.body) {
+            Ok(text) => text,
+            Err(error) => return respond(exchange, Problem::from(error)),
+        };
+        let request = match chat::parse(&text) {
+            Ok(request) => request,
+            Err(error) => return respond(exchange, bad_request("parse", error.to_string())),
+        };
+        let Some((catalog, exchange)) = self.catalog(exchange) else {
+            return;
+        };
+        let Some(model) = catalog.models.get(&request.model) else {
+            let name: String = request.model.chars().take(id::MAX_LABEL_LEN).collect();
+            let problem = Problem::new(404, "no such model", "route");
+            return respond(
+                exchange,
+                problem.detail(format!("{name:?} is not declared")),
+            );
+        };
+        let Some((deadline, exchange)) = self.deadline(exchange, model.deadline) else {
+            return;
+        };
+        generate::run(self, exchange, &request, model, deadline);
+    }
+
+    fn service(&self, exchange: Exchange) {
+        let name = exchange.path().trim_start_matches("/services/");
+        let name = name.split('/').next().unwrap_or_default().to_owned();
+        let Some((catalog, exchange)) = self.catalog(exchange) else {
+            return;
+        };
+        let Some(plain) = catalog.services.get(&name) else {
+            let name: String = name.chars().take(id::MAX_LABEL_LEN).collect();
+            let problem = Problem::new(404, "no such service", "route");
+            return respond(
+                exchange,
+                problem.detail(format!("{name:?} is not declared")),
+            );
+        };
+        let Some((deadline, exchange)) = self.deadline(exchange, self.limits.deadline) else {
+            return;
+        };
+        service::run(self, exchange, plain, deadline);
+    }
+}
+
+fn method_problem(exchange: Exchange, allowed: &str) {
+    let problem = Problem::new(405, "method not allowed", "route");
+    respond(exchange, Response::from(problem).header("Allow", allowed));
+}
+
+/// Returns the problem of a request whose deadline passed.
+pub(crate) fn deadline_problem(run: Run) -> Problem {
+    Problem::new(504, "deadline passed", "deadline")
+        .run(run)
+        .retry_after(Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/buckthornmast_gateway/src/generate.rs
@@ -0,0 +1,415 @@
+//! Generation of an answer by model engines.
+//!
+//! A generation may be run twice, since it changes nothing outside of the engine, so a failed
+//! dispatch is repeated elsewhere while deadline and retry budget allow it. An answer that has begun
+//! is resumed after its last token by a target with the same artifact, or ended with an error.
+
+use std::time::Duration;
+
+use buckthornmast_http::{
+    exchange::{Exchange, Stream},
+    problem::Problem,
+    response::Response,
+};
+use buckthornmast_target::{
+    engine::{Engine, Tokens},
+    error::{Cause, Error},
+    work::{Finish, Work},
+};
+use buckthornmast_types::{
+    id,
+    outcome::Run,
+    time::{Clock, Point},
+};
+
+use crate::{
+    assembly::Answer,
+    catalog::Model,
+    chat::{Head, Request},
+    deadline::Deadline,
+    gateway::{Gateway, Names, Parts, deadline_problem, respond},
+    observe::{End, Observer, Sample},
+    router::{Ask, Need, Pick, Report, Retry, Router, Tried},
+};
+
+/// Way in which tokens reach the caller.
+enum Sink {
+    /// All at the end.
+    Whole(Exchange),
+    /// Streamed, before the first token.
+    Closed(Exchange),
+    /// Streamed.
+    Open(Stream),
+}
+
+/// Reason why a generation ended without an answer.
+enum Failure {
+    /// The caller must be told.
+    Problem(Problem),
+    /// The caller is gone.
+    Gone,
+}
+
+/// How one dispatch ended.
+enum Dispatch {
+    Finished(Finish),
+    Failed(Error),
+    Ended(Failure),
+}
+
+struct Session<'a, P: Parts, N> {
+    gateway: &'a Gateway<P, N>,
+    request: &'a Request,
+    model: &'a Model,
+    head: Head,
+    deadline: Deadline,
+    started: Point,
+    first_token: Option<Duration>,
+    answer: Answer,
+    sink: Option<Sink>,
+    tried: Tried,
+    target: Option<id::Target>,
+}
+
+/// Carries a chat request to its end.
+pub(crate) fn run<P: Parts, N: Names>(
+    gateway: &Gateway<P, N>,
+    exchange: Exchange,
+    request: &Request,
+    model: &Model,
+    deadline: Deadline,
+) {
+    let started = gateway.clock.now();
+    let id = id::Request::generate();
+    let head = Head {
+        request: id,
+        model: request.model.clone(),
+        created: buckthornmast_types::time::unix_millis() / 1000,
+    };
+    let sink = if request.stream {
+        Sink::Closed(exchange)
+    } else {
+        Sink::Whole(exchange)
+    };
+    let mut session = Session {
+        gateway,
+        request,
+        model,
+        head,
+        deadline,
+        started,
+        first_token: None,
+        answer: Answer::new(id),
+        sink: Some(sink),
+        tried: Tried::new(),
+        target: None,
+    };
+    let end = match session.generate() {
+        Ok(finish) => session.finish(finish),
+        Err(failure) => session.fail(failure),
+    };
+    session.observe(end);
+}
+
+impl<P: Parts, N: Names> Session<'_, P, N> {
+    fn left(&self) -> Option<Duration> {
+        self.deadline.left(self.gateway.clock.now())
+    }
+
+    fn generate(&mut self) -> Result<Finish, Failure> {
+        let left = self
+            .left()
+            .ok_or_else(|| Failure::Problem(deadline_problem(Run::No)))?;
+        let ask = Ask {
+            team: Some(&self.model.team),
+            name: &self.request.model,
+            priority: self.model.priority,
+            left,
+        };
+        let _permit = self.gateway.router.admit(&ask).map_err(|refused| {
+            let problem = Problem::new(503, "over capacity", "admit").detail(refused.to_string());
+            Failure::Problem(problem.retry_after(refused.retry_after))
+        })?;
+        let mut run = Run::No;
+        let mut last: Option<Error> = None;
+        for dispatches in 1.. {
+            let Some(left) = self.left() else {
+                return Err(Failure::Problem(deadline_problem(run)));
+            };
+            let Some(pick) = self.pick() else {
+                return Err(Failure::Problem(unavailable(last.as_ref(), run)));
+            };
+            match self.dispatch(&pick, left) {
+                Dispatch::Finished(finish) => return Ok(finish),
+                Dispatch::Ended(failure) => return Err(failure),
+                Dispatch::Failed(error) => {
+                    log::info!(
+                        step = error.step, peer = error.target.as_str(),
+                        request = self.head.request.to_string().as_str();
+                        "dispatch {dispatches} failed after {} tokens: {error}",
+                        self.answer.tokens().len(),
+                    );
+                    if error.run() == Run::Unknown {
+                        run = Run::Unknown;
+                    }
+                    self.tried.push(pick.endpoint.target.clone());
+                    let retry = Retry {
+                        error: &error,
+                        dispatches,
+                        repeatable: true,
+                        left,
+                    };
+                    if !self.gateway.router.may_retry(&retry) {
+                        return Err(Failure::Problem(unavailable(Some(&error), run)));
+                    }
+                    last = Some(error);
+                }
+            }
+        }
+        Err(Failure::Problem(unavailable(last.as_ref(), run)))
+    }
+
+    fn pick(&mut self) -> Option<Pick> {
+        let exact = !self.answer.tokens().is_empty();
+        let prefix = prefix_of(self.request);
+        let need = Need::Artifact {
+            artifact: &self.model.artifact,
+            exact,
+            prefix,
+        };
+        let pick = self.gateway.router.pick(&need, &self.tried)?;
+        self.target = Some(pick.endpoint.target.clone());
+        Some(pick)
+    }
+
+    /// Dispatches once and reports to the router how it ended.
+    fn dispatch(&mut self, pick: &Pick, left: Duration) -> Dispatch {
+        let begun = self.gateway.clock.now();
+        let tokens_before = self.answer.tokens().len();
+        let work = self.work(pick, left);
+        let mut first = None;
+        let result = self.receive(pick, &work, &mut first);
+        let now = self.gateway.clock.now();
+        let report = match &result {
+            Dispatch::Finished(_) => Report::Answered {
+                first: first.unwrap_or(now).since(begun),
+                total: now.since(begun),
+            },
+            Dispatch::Failed(error) => Report::Failed { error },
+            Dispatch::Ended(_) => Report::Abandoned,
+        };
+        self.gateway.router.done(pick, &report);
+        if self.answer.tokens().len() > tokens_before {
+            // A target that made progress may be tried again once others failed.
+            self.tried.clear();
+        }
+        if matches!(result, Dispatch::Ended(_)) {
+            self.gateway
+                .targets
+                .cancel(&pick.endpoint, work.request, work.attempt);
+        }
+        result
+    }
+
+    fn work(&mut self, pick: &Pick, left: Duration) -> Work {
+        let attempt = self.answer.next_attempt();
+        Work {
+            request: self.head.request,
+            attempt,
+            artifact: pick
+                .artifact
+                .clone()
+                .unwrap_or_else(|| self.model.artifact.clone()),
+            messages: self.request.messages.clone(),
+            max_tokens: self.request.max_tokens,
+            priority: self.model.priority,
+            resume: self.answer.tokens().to_vec(),
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn receive(&mut self, pick: &Pick, work: &Work, first: &mut Option<Point>) -> Dispatch {
+        let gateway = self.gateway;
+        let Some(left) = self.left() else {
+            return Dispatch::Ended(Failure::Problem(deadline_problem(Run::No)));
+        };
+        let stream = gateway.targets.generate(&pick.endpoint, work, left);
+        let mut stream = match stream {
+            Ok(stream) => stream,
+            Err(error) => return Dispatch::Failed(error),
+        };
+        loop {
+            let Some(left) = self.left() else {
+                return Dispatch::Ended(Failure::Problem(deadline_problem(Run::Unknown)));
+            };
+            // The first token waits for the batch and the prompt, so only the deadline bounds it.
+            let gap = if first.is_some() {
+                gateway.limits.bounds.gap.min(left)
+            } else {
+                left
+            };
+            let chunk = match stream.next(gap) {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) => return Dispatch::Failed(cut_short(pick)),
+                Err(error) => return Dispatch::Failed(error),
+            };
+            first.get_or_insert_with(|| gateway.clock.now());
+            match self.take(chunk) {
+                Ok(Some(finish)) => return Dispatch::Finished(finish),
+                Ok(None) => {}
+                Err(Taken::Gone) => return Dispatch::Ended(Failure::Gone),
+                Err(Taken::Broken(reason)) => {
+                    return Dispatch::Failed(malformed(pick, reason));
+                }
+            }
+        }
+    }
+
+    /// Takes a chunk and passes on the tokens that are now in order.
+    fn take(&mut self, chunk: buckthornmast_target::work::Chunk) -> Result<Option<Finish>, Taken> {
+        let before = self.answer.tokens().len();
+        let tokens = match self.answer.accept(chunk) {
+            Ok(tokens) => tokens,
+            Err(error) => return Err(Taken::Broken(error.to_string())),
+        };
+        for (at, token) in tokens.iter().enumerate() {
+            if before + at == 0 {
+                self.first_token = Some(self.gateway.clock.now().since(self.started));
+            }
+            if !send(&mut self.sink, &self.head, token, before + at == 0) {
+                return Err(Taken::Gone);
+            }
+        }
+        Ok(self.answer.finish())
+    }
+
+    fn finish(&mut self, finish: Finish) -> End {
+        let sent = match self.sink.take() {
+            Some(Sink::Whole(exchange)) => {
+                let body = self.head.whole(self.answer.tokens(), finish);
+                exchange.respond(Response::json(200, body))
+            }
+            Some(Sink::Closed(exchange)) => {
+                // The answer has no tokens.
+                exchange
+                    .stream(200, &STREAM_HEADERS)
+                    .and_then(|stream| end_stream(stream, &self.head.end(finish)))
+            }
+            Some(Sink::Open(stream)) => end_stream(stream, &self.head.end(finish)),
+            None => return End::Abandoned,
+        };
+        if sent.is_ok() {
+            End::Answered
+        } else {
+            End::Abandoned
+        }
+    }
+
+    fn fail(&mut self, failure: Failure) -> End {
+        let Failure::Problem(problem) = failure else {
+            return End::Abandoned;
+        };
+        let problem = problem.request(self.head.request);
+        let end = if problem.step == "admit" {
+            End::Refused
+        } else {
+            End::Failed
+        };
+        match self.sink.take() {
+            Some(Sink::Whole(exchange) | Sink::Closed(exchange)) => respond(exchange, problem),
+            Some(Sink::Open(mut stream)) => {
+                // The stream is dropped without its proper end, so it can't pass for a whole answer.
+                let event = format!("{{\"error\":{}}}", problem.to_json());
+                if let Err(error) = stream.event(&event) {
+                    log::debug!(step = "stream"; "{error}");
+                }
+            }
+            None => {}
+        }
+        end
+    }
+
+    fn observe(&self, end: End) {
+        let total = self.gateway.clock.now().since(self.started);
+        let in_time = total <= self.model.deadline
+            && self
+                .model
+                .first_token
+                .is_none_or(|bound| self.first_token.is_some_and(|first| first <= bound));
+        self.gateway.observer.observe(&Sample {
+            team: &self.model.team,
+            model: &self.request.model,
+            objective: &self.model.objective,
+            target: self.target.as_ref(),
+            end,
+            met: end == End::Answered && in_time,
+            first_token: self.first_token,
+            total,
+            tokens: u32::try_from(self.answer.tokens().len()).unwrap_or(u32::MAX),
+        });
+    }
+}
+
+/// Reason why a chunk could not be passed on.
+enum Taken {
+    Gone,
+    Broken(String),
+}
+
+const STREAM_HEADERS: [(&str, &str); 2] = [
+    ("Content-Type", "text/event-stream"),
+    ("Cache-Control", "no-cache"),
+];
+
+/// Sends one token and returns whether the caller is still there.
+fn send(sink: &mut Option<Sink>, head: &Head, token: &str, first: bool) -> bool {
+    if let Some(Sink::Closed(exchange)) = sink.take_if(|sink| matches!(sink, Sink::Closed(_))) {
+        match exchange.stream(200, &STREAM_HEADERS) {
+            Ok(stream) => *sink = Some(Sink::Open(stream)),
+            Err(_) => return false,
+        }
+    }
+    match sink {
+        Some(Sink::Open(stream)) => stream.event(&head.token(token, first)).is_ok(),
+        Some(Sink::Whole(exchange)) => !exchange.is_gone(),
+        _ => false,
+    }
+}
+
+fn end_stream(mut stream: Stream, end: &str) -> Result<(), buckthornmast_http::exchange::Gone> {
+    stream.event(end)?;
+    stream.event("[DONE]")?;
+    stream.finish()
+}
+
+/// Returns a hash of the first message, which conversations with one system prompt share.
+fn prefix_of(request: &Request) -> u64 {
+    let first = request
+        .messages
+        .first()
+        .map_or("", |message| &message.content);
+    xxhash_rust::xxh3::xxh3_64(first.as_bytes())
+}
+
+fn cut_short(pick: &Pick) -> Error {
+    malformed(pick, "the stream ended before the answer did".to_owned())
+}
+
+fn malformed(pick: &Pick, reason: String) -> Error {
+    Error {
+        step: "stream",
+        target: pick.endpoint.target.clone(),
+        cause: Cause::Malformed { reason },
+    }
+}
+
+/// Returns the problem of a request that no target could answer.
+fn unavailable(last: Option<&Error>, run: Run) -> Problem {
+    let problem = Problem::new(503, "no target could answer", "dispatch")
+        .run(run)
+        .retry_after(Duration::from_secs(1));
+    match last {
+        Some(error) => problem.detail(error.to_string()),
+        None => problem.detail("no target with the model is ready"),
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_gateway/src/observe.rs
@@ -0,0 +1,49 @@
+//! Samples of finished requests for reports and metrics.
+
+use std::time::Duration;
+
+use buckthornmast_types::id;
+use serde::{Deserialize, Serialize};
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// Answered whole.
+    Answered,
+    /// Refused at once, not run.
+    Refused,
+    /// Failed.
+    Failed,
+    /// The caller went away.
+    Abandoned,
+}
+
+/// Finished request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sample<'a> {
+    /// Team.
+    pub team: &'a id::Team,
+    /// Model or adapter as the caller named it.
+    pub model: &'a str,
+    /// Objective.
+    pub objective: &'a str,
+    /// Target that answered last, if any.
+    pub target: Option<&'a id::Target>,
+    /// How the request ended.
+    pub end: End,
+    /// Whether it was answered within the deadline of its objective.
+    pub met: bool,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+    /// Tokens.
+    pub tokens: u32,
+}
+
+/// Receiver of samples.
+pub trait Observer {
+    /// Takes a sample.
+    fn observe(&self, sample: &Sample<'_>);
+}
--- /dev/null
+++ b/crates/buckthornmast_gateway/src/router.rs
@@ -0,0 +1,114 @@
+//! What the request path asks of routing.
+
+use std::time::Duration;
+
+use buckthornmast_target::{engine::Endpoint, error::Error};
+use buckthornmast_types::{artifact::Artifact, id};
+use smallvec::SmallVec;
+use snafu::Snafu;
+
+/// Targets that were tried for one request.
+pub type Tried = SmallVec<[id::Target; 4]>;
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub enum Need<'a> {
+    /// Target with an artifact, or with another version of it while the declared one is not ready.
+    Artifact {
+        /// Artifact.
+        artifact: &'a Artifact,
+        /// Whether only this version will do, because an answer has begun with it.
+        exact: bool,
+        /// Hash of the start of the conversation, for prefix caches.
+        prefix: u64,
+    },
+    /// Target of a plain service.
+    Service {
+        /// Service.
+        service: &'a id::Service,
+        /// Calls that one target works on at once.
+        concurrency: u32,
+    },
+}
+
+/// Request for admission.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Team, or `None` for a plain service.
+    pub team: Option<&'a id::Team>,
+    /// Name of the model or service, which has a queue of its own.
+    pub name: &'a str,
+    /// Priority, higher first.
+    pub priority: u8,
+    /// Time that the caller still waits.
+    pub left: Duration,
+}
+
+/// Reason why a request is not admitted.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{reason}"))]
+pub struct Refused {
+    /// Reason in words.
+    pub reason: String,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// Chosen target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pick {
+    /// Where it is reached.
+    pub endpoint: Endpoint,
+    /// Artifact that will answer; `None` for a plain service.
+    pub artifact: Option<Artifact>,
+}
+
+/// How a dispatch ended.
+#[derive(Debug, Clone, Copy)]
+pub enum Report<'a> {
+    /// The target answered.
+    Answered {
+        /// Time to the first token, or to the whole answer of a plain service.
+        first: Duration,
+        /// Time to the end.
+        total: Duration,
+    },
+    /// The dispatch failed.
+    Failed {
+        /// Error.
+        error: &'a Error,
+    },
+    /// The caller went away or its deadline passed.
+    Abandoned,
+}
+
+/// Question whether a failed request is dispatched again.
+#[derive(Debug, Clone, Copy)]
+pub struct Retry<'a> {
+    /// Error of the last dispatch.
+    pub error: &'a Error,
+    /// Dispatches so far.
+    pub dispatches: u32,
+    /// Whether the request may be run twice.
+    pub repeatable: bool,
+    /// Time that the caller still waits.
+    pub left: Duration,
+}
+
+/// Routing as the request path sees it.
+pub trait Router {
+    /// Place in the system that a request holds until it is dropped.
+    type Permit;
+
+    /// Admits a request or says when to come back.
+    fn admit(&self, ask: &Ask<'_>) -> Result<Self::Permit, Refused>;
+
+    /// Chooses a target; the choice counts as in flight until [`Router::done`].
+    fn pick(&self, need: &Need<'_>, tried: &Tried) -> Option<Pick>;
+
+    /// Ends a choice.
+    fn done(&self, pick: &Pick, report: &Report<'_>);
+
+    /// Returns whether a failed request may be dispatched again.
+    fn may_retry(&self, retry: &Retry<'_>) -> bool;
+}
--- /dev/null
+++ b/crates/buckthornmast_standin/src/flags.rs
@@ -0,0 +1,65 @@
+//! Command line of the stand-in.
+
+#![allow(
+    missing_docs,
+    reason = "the macro adds items of its own, and each flag is described in place"
+)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use buckthornmast_types::{
+    id::{Domain, Kind, Service, Target},
+    size::Bytes,
+};
+use humantime::Duration as Span;
+
+xflags::xflags! {
+    /// Stand-in model engine or plain service.
+    cmd standin {
+        /// Name of the target.
+        required --name target: Target
+        /// Failure domain.
+        required --domain domain: Domain
+        /// Kind as the platform's settings declare it.
+        required --kind kind: Kind
+        /// Service that the target belongs to.
+        required --service service: Service
+        /// Address to listen on; port 0 takes a free one.
+        required --listen address: SocketAddr
+        /// Instance to report to; may be given several times, the first two that answer get reports.
+        repeated --report-to address: SocketAddr
+        /// Runs a plain service instead of a model engine.
+        optional --plain
+        /// Time that a call of the plain service takes.
+        optional --call-time span: Span
+        /// Accelerator memory for artifacts, for example 80GiB.
+        optional --memory size: Bytes
+        /// Accelerators.
+        optional --accelerators count: u32
+        /// Requests in the batch at once.
+        optional --slots count: u32
+        /// Gap between two tokens of an empty batch.
+        optional --token-gap span: Span
+        /// Time to process one message of a prompt that is not cached.
+        optional --prompt-time span: Span
+        /// Weights that the store delivers in a second.
+        optional --load-rate size: Bytes
+        /// Ignores fencing tokens.
+        optional --ignore-fencing
+        /// Bearer token that orders and work must show.
+        optional --access-token token: String
+        /// Share of orders that get lost, from 0 to 1.
+        optional --lose-orders share: f64
+        /// Delay of each order before it is carried out; the answer comes first.
+        optional --delay-orders span: Span
+        /// Age of the load in the reports.
+        optional --load-lag span: Span
+        /// Seed of the losses.
+        optional --seed seed: u64
+    }
+}
+
+/// Returns a duration or its default.
+pub fn span(given: Option<Span>, default: Duration) -> Duration {
+    given.map_or(default, Into::into)
+}
--- /dev/null
+++ b/crates/buckthornmast_standin/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-in targets.
+//!
+//! [`engine`] is the state of a model engine as a pure state machine, [`serve`] puts it and the plain
+//! service of [`plain`] behind HTTP, and [`announce`] reports to the instances. Nothing here is used
+//! by the daemon.
+
+pub mod announce;
+pub mod engine;
+pub mod flags;
+pub mod plain;
+pub mod serve;
+
+/// Names that most users of this crate import together.
+pub mod prelude {
+    pub use crate::{engine::Engine, plain::Plain, serve::start};
+}
--- /dev/null
+++ b/crates/buckthornmast_standin/src/serve.rs
@@ -0,0 +1,385 @@
+//! HTTP side of the stand-ins.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use buckthornmast_http::{
+    exchange::{Exchange, Stream},
+    problem::Problem,
+    response::Response,
+    server::{self, Config, Handle},
+};
+use buckthornmast_target::work::{Chunk, Event, Finish, Work};
+use buckthornmast_types::{
+    id,
+    order::{Order, Reply},
+    report::{Load, Report},
+    size::Bytes,
+    time::{Clock, Point, System},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde_json::json;
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    announce::{self, Announcer},
+    engine::{self, Engine},
+    flags::{Standin as Flags, span},
+    plain::Plain,
+};
+
+/// Largest body of a request.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Reason why a stand-in did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The port is not available.
+    #[snafu(display("listen on {address}: {source}"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The server did not start.
+    #[snafu(context(false), display("{source}"))]
+    Serve {
+        /// Cause.
+        source: server::StartError,
+    },
+    /// The reporting thread did not start.
+    #[snafu(display("report: {source}"))]
+    Announce {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+struct Shared {
+    flags: Flags,
+    clock: System,
+    engine: Mutex<Engine>,
+    plain: Mutex<Plain>,
+    /// Load samples, oldest first, so that reports lag.
+    samples: Mutex<Vec<(Point, Load)>>,
+    losses: Mutex<SmallRng>,
+    cancelled: Mutex<Vec<(id::Request, id::Attempt)>>,
+    started: id::Incarnation,
+}
+
+/// Running stand-in.
+pub struct Standin {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    server: Handle,
+    announcer: Announcer,
+}
+
+/// Locks a mutex; the data of a stand-in stays usable after a panic of another thread.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Standin {
+    /// Returns the address that the stand-in listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Announces that the target is leaving.
+    pub fn leave(&self) {
+        lock(&self.shared.engine).set_leaving(true);
+        self.announcer.wake();
+    }
+
+    /// Ends requests in progress and joins all threads.
+    pub fn stop(mut self) {
+        self.server.stop();
+        self.announcer.stop();
+    }
+}
+
+/// Starts a stand-in.
+pub fn start(flags: Flags) -> Result<Standin, StartError> {
+    let listener = TcpListener::bind(flags.listen).context(ListenSnafu {
+        address: flags.listen,
+    })?;
+    let address = listener.local_addr().context(ListenSnafu {
+        address: flags.listen,
+    })?;
+    let shared = Arc::new(shared(flags));
+    let config = Config {
+        name: "standin".to_owned(),
+        workers: 2048,
+        ..Config::default()
+    };
+    let server = server::start(listener, config, {
+        let shared = Arc::clone(&shared);
+        move |exchange| handle(&shared, exchange)
+    })?;
+    let announcer = announce::start(shared.flags.report_to.clone(), {
+        let shared = Arc::clone(&shared);
+        move |sequence| report(&shared, address, sequence)
+    })
+    .context(AnnounceSnafu)?;
+    Ok(Standin {
+        address,
+        shared,
+        server,
+        announcer,
+    })
+}
+
+fn shared(flags: Flags) -> Shared {
+    let engine = Engine::new(engine::Config {
+        memory: flags.memory.unwrap_or(Bytes::gib(80)),
+        slots: flags.slots.unwrap_or(32),
+        token_gap: span(flags.token_gap, Duration::from_millis(20)),
+        prompt_time: span(flags.prompt_time, Duration::from_millis(20)),
+        load_rate: flags.load_rate.unwrap_or(Bytes::gib(20)),
+        fencing: !flags.ignore_fencing,
+    });
+    Shared {
+        clock: System::start(),
+        engine: Mutex::new(engine),
+        plain: Mutex::default(),
+        samples: Mutex::default(),
+        losses: Mutex::new(SmallRng::seed_from_u64(flags.seed.unwrap_or(1))),
+        cancelled: Mutex::default(),
+        started: id::Incarnation(buckthornmast_types::time::unix_millis()),
+        flags,
+    }
+}
+
+/// Returns the load as it was one lag ago.
+fn lagging_load(shared: &Shared, now: Point) -> Load {
+    let mut samples = lock(&shared.samples);
+    samples.push((now, lock(&shared.engine).load_now()));
+    let lag = span(shared.flags.load_lag, Duration::ZERO);
+    let old = samples
+        .iter()
+        .rposition(|(at, _)| now.since(*at) >= lag)
+        .unwrap_or(0);
+    samples.drain(..old);
+    samples.first().map(|(_, load)| *load).unwrap_or_default()
+}
+
+fn report(shared: &Shared, address: SocketAddr, sequence: u64) -> Report {
+    let now = shared.clock.now();
+    let load = lagging_load(shared, now);
+    let mut engine = lock(&shared.engine);
+    engine.advance(now);
+    let flags = &shared.flags;
+    let (accelerators, memory) = if flags.plain {
+        (0, Bytes::ZERO)
+    } else {
+        (flags.accelerators.unwrap_or(1), engine.memory())
+    };
+    Report {
+        target: flags.name.clone(),
+        domain: flags.domain.clone(),
+        kind: flags.kind.clone(),
+        service: flags.service.clone(),
+        address,
+        incarnation: shared.started,
+        sequence,
+        leaving: engine.is_leaving(),
+        accelerators,
+        memory,
+        copies: engine.copies(),
+        token: engine.token(),
+        load,
+    }
+}
+
+fn respond(exchange: Exchange, response: impl Into<Response>) {
+    if let Err(error) = exchange.respond(response) {
+        log::debug!(step = "respond"; "{error}");
+    }
+}
+
+fn is_allowed(shared: &Shared, exchange: &Exchange) -> bool {
+    let Some(token) = &shared.flags.access_token else {
+        return true;
+    };
+    exchange.header("authorization") == Some(&format!("Bearer {token}"))
+}
+
+fn handle(shared: &Arc<Shared>, exchange: Exchange) {
+    match (exchange.method(), exchange.path()) {
+        ("GET", "/counters") => respond(exchange, Response::json(200, counters(shared))),
+        ("POST", "/leave") => {
+            lock(&shared.engine).set_leaving(true);
+            respond(exchange, Response::json(200, "{}"));
+        }
+        _ if shared.flags.plain => call(shared, exchange),
+        _ if !is_allowed(shared, &exchange) => {
+            respond(exchange, Problem::new(403, "access denied", "access"));
+        }
+        ("POST", "/v1/orders") => order(shared, exchange),
+        ("POST", "/v1/generate") => generate(shared, exchange),
+        ("POST", "/v1/cancel") => cancel(shared, exchange),
+        _ => respond(exchange, Problem::new(404, "no such path", "route")),
+    }
+}
+
+fn counters(shared: &Shared) -> String {
+    let engine = lock(&shared.engine);
+    let plain = lock(&shared.plain);
+    json!({
+        "engine": engine.counters(),
+        "used": engine.used(),
+        "plain": &*plain,
+        "repeated": plain.repeated(),
+    })
+    .to_string()
+}
+
+fn call(shared: &Shared, exchange: Exchange) {
+    let key = exchange
+        .header("idempotency-key")
+        .unwrap_or_default()
+        .to_owned();
+    let number = lock(&shared.plain).run(&key);
+    thread::sleep(span(shared.flags.call_time, Duration::from_millis(5)));
+    let answer = json!({ "service": shared.flags.service, "call": number, "key": key });
+    respond(exchange, Response::json(200, answer.to_string()));
+}
+
+/// Reads a JSON body or answers 400.
+fn read<T: serde::de::DeserializeOwned>(mut exchange: Exchange) -> Option<(T, Exchange)> {
+    let parsed = exchange
+        .text(MAX_BODY_BYTES)
+        .map_err(Problem::from)
+        .and_then(|text| {
+            serde_json::from_str(&text)
+                .map_err(|error| Problem::new(400, "bad body", "parse").detail(error.to_string()))
+        });
+    match parsed {
+        Ok(value) => Some((value, exchange)),
+        Err(problem) => {
+            respond(exchange, problem);
+            None
+        }
+    }
+}
+
+fn order(shared: &Arc<Shared>, exchange: Exchange) {
+    let Some((order, exchange)) = read::<Order>(exchange) else {
+        return;
+    };
+    let lost = shared.flags.lose_orders.unwrap_or(0.0);
+    if lost > 0.0 && lock(&shared.losses).random_bool(lost.min(1.0)) {
+        // The connection is closed without an answer, as if the network had lost the order.
+        return;
+    }
+    let delay = span(shared.flags.delay_orders, Duration::ZERO);
+    let reply = if delay.is_zero() {
+        lock(&shared.engine).order(shared.clock.now(), &order)
+    } else {
+        let shared = Arc::clone(shared);
+        thread::spawn(move || {
+            thread::sleep(delay);
+            lock(&shared.engine).order(shared.clock.now(), &order)
+        });
+        Reply::Accepted
+    };
+    respond(
+        exchange,
+        Response::json(200, serde_json::to_vec(&reply).unwrap_or_default()),
+    );
+}
+
+fn cancel(shared: &Shared, exchange: Exchange) {
+    #[derive(serde::Deserialize)]
+    struct Cancel {
+        request: id::Request,
+        attempt: id::Attempt,
+    }
+    let Some((cancel, exchange)) = read::<Cancel>(exchange) else {
+        return;
+    };
+    let mut cancelled = lock(&shared.cancelled);
+    cancelled.push((cancel.request, cancel.attempt));
+    if cancelled.len() > 10_000 {
+        cancelled.drain(..5_000);
+    }
+    drop(cancelled);
+    respond(exchange, Response::json(200, "{}"));
+}
+
+fn generate(shared: &Shared, exchange: Exchange) {
+    let Some((work, exchange)) = read::<Work>(exchange) else {
+        return;
+    };
+    if !lock(&shared.engine).begin(shared.clock.now(), &work.artifact) {
+        let problem = Problem::new(503, "artifact is not ready", "begin");
+        return respond(exchange, problem.retry_after(Duration::from_secs(1)));
+    }
+    let headers = [("Content-Type", "text/event-stream")];
+    match exchange.stream(200, &headers) {
+        Ok(stream) => send_tokens(shared, &work, stream),
+        Err(error) => log::debug!(step = "generate"; "{error}"),
+    }
+    lock(&shared.engine).end();
+}
+
+fn prefix_of(work: &Work) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    work.artifact.hash(&mut hasher);
+    work.messages
+        .first()
+        .map(|message| &message.content)
+        .hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the token at a position; it depends on the prompt only, so that a resumed answer can be checked.
+pub fn token_at(work: &Work, index: u32) -> String {
+    let last = work.messages.last().map_or("", |message| &message.content);
+    let words: Vec<&str> = last.split_whitespace().collect();
+    let word = words
+        .get(index as usize % words.len().max(1))
+        .copied()
+        .unwrap_or("ok");
+    format!("{word}-{index} ")
+}
+
+fn send_tokens(shared: &Shared, work: &Work, mut stream: Stream) {
+    let messages = u32::try_from(work.messages.len()).unwrap_or(u32::MAX);
+    let prompt_time = lock(&shared.engine).prompt_time(prefix_of(work), messages);
+    thread::sleep(prompt_time);
+    let first = u32::try_from(work.resume.len()).unwrap_or(u32::MAX);
+    let chunk = |index, event| {
+        let chunk = Chunk {
+            request: work.request,
+            attempt: work.attempt,
+            index,
+            event,
+        };
+        serde_json::to_string(&chunk).unwrap_or_default()
+    };
+    for index in first..work.max_tokens {
+        if lock(&shared.cancelled).contains(&(work.request, work.attempt)) {
+            return;
+        }
+        let text = chunk(index, Event::Token(token_at(work, index)));
+        if let Err(error) = stream.event(&text) {
+            log::debug!(step = "generate"; "{error}");
+            return;
+        }
+        lock(&shared.engine).count_token();
+        let gap = lock(&shared.engine).token_gap();
+        thread::sleep(gap);
+    }
+    let end = chunk(work.max_tokens.max(first), Event::Finish(Finish::Length));
+    if let Err(error) = stream.event(&end).and_then(|()| stream.finish()) {
+        log::debug!(step = "generate"; "{error}");
+    }
+}
