Add the placement crate with three policies and the arbiter

Cause: controllers need a rule for which artifact goes where, teams need their own, and the store and the accelerators have to be shared. Conclusion: the interface can be used by other crates; the policies are not tuned yet.

--- /dev/null
+++ b/crates/buckthornmast_placement/src/draft.rs
@@ -0,0 +1,161 @@
+//! Effect of moves on a view, with the rules that no move may break.
+//!
+//! Policies and the arbiter apply their moves to a draft, so both check the same rules:
+//!
+//! - memory is counted at the worst case, and an unload frees nothing until a report confirms it;
+//! - an adapter is loaded only where its base model is ready, and a base model is unloaded only after
+//!   its adapters on that target;
+//! - the last reachable copy stays, unless a reachable newer version replaces it.
+
+use buckthornmast_types::{report::Phase, size::Bytes};
+use smallvec::SmallVec;
+
+use crate::{
+    plan::Action,
+    view::{Copy, Health, View},
+};
+
+/// View with moves applied to it.
+#[derive(Debug, Clone)]
+pub struct Draft<'a> {
+    view: &'a View,
+    free: Vec<Bytes>,
+    copies: Vec<SmallVec<[Copy; 4]>>,
+    on: Vec<SmallVec<[usize; 8]>>,
+}
+
+impl<'a> Draft<'a> {
+    /// Starts from a view without moves.
+    pub fn new(view: &'a View) -> Self {
+        let mut on = vec![SmallVec::new(); view.targets.len()];
+        for (item, entry) in view.artifacts.iter().enumerate() {
+            for copy in &entry.copies {
+                on[copy.target].push(item);
+            }
+        }
+        Self {
+            view,
+            free: view.targets.iter().map(|host| host.free).collect(),
+            copies: view.artifacts.iter().map(|i| i.copies.clone()).collect(),
+            on,
+        }
+    }
+
+    /// Returns the view without the moves.
+    pub fn view(&self) -> &'a View {
+        self.view
+    }
+
+    /// Returns the copies of an artifact.
+    pub fn copies(&self, item: usize) -> &[Copy] {
+        &self.copies[item]
+    }
+
+    /// Returns the artifacts that have a copy on a target.
+    pub fn on(&self, target: usize) -> &[usize] {
+        &self.on[target]
+    }
+
+    /// Returns the free memory of a target.
+    pub fn free(&self, target: usize) -> Bytes {
+        self.free[target]
+    }
+
+    /// Returns the phase of the copy of an artifact on a target.
+    pub fn phase(&self, item: usize, target: usize) -> Option<Phase> {
+        let copy = self.copies[item].iter().find(|c| c.target == target);
+        copy.map(|copy| copy.phase)
+    }
+
+    /// Returns the number of reachable copies.
+    pub fn reachable(&self, item: usize) -> usize {
+        let copies = self.copies[item].iter();
+        copies.filter(|copy| self.view.is_reachable(**copy)).count()
+    }
+
+    /// Returns whether a copy that can answer requests exists or is being loaded.
+    pub fn is_covered(&self, item: usize) -> bool {
+        self.copies[item].iter().any(|copy| {
+            copy.phase != Phase::Unloading && self.view.targets[copy.target].health == Health::Ready
+        })
+    }
+
+    /// Returns whether a load fits in every respect but memory.
+    pub fn is_eligible(&self, item: usize, target: usize) -> bool {
+        let host = &self.view.targets[target];
+        let entry = &self.view.artifacts[item];
+        host.health == Health::Ready
+            && entry.bytes <= host.memory
+            && self.phase(item, target).is_none()
+            && entry
+                .base
+                .is_none_or(|base| self.phase(base, target) == Some(Phase::Ready))
+    }
+
+    /// Returns whether an artifact can be loaded on a target now.
+    pub fn can_load(&self, item: usize, target: usize) -> bool {
+        self.view.artifacts[item].bytes <= self.free[target] && self.is_eligible(item, target)
+    }
+
+    /// Returns whether an artifact has a copy to spare besides the one on a target.
+    ///
+    /// Controllers of two domains may decide at once on views that differ. So a copy that another
+    /// controller could give up counts only if its target's id is lower: the copy with the lowest id
+    /// is then given up by nobody.
+    pub fn is_spare(&self, item: usize, target: usize) -> bool {
+        let hosts = &self.view.targets;
+        self.view.is_superseded(item)
+            || self.copies[item].iter().any(|copy| {
+                let other = &hosts[copy.target];
+                copy.target != target
+                    && self.view.is_reachable(*copy)
+                    && (other.controlled || other.id < hosts[target].id)
+            })
+    }
+
+    /// Returns the adapters that have a copy on top of a base model on a target.
+    pub fn adapters(&self, base: usize, target: usize) -> impl Iterator<Item = usize> + '_ {
+        let items = self.on[target].iter().copied();
+        items.filter(move |item| self.view.artifacts[*item].base == Some(base))
+    }
+
+    /// Returns whether an artifact can be unloaded from a target now.
+    pub fn can_unload(&self, item: usize, target: usize) -> bool {
+        self.phase(item, target) == Some(Phase::Ready)
+            && self.view.targets[target].health != Health::Lost
+            && self.is_spare(item, target)
+            && self.adapters(item, target).next().is_none()
+    }
+
+    /// Returns whether a move breaks no rule.
+    pub fn allows(&self, action: Action) -> bool {
+        match action {
+            Action::Load { artifact, target }
+            | Action::Shift {
+                artifact,
+                to: target,
+                ..
+            } => self.can_load(artifact, target),
+            Action::Unload { artifact, target } => self.can_unload(artifact, target),
+        }
+    }
+
+    /// Applies a move that [`Self::allows`] accepts.
+    pub fn apply(&mut self, action: Action) {
+        let (item, target) = (action.artifact(), action.target());
+        if action.is_load() {
+            self.free[target] = self.free[target].saturating_sub(self.view.artifacts[item].bytes);
+            self.on[target].push(item);
+            self.copies[item].push(Copy {
+                target,
+                phase: Phase::Loading,
+            });
+            return;
+        }
+        for copy in &mut self.copies[item] {
+            if copy.target == target {
+                copy.phase = Phase::Unloading;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_placement/src/duty.rs
@@ -0,0 +1,316 @@
+//! Moves that every policy owes, whatever it optimises.
+//!
+//! An artifact without a reachable copy gets one, a target that is leaving is emptied, and a rollout
+//! proceeds. The new version is loaded beside the old one, or waits for memory; old copies go once the
+//! new version is reachable.
+
+use buckthornmast_types::report::Phase;
+
+use crate::{
+    draft::Draft,
+    plan::{Action, Move, Moves, Reason},
+    view::Health,
+};
+
+/// Appends a move to a plan and applies it to the draft, if the rules and the limit allow it.
+pub fn push(draft: &mut Draft<'_>, moves: &mut Moves, limit: usize, wanted: Move) -> bool {
+    if moves.len() >= limit || !draft.allows(wanted.action) {
+        return false;
+    }
+    draft.apply(wanted.action);
+    moves.push(wanted);
+    true
+}
+
+/// Returns the demand for one copy of an artifact, in requests a second times weight.
+pub fn demand_per_copy(draft: &Draft<'_>, item: usize) -> f64 {
+    let entry = &draft.view().artifacts[item];
+    entry.demand.rate.get() * entry.weight / draft.copies(item).len().max(1) as f64
+}
+
+/// Returns the moves that reachability, drains and rollouts ask for.
+pub fn moves(draft: &mut Draft<'_>, team: usize, limit: usize) -> Moves {
+    let mut moves = Moves::new();
+    rescue(draft, team, limit, &mut moves);
+    drain(draft, team, limit, &mut moves);
+    retire(draft, team, limit, &mut moves);
+    moves
+}
+
+fn own_items(draft: &Draft<'_>, team: usize) -> impl Iterator<Item = usize> + use<> {
+    let artifacts = &draft.view().artifacts;
+    let own: Vec<_> = (0..artifacts.len())
+        .filter(|item| artifacts[*item].team == team)
+        .collect();
+    own.into_iter()
+}
+
+fn rescue(draft: &mut Draft<'_>, team: usize, limit: usize, moves: &mut Moves) {
+    let view = draft.view();
+    let mut lost: Vec<_> = own_items(draft, team)
+        .filter(|item| !draft.is_covered(*item) && !view.is_superseded(*item))
+        .filter(|item| {
+            // A replaced version that has no copy left is not worth a load any more.
+            let entry = &view.artifacts[*item];
+            entry.replaced_by.is_none() || !entry.copies.is_empty()
+        })
+        .collect();
+    // A model comes before an adapter, which can't be loaded without it, then the larger demand counts.
+    lost.sort_by(|a, b| {
+        let key = |item: usize| {
+            let entry = &view.artifacts[item];
+            (entry.base.is_some(), -entry.demand.rate.get())
+        };
+        key(*a)
+            .partial_cmp(&key(*b))
+            .unwrap_or(std::cmp::Ordering::Equal)
+    });
+    for item in lost {
+        let olds = 0..view.artifacts.len();
+        let mut olds = olds.filter(|old| view.artifacts[*old].replaced_by == Some(item));
+        let reason = match olds.any(|old| view.is_item_reachable(old)) {
+            true => Reason::Rollout,
+            false => Reason::Unreachable,
+        };
+        place(draft, team, item, reason, limit, moves);
+    }
+}
+
+/// Loads an artifact where it fits best, or makes room for it.
+///
+/// Room for demand is made only if the copies that go serve less demand than the new copy would.
+pub fn place(
+    draft: &mut Draft<'_>,
+    team: usize,
+    item: usize,
+    reason: Reason,
+    limit: usize,
+    moves: &mut Moves,
+) -> bool {
+    let value = draft.view().artifacts[item].demand.rate.get();
+    let worth = match reason {
+        Reason::Demand => demand_per_copy(draft, item),
+        _ => f64::INFINITY,
+    };
+    let wanted = |target| Move {
+        action: Action::Load {
+            artifact: item,
+            target,
+        },
+        reason,
+        value,
+    };
+    if let Some(target) = best_target(draft, item) {
+        return push(draft, moves, limit, wanted(target));
+    }
+    if make_room(draft, team, item, worth, limit, moves) {
+        return true;
+    }
+    // Nothing of the team's own can go, so the wish itself is passed to the arbiter.
+    let hosts = 0..draft.view().targets.len();
+    let target = hosts
+        .filter(|target| draft.is_eligible(item, *target))
+        .max_by_key(|target| draft.free(*target));
+    match target {
+        Some(target) if moves.len() < limit && reason == Reason::Unreachable => {
+            moves.push(wanted(target));
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Returns the best target with free memory: another failure domain first, then the lowest load, then
+/// the most free memory.
+pub fn best_target(draft: &Draft<'_>, item: usize) -> Option<usize> {
+    let view = draft.view();
+    let hosts = (0..view.targets.len()).filter(|target| draft.can_load(item, *target));
+    hosts.min_by_key(|target| {
+        let host = &view.targets[*target];
+        let shared = draft
+            .copies(item)
+            .iter()
+            .filter(|copy| view.targets[copy.target].domain == host.domain)
+            .count();
+        let load = (host.load.running + host.load.waiting) * 8 / host.load.slots.max(1);
+        (shared, load, std::cmp::Reverse(draft.free(*target)))
+    })
+}
+
+/// Unloads spare copies of the team so that an artifact fits on a target.
+///
+/// Returns false if no target can be made to fit. The load follows in a later decision, once the
+/// unloads are confirmed.
+pub fn make_room(
+    draft: &mut Draft<'_>,
+    team: usize,
+    item: usize,
+    worth: f64,
+    limit: usize,
+    moves: &mut Moves,
+) -> bool {
+    let view = draft.view();
+    let best = (0..view.targets.len())
+        .filter(|target| draft.is_eligible(item, *target))
+        .filter_map(|target| {
+            let (victims, loss) = victims(draft, team, item, target)?;
+            (loss < worth).then_some((target, victims, loss))
+        })
+        .min_by(|a, b| a.2.total_cmp(&b.2));
+    let Some((target, victims, _)) = best else {
+        return false;
+    };
+    for victim in victims {
+        evict(draft, victim, target, Reason::Room, limit, moves);
+    }
+    true
+}
+
+/// Returns the spare copies of the team on a target that would free enough memory, and the demand that
+/// they serve. Memory that is already being freed counts.
+fn victims(
+    draft: &Draft<'_>,
+    team: usize,
+    item: usize,
+    target: usize,
+) -> Option<(Vec<usize>, f64)> {
+    let view = draft.view();
+    let bytes = |item: &usize| view.artifacts[*item].bytes;
+    let on = draft.on(target).iter();
+    let leaving = on.filter(|item| draft.phase(**item, target) == Some(Phase::Unloading));
+    let mut free = draft.free(target).saturating_add(leaving.map(bytes).sum());
+    let need = view.artifacts[item].bytes;
+    let mut spare: Vec<_> = draft.on(target).to_vec();
+    spare.retain(|other| {
+        let entry = &view.artifacts[*other];
+        entry.team == team
+            && entry.base.is_none()
+            && *other != item
+            && is_evictable(draft, *other, target)
+    });
+    spare.sort_by(|a, b| demand_per_copy(draft, *a).total_cmp(&demand_per_copy(draft, *b)));
+    let (mut chosen, mut loss) = (Vec::new(), 0.0);
+    for other in spare {
+        if free >= need {
+            break;
+        }
+        free = free.saturating_add(bytes(&other));
+        loss += demand_per_copy(draft, other);
+        chosen.push(other);
+    }
+    (free >= need).then_some((chosen, loss))
+}
+
+/// Returns whether a copy can go, possibly after its adapters have been moved to other copies.
+pub fn is_evictable(draft: &Draft<'_>, item: usize, target: usize) -> bool {
+    draft.phase(item, target) == Some(Phase::Ready)
+        && draft.is_spare(item, target)
+        && draft.adapters(item, target).all(|adapter| {
+            draft.is_spare(adapter, target)
+                || draft
+                    .copies(adapter)
+                    .iter()
+                    .any(|c| c.target != target && c.phase == Phase::Loading)
+                || refuge(draft, adapter, target).is_some()
+        })
+}
+
+fn refuge(draft: &Draft<'_>, adapter: usize, from: usize) -> Option<usize> {
+    let base = draft.view().artifacts[adapter].base?;
+    let copies = draft.copies(base).iter();
+    copies
+        .map(|copy| copy.target)
+        .find(|target| *target != from && draft.can_load(adapter, *target))
+}
+
+/// Takes the next step to remove a copy: its adapters are moved or unloaded first, then the copy goes.
+pub fn evict(
+    draft: &mut Draft<'_>,
+    item: usize,
+    target: usize,
+    reason: Reason,
+    limit: usize,
+    moves: &mut Moves,
+) {
+    let value = 0.0;
+    let adapters: Vec<_> = draft.adapters(item, target).collect();
+    for artifact in adapters.iter().copied() {
+        let action = if draft.can_unload(artifact, target) {
+            Action::Unload { artifact, target }
+        } else {
+            let pending = draft.copies(artifact).iter();
+            let pending = pending
+                .filter(|c| c.target != target && c.phase == Phase::Loading)
+                .count();
+            match refuge(draft, artifact, target) {
+                Some(to) if pending == 0 => Action::Shift {
+                    artifact,
+                    from: target,
+                    to,
+                },
+                _ => continue,
+            }
+        };
+        push(
+            draft,
+            moves,
+            limit,
+            Move {
+                action,
+                reason,
+                value,
+            },
+        );
+    }
+    if adapters.is_empty() {
+        let action = Action::Unload {
+            artifact: item,
+            target,
+        };
+        push(
+            draft,
+            moves,
+            limit,
+            Move {
+                action,
+                reason,
+                value,
+            },
+        );
+    }
+}
+
+fn drain(draft: &mut Draft<'_>, team: usize, limit: usize, moves: &mut Moves) {
+    let view = draft.view();
+    for item in own_items(draft, team) {
+        for copy in view.artifacts[item].copies.clone() {
+            if view.targets[copy.target].health != Health::Leaving {
+                continue;
+            }
+            if draft.is_covered(item) {
+                evict(draft, item, copy.target, Reason::Drain, limit, moves);
+            }
+        }
+    }
+}
+
+fn retire(draft: &mut Draft<'_>, team: usize, limit: usize, moves: &mut Moves) {
+    let view = draft.view();
+    for old in own_items(draft, team) {
+        let Some(new) = view.artifacts[old].replaced_by else {
+            continue;
+        };
+        if !view.is_superseded(old) {
+            continue;
+        }
+        // Old copies go one for one while the new version still finds room, and all at once if not.
+        let keep = draft.reachable(new) < draft.reachable(old) && best_target(draft, new).is_some();
+        if keep {
+            place(draft, team, new, Reason::Rollout, limit, moves);
+            continue;
+        }
+        for copy in view.artifacts[old].copies.clone() {
+            evict(draft, old, copy.target, Reason::Rollout, limit, moves);
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_placement/src/lib.rs
@@ -0,0 +1,32 @@
+//! Placement of models, adapters and versions on targets.
+//!
+//! A controller builds a [`view::View`], lets the policy of each team decide on it
+//! ([`named::Team::decide`]), passes the wishes of all teams to [`arbiter::arbitrate`] and turns the
+//! granted moves into orders. Everything here is a pure function of the view and of the policies' own
+//! memory.
+//!
+//! Controllers of several failure domains coordinate without messages: each plans on the view of all
+//! domains, and gives orders only for the moves to targets it controls
+//! ([`view::Host::controlled`]).
+
+pub mod arbiter;
+pub mod declared;
+pub mod draft;
+pub mod duty;
+pub mod greedy;
+pub mod marginal;
+pub mod named;
+pub mod plan;
+pub mod policy;
+pub mod view;
+
+/// Names that most users of this crate import together.
+pub mod prelude {
+    pub use crate::{
+        arbiter::arbitrate,
+        named::Named,
+        plan::{Action, Move, Moves, Reason},
+        policy::Policy,
+        view::{self, View},
+    };
+}
--- /dev/null
+++ b/crates/buckthornmast_placement/src/view.rs
@@ -0,0 +1,155 @@
+//! What a policy sees: artifacts, targets, teams and the weight store at one moment.
+//!
+//! Artifacts, targets, teams and domains refer to each other by their index in the view. Indices are
+//! valid for one view only; a policy's memory uses ids.
+
+use std::time::Duration;
+
+use buckthornmast_types::prelude::*;
+use smallvec::SmallVec;
+
+/// Situation at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Time on the controller's clock.
+    pub now: Point,
+    /// Wall-clock time since midnight at the deployment.
+    pub time_of_day: Duration,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// Failure domains.
+    pub domains: Vec<id::Domain>,
+    /// Artifacts of all teams; an adapter stands after its base model.
+    pub artifacts: Vec<Item>,
+    /// Model engines.
+    pub targets: Vec<Host>,
+    /// Weight store.
+    pub store: Store,
+}
+
+/// Team and its claim on shared resources.
+#[derive(Debug, Clone)]
+pub struct Team {
+    /// Identity.
+    pub id: id::Team,
+    /// Weight of the team's claim on memory and on the store.
+    pub weight: f64,
+    /// Weight of moves against attainment: 1 is neutral, more avoids moves.
+    pub moves: f64,
+}
+
+/// Artifact with its demand and copies.
+#[derive(Debug, Clone)]
+pub struct Item {
+    /// Identity.
+    pub artifact: Artifact,
+    /// Index of the team.
+    pub team: usize,
+    /// Accelerator memory of one copy.
+    pub bytes: Bytes,
+    /// Index of the base model, for an adapter.
+    pub base: Option<usize>,
+    /// Index of the version that replaces this one, while a rollout is under way.
+    pub replaced_by: Option<usize>,
+    /// Demand.
+    pub demand: Demand,
+    /// Copies that exist or may come to exist, including loads that are not confirmed yet.
+    pub copies: SmallVec<[Copy; 4]>,
+    /// Targets on which the settings declare a copy.
+    pub declared: SmallVec<[usize; 2]>,
+    /// Time within which a request should be answered.
+    pub deadline: Duration,
+    /// Value of a request that is answered within its deadline; 1 is usual.
+    pub weight: f64,
+}
+
+/// Demand for an artifact as routing measured it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Demand {
+    /// Requests a second over the last few seconds, including refused ones.
+    pub rate: Rate,
+    /// Tokens a second that these requests ask for.
+    pub tokens: Rate,
+    /// Mean requests a second in each hour of the day on earlier days, if known.
+    pub day: Option<[f32; 24]>,
+}
+
+/// Copy of an artifact on a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Copy {
+    /// Index of the target.
+    pub target: usize,
+    /// State.
+    pub phase: report::Phase,
+}
+
+/// Whether a target takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// Reports are fresh.
+    Ready,
+    /// The target wants no new work or is drained by the settings.
+    Leaving,
+    /// No fresh report: dead, or cut off from this controller.
+    Lost,
+}
+
+/// Model engine.
+#[derive(Debug, Clone)]
+pub struct Host {
+    /// Identity.
+    pub id: id::Target,
+    /// Index of the failure domain.
+    pub domain: usize,
+    /// Accelerator memory.
+    pub memory: Bytes,
+    /// Memory that is free in the worst case over unresolved orders.
+    pub free: Bytes,
+    /// Whether it takes new work.
+    pub health: Health,
+    /// Whether the deciding controller may give orders to it.
+    pub controlled: bool,
+    /// Load as last reported.
+    pub load: report::Load,
+    /// Tokens a second at full batch.
+    pub capacity: Rate,
+}
+
+/// Weight store.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Store {
+    /// Loads that may start now.
+    pub available: usize,
+    /// Loads that may run at once at full speed.
+    pub concurrent: usize,
+    /// Bytes a second of one load at full speed; 0 if unknown.
+    pub speed: f64,
+}
+
+impl View {
+    /// Returns whether a copy can answer requests.
+    pub fn is_reachable(&self, copy: Copy) -> bool {
+        copy.phase == report::Phase::Ready && self.targets[copy.target].health == Health::Ready
+    }
+
+    /// Returns whether an artifact has a copy that can answer requests.
+    pub fn is_item_reachable(&self, item: usize) -> bool {
+        let copies = &self.artifacts[item].copies;
+        copies.iter().any(|copy| self.is_reachable(*copy))
+    }
+
+    /// Returns whether a version has a replacement that can answer requests.
+    pub fn is_superseded(&self, item: usize) -> bool {
+        let new = self.artifacts[item].replaced_by;
+        new.is_some_and(|new| self.is_item_reachable(new))
+    }
+
+    /// Returns the accelerator memory that each team's copies take.
+    pub fn memory_by_team(&self) -> Vec<f64> {
+        let mut used = vec![0.0; self.teams.len()];
+        for item in &self.artifacts {
+            used[item.team] += item.bytes.0 as f64 * item.copies.len() as f64;
+        }
+        used
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_placement/tests/placement/common.rs
@@ -0,0 +1,99 @@
+//! Views for tests.
+
+use std::time::Duration;
+
+use buckthornmast_placement::{prelude::*, view::*};
+use buckthornmast_types::{artifact::Artifact, rate::Rate, report::Phase, size::Bytes};
+
+pub(crate) fn rate(value: f64) -> Rate {
+    Rate::per_second(value).unwrap()
+}
+
+pub(crate) fn host(name: &str, domain: usize, gib: u64) -> Host {
+    Host {
+        id: name.parse().unwrap(),
+        domain,
+        memory: Bytes::gib(gib),
+        free: Bytes::gib(gib),
+        health: Health::Ready,
+        controlled: true,
+        load: Default::default(),
+        capacity: rate(1000.0),
+    }
+}
+
+pub(crate) fn item(artifact: &str, team: usize, gib: u64, requests: f64) -> Item {
+    let artifact: Artifact = artifact.parse().unwrap();
+    Item {
+        artifact,
+        team,
+        bytes: Bytes::gib(gib),
+        base: None,
+        replaced_by: None,
+        demand: Demand {
+            rate: rate(requests),
+            tokens: rate(requests * 100.0),
+            day: None,
+        },
+        copies: Default::default(),
+        declared: Default::default(),
+        deadline: Duration::from_secs(10),
+        weight: 1.0,
+    }
+}
+
+pub(crate) fn view(teams: usize, hosts: usize, gib: u64) -> View {
+    let name = |kind: &str, i: usize| format!("{kind}{i:03}");
+    View {
+        teams: (0..teams)
+            .map(|i| Team {
+                id: name("team", i).parse().unwrap(),
+                weight: 1.0,
+                moves: 1.0,
+            })
+            .collect(),
+        domains: (0..4).map(|i| name("d", i).parse().unwrap()).collect(),
+        targets: (0..hosts)
+            .map(|i| host(&name("t", i), i % 4, gib))
+            .collect(),
+        store: Store {
+            available: 10,
+            concurrent: 10,
+            speed: 0.0,
+        },
+        ..View::default()
+    }
+}
+
+/// Puts a copy on a target and takes its memory.
+pub(crate) fn put(view: &mut View, item: usize, target: usize, phase: Phase) {
+    view.artifacts[item].copies.push(Copy { target, phase });
+    let bytes = view.artifacts[item].bytes;
+    assert!(
+        view.targets[target].free >= bytes,
+        "test view is overcommitted"
+    );
+    view.targets[target].free = view.targets[target].free.saturating_sub(bytes);
+}
+
+/// Carries moves out at once, as a perfect platform would.
+pub(crate) fn settle(view: &mut View, moves: &Moves) {
+    for wish in moves {
+        let (item, target) = (wish.action.artifact(), wish.action.target());
+        if wish.action.is_load() {
+            put(view, item, target, Phase::Ready);
+        } else {
+            view.artifacts[item]
+                .copies
+                .retain(|copy| copy.target != target);
+            let bytes = view.artifacts[item].bytes;
+            view.targets[target].free = view.targets[target].free.saturating_add(bytes);
+        }
+    }
+}
+
+pub(crate) fn decide(policy: &str, view: &View) -> Moves {
+    let policy: Named = policy.parse().unwrap();
+    let mut memory = Default::default();
+    policy.decide(view, 0, &mut memory, 10)
+}
--- /dev/null
+++ b/crates/buckthornmast_placement/tests/placement/policy.rs
@@ -0,0 +1,123 @@
+//! Behaviour of single policies.
+
+use std::time::Duration;
+
+use crate::common::*;
+use buckthornmast_placement::{named, prelude::*};
+use buckthornmast_types::report::Phase;
+
+fn pressed_view() -> View {
+    let mut view = view(1, 4, 40);
+    view.artifacts.push(item("hot@1", 0, 20, 30.0));
+    view.artifacts.push(item("cold@1", 0, 20, 0.1));
+    put(&mut view, 0, 0, Phase::Ready);
+    put(&mut view, 1, 1, Phase::Ready);
+    view
+}
+
+/// Guards against settings that name a policy or a parameter wrongly and are accepted all the same.
+#[test]
+fn parse_bad_input() {
+    let bad = [
+        "",
+        "best",
+        "static x=1",
+        "greedy fill=0",
+        "greedy fill",
+        "marginal horizon=-1",
+        "marginal cost=nan",
+        "marginal knee=1e9",
+        "marginal hold=1 speed=2",
+    ];
+    for bad in bad {
+        assert!(bad.parse::<Named>().is_err(), "{bad:?} was accepted");
+    }
+}
+
+/// Guards against a text form that does not lead back to the policy.
+#[test]
+fn parse_round_trip() {
+    for text in [
+        "static",
+        "greedy fill=0.25",
+        "marginal horizon=60 cost=7 knee=0.5 lead=0",
+    ] {
+        let policy: Named = text.parse().unwrap();
+        assert_eq!(policy.to_string().parse::<Named>(), Ok(policy));
+    }
+}
+
+/// Guards against an exchange that moves artifacts although the new policy has no reason to.
+#[test]
+fn exchange_settled_view() {
+    let mut view = view(1, 4, 40);
+    for i in 0..4 {
+        view.artifacts.push(item(&format!("m{i}@1"), 0, 20, 0.5));
+        view.artifacts[i].declared.push(i);
+        put(&mut view, i, i, Phase::Ready);
+    }
+    let mut team = named::Team::new("static".parse().unwrap());
+    for policy in ["greedy", "marginal", "static", "marginal cost=5"] {
+        team.exchange(policy.parse().unwrap());
+        assert_eq!(team.decide(&view, 0, 10), vec![], "{policy}");
+    }
+}
+
+/// Guards against a shadow evaluation that changes what the policy in force decides.
+#[test]
+fn evaluate_keeps_memory() {
+    let view = pressed_view();
+    let policy: Named = "marginal".parse().unwrap();
+    let memory = Default::default();
+    let shadow = policy.evaluate(&view, 0, &memory, 10);
+    assert!(matches!(memory, named::Memory::Empty), "memory was changed");
+    assert_eq!(shadow, policy.decide(&view, 0, &mut { memory }, 10));
+}
+
+/// Guards against policies that leave a pressed model with one copy while memory is free.
+#[test]
+fn decide_follows_demand() {
+    let view = pressed_view();
+    for (policy, grows) in [("static", false), ("greedy", true), ("marginal", true)] {
+        let moves = decide(policy, &view);
+        let hot = |wish: &Move| wish.action.is_load() && wish.action.artifact() == 0;
+        assert_eq!(moves.iter().any(hot), grows, "{policy} wishes {moves:?}");
+    }
+}
+
+/// Guards against a price of moves that has no effect.
+#[test]
+fn marginal_costly_moves() {
+    let view = pressed_view();
+    assert_eq!(decide("marginal cost=1e6", &view), vec![]);
+}
+
+/// Guards against copies that come and go with noise in the demand.
+#[test]
+fn marginal_noisy_demand() {
+    let mut view = view(1, 4, 20);
+    for i in 0..2 {
+        view.artifacts.push(item(&format!("m{i}@1"), 0, 20, 6.0));
+        put(&mut view, i, i, Phase::Ready);
+    }
+    put(&mut view, 0, 2, Phase::Ready);
+    put(&mut view, 1, 3, Phase::Ready);
+    let mut team = named::Team::new("marginal".parse().unwrap());
+    let mut moves = 0;
+    for tick in 0..600 {
+        view.now = view.now + Duration::from_secs(1);
+        for (i, entry) in view.artifacts.iter_mut().enumerate() {
+            let requests = if tick % 4 < 2 {
+                [9.0, 4.0][i]
+            } else {
+                [4.0, 9.0][i]
+            };
+            entry.demand.rate = rate(requests);
+            entry.demand.tokens = rate(requests * 100.0);
+        }
+        let wishes = team.decide(&view, 0, 4);
+        moves += wishes.len();
+        settle(&mut view, &wishes);
+    }
+    assert_eq!(moves, 0);
+}
