--- /dev/null
+++ b/crates/buckthornmast_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/buckthornmast_wire/src/window.rs
@@ -0,0 +1,61 @@
+//! Window of sequence numbers that were already used.
+
+/// Numbers below the highest one that are still told apart.
+///
+/// Requests of one session overtake each other by at most the number of calls in flight, which is
+/// far lower.
+pub const WINDOW_LEN: u64 = 4096;
+
+const WORDS: usize = (WINDOW_LEN / 64) as usize;
+
+/// Sliding window that accepts each sequence number once.
+#[derive(Debug, Clone)]
+pub struct Window {
+    next: u64,
+    used: Box<[u64; WORDS]>,
+}
+
+impl Default for Window {
+    fn default() -> Self {
+        Self {
+            next: 0,
+            used: Box::new([0; WORDS]),
+        }
+    }
+}
+
+fn slot(sequence: u64) -> (usize, u64) {
+    let bit = sequence % WINDOW_LEN;
+    ((bit / 64) as usize, 1 << (bit % 64))
+}
+
+impl Window {
+    /// Marks a number as used, or returns `false` if it was used or is too old to tell.
+    #[must_use]
+    pub fn accept(&mut self, sequence: u64) -> bool {
+        if sequence == u64::MAX {
+            return false;
+        }
+        if sequence >= self.next {
+            self.advance(sequence);
+        } else if self.next - sequence > WINDOW_LEN {
+            return false;
+        }
+        let (word, bit) = slot(sequence);
+        let fresh = self.used[word] & bit == 0;
+        self.used[word] |= bit;
+        fresh
+    }
+
+    fn advance(&mut self, sequence: u64) {
+        if sequence - self.next >= WINDOW_LEN {
+            self.used.fill(0);
+        } else {
+            for passed in self.next..=sequence {
+                let (word, bit) = slot(passed);
+                self.used[word] &= !bit;
+            }
+        }
+        self.next = sequence + 1;
+    }
+}
