Add peer RPC with sessions, polled calls and replaced connections

Cause: consensus, state and controller need calls and notices between instances. Change: jsonrpsee server with bounds on bodies, connections and handler calls; clients with several connections per peer, sessions, polling of long calls, idle pings and batched notices.

--- /dev/null
+++ b/crates/buckthornmast_peer/src/driver.rs
@@ -0,0 +1,258 @@
+//! Assembly: the runtime, the server and one client per peer.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use jsonrpsee::server::{ServerHandle, stop_channel};
+use snafu::ResultExt;
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    sync::Semaphore,
+};
+
+use buckthornmast_types::id;
+
+use crate::{
+    client::{Link, encode_call},
+    config::{Config, Limits},
+    error::{CallError, StartError, StartSnafu, Step},
+    handler::Handler,
+    notice::{self, Outbox},
+    server::{self, Service},
+    stats,
+};
+
+/// Threads of the blocking pool beyond those for calls, so that notices don't wait for calls.
+const NOTICE_THREADS: usize = 16;
+
+/// Time that requests in progress get to finish when the server stops.
+const STOP_GRACE: Duration = Duration::from_secs(2);
+
+/// Time beyond a call's timeout after which its caller stops waiting for the runtime.
+const CALLER_GRACE: Duration = Duration::from_millis(200);
+
+struct Remote<H: Handler> {
+    link: Arc<Link>,
+    outbox: Arc<Outbox<H::Notice>>,
+}
+
+struct Shared<H: Handler> {
+    runtime: tokio::runtime::Handle,
+    remotes: HashMap<id::Instance, Remote<H>>,
+    limits: Limits,
+    stopping: AtomicBool,
+}
+
+/// Calls and notices to the peers; cheap to clone and usable from every plain thread.
+pub struct Client<H: Handler>(Arc<Shared<H>>);
+
+impl<H: Handler> Clone for Client<H> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+fn fail<T>(
+    peer: &id::Instance,
+    step: Step,
+    sent: bool,
+    detail: impl ToString,
+) -> Result<T, CallError> {
+    Err(CallError {
+        step,
+        peer: peer.clone(),
+        sent,
+        detail: detail.to_string(),
+    })
+}
+
+impl<H: Handler> Client<H> {
+    /// Calls a peer and blocks until the response or the end of the timeout.
+    pub fn call(
+        &self,
+        to: &id::Instance,
+        request: H::Request,
+        timeout: Duration,
+    ) -> Result<H::Response, CallError> {
+        let Some(remote) = self.0.remotes.get(to) else {
+            return fail(to, Step::Resolve, false, "not in the peer list");
+        };
+        let body = match encode_call(request, timeout) {
+            Ok(body) if body.len() <= self.0.limits.body => body,
+            Ok(_) => return fail(to, Step::Encode, false, "the request exceeds the bound"),
+            Err(error) => return fail(to, Step::Encode, false, error),
+        };
+        if self.0.stopping.load(Ordering::SeqCst) {
+            return fail(to, Step::Stop, false, "this instance is stopping");
+        }
+        let sent = Arc::new(AtomicBool::new(false));
+        let (answer, answered) = flume::bounded(1);
+        let task = self.0.runtime.spawn({
+            let (link, sent) = (remote.link.clone(), sent.clone());
+            async move {
+                let called = tokio::time::timeout(timeout, link.call(&body, &sent)).await;
+                let _ = answer.send(called.ok());
+            }
+        });
+        let kind = remote.link.peer.kind;
+        match answered.recv_timeout(timeout.saturating_add(CALLER_GRACE)) {
+            Ok(Some(Ok(response))) => Ok(response),
+            Ok(Some(Err(failure))) => {
+                stats::count("buckthornmast_peer_calls_failed_total", kind, 1);
+                fail(to, failure.step, failure.sent, failure.detail)
+            }
+            Err(flume::RecvTimeoutError::Disconnected) => {
+                let sent = sent.load(Ordering::SeqCst);
+                fail(to, Step::Stop, sent, "this instance is stopping")
+            }
+            Ok(None) => {
+                stats::count("buckthornmast_peer_calls_failed_total", kind, 1);
+                let sent = sent.load(Ordering::SeqCst);
+                fail(
+                    to,
+                    Step::Wait,
+                    sent,
+                    format_args!("no answer within {timeout:?}"),
+                )
+            }
+            // The runtime is too busy to end the task, which could still send the call.
+            Err(flume::RecvTimeoutError::Timeout) => {
+                task.abort();
+                stats::count("buckthornmast_peer_calls_failed_total", kind, 1);
+                fail(
+                    to,
+                    Step::Wait,
+                    true,
+                    format_args!("no answer within {timeout:?}"),
+                )
+            }
+        }
+    }
+
+    /// Queues a notice for a peer and returns at once; notices to unknown peers are dropped.
+    pub fn notify(&self, to: &id::Instance, notice: H::Notice) {
+        if let Some(remote) = self.0.remotes.get(to) {
+            remote.outbox.push(notice);
+        }
+    }
+}
+
+/// Running server and clients.
+pub struct Handle<H: Handler> {
+    client: Client<H>,
+    runtime: Runtime,
+    server: ServerHandle,
+    accepting: tokio::task::JoinHandle<()>,
+}
+
+impl<H: Handler> Handle<H> {
+    /// Returns a client that other threads can keep.
+    pub fn client(&self) -> Client<H> {
+        self.client.clone()
+    }
+
+    /// Calls a peer; see [`Client::call`].
+    pub fn call(
+        &self,
+        to: &id::Instance,
+        request: H::Request,
+        timeout: Duration,
+    ) -> Result<H::Response, CallError> {
+        self.client.call(to, request, timeout)
+    }
+
+    /// Queues a notice for a peer; see [`Client::notify`].
+    pub fn notify(&self, to: &id::Instance, notice: H::Notice) {
+        self.client.notify(to, notice);
+    }
+
+    /// Stops accepting, lets requests in progress finish for a short time, and joins all threads.
+    ///
+    /// Handlers that run are waited for. Calls that other threads still make fail with
+    /// [`Step::Stop`].
+    pub fn stop(self) {
+        self.client.0.stopping.store(true, Ordering::SeqCst);
+        let _ = self.server.stop();
+        self.runtime.block_on(async {
+            let _ = tokio::time::timeout(STOP_GRACE, self.accepting).await;
+            let _ = tokio::time::timeout(STOP_GRACE, self.server.stopped()).await;
+        });
+        // Dropping the runtime ends its tasks and joins its threads.
+        drop(self.runtime);
+    }
+}
+
+/// Pings idle connections of all links until the task is dropped.
+async fn ping_idle(links: Vec<Arc<Link>>, interval: Duration) {
+    let mut ticks = tokio::time::interval(interval.max(Duration::from_millis(1)) / 2);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for link in &links {
+            link.ping_idle();
+        }
+    }
+}
+
+/// Starts the server and the clients.
+pub fn start<H: Handler>(config: Config, handler: Arc<H>) -> Result<Handle<H>, StartError> {
+    let limits = config.limits;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(limits.threads.max(1))
+        .max_blocking_threads(limits.calls + NOTICE_THREADS)
+        .thread_name("peer")
+        .enable_all()
+        .build()
+        .context(StartSnafu { step: "runtime" })?;
+    let _entered = runtime.enter();
+    config
+        .listener
+        .set_nonblocking(true)
+        .context(StartSnafu { step: "listen" })?;
+    let listener = TcpListener::from_std(config.listener).context(StartSnafu { step: "listen" })?;
+    let service = Arc::new(Service {
+        me: config.me.clone(),
+        key: config.key.clone(),
+        limits: limits.clone(),
+        kinds: (config.peers.iter())
+            .map(|peer| (peer.instance.clone(), peer.kind))
+            .collect(),
+        handler,
+        registry: Default::default(),
+        running: Arc::new(Semaphore::new(limits.calls)),
+        warned: Default::default(),
+    });
+    let (stop, server) = stop_channel();
+    let accepting = runtime.spawn(server::run(listener, service, stop));
+    let mut remotes = HashMap::new();
+    for peer in config.peers {
+        let outbox = Arc::new(Outbox::new(&limits, peer.kind));
+        let instance = peer.instance.clone();
+        let link = Link::new(config.me.clone(), config.key.clone(), peer, limits.clone());
+        let link = Arc::new(link);
+        runtime.spawn(notice::run(link.clone(), outbox.clone(), limits.clone()));
+        remotes.insert(instance, Remote::<H> { link, outbox });
+    }
+    let links = remotes.values().map(|remote| remote.link.clone()).collect();
+    runtime.spawn(ping_idle(links, limits.ping));
+    drop(_entered);
+    let client = Client(Arc::new(Shared {
+        runtime: runtime.handle().clone(),
+        remotes,
+        limits,
+        stopping: AtomicBool::new(false),
+    }));
+    Ok(Handle {
+        client,
+        runtime,
+        server,
+        accepting,
+    })
+}
--- /dev/null
+++ b/crates/buckthornmast_peer/src/server.rs
@@ -0,0 +1,296 @@
+//! Server: accepts connections, verifies requests and runs handlers.
+
+use std::{
+    collections::HashMap,
+    panic::{AssertUnwindSafe, catch_unwind},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use jsonrpsee::{
+    RpcModule,
+    server::{RegisterMethodError, Server, ServerConfig, StopHandle, serve_with_graceful_shutdown},
+    types::{ErrorObjectOwned, Params},
+};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+};
+
+use buckthornmast_types::id;
+use buckthornmast_wire::{
+    key::Key,
+    sealed::{self, Sealed},
+};
+
+use crate::{
+    config::Limits,
+    handler::Handler,
+    lane::http_body_limit,
+    message::{Answer, Ask, METHOD, Refusal, UNAUTHENTICATED},
+    session::{Outcome, Registry},
+    socket::Counted,
+    stats,
+};
+
+/// Pause after an error of `accept`, such as running out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Shortest time between two warnings about frames that are not believed.
+const WARNING_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Everything that requests need.
+pub(crate) struct Service<H> {
+    pub(crate) me: id::Instance,
+    pub(crate) key: Key,
+    pub(crate) limits: Limits,
+    /// Peers that are believed, with the label of their counters.
+    pub(crate) kinds: HashMap<id::Instance, &'static str>,
+    pub(crate) handler: Arc<H>,
+    pub(crate) registry: Mutex<Registry>,
+    pub(crate) running: Arc<Semaphore>,
+    pub(crate) warned: Mutex<Option<Instant>>,
+}
+
+type Asked<H> = Ask<<H as Handler>::Request, <H as Handler>::Notice>;
+
+fn encode<R: serde::Serialize>(answer: &Answer<R>) -> String {
+    // The variants without a response always encode.
+    serde_json::to_string(answer).unwrap_or_default()
+}
+
+fn message_of<R, N>(ask: &Ask<R, N>) -> &'static str {
+    match ask {
+        Ask::Open => "open",
+        Ask::Ping => "ping",
+        Ask::Call { .. } => "call",
+        Ask::Poll { .. } => "poll",
+        Ask::Notices(_) => "notices",
+    }
+}
+
+fn unauthenticated(detail: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(UNAUTHENTICATED, detail, None::<()>)
+}
+
+impl<H: Handler> Service<H> {
+    fn registry(&self) -> MutexGuard<'_, Registry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Logs a frame that is not believed, unless another one was logged recently.
+    fn warn(&self, detail: &str) {
+        stats::count("buckthornmast_peer_unauthenticated_total", "unknown", 1);
+        let mut warned = self.warned.lock().unwrap_or_else(PoisonError::into_inner);
+        if warned.is_none_or(|last| last.elapsed() >= WARNING_INTERVAL) {
+            *warned = Some(Instant::now());
+            log::warn!(step = "authenticate"; "refuse a request: {detail}");
+        }
+    }
+
+    /// Answers a request of any kind.
+    async fn answer(self: Arc<Self>, frame: Sealed) -> Result<Sealed, ErrorObjectOwned> {
+        let Some(kind) = self.kinds.get(&frame.from).copied() else {
+            self.warn("the sender is not in the peer list");
+            return Err(unauthenticated("the sender is not in the peer list"));
+        };
+        let body = match sealed::open_request(&self.key, &frame) {
+            Ok(body) => body,
+            Err(error) => {
+                self.warn(&error.to_string());
+                return Err(unauthenticated("the MAC does not fit"));
+            }
+        };
+        let (message, body) = match serde_json::from_str::<Asked<H>>(body) {
+            Ok(ask) => {
+                let message = message_of(&ask);
+                stats::count_message("received", kind, message, body.len());
+                (message, self.answer_ask(&frame, ask).await)
+            }
+            Err(_) => ("malformed", refusal(Refusal::Malformed)),
+        };
+        stats::count_message("sent", kind, message, body.len());
+        Ok(sealed::seal_answer(&self.key, &self.me, frame.nonce, body))
+    }
+
+    async fn answer_ask(self: &Arc<Self>, frame: &Sealed, ask: Asked<H>) -> String {
+        let (from, nonce) = (&frame.from, frame.nonce);
+        if matches!(ask, Ask::Open) {
+            let session = self.registry().open(from);
+            return encode(&Answer::<()>::Session(session));
+        }
+        if let Err(reason) = self.registry().admit(from, nonce) {
+            if reason == Refusal::Replayed {
+                stats::count("buckthornmast_peer_replayed_total", self.kinds[from], 1);
+            }
+            return refusal(reason);
+        }
+        match ask {
+            Ask::Open | Ask::Ping => encode(&Answer::<()>::Taken),
+            Ask::Call { millis, request } => {
+                match self.start_call(frame, Duration::from_millis(millis), request) {
+                    Ok(outcome) => self.wait(outcome).await,
+                    Err(reason) => refusal(reason),
+                }
+            }
+            Ask::Poll { sequence } => {
+                let call = sealed::Nonce { sequence, ..nonce };
+                let outcome = self.registry().outcome(&(from.clone(), call));
+                match outcome {
+                    Some(outcome) => self.wait(outcome).await,
+                    None => refusal(Refusal::Forgotten),
+                }
+            }
+            Ask::Notices(notices) => self.take_notices(from, notices).await,
+        }
+    }
+
+    /// Starts a call on a thread of its own as soon as one is free.
+    fn start_call(
+        self: &Arc<Self>,
+        frame: &Sealed,
+        timeout: Duration,
+        request: H::Request,
+    ) -> Result<watch::Receiver<Outcome>, Refusal> {
+        let call = (frame.from.clone(), frame.nonce);
+        let sender = self.registry().begin(call.clone(), &self.limits)?;
+        let outcome = sender.subscribe();
+        let service = self.clone();
+        tokio::spawn(async move {
+            let permit = service.running.clone().acquire_owned();
+            let body = match tokio::time::timeout(timeout, permit).await {
+                Ok(Ok(permit)) => {
+                    let (service, from) = (service.clone(), call.0.clone());
+                    let run = move || {
+                        let body = service.run(&from, request);
+                        drop(permit);
+                        body
+                    };
+                    let done = tokio::task::spawn_blocking(run).await;
+                    done.unwrap_or_else(|_| refusal(Refusal::Panicked))
+                }
+                Ok(Err(_)) => refusal(Refusal::Stopping),
+                Err(_) => refusal(Refusal::Expired),
+            };
+            let bytes = body.len();
+            sender.send_replace(Some(body.into()));
+            service.registry().finish(call, bytes, &service.limits);
+        });
+        Ok(outcome)
+    }
+
+    fn run(&self, from: &id::Instance, request: H::Request) -> String {
+        let run = AssertUnwindSafe(|| self.handler.call(from, request));
+        let Ok(response) = catch_unwind(run) else {
+            log::error!(step = "handle", peer:% = from; "the handler panicked");
+            return refusal(Refusal::Panicked);
+        };
+        let body = encode(&Answer::Done(response));
+        if body.is_empty() || body.len() > self.limits.body {
+            return refusal(Refusal::TooLarge);
+        }
+        body
+    }
+
+    /// Waits for the outcome of a call, but not longer than an exchange may take.
+    async fn wait(&self, mut outcome: watch::Receiver<Outcome>) -> String {
+        let done = outcome.wait_for(Option::is_some);
+        match tokio::time::timeout(self.limits.hold, done).await {
+            Ok(Ok(body)) => body.as_deref().unwrap_or_default().to_owned(),
+            Ok(Err(_)) => refusal(Refusal::Stopping),
+            Err(_) => encode(&Answer::<()>::Running),
+        }
+    }
+
+    async fn take_notices(
+        self: &Arc<Self>,
+        from: &id::Instance,
+        notices: Vec<H::Notice>,
+    ) -> String {
+        let (service, from) = (self.clone(), from.clone());
+        let run = move || {
+            for notice in notices {
+                let run = AssertUnwindSafe(|| service.handler.notify(&from, notice));
+                if catch_unwind(run).is_err() {
+                    log::error!(step = "notify", peer:% = from; "the handler panicked");
+                }
+            }
+        };
+        match tokio::task::spawn_blocking(run).await {
+            Ok(()) => encode(&Answer::<()>::Taken),
+            Err(_) => refusal(Refusal::Stopping),
+        }
+    }
+}
+
+fn refusal(reason: Refusal) -> String {
+    encode(&Answer::<()>::Refused(reason))
+}
+
+fn module<H: Handler>(service: Arc<Service<H>>) -> Result<RpcModule<()>, RegisterMethodError> {
+    let mut module = RpcModule::new(());
+    module.register_async_method(METHOD, move |params: Params<'static>, _, _| {
+        let service = service.clone();
+        async move {
+            let frame = params.one::<Sealed>()?;
+            service.answer(frame).await
+        }
+    })?;
+    Ok(module)
+}
+
+/// Accepts connections until `stop` fires; connections beyond the bound are closed at once.
+pub(crate) async fn run<H: Handler>(
+    listener: TcpListener,
+    service: Arc<Service<H>>,
+    stop: StopHandle,
+) {
+    let limits = service.limits.clone();
+    let config = ServerConfig::builder()
+        .http_only()
+        .max_request_body_size(http_body_limit(limits.body))
+        .max_response_body_size(http_body_limit(limits.body))
+        .max_connections(u32::try_from(limits.connections).unwrap_or(u32::MAX))
+        .build();
+    let builder = Server::builder().set_config(config).to_service_builder();
+    let methods = match module(service) {
+        Ok(module) => module,
+        Err(error) => {
+            log::error!(step = "register"; "the server has no method: {error}");
+            return;
+        }
+    };
+    let connections = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.clone().shutdown() => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                stats::count("buckthornmast_peer_accept_errors_total", "unknown", 1);
+                log::debug!(step = "accept"; "{error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = connections.clone().try_acquire_owned() else {
+            stats::count("buckthornmast_peer_connections_refused_total", "unknown", 1);
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let rpc = builder.clone().build(methods.clone(), stop.clone());
+        let stopped = stop.clone().shutdown();
+        tokio::spawn(async move {
+            let stream = Counted::new(stream);
+            let activity = stream.activity();
+            let serving = serve_with_graceful_shutdown(stream, rpc, stopped);
+            tokio::select! {
+                _ = serving => {}
+                () = activity.quiet(limits.quiet) => {}
+            }
+            drop(permit);
+        });
+    }
+}
--- a/crates/buckthornmast_wire/src/key.rs
+++ b/crates/buckthornmast_wire/src/key.rs
@@ -28,7 +28,9 @@
     pub fn new(bytes: [u8; KEY_LEN]) -> Self {
         // A 32-byte key fits the block size of SHA-256, so the key is never hashed or refused.
         let block = hmac::digest::Key::<Hmac<Sha256>>::from_iter(
-            bytes.into_iter().chain(std::iter::repeat_n(0, 64 - KEY_LEN)),
+            bytes
+                .into_iter()
+                .chain(std::iter::repeat_n(0, 64 - KEY_LEN)),
         );
         Self(Hmac::new(&block))
     }
