Add the memory ledger

Cause: a controller may only order what fits in every case that its unresolved orders leave open. Change: book with worst-case accounting, rebuild after a succession, and a guard for the last ready copy. Measured: 12 tests of single rules pass.

--- /dev/null
+++ b/crates/buckthornmast_ledger/tests/rules.rs
@@ -0,0 +1,232 @@
+//! Each rule of the ledger on its own.
+
+#[path = "support/build.rs"]
+mod support;
+
+use buckthornmast_ledger::prelude::*;
+use buckthornmast_types::{
+    prelude::*,
+    report::Phase::{Loading, Ready, Unloading},
+};
+use support::{artifact, book, load, order, report, target, unload};
+
+fn guard(needs: &[&[&str]], targets: &[&str]) -> Guard {
+    let needs = needs
+        .iter()
+        .map(|need| need.iter().map(|a| artifact(a)).collect());
+    Guard::new(needs, targets.iter().map(|name| target(name)))
+}
+
+fn none() -> Guard {
+    Guard::default()
+}
+
+/// Guards against forgetting a load whose answer was lost.
+#[test]
+fn reserve_over_capacity() {
+    let mut book = book(1);
+    book.observe(&report("t", (1, 1), 0, &[("a@1", Ready, 4)]), false);
+    let first = order(1, "t", 1, 1, load("b@1", 4));
+    book.reserve(first.clone(), &none()).unwrap();
+    let attempt = book.sent(&first.target, first.id).unwrap();
+    assert_eq!(
+        book.answered(&first.target, first.id, attempt, Outcome::Unknown),
+        None
+    );
+    book.observe(&report("t", (1, 9), 0, &[("a@1", Ready, 4)]), false);
+    let second = order(2, "t", 1, 1, load("c@1", 3));
+    let refused = book.reserve(second, &none());
+    assert!(matches!(refused, Err(Refusal::Memory { .. })));
+}
+
+/// Guards against counting an unload as done on its answer.
+#[test]
+fn unload_frees_on_report() {
+    let mut book = book(1);
+    book.observe(&report("t", (1, 1), 0, &[("a@1", Ready, 8)]), false);
+    let first = order(1, "t", 1, 1, unload("a@1"));
+    book.reserve(first.clone(), &none()).unwrap();
+    let attempt = book.sent(&first.target, first.id).unwrap();
+    book.answered(&first.target, first.id, attempt, Outcome::Accepted);
+    assert_eq!(book.free(&first.target), Bytes(2));
+    book.observe(&report("t", (1, 2), 0, &[("a@1", Unloading, 8)]), false);
+    assert_eq!(book.free(&first.target), Bytes(2));
+    let closed = book.observe(&report("t", (1, 3), 0, &[]), false);
+    assert_eq!(closed[0].end, End::Done);
+    assert_eq!(book.free(&first.target), Bytes(10));
+}
+
+/// Guards against a late report that takes the account back in time.
+#[test]
+fn observe_out_of_order() {
+    let mut book = book(1);
+    book.observe(&report("t", (2, 3), 0, &[("a@1", Ready, 8)]), false);
+    for old in [(2, 2), (2, 3), (1, 9)] {
+        book.observe(&report("t", old, 0, &[]), false);
+    }
+    assert_eq!(book.free(&target("t")), Bytes(2));
+}
+
+/// Guards against a late copy of an old attempt on a target that ignores tokens.
+#[test]
+fn late_copy_ignoring_target() {
+    let mut book = book(1);
+    book.observe(&report("t", (1, 1), 0, &[]), false);
+    let first = order(1, "t", 1, 1, load("a@1", 6));
+    book.reserve(first.clone(), &none()).unwrap();
+    book.sent(&first.target, first.id).unwrap();
+    let again = book.sent(&first.target, first.id).unwrap();
+    book.answered(&first.target, first.id, again, Outcome::Accepted);
+    book.observe(&report("t", (1, 2), 0, &[("a@1", Ready, 6)]), false);
+    assert_eq!(book.open().count(), 1, "the first attempt is still out");
+    book.observe(&report("t", (1, 3), 0, &[]), false);
+    assert_eq!(book.free(&first.target), Bytes(4));
+    let closed = book.observe(&report("t", (2, 1), 0, &[]), false);
+    assert_eq!(closed[0].end, End::Lapsed);
+    assert_eq!(book.free(&first.target), Bytes(10));
+}
+
+/// Guards against both keeping fenced attempts forever and dropping them before a report shows the token.
+#[test]
+fn late_copy_fenced() {
+    let mut book = book(7);
+    let first = order(1, "t", 1, 3, load("a@1", 6));
+    book.inherit(first.clone());
+    book.observe(&report("t", (1, 1), 6, &[]), true);
+    assert_eq!(book.free(&first.target), Bytes(4));
+    assert_eq!(book.unfenced().count(), 1);
+    let closed = book.observe(&report("t", (1, 2), 7, &[]), true);
+    assert_eq!(closed[0].end, End::Dropped);
+    assert_eq!(book.free(&first.target), Bytes(10));
+}
+
+/// Guards against a successor that acts before its account is rebuilt.
+#[test]
+fn rebuild_conservative() {
+    let mut book = Book::new(id::Token(7));
+    book.require(
+        &target("t"),
+        Mark {
+            incarnation: id::Incarnation(1),
+            sequence: 5,
+        },
+    );
+    let wish = order(1, "t", 1, 7, load("a@1", 1));
+    book.observe(&report("t", (1, 4), 0, &[]), false);
+    assert_eq!(
+        book.check(&wish, &none()),
+        Err(Refusal::NotCurrent),
+        "journals unread"
+    );
+    book.set_journals_read();
+    assert_eq!(
+        book.check(&wish, &none()),
+        Err(Refusal::NotCurrent),
+        "report too old"
+    );
+    book.observe(&report("t", (1, 5), 0, &[]), false);
+    assert_eq!(book.check(&wish, &none()), Ok(()));
+    let fenced = order(2, "u", 1, 7, load("a@1", 1));
+    let mut book = Book::new(id::Token(7));
+    book.observe(&report("u", (1, 1), 7, &[]), true);
+    assert_eq!(
+        book.check(&fenced, &none()),
+        Ok(()),
+        "the fence covers unread journals"
+    );
+}
+
+/// Guards against an order that a late copy of another one on the same artifact could undo.
+#[test]
+fn reserve_second_order() {
+    let mut book = book(1);
+    book.observe(&report("t", (1, 1), 0, &[("a@1", Ready, 1)]), false);
+    let first = order(1, "t", 1, 1, unload("a@1"));
+    book.reserve(first.clone(), &none()).unwrap();
+    book.sent(&first.target, first.id);
+    book.observe(&report("t", (1, 2), 0, &[]), false);
+    let second = order(2, "t", 1, 1, load("a@1", 1));
+    assert_eq!(
+        book.reserve(second, &none()),
+        Err(Refusal::Open { order: first.id })
+    );
+}
+
+/// Guards against two unloads that each rely on the copy that the other one removes.
+#[test]
+fn unload_last_copy() {
+    let mut book = book(1);
+    for name in ["t", "u"] {
+        book.observe(&report(name, (1, 1), 0, &[("a@1", Ready, 1)]), false);
+    }
+    let guard = guard(&[&["a@1"]], &["t", "u"]);
+    book.reserve(order(1, "t", 1, 1, unload("a@1")), &guard)
+        .unwrap();
+    let refused = book.reserve(order(2, "u", 1, 1, unload("a@1")), &guard);
+    assert!(matches!(refused, Err(Refusal::LastCopy { .. })));
+}
+
+/// Guards against giving up the old version before the new one is ready on a target that counts.
+#[test]
+fn unload_old_version() {
+    let mut book = book(1);
+    book.observe(
+        &report("t", (1, 1), 0, &[("a@1", Ready, 1), ("a@2", Loading, 1)]),
+        false,
+    );
+    book.observe(&report("u", (1, 1), 0, &[("a@2", Ready, 1)]), false);
+    let wish = order(1, "t", 1, 1, unload("a@1"));
+    let need: &[&[&str]] = &[&["a@2", "a@1"]];
+    let refused = book.check(&wish, &guard(need, &["t"]));
+    assert!(matches!(refused, Err(Refusal::LastCopy { .. })));
+    assert_eq!(book.check(&wish, &guard(need, &["t", "u"])), Ok(()));
+}
+
+/// Guards against removing a model below an adapter.
+#[test]
+fn unload_below_adapter() {
+    let mut book = book(1);
+    let copies = [("a@1", Ready, 1), ("a@1+x@1", Ready, 1)];
+    book.observe(&report("t", (1, 1), 0, &copies), false);
+    let refused = book.check(&order(1, "t", 1, 1, unload("a@1")), &none());
+    assert!(matches!(refused, Err(Refusal::Based { .. })));
+}
+
+/// Guards against orders of an older token, an older incarnation or to a leaving target.
+#[test]
+fn reserve_bad_order() {
+    let mut book = book(2);
+    book.observe(&report("t", (2, 1), 0, &[]), false);
+    let wish = |incarnation, token| order(1, "t", incarnation, token, load("a@1", 1));
+    let token = id::Token(1);
+    assert_eq!(
+        book.check(&wish(2, 1), &none()),
+        Err(Refusal::Token { token })
+    );
+    let incarnation = id::Incarnation(2);
+    assert_eq!(
+        book.check(&wish(1, 2), &none()),
+        Err(Refusal::Incarnation { incarnation })
+    );
+    let mut leaving = report("t", (2, 2), 0, &[]);
+    leaving.leaving = true;
+    book.observe(&leaving, false);
+    assert_eq!(book.check(&wish(2, 2), &none()), Err(Refusal::Leaving));
+}
+
+/// Guards against a reservation that outlives an order that was positively not run.
+#[test]
+fn answered_not_run() {
+    let mut book = book(1);
+    book.observe(&report("t", (1, 1), 0, &[]), false);
+    let first = order(1, "t", 1, 1, load("a@1", 6));
+    book.reserve(first.clone(), &none()).unwrap();
+    let attempt = book.sent(&first.target, first.id).unwrap();
+    book.answered(&first.target, first.id, attempt, Outcome::NotSent);
+    assert_eq!(book.free(&first.target), Bytes(4), "it is still reserved");
+    assert!(book.open().all(|entry| !entry.is_sent()));
+    let attempt = book.sent(&first.target, first.id).unwrap();
+    let closed = book.answered(&first.target, first.id, attempt, Outcome::Refused);
+    assert_eq!(closed.map(|closed| closed.end), Some(End::Dropped));
+    assert_eq!(book.free(&first.target), Bytes(10));
+}
