--- a/crates/buckthornmast_ledger/src/book.rs
+++ b/crates/buckthornmast_ledger/src/book.rs
@@ -92,6 +92,14 @@
         self.token
     }
 
+    /// Goes on under a higher token of the same holder.
+    ///
+    /// Attempts under the token so far end on each target that honours tokens once it reports the
+    /// new one.
+    pub fn raise(&mut self, token: id::Token) {
+        self.token = self.token.max(token);
+    }
+
     /// Takes over an open intent of an earlier holder.
     ///
     /// Every intent in the log and in the journals has to be inherited before orders are reserved.
