Add the storage crate

Cause: replicas need a data folder that survives crashes, torn writes and failed syncs. Conclusion: the consensus crate can be built on it.

--- /dev/null
+++ b/crates/buckthornmast_storage/src/frame.rs
@@ -0,0 +1,90 @@
+//! Frames of the log file.
+//!
+//! A frame is `length: u32`, `header CRC-32: u32`, `payload CRC-32: u32` in little endian, then the
+//! payload. The header CRC covers a salt, which is the disk identity, so that bytes inside a payload
+//! can't pass for a header.
+//!
+//! A frame is appended only after the one before it was synced. An incomplete frame at the end is
+//! therefore a torn write of the last batch, and a valid header anywhere after an invalid frame shows that
+//! synced data was damaged.
+
+/// Bytes of a frame header.
+pub const HEADER_LEN: usize = 12;
+
+/// Largest payload of a frame. A longer length in a header is taken as damage.
+pub const MAX_PAYLOAD: usize = 64 << 20;
+
+/// Result of scanning a log file.
+#[derive(Debug, PartialEq, Eq)]
+pub enum End {
+    /// All bytes belong to valid frames.
+    Clean,
+    /// The last frame is incomplete; valid frames end at this offset.
+    Torn(usize),
+    /// A frame before the last one is invalid.
+    Damaged(usize),
+}
+
+fn header_crc(salt: &[u8], length: [u8; 4]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(salt);
+    hasher.update(&length);
+    hasher.finalize()
+}
+
+fn word(bytes: &[u8], at: usize) -> Option<[u8; 4]> {
+    bytes.get(at..at.checked_add(4)?)?.try_into().ok()
+}
+
+/// Returns the payload length of a valid header.
+fn header(bytes: &[u8], salt: &[u8]) -> Option<(usize, u32)> {
+    let length = word(bytes, 0)?;
+    let crc = u32::from_le_bytes(word(bytes, 4)?);
+    let payload = u32::from_le_bytes(word(bytes, 8)?);
+    let len = usize::try_from(u32::from_le_bytes(length)).ok()?;
+    (len <= MAX_PAYLOAD && crc == header_crc(salt, length)).then_some((len, payload))
+}
+
+/// Appends a frame to a buffer. Payloads over [`MAX_PAYLOAD`] are refused.
+#[must_use]
+pub fn encode(buffer: &mut Vec<u8>, salt: &[u8], payload: &[u8]) -> bool {
+    let Some(len) = u32::try_from(payload.len())
+        .ok()
+        .filter(|_| payload.len() <= MAX_PAYLOAD)
+    else {
+        return false;
+    };
+    let length = len.to_le_bytes();
+    buffer.extend_from_slice(&length);
+    buffer.extend_from_slice(&header_crc(salt, length).to_le_bytes());
+    buffer.extend_from_slice(&crc32fast::hash(payload).to_le_bytes());
+    buffer.extend_from_slice(payload);
+    true
+}
+
+/// Passes the payloads of all valid frames from the start and says how the file ends.
+pub fn scan<'a>(bytes: &'a [u8], salt: &[u8], mut frame: impl FnMut(&'a [u8])) -> End {
+    let mut at = 0;
+    while at < bytes.len() {
+        let rest = &bytes[at..];
+        let payload = header(rest, salt)
+            .and_then(|(len, crc)| Some((rest.get(HEADER_LEN..HEADER_LEN + len)?, crc)))
+            .filter(|(payload, crc)| crc32fast::hash(payload) == *crc);
+        let Some((payload, _)) = payload else {
+            return end_of_invalid(bytes, at, salt);
+        };
+        frame(payload);
+        at += HEADER_LEN + payload.len();
+    }
+    End::Clean
+}
+
+fn end_of_invalid(bytes: &[u8], at: usize, salt: &[u8]) -> End {
+    let later = &bytes[at + 1..];
+    let follows = (0..later.len()).any(|offset| header(&later[offset..], salt).is_some());
+    if follows {
+        End::Damaged(at)
+    } else {
+        End::Torn(at)
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_storage/src/lib.rs
@@ -0,0 +1,22 @@
+//! One data folder: disk identity, hard state, log and snapshot.
+//!
+//! The log is a file of frames; each frame is one batch of records and is synced before it counts. The
+//! snapshot and a compacted log are written to a temporary name, synced and renamed, and the folder is
+//! synced too. After a failed write or sync the store refuses all further writes, because the operating
+//! system may have dropped the dirty pages and a second sync would wrongly succeed.
+
+pub mod files;
+pub mod frame;
+pub mod memory;
+pub mod record;
+pub mod store;
+
+/// Names that most users of this crate import together.
+pub mod prelude {
+    pub use crate::{
+        files::{Files, Folder},
+        memory::Memory,
+        record::{Hard, Record, Snapshot},
+        store::{OpenError, Recovered, Store, WriteError},
+    };
+}
--- /dev/null
+++ b/crates/buckthornmast_storage/src/memory.rs
@@ -0,0 +1,194 @@
+//! Files in memory with injected faults, for tests and examples.
+//!
+//! Content that was not synced is lost by [`Memory::crash`], as is a rename without a folder sync.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use crate::files::Files;
+
+#[derive(Debug, Default, Clone)]
+struct Content {
+    now: Vec<u8>,
+    synced: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    names: BTreeMap<String, Content>,
+    durable: BTreeMap<String, Content>,
+    fail_sync: bool,
+    room: Option<usize>,
+    steps: Option<usize>,
+    syncs: u64,
+}
+
+/// Folder in memory; clones share the content.
+#[derive(Debug, Default, Clone)]
+pub struct Memory {
+    state: Arc<Mutex<State>>,
+}
+
+impl Memory {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes every sync fail from now on, or succeed again.
+    pub fn fail_sync(&self, fail: bool) {
+        self.state().fail_sync = fail;
+    }
+
+    /// Lets this many more bytes be written before the disk is full.
+    pub fn fill_after(&self, room: Option<usize>) {
+        self.state().room = room;
+    }
+
+    /// Lets this many more modifying steps succeed; later ones fail.
+    pub fn stop_after(&self, steps: Option<usize>) {
+        self.state().steps = steps;
+    }
+
+    /// Returns how many syncs of files have succeeded.
+    pub fn syncs(&self) -> u64 {
+        self.state().syncs
+    }
+
+    /// Loses everything that was not synced and lifts the injected faults.
+    pub fn crash(&self) {
+        let mut state = self.state();
+        let mut names = state.durable.clone();
+        for content in names.values_mut() {
+            content.now = content.synced.clone();
+        }
+        *state = State {
+            durable: names.clone(),
+            names,
+            syncs: state.syncs,
+            ..State::default()
+        };
+    }
+
+    /// Replaces the durable content of a file, as a test of damage does.
+    pub fn replace(&self, name: &str, content: Vec<u8>) {
+        let content = Content {
+            now: content.clone(),
+            synced: content,
+        };
+        let mut state = self.state();
+        state.names.insert(name.to_owned(), content.clone());
+        state.durable.insert(name.to_owned(), content);
+    }
+
+    /// Returns the content of a file.
+    pub fn content(&self, name: &str) -> Option<Vec<u8>> {
+        self.state().names.get(name).map(|file| file.now.clone())
+    }
+}
+
+fn full() -> io::Error {
+    io::Error::from(io::ErrorKind::StorageFull)
+}
+
+fn missing() -> io::Error {
+    io::Error::from(io::ErrorKind::NotFound)
+}
+
+impl State {
+    fn step(&mut self) -> io::Result<()> {
+        match &mut self.steps {
+            Some(0) => Err(io::Error::other("injected stop")),
+            Some(steps) => {
+                *steps -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    // A full disk takes the bytes that still fit, as a real one does.
+    fn take_room(&mut self, wanted: usize) -> usize {
+        let Some(room) = &mut self.room else {
+            return wanted;
+        };
+        let taken = wanted.min(*room);
+        *room -= taken;
+        taken
+    }
+}
+
+impl Files for Memory {
+    fn read(&mut self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        Ok(self.content(name))
+    }
+
+    fn write(&mut self, name: &str, content: &[u8]) -> io::Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        let taken = state.take_room(content.len());
+        let file = state.names.entry(name.to_owned()).or_default();
+        file.now = content[..taken].to_vec();
+        if taken < content.len() {
+            return Err(full());
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, content: &[u8]) -> io::Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        let taken = state.take_room(content.len());
+        let file = state.names.get_mut(name).ok_or_else(missing)?;
+        file.now.extend_from_slice(&content[..taken]);
+        if taken < content.len() {
+            return Err(full());
+        }
+        Ok(())
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> io::Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        let file = state.names.get_mut(name).ok_or_else(missing)?;
+        file.now
+            .truncate(usize::try_from(len).unwrap_or(usize::MAX));
+        Ok(())
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        if state.fail_sync {
+            return Err(io::Error::other("injected sync failure"));
+        }
+        let file = state.names.get_mut(name).ok_or_else(missing)?;
+        file.synced = file.now.clone();
+        let file = file.clone();
+        if let Some(durable) = state.durable.get_mut(name) {
+            *durable = file;
+        }
+        state.syncs += 1;
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        let file = state.names.remove(from).ok_or_else(missing)?;
+        state.names.insert(to.to_owned(), file);
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        let mut state = self.state();
+        state.step()?;
+        if state.fail_sync {
+            return Err(io::Error::other("injected sync failure"));
+        }
+        state.durable = state.names.clone();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_storage/src/record.rs
@@ -0,0 +1,50 @@
+//! Records of the log and the content of the snapshot file.
+
+use std::sync::Arc;
+
+use buckthornmast_types::id;
+use serde::{Deserialize, Serialize};
+
+/// State that a replica must not forget: its term and its vote in that term.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Hard {
+    /// Current term.
+    pub term: id::Term,
+    /// Disk identity of the candidate that got the vote in this term. An identity belongs to one
+    /// instance only.
+    pub vote: Option<id::Disk>,
+}
+
+/// Record of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// New hard state.
+    Hard(Hard),
+    /// The log continues after this position, which the snapshot covers.
+    Base {
+        /// Index of the last entry that was compacted away.
+        index: id::Index,
+        /// Term of that entry.
+        term: id::Term,
+    },
+    /// Entry of the log; replaces any entry at its index and after.
+    Entry {
+        /// Index.
+        index: id::Index,
+        /// Term.
+        term: id::Term,
+        /// Encoded entry.
+        payload: Vec<u8>,
+    },
+}
+
+/// Snapshot of everything up to an index.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Index of the last entry covered.
+    pub index: id::Index,
+    /// Term of that entry.
+    pub term: id::Term,
+    /// Encoded content.
+    pub data: Arc<[u8]>,
+}
--- /dev/null
+++ b/crates/buckthornmast_storage/src/store.rs
@@ -0,0 +1,378 @@
+//! Store of one replica.
+
+use std::{collections::VecDeque, io};
+
+use buckthornmast_types::id;
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    files::Files,
+    frame::{self, End},
+    record::{Hard, Record, Snapshot},
+};
+
+/// File with the disk identity. It is created last, so its presence shows that the folder is complete.
+pub const IDENTITY: &str = "identity";
+/// File of frames.
+pub const LOG: &str = "log";
+/// File with the snapshot.
+pub const SNAPSHOT: &str = "snapshot";
+/// File whose presence forbids a bootstrap.
+pub const BOOTSTRAPPED: &str = "bootstrapped";
+
+/// Payload bytes after which a batch continues in another frame.
+const FRAME_TARGET: usize = 16 << 20;
+
+/// Reason why a folder can't be opened.
+#[derive(Debug, Snafu)]
+pub enum OpenError {
+    /// Data that was synced is missing or wrong. The replica must not vote under this identity again.
+    #[snafu(display("{file} is damaged: {detail}"))]
+    Damaged {
+        /// File.
+        file: &'static str,
+        /// What is wrong.
+        detail: String,
+    },
+    /// The operating system refused an operation.
+    #[snafu(display("{step} failed: {source}"))]
+    Open {
+        /// Operation.
+        step: &'static str,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Reason why a write is not durable.
+#[derive(Debug, Snafu)]
+pub enum WriteError {
+    /// The operating system refused an operation.
+    #[snafu(display("{step} failed: {source}"))]
+    Write {
+        /// Operation.
+        step: &'static str,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A record can't be encoded or is too large.
+    #[snafu(display("a record is larger than a frame"))]
+    TooLarge,
+    /// An earlier write failed, after which nothing is written any more.
+    #[snafu(display("an earlier write to this folder failed"))]
+    Stopped,
+}
+
+/// Content of a folder.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// Hard state.
+    pub hard: Hard,
+    /// Position before the first entry of the log.
+    pub base: (id::Index, id::Term),
+    /// Entries after the base, as `(index, term, payload)`.
+    pub entries: VecDeque<(id::Index, id::Term, Vec<u8>)>,
+    /// Snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Whether the folder may never bootstrap again.
+    pub bootstrapped: bool,
+    /// Bytes of a torn tail that were cut off.
+    pub torn: usize,
+}
+
+/// Open data folder.
+#[derive(Debug)]
+pub struct Store<F> {
+    files: F,
+    disk: id::Disk,
+    stopped: bool,
+}
+
+fn damaged<T>(file: &'static str, detail: impl Into<String>) -> Result<T, OpenError> {
+    DamagedSnafu {
+        file,
+        detail: detail.into(),
+    }
+    .fail()
+}
+
+impl<F: Files> Store<F> {
+    /// Opens a folder; an empty one gets a new disk identity.
+    pub fn open(mut files: F) -> Result<(Self, Recovered), OpenError> {
+        let identity = files.read(IDENTITY).context(OpenSnafu { step: "read" })?;
+        let Some(identity) = identity else {
+            return Self::create(files);
+        };
+        let text = String::from_utf8_lossy(&identity);
+        let Ok(disk) = text.trim().parse::<id::Disk>() else {
+            return damaged(IDENTITY, "not a UUID");
+        };
+        let mut store = Self {
+            files,
+            disk,
+            stopped: false,
+        };
+        let recovered = store.recover()?;
+        Ok((store, recovered))
+    }
+
+    /// Gives up the content of a folder and starts over under a new disk identity. The bootstrap mark stays.
+    pub fn reset(files: F) -> Result<(Self, Recovered), OpenError> {
+        Self::create(files)
+    }
+
+    fn create(mut files: F) -> Result<(Self, Recovered), OpenError> {
+        let bootstrapped = files
+            .read(BOOTSTRAPPED)
+            .context(OpenSnafu { step: "read" })?
+            .is_some();
+        let mut store = Self {
+            files,
+            disk: id::Disk(uuid::Uuid::new_v4()),
+            stopped: false,
+        };
+        let first = [Record::Hard(Hard::default())];
+        let text = store.disk.to_string();
+        store
+            .create_files(&first, &text)
+            .context(OpenSnafu { step: "create" })?;
+        Ok((
+            store,
+            Recovered {
+                bootstrapped,
+                ..Recovered::default()
+            },
+        ))
+    }
+
+    // A crash between the steps leaves either no identity or an identity that doesn't fit the log. The
+    // latter is found by the salt and opens as damaged.
+    fn create_files(&mut self, first: &[Record], identity: &str) -> io::Result<()> {
+        let empty: &[u8] = &[];
+        self.place(SNAPSHOT, empty)?;
+        let mut content = Vec::new();
+        encode(&mut content, self.salt(), first).map_err(|_| io::ErrorKind::InvalidData)?;
+        self.place(LOG, &content)?;
+        self.place(IDENTITY, identity.as_bytes())
+    }
+
+    /// Replaces a file atomically and durably.
+    fn place(&mut self, name: &str, content: &[u8]) -> io::Result<()> {
+        let temporary = format!("{name}.tmp");
+        self.files.write(&temporary, content)?;
+        self.files.sync(&temporary)?;
+        self.files.rename(&temporary, name)?;
+        self.files.sync_folder()
+    }
+
+    /// Returns the identity of the disk.
+    pub fn disk(&self) -> id::Disk {
+        self.disk
+    }
+
+    fn salt(&self) -> [u8; 16] {
+        *self.disk.0.as_bytes()
+    }
+
+    fn read(&mut self, name: &'static str) -> Result<Vec<u8>, OpenError> {
+        match self.files.read(name).context(OpenSnafu { step: "read" })? {
+            Some(content) => Ok(content),
+            None => damaged(name, "missing"),
+        }
+    }
+
+    fn recover(&mut self) -> Result<Recovered, OpenError> {
+        let log = self.read(LOG)?;
+        let (records, end) = decode(&log, self.salt())?;
+        let mut recovered = replay(records)?;
+        if let End::Torn(at) = end {
+            self.cut(at).context(OpenSnafu { step: "truncate" })?;
+            recovered.torn = log.len() - at;
+        }
+        let snapshot = self.read(SNAPSHOT)?;
+        recovered.snapshot = decode_snapshot(&snapshot, self.salt())?;
+        recovered.bootstrapped = self
+            .files
+            .read(BOOTSTRAPPED)
+            .context(OpenSnafu { step: "read" })?
+            .is_some();
+        rebase(&mut recovered)?;
+        Ok(recovered)
+    }
+
+    fn cut(&mut self, at: usize) -> io::Result<()> {
+        self.files.truncate(LOG, at as u64)?;
+        self.files.sync(LOG)
+    }
+
+    fn guarded(
+        &mut self,
+        step: &'static str,
+        write: impl FnOnce(&mut Self) -> io::Result<()>,
+    ) -> Result<(), WriteError> {
+        if self.stopped {
+            return StoppedSnafu.fail();
+        }
+        let result = write(self);
+        self.stopped = result.is_err();
+        result.context(WriteSnafu { step })
+    }
+
+    /// Appends records and returns once they are durable.
+    pub fn append(&mut self, records: &[Record]) -> Result<(), WriteError> {
+        let mut rest = records;
+        while !rest.is_empty() {
+            let (first, later) = split(rest);
+            let mut content = Vec::new();
+            encode(&mut content, self.salt(), first)?;
+            self.guarded("append", |store| {
+                store.files.append(LOG, &content)?;
+                store.files.sync(LOG)
+            })?;
+            rest = later;
+        }
+        Ok(())
+    }
+
+    /// Replaces the snapshot, then the log by these records, which continue after the snapshot or before.
+    pub fn compact(&mut self, snapshot: &Snapshot, records: &[Record]) -> Result<(), WriteError> {
+        let salt = self.salt();
+        let mut file = Vec::new();
+        let payload = postcard::to_stdvec(snapshot).map_err(|_| WriteError::TooLarge)?;
+        if !frame::encode(&mut file, &salt, &payload) {
+            return TooLargeSnafu.fail();
+        }
+        let mut log = Vec::new();
+        let mut rest = records;
+        while !rest.is_empty() {
+            let (first, later) = split(rest);
+            encode(&mut log, salt, first)?;
+            rest = later;
+        }
+        self.guarded("snapshot", |store| store.place(SNAPSHOT, &file))?;
+        self.guarded("compact", |store| store.place(LOG, &log))
+    }
+
+    /// Forbids a bootstrap from this folder for good.
+    pub fn mark_bootstrapped(&mut self) -> Result<(), WriteError> {
+        self.guarded("mark", |store| store.place(BOOTSTRAPPED, b"1"))
+    }
+}
+
+/// Returns the records of the next frame and the ones after it.
+fn split(records: &[Record]) -> (&[Record], &[Record]) {
+    let mut bytes = 0;
+    let fits = records.iter().take_while(|record| {
+        bytes += weight(record);
+        bytes <= FRAME_TARGET
+    });
+    let count = fits.count().max(1);
+    records.split_at(count)
+}
+
+fn weight(record: &Record) -> usize {
+    match record {
+        Record::Entry { payload, .. } => payload.len() + 32,
+        Record::Hard(_) | Record::Base { .. } => 32,
+    }
+}
+
+fn encode(buffer: &mut Vec<u8>, salt: [u8; 16], records: &[Record]) -> Result<(), WriteError> {
+    let payload = postcard::to_stdvec(records).map_err(|_| WriteError::TooLarge)?;
+    if frame::encode(buffer, &salt, &payload) {
+        Ok(())
+    } else {
+        TooLargeSnafu.fail()
+    }
+}
+
+fn decode(log: &[u8], salt: [u8; 16]) -> Result<(Vec<Record>, End), OpenError> {
+    let mut records: Vec<Record> = Vec::new();
+    let mut undecodable = false;
+    let end = frame::scan(log, &salt, |payload| {
+        match postcard::from_bytes::<Vec<Record>>(payload) {
+            Ok(batch) => records.extend(batch),
+            Err(_) => undecodable = true,
+        }
+    });
+    if undecodable {
+        return damaged(LOG, "a frame with a valid checksum can't be decoded");
+    }
+    if let End::Damaged(at) = end {
+        return damaged(LOG, format!("invalid frame at byte {at} before valid ones"));
+    }
+    // The first frame was synced before the identity was written, so it can't be a torn one.
+    if records.is_empty() {
+        return damaged(LOG, "no valid first frame");
+    }
+    Ok((records, end))
+}
+
+fn decode_snapshot(file: &[u8], salt: [u8; 16]) -> Result<Option<Snapshot>, OpenError> {
+    if file.is_empty() {
+        return Ok(None);
+    }
+    let mut snapshot = None;
+    let end = frame::scan(file, &salt, |payload| {
+        snapshot = postcard::from_bytes::<Snapshot>(payload).ok();
+    });
+    if end != End::Clean || snapshot.is_none() {
+        return damaged(SNAPSHOT, "wrong checksum or content");
+    }
+    Ok(snapshot)
+}
+
+fn replay(records: Vec<Record>) -> Result<Recovered, OpenError> {
+    let mut recovered = Recovered::default();
+    for record in records {
+        match record {
+            Record::Hard(hard) => recovered.hard = hard,
+            Record::Base { index, term } => {
+                recovered.base = (index, term);
+                recovered.entries.clear();
+            }
+            Record::Entry {
+                index,
+                term,
+                payload,
+            } => {
+                let before = recovered.base.0.0;
+                let Some(offset) = index.0.checked_sub(before + 1) else {
+                    return damaged(LOG, format!("entry {index} before the base"));
+                };
+                if offset > recovered.entries.len() as u64 {
+                    return damaged(LOG, format!("gap before entry {index}"));
+                }
+                let keep = usize::try_from(offset).unwrap_or(usize::MAX);
+                recovered.entries.truncate(keep);
+                recovered.entries.push_back((index, term, payload));
+            }
+        }
+    }
+    Ok(recovered)
+}
+
+/// Brings the log in line with a snapshot that was written just before a crash.
+fn rebase(recovered: &mut Recovered) -> Result<(), OpenError> {
+    let Some(snapshot) = &recovered.snapshot else {
+        if recovered.base.0.0 > 0 {
+            return damaged(SNAPSHOT, "missing, but the log was compacted");
+        }
+        return Ok(());
+    };
+    let (index, term) = (snapshot.index, snapshot.term);
+    if recovered.base.0 > index {
+        return damaged(SNAPSHOT, "older than the compacted log");
+    }
+    let last = recovered.base.0.0 + recovered.entries.len() as u64;
+    let matches = recovered.base == (index, term)
+        || recovered
+            .entries
+            .iter()
+            .any(|entry| (entry.0, entry.1) == (index, term));
+    if !matches || index.0 > last {
+        recovered.entries.clear();
+        recovered.base = (index, term);
+    }
+    Ok(())
+}
