--- /dev/null
+++ b/crates/buckthornmast_consensus/src/core.rs
@@ -0,0 +1,479 @@
+//! Pure protocol: messages and time in, effects out.
+//!
+//! The caller of [`Core::step`] makes the effects [`Effect::Hard`], [`Effect::Append`],
+//! [`Effect::Install`] and [`Effect::Bootstrapped`] durable before it carries out any other effect of the
+//! same batch. A replica counts its own entries towards a quorum on this condition.
+
+mod election;
+mod found;
+mod install;
+mod leader;
+mod replication;
+
+use std::time::Duration;
+
+use buckthornmast_storage::record::Hard;
+use buckthornmast_types::{id, time::Point};
+use smallvec::SmallVec;
+
+use crate::{
+    core::leader::Leading,
+    log::Log,
+    machine::LogTime,
+    message::{Body, Entry, Member, Message, Payload, Position},
+    snapshot::{Content, Incoming, Snapshot},
+    status,
+    voters::Voters,
+};
+
+/// Entry bytes after which an append is full, so that one message doesn't hold up heartbeats.
+pub const MAX_APPEND_BYTES: u32 = 256 << 10;
+/// Entries of one append.
+pub const MAX_APPEND_ENTRIES: usize = 512;
+/// Entries on the way to one replica.
+pub const MAX_WINDOW_ENTRIES: u64 = 2048;
+/// Entry bytes on the way to one replica.
+pub const MAX_WINDOW_BYTES: u32 = 4 << 20;
+/// Bytes of a part of a snapshot.
+pub const MAX_CHUNK_BYTES: usize = 256 << 10;
+/// Entries that a leader keeps uncommitted before it refuses proposals.
+pub const MAX_UNCOMMITTED: u64 = 8192;
+/// Largest encoded command.
+pub const MAX_COMMAND_BYTES: usize = 256 << 10;
+/// Clock drift that the leader lease allows for, in percent.
+pub const DRIFT_PERCENT: u32 = 10;
+
+/// Intervals of the protocol, equal on all replicas.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Timing {
+    /// Interval of heartbeats.
+    pub heartbeat: Duration,
+    /// Shortest election timeout.
+    pub election_min: Duration,
+    /// Longest election timeout.
+    pub election_max: Duration,
+}
+
+impl Default for Timing {
+    /// Intervals for round trips of a few milliseconds: failover takes at most about half a second.
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(50),
+            election_min: Duration::from_millis(250),
+            election_max: Duration::from_millis(450),
+        }
+    }
+}
+
+/// What a replica was before it started.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Durable<C> {
+    /// Term and vote.
+    pub hard: Hard,
+    /// Log.
+    pub log: Log<C>,
+    /// Snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Whether the folder may never bootstrap again.
+    pub bootstrapped: bool,
+}
+
+impl<C> Default for Durable<C> {
+    fn default() -> Self {
+        Self {
+            hard: Hard::default(),
+            log: Log::default(),
+            snapshot: None,
+            bootstrapped: false,
+        }
+    }
+}
+
+/// What happens to a replica.
+#[derive(Debug, Clone)]
+pub enum Input<C> {
+    /// Time has passed.
+    Tick,
+    /// A message has arrived.
+    Receive {
+        /// Sender.
+        from: id::Instance,
+        /// Message.
+        message: Message<C>,
+    },
+    /// Commands with their encoded sizes are proposed.
+    Propose {
+        /// Wall clock in milliseconds since the epoch.
+        wall: u64,
+        /// Commands.
+        commands: Vec<(C, u32)>,
+    },
+    /// The machine was saved as of an applied index.
+    Compact {
+        /// Last index covered.
+        index: id::Index,
+        /// State of the machine.
+        machine: Vec<u8>,
+        /// Entries before that index that stay in the log for slow followers.
+        keep: u64,
+    },
+    /// A write failed: nothing may be promised any more.
+    Fault,
+}
+
+/// What the caller has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect<C> {
+    /// Make the hard state durable.
+    Hard(Hard),
+    /// Make the log from this index on durable, in place of what was there.
+    Append(id::Index),
+    /// Make the mark that forbids a bootstrap durable.
+    Bootstrapped,
+    /// Make the snapshot and the remaining log durable; restore the machine if it came from the leader.
+    Install {
+        /// Whether the snapshot came from the leader.
+        restore: bool,
+    },
+    /// Send a message.
+    Send {
+        /// Receiver.
+        to: id::Instance,
+        /// Message.
+        message: Message<C>,
+    },
+    /// Apply entries up to this index.
+    Commit(id::Index),
+    /// The proposed commands were appended from this position on.
+    Proposed(Position),
+    /// The proposed commands were not appended.
+    Refused,
+    /// The replica has seen a contradiction and stopped.
+    Fault(&'static str),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum State {
+    Follower,
+    Probing {
+        fresh: Vec<Member>,
+    },
+    Candidate {
+        pre: bool,
+        grants: Vec<Member>,
+        founding: Vec<Member>,
+    },
+    Leader(Leading),
+    Stopped,
+}
+
+/// One replica.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Core<C> {
+    pub(crate) me: Member,
+    // All instances that the settings list as voters, without this one.
+    pub(crate) peers: SmallVec<[id::Instance; 6]>,
+    pub(crate) timing: Timing,
+    pub(crate) hard: Hard,
+    pub(crate) log: Log<C>,
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) incoming: Option<Incoming>,
+    pub(crate) bootstrapped: bool,
+    pub(crate) voters: Voters,
+    pub(crate) commit: id::Index,
+    pub(crate) state: State,
+    pub(crate) leader: Option<id::Instance>,
+    // When a leader was last heard from; the start counts, as the lost memory may hold a promise.
+    pub(crate) heard: Point,
+    pub(crate) deadline: Point,
+    pub(crate) random: u64,
+}
+
+pub(crate) type Effects<C> = Vec<Effect<C>>;
+
+impl<C: Clone> Core<C> {
+    /// Starts a replica. `peers` are the instances that the settings list as voters.
+    pub fn new(
+        me: Member,
+        peers: &[id::Instance],
+        timing: Timing,
+        durable: Durable<C>,
+        seed: u64,
+        now: Point,
+    ) -> Self {
+        let others = peers.iter().filter(|peer| **peer != me.instance);
+        let mut core = Self {
+            peers: others.cloned().collect(),
+            me,
+            timing,
+            hard: durable.hard,
+            log: durable.log,
+            snapshot: durable.snapshot,
+            incoming: None,
+            bootstrapped: durable.bootstrapped,
+            voters: Voters::default(),
+            commit: id::Index(0),
+            state: State::Follower,
+            leader: None,
+            heard: now,
+            deadline: now,
+            random: seed,
+        };
+        core.load_voters();
+        core.reset_deadline(now);
+        core
+    }
+
+    fn load_voters(&mut self) {
+        self.voters = Voters::default();
+        let mut after = id::Index(0);
+        if let Some(snapshot) = &self.snapshot {
+            self.commit = self.commit.max(snapshot.position.index);
+            if let Some(content) = Content::decode(&snapshot.data) {
+                after = content.voters_at;
+                self.voters.push(content.voters_at, content.voters);
+            }
+        }
+        for entry in self.log.from(self.log.base().index.next()) {
+            if let Payload::Voters(members) = &entry.payload
+                && entry.position.index > after
+            {
+                self.voters.push(entry.position.index, members.clone());
+            }
+        }
+        self.voters.commit(self.commit);
+    }
+
+    /// Returns what must survive a crash.
+    pub fn durable(&self) -> Durable<C> {
+        Durable {
+            hard: self.hard,
+            log: self.log.clone(),
+            snapshot: self.snapshot.clone(),
+            bootstrapped: self.bootstrapped,
+        }
+    }
+
+    /// Processes one input and pushes the effects.
+    pub fn step(&mut self, now: Point, input: Input<C>, out: &mut Effects<C>) {
+        match input {
+            Input::Fault => self.stop(),
+            Input::Propose { wall, commands } => self.propose(now, LogTime(wall), commands, out),
+            _ if self.state == State::Stopped => {}
+            Input::Tick => self.tick(now, out),
+            Input::Receive { from, message } => self.receive(now, &from, message, out),
+            Input::Compact {
+                index,
+                machine,
+                keep,
+            } => self.compact(index, machine, keep, out),
+        }
+    }
+
+    fn stop(&mut self) {
+        self.state = State::Stopped;
+        self.leader = None;
+    }
+
+    pub(crate) fn fault(&mut self, reason: &'static str, out: &mut Effects<C>) {
+        self.stop();
+        out.push(Effect::Fault(reason));
+    }
+
+    fn tick(&mut self, now: Point, out: &mut Effects<C>) {
+        if matches!(self.state, State::Leader(_)) {
+            self.tick_leader(now, out);
+        } else if now >= self.deadline {
+            self.reset_deadline(now);
+            self.leader = None;
+            if self.is_voter() {
+                self.ask_votes(true, Vec::new(), now, out);
+            } else {
+                self.probe(now, out);
+            }
+        }
+    }
+
+    fn receive(
+        &mut self,
+        now: Point,
+        from: &id::Instance,
+        message: Message<C>,
+        out: &mut Effects<C>,
+    ) {
+        let Message { term, disk, body } = message;
+        let sender = Member {
+            instance: from.clone(),
+            disk,
+        };
+        match body {
+            // A request for a vote may be refused without adopting its term.
+            Body::Vote {
+                pre,
+                voter,
+                last,
+                founding,
+            } => {
+                if voter == self.me.disk {
+                    self.vote(now, &sender, (pre, term, last), &founding, out);
+                }
+                return;
+            }
+            Body::Probe => {
+                let fresh = self.is_fresh();
+                return self.send(from, Body::Probed { fresh }, out);
+            }
+            Body::Probed { fresh } => return self.probed(now, sender, fresh, term, out),
+            _ => {}
+        }
+        if term > self.hard.term {
+            self.follow_term(term, now, out);
+        }
+        // An answer given in an older term says nothing about this one: the entries that it
+        // acknowledges may have been replaced since.
+        let is_answer = matches!(
+            body,
+            Body::Voted { .. } | Body::Appended { .. } | Body::Received { .. }
+        );
+        if is_answer && term < self.hard.term && !matches!(body, Body::Voted { pre: true, .. }) {
+            return;
+        }
+        match body {
+            Body::Voted {
+                pre,
+                asked,
+                granted,
+            } => self.voted(now, sender, pre, asked, granted, out),
+            Body::Append {
+                sent,
+                prev,
+                commit,
+                entries,
+            } => self.append(now, from, term, (sent, prev, commit), entries, out),
+            Body::Appended {
+                sent,
+                accepted,
+                index,
+            } => self.appended(now, &sender, sent, accepted, index, out),
+            Body::Chunk {
+                sent,
+                position,
+                total,
+                offset,
+                data,
+            } => self.chunk(now, from, term, sent, (position, total, offset), &data, out),
+            Body::Received {
+                sent,
+                index,
+                offset,
+                done,
+            } => self.received(now, &sender, sent, (index, offset, done), out),
+            Body::Vote { .. } | Body::Probe | Body::Probed { .. } => {}
+        }
+    }
+
+    pub(crate) fn send(&self, to: &id::Instance, body: Body<C>, out: &mut Effects<C>) {
+        self.send_in(self.hard.term, to, body, out);
+    }
+
+    pub(crate) fn send_in(
+        &self,
+        term: id::Term,
+        to: &id::Instance,
+        body: Body<C>,
+        out: &mut Effects<C>,
+    ) {
+        let message = Message {
+            term,
+            disk: self.me.disk,
+            body,
+        };
+        out.push(Effect::Send {
+            to: to.clone(),
+            message,
+        });
+    }
+
+    pub(crate) fn push_entry(&mut self, at: LogTime, size: u32, payload: Payload<C>) {
+        let position = Position {
+            term: self.hard.term,
+            index: self.log.last().index.next(),
+        };
+        if let Payload::Voters(members) = &payload {
+            self.voters.push(position.index, members.clone());
+        }
+        self.log.push(Entry {
+            position,
+            at: at.max(self.log.last_at()),
+            size,
+            payload,
+        });
+    }
+
+    pub(crate) fn reset_deadline(&mut self, now: Point) {
+        let min = self.timing.election_min;
+        let spread = self.timing.election_max.saturating_sub(min);
+        let micros = u64::try_from(spread.as_micros()).unwrap_or(0);
+        let jitter = if micros == 0 { 0 } else { self.draw() % micros };
+        self.deadline = now + min + Duration::from_micros(jitter);
+    }
+
+    // SplitMix64, so that a replica with the same seed behaves the same.
+    fn draw(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.random;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    pub(crate) fn is_voter(&self) -> bool {
+        self.voters.contains(&self.me)
+    }
+
+    /// Returns this replica's pair.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns the hard state.
+    pub fn hard(&self) -> Hard {
+        self.hard
+    }
+
+    /// Returns the log.
+    pub fn log(&self) -> &Log<C> {
+        &self.log
+    }
+
+    /// Returns the snapshot.
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.snapshot.as_ref()
+    }
+
+    /// Returns the highest committed index.
+    pub fn commit(&self) -> id::Index {
+        self.commit
+    }
+
+    /// Returns the voter sets.
+    pub fn voters(&self) -> &Voters {
+        &self.voters
+    }
+
+    /// Returns the leader of the term, if known.
+    pub fn leader(&self) -> Option<&id::Instance> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the role.
+    pub fn role(&self) -> status::Role {
+        match &self.state {
+            State::Leader(_) => status::Role::Leader,
+            State::Candidate { .. } => status::Role::Candidate,
+            State::Stopped => status::Role::Stopped,
+            State::Follower if self.is_voter() => status::Role::Follower,
+            State::Follower | State::Probing { .. } => status::Role::Learner,
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/core/election.rs
@@ -0,0 +1,164 @@
+//! Elections: pre-vote, votes, stickiness.
+
+use buckthornmast_storage::record::Hard;
+use buckthornmast_types::{id, time::Point};
+
+use crate::{
+    core::{Core, Effect, Effects, State},
+    message::{Body, Member, Position},
+};
+
+impl<C: Clone> Core<C> {
+    /// Asks for pre-votes, or for votes in a new term.
+    pub(crate) fn ask_votes(
+        &mut self,
+        pre: bool,
+        founding: Vec<Member>,
+        now: Point,
+        out: &mut Effects<C>,
+    ) {
+        let term = self.hard.term.next();
+        self.leader = None;
+        if !pre {
+            self.hard = Hard {
+                term,
+                vote: Some(self.me.disk),
+            };
+            out.push(Effect::Hard(self.hard));
+            self.reset_deadline(now);
+        }
+        let voters: Vec<Member> = if founding.is_empty() {
+            let members = self.voters.members();
+            members.into_iter().cloned().collect()
+        } else {
+            founding.clone()
+        };
+        let last = self.log.last();
+        for member in voters.iter().filter(|member| **member != self.me) {
+            let body = Body::Vote {
+                pre,
+                voter: member.disk,
+                last,
+                founding: founding.clone(),
+            };
+            self.send_in(term, &member.instance, body, out);
+        }
+        self.state = State::Candidate {
+            pre,
+            grants: vec![self.me.clone()],
+            founding,
+        };
+        self.count_votes(now, out);
+    }
+
+    /// Answers a request for a vote.
+    pub(crate) fn vote(
+        &mut self,
+        now: Point,
+        sender: &Member,
+        (pre, asked, last): (bool, id::Term, Position),
+        founding: &[Member],
+        out: &mut Effects<C>,
+    ) {
+        let may_vote = !self.hears_leader(now)
+            && asked >= self.hard.term
+            && if founding.is_empty() {
+                last >= self.log.last()
+            } else {
+                self.is_fresh() && founding.contains(&self.me)
+            };
+        let granted = if pre {
+            may_vote && asked > self.hard.term
+        } else if may_vote {
+            if asked > self.hard.term {
+                self.follow_term(asked, now, out);
+            }
+            self.hard.vote.is_none_or(|vote| vote == sender.disk)
+        } else {
+            false
+        };
+        if granted && !pre {
+            if self.hard.vote.is_none() {
+                self.hard.vote = Some(sender.disk);
+                out.push(Effect::Hard(self.hard));
+            }
+            self.reset_deadline(now);
+        }
+        let body = Body::Voted {
+            pre,
+            asked,
+            granted,
+        };
+        self.send(&sender.instance, body, out);
+    }
+
+    fn hears_leader(&self, now: Point) -> bool {
+        matches!(self.state, State::Leader(_)) || now < self.heard + self.timing.election_min
+    }
+
+    /// Counts an answer to a request for a vote.
+    pub(crate) fn voted(
+        &mut self,
+        now: Point,
+        sender: Member,
+        was_pre: bool,
+        asked: id::Term,
+        granted: bool,
+        out: &mut Effects<C>,
+    ) {
+        let State::Candidate { pre, grants, .. } = &mut self.state else {
+            return;
+        };
+        let current = if *pre {
+            self.hard.term.next()
+        } else {
+            self.hard.term
+        };
+        if !granted || was_pre != *pre || asked != current || grants.contains(&sender) {
+            return;
+        }
+        grants.push(sender);
+        self.count_votes(now, out);
+    }
+
+    fn count_votes(&mut self, now: Point, out: &mut Effects<C>) {
+        let State::Candidate {
+            pre,
+            grants,
+            founding,
+        } = &self.state
+        else {
+            return;
+        };
+        let won = if founding.is_empty() {
+            self.voters.has_quorum(|member| grants.contains(member))
+        } else {
+            founding.iter().all(|member| grants.contains(member))
+        };
+        if !won {
+            return;
+        }
+        if *pre {
+            self.ask_votes(false, Vec::new(), now, out);
+        } else {
+            let founding = founding.clone();
+            self.lead(founding, now, out);
+        }
+    }
+
+    /// Takes a higher term.
+    pub(crate) fn follow_term(&mut self, term: id::Term, now: Point, out: &mut Effects<C>) {
+        self.hard = Hard { term, vote: None };
+        out.push(Effect::Hard(self.hard));
+        self.follow(None, now);
+    }
+
+    /// Becomes or stays a follower.
+    pub(crate) fn follow(&mut self, leader: Option<&id::Instance>, now: Point) {
+        if matches!(self.state, State::Leader(_)) {
+            self.reset_deadline(now);
+        }
+        self.state = State::Follower;
+        self.leader = leader.cloned();
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/core/found.rs
@@ -0,0 +1,74 @@
+//! Bootstrap: the first voter set.
+//!
+//! Only the instance with the lowest name among the listed voters starts, and only from an empty folder that
+//! was never bootstrapped. It learns the disk identities by probes and asks every listed voter for a vote
+//! on the set. A voter with an empty folder grants it like any other vote, once a term, so that two
+//! attempts (the first disk may have been lost in between) can't both found a log.
+
+use buckthornmast_types::{id, time::Point};
+
+use crate::{
+    core::{Core, Effects, State},
+    message::{Body, Member},
+};
+
+impl<C: Clone> Core<C> {
+    /// Returns whether the folder is empty and was never bootstrapped.
+    pub(crate) fn is_fresh(&self) -> bool {
+        !self.bootstrapped && self.snapshot.is_none() && self.log.last().index == id::Index(0)
+    }
+
+    /// Asks the other listed voters whether their folders are empty, if it is up to this replica.
+    pub(crate) fn probe(&mut self, now: Point, out: &mut Effects<C>) {
+        self.state = State::Follower;
+        let is_first = self.peers.iter().all(|peer| self.me.instance < *peer);
+        if !is_first || !self.is_fresh() {
+            return;
+        }
+        self.state = State::Probing {
+            fresh: vec![self.me.clone()],
+        };
+        for peer in &self.peers {
+            self.send(peer, Body::Probe, out);
+        }
+        self.count_probes(now, out);
+    }
+
+    /// Counts an answer to a probe.
+    pub(crate) fn probed(
+        &mut self,
+        now: Point,
+        sender: Member,
+        is_fresh: bool,
+        term: id::Term,
+        out: &mut Effects<C>,
+    ) {
+        if !matches!(self.state, State::Probing { .. }) {
+            return;
+        }
+        // The founding term must be above every term that a listed voter has voted in.
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+        }
+        let State::Probing { fresh } = &mut self.state else {
+            return;
+        };
+        fresh.retain(|member| member.instance != sender.instance);
+        if is_fresh && self.peers.contains(&sender.instance) {
+            fresh.push(sender);
+        }
+        self.count_probes(now, out);
+    }
+
+    fn count_probes(&mut self, now: Point, out: &mut Effects<C>) {
+        let State::Probing { fresh } = &self.state else {
+            return;
+        };
+        if fresh.len() > self.peers.len() {
+            let mut founding = fresh.clone();
+            founding.sort();
+            self.ask_votes(false, founding, now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/core/install.rs
@@ -0,0 +1,183 @@
+//! Snapshots: compaction, transfer in parts, installation.
+
+use buckthornmast_types::{id, time::Point};
+
+use crate::{
+    core::{Core, Effect, Effects, MAX_CHUNK_BYTES},
+    log::Log,
+    message::{Body, Member, Position},
+    snapshot::{Content, Incoming, MAX_SNAPSHOT_BYTES, Snapshot},
+};
+
+impl<C: Clone> Core<C> {
+    /// Replaces the start of the log by a snapshot of the machine.
+    pub(crate) fn compact(
+        &mut self,
+        index: id::Index,
+        machine: Vec<u8>,
+        keep: u64,
+        out: &mut Effects<C>,
+    ) {
+        let Some(entry) = self.log.get(index).filter(|_| index <= self.commit) else {
+            return;
+        };
+        let Some(set) = self.voters.at(index) else {
+            return;
+        };
+        let content = Content {
+            position: entry.position,
+            at: entry.at,
+            voters_at: set.at,
+            voters: set.members.clone(),
+            machine,
+        };
+        let Some(snapshot) = content.encode() else {
+            return;
+        };
+        self.snapshot = Some(snapshot);
+        self.log.compact(id::Index(index.0.saturating_sub(keep)));
+        out.push(Effect::Install { restore: false });
+    }
+
+    /// Sends the next part of the snapshot.
+    pub(crate) fn send_chunk(&mut self, peer: usize, now: Point, out: &mut Effects<C>) {
+        let Some(Snapshot { position, data }) = self.snapshot.clone() else {
+            return;
+        };
+        let Some(progress) = self.progress_mut(peer) else {
+            return;
+        };
+        let index = position.index;
+        let current = progress.transfer.filter(|(current, _)| *current == index);
+        let (_, offset) = current.unwrap_or((index, 0));
+        progress.transfer = Some((index, offset));
+        let start = usize::try_from(offset)
+            .unwrap_or(usize::MAX)
+            .min(data.len());
+        let end = data.len().min(start + MAX_CHUNK_BYTES);
+        let body = Body::Chunk {
+            sent: now,
+            position,
+            total: data.len() as u64,
+            offset: start as u64,
+            data: data[start..end].to_vec(),
+        };
+        self.send(&self.peers[peer], body, out);
+    }
+
+    /// Takes a part of a snapshot.
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    pub(crate) fn chunk(
+        &mut self,
+        now: Point,
+        from: &id::Instance,
+        term: id::Term,
+        sent: Point,
+        (position, total, offset): (Position, u64, u64),
+        data: &[u8],
+        out: &mut Effects<C>,
+    ) {
+        if !self.hear_leader(now, from, term, out) || total > MAX_SNAPSHOT_BYTES {
+            return;
+        }
+        let index = position.index;
+        let (received, done) = if index <= self.commit {
+            self.incoming = None;
+            (total, true)
+        } else {
+            self.collect((position, total, offset), data, out)
+        };
+        let body = Body::Received {
+            sent,
+            index,
+            offset: received,
+            done,
+        };
+        self.send(from, body, out);
+    }
+
+    fn collect(
+        &mut self,
+        (position, total, offset): (Position, u64, u64),
+        data: &[u8],
+        out: &mut Effects<C>,
+    ) -> (u64, bool) {
+        let fits = |incoming: &Incoming| incoming.position == position && incoming.total == total;
+        let mut incoming = match self.incoming.take().filter(fits) {
+            Some(incoming) => incoming,
+            None => Incoming {
+                position,
+                total,
+                data: Vec::new(),
+            },
+        };
+        let received = incoming.data.len() as u64;
+        if offset == received && data.len() as u64 <= total - received {
+            incoming.data.extend_from_slice(data);
+        }
+        let received = incoming.data.len() as u64;
+        if received < total {
+            self.incoming = Some(incoming);
+            return (received, false);
+        }
+        match Content::decode(&incoming.data) {
+            Some(content) if content.position == position => {
+                self.install(&content, incoming.data, out);
+                (total, true)
+            }
+            // The parts don't make up a snapshot, so the transfer starts over.
+            _ => (0, false),
+        }
+    }
+
+    fn install(&mut self, content: &Content, data: Vec<u8>, out: &mut Effects<C>) {
+        let position = content.position;
+        self.snapshot = Some(Snapshot {
+            position,
+            data: data.into(),
+        });
+        if self.log.term_at(position.index) == Some(position.term) {
+            self.log.compact(position.index);
+        } else {
+            self.log = Log::after(position, content.at);
+        }
+        self.commit = position.index;
+        self.load_voters();
+        self.mark_bootstrapped(out);
+        out.push(Effect::Install { restore: true });
+        out.push(Effect::Commit(self.commit));
+    }
+
+    /// Takes the answer to a part of a snapshot.
+    pub(crate) fn received(
+        &mut self,
+        now: Point,
+        sender: &Member,
+        sent: Point,
+        (index, offset, done): (id::Index, u64, bool),
+        out: &mut Effects<C>,
+    ) {
+        let last = self.log.last().index;
+        let Some(peer) = self.answered(now, sender, sent) else {
+            return;
+        };
+        let Some(progress) = self.progress_mut(peer) else {
+            return;
+        };
+        if done {
+            progress.matched = progress.matched.max(index.min(last));
+            progress.next = progress.next.max(progress.matched.next());
+            progress.transfer = None;
+            progress.probing = false;
+            self.advance_commit(out);
+            self.replace_voter(peer, now, out);
+            self.send_entries(peer, now, out);
+        } else if progress
+            .transfer
+            .is_some_and(|(current, sent)| current == index && sent != offset)
+        {
+            progress.transfer = Some((index, offset));
+            self.send_chunk(peer, now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/core/leader.rs
@@ -0,0 +1,228 @@
+//! The leader: proposals, progress of the other replicas, commit, lease, replacement of voters.
+
+use buckthornmast_types::{id, time::Point};
+
+use crate::{
+    core::{Core, DRIFT_PERCENT, Effect, Effects, MAX_UNCOMMITTED, State},
+    machine::LogTime,
+    message::{Member, Payload, Position},
+};
+
+/// What the leader knows about another replica.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Progress {
+    pub(crate) instance: id::Instance,
+    // Identity that last answered; progress counts for this pair only.
+    pub(crate) disk: Option<id::Disk>,
+    pub(crate) since: Point,
+    pub(crate) matched: id::Index,
+    pub(crate) next: id::Index,
+    // While probing, only heartbeats are sent until one is accepted.
+    pub(crate) probing: bool,
+    // Offset of the snapshot part that comes next, with the index of the snapshot.
+    pub(crate) transfer: Option<(id::Index, u64)>,
+    // Sending time of the newest message that was answered, and time of the newest answer.
+    pub(crate) acked: Option<Point>,
+    pub(crate) heard: Point,
+}
+
+/// State of a leader.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Leading {
+    pub(crate) first: id::Index,
+    pub(crate) beat: Point,
+    pub(crate) progress: Vec<Progress>,
+}
+
+impl<C: Clone> Core<C> {
+    /// Becomes leader; `founding` is the first voter set or empty.
+    pub(crate) fn lead(&mut self, founding: Vec<Member>, now: Point, out: &mut Effects<C>) {
+        let first = self.log.last().index.next();
+        let progress = self.peers.iter().map(|peer| Progress {
+            instance: peer.clone(),
+            disk: None,
+            since: now,
+            matched: id::Index(0),
+            next: first,
+            probing: true,
+            transfer: None,
+            acked: None,
+            heard: now,
+        });
+        let leading = Leading {
+            first,
+            beat: now,
+            progress: progress.collect(),
+        };
+        self.state = State::Leader(leading);
+        self.leader = Some(self.me.instance.clone());
+        let payload = if founding.is_empty() {
+            Payload::Noop
+        } else {
+            self.mark_bootstrapped(out);
+            Payload::Voters(founding)
+        };
+        self.push_entry(LogTime(0), 0, payload);
+        out.push(Effect::Append(first));
+        self.advance_commit(out);
+        self.tick_leader(now, out);
+    }
+
+    pub(crate) fn mark_bootstrapped(&mut self, out: &mut Effects<C>) {
+        if !self.bootstrapped {
+            self.bootstrapped = true;
+            out.push(Effect::Bootstrapped);
+        }
+    }
+
+    /// Steps down without a quorum, sends heartbeats.
+    pub(crate) fn tick_leader(&mut self, now: Point, out: &mut Effects<C>) {
+        let State::Leader(leading) = &mut self.state else {
+            return;
+        };
+        let quiet = self.timing.election_min;
+        let heard = |member: &Member| {
+            *member == self.me
+                || leading.progress.iter().any(|progress| {
+                    progress.instance == member.instance
+                        && progress.disk.is_none_or(|disk| disk == member.disk)
+                        && now < progress.heard + quiet
+                })
+        };
+        if !self.voters.has_quorum(heard) {
+            return self.follow(None, now);
+        }
+        if now < leading.beat {
+            return;
+        }
+        leading.beat = now + self.timing.heartbeat;
+        for peer in 0..self.peers.len() {
+            self.send_heartbeat(peer, now, out);
+        }
+    }
+
+    /// Appends commands as leader.
+    pub(crate) fn propose(
+        &mut self,
+        now: Point,
+        wall: LogTime,
+        commands: Vec<(C, u32)>,
+        out: &mut Effects<C>,
+    ) {
+        let last = self.log.last().index;
+        let open = last.0 - self.commit.0 + commands.len() as u64;
+        if !matches!(self.state, State::Leader(_)) || open > MAX_UNCOMMITTED {
+            return out.push(Effect::Refused);
+        }
+        let first = last.next();
+        for (command, size) in commands {
+            self.push_entry(wall, size, Payload::Command(command));
+        }
+        out.push(Effect::Append(first));
+        out.push(Effect::Proposed(Position {
+            term: self.hard.term,
+            index: first,
+        }));
+        self.advance_commit(out);
+        for peer in 0..self.peers.len() {
+            self.send_entries(peer, now, out);
+        }
+    }
+
+    /// Commits what a quorum has, if it is of this term.
+    pub(crate) fn advance_commit(&mut self, out: &mut Effects<C>) {
+        let State::Leader(leading) = &self.state else {
+            return;
+        };
+        let matched = |member: &Member| {
+            if *member == self.me {
+                return self.log.last().index;
+            }
+            let progress = leading.progress.iter().find(|progress| {
+                progress.instance == member.instance && progress.disk == Some(member.disk)
+            });
+            progress.map_or(id::Index(0), |progress| progress.matched)
+        };
+        let Some(reached) = self.voters.quorum_value(matched) else {
+            return;
+        };
+        if reached > self.commit && self.log.term_at(reached) == Some(self.hard.term) {
+            self.commit_to(reached, out);
+            // A voter set that was just committed may let further entries through.
+            self.advance_commit(out);
+        }
+    }
+
+    pub(crate) fn commit_to(&mut self, index: id::Index, out: &mut Effects<C>) {
+        if index > self.commit {
+            self.commit = index;
+            self.voters.commit(index);
+            out.push(Effect::Commit(index));
+        }
+    }
+
+    /// Replaces the old pair of an instance that answers with another disk and is up to date.
+    pub(crate) fn replace_voter(&mut self, peer: usize, now: Point, out: &mut Effects<C>) {
+        let State::Leader(leading) = &self.state else {
+            return;
+        };
+        let progress = &leading.progress[peer];
+        let Some(disk) = progress.disk else {
+            return;
+        };
+        let ready = progress.matched >= self.commit
+            && self.commit >= leading.first
+            && !self.voters.is_joint();
+        let Some(set) = self.voters.current().filter(|_| ready) else {
+            return;
+        };
+        let mut members = set.members.clone();
+        let old = members
+            .iter_mut()
+            .find(|member| member.instance == progress.instance && member.disk != disk);
+        let Some(old) = old else {
+            return;
+        };
+        old.disk = disk;
+        let index = self.log.last().index.next();
+        self.push_entry(LogTime(0), 0, Payload::Voters(members));
+        out.push(Effect::Append(index));
+        self.advance_commit(out);
+        for peer in 0..self.peers.len() {
+            self.send_entries(peer, now, out);
+        }
+    }
+
+    /// Returns until when this leader may answer without a new quorum round.
+    ///
+    /// A voter that answered a message refuses other candidates for the shortest election timeout after it
+    /// received the message, so no other leader is elected before that.
+    pub fn leader_lease(&self, now: Point) -> Option<Point> {
+        let State::Leader(leading) = &self.state else {
+            return None;
+        };
+        if self.commit < leading.first {
+            return None;
+        }
+        let acked = |member: &Member| {
+            if *member == self.me {
+                return Some(now);
+            }
+            let progress = leading.progress.iter().find(|progress| {
+                progress.instance == member.instance && progress.disk == Some(member.disk)
+            });
+            progress.and_then(|progress| progress.acked)
+        };
+        let span = self.timing.election_min * (100 - DRIFT_PERCENT) / 100;
+        let until = self.voters.quorum_value(acked)?? + span;
+        (until > now).then_some(until)
+    }
+
+    /// Returns when the next tick is due.
+    pub fn next_tick(&self) -> Point {
+        match &self.state {
+            State::Leader(leading) => leading.beat,
+            _ => self.deadline,
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/core/replication.rs
@@ -0,0 +1,278 @@
+//! Replication of entries: sending with a window, log matching, acknowledgements.
+
+use buckthornmast_types::{id, time::Point};
+
+use crate::{
+    core::{
+        Core, Effect, Effects, MAX_APPEND_BYTES, MAX_APPEND_ENTRIES, MAX_WINDOW_BYTES,
+        MAX_WINDOW_ENTRIES, State, leader::Progress,
+    },
+    message::{Body, Entry, Member, Payload, Position},
+};
+
+impl<C: Clone> Core<C> {
+    pub(crate) fn progress_mut(&mut self, peer: usize) -> Option<&mut Progress> {
+        match &mut self.state {
+            State::Leader(leading) => leading.progress.get_mut(peer),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn progress(&self, peer: usize) -> Option<&Progress> {
+        match &self.state {
+            State::Leader(leading) => leading.progress.get(peer),
+            _ => None,
+        }
+    }
+
+    /// Sends a message that a live replica answers in any case.
+    pub(crate) fn send_heartbeat(&mut self, peer: usize, now: Point, out: &mut Effects<C>) {
+        let Some(progress) = self.progress(peer) else {
+            return;
+        };
+        let before = id::Index(progress.next.0 - 1);
+        match self.log.term_at(before) {
+            Some(term) => {
+                let prev = Position {
+                    term,
+                    index: before,
+                };
+                self.send_append(peer, now, prev, Vec::new(), out);
+            }
+            None => self.send_chunk(peer, now, out),
+        }
+    }
+
+    fn send_append(
+        &self,
+        peer: usize,
+        now: Point,
+        prev: Position,
+        entries: Vec<Entry<C>>,
+        out: &mut Effects<C>,
+    ) {
+        let body = Body::Append {
+            sent: now,
+            prev,
+            commit: self.commit,
+            entries,
+        };
+        self.send(&self.peers[peer], body, out);
+    }
+
+    /// Sends as many entries as the window has room for.
+    pub(crate) fn send_entries(&mut self, peer: usize, now: Point, out: &mut Effects<C>) {
+        while let Some(progress) = self.progress(peer) {
+            let next = progress.next;
+            let open = next.0 - 1 - progress.matched.0.min(next.0 - 1);
+            if progress.probing || next > self.log.last().index || open >= MAX_WINDOW_ENTRIES {
+                return;
+            }
+            let on_the_way = self.log.from(progress.matched.next());
+            let bytes = on_the_way
+                .take(usize::try_from(open).unwrap_or(usize::MAX))
+                .fold(0u32, |sum, entry| sum.saturating_add(entry.size));
+            let before = id::Index(next.0 - 1);
+            let Some(term) = self
+                .log
+                .term_at(before)
+                .filter(|_| bytes < MAX_WINDOW_BYTES)
+            else {
+                return;
+            };
+            let entries = self.take_entries(next);
+            let prev = Position {
+                term,
+                index: before,
+            };
+            let after = id::Index(next.0 + entries.len() as u64);
+            self.send_append(peer, now, prev, entries, out);
+            if let Some(progress) = self.progress_mut(peer) {
+                progress.next = after;
+            }
+        }
+    }
+
+    fn take_entries(&self, from: id::Index) -> Vec<Entry<C>> {
+        let mut bytes = 0u32;
+        let mut entries = Vec::new();
+        for entry in self.log.from(from).take(MAX_APPEND_ENTRIES) {
+            bytes = bytes.saturating_add(entry.size);
+            if bytes > MAX_APPEND_BYTES && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        entries
+    }
+
+    /// Takes entries from a leader.
+    pub(crate) fn append(
+        &mut self,
+        now: Point,
+        from: &id::Instance,
+        term: id::Term,
+        (sent, prev, commit): (Point, Position, id::Index),
+        entries: Vec<Entry<C>>,
+        out: &mut Effects<C>,
+    ) {
+        let answer = |accepted, index| Body::Appended {
+            sent,
+            accepted,
+            index,
+        };
+        if !self.hear_leader(now, from, term, out) {
+            return self.send(from, answer(false, self.log.last().index), out);
+        }
+        if let Some(hint) = self.mismatch(prev) {
+            return self.send(from, answer(false, hint), out);
+        }
+        let matched = entries
+            .last()
+            .map_or(prev.index, |entry| entry.position.index);
+        if !self.extend(entries, out) {
+            return;
+        }
+        self.commit_to(commit.min(matched), out);
+        self.send(from, answer(true, matched), out);
+    }
+
+    /// Notes the leader of the term; false if the sender is an old leader.
+    pub(crate) fn hear_leader(
+        &mut self,
+        now: Point,
+        from: &id::Instance,
+        term: id::Term,
+        out: &mut Effects<C>,
+    ) -> bool {
+        if term < self.hard.term {
+            return false;
+        }
+        if matches!(self.state, State::Leader(_)) {
+            self.fault("two leaders in one term", out);
+            return false;
+        }
+        self.heard = now;
+        self.follow(Some(from), now);
+        self.reset_deadline(now);
+        true
+    }
+
+    /// Returns the index to try next if the log doesn't contain a position.
+    fn mismatch(&self, prev: Position) -> Option<id::Index> {
+        let last = self.log.last().index;
+        if prev.index > last {
+            return Some(last);
+        }
+        // Entries up to the commit index agree, whether or not they were compacted.
+        if prev.index <= self.commit || self.log.term_at(prev.index) == Some(prev.term) {
+            return None;
+        }
+        let wrong = self.log.term_at(prev.index)?;
+        let mut hint = prev.index;
+        while hint > self.commit && self.log.term_at(hint) == Some(wrong) {
+            hint = id::Index(hint.0 - 1);
+        }
+        Some(hint)
+    }
+
+    fn extend(&mut self, entries: Vec<Entry<C>>, out: &mut Effects<C>) -> bool {
+        let mut changed = None;
+        for entry in entries {
+            let position = entry.position;
+            if position.index <= self.log.base().index {
+                continue;
+            }
+            match self.log.term_at(position.index) {
+                Some(term) if term == position.term => continue,
+                Some(_) if position.index <= self.commit => {
+                    self.fault("a committed entry differs from the leader's", out);
+                    return false;
+                }
+                Some(_) => {
+                    self.log.truncate(position.index);
+                    self.voters.truncate(position.index);
+                }
+                None => {}
+            }
+            if position.index != self.log.last().index.next() {
+                self.fault("a gap in the leader's entries", out);
+                return false;
+            }
+            if let Payload::Voters(members) = &entry.payload {
+                self.voters.push(position.index, members.clone());
+            }
+            self.log.push(entry);
+            changed.get_or_insert(position.index);
+        }
+        if let Some(from) = changed {
+            self.mark_bootstrapped(out);
+            out.push(Effect::Append(from));
+        }
+        true
+    }
+
+    /// Finds the sender and notes that it answered; `None` if the answer says nothing about its log.
+    pub(crate) fn answered(&mut self, now: Point, sender: &Member, sent: Point) -> Option<usize> {
+        let peer = self
+            .peers
+            .iter()
+            .position(|peer| *peer == sender.instance)?;
+        let next = self.log.last().index.next();
+        let progress = self.progress_mut(peer)?;
+        progress.heard = now;
+        if progress.disk.is_some_and(|disk| disk != sender.disk) {
+            // Another disk answers. A late answer of a lost disk must not pass for its state, so only
+            // answers to messages sent from now on count.
+            progress.disk = Some(sender.disk);
+            progress.since = now;
+            progress.matched = id::Index(0);
+            progress.next = next;
+            progress.probing = true;
+            progress.transfer = None;
+            progress.acked = None;
+            return None;
+        }
+        progress.disk = Some(sender.disk);
+        if sent < progress.since {
+            return None;
+        }
+        progress.acked = progress.acked.max(Some(sent));
+        Some(peer)
+    }
+
+    /// Takes the answer to an append.
+    pub(crate) fn appended(
+        &mut self,
+        now: Point,
+        sender: &Member,
+        sent: Point,
+        accepted: bool,
+        index: id::Index,
+        out: &mut Effects<C>,
+    ) {
+        let last = self.log.last().index;
+        let Some(peer) = self.answered(now, sender, sent) else {
+            return;
+        };
+        let Some(progress) = self.progress_mut(peer) else {
+            return;
+        };
+        if accepted {
+            let was_behind = progress.matched < index;
+            progress.matched = progress.matched.max(index.min(last));
+            progress.next = progress.next.max(progress.matched.next());
+            progress.probing = false;
+            progress.transfer = None;
+            if was_behind {
+                self.advance_commit(out);
+            }
+            self.replace_voter(peer, now, out);
+            self.send_entries(peer, now, out);
+        } else if index >= progress.matched && (!progress.probing || index.next() < progress.next) {
+            progress.next = index.next().min(last.next());
+            progress.probing = true;
+            self.send_heartbeat(peer, now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/driver.rs
@@ -0,0 +1,264 @@
+//! Driver thread of one replica.
+//!
+//! The thread takes everything that waits in its inbox as one batch, steps the core through it, makes the
+//! results durable with one sync, and only then sends answers, applies commands and answers proposers.
+//! A leader's appends may leave before its own sync, since its own entries count towards a quorum only
+//! through effects that are carried out after it.
+
+mod replica;
+
+use std::{
+    io,
+    sync::{
+        Arc, Mutex, PoisonError, RwLock,
+        atomic::{AtomicU8, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use buckthornmast_storage::{files::Files, store::OpenError};
+use buckthornmast_types::{id, time::Clock};
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    core::{MAX_COMMAND_BYTES, Timing},
+    driver::replica::Replica,
+    machine::{Machine, RestoreError},
+    message::Message,
+    status::Status,
+};
+
+/// Events that wait for the thread; further messages are dropped and further proposals refused.
+pub const MAX_INBOX: usize = 8192;
+/// Entries applied since the last snapshot after which the next one is taken.
+pub const SNAPSHOT_ENTRIES: u64 = 4096;
+/// Command bytes applied since the last snapshot after which the next one is taken.
+pub const SNAPSHOT_BYTES: u64 = 16 << 20;
+
+/// Settings of a replica.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// This instance.
+    pub instance: id::Instance,
+    /// Instances that the settings list as voters.
+    pub voters: Vec<id::Instance>,
+    /// Intervals of the protocol.
+    pub timing: Timing,
+    /// Entries between snapshots, by default [`SNAPSHOT_ENTRIES`].
+    pub snapshot_entries: u64,
+    /// Seed of the election timeouts; must differ between instances.
+    pub seed: u64,
+}
+
+impl Config {
+    /// Returns the usual settings.
+    pub fn new(instance: id::Instance, voters: Vec<id::Instance>) -> Self {
+        let name = crc_of(instance.as_str());
+        Self {
+            seed: name ^ buckthornmast_types::time::unix_millis().rotate_left(32),
+            instance,
+            voters,
+            timing: Timing::default(),
+            snapshot_entries: SNAPSHOT_ENTRIES,
+        }
+    }
+}
+
+fn crc_of(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+/// Sender of messages to other replicas.
+pub trait Transport: Send + 'static {
+    /// Command.
+    type Command;
+    /// Sends without blocking; may drop the message.
+    fn send(&self, to: &id::Instance, message: Message<Self::Command>);
+}
+
+/// Reason why a replica can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The folder can't be opened.
+    #[snafu(display("the data folder can't be opened: {source}"))]
+    Folder {
+        /// Cause.
+        source: OpenError,
+    },
+    /// The machine refuses the snapshot.
+    #[snafu(context(false), display("{source}"))]
+    Machine {
+        /// Cause.
+        source: RestoreError,
+    },
+    /// The thread can't be started.
+    #[snafu(display("the driver thread can't be started: {source}"))]
+    Thread {
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Reason why a proposal has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum ProposeError {
+    /// Not appended: this replica is not the leader.
+    #[snafu(display("this replica is not the leader"))]
+    NotLeader {
+        /// Leader, if known.
+        hint: Option<id::Instance>,
+    },
+    /// The command will never be committed.
+    #[snafu(display("the command was not appended"))]
+    NotAppended,
+    /// The command may still be committed.
+    #[snafu(display("it is not known whether the command will be committed"))]
+    Unknown,
+}
+
+// States of a queued proposal. Whoever moves it out of `QUEUED` decides: the proposer by giving up, after
+// which the thread never appends it, or the thread by taking it.
+const QUEUED: u8 = 0;
+const TAKEN: u8 = 1;
+const GIVEN_UP: u8 = 2;
+
+type Reply<M> = flume::Sender<Result<<M as Machine>::Answer, ProposeError>>;
+
+struct Proposal<M: Machine> {
+    command: M::Command,
+    size: u32,
+    state: Arc<AtomicU8>,
+    reply: Reply<M>,
+}
+
+impl<M: Machine> Proposal<M> {
+    fn take(&self) -> bool {
+        let taken = self
+            .state
+            .compare_exchange(QUEUED, TAKEN, Ordering::AcqRel, Ordering::Acquire);
+        taken.is_ok()
+    }
+}
+
+enum Event<M: Machine> {
+    Message(id::Instance, Message<M::Command>),
+    Propose(Proposal<M>),
+    Stop,
+}
+
+#[derive(Debug)]
+struct Shared<M> {
+    machine: RwLock<M>,
+    status: Mutex<Status>,
+}
+
+/// Running replica. Dropping it stops the thread.
+#[derive(Debug)]
+pub struct Handle<M: Machine> {
+    inbox: flume::Sender<Event<M>>,
+    shared: Arc<Shared<M>>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+/// Opens the data folder and starts the driver thread.
+pub fn start<F, M, T, K>(
+    config: Config,
+    files: impl Fn() -> io::Result<F>,
+    machine: M,
+    transport: T,
+    clock: K,
+) -> Result<Handle<M>, StartError>
+where
+    F: Files,
+    M: Machine,
+    T: Transport<Command = M::Command>,
+    K: Clock,
+{
+    let shared = Arc::new(Shared {
+        machine: RwLock::new(machine),
+        status: Mutex::new(Status::default()),
+    });
+    let (inbox, events) = flume::bounded(MAX_INBOX);
+    let replica = Replica::open(config, files, Arc::clone(&shared), transport, clock)?;
+    let thread = thread::Builder::new()
+        .name("consensus".to_owned())
+        .spawn(move || replica.run(&events))
+        .context(ThreadSnafu)?;
+    Ok(Handle {
+        inbox,
+        shared,
+        thread: Mutex::new(Some(thread)),
+    })
+}
+
+impl<M: Machine> Handle<M> {
+    /// Proposes a command and waits for its answer.
+    pub fn propose(
+        &self,
+        command: M::Command,
+        timeout: Duration,
+    ) -> Result<M::Answer, ProposeError> {
+        let size = postcard::experimental::serialized_size(&command).unwrap_or(usize::MAX);
+        let Some(size) = u32::try_from(size)
+            .ok()
+            .filter(|_| size <= MAX_COMMAND_BYTES)
+        else {
+            return Err(ProposeError::NotAppended);
+        };
+        let (reply, answer) = flume::bounded(1);
+        let state = Arc::new(AtomicU8::new(QUEUED));
+        let proposal = Proposal {
+            command,
+            size,
+            state: Arc::clone(&state),
+            reply,
+        };
+        if self.inbox.try_send(Event::Propose(proposal)).is_err() {
+            return Err(ProposeError::NotAppended);
+        }
+        answer.recv_timeout(timeout).unwrap_or_else(|_| {
+            let given_up =
+                state.compare_exchange(QUEUED, GIVEN_UP, Ordering::AcqRel, Ordering::Acquire);
+            match given_up {
+                Ok(_) => Err(ProposeError::NotAppended),
+                Err(_) => Err(ProposeError::Unknown),
+            }
+        })
+    }
+
+    /// Hands over a message; it is dropped if the inbox is full.
+    pub fn deliver(&self, from: id::Instance, message: Message<M::Command>) {
+        let _ = self.inbox.try_send(Event::Message(from, message));
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> Status {
+        let status = self.shared.status.lock();
+        status.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Reads the machine as of the last applied entry.
+    pub fn read<T>(&self, read: impl FnOnce(&M) -> T) -> T {
+        let machine = self.shared.machine.read();
+        read(&machine.unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Stops the thread and waits for it.
+    pub fn stop(&self) {
+        let thread = self.thread.lock();
+        let thread = thread.unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(thread) = thread {
+            let _ = self.inbox.send(Event::Stop);
+            let _ = thread.join();
+        }
+    }
+}
+
+impl<M: Machine> Drop for Handle<M> {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/lib.rs
@@ -0,0 +1,25 @@
+//! Replicated log among a few voters.
+//!
+//! [`core::Core`] is the pure protocol: messages and time in, effects out. [`driver::start`] runs it on a
+//! thread with a data folder, a transport and a clock. The model checker in `tests/` calls the same
+//! functions as the driver.
+
+pub mod core;
+pub mod driver;
+pub mod log;
+pub mod machine;
+pub mod message;
+pub mod snapshot;
+pub mod status;
+pub mod voters;
+
+/// Names that most users of this crate import together.
+pub mod prelude {
+    pub use crate::{
+        core::{Core, Effect, Input, Timing},
+        driver::{Config, Handle, ProposeError, StartError, Transport, start},
+        machine::{LogTime, Machine, RestoreError},
+        message::{Body, Member, Message},
+        status::{Role, Status},
+    };
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/log.rs
@@ -0,0 +1,97 @@
+//! Entries after a base.
+
+use std::collections::VecDeque;
+
+use buckthornmast_types::id;
+
+use crate::{
+    machine::LogTime,
+    message::{Entry, Position},
+};
+
+/// Log of a replica. Everything up to its base was compacted away.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Log<C> {
+    base: Position,
+    base_at: LogTime,
+    entries: VecDeque<Entry<C>>,
+}
+
+impl<C> Default for Log<C> {
+    fn default() -> Self {
+        Self::after(Position::default(), LogTime::default())
+    }
+}
+
+impl<C> Log<C> {
+    /// Returns an empty log that continues after a position.
+    pub fn after(base: Position, base_at: LogTime) -> Self {
+        Self {
+            base,
+            base_at,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Returns the position before the first entry.
+    pub fn base(&self) -> Position {
+        self.base
+    }
+
+    /// Returns the last position.
+    pub fn last(&self) -> Position {
+        self.entries
+            .back()
+            .map_or(self.base, |entry| entry.position)
+    }
+
+    /// Returns the time of the last entry.
+    pub fn last_at(&self) -> LogTime {
+        self.entries.back().map_or(self.base_at, |entry| entry.at)
+    }
+
+    fn offset(&self, index: id::Index) -> Option<usize> {
+        let offset = index.0.checked_sub(self.base.index.0 + 1)?;
+        usize::try_from(offset).ok()
+    }
+
+    /// Returns an entry.
+    pub fn get(&self, index: id::Index) -> Option<&Entry<C>> {
+        self.entries.get(self.offset(index)?)
+    }
+
+    /// Returns the term at an index, if the log still knows it.
+    pub fn term_at(&self, index: id::Index) -> Option<id::Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|entry| entry.position.term)
+    }
+
+    /// Returns the entries from an index on.
+    pub fn from(&self, index: id::Index) -> impl Iterator<Item = &Entry<C>> {
+        let start = self.offset(index).unwrap_or(0).min(self.entries.len());
+        self.entries.range(start..)
+    }
+
+    /// Adds an entry at the end.
+    pub fn push(&mut self, entry: Entry<C>) {
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from an index on.
+    pub fn truncate(&mut self, from: id::Index) {
+        self.entries.truncate(self.offset(from).unwrap_or(0));
+    }
+
+    /// Removes the entries up to an index, if the log has it.
+    pub fn compact(&mut self, through: id::Index) {
+        while let Some(first) = self.entries.front()
+            && first.position.index <= through
+        {
+            self.base = first.position;
+            self.base_at = first.at;
+            self.entries.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/machine.rs
@@ -0,0 +1,43 @@
+//! State machine that is replicated.
+
+use std::fmt;
+
+use buckthornmast_types::id;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use snafu::Snafu;
+
+/// Milliseconds since the epoch as stamped by leaders; never decreases along the log.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct LogTime(pub u64);
+
+impl fmt::Display for LogTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// Reason why a snapshot can't be restored.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("the snapshot can't be restored: {detail}"))]
+pub struct RestoreError {
+    /// What is wrong.
+    pub detail: String,
+}
+
+/// Deterministic state machine.
+pub trait Machine: Send + Sync + 'static {
+    /// Command.
+    type Command: Clone + Serialize + DeserializeOwned + Send + Sync + 'static;
+    /// Answer to a command.
+    type Answer: Clone + Serialize + DeserializeOwned + Send + 'static;
+
+    /// Applies a committed command. Decisions use the log time only, never a local clock.
+    fn apply(&mut self, index: id::Index, at: LogTime, command: &Self::Command) -> Self::Answer;
+    /// Returns the whole state.
+    fn snapshot(&self) -> Vec<u8>;
+    /// Replaces the whole state.
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError>;
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/voters.rs
@@ -0,0 +1,99 @@
+//! Voter sets and their quorums.
+//!
+//! Replacing a pair is not a change by one voter: majorities of {a, b, c} and {a, b, d} may have no member
+//! in common. From its appending until it is known to be committed, a new set therefore needs a majority
+//! of the old set as well.
+
+use buckthornmast_types::id;
+use smallvec::SmallVec;
+
+use crate::message::Member;
+
+/// Voter set with the index of the entry that holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Set {
+    /// Index of the entry.
+    pub at: id::Index,
+    /// Members.
+    pub members: Vec<Member>,
+}
+
+/// Voter sets that may be in effect: at least the last one, and the ones before it that may be needed
+/// when entries are truncated.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Voters {
+    sets: SmallVec<[Set; 2]>,
+}
+
+impl Voters {
+    /// Takes a set into effect.
+    pub fn push(&mut self, at: id::Index, members: Vec<Member>) {
+        self.sets.push(Set { at, members });
+    }
+
+    /// Takes back the sets of truncated entries.
+    pub fn truncate(&mut self, from: id::Index) {
+        self.sets.retain(|set| set.at < from);
+    }
+
+    /// Forgets sets that a committed one replaced.
+    pub fn commit(&mut self, commit: id::Index) {
+        while self.sets.get(1).is_some_and(|set| set.at <= commit) {
+            self.sets.remove(0);
+        }
+    }
+
+    /// Returns the last set.
+    pub fn current(&self) -> Option<&Set> {
+        self.sets.last()
+    }
+
+    /// Returns the last set whose entry is at or before an index.
+    pub fn at(&self, index: id::Index) -> Option<&Set> {
+        self.sets.iter().rev().find(|set| set.at <= index)
+    }
+
+    /// Returns whether a replaced set still has a say.
+    pub fn is_joint(&self) -> bool {
+        self.sets.len() > 1
+    }
+
+    /// Returns whether a pair is in the last set.
+    pub fn contains(&self, member: &Member) -> bool {
+        self.current()
+            .is_some_and(|set| set.members.contains(member))
+    }
+
+    fn active(&self) -> impl Iterator<Item = &Set> {
+        self.sets.iter().rev().take(2)
+    }
+
+    /// Returns all pairs that have a say, without duplicates.
+    pub fn members(&self) -> SmallVec<[&Member; 8]> {
+        let mut members = SmallVec::new();
+        for member in self.active().flat_map(|set| &set.members) {
+            if !members.contains(&member) {
+                members.push(member);
+            }
+        }
+        members
+    }
+
+    /// Returns whether the pairs that a test accepts are a quorum.
+    pub fn has_quorum(&self, test: impl Fn(&Member) -> bool) -> bool {
+        let majority = |set: &Set| {
+            let count = set.members.iter().filter(|member| test(member)).count();
+            count > set.members.len() / 2
+        };
+        !self.sets.is_empty() && self.active().all(majority)
+    }
+
+    /// Returns the highest value that a quorum has reached.
+    pub fn quorum_value<T: Ord + Copy>(&self, value: impl Fn(&Member) -> T) -> Option<T> {
+        let members = self.members();
+        let values = members.iter().map(|member| value(member));
+        values
+            .filter(|reached| self.has_quorum(|member| value(member) >= *reached))
+            .max()
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/tests/driver.rs
@@ -0,0 +1,180 @@
+//! Driver threads over an in-memory transport and in-memory files with injected faults.
+
+#[path = "support/network.rs"]
+mod network;
+
+use std::{sync::Arc, time::Duration};
+
+use buckthornmast_consensus::prelude::*;
+use buckthornmast_storage::prelude::*;
+use buckthornmast_types::id;
+
+use crate::network::{Network, Record, leader, names, wait_for};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+const SNAPSHOT_ENTRIES: u64 = 50;
+
+struct Cluster {
+    network: Network,
+    names: Vec<id::Instance>,
+    disks: Vec<Memory>,
+    handles: Vec<Arc<Handle<Record>>>,
+}
+
+impl Cluster {
+    fn start(count: usize) -> Self {
+        let mut cluster = Self {
+            network: Network::default(),
+            names: names(count),
+            disks: Vec::new(),
+            handles: Vec::new(),
+        };
+        for node in 0..count {
+            cluster.disks.push(Memory::default());
+            let handle = cluster.launch(node);
+            cluster.handles.push(handle);
+        }
+        cluster
+    }
+
+    fn launch(&self, node: usize) -> Arc<Handle<Record>> {
+        let (name, disk) = (&self.names[node], &self.disks[node]);
+        self.network
+            .start(name, &self.names, disk, SNAPSHOT_ENTRIES)
+    }
+
+    /// Proposes until accepted, at whichever node leads. Only for commands that may repeat.
+    fn propose(&self, command: u64) {
+        wait_for("answer", || {
+            let node = leader(&self.handles);
+            self.handles[node].propose(command, TIMEOUT).ok()
+        });
+    }
+
+    fn wait_applied(&self, node: usize, command: u64) {
+        wait_for("application", || {
+            self.handles[node]
+                .read(|machine| machine.0.contains(&command))
+                .then_some(())
+        });
+    }
+}
+
+/// Guards against a group that doesn't form, agree or survive the loss of its leader.
+#[test]
+fn propose_across_failover() {
+    let mut cluster = Cluster::start(3);
+    (0..10).for_each(|command| cluster.propose(command));
+    let old = leader(&cluster.handles);
+    cluster.handles[old].stop();
+    let rest: Vec<_> = (0..3).filter(|node| *node != old).collect();
+    cluster.network.cut(&[cluster.names[old].clone()]);
+    let handles = rest.iter().map(|node| Arc::clone(&cluster.handles[*node]));
+    let survivors = Cluster {
+        network: cluster.network.clone(),
+        names: cluster.names.clone(),
+        disks: Vec::new(),
+        handles: handles.collect(),
+    };
+    survivors.propose(100);
+    cluster.network.cut(&[]);
+    cluster.handles[old] = cluster.launch(old);
+    cluster.wait_applied(old, 100);
+    let logs: Vec<_> = (0..3)
+        .map(|node| cluster.handles[node].read(|machine| machine.0.clone()))
+        .collect();
+    assert_eq!(logs[rest[0]], logs[old]);
+}
+
+/// Guards against a replica with a new disk that votes under its old pair or is never replaced, twice.
+#[test]
+fn lose_disk_twice() {
+    let mut cluster = Cluster::start(3);
+    (0..200).for_each(|command| cluster.propose(command));
+    for round in 0..2 {
+        let lost = (leader(&cluster.handles) + 1 + round) % 3;
+        let old = cluster.handles[lost].status().disk;
+        cluster.handles[lost].stop();
+        cluster.disks[lost] = Memory::default();
+        cluster.handles[lost] = cluster.launch(lost);
+        let new = cluster.handles[lost].status().disk;
+        assert_ne!(old, new);
+        wait_for("replacement", || {
+            let voters = cluster.handles[lost].status().voters;
+            voters
+                .iter()
+                .any(|member| Some(member.disk) == new)
+                .then_some(())
+        });
+        cluster.propose(1000 + round as u64);
+        cluster.wait_applied(lost, 1000 + round as u64);
+    }
+}
+
+/// Guards against acknowledgements after a failed sync, and against a report that hides it.
+#[test]
+fn fail_sync_of_leader() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let failed = leader(&cluster.handles);
+    cluster.disks[failed].fail_sync(true);
+    let answer = cluster.handles[failed].propose(2, TIMEOUT);
+    assert_eq!(answer, Err(ProposeError::Unknown));
+    let status = cluster.handles[failed].status();
+    assert_eq!(status.role, Role::Stopped);
+    assert!(status.fault.is_some_and(|fault| fault.contains("sync")));
+    let rest = cluster.handles.iter().enumerate();
+    let rest = rest.filter(|(node, _)| *node != failed);
+    let handles: Vec<_> = rest.map(|(_, handle)| Arc::clone(handle)).collect();
+    wait_for("answer", || {
+        handles[leader(&handles)].propose(3, TIMEOUT).ok()
+    });
+}
+
+/// Guards against acknowledgements from a full disk.
+#[test]
+fn fill_disk_of_follower() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let full = (leader(&cluster.handles) + 1) % 3;
+    cluster.disks[full].fill_after(Some(10));
+    cluster.propose(2);
+    wait_for("fault", || cluster.handles[full].status().fault);
+    assert_eq!(cluster.handles[full].status().role, Role::Stopped);
+    cluster.propose(3);
+}
+
+/// Guards against a damaged folder that keeps its vote.
+#[test]
+fn damage_log() {
+    let mut cluster = Cluster::start(3);
+    (0..5).for_each(|command| cluster.propose(command));
+    let node = (leader(&cluster.handles) + 1) % 3;
+    let old = cluster.handles[node].status().disk;
+    cluster.handles[node].stop();
+    let mut log = cluster.disks[node].content("log").unwrap();
+    log[14] ^= 1;
+    cluster.disks[node].replace("log", log);
+    cluster.handles[node] = cluster.launch(node);
+    let status = cluster.handles[node].status();
+    assert!(status.damage.is_some());
+    assert_ne!(status.disk, old);
+    cluster.propose(100);
+    cluster.wait_applied(node, 100);
+}
+
+/// Guards against a proposal that is reported as not appended and committed later.
+#[test]
+fn propose_without_quorum() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let cut = leader(&cluster.handles);
+    cluster.network.cut(&[cluster.names[cut].clone()]);
+    let answer = cluster.handles[cut].propose(2, TIMEOUT);
+    assert_eq!(answer, Err(ProposeError::Unknown));
+    wait_for("step down", || {
+        (cluster.handles[cut].status().role != Role::Leader).then_some(())
+    });
+    let answer = cluster.handles[cut].propose(3, TIMEOUT);
+    assert!(matches!(answer, Err(ProposeError::NotLeader { .. })));
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/tests/support/network.rs
@@ -0,0 +1,132 @@
+//! Replicas with driver threads over an in-memory transport, and a machine that records commands.
+#![allow(
+    dead_code,
+    clippy::unwrap_used,
+    reason = "shared by several test binaries; helpers of tests may panic"
+)]
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, Weak},
+    time::{Duration, Instant},
+};
+
+use buckthornmast_consensus::prelude::*;
+use buckthornmast_storage::prelude::*;
+use buckthornmast_types::{id, time::System};
+
+/// Machine that keeps every command; the answer is the number of commands so far.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub(crate) struct Record(pub(crate) Vec<u64>);
+
+impl Machine for Record {
+    type Command = u64;
+    type Answer = u64;
+
+    fn apply(&mut self, _: id::Index, _: LogTime, command: &u64) -> u64 {
+        self.0.push(*command);
+        self.0.len() as u64
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.iter().flat_map(|c| c.to_le_bytes()).collect()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let words = snapshot.chunks_exact(8);
+        self.0 = words
+            .map(|word| u64::from_le_bytes(word.try_into().unwrap()))
+            .collect();
+        Ok(())
+    }
+}
+
+type Slot = Weak<Handle<Record>>;
+
+/// Network in memory; an instance that is cut off neither sends nor receives.
+#[derive(Default, Clone)]
+pub(crate) struct Network {
+    slots: Arc<Mutex<BTreeMap<id::Instance, Slot>>>,
+    cut: Arc<Mutex<Vec<id::Instance>>>,
+}
+
+pub(crate) struct Wire {
+    from: id::Instance,
+    network: Network,
+}
+
+impl Transport for Wire {
+    type Command = u64;
+
+    fn send(&self, to: &id::Instance, message: Message<u64>) {
+        let cut = self.network.cut.lock().unwrap();
+        if cut.contains(to) || cut.contains(&self.from) {
+            return;
+        }
+        drop(cut);
+        let slot = self.network.slots.lock().unwrap().get(to).cloned();
+        if let Some(handle) = slot.and_then(|slot| slot.upgrade()) {
+            handle.deliver(self.from.clone(), message);
+        }
+    }
+}
+
+pub(crate) fn names(count: usize) -> Vec<id::Instance> {
+    (0..count)
+        .map(|n| format!("n{n}").parse().unwrap())
+        .collect()
+}
+
+impl Network {
+    pub(crate) fn cut(&self, instances: &[id::Instance]) {
+        *self.cut.lock().unwrap() = instances.to_vec();
+    }
+
+    pub(crate) fn start(
+        &self,
+        name: &id::Instance,
+        voters: &[id::Instance],
+        files: &Memory,
+        snapshot_entries: u64,
+    ) -> Arc<Handle<Record>> {
+        let mut config = Config::new(name.clone(), voters.to_vec());
+        config.snapshot_entries = snapshot_entries;
+        let wire = Wire {
+            from: name.clone(),
+            network: self.clone(),
+        };
+        let files = files.clone();
+        let handle = start(
+            config,
+            move || Ok(files.clone()),
+            Record::default(),
+            wire,
+            System::start(),
+        );
+        let handle = Arc::new(handle.unwrap());
+        let mut slots = self.slots.lock().unwrap();
+        slots.insert(name.clone(), Arc::downgrade(&handle));
+        handle
+    }
+}
+
+/// Waits until a condition holds; panics after a bound that only a hang reaches.
+pub(crate) fn wait_for<T>(what: &str, mut poll: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = poll() {
+            return value;
+        }
+        assert!(start.elapsed() < Duration::from_secs(60), "no {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub(crate) fn leader(handles: &[Arc<Handle<Record>>]) -> usize {
+    wait_for("leader", || {
+        handles.iter().position(|handle| {
+            let status = handle.status();
+            status.role == Role::Leader && status.leader_lease.is_some()
+        })
+    })
+}
