--- /dev/null
+++ b/crates/buckthornmast_state/src/settings.rs
@@ -0,0 +1,331 @@
+//! Settings: one tree of values per scope, each with a revision.
+
+mod book;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    str::FromStr,
+};
+
+use buckthornmast_consensus::machine::LogTime;
+use buckthornmast_types::id;
+use serde::{Deserialize, Serialize};
+
+pub use crate::settings::book::{
+    Book, Entry, ID_RETENTION_MILLIS, MAX_HISTORY, MAX_HISTORY_BYTES, MAX_HISTORY_TOTAL_BYTES,
+    MAX_IDS, MAX_SCOPE_IDS, MIN_IDS,
+};
+
+/// Longest path in bytes.
+pub const MAX_PATH_BYTES: usize = 256;
+/// Longest value in bytes.
+pub const MAX_VALUE_BYTES: usize = 16 << 10;
+/// Changes of one write.
+pub const MAX_CHANGES: usize = 1024;
+/// Scopes.
+pub const MAX_SCOPES: usize = 1024;
+/// Paths and values of all scopes in bytes.
+pub const MAX_TREE_BYTES: usize = 6 << 20;
+/// Writes that a tree keeps to answer [`Tree::changes_since`] with a delta.
+pub const MAX_RECENT: usize = 1024;
+/// Bytes of the writes that a tree keeps for deltas.
+pub const MAX_RECENT_BYTES: usize = 2 << 20;
+
+/// Subtree that a write is confined to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Scope {
+    /// Settings of the platform.
+    Platform,
+    /// Settings of one team.
+    Team(id::Team),
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform => f.write_str("platform"),
+            Self::Team(team) => write!(f, "team/{team}"),
+        }
+    }
+}
+
+impl FromStr for Scope {
+    type Err = id::LabelError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text == "platform" {
+            return Ok(Self::Platform);
+        }
+        let team = text.strip_prefix("team/").unwrap_or(text);
+        team.parse().map(Self::Team)
+    }
+}
+
+/// Change of one value.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Change {
+    /// Path inside the scope.
+    pub path: String,
+    /// New value, or `None` to remove the path.
+    pub value: Option<String>,
+}
+
+impl Change {
+    fn bytes(&self) -> usize {
+        self.path.len() + self.value.as_ref().map_or(0, String::len)
+    }
+}
+
+/// Write of an operator.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Write {
+    /// Scope.
+    pub scope: Scope,
+    /// Identity; a write sent again keeps it.
+    pub id: id::Write,
+    /// Revision of the scope that the write builds on.
+    pub base: id::Revision,
+    /// Changes.
+    pub changes: Vec<Change>,
+}
+
+/// Reason why a write is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// No changes or more than [`MAX_CHANGES`].
+    Count,
+    /// A path is empty, too long or not made of printable characters.
+    Path,
+    /// A value is longer than [`MAX_VALUE_BYTES`].
+    Value,
+    /// The tree would exceed [`MAX_TREE_BYTES`] or [`MAX_SCOPES`].
+    Full,
+    /// More writes than the machine can remember within their retention.
+    TooMany,
+}
+
+/// Answer to a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Answer {
+    /// In force.
+    Accepted {
+        /// New revision of the scope.
+        revision: id::Revision,
+        /// New revision of all settings.
+        all: id::Revision,
+    },
+    /// The base is not the current revision of the scope.
+    Conflict {
+        /// Current revision of the scope.
+        revision: id::Revision,
+    },
+    /// The write can't be accepted as it is.
+    Refused(Refusal),
+}
+
+/// Values of one scope.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Subtree {
+    /// Revision; 0 before the first write.
+    pub revision: id::Revision,
+    /// Values by path.
+    pub values: BTreeMap<String, String>,
+}
+
+/// Accepted write as instances pass it on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Revision of all settings.
+    pub all: id::Revision,
+    /// Scope.
+    pub scope: Scope,
+    /// Revision of the scope.
+    pub revision: id::Revision,
+    /// Log time.
+    pub at: LogTime,
+    /// Changes.
+    pub changes: Vec<Change>,
+}
+
+impl Accepted {
+    fn bytes(&self) -> usize {
+        self.changes.iter().map(Change::bytes).sum()
+    }
+}
+
+/// What brings a copy up to date.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// Writes after a revision, in order.
+    Delta(Vec<Accepted>),
+    /// Whole tree.
+    Whole {
+        /// Revision of all settings.
+        revision: id::Revision,
+        /// Scopes.
+        scopes: BTreeMap<Scope, Subtree>,
+    },
+}
+
+/// Settings of all scopes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tree {
+    revision: id::Revision,
+    scopes: BTreeMap<Scope, Subtree>,
+    bytes: usize,
+    recent: VecDeque<Accepted>,
+    recent_bytes: usize,
+}
+
+/// Checks the form of a write, apart from its base.
+pub fn check(changes: &[Change]) -> Result<(), Refusal> {
+    if changes.is_empty() || changes.len() > MAX_CHANGES {
+        return Err(Refusal::Count);
+    }
+    for change in changes {
+        let is_printable = change.path.bytes().all(|byte| byte.is_ascii_graphic());
+        if change.path.is_empty() || change.path.len() > MAX_PATH_BYTES || !is_printable {
+            return Err(Refusal::Path);
+        }
+        let len = change.value.as_ref().map_or(0, String::len);
+        if len > MAX_VALUE_BYTES {
+            return Err(Refusal::Value);
+        }
+    }
+    Ok(())
+}
+
+impl Tree {
+    /// Returns the revision of all settings: the number of writes accepted so far.
+    pub fn revision(&self) -> id::Revision {
+        self.revision
+    }
+
+    /// Returns the scopes that have ever been written.
+    pub fn scopes(&self) -> &BTreeMap<Scope, Subtree> {
+        &self.scopes
+    }
+
+    /// Returns the revision of a scope.
+    pub fn scope_revision(&self, scope: &Scope) -> id::Revision {
+        let subtree = self.scopes.get(scope);
+        subtree.map_or(id::Revision(0), |subtree| subtree.revision)
+    }
+
+    /// Returns a value.
+    pub fn get(&self, scope: &Scope, path: &str) -> Option<&str> {
+        let value = self.scopes.get(scope)?.values.get(path)?;
+        Some(value)
+    }
+
+    // Removed values are not subtracted, so a write that fits is never refused wrongly by more than the
+    // bytes that it replaces.
+    fn has_room(&self, write: &Write) -> bool {
+        let added: usize = write.changes.iter().map(Change::bytes).sum();
+        let is_known = self.scopes.contains_key(&write.scope);
+        let removes_only = write.changes.iter().all(|change| change.value.is_none());
+        (removes_only || self.bytes + added <= MAX_TREE_BYTES)
+            && (is_known || self.scopes.len() < MAX_SCOPES)
+    }
+
+    /// Decides on a write and takes it into force if it is accepted.
+    pub(crate) fn write(&mut self, at: LogTime, write: &Write) -> Answer {
+        if let Err(refusal) = check(&write.changes) {
+            return Answer::Refused(refusal);
+        }
+        let current = self.scope_revision(&write.scope);
+        if write.base != current {
+            return Answer::Conflict { revision: current };
+        }
+        if !self.has_room(write) {
+            return Answer::Refused(Refusal::Full);
+        }
+        let accepted = Accepted {
+            all: self.revision.next(),
+            scope: write.scope.clone(),
+            revision: current.next(),
+            at,
+            changes: write.changes.clone(),
+        };
+        let answer = Answer::Accepted {
+            revision: accepted.revision,
+            all: accepted.all,
+        };
+        self.accept(accepted);
+        answer
+    }
+
+    fn accept(&mut self, accepted: Accepted) {
+        let subtree = self.scopes.entry(accepted.scope.clone()).or_default();
+        for change in &accepted.changes {
+            let old = match &change.value {
+                Some(value) => {
+                    self.bytes += change.bytes();
+                    subtree.values.insert(change.path.clone(), value.clone())
+                }
+                None => subtree.values.remove(&change.path),
+            };
+            if let Some(old) = old {
+                self.bytes -= change.path.len() + old.len();
+            }
+        }
+        subtree.revision = accepted.revision;
+        self.revision = accepted.all;
+        self.recent_bytes += accepted.bytes();
+        self.recent.push_back(accepted);
+        while self.recent.len() > MAX_RECENT || self.recent_bytes > MAX_RECENT_BYTES {
+            let Some(oldest) = self.recent.pop_front() else {
+                break;
+            };
+            self.recent_bytes -= oldest.bytes();
+        }
+    }
+
+    /// Returns what brings a copy of a revision up to date, or `None` if it is.
+    pub fn changes_since(&self, revision: id::Revision) -> Option<Update> {
+        if revision >= self.revision {
+            return None;
+        }
+        let has_next = self
+            .recent
+            .front()
+            .is_some_and(|oldest| oldest.all <= revision.next());
+        if has_next {
+            let newer = self.recent.iter().filter(|write| write.all > revision);
+            return Some(Update::Delta(newer.cloned().collect()));
+        }
+        Some(Update::Whole {
+            revision: self.revision,
+            scopes: self.scopes.clone(),
+        })
+    }
+
+    /// Takes an update into force as far as it is newer; returns whether the revision rose.
+    pub fn follow(&mut self, update: Update) -> bool {
+        let before = self.revision;
+        match update {
+            Update::Delta(writes) => {
+                for write in writes {
+                    if write.all == self.revision.next() {
+                        self.accept(write);
+                    }
+                }
+            }
+            Update::Whole { revision, scopes } if revision > self.revision => {
+                let values = scopes.values().flat_map(|subtree| &subtree.values);
+                let bytes = values.map(|(path, value)| path.len() + value.len()).sum();
+                *self = Self {
+                    revision,
+                    scopes,
+                    bytes,
+                    ..Self::default()
+                };
+            }
+            Update::Whole { .. } => {}
+        }
+        self.revision > before
+    }
+}
