--- a/crates/buckthornmast_membership/src/core.rs
+++ b/crates/buckthornmast_membership/src/core.rs
@@ -112,6 +112,9 @@
     }
 
     pub(crate) fn age(&self, member: usize, now: Point) -> Duration {
+        if member == self.roster.me {
+            return Duration::ZERO;
+        }
         now.since(self.rows[member].heard.unwrap_or(self.start))
     }
 
--- a/crates/buckthornmast_membership/src/digest.rs
+++ b/crates/buckthornmast_membership/src/digest.rs
@@ -23,11 +23,20 @@
 /// Rows of changed members in a digest.
 const MAX_HOT_ROWS: usize = 3;
 
-/// Digests that carry a changed row.
-const HOT_REPEATS: u8 = 2;
+/// Digests that carry a changed row. With 5 % loss on the way and at the relay, one member in a
+/// thousand misses all three and waits for the rotation.
+const HOT_REPEATS: u8 = 3;
 
 /// Time after which a domain that shows no sign of having heard this one gets more senders.
-const ECHO_LIMIT: Duration = Duration::from_millis(1500);
+///
+/// The backup senders must be heard before 2 s have passed, or live members count as dead.
+const ECHO_LIMIT: Duration = Duration::from_millis(900);
+
+/// Time for which backup senders go on after they were needed.
+///
+/// Without it they would stop as soon as they were heard, and the members would turn suspect again
+/// and again.
+const BACKUP_HOLD: Duration = Duration::from_secs(30);
 
 /// Senders while the other domain shows no sign of having heard this one.
 ///
@@ -53,6 +62,8 @@
     heard: Option<Point>,
     /// When the other domain heard from this one.
     echoed: Option<Point>,
+    /// Until when backup senders go on.
+    backup_until: Point,
 }
 
 impl Far {
@@ -63,6 +74,7 @@
             next_receiver: 0,
             heard: None,
             echoed: None,
+            backup_until: Point::ZERO,
         }
     }
 }
@@ -180,7 +192,16 @@
     /// Returns whether few enough live members of the own domain outrank this instance.
     ///
     /// Each instance counts itself as live, so the highest of those that run always sends.
-    fn is_sender(&self, zone: usize, now: Point) -> bool {
+    fn is_sender(&mut self, zone: usize, now: Point) -> bool {
+        let far = &mut self.far[zone];
+        let is_heard = match far.echoed {
+            Some(echoed) if now.since(echoed) >= ECHO_LIMIT => {
+                far.backup_until = now + BACKUP_HOLD;
+                false
+            }
+            Some(_) => now >= far.backup_until,
+            None => false,
+        };
         let roster = &self.roster;
         let own = roster.weight(roster.me, zone);
         let outranking = roster.zones[roster.own_zone()]
@@ -189,8 +210,6 @@
             .filter(|member| **member != roster.me && roster.weight(**member, zone) > own)
             .filter(|member| self.state(**member, now) == State::Alive)
             .count();
-        let echoed = self.far[zone].echoed;
-        let is_heard = echoed.is_some_and(|echoed| now.since(echoed) < ECHO_LIMIT);
         outranking < if is_heard { 1 } else { BACKUP_SENDERS }
     }
 
