--- /dev/null
+++ b/crates/buckthornmast_controller/src/plan.rs
@@ -0,0 +1,122 @@
+//! What the controller is asked to bring about.
+
+use std::collections::BTreeSet;
+
+use buckthornmast_ledger::guard;
+use buckthornmast_types::{prelude::*, report::Copy};
+use smallvec::SmallVec;
+
+/// Artifact that must stay reachable.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Need {
+    /// Team that needs it.
+    pub team: id::Team,
+    /// Service whose targets may load it.
+    pub service: id::Service,
+    /// Artifact in the version that is in force.
+    pub artifact: Artifact,
+    /// Accelerator memory that it takes.
+    pub bytes: Bytes,
+    /// Earlier versions that serve until the version in force is ready, and are unloaded then.
+    pub old: SmallVec<[Artifact; 1]>,
+}
+
+impl Need {
+    pub(crate) fn alternatives(&self) -> guard::Need {
+        let old = self.old.iter().cloned();
+        std::iter::once(self.artifact.clone()).chain(old).collect()
+    }
+}
+
+/// Change of a placement.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Move {
+    /// Load an artifact.
+    Load {
+        /// Team that pays for the move.
+        team: id::Team,
+        /// Target.
+        target: id::Target,
+        /// Artifact.
+        artifact: Artifact,
+        /// Accelerator memory that it takes.
+        bytes: Bytes,
+    },
+    /// Unload an artifact.
+    Unload {
+        /// Team that pays for the move.
+        team: id::Team,
+        /// Target.
+        target: id::Target,
+        /// Artifact.
+        artifact: Artifact,
+    },
+    /// Load an artifact on one target and unload it from another once the new copy is ready.
+    Shift {
+        /// Team that pays for the move.
+        team: id::Team,
+        /// Target with the copy.
+        from: id::Target,
+        /// Target for the copy.
+        to: id::Target,
+        /// Artifact.
+        artifact: Artifact,
+        /// Accelerator memory that it takes.
+        bytes: Bytes,
+    },
+}
+
+/// Outcome of one planning round.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Planned {
+    /// Artifacts that must stay reachable; no unload removes the last ready copy of one.
+    pub needs: Vec<Need>,
+    /// Targets that are drained by the settings.
+    pub drains: BTreeSet<id::Target>,
+    /// Moves in the order in which they are wanted.
+    pub moves: Vec<Move>,
+}
+
+/// Target as the controller sees it.
+#[derive(Debug, Clone)]
+pub struct TargetView {
+    /// Target.
+    pub target: id::Target,
+    /// Kind.
+    pub kind: id::Kind,
+    /// Service.
+    pub service: id::Service,
+    /// Whether it reports and is not leaving.
+    pub is_live: bool,
+    /// Whether it may be given orders; not before its account is rebuilt.
+    pub is_current: bool,
+    /// Accelerators.
+    pub accelerators: u32,
+    /// Accelerator memory for artifacts.
+    pub memory: Bytes,
+    /// Memory that is free at the worst case.
+    pub free: Bytes,
+    /// Copies in the newest report.
+    pub copies: Vec<Copy>,
+    /// Artifacts that open orders may load.
+    pub loading: Vec<Artifact>,
+    /// Artifacts that open orders may unload.
+    pub unloading: Vec<Artifact>,
+    /// Load in the newest report.
+    pub load: report::Load,
+}
+
+/// Failure domain as the controller sees it.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Targets in the order of their names.
+    pub targets: Vec<TargetView>,
+    /// Moves of earlier plans that wait for memory or the weight store.
+    pub waiting: Vec<Move>,
+}
+
+/// Source of plans; the settings and the policies stand behind it.
+pub trait Plan: Send + 'static {
+    /// Returns what is wanted now.
+    fn plan(&mut self, view: &View) -> Planned;
+}
--- /dev/null
+++ b/crates/buckthornmast_controller/src/port.rs
@@ -0,0 +1,132 @@
+//! What the driver needs from its surroundings.
+
+use buckthornmast_lease::prelude::*;
+use buckthornmast_ledger::prelude::*;
+use buckthornmast_types::prelude::*;
+use snafu::Snafu;
+
+/// Grant of the lease with what earlier holders left in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Grant {
+    /// Fencing token.
+    pub token: id::Token,
+    /// Open intents of the domain.
+    pub intents: Vec<Order>,
+    /// Newest report per target that earlier holders acted on, from the resolved orders.
+    pub marks: Vec<(id::Target, Mark)>,
+}
+
+/// Reason why the log did not take an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Snafu)]
+pub enum LogError {
+    /// The entry is not in the log and never will be.
+    #[snafu(display("the log did not take the entry"))]
+    NotRecorded,
+    /// The entry may or may not be in the log.
+    #[snafu(display("it is not known whether the log took the entry"))]
+    Unknown,
+    /// The lease was granted to another candidate.
+    #[snafu(display("the token is no longer in force"))]
+    Superseded,
+}
+
+/// Replicated log; calls may block up to their own timeout.
+///
+/// Recording or resolving the same order again changes nothing.
+pub trait Log: Send + 'static {
+    /// Records the intents of all orders, or of none.
+    fn intend(&self, token: id::Token, orders: &[Order]) -> Result<(), LogError>;
+    /// Removes intents and keeps the newest mark per target for a successor.
+    fn resolve(&self, token: id::Token, closed: &[Closed]) -> Result<(), LogError>;
+}
+
+/// Intents read from the journals of the domain's candidates.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Notes {
+    /// Intents.
+    pub intents: Vec<Order>,
+    /// Whether no intent can be missing; see [`crate::notebook::is_complete`].
+    pub is_complete: bool,
+}
+
+/// Journals at all other candidates; calls may block up to their own timeout.
+pub trait Journal: Send + 'static {
+    /// Records intents and returns whether every other candidate, and at least one, has them.
+    fn record(&self, token: id::Token, orders: &[Order]) -> bool;
+    /// Reads the notebooks of all candidates, the own one included.
+    fn read(&self, token: id::Token) -> Notes;
+    /// Forgets intents that are in the log. It need not reach everyone.
+    fn forget(&self, orders: &[id::Order]);
+    /// Declares the notebooks clean whose life was fetched by an earlier call, and fetches their life.
+    fn declare_clean(&self);
+}
+
+/// End of a send attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answered {
+    /// Target.
+    pub target: id::Target,
+    /// Order.
+    pub order: id::Order,
+    /// Attempt.
+    pub attempt: Attempt,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// Way of orders to targets.
+pub trait Orders: Send + 'static {
+    /// Sends an order without blocking and answers exactly once.
+    ///
+    /// No byte may leave at `not_after` or later; the attempt then ends as [`Outcome::NotSent`]. An
+    /// attempt is never repeated by the transport.
+    fn send(
+        &self,
+        order: Order,
+        attempt: Attempt,
+        not_after: Point,
+        answer: flume::Sender<Answered>,
+    );
+}
+
+/// Answer to a message of the lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseAnswer {
+    /// The lease is granted.
+    Granted {
+        /// Number of the request.
+        number: u64,
+        /// Grant.
+        grant: Grant,
+    },
+    /// The lease is not granted.
+    NotGranted {
+        /// Number of the request.
+        number: u64,
+    },
+    /// The lease is renewed.
+    Renewed {
+        /// Number of the request.
+        number: u64,
+    },
+    /// The lease was granted to another candidate.
+    Refused {
+        /// Token of the lease.
+        token: id::Token,
+    },
+    /// Another candidate promised.
+    Promised {
+        /// Candidate.
+        from: id::Instance,
+        /// Number of the request.
+        number: u64,
+    },
+    /// The handover is in the log, or will not be.
+    HandedOver,
+}
+
+/// Way of the lease's messages to the leader and to the other candidates.
+pub trait Peers: Send + 'static {
+    /// Sends a message without blocking; no answer is needed if it is lost.
+    fn post(&self, effect: Effect, answer: flume::Sender<LeaseAnswer>);
+}
--- a/crates/buckthornmast_lease/src/holder.rs
+++ b/crates/buckthornmast_lease/src/holder.rs
@@ -79,6 +79,17 @@
     },
 }
 
+/// What a grant means to the candidate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Granted {
+    /// The candidate gave up the request that this answers.
+    Ignored,
+    /// The lease is new; another candidate may have held it in between.
+    Taken,
+    /// The lease goes on under a higher token.
+    Raised,
+}
+
 /// Lease that is valid now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Valid {
@@ -114,6 +125,7 @@
     asking: Option<(u64, Point)>,
     held: Option<Held>,
     stopped: bool,
+    wants_raise: bool,
     next_ask: Point,
     next_renewal: Point,
     next_number: u64,
@@ -132,6 +144,7 @@
             asking: None,
             held: None,
             stopped: false,
+            wants_raise: false,
             next_ask: now,
             next_renewal: now,
             next_number: 0,
@@ -147,6 +160,11 @@
         })
     }
 
+    /// Returns the token that was granted last, also while the lease has run out and may be renewed.
+    pub fn token(&self) -> Option<id::Token> {
+        self.held.as_ref().map(|held| held.token)
+    }
+
     /// Returns the messages that are due.
     pub fn tick(&mut self, now: Point) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -155,6 +173,9 @@
                 self.next_renewal = now + self.config.renew_every;
                 self.renew(now, &mut effects);
             }
+            if self.wants_raise && self.valid(now).is_some() {
+                self.ask(now, &mut effects);
+            }
         } else {
             self.ask(now, &mut effects);
         }
@@ -178,14 +199,10 @@
         }
     }
 
-    /// Asks for a higher token while the lease is held, so that targets refuse late attempts of the
-    /// token so far.
-    pub fn raise(&mut self, now: Point) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        if self.valid(now).is_some() {
-            self.ask(now, &mut effects);
-        }
-        effects
+    /// Has the next tick ask for a higher token, so that targets refuse late attempts under the token
+    /// so far.
+    pub fn want_raise(&mut self) {
+        self.wants_raise = self.held.is_some();
     }
 
     fn renew(&mut self, now: Point, effects: &mut Vec<Effect>) {
@@ -217,28 +234,32 @@
         }
     }
 
-    /// Takes in a grant and returns whether it was accepted.
+    /// Takes in a grant.
     ///
     /// A grant that answers an abandoned request is ignored, since a promise may have been given since.
-    pub fn granted(&mut self, number: u64, token: id::Token) -> bool {
+    pub fn granted(&mut self, now: Point, number: u64, token: id::Token) -> Granted {
         let Some((_, sent)) = self.asking.filter(|(asked, _)| *asked == number) else {
-            return false;
+            return Granted::Ignored;
         };
         self.asking = None;
         if self.known.is_some_and(|known| known >= token) {
-            return false;
+            return Granted::Ignored;
         }
+        let before = self.valid(now).map(|valid| valid.until);
         self.known = Some(token);
+        self.wants_raise = false;
         self.next_renewal = sent + self.config.renew_every;
-        let before = self.held.take().map_or(sent, |held| held.until);
         self.held = Some(Held {
             token,
-            until: before.max(sent + self.config.usable()),
+            until: before.unwrap_or(sent).max(sent + self.config.usable()),
             renewed: sent,
             renewal: None,
             round: None,
         });
-        true
+        match before {
+            Some(_) => Granted::Raised,
+            None => Granted::Taken,
+        }
     }
 
     /// Takes in that a request for the lease was not granted.
--- a/crates/buckthornmast_lease/src/lib.rs
+++ b/crates/buckthornmast_lease/src/lib.rs
@@ -30,6 +30,6 @@
     pub use crate::{
         DRIFT_PERCENT, DURATION,
         grantor::{Grantor, Renewal, Verdict},
-        holder::{Config, Effect, Holder, Valid},
+        holder::{Config, Effect, Granted, Holder, Valid},
     };
 }
--- a/crates/buckthornmast_ledger/src/book.rs
+++ b/crates/buckthornmast_ledger/src/book.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     account::{Account, Seen, close},
-    entry::{Closed, End, Entry, Mark, Outcome},
+    entry::{Attempt, Closed, End, Entry, Mark, Outcome},
     guard::Guard,
 };
 
@@ -213,6 +213,19 @@
         Ok(())
     }
 
+    /// Returns whether an open unload may still be sent without removing the last ready copy.
+    ///
+    /// Copies elsewhere may have been lost since the order was reserved.
+    pub fn may_send(&self, entry: &Entry, guard: &Guard) -> bool {
+        match &entry.order().action {
+            Action::Unload { artifact } => {
+                let target = &entry.order().target;
+                self.check_last(target, artifact, guard).is_ok()
+            }
+            _ => true,
+        }
+    }
+
     /// Returns whether a target has a ready copy that no open order may remove.
     pub fn keeps(&self, target: &id::Target, artifact: &Artifact) -> bool {
         self.accounts.get(target).is_some_and(|account| {
@@ -231,10 +244,10 @@
         is_unsent && account.entries.remove(&order).is_some()
     }
 
-    /// Counts a send attempt as one that may be executed and returns its number.
+    /// Counts a send attempt as one that may be executed and returns it.
     ///
     /// This comes before the first byte leaves. The order is sent with the token of the book.
-    pub fn sent(&mut self, target: &id::Target, order: id::Order) -> Option<u32> {
+    pub fn sent(&mut self, target: &id::Target, order: id::Order) -> Option<Attempt> {
         let token = self.token;
         let entry = self.accounts.get_mut(target)?.entries.get_mut(&order)?;
         Some(entry.send(token))
@@ -245,7 +258,7 @@
         &mut self,
         target: &id::Target,
         order: id::Order,
-        attempt: u32,
+        attempt: Attempt,
         outcome: Outcome,
     ) -> Option<Closed> {
         let account = self.accounts.get_mut(target)?;
@@ -316,6 +329,11 @@
         self.accounts.values().flat_map(|a| a.entries.values())
     }
 
+    /// Returns an open order.
+    pub fn entry(&self, target: &id::Target, order: id::Order) -> Option<&Entry> {
+        self.accounts.get(target)?.entries.get(&order)
+    }
+
     /// Returns the open orders of a target.
     pub fn open_on(&self, target: &id::Target) -> impl Iterator<Item = &Entry> {
         let account = self.accounts.get(target);
@@ -332,6 +350,17 @@
         })
     }
 
+    /// Returns the open orders that took effect and stay open for an attempt that a higher token ends.
+    pub fn stuck(&self) -> impl Iterator<Item = &Entry> {
+        let honouring = self.accounts.values().filter(|account| account.honours);
+        honouring.flat_map(|account| {
+            account.entries.values().filter(|entry| {
+                let copy = entry.artifact().and_then(|a| account.copy(a));
+                entry.is_outstanding_under(self.token) && entry.is_effective(copy)
+            })
+        })
+    }
+
     /// Returns the number of loads that run or may run: reported ones and open orders without a copy.
     pub fn loads(&self) -> usize {
         let counts = self.accounts.values().map(|account| {
--- a/crates/buckthornmast_ledger/src/entry.rs
+++ b/crates/buckthornmast_ledger/src/entry.rs
@@ -76,10 +76,15 @@
     pub mark: Mark,
 }
 
+/// Send attempt of an order.
+///
+/// The token tells attempts of two leases of the same controller apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Attempt {
-    number: u32,
-    token: id::Token,
+pub struct Attempt {
+    /// Number within the order and the lease.
+    pub number: u32,
+    /// Token that it was sent with.
+    pub token: id::Token,
 }
 
 /// Open order with the attempts that may still be executed.
@@ -146,6 +151,10 @@
         !self.outstanding.is_empty()
     }
 
+    pub(crate) fn is_outstanding_under(&self, token: id::Token) -> bool {
+        self.outstanding.iter().any(|a| a.token == token)
+    }
+
     /// Returns whether a report shows the effect.
     pub(crate) fn is_effective(&self, copy: Option<&Copy>) -> bool {
         match self.order.action {
@@ -164,24 +173,25 @@
         }
     }
 
-    pub(crate) fn send(&mut self, token: id::Token) -> u32 {
+    pub(crate) fn send(&mut self, token: id::Token) -> Attempt {
         let number = self.next;
         self.next += 1;
         self.sent = true;
-        self.outstanding.push(Attempt { number, token });
-        number
+        let attempt = Attempt { number, token };
+        self.outstanding.push(attempt);
+        attempt
     }
 
     /// Applies the end of an attempt and returns whether the whole order is known not to be executed.
-    pub(crate) fn answer(&mut self, number: u32, outcome: Outcome) -> bool {
-        let found = self.outstanding.iter().position(|a| a.number == number);
+    pub(crate) fn answer(&mut self, attempt: Attempt, outcome: Outcome) -> bool {
+        let found = self.outstanding.iter().position(|a| *a == attempt);
         let Some(found) = found else {
             return false;
         };
         if outcome == Outcome::Unknown {
             return false;
         }
-        let attempt = self.outstanding.remove(found);
+        self.outstanding.remove(found);
         let is_quiet = self.outstanding.is_empty() && self.accepted.is_none();
         match outcome {
             Outcome::Accepted => {
--- a/crates/buckthornmast_ledger/src/lib.rs
+++ b/crates/buckthornmast_ledger/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod prelude {
     pub use crate::{
         book::{Book, Refusal},
-        entry::{Closed, End, Mark, Outcome},
+        entry::{Attempt, Closed, End, Mark, Outcome},
         guard::Guard,
     };
 }
