Test the controller against faults

Cause: a lost message or a failover at any step must neither lose an order nor run it into a full target. Change: fault tables with fake engines and a fake log. A successor first fences a target that honours tokens and then decides, instead of sending inherited orders again. Moves that are under way already are no longer kept for later rounds.

--- a/crates/buckthornmast_controller/src/admit.rs
+++ b/crates/buckthornmast_controller/src/admit.rs
@@ -23,9 +23,12 @@
     Never,
 }
 
-fn fate(result: &Result<(), Refusal>) -> Fate {
+fn fate(action: &Action, result: &Result<(), Refusal>) -> Fate {
+    let loads = matches!(action, Action::Load { .. });
     match result {
         Ok(()) => Fate::Reserved,
+        // The same move is under way already.
+        Err(Refusal::Open { is_load, .. }) if *is_load == loads => Fate::Never,
         Err(
             Refusal::Memory { .. }
             | Refusal::Open { .. }
@@ -121,9 +124,6 @@
         if !self.guard.as_ref().is_some_and(|g| g.counts(target)) {
             return Fate::Never;
         }
-        if *loads >= self.config.at_once {
-            return Fate::Later;
-        }
         let action = Action::Load {
             artifact: artifact.clone(),
             bytes,
@@ -131,9 +131,9 @@
         let Some(order) = self.order(target, action) else {
             return Fate::Never;
         };
-        let checked = self.check(&order);
-        if fate(&checked) != Fate::Reserved {
-            return fate(&checked);
+        let checked = fate(&order.action, &self.check(&order));
+        if checked != Fate::Reserved {
+            return checked;
         }
         if !self.store.spend(now, *loads) {
             return Fate::Later;
@@ -179,12 +179,12 @@
             place: Place::Nowhere,
             last_sent: None,
         };
-        let id = order.id;
+        let (id, action) = (order.id, order.action.clone());
         let reserved = book.reserve(order, guard);
         if reserved.is_ok() {
             self.meta.insert(id, meta);
         }
-        fate(&reserved)
+        fate(&action, &reserved)
     }
 
     /// Unloads the old copy of each shift whose new copy is ready.
--- a/crates/buckthornmast_controller/src/core.rs
+++ b/crates/buckthornmast_controller/src/core.rs
@@ -1,7 +1,7 @@
 //! Pure state machine of the controller.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -361,9 +361,15 @@
                     .push_back(Queued::Fence(target.clone(), incarnation));
             }
         }
+        let unfenced: BTreeSet<&id::Target> = book.unfenced().map(|(target, _)| target).collect();
         for entry in book.due() {
             let order = entry.order();
             let meta = self.meta.get(&order.id);
+            // A fence shows what became of an inherited order, which may no longer be wanted.
+            let is_inherited = meta.is_some_and(|meta| meta.team.is_none());
+            if is_inherited && unfenced.contains(&order.target) {
+                continue;
+            }
             let last = meta.and_then(|meta| meta.last_sent);
             if last.is_none_or(|last| now.since(last) >= resend_after) {
                 let queued = Queued::Order(order.target.clone(), order.id);
--- /dev/null
+++ b/crates/buckthornmast_controller/tests/faults.rs
@@ -0,0 +1,335 @@
+//! Fault tables of the controller.
+
+#[path = "support/fake.rs"]
+mod fake;
+
+use buckthornmast_controller::prelude::*;
+use buckthornmast_ledger::prelude::*;
+use buckthornmast_types::{order::Action, prelude::*};
+use fake::{Domain, artifact, load, need};
+
+fn loads(sent: &[Dispatch]) -> Vec<&Dispatch> {
+    let is_load = |d: &&Dispatch| matches!(d.order.action, Action::Load { .. });
+    sent.iter().filter(is_load).collect()
+}
+
+/// Guards against an intent that is lost when the controller dies before it sends the order.
+#[test]
+fn kill_between_intent_and_send() {
+    for honours in [false, true] {
+        let mut domain = Domain::new(&[("t", honours, &[])]);
+        domain.planned.moves = vec![load("t", "a@1", 6)];
+        let unsent = domain.round();
+        domain.planned.moves = vec![load("t", "b@1", 6)];
+        domain.fail_over();
+        if honours {
+            // The fence proves that the order was never executed.
+            domain.settle();
+            assert!(domain.has("t", "b@1") && !domain.has("t", "a@1"));
+        } else {
+            domain.advance(2_000);
+            domain.report();
+            let again = domain.round();
+            assert_eq!(loads(&again).len(), 1, "the other load must wait");
+            assert_eq!(again[0].order.id, unsent[0].order.id);
+            assert!(again[0].order.token > unsent[0].order.token);
+        }
+    }
+}
+
+/// Guards against overcommitting with a load that the dead controller had sent.
+#[test]
+fn kill_between_send_and_answer() {
+    for honours in [false, true] {
+        let mut domain = Domain::new(&[("t", honours, &[])]);
+        domain.planned.moves = vec![load("t", "a@1", 6)];
+        let sent = domain.round();
+        domain.planned.moves = vec![load("t", "b@1", 6)];
+        domain.fail_over();
+        let late = domain.deliver(&sent[0]);
+        let expected = if honours {
+            Outcome::Fenced
+        } else {
+            Outcome::Accepted
+        };
+        assert_eq!(late, expected);
+        domain.settle();
+        assert_eq!(domain.has("t", "b@1"), honours);
+        assert_eq!(domain.has("t", "a@1"), !honours);
+    }
+}
+
+/// Guards against both giving up an order without an answer and sending it too often.
+#[test]
+fn lost_answer() {
+    let mut domain = Domain::new(&[("t", false, &[])]);
+    domain.planned.moves = vec![load("t", "a@1", 6)];
+    let first = domain.round();
+    domain.answer(&first[0], Outcome::Unknown);
+    domain.advance(1_900);
+    domain.report();
+    assert!(domain.round().is_empty());
+    domain.advance(200);
+    let second = domain.round();
+    assert_eq!(second[0].order, first[0].order);
+    assert_ne!(second[0].attempt, first[0].attempt);
+    domain.deliver(&second[0]);
+    domain.report();
+    domain.advance(5_000);
+    domain.report();
+    assert!(domain.round().is_empty(), "the load is in progress");
+    assert_eq!(domain.moves(), (1, 0, 0));
+}
+
+/// Guards against a controller that goes on after its token was superseded.
+#[test]
+fn fenced() {
+    let mut domain = Domain::new(&[("t", true, &[])]);
+    domain.planned.moves = vec![load("t", "a@1", 6)];
+    let sent = domain.round();
+    domain.engines.get_mut("t").unwrap().report.token = id::Token(99);
+    let outcome = domain.deliver(&sent[0]);
+    domain.answer(&sent[0], outcome);
+    assert!(domain.core.is_fenced());
+}
+
+/// Guards against an answer of an earlier lease that ends an attempt of the present one.
+#[test]
+fn answer_of_earlier_lease() {
+    let mut domain = Domain::new(&[("t", false, &[])]);
+    domain.planned.moves = vec![load("t", "a@1", 6)];
+    let first = domain.round();
+    domain.fail_over();
+    domain.advance(2_000);
+    domain.report();
+    domain.round();
+    domain.answer(&first[0], Outcome::Refused);
+    let book = domain.core.book().unwrap();
+    assert_eq!(book.free(&first[0].order.target), Bytes(4));
+}
+
+/// Guards against orders that leave before their intent is recorded.
+#[test]
+fn log_down() {
+    let mut domain = Domain::new(&[("t", false, &[])]);
+    domain.planned.moves = vec![load("t", "a@1", 6)];
+    domain.is_log_down = true;
+    assert!(domain.round().is_empty());
+    let pending = domain.core.to_record();
+    let journals = buckthornmast_controller::core::Place::Journals;
+    domain.core.recorded(&pending, journals);
+    assert!(!domain.core.is_clean());
+    assert_eq!(loads(&domain.round()).len(), 1);
+    assert_eq!(
+        domain.core.to_record(),
+        pending,
+        "the log gets it afterwards"
+    );
+}
+
+/// Guards against orders that leave after the lease, or within its margin.
+#[test]
+fn send_without_lease() {
+    let mut domain = Domain::new(&[("t", false, &[])]);
+    domain.planned.moves = vec![load("t", "a@1", 6)];
+    let view = domain.core.view(domain.now);
+    domain.core.round(domain.now, &view, domain.planned.clone());
+    let pending = domain.core.to_record();
+    domain
+        .core
+        .recorded(&pending, buckthornmast_controller::core::Place::Log);
+    let valid = domain.valid().unwrap();
+    let mut other = valid;
+    other.token = id::Token(99);
+    let margin = fake::config().margin;
+    for (now, valid) in [
+        (domain.now, None),
+        (domain.now, Some(other)),
+        (valid.until - margin, Some(valid)),
+    ] {
+        assert_eq!(domain.core.send(now, valid), None);
+    }
+    assert!(domain.core.send(domain.now, Some(valid)).is_some());
+}
+
+/// Guards against a failover that starts a second burst on the weight store.
+#[test]
+fn store_budget_after_failover() {
+    let names: Vec<String> = (0..15).map(|n| format!("t{n:02}")).collect();
+    let targets: Vec<_> = names.iter().map(|n| (n.as_str(), false, &[][..])).collect();
+    let mut domain = Domain::new(&targets);
+    domain.planned.moves = names.iter().map(|n| load(n, "a@1", 6)).collect();
+    let sent = domain.round();
+    assert_eq!(loads(&sent).len(), 10, "10 at once");
+    for dispatch in &sent[..5] {
+        domain.deliver(dispatch);
+    }
+    domain.fail_over();
+    let again = domain.round();
+    let ids: Vec<id::Order> = sent.iter().map(|d| d.order.id).collect();
+    assert!(
+        again.iter().all(|d| ids.contains(&d.order.id)),
+        "5 reported and 5 unresolved"
+    );
+    let view = domain.core.view(domain.now);
+    assert_eq!(view.waiting.len(), 5, "moves in excess are kept");
+    domain.settle();
+    assert!(names.iter().all(|n| domain.has(n, "a@1")));
+}
+
+/// Guards against loads that exceed the store's rate.
+#[test]
+fn store_rate() {
+    let mut domain = Domain::new(&[("t", false, &[]), ("u", false, &[]), ("v", false, &[])]);
+    let mut config = fake::config();
+    config.rate = Rate::per_second(1.0).unwrap();
+    domain.core = Core::new(config);
+    let grant = Grant {
+        token: id::Token(1),
+        intents: Vec::new(),
+        marks: Vec::new(),
+    };
+    domain.core.elected(domain.now, &grant);
+    domain.core.notes(&Notes {
+        intents: Vec::new(),
+        is_complete: true,
+    });
+    domain.report();
+    domain.planned.moves = ["t", "u", "v"].map(|n| load(n, "a@1", 6)).to_vec();
+    let mut sent = Vec::new();
+    for _ in 0..20 {
+        sent.push(loads(&domain.round()).len());
+        domain.advance(100);
+    }
+    assert_eq!(
+        sent.iter().sum::<usize>(),
+        1,
+        "the first load has to wait a second: {sent:?}"
+    );
+    assert_eq!(sent[..9].iter().sum::<usize>(), 0);
+}
+
+/// Guards against a model that stays unreachable behind other moves.
+#[test]
+fn missing_model_first() {
+    let mut domain = Domain::new(&[("t", false, &[("x@1", 5)]), ("u", false, &[])]);
+    domain.planned.moves = vec![load("u", "b@1", 8)];
+    domain.planned.needs = vec![need("x@1", 5, &[]), need("a@1", 4, &[])];
+    let sent = domain.round();
+    assert_eq!(loads(&sent).len(), 2);
+    domain.core = Core::new(Config {
+        at_once: 1,
+        ..fake::config()
+    });
+    domain.intents.clear();
+    let grant = Grant {
+        token: id::Token(1),
+        intents: Vec::new(),
+        marks: Vec::new(),
+    };
+    domain.core.elected(domain.now, &grant);
+    domain.core.notes(&Notes {
+        intents: Vec::new(),
+        is_complete: true,
+    });
+    domain.report();
+    domain.advance(1_000);
+    let sent = domain.round();
+    let expected = Action::Load {
+        artifact: artifact("a@1"),
+        bytes: Bytes(4),
+    };
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].order.action, expected);
+    assert_eq!(
+        sent[0].order.target.as_str(),
+        "t",
+        "the least memory that suffices"
+    );
+}
+
+/// Guards against a version change that gives up the old version for lack of memory.
+#[test]
+fn version_change_waits() {
+    let mut domain = Domain::new(&[("t", true, &[("a@1", 6), ("x@1", 2)])]);
+    domain.planned.needs = vec![need("a@2", 6, &["a@1"])];
+    domain.settle();
+    assert!(domain.has("t", "a@1") && !domain.has("t", "a@2"));
+    domain.engines.get_mut("t").unwrap().report.memory = Bytes(14);
+    domain.report();
+    let sent = domain.round();
+    assert_eq!(loads(&sent).len(), 1);
+    domain.deliver(&sent[0]);
+    domain.answer(&sent[0], Outcome::Accepted);
+    domain.report();
+    domain.round();
+    assert!(domain.has("t", "a@1"), "the new version is still loading");
+    domain.settle();
+    assert!(!domain.has("t", "a@1") && domain.has("t", "a@2"));
+    assert_eq!(domain.moves(), (1, 1, 0));
+}
+
+/// Guards against a version change that leaves fewer copies, or changes only one of them.
+#[test]
+fn version_change_of_each_copy() {
+    let copies: &[(&str, u64)] = &[("a@1", 4)];
+    let mut domain = Domain::new(&[("t", false, copies), ("u", true, copies)]);
+    domain.planned.needs = vec![need("a@2", 4, &["a@1"])];
+    domain.settle();
+    for name in ["t", "u"] {
+        assert!(domain.has(name, "a@2") && !domain.has(name, "a@1"));
+    }
+}
+
+/// Guards against a drain that unloads a model before it is ready elsewhere, or never ends.
+#[test]
+fn drain_shifts() {
+    let mut domain = Domain::new(&[("t", false, &[("a@1", 4)]), ("u", true, &[])]);
+    domain.planned.needs = vec![need("a@1", 4, &[])];
+    domain.planned.drains = ["t".parse().unwrap()].into();
+    let sent = domain.round();
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].order.target.as_str(), "u");
+    domain.deliver(&sent[0]);
+    domain.answer(&sent[0], Outcome::Accepted);
+    domain.report();
+    assert!(domain.round().is_empty(), "the new copy is still loading");
+    domain.settle();
+    assert!(domain.has("u", "a@1") && !domain.has("t", "a@1"));
+    assert_eq!(domain.moves(), (0, 0, 1));
+}
+
+/// Guards against relying on the copies of a target that went silent.
+#[test]
+fn silent_target_is_replaced() {
+    let mut domain = Domain::new(&[("t", false, &[("a@1", 4)]), ("u", false, &[])]);
+    domain.planned.needs = vec![need("a@1", 4, &[])];
+    assert!(domain.round().is_empty());
+    domain.advance(2_600);
+    let report = domain.next_report("u");
+    domain.core.report(report, domain.now, false);
+    let sent = domain.round();
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].order.target.as_str(), "u");
+}
+
+/// Guards against orders to targets that ignore tokens while a journal is unread.
+#[test]
+fn journals_unread() {
+    let mut domain = Domain::new(&[("t", false, &[]), ("u", true, &[])]);
+    let mut core = Core::new(fake::config());
+    let grant = Grant {
+        token: id::Token(1),
+        intents: Vec::new(),
+        marks: Vec::new(),
+    };
+    core.elected(domain.now, &grant);
+    domain.core = core;
+    domain.report();
+    domain.advance(1_000);
+    domain.planned.moves = vec![load("t", "a@1", 4), load("u", "a@1", 4)];
+    let sent = domain.round();
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].order.target.as_str(), "u");
+    assert!(domain.core.wants_notes());
+}
--- /dev/null
+++ b/crates/buckthornmast_controller/tests/support/fake.rs
@@ -0,0 +1,253 @@
+//! Fake failure domain: engines, a log and the controller under test.
+
+// Each test file uses some of the helpers; they only parse constants.
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use buckthornmast_controller::{core::Place, prelude::*};
+use buckthornmast_lease::prelude::Valid;
+use buckthornmast_ledger::prelude::*;
+use buckthornmast_types::{
+    order::Action,
+    prelude::*,
+    report::{Copy, Load, Phase},
+};
+
+pub struct Engine {
+    pub honours: bool,
+    pub report: Report,
+}
+
+impl Engine {
+    /// Carries an order out, as far as its token allows.
+    pub fn take(&mut self, order: &Order) -> Outcome {
+        let report = &mut self.report;
+        if order.incarnation != report.incarnation {
+            return Outcome::Refused;
+        }
+        if self.honours && order.token < report.token {
+            return Outcome::Fenced;
+        }
+        if self.honours {
+            report.token = order.token;
+        }
+        match &order.action {
+            Action::Load { artifact, bytes } if report.copy(artifact).is_none() => {
+                report.copies.push(Copy {
+                    artifact: artifact.clone(),
+                    phase: Phase::Loading,
+                    bytes: *bytes,
+                });
+            }
+            Action::Unload { artifact } => report.copies.retain(|copy| copy.artifact != *artifact),
+            _ => {}
+        }
+        let taken: Bytes = report.copies.iter().map(|copy| copy.bytes).sum();
+        assert!(taken <= report.memory, "{} is overcommitted", report.target);
+        Outcome::Accepted
+    }
+
+    pub fn finish(&mut self) {
+        for copy in &mut self.report.copies {
+            copy.phase = Phase::Ready;
+        }
+    }
+}
+
+pub struct Domain {
+    pub now: Point,
+    pub token: u64,
+    pub core: Core,
+    pub engines: BTreeMap<String, Engine>,
+    pub intents: BTreeMap<id::Order, Order>,
+    pub marks: BTreeMap<id::Target, Mark>,
+    pub planned: Planned,
+    pub is_log_down: bool,
+}
+
+pub fn config() -> Config {
+    Config::new(Rate::per_second(100.0).unwrap(), 10)
+}
+
+pub fn artifact(text: &str) -> Artifact {
+    text.parse().unwrap()
+}
+
+pub fn team() -> id::Team {
+    "peach".parse().unwrap()
+}
+
+pub fn load(target: &str, text: &str, bytes: u64) -> Move {
+    Move::Load {
+        team: team(),
+        target: target.parse().unwrap(),
+        artifact: artifact(text),
+        bytes: Bytes(bytes),
+    }
+}
+
+pub fn need(text: &str, bytes: u64, old: &[&str]) -> Need {
+    Need {
+        team: team(),
+        service: "draft-desk".parse().unwrap(),
+        artifact: artifact(text),
+        bytes: Bytes(bytes),
+        old: old.iter().map(|old| artifact(old)).collect(),
+    }
+}
+
+/// Name of a target, whether it honours tokens, and its copies.
+pub type Target<'a> = (&'a str, bool, &'a [(&'a str, u64)]);
+
+impl Domain {
+    /// Returns a domain whose controller holds token 1 and has seen every target.
+    pub fn new(targets: &[Target<'_>]) -> Self {
+        let mut domain = Self {
+            now: Point::from_millis(60_000),
+            token: 0,
+            core: Core::new(config()),
+            engines: BTreeMap::new(),
+            intents: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            planned: Planned::default(),
+            is_log_down: false,
+        };
+        for (name, honours, copies) in targets {
+            let copies = copies.iter().map(|(text, bytes)| Copy {
+                artifact: artifact(text),
+                phase: Phase::Ready,
+                bytes: Bytes(*bytes),
+            });
+            let report = Report {
+                target: name.parse().unwrap(),
+                domain: "macon-a".parse().unwrap(),
+                kind: "engine".parse().unwrap(),
+                service: "draft-desk".parse().unwrap(),
+                address: "127.0.0.1:1".parse().unwrap(),
+                incarnation: id::Incarnation(1),
+                sequence: 0,
+                leaving: false,
+                accelerators: 1,
+                memory: Bytes(10),
+                copies: copies.collect(),
+                token: id::Token(0),
+                load: Load::default(),
+            };
+            let honours = *honours;
+            domain
+                .engines
+                .insert((*name).to_owned(), Engine { honours, report });
+        }
+        domain.fail_over();
+        domain
+    }
+
+    /// Replaces the controller by one that knows nothing but the log.
+    pub fn fail_over(&mut self) {
+        self.token += 1;
+        self.core = Core::new(config());
+        let grant = Grant {
+            token: id::Token(self.token),
+            intents: self.intents.values().cloned().collect(),
+            marks: self.marks.iter().map(|(t, m)| (t.clone(), *m)).collect(),
+        };
+        self.core.elected(self.now, &grant);
+        self.core.notes(&Notes {
+            intents: Vec::new(),
+            is_complete: true,
+        });
+        self.report();
+        // The weight store is free again and fences have arrived.
+        self.advance(1_000);
+        for sent in self.round() {
+            if sent.order.action == Action::Fence {
+                self.deliver(&sent);
+            }
+        }
+        self.report();
+    }
+
+    pub fn advance(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
+    pub fn report(&mut self) {
+        let names: Vec<String> = self.engines.keys().cloned().collect();
+        for name in names {
+            let report = self.next_report(&name);
+            let honours = self.engines[&name].honours;
+            self.core.report(report, self.now, honours);
+        }
+    }
+
+    pub fn next_report(&mut self, name: &str) -> Report {
+        let engine = self.engines.get_mut(name).unwrap();
+        engine.report.sequence += 1;
+        engine.report.clone()
+    }
+
+    pub fn valid(&self) -> Option<Valid> {
+        Some(Valid {
+            token: id::Token(self.token),
+            until: self.now + Duration::from_secs(1),
+        })
+    }
+
+    /// Plans and records, and returns the orders that are to be sent.
+    pub fn round(&mut self) -> Vec<Dispatch> {
+        let view = self.core.view(self.now);
+        self.core.round(self.now, &view, self.planned.clone());
+        let orders = self.core.to_record();
+        if !self.is_log_down {
+            let orders = orders.iter();
+            self.intents.extend(orders.map(|o| (o.id, o.clone())));
+            self.core.recorded(&self.core.to_record(), Place::Log);
+        }
+        let sent = std::iter::from_fn(|| self.core.send(self.now, self.valid())).collect();
+        for closed in self.core.take_closed() {
+            self.intents.remove(&closed.order.id);
+            let mark = self.marks.entry(closed.order.target).or_default();
+            *mark = closed.mark.max(*mark);
+        }
+        sent
+    }
+
+    pub fn deliver(&mut self, sent: &Dispatch) -> Outcome {
+        let engine = self.engines.get_mut(sent.order.target.as_str()).unwrap();
+        engine.take(&sent.order)
+    }
+
+    pub fn answer(&mut self, sent: &Dispatch, outcome: Outcome) {
+        self.core
+            .answered(&buckthornmast_controller::port::Answered {
+                target: sent.order.target.clone(),
+                order: sent.order.id,
+                attempt: sent.attempt,
+                outcome,
+            });
+    }
+
+    /// Runs rounds in which every order is carried out and answered at once.
+    pub fn settle(&mut self) {
+        for _ in 0..12 {
+            self.advance(1_000);
+            for sent in self.round() {
+                let outcome = self.deliver(&sent);
+                self.answer(&sent, outcome);
+            }
+            self.report();
+            self.engines.values_mut().for_each(Engine::finish);
+            self.report();
+        }
+    }
+
+    pub fn has(&self, name: &str, text: &str) -> bool {
+        self.engines[name].report.is_ready(&artifact(text))
+    }
+
+    pub fn moves(&self) -> (u64, u64, u64) {
+        let moves = self.core.counters().teams.get(&team());
+        moves.map_or((0, 0, 0), |m| (m.loads, m.unloads, m.shifts))
+    }
+}
--- a/crates/buckthornmast_ledger/src/account.rs
+++ b/crates/buckthornmast_ledger/src/account.rs
@@ -122,8 +122,7 @@
         if let Some(entry) = self.open_order(&base)
             && entry.is_unload()
         {
-            let order = entry.order().id;
-            return Err(Refusal::Open { order });
+            return Err(Refusal::open(entry));
         }
         let free = seen.memory.saturating_sub(self.worst());
         if bytes > free {
--- a/crates/buckthornmast_ledger/src/book.rs
+++ b/crates/buckthornmast_ledger/src/book.rs
@@ -37,6 +37,8 @@
     Open {
         /// Open order.
         order: id::Order,
+        /// Whether it is a load.
+        is_load: bool,
     },
     /// The artifact is on the target already.
     #[snafu(display("the artifact is on the target already"))]
@@ -69,6 +71,15 @@
     Fence,
 }
 
+impl Refusal {
+    pub(crate) fn open(entry: &Entry) -> Self {
+        Self::Open {
+            order: entry.order().id,
+            is_load: entry.is_load(),
+        }
+    }
+}
+
 /// Ledger of one controller.
 #[derive(Debug, Clone)]
 pub struct Book {
@@ -181,8 +192,7 @@
             return Err(Refusal::Fence);
         };
         if let Some(entry) = account.open_order(artifact) {
-            let order = entry.order().id;
-            return Err(Refusal::Open { order });
+            return Err(Refusal::open(entry));
         }
         match &order.action {
             Action::Load { artifact, bytes } => account.check_load(artifact, *bytes),
--- a/crates/buckthornmast_ledger/tests/rules.rs
+++ b/crates/buckthornmast_ledger/tests/rules.rs
@@ -148,7 +148,10 @@
     let second = order(2, "t", 1, 1, load("a@1", 1));
     assert_eq!(
         book.reserve(second, &none()),
-        Err(Refusal::Open { order: first.id })
+        Err(Refusal::Open {
+            order: first.id,
+            is_load: false
+        })
     );
 }
 
