--- a/crates/buckthornmast_controller/src/core.rs
+++ b/crates/buckthornmast_controller/src/core.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     counter::{Counters, Kind},
+    notebook::Coverage,
     plan::{Move, Planned, TargetView, View},
     port::{Answered, Grant, Notes},
     store::Budget,
@@ -27,6 +28,10 @@
     pub resend_after: Duration,
     /// Time after which a lost answer makes the controller ask for a higher token.
     pub raise_after: Duration,
+    /// Time after which targets that ignore tokens are given orders although every candidate may
+    /// have lost its journal. Orders of an earlier holder that no journal names are assumed to have
+    /// been executed, and reported, by then.
+    pub settle_for: Duration,
     /// Age of the newest report from which a target counts as silent.
     pub live_for: Duration,
     /// Part of the lease that is left unused, so that no order leaves after its end.
@@ -45,6 +50,7 @@
             at_once,
             resend_after: Duration::from_secs(2),
             raise_after: Duration::from_secs(10),
+            settle_for: Duration::from_secs(30),
             live_for: Duration::from_millis(2_500),
             margin: Duration::from_millis(200),
             keep_for: Duration::from_secs(10),
@@ -120,6 +126,7 @@
     queue: VecDeque<Queued>,
     closed: Vec<Closed>,
     is_fenced: bool,
+    elected: Point,
     counters: Counters,
 }
 
@@ -139,6 +146,7 @@
             queue: VecDeque::new(),
             closed: Vec::new(),
             is_fenced: false,
+            elected: Point::ZERO,
             counters: Counters::default(),
         }
     }
@@ -150,7 +158,11 @@
         for (target, mark) in &grant.marks {
             book.require(target, *mark);
         }
+        if grant.is_first {
+            book.set_journals_read();
+        }
         self.store = Budget::empty(self.config.rate, self.config.at_once, now);
+        self.elected = now;
         self.book = Some(book);
         for order in &grant.intents {
             self.inherit(order, Place::Log);
@@ -185,12 +197,18 @@
     /// Takes over the intents of the candidates' journals.
     ///
     /// Until they are complete, targets that ignore tokens are given no orders.
-    pub fn notes(&mut self, notes: &Notes) {
+    pub fn notes(&mut self, now: Point, notes: &Notes) {
         for order in &notes.intents {
             self.inherit(order, Place::Journals);
         }
+        let is_settled = now.since(self.elected) >= self.config.settle_for;
+        let is_read = match notes.coverage {
+            Coverage::Complete => true,
+            Coverage::Answered => is_settled,
+            Coverage::Partial => false,
+        };
         if let Some(book) = &mut self.book
-            && notes.is_complete
+            && is_read
         {
             book.set_journals_read();
         }
--- a/crates/buckthornmast_controller/src/driver.rs
+++ b/crates/buckthornmast_controller/src/driver.rs
@@ -301,7 +301,8 @@
             return;
         }
         if self.core.wants_notes() {
-            self.core.notes(&self.journal.read(token));
+            let notes = self.journal.read(token);
+            self.core.notes(self.clock.now(), &notes);
         }
         let now = self.clock.now();
         let view = self.core.view(now);
--- a/crates/buckthornmast_controller/src/lib.rs
+++ b/crates/buckthornmast_controller/src/lib.rs
@@ -25,7 +25,7 @@
         core::{Config, Core, Dispatch},
         counter::Counters,
         driver::{self, Handle},
-        notebook::Notebook,
+        notebook::{Coverage, Notebook},
         plan::{Move, Need, Plan, Planned, View},
         port::{Grant, Journal, Log, Notes, Orders, Peers},
     };
--- a/crates/buckthornmast_controller/src/notebook.rs
+++ b/crates/buckthornmast_controller/src/notebook.rs
@@ -86,8 +86,28 @@
     }
 }
 
-/// Returns whether the pages of a domain's candidates hold every intent; `None` stands for no answer.
-pub fn is_complete(pages: &[Option<Page>]) -> bool {
+/// How far pages cover the intents that were recorded without the quorum.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub enum Coverage {
+    /// Some candidate did not answer, and no page is complete.
+    #[default]
+    Partial,
+    /// Every candidate answered, but each may have restarted and lost intents.
+    Answered,
+    /// No intent can be missing.
+    Complete,
+}
+
+/// Returns what the pages of all candidates of a domain cover; `None` stands for no answer.
+///
+/// A single candidate records nothing without the quorum, so it has nothing to miss.
+pub fn coverage(pages: &[Option<Page>]) -> Coverage {
     let mut answered = pages.iter().flatten();
-    pages.iter().all(Option::is_some) || answered.any(|page| page.is_complete)
+    if pages.len() <= 1 || answered.any(|page| page.is_complete) {
+        Coverage::Complete
+    } else if pages.iter().all(Option::is_some) {
+        Coverage::Answered
+    } else {
+        Coverage::Partial
+    }
 }
--- a/crates/buckthornmast_controller/src/port.rs
+++ b/crates/buckthornmast_controller/src/port.rs
@@ -5,11 +5,15 @@
 use buckthornmast_types::prelude::*;
 use snafu::Snafu;
 
+use crate::notebook::Coverage;
+
 /// Grant of the lease with what earlier holders left in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Grant {
     /// Fencing token.
     pub token: id::Token,
+    /// Whether the domain never had a lease before, so that no journal can hold an intent.
+    pub is_first: bool,
     /// Open intents of the domain.
     pub intents: Vec<Order>,
     /// Newest report per target that earlier holders acted on, from the resolved orders.
@@ -45,8 +49,8 @@
 pub struct Notes {
     /// Intents.
     pub intents: Vec<Order>,
-    /// Whether no intent can be missing; see [`crate::notebook::is_complete`].
-    pub is_complete: bool,
+    /// How far the journals cover what was recorded, from [`crate::notebook::coverage`].
+    pub coverage: Coverage,
 }
 
 /// Journals at all other candidates; calls may block up to their own timeout.
--- a/crates/buckthornmast_controller/tests/faults.rs
+++ b/crates/buckthornmast_controller/tests/faults.rs
@@ -184,16 +184,8 @@
     let mut config = fake::config();
     config.rate = Rate::per_second(1.0).unwrap();
     domain.core = Core::new(config);
-    let grant = Grant {
-        token: id::Token(1),
-        intents: Vec::new(),
-        marks: Vec::new(),
-    };
-    domain.core.elected(domain.now, &grant);
-    domain.core.notes(&Notes {
-        intents: Vec::new(),
-        is_complete: true,
-    });
+    domain.core.elected(domain.now, &fake::grant(1));
+    domain.core.notes(domain.now, &fake::notes());
     domain.report();
     domain.planned.moves = ["t", "u", "v"].map(|n| load(n, "a@1", 6)).to_vec();
     let mut sent = Vec::new();
@@ -222,16 +214,8 @@
         ..fake::config()
     });
     domain.intents.clear();
-    let grant = Grant {
-        token: id::Token(1),
-        intents: Vec::new(),
-        marks: Vec::new(),
-    };
-    domain.core.elected(domain.now, &grant);
-    domain.core.notes(&Notes {
-        intents: Vec::new(),
-        is_complete: true,
-    });
+    domain.core.elected(domain.now, &fake::grant(1));
+    domain.core.notes(domain.now, &fake::notes());
     domain.report();
     domain.advance(1_000);
     let sent = domain.round();
@@ -318,12 +302,7 @@
 fn journals_unread() {
     let mut domain = Domain::new(&[("t", false, &[]), ("u", true, &[])]);
     let mut core = Core::new(fake::config());
-    let grant = Grant {
-        token: id::Token(1),
-        intents: Vec::new(),
-        marks: Vec::new(),
-    };
-    core.elected(domain.now, &grant);
+    core.elected(domain.now, &fake::grant(1));
     domain.core = core;
     domain.report();
     domain.advance(1_000);
@@ -331,5 +310,16 @@
     let sent = domain.round();
     assert_eq!(sent.len(), 1);
     assert_eq!(sent[0].order.target.as_str(), "u");
-    assert!(domain.core.wants_notes());
+    let answered = Notes {
+        coverage: Coverage::Answered,
+        ..fake::notes()
+    };
+    domain.core.notes(domain.now, &answered);
+    assert!(
+        domain.core.wants_notes(),
+        "every candidate may have restarted"
+    );
+    domain.advance(30_000);
+    domain.core.notes(domain.now, &answered);
+    assert!(!domain.core.wants_notes());
 }
--- a/crates/buckthornmast_controller/tests/support/fake.rs
+++ b/crates/buckthornmast_controller/tests/support/fake.rs
@@ -70,6 +70,22 @@
     Config::new(Rate::per_second(100.0).unwrap(), 10)
 }
 
+pub fn notes() -> Notes {
+    Notes {
+        intents: Vec::new(),
+        coverage: Coverage::Complete,
+    }
+}
+
+pub fn grant(token: u64) -> Grant {
+    Grant {
+        token: id::Token(token),
+        is_first: false,
+        intents: Vec::new(),
+        marks: Vec::new(),
+    }
+}
+
 pub fn artifact(text: &str) -> Artifact {
     text.parse().unwrap()
 }
@@ -149,14 +165,12 @@
         self.core = Core::new(config());
         let grant = Grant {
             token: id::Token(self.token),
+            is_first: false,
             intents: self.intents.values().cloned().collect(),
             marks: self.marks.iter().map(|(t, m)| (t.clone(), *m)).collect(),
         };
         self.core.elected(self.now, &grant);
-        self.core.notes(&Notes {
-            intents: Vec::new(),
-            is_complete: true,
-        });
+        self.core.notes(self.now, &notes());
         self.report();
         // The weight store is free again and fences have arrived.
         self.advance(1_000);
