--- a/crates/buckthornmast_controller/src/notebook.rs
+++ b/crates/buckthornmast_controller/src/notebook.rs
@@ -25,7 +25,7 @@
 }
 
 /// Journal of one candidate.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Notebook {
     life: Life,
     is_complete: bool,
--- /dev/null
+++ b/crates/buckthornmast_controller/tests/orders_model.rs
@@ -0,0 +1,101 @@
+//! Model check of orders; see the specification for what is modelled.
+
+#[path = "support/spec.rs"]
+mod spec;
+
+use spec::{Mutation, Scope};
+
+/// One target of one memory slot for two artifacts.
+const MEMORY: Scope = Scope {
+    mutation: Mutation::None,
+    honours: &[false],
+    memory: 1,
+    ready: &[],
+    artifacts: &["a", "b"],
+    guarded: &[],
+    orders: 3,
+    attempts: 3,
+    reports: 3,
+    failovers: 1,
+    target_restarts: 0,
+    quorum_losses: 0,
+    candidate_restarts: 0,
+};
+
+/// The same with a loss of the quorum and a restart of the other candidate.
+const QUORUM: Scope = Scope {
+    orders: 2,
+    attempts: 2,
+    reports: 2,
+    quorum_losses: 1,
+    candidate_restarts: 1,
+    ..MEMORY
+};
+
+/// Guards against an overcommitted target after lost and late orders and a failover.
+#[test]
+fn memory_after_failover() {
+    for honours in [&[false], &[true]] {
+        let scope = Scope {
+            honours,
+            orders: 2,
+            ..MEMORY
+        };
+        scope.check(&format!("failover, honours {honours:?}"));
+    }
+}
+
+/// Guards against a restarted target that is charged for, or credited with, orders of its earlier run.
+#[test]
+fn memory_after_target_restart() {
+    for honours in [&[false], &[true]] {
+        let scope = Scope {
+            honours,
+            failovers: 0,
+            target_restarts: 1,
+            ..MEMORY
+        };
+        scope.check(&format!("target restart, honours {honours:?}"));
+    }
+}
+
+/// Guards against orders recorded without the quorum that a successor does not know.
+#[test]
+fn memory_without_quorum() {
+    QUORUM.check("no quorum");
+}
+
+/// Guards against unloads that together remove the last ready copy.
+#[test]
+fn last_copy_is_kept() {
+    let scope = Scope {
+        honours: &[false, true],
+        ready: &["a"],
+        artifacts: &["a"],
+        guarded: &["a"],
+        ..MEMORY
+    };
+    scope.check("last copy");
+}
+
+/// Guards against a search that cannot find the faults that it is meant to exclude.
+#[test]
+fn planted_faults_are_found() {
+    let guarded = Scope {
+        honours: &[false, true],
+        ready: &["a"],
+        artifacts: &["a"],
+        guarded: &["a"],
+        ..MEMORY
+    };
+    for (mutation, scope) in [
+        (Mutation::ForgetIntents, MEMORY),
+        (Mutation::UnloadIsDone, MEMORY),
+        (Mutation::SkipMarks, MEMORY),
+        (Mutation::AnsweredIsComplete, QUORUM),
+        (Mutation::CleanBeforeResolved, QUORUM),
+        (Mutation::NoGuard, guarded),
+    ] {
+        Scope { mutation, ..scope }.find();
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_controller/tests/support/spec.rs
@@ -0,0 +1,584 @@
+//! Specification of orders: every interleaving of a bounded number of intents, sends, late copies, lost
+//! answers, stale reports, crashes, restarts and losses of the quorum.
+//!
+//! The specification calls the ledger and the notebook. An engine executes whatever reaches it, without
+//! looking at its memory, so that only the ledger keeps it from being overcommitted. Two candidates hold
+//! the lease in turn; that they never do so at once is the subject of the lease's model check.
+
+// Helpers parse constants.
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hash::{Hash, Hasher},
+    rc::Rc,
+};
+
+use buckthornmast_controller::notebook::{Coverage, Life, Notebook, coverage};
+use buckthornmast_ledger::prelude::*;
+use buckthornmast_types::{
+    order::Action,
+    prelude::*,
+    report::{Copy, Load, Phase},
+};
+use pathfinding::prelude::{bfs, bfs_reach};
+
+/// Fault planted in the specification's controller, which the check has to find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutation {
+    None,
+    /// The successor takes over no open intents.
+    ForgetIntents,
+    /// An unload counts as done when it is sent.
+    UnloadIsDone,
+    /// The successor acts on reports that are older than those of the earlier holder.
+    SkipMarks,
+    /// Journals count as read when each candidate answered, although all may have restarted.
+    AnsweredIsComplete,
+    /// Journals are declared clean before the marks of closed orders are in the log.
+    CleanBeforeResolved,
+    /// Unloads are reserved without the set that must stay reachable.
+    NoGuard,
+}
+
+/// Scope of one check.
+#[derive(Debug, Clone)]
+pub struct Scope {
+    pub mutation: Mutation,
+    /// Whether each target honours tokens.
+    pub honours: &'static [bool],
+    pub memory: u64,
+    /// Artifacts that are ready on every target at the start.
+    pub ready: &'static [&'static str],
+    pub artifacts: &'static [&'static str],
+    pub guarded: &'static [&'static str],
+    pub orders: u8,
+    pub attempts: u8,
+    pub reports: u8,
+    pub failovers: u8,
+    pub target_restarts: u8,
+    pub quorum_losses: u8,
+    pub candidate_restarts: u8,
+}
+
+type Copies = BTreeMap<&'static str, Phase>;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Engine {
+    incarnation: u64,
+    sequence: u64,
+    token: u64,
+    copies: Copies,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Spent {
+    orders: u8,
+    attempts: u8,
+    reports: u8,
+    failovers: u8,
+    target_restarts: u8,
+    quorum_losses: u8,
+    candidate_restarts: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    book: Book,
+    holder: usize,
+    notebooks: [Notebook; 2],
+    has_quorum: bool,
+    log: BTreeMap<id::Order, Order>,
+    marks: BTreeMap<id::Target, Mark>,
+    unresolved: Vec<Closed>,
+    engines: Vec<Engine>,
+    /// Copies of attempts that may still arrive.
+    flying: BTreeSet<(id::Order, u32, u64)>,
+    orders: BTreeMap<id::Order, Order>,
+    answers: BTreeSet<(id::Order, u32, u64, bool)>,
+    /// Reports that may still arrive, by target, incarnation and sequence.
+    reports: BTreeMap<(usize, u64, u64), (u64, Copies)>,
+    spent: Spent,
+    is_last_copy_lost: bool,
+}
+
+fn name(index: usize) -> id::Target {
+    format!("t{index}").parse().unwrap()
+}
+
+fn index(target: &id::Target) -> usize {
+    target.as_str()[1..].parse().unwrap()
+}
+
+fn artifact(text: &str) -> Artifact {
+    format!("{text}@1").parse().unwrap()
+}
+
+/// State with its depth, which is no part of its identity.
+#[derive(Clone)]
+struct Node(Rc<State>, usize);
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Self) -> bool {
+        self.0 == other.0
+    }
+}
+
+impl Eq for Node {}
+
+impl Hash for Node {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+impl Scope {
+    fn start(&self) -> State {
+        let mut book = Book::new(id::Token(1));
+        book.set_journals_read();
+        let engine = Engine {
+            incarnation: 1,
+            sequence: 0,
+            token: 0,
+            copies: self.ready.iter().map(|a| (*a, Phase::Ready)).collect(),
+        };
+        let mut state = State {
+            book,
+            holder: 0,
+            notebooks: [0, 1].map(|life| {
+                let mut notebook = Notebook::new(Life(life));
+                notebook.declare_clean(Life(life));
+                notebook
+            }),
+            has_quorum: true,
+            log: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            unresolved: Vec::new(),
+            engines: vec![engine; self.honours.len()],
+            flying: BTreeSet::new(),
+            orders: BTreeMap::new(),
+            answers: BTreeSet::new(),
+            reports: BTreeMap::new(),
+            spent: Spent::default(),
+            is_last_copy_lost: false,
+        };
+        for target in 0..self.honours.len() {
+            self.publish(&mut state, target);
+            state.reports.clear();
+            let engine = state.engines[target].clone();
+            self.observe(
+                &mut state,
+                target,
+                engine.incarnation,
+                engine.sequence,
+                0,
+                &engine.copies,
+            );
+        }
+        state.spent = Spent::default();
+        state
+    }
+
+    fn guard(&self) -> Guard {
+        let guarded = match self.mutation {
+            Mutation::NoGuard => &[][..],
+            _ => self.guarded,
+        };
+        let needs = guarded.iter().map(|a| [artifact(a)].into_iter().collect());
+        Guard::new(needs, (0..self.honours.len()).map(name))
+    }
+
+    fn report(&self, target: usize, mark: (u64, u64), token: u64, copies: &Copies) -> Report {
+        let copies = copies.iter().map(|(text, phase)| Copy {
+            artifact: artifact(text),
+            phase: *phase,
+            bytes: Bytes(1),
+        });
+        Report {
+            target: name(target),
+            domain: "macon-a".parse().unwrap(),
+            kind: "engine".parse().unwrap(),
+            service: "draft-desk".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            incarnation: id::Incarnation(mark.0),
+            sequence: mark.1,
+            leaving: false,
+            accelerators: 1,
+            memory: Bytes(self.memory),
+            copies: copies.collect(),
+            token: id::Token(token),
+            load: Load::default(),
+        }
+    }
+
+    fn publish(&self, state: &mut State, target: usize) {
+        let engine = &mut state.engines[target];
+        engine.sequence += 1;
+        state.spent.reports += 1;
+        let key = (target, engine.incarnation, engine.sequence);
+        let content = (engine.token, engine.copies.clone());
+        state.reports.insert(key, content);
+        // Bounds the search: the last two reports of a target may still arrive, earlier ones are lost.
+        let of_target = state.reports.keys().filter(|k| k.0 == target);
+        let stale: Vec<_> = of_target.rev().skip(2).copied().collect();
+        for key in stale {
+            state.reports.remove(&key);
+        }
+    }
+
+    fn observe(
+        &self,
+        state: &mut State,
+        target: usize,
+        incarnation: u64,
+        sequence: u64,
+        token: u64,
+        copies: &Copies,
+    ) {
+        let report = self.report(target, (incarnation, sequence), token, copies);
+        let closed = state.book.observe(&report, self.honours[target]);
+        self.close(state, closed);
+    }
+
+    fn close(&self, state: &mut State, closed: impl IntoIterator<Item = Closed>) {
+        state.unresolved.extend(closed);
+        if state.has_quorum {
+            for closed in std::mem::take(&mut state.unresolved) {
+                state.log.remove(&closed.order.id);
+                let mark = state.marks.entry(closed.order.target.clone()).or_default();
+                *mark = closed.mark.max(*mark);
+                for notebook in &mut state.notebooks {
+                    notebook.forget(&[closed.order.id]);
+                }
+            }
+        }
+    }
+
+    /// Reserves an order and records its intent in the log or in the other candidate's journal.
+    fn intend(&self, state: &State, target: usize, action: Action) -> Option<State> {
+        let mut next = state.clone();
+        next.spent.orders += 1;
+        let target = name(target);
+        let order = Order {
+            id: id::Order(uuid::Uuid::from_u128(next.spent.orders.into())),
+            incarnation: next.book.incarnation(&target)?,
+            token: next.book.token(),
+            target,
+            action,
+        };
+        next.book.reserve(order.clone(), &self.guard()).ok()?;
+        next.orders.insert(order.id, order.clone());
+        if next.has_quorum {
+            next.log.insert(order.id, order);
+        } else {
+            let other = 1 - next.holder;
+            let token = next.book.token();
+            next.notebooks[other]
+                .record(token, std::slice::from_ref(&order))
+                .then_some(())?;
+        }
+        Some(next)
+    }
+
+    fn send(&self, state: &State, id: id::Order) -> Option<State> {
+        let mut next = state.clone();
+        next.spent.attempts += 1;
+        let order = &state.orders[&id];
+        let target = index(&order.target);
+        if !next.book.is_current(&order.target) {
+            return None;
+        }
+        let attempt = next.book.sent(&order.target, id)?;
+        next.flying.insert((id, attempt.number, attempt.token.0));
+        if let (Mutation::UnloadIsDone, Action::Unload { artifact: gone }) =
+            (self.mutation, &order.action)
+        {
+            let mut copies = next.engines[target].copies.clone();
+            copies.retain(|text, _| artifact(text) != *gone);
+            let engine = next.engines[target].clone();
+            self.observe(
+                &mut next,
+                target,
+                engine.incarnation,
+                engine.sequence + 1,
+                engine.token,
+                &copies,
+            );
+        }
+        Some(next)
+    }
+
+    /// Lets a copy of an attempt arrive at its target and execute.
+    fn deliver(&self, state: &State, copy: (id::Order, u32, u64)) -> State {
+        let mut next = state.clone();
+        next.flying.remove(&copy);
+        let (id, number, token) = copy;
+        let order = &state.orders[&id];
+        let target = index(&order.target);
+        let honours = self.honours[target];
+        let engine = &mut next.engines[target];
+        if order.incarnation.0 != engine.incarnation {
+            return next;
+        }
+        if honours && token < engine.token {
+            next.answers.insert((id, number, token, false));
+            return next;
+        }
+        if honours {
+            engine.token = token;
+        }
+        for text in self.artifacts {
+            match &order.action {
+                Action::Load { artifact: a, .. } if *a == artifact(text) => {
+                    let copies = &mut next.engines[target].copies;
+                    copies.entry(text).or_insert(Phase::Loading);
+                }
+                Action::Unload { artifact: a } if *a == artifact(text) => {
+                    let removed = next.engines[target].copies.remove(text);
+                    let mut others = next.engines.iter();
+                    let is_kept = others.any(|e| e.copies.get(text) == Some(&Phase::Ready));
+                    next.is_last_copy_lost |=
+                        removed == Some(Phase::Ready) && !is_kept && self.guarded.contains(text);
+                }
+                _ => {}
+            }
+        }
+        next.answers.insert((id, number, token, true));
+        next
+    }
+
+    fn answer(&self, state: &State, answer: (id::Order, u32, u64, bool)) -> State {
+        let mut next = state.clone();
+        next.answers.remove(&answer);
+        let (id, number, token, is_accepted) = answer;
+        let outcome = if is_accepted {
+            Outcome::Accepted
+        } else {
+            Outcome::Fenced
+        };
+        let attempt = Attempt {
+            number,
+            token: id::Token(token),
+        };
+        let target = &state.orders[&id].target;
+        let closed = next.book.answered(target, id, attempt, outcome);
+        self.close(&mut next, closed);
+        next
+    }
+
+    /// Crashes the holder and grants the lease to the other candidate, which may reach the crashed one
+    /// after its restart.
+    fn fail_over(&self, state: &State, is_reached: bool) -> State {
+        let mut next = state.clone();
+        next.spent.failovers += 1;
+        self.restart(&mut next, state.holder);
+        next.unresolved.clear();
+        next.holder = 1 - state.holder;
+        let token = id::Token(state.book.token().0 + 1);
+        next.book = Book::new(token);
+        if self.mutation != Mutation::SkipMarks {
+            for (target, mark) in &state.marks {
+                next.book.require(target, *mark);
+            }
+        }
+        let mut pages = vec![Some(next.notebooks[next.holder].read(token))];
+        pages.push(is_reached.then(|| next.notebooks[state.holder].read(token)));
+        if self.mutation != Mutation::ForgetIntents {
+            let noted = pages.iter().flatten().flat_map(|page| &page.intents);
+            for order in state.log.values().chain(noted) {
+                next.book.inherit(order.clone());
+            }
+        }
+        let is_read = match coverage(&pages) {
+            Coverage::Complete => true,
+            Coverage::Answered => self.mutation == Mutation::AnsweredIsComplete,
+            Coverage::Partial => false,
+        };
+        if is_read {
+            next.book.set_journals_read();
+        }
+        next
+    }
+
+    fn restart(&self, state: &mut State, candidate: usize) {
+        let life = state.notebooks[candidate].life().0 + 2;
+        state.notebooks[candidate] = Notebook::new(Life(life));
+    }
+
+    /// Puts into the log what was only recorded at the other candidate.
+    fn record_open(&self, state: &State) -> State {
+        let mut next = state.clone();
+        self.close(&mut next, []);
+        for entry in state.book.open() {
+            next.log.insert(entry.order().id, entry.order().clone());
+        }
+        next
+    }
+
+    fn declare_clean(&self, state: &State) -> Option<State> {
+        let is_logged = state
+            .book
+            .open()
+            .all(|e| state.log.contains_key(&e.order().id));
+        let is_resolved =
+            state.unresolved.is_empty() || self.mutation == Mutation::CleanBeforeResolved;
+        let is_clean = is_logged && is_resolved;
+        if !state.has_quorum || !state.book.are_journals_read() || !is_clean {
+            return None;
+        }
+        let mut next = state.clone();
+        let notebook = &mut next.notebooks[1 - state.holder];
+        notebook.declare_clean(notebook.life());
+        Some(next)
+    }
+
+    fn successors(&self, state: &State) -> Vec<(String, State)> {
+        let mut all = Vec::new();
+        self.holder_steps(state, &mut all);
+        for copy in &state.flying {
+            all.push((format!("execute {copy:?}"), self.deliver(state, *copy)));
+        }
+        for answer in &state.answers {
+            all.push((format!("answer {answer:?}"), self.answer(state, *answer)));
+        }
+        for ((target, incarnation, sequence), (token, copies)) in &state.reports {
+            let mut next = state.clone();
+            self.observe(&mut next, *target, *incarnation, *sequence, *token, copies);
+            all.push((format!("report {target} {incarnation}.{sequence}"), next));
+        }
+        self.target_steps(state, &mut all);
+        let is_settled = |next: &State| next == state;
+        all.retain(|(_, next)| !is_settled(next));
+        all
+    }
+
+    fn holder_steps(&self, state: &State, all: &mut Vec<(String, State)>) {
+        if state.spent.orders < self.orders {
+            for target in 0..self.honours.len() {
+                for text in self.artifacts {
+                    let artifact = artifact(text);
+                    let load = Action::Load {
+                        artifact: artifact.clone(),
+                        bytes: Bytes(1),
+                    };
+                    let unload = Action::Unload { artifact };
+                    for (verb, action) in [("load", load), ("unload", unload)] {
+                        let next = self.intend(state, target, action);
+                        all.extend(next.map(|next| (format!("{verb} {text} on {target}"), next)));
+                    }
+                }
+            }
+        }
+        if state.spent.attempts < self.attempts {
+            let guard = self.guard();
+            for entry in state.book.due().filter(|e| state.book.may_send(e, &guard)) {
+                let id = entry.order().id;
+                let next = self.send(state, id);
+                all.extend(next.map(|next| (format!("send {id}"), next)));
+            }
+        }
+        for (target, _) in state.book.unfenced() {
+            let mut next = state.clone();
+            next.engines[index(target)].token = state.book.token().0;
+            all.push((format!("fence {target}"), next));
+        }
+        if state.has_quorum && state.spent.failovers < self.failovers {
+            for is_reached in [false, true] {
+                let next = self.fail_over(state, is_reached);
+                all.push((format!("fail over, reached: {is_reached}"), next));
+            }
+        }
+        if state.has_quorum {
+            all.push(("record open".to_owned(), self.record_open(state)));
+        } else {
+            let mut next = state.clone();
+            next.has_quorum = true;
+            all.push(("regain quorum".to_owned(), next));
+        }
+        if state.has_quorum && state.spent.quorum_losses < self.quorum_losses {
+            let mut next = state.clone();
+            next.has_quorum = false;
+            next.spent.quorum_losses += 1;
+            all.push(("lose quorum".to_owned(), next));
+        }
+        if self.quorum_losses > 0 {
+            let next = self.declare_clean(state);
+            all.extend(next.map(|next| ("declare clean".to_owned(), next)));
+        }
+        if state.spent.candidate_restarts < self.candidate_restarts {
+            let mut next = state.clone();
+            next.spent.candidate_restarts += 1;
+            self.restart(&mut next, 1 - state.holder);
+            all.push(("restart the other candidate".to_owned(), next));
+        }
+    }
+
+    fn target_steps(&self, state: &State, all: &mut Vec<(String, State)>) {
+        for target in 0..self.honours.len() {
+            if state.spent.reports < self.reports {
+                let mut next = state.clone();
+                self.publish(&mut next, target);
+                all.push((format!("publish {target}"), next));
+            }
+            if state.spent.target_restarts < self.target_restarts {
+                let mut next = state.clone();
+                next.spent.target_restarts += 1;
+                next.engines[target] = Engine {
+                    incarnation: state.engines[target].incarnation + 1,
+                    sequence: 0,
+                    token: 0,
+                    copies: BTreeMap::new(),
+                };
+                all.push((format!("restart {target}"), next));
+            }
+            let loading = state.engines[target].copies.iter();
+            for (text, _) in loading.filter(|(_, phase)| **phase == Phase::Loading) {
+                let mut next = state.clone();
+                next.engines[target].copies.insert(text, Phase::Ready);
+                all.push((format!("ready {text} on {target}"), next));
+            }
+        }
+    }
+
+    fn is_violated(&self, state: &State) -> bool {
+        let is_over = |e: &Engine| e.copies.len() as u64 > self.memory;
+        state.is_last_copy_lost || state.engines.iter().any(is_over)
+    }
+
+    fn next(&self, state: &State) -> Vec<State> {
+        let all = self.successors(state);
+        all.into_iter().map(|(_, next)| next).collect()
+    }
+
+    /// Visits every reachable state.
+    pub fn check(&self, title: &str) {
+        let start = Node(Rc::new(self.start()), 0);
+        let next = |node: &Node| -> Vec<Node> {
+            let next = self.next(&node.0).into_iter();
+            next.map(|state| Node(Rc::new(state), node.1 + 1)).collect()
+        };
+        let (mut visited, mut deepest) = (0, 0);
+        for Node(state, depth) in bfs_reach(start, next) {
+            visited += 1;
+            deepest = deepest.max(depth);
+            assert!(!self.is_violated(&state), "{title}: {state:#?}");
+        }
+        println!("{title}: {visited} states, depth {deepest}");
+    }
+
+    /// Prints the shortest way to a violation, which a planted fault has to have.
+    pub fn find(&self) {
+        let path = bfs(&self.start(), |s| self.next(s), |s| self.is_violated(s));
+        let path = path.unwrap_or_else(|| panic!("{:?} is not found", self.mutation));
+        println!(
+            "{:?} is found after {} steps:",
+            self.mutation,
+            path.len() - 1
+        );
+        for pair in path.windows(2) {
+            let all = self.successors(&pair[0]);
+            let step = all.iter().find(|(_, next)| *next == pair[1]);
+            println!("  {}", step.map_or("?", |(label, _)| label));
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_lease/tests/model.rs
@@ -0,0 +1,390 @@
+//! Model check of the lease: every interleaving of a bounded number of delayed, lost and reordered
+//! messages, restarts, frozen candidates, changes of leader and losses of the quorum.
+//!
+//! Time runs in steps of a quarter of the lease duration. Messages may arrive at any later time or
+//! never. The specification calls the grantor and the holders, and checks that at most one candidate has
+//! a valid lease.
+
+// Helpers parse constants.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    hash::{Hash, Hasher},
+    rc::Rc,
+    time::Duration,
+};
+
+use buckthornmast_lease::prelude::*;
+use buckthornmast_types::prelude::*;
+use pathfinding::prelude::{bfs, bfs_reach};
+
+const NAMES: [&str; 2] = ["a", "b"];
+const STEP: Duration = Duration::from_millis(500);
+
+/// Fault planted in the specification, which the check has to find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mutation {
+    None,
+    /// A restarted candidate asks and promises at once.
+    SkipRestartWait,
+    /// The holder counts from the arrival of the answer.
+    CountFromArrival,
+    /// A new leader takes leases for expired.
+    StaleLeader,
+    /// A promise does not keep the candidate from accepting an earlier grant.
+    ForgetPromise,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Scope {
+    mutation: Mutation,
+    steps: u64,
+    messages: usize,
+    leaders: u8,
+    restarts: u8,
+    has_quorum_losses: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Message {
+    Ask(usize, u64),
+    Granted(usize, u64, id::Token),
+    Renew(usize, u64, id::Token),
+    Renewed(usize, u64),
+    Refused(usize, id::Token),
+    RequestPromise(usize, u64, id::Token),
+    Promised(usize, u64),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    now: Point,
+    holders: [Holder; 2],
+    lives: [u8; 2],
+    grantor: Grantor,
+    has_quorum: bool,
+    log: Option<(usize, id::Token)>,
+    flying: BTreeSet<(u8, Message)>,
+    leaders: u8,
+    restarts: u8,
+}
+
+struct Node(Rc<State>, usize);
+
+impl Clone for Node {
+    fn clone(&self) -> Self {
+        Self(self.0.clone(), self.1)
+    }
+}
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Self) -> bool {
+        self.0 == other.0
+    }
+}
+
+impl Eq for Node {}
+
+impl Hash for Node {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+fn name(index: usize) -> id::Instance {
+    NAMES[index].parse().unwrap()
+}
+
+fn domain() -> id::Domain {
+    "perry".parse().unwrap()
+}
+
+fn candidate(index: usize, now: Point) -> Holder {
+    let mut config = Config::new(name(index), [name(1 - index)]);
+    // One message of each kind per step keeps the search small.
+    config.renew_every = STEP;
+    config.ask_every = STEP;
+    config.ask_timeout = STEP;
+    config.promise_after = STEP;
+    Holder::new(config, now)
+}
+
+impl Scope {
+    fn start(&self) -> State {
+        let now = Point::ZERO + DURATION;
+        let mut grantor = Grantor::new(DURATION);
+        grantor.lead(Point::ZERO, []);
+        State {
+            now,
+            holders: [0, 1].map(|index| candidate(index, Point::ZERO)),
+            lives: [0, 0],
+            grantor,
+            has_quorum: true,
+            log: None,
+            flying: BTreeSet::new(),
+            leaders: 0,
+            restarts: 0,
+        }
+    }
+
+    /// Lets a candidate act and puts its messages on the way; each may be lost by never arriving.
+    fn tick(&self, state: &State, index: usize) -> State {
+        let mut next = state.clone();
+        for effect in next.holders[index].tick(state.now) {
+            let message = match effect {
+                Effect::Ask { number } => Message::Ask(index, number),
+                Effect::Renew { token, number } => Message::Renew(index, number, token),
+                Effect::RequestPromise { token, number, .. } => {
+                    Message::RequestPromise(index, number, token)
+                }
+                Effect::Handover { .. } => continue,
+            };
+            let life = next.lives[index];
+            next.flying.insert((life, message));
+        }
+        while next.flying.len() > self.messages {
+            next.flying.pop_first();
+        }
+        next
+    }
+
+    fn deliver(&self, state: &State, at: &(u8, Message)) -> Option<State> {
+        let mut next = state.clone();
+        next.flying.remove(at);
+        let (life, message) = at;
+        let now = state.now;
+        let answer = match message {
+            Message::Ask(..) | Message::Renew(..) if !state.has_quorum => return None,
+            Message::Ask(index, number) => self.grant(&mut next, *index, *number),
+            Message::Renew(index, number, token) => {
+                let lease = Some(now + STEP);
+                match next
+                    .grantor
+                    .renew(now, lease, &domain(), &name(*index), *token)
+                {
+                    Renewal::Renewed => Some(Message::Renewed(*index, *number)),
+                    Renewal::Refused => Some(Message::Refused(*index, *token)),
+                    Renewal::Unable => None,
+                }
+            }
+            Message::RequestPromise(index, number, token) => {
+                let other = &mut next.holders[1 - index];
+                let before = other.clone();
+                let is_promised = other.promise(now, *token);
+                if is_promised && self.mutation == Mutation::ForgetPromise {
+                    *other = before;
+                }
+                is_promised.then_some(Message::Promised(*index, *number))
+            }
+            answer => {
+                let index = answer.index();
+                if state.lives[index] == *life {
+                    self.answer(&mut next.holders[index], now, answer);
+                }
+                None
+            }
+        };
+        next.flying.extend(answer.map(|answer| (*life, answer)));
+        Some(next)
+    }
+
+    fn grant(&self, next: &mut State, index: usize, number: u64) -> Option<Message> {
+        let now = next.now;
+        let verdict = next.grantor.ask(now, &domain(), &name(index));
+        let Verdict::Propose { .. } = verdict else {
+            return None;
+        };
+        let token = next.log.map_or(id::Token(1), |(_, token)| token.next());
+        next.log = Some((index, token));
+        next.grantor.granted(now, domain(), name(index), token);
+        Some(Message::Granted(index, number, token))
+    }
+
+    fn answer(&self, holder: &mut Holder, now: Point, answer: &Message) {
+        match answer {
+            Message::Granted(_, number, token) => {
+                holder.granted(now, *number, *token);
+                if self.mutation == Mutation::CountFromArrival {
+                    // Has the holder renew now, and confirms that renewal at once.
+                    for effect in holder.tick(now) {
+                        if let Effect::Renew { number, .. } = effect {
+                            holder.renewed(number);
+                        }
+                    }
+                }
+            }
+            Message::Renewed(_, number) => holder.renewed(*number),
+            Message::Refused(_, token) => holder.refused(*token),
+            Message::Promised(index, number) => {
+                holder.promised(now, &name(1 - index), *number);
+            }
+            _ => {}
+        }
+    }
+
+    fn restart(&self, state: &State, index: usize) -> State {
+        let mut next = state.clone();
+        next.restarts += 1;
+        next.lives[index] += 1;
+        let waited = match self.mutation {
+            Mutation::SkipRestartWait => state.now - DURATION,
+            _ => state.now,
+        };
+        next.holders[index] = candidate(index, waited);
+        next
+    }
+
+    fn change_leader(&self, state: &State) -> State {
+        let mut next = state.clone();
+        next.leaders += 1;
+        let leases = state
+            .log
+            .map(|(index, token)| (domain(), name(index), token));
+        let since = match self.mutation {
+            Mutation::StaleLeader => state.now - DURATION,
+            _ => state.now,
+        };
+        next.grantor = Grantor::new(DURATION);
+        next.grantor.lead(since, leases);
+        next
+    }
+
+    fn next(&self, state: &State) -> Vec<State> {
+        let mut all = VecDeque::new();
+        if state.now < Point::ZERO + DURATION + STEP * u32::try_from(self.steps).unwrap() {
+            let mut next = state.clone();
+            next.now = state.now + STEP;
+            all.push_back(next);
+        }
+        for index in 0..NAMES.len() {
+            all.push_back(self.tick(state, index));
+            if state.restarts < self.restarts {
+                all.push_back(self.restart(state, index));
+            }
+        }
+        let delivered = state.flying.iter();
+        all.extend(delivered.filter_map(|message| self.deliver(state, message)));
+        if state.leaders < self.leaders && state.has_quorum {
+            all.push_back(self.change_leader(state));
+        }
+        if self.has_quorum_losses {
+            let mut next = state.clone();
+            next.has_quorum = !state.has_quorum;
+            all.push_back(next);
+        }
+        all.into()
+    }
+
+    fn is_violated(&self, state: &State) -> bool {
+        let holders = state.holders.iter();
+        holders.filter(|h| h.valid(state.now).is_some()).count() > 1
+    }
+
+    fn check(&self, title: &str) {
+        let next = |node: &Node| -> Vec<Node> {
+            let next = self.next(&node.0).into_iter();
+            next.map(|state| Node(Rc::new(state), node.1 + 1)).collect()
+        };
+        let start = Node(Rc::new(self.start()), 0);
+        let (mut visited, mut deepest, mut is_valid) = (0, 0, false);
+        for Node(state, depth) in bfs_reach(start, next) {
+            visited += 1;
+            deepest = deepest.max(depth);
+            is_valid |= state.holders.iter().any(|h| h.valid(state.now).is_some());
+            assert!(!self.is_violated(&state), "{title}: {state:#?}");
+        }
+        assert!(is_valid, "{title}: nobody ever holds the lease");
+        println!("{title}: {visited} states, depth {deepest}");
+    }
+
+    fn find(&self) {
+        let path = bfs(&self.start(), |s| self.next(s), |s| self.is_violated(s));
+        let path = path.unwrap_or_else(|| panic!("{:?} is not found", self.mutation));
+        println!(
+            "{:?} is found after {} steps:",
+            self.mutation,
+            path.len() - 1
+        );
+        for state in &path {
+            let valid = state
+                .holders
+                .each_ref()
+                .map(|h| h.valid(state.now).is_some());
+            println!("  {} valid {valid:?} flying {:?}", state.now, state.flying);
+        }
+    }
+}
+
+impl Message {
+    fn index(&self) -> usize {
+        match self {
+            Self::Ask(index, _)
+            | Self::Granted(index, ..)
+            | Self::Renew(index, ..)
+            | Self::Renewed(index, _)
+            | Self::Refused(index, _)
+            | Self::RequestPromise(index, ..)
+            | Self::Promised(index, _) => *index,
+        }
+    }
+}
+
+const SCOPE: Scope = Scope {
+    mutation: Mutation::None,
+    steps: 6,
+    messages: 2,
+    leaders: 0,
+    restarts: 0,
+    has_quorum_losses: false,
+};
+
+/// Guards against two valid leases after delayed grants, renewals and a change of leader.
+#[test]
+fn one_holder_with_quorum() {
+    let scope = Scope {
+        leaders: 1,
+        ..SCOPE
+    };
+    scope.check("change of leader");
+}
+
+/// Guards against two valid leases after a restart.
+#[test]
+fn one_holder_after_restart() {
+    let scope = Scope {
+        restarts: 1,
+        ..SCOPE
+    };
+    scope.check("restart");
+}
+
+/// Guards against a promise and a grant that are valid side by side.
+#[test]
+fn one_holder_without_quorum() {
+    let scope = Scope {
+        has_quorum_losses: true,
+        ..SCOPE
+    };
+    scope.check("no quorum");
+}
+
+/// Guards against a search that cannot find the faults that it is meant to exclude.
+#[test]
+fn planted_faults_are_found() {
+    for mutation in [
+        Mutation::SkipRestartWait,
+        Mutation::CountFromArrival,
+        Mutation::StaleLeader,
+        Mutation::ForgetPromise,
+    ] {
+        let scope = Scope {
+            mutation,
+            leaders: u8::from(mutation == Mutation::StaleLeader),
+            restarts: u8::from(mutation == Mutation::SkipRestartWait),
+            has_quorum_losses: mutation == Mutation::ForgetPromise,
+            ..SCOPE
+        };
+        scope.find();
+    }
+}
--- a/crates/buckthornmast_ledger/src/account.rs
+++ b/crates/buckthornmast_ledger/src/account.rs
@@ -1,6 +1,9 @@
 //! Account of one target.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+};
 
 use buckthornmast_types::{
     order::Action,
@@ -23,6 +26,15 @@
     pub(crate) copies: BTreeMap<Artifact, Copy>,
 }
 
+impl Hash for Seen {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        (self.mark, self.token, self.memory, self.leaving).hash(state);
+        for copy in self.copies.values() {
+            (&copy.artifact, copy.phase, copy.bytes).hash(state);
+        }
+    }
+}
+
 impl Seen {
     pub(crate) fn new(report: &Report) -> Self {
         let copies = report.copies.iter();
@@ -39,7 +51,7 @@
     }
 }
 
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Account {
     pub(crate) honours: bool,
     pub(crate) seen: Option<Seen>,
--- a/crates/buckthornmast_ledger/src/book.rs
+++ b/crates/buckthornmast_ledger/src/book.rs
@@ -81,7 +81,7 @@
 }
 
 /// Ledger of one controller.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Book {
     token: id::Token,
     journals_read: bool,
