--- a/crates/buckthornmast_config/src/daemon.rs
+++ b/crates/buckthornmast_config/src/daemon.rs
@@ -18,9 +18,6 @@
     source::{Reader, Source},
 };
 
-/// Shortest cluster key in bytes; a shorter one could be guessed offline from one datagram.
-pub const MIN_KEY_BYTES: usize = 32;
-
 /// Duration in the form `250ms` or `2s`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Span(pub Duration);
@@ -83,8 +80,8 @@
 /// Keys of one instance.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Keys {
-    /// Key that authenticates messages between instances.
-    pub cluster: Vec<u8>,
+    /// Key that authenticates messages between instances, as 64 hexadecimal digits.
+    pub cluster: String,
     /// SHA-256 of the platform operators' bearer token, in hexadecimal.
     pub platform: String,
     /// Bearer token sent to targets that check it.
@@ -262,13 +259,10 @@
 }
 
 fn read_keys(reader: &mut Reader<'_>) -> Option<Keys> {
-    let expected = "a secret of 32 characters or more, equal on all instances";
+    let expected = "a secret of 64 hexadecimal digits, equal on all instances";
     let cluster: Option<String> = reader.required("keys", "cluster", expected);
-    if cluster
-        .as_ref()
-        .is_some_and(|key| key.len() < MIN_KEY_BYTES)
-    {
-        reader.reject("keys", "cluster", format!("too short, expected {expected}"));
+    if cluster.as_ref().is_some_and(|key| !is_sha256(key)) {
+        reader.reject("keys", "cluster", format!("not {expected}"));
     }
     let expected = "the SHA-256 of a token as 64 hexadecimal digits";
     let platform: Option<String> = reader.required("keys", "platform-token-sha256", expected);
@@ -277,13 +271,13 @@
     }
     let targets = reader.required("keys", "targets", "the token that targets check");
     Some(Keys {
-        cluster: cluster?.into_bytes(),
+        cluster: cluster?,
         platform: platform?,
         targets: targets?,
     })
 }
 
-/// Returns whether a text is a SHA-256 digest in lower-case hexadecimal.
+/// Returns whether a text is 256 bits in lower-case hexadecimal, such as a SHA-256 digest.
 pub fn is_sha256(text: &str) -> bool {
     text.len() == 64 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
 }
--- a/crates/buckthornmast_config/src/declaration.rs
+++ b/crates/buckthornmast_config/src/declaration.rs
@@ -82,16 +82,21 @@
 }
 
 /// Policy that a team chose.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Policy {
     /// Name.
     pub name: String,
     /// Policy that decides on the same view without acting.
     pub shadow: Option<String>,
+    /// Weight of moves against attainment; 1 is neutral, more avoids moves.
+    pub moves_weight: f64,
     /// Parameters.
     pub parameters: BTreeMap<String, String>,
 }
 
+/// Keys of the policy section that are not parameters of the policy.
+pub const POLICY_KEYS: [&str; 3] = ["name", "shadow", "moves-weight"];
+
 /// Service-level objective.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Objective {
@@ -153,6 +158,7 @@
         let policy = Policy {
             name: "static".to_owned(),
             shadow: None,
+            moves_weight: 1.0,
             parameters: BTreeMap::new(),
         };
         Self {
@@ -333,13 +339,14 @@
     let view = View { values };
     let parameter = |(path, value): (&String, &String)| {
         let key = path.strip_prefix("policy/")?;
-        (key != "name" && key != "shadow").then(|| (key.to_owned(), value.clone()))
+        (!POLICY_KEYS.contains(&key)).then(|| (key.to_owned(), value.clone()))
     };
     let policy = Policy {
         name: view
             .get("policy/name")
             .unwrap_or_else(|| "static".to_owned()),
         shadow: view.get("policy/shadow"),
+        moves_weight: view.get("policy/moves-weight").unwrap_or(1.0),
         parameters: values.iter().filter_map(parameter).collect(),
     };
     Team {
--- a/crates/buckthornmast_config/src/schema.rs
+++ b/crates/buckthornmast_config/src/schema.rs
@@ -23,6 +23,8 @@
     Rate,
     /// Share from 0 to 1.
     Share,
+    /// Number of 0 or more.
+    Number,
     /// Duration with a unit.
     Span,
     /// SHA-256 in hexadecimal.
@@ -42,6 +44,7 @@
             Self::Size => "a size such as 300MiB or 14GiB".to_owned(),
             Self::Rate => "a number of events per second such as 1.5".to_owned(),
             Self::Share => "a share from 0 to 1".to_owned(),
+            Self::Number => "a number of 0 or more".to_owned(),
             Self::Span => "a duration such as 390ms or 5s".to_owned(),
             Self::Digest => "a SHA-256 as 64 hexadecimal digits".to_owned(),
             Self::Word(words) => words.join(" or "),
@@ -65,6 +68,7 @@
             Self::Span => text
                 .parse::<Span>()
                 .is_ok_and(|span| span.0 > Duration::ZERO),
+            Self::Number => text.parse::<Rate>().is_ok(),
             Self::Digest => is_sha256(text),
             Self::Word(words) => words.contains(&text),
         }
@@ -168,7 +172,8 @@
         named: false,
         keys: &[
             required("name", Form::Label),
-            optional("shadow", Form::Label),
+            optional("shadow", Form::Text),
+            optional("moves-weight", Form::Number),
         ],
         open: true,
     },
--- a/crates/buckthornmast_config/tests/settings.rs
+++ b/crates/buckthornmast_config/tests/settings.rs
@@ -16,7 +16,7 @@
 heartbeat = 127.0.0.1:8083
 
 [keys]
-cluster = 0123456789abcdef0123456789abcdef
+cluster = 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef
 platform-token-sha256 = e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855
 targets = secret
 
@@ -57,9 +57,9 @@
             "[keys] colour: unknown key",
         ),
         (
-            "cluster = 0123456789abcdef0123456789abcdef",
+            "cluster = 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
             "cluster = x",
-            "a1.ini:14: [keys] cluster: too short",
+            "a1.ini:14: [keys] cluster: not a secret",
         ),
         (
             "voter = yes",
--- a/crates/buckthornmast_controller/src/core.rs
+++ b/crates/buckthornmast_controller/src/core.rs
@@ -362,6 +362,11 @@
         if self.book.is_none() {
             return;
         }
+        if let Some((rate, at_once)) = planned.store {
+            self.config.rate = rate;
+            self.config.at_once = at_once;
+            self.store.set_limits(rate, at_once);
+        }
         self.admit(now, view, planned);
         self.queue_sends(now);
     }
--- a/crates/buckthornmast_controller/src/plan.rs
+++ b/crates/buckthornmast_controller/src/plan.rs
@@ -67,7 +67,7 @@
 }
 
 /// Outcome of one planning round.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Planned {
     /// Artifacts that must stay reachable; no unload removes the last ready copy of one.
     pub needs: Vec<Need>,
@@ -75,6 +75,8 @@
     pub drains: BTreeSet<id::Target>,
     /// Moves in the order in which they are wanted.
     pub moves: Vec<Move>,
+    /// Loads a second and loads at once that the weight store allows, if they have changed.
+    pub store: Option<(Rate, usize)>,
 }
 
 /// Target as the controller sees it.
--- a/crates/buckthornmast_controller/src/store.rs
+++ b/crates/buckthornmast_controller/src/store.rs
@@ -22,6 +22,12 @@
         }
     }
 
+    /// Changes the limits; what was earned so far is kept.
+    pub fn set_limits(&mut self, rate: Rate, at_once: usize) {
+        self.rate = rate;
+        self.at_once = at_once;
+    }
+
     /// Spends one load if the rate and the loads in progress allow it.
     pub fn spend(&mut self, now: Point, in_progress: usize) -> bool {
         let earned = now.since(self.updated).as_secs_f64() * self.rate.get();
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/follow.rs
@@ -0,0 +1,127 @@
+//! Thread that keeps the settings in force up to date.
+//!
+//! A voter copies what its replica has applied. Any other instance sees in the heartbeats which peer
+//! has a higher revision and pulls the difference from it, own failure domain first, so that the
+//! voters are not asked by everybody.
+
+use std::{
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use buckthornmast_membership::view::{Peer, View};
+use buckthornmast_types::id;
+use flume::{Receiver, RecvTimeoutError, Sender};
+
+use crate::{
+    current::Current,
+    message::{Request, Response},
+    peers::{Peers, Replica},
+};
+
+/// Time between two looks; a change passes two instances within the target of 1 s.
+const PERIOD: Duration = Duration::from_millis(50);
+
+/// Time for a peer to answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Source of membership views.
+pub type Views = Arc<dyn Fn() -> Arc<View> + Send + Sync>;
+
+/// Parts of the thread.
+pub struct Parts {
+    /// Failure domain of this instance.
+    pub domain: id::Domain,
+    /// Settings in force.
+    pub current: Current,
+    /// Local replica.
+    pub replica: Option<Arc<Replica>>,
+    /// Client to the other instances.
+    pub peers: Peers,
+    /// Membership.
+    pub views: Views,
+}
+
+/// Running thread.
+pub struct Follower {
+    stop: Option<Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Follower {
+    /// Joins the thread.
+    pub fn stop(&mut self) {
+        self.stop = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts the thread.
+pub fn start(parts: Parts) -> std::io::Result<Follower> {
+    let (stop, stopped) = flume::bounded(1);
+    let thread = thread::Builder::new()
+        .name("follow".to_owned())
+        .spawn(move || run(&parts, &stopped))?;
+    Ok(Follower {
+        stop: Some(stop),
+        thread: Some(thread),
+    })
+}
+
+fn run(parts: &Parts, stopped: &Receiver<()>) {
+    while stopped.recv_timeout(PERIOD) == Err(RecvTimeoutError::Timeout) {
+        if let Some(replica) = &parts.replica {
+            follow_replica(&parts.current, replica);
+        }
+        follow_peers(parts);
+    }
+}
+
+fn follow_replica(current: &Current, replica: &Replica) {
+    let revision = current.get().revision;
+    let newer = replica.read(|state| {
+        let tree = state.tree();
+        (tree.revision() > revision).then(|| tree.clone())
+    });
+    if let Some(tree) = newer {
+        current.advance(&tree);
+    }
+}
+
+/// Returns the peers with a higher revision, own failure domain first, then the highest revision.
+fn sources<'a>(view: &'a View, domain: &id::Domain, revision: id::Revision) -> Vec<&'a Peer> {
+    let mut peers: Vec<&Peer> = view
+        .alive()
+        .filter(|peer| peer.progress.revision > revision)
+        .collect();
+    peers.sort_by_key(|peer| {
+        (
+            peer.domain != *domain,
+            std::cmp::Reverse(peer.progress.revision),
+        )
+    });
+    peers
+}
+
+fn follow_peers(parts: &Parts) {
+    let snapshot = parts.current.get();
+    let view = (parts.views)();
+    for peer in sources(&view, &parts.domain, snapshot.revision) {
+        let request = Request::Follow {
+            revision: snapshot.revision,
+        };
+        match parts.peers.call(&peer.instance, request, TIMEOUT) {
+            Ok(Response::Followed(Some(update))) => {
+                let mut tree = snapshot.tree.clone();
+                if tree.follow(update) && parts.current.advance(&tree) {
+                    return;
+                }
+            }
+            Ok(_) => {}
+            Err(error) => log::warn!(step = "follow", peer = peer.instance.as_str(); "{error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/leader.rs
@@ -0,0 +1,256 @@
+//! Grants controller leases while this instance leads the replicated log.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use buckthornmast_consensus::{
+    driver::ProposeError,
+    status::{Role, Status},
+};
+use buckthornmast_lease::{
+    DURATION,
+    grantor::{Grantor, Renewal, Verdict},
+};
+use buckthornmast_state::{
+    leases::{Grant, Granted, Lease},
+    machine::{Answer, Command},
+};
+use buckthornmast_types::{
+    id,
+    time::{Clock, System},
+};
+use flume::{Receiver, RecvTimeoutError, Sender};
+
+use crate::{
+    message::{LeaseAsk, LeaseReply},
+    peers::Replica,
+};
+
+/// Time between two looks at the replica.
+const PERIOD: Duration = Duration::from_millis(20);
+
+/// Time for a grant to be committed.
+const GRANT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Leadership as the thread has seen it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Another instance leads, or none.
+    Follow,
+    /// This instance was elected; entries up to the index are still to be applied.
+    Elected { term: id::Term, last: id::Index },
+    /// This instance grants leases.
+    Lead { term: id::Term },
+}
+
+struct Inner {
+    grantor: Grantor,
+    phase: Phase,
+}
+
+/// Grantor with its replica.
+pub struct Leader {
+    me: id::Instance,
+    replica: Arc<Replica>,
+    clock: System,
+    inner: Mutex<Inner>,
+}
+
+/// Thread that watches the replica.
+pub struct Watch {
+    stop: Option<Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Watch {
+    /// Joins the thread.
+    pub fn stop(&mut self) {
+        self.stop = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts to watch the replica.
+pub fn watch(leader: Arc<Leader>) -> std::io::Result<Watch> {
+    let (stop, stopped): (Sender<()>, Receiver<()>) = flume::bounded(1);
+    let run = move || {
+        while stopped.recv_timeout(PERIOD) == Err(RecvTimeoutError::Timeout) {
+            leader.follow_replica();
+        }
+    };
+    let thread = thread::Builder::new()
+        .name("leader".to_owned())
+        .spawn(run)?;
+    Ok(Watch {
+        stop: Some(stop),
+        thread: Some(thread),
+    })
+}
+
+impl Leader {
+    /// Returns a grantor that does not lead.
+    pub fn new(me: id::Instance, replica: Arc<Replica>, clock: System) -> Self {
+        let inner = Inner {
+            grantor: Grantor::new(DURATION),
+            phase: Phase::Follow,
+        };
+        Self {
+            me,
+            replica,
+            clock,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn leases(&self) -> Vec<(id::Domain, Lease)> {
+        self.replica.read(|state| {
+            let leases = state.leases().leases();
+            leases
+                .map(|(domain, lease)| (domain.clone(), lease.clone()))
+                .collect()
+        })
+    }
+
+    /// Brings the grantor in line with the role of the replica and with the applied grants.
+    fn follow_replica(&self) {
+        let status = self.replica.status();
+        let mut inner = self.lock();
+        match next_phase(inner.phase, &status) {
+            Phase::Lead { term } if inner.phase != (Phase::Lead { term }) => {
+                log::info!(step = "lead", term = term.0; "grants controller leases");
+                inner.grantor.lead(self.clock.now(), []);
+                inner.phase = Phase::Lead { term };
+            }
+            Phase::Follow if inner.phase != Phase::Follow => {
+                inner.grantor.follow();
+                inner.phase = Phase::Follow;
+            }
+            phase => inner.phase = phase,
+        }
+        if matches!(inner.phase, Phase::Lead { .. }) {
+            self.note_leases(&mut inner.grantor);
+        }
+    }
+
+    /// Notes grants and handovers of the replicated state that the grantor has not seen.
+    fn note_leases(&self, grantor: &mut Grantor) {
+        for (domain, lease) in self.leases() {
+            if grantor.token(&domain) >= Some(lease.token) {
+                continue;
+            }
+            let is_given_up = lease.holder.is_none();
+            // A lease without a holder needs a name in the grantor; it is released at once.
+            let holder = lease.holder.unwrap_or_else(|| self.me.clone());
+            grantor.granted(self.clock.now(), domain.clone(), holder, lease.token);
+            if is_given_up {
+                grantor.released(&domain, lease.token);
+            }
+        }
+    }
+
+    /// Answers a candidate or holder; may block for a commit.
+    pub fn answer(&self, from: &id::Instance, ask: &LeaseAsk) -> LeaseReply {
+        match ask {
+            LeaseAsk::Grant { domain } => self.grant(from, domain),
+            LeaseAsk::Renew { domain, token } => self.renew(from, domain, *token),
+        }
+    }
+
+    fn not_now(&self) -> LeaseReply {
+        LeaseReply::NotNow {
+            hint: self.replica.status().leader,
+        }
+    }
+
+    fn renew(&self, from: &id::Instance, domain: &id::Domain, token: id::Token) -> LeaseReply {
+        let lease = self.replica.status().leader_lease;
+        let mut inner = self.lock();
+        match inner
+            .grantor
+            .renew(self.clock.now(), lease, domain, from, token)
+        {
+            Renewal::Renewed => LeaseReply::Renewed,
+            Renewal::Refused => LeaseReply::Superseded,
+            Renewal::Unable => {
+                drop(inner);
+                self.not_now()
+            }
+        }
+    }
+
+    fn grant(&self, from: &id::Instance, domain: &id::Domain) -> LeaseReply {
+        let verdict = self.lock().grantor.ask(self.clock.now(), domain, from);
+        let previous = match verdict {
+            Verdict::Propose { after } => after,
+            Verdict::Held { .. } => return LeaseReply::Held,
+            Verdict::NotLeader => return self.not_now(),
+        };
+        let command = Command::Grant(Grant {
+            domain: domain.clone(),
+            holder: from.clone(),
+            previous,
+        });
+        match self.replica.propose(command, GRANT_TIMEOUT) {
+            Ok(Answer::Granted(granted)) => self.note_granted(from, domain, granted),
+            // Its fate is learned from the replicated state; until then nobody is granted the lease.
+            Err(ProposeError::Unknown) => self.not_now(),
+            Ok(_) | Err(_) => {
+                self.lock().grantor.withdrawn(domain);
+                self.not_now()
+            }
+        }
+    }
+
+    fn note_granted(
+        &self,
+        from: &id::Instance,
+        domain: &id::Domain,
+        granted: Granted,
+    ) -> LeaseReply {
+        let mut inner = self.lock();
+        match &granted {
+            Granted::Granted { token, .. } => {
+                inner
+                    .grantor
+                    .granted(self.clock.now(), domain.clone(), from.clone(), *token);
+                LeaseReply::Granted(granted)
+            }
+            Granted::Conflict { .. } | Granted::Full => {
+                inner.grantor.withdrawn(domain);
+                self.note_leases(&mut inner.grantor);
+                LeaseReply::Held
+            }
+        }
+    }
+}
+
+/// Returns the phase that follows from the state of the replica.
+///
+/// Leases count as fresh from the moment at which an entry of the own term is applied. The replica's
+/// last index at the first look is at or after that entry.
+fn next_phase(phase: Phase, status: &Status) -> Phase {
+    if status.role != Role::Leader {
+        return Phase::Follow;
+    }
+    let term = status.term;
+    match phase {
+        Phase::Lead { term: known } if known == term => phase,
+        Phase::Elected { term: known, last } if known == term && status.applied >= last => {
+            Phase::Lead { term }
+        }
+        Phase::Elected { term: known, .. } if known == term => phase,
+        _ => Phase::Elected {
+            term,
+            last: status.last,
+        },
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/main.rs
@@ -0,0 +1,56 @@
+//! Daemon of buckthornmast, one on each instance.
+
+use std::{fs, process::ExitCode};
+
+use buckthornmast_config::daemon::Settings;
+use buckthornmast_daemon::{flags::Daemon, logging, node};
+use signal_hook::{consts, iterator::Signals};
+
+fn read(flags: &Daemon) -> Result<Settings, ExitCode> {
+    let file = flags.config.display().to_string();
+    let text = fs::read_to_string(&flags.config).map_err(|error| {
+        eprintln!("{file}: {error}");
+        ExitCode::FAILURE
+    })?;
+    Settings::parse(&file, &text).map_err(|faults| {
+        for fault in faults {
+            eprintln!("{fault}");
+        }
+        ExitCode::FAILURE
+    })
+}
+
+fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    // Registered first, so that an early signal is not lost.
+    let mut signals = Signals::new([consts::SIGTERM, consts::SIGINT])?;
+    let node = node::start(settings)?;
+    signals.forever().next();
+    log::info!(step = "stop"; "stopping");
+    node.stop();
+    log::info!(step = "stop"; "stopped");
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let flags = match Daemon::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    let settings = match read(&flags) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    if flags.check {
+        println!("{}: no faults", flags.config.display());
+        return ExitCode::SUCCESS;
+    }
+    logging::start();
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(step = "start"; "{error}");
+            eprintln!("buckthornmastd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -0,0 +1,478 @@
+//! Assembly of one instance.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use buckthornmast_config::daemon::Settings;
+use buckthornmast_consensus::driver;
+use buckthornmast_controller::notebook::{Life, Notebook};
+use buckthornmast_gateway::{
+    deadline::Bounds,
+    gateway::{Gateway, Limits, Parts},
+};
+use buckthornmast_http::{
+    exchange::Exchange,
+    response::Response,
+    server::{self, Config},
+};
+use buckthornmast_membership::{config as membership, message::Progress};
+use buckthornmast_peer::config as peer;
+use buckthornmast_state::machine::State;
+use buckthornmast_storage::files::Folder;
+use buckthornmast_target::mapping::Http;
+use buckthornmast_types::{
+    id,
+    time::{System, unix_millis},
+};
+use buckthornmast_wire::key::Key;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use snafu::Snafu;
+
+use crate::{
+    claims::{self, Claims},
+    control::{Control, Surroundings},
+    current::Current,
+    demand::Demand,
+    follow,
+    leader::{self, Leader},
+    observe::Samples,
+    operators::Operators,
+    peers::{Handler, Peers, Replica, Transport},
+    plan::Planner,
+    propose::Proposer,
+    receive::Receiver,
+    router::Router,
+    summary::{Own, Summary},
+    targets::{self, Targets},
+};
+
+/// Time that the balancer gets to notice that an instance is not ready any more.
+const UNREADY_PAUSE: Duration = Duration::from_millis(1500);
+
+/// Reason why an instance does not start.
+#[derive(Debug, Snafu)]
+#[snafu(display("{step}: {source}"))]
+pub struct StartError {
+    step: &'static str,
+    source: Box<dyn std::error::Error + Send + Sync>,
+}
+
+fn at<E>(step: &'static str) -> impl FnOnce(E) -> StartError
+where
+    E: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    move |error| StartError {
+        step,
+        source: error.into(),
+    }
+}
+
+struct Kinds;
+
+impl Parts for Kinds {
+    type Targets = Http;
+    type Router = Router;
+    type Claims = Claims;
+    type Observer = Samples;
+    type Clock = System;
+}
+
+/// Running instance.
+pub struct Node {
+    ready: Arc<AtomicBool>,
+    callers: server::Handle,
+    operators: server::Handle,
+    targets: server::Handle,
+    reports: Targets,
+    recorders: claims::Recorders,
+    control: Control,
+    relay: targets::Relay,
+    follower: follow::Follower,
+    watch: Option<leader::Watch>,
+    membership: Arc<buckthornmast_membership::Handle>,
+    replica: Option<Arc<Replica>>,
+    peers: buckthornmast_peer::Handle<Handler>,
+}
+
+fn listen(address: SocketAddr, step: &'static str) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).map_err(at(step))
+}
+
+fn start_peers(
+    settings: &Settings,
+    key: &Key,
+    handler: Arc<Handler>,
+) -> Result<buckthornmast_peer::Handle<Handler>, StartError> {
+    let others = settings
+        .peers
+        .iter()
+        .filter(|peer| peer.instance != settings.instance);
+    let peers = others.map(|peer| peer::Peer {
+        instance: peer.instance.clone(),
+        address: peer.address,
+        kind: if peer.voter { "voter" } else { "other" },
+    });
+    let config = peer::Config {
+        me: settings.instance.clone(),
+        key: key.clone(),
+        listener: listen(settings.listen.peers, "peers")?,
+        peers: peers.collect(),
+        limits: peer::Limits::default(),
+    };
+    buckthornmast_peer::start(config, handler).map_err(at("peers"))
+}
+
+fn start_membership(
+    settings: &Settings,
+    key: &Key,
+    clock: System,
+    progress: impl FnMut() -> Progress + Send + 'static,
+) -> Result<buckthornmast_membership::Handle, StartError> {
+    let members = settings.peers.iter().map(|peer| membership::Member {
+        instance: peer.instance.clone(),
+        domain: peer.domain.clone(),
+        address: peer.heartbeat,
+    });
+    let config = membership::Config {
+        me: settings.instance.clone(),
+        members: members.collect(),
+        key: key.clone(),
+        socket: UdpSocket::bind(settings.listen.heartbeat).map_err(at("heartbeat"))?,
+        incarnation: id::Incarnation(unix_millis()),
+        timing: membership::Timing::default(),
+    };
+    buckthornmast_membership::start(config, progress, clock).map_err(at("membership"))
+}
+
+fn start_replica(
+    settings: &Settings,
+    peers: &Peers,
+    clock: System,
+) -> Result<Option<Arc<Replica>>, StartError> {
+    let Some(data) = settings.data.clone() else {
+        return Ok(None);
+    };
+    if !settings.own().is_some_and(|own| own.voter) {
+        return Ok(None);
+    }
+    let voters = settings.peers.iter().filter(|peer| peer.voter);
+    let voters = voters.map(|peer| peer.instance.clone()).collect();
+    let config = driver::Config::new(settings.instance.clone(), voters);
+    let folder = move || Folder::open(data.clone());
+    let transport = Transport::new(peers.clone());
+    let replica = driver::start(config, folder, State::default(), transport, clock);
+    Ok(Some(Arc::new(replica.map_err(at("replica"))?)))
+}
+
+/// Parts that most others need.
+struct Core {
+    settings: Settings,
+    clock: System,
+    ready: Arc<AtomicBool>,
+    current: Current,
+    targets: Targets,
+    demand: Demand,
+    peers: Peers,
+    replica: Option<Arc<Replica>>,
+    proposer: Proposer,
+    control: Control,
+    views: follow::Views,
+}
+
+impl Core {
+    fn others(&self) -> Vec<id::Instance> {
+        let peers = self.settings.peers.iter().map(|peer| peer.instance.clone());
+        peers
+            .filter(|instance| *instance != self.settings.instance)
+            .collect()
+    }
+
+    fn own_summary(&self) -> Own {
+        let (current, ready) = (self.current.clone(), Arc::clone(&self.ready));
+        let (control, replica) = (self.control.clone(), self.replica.clone());
+        Arc::new(move || Summary {
+            revision: current.get().revision,
+            ready: ready.load(Ordering::Relaxed),
+            replica: replica.as_ref().map(|replica| replica.status().into()),
+            controller: control.token(),
+            moves: control.counters(),
+        })
+    }
+
+    fn start_control(
+        &self,
+        leader: Option<Arc<Leader>>,
+        notebook: Arc<Mutex<Notebook>>,
+    ) -> Result<(), StartError> {
+        let settings = &self.settings;
+        let candidates = settings
+            .candidates(&settings.domain)
+            .map(|peer| peer.instance.clone());
+        let others = candidates
+            .filter(|instance| *instance != settings.instance)
+            .collect();
+        let planner = Planner {
+            domain: settings.domain.clone(),
+            current: self.current.clone(),
+            targets: self.targets.clone(),
+            demand: self.demand.clone(),
+            clock: self.clock,
+            teams: BTreeMap::new(),
+        };
+        let around = Surroundings {
+            me: settings.instance.clone(),
+            domain: settings.domain.clone(),
+            others,
+            proposer: self.proposer.clone(),
+            leader,
+            peers: self.peers.clone(),
+            notebook,
+            targets: self.targets.clone(),
+            current: self.current.clone(),
+            planner,
+            token: settings.keys.targets.clone(),
+            clock: self.clock,
+        };
+        self.control.start(around).map_err(at("controller"))
+    }
+
+    fn start_callers(&self) -> Result<(server::Handle, claims::Recorders), StartError> {
+        let settings = &self.settings;
+        let (claims, recorders) = claims::start(settings.instance.clone(), self.proposer.clone())
+            .map_err(at("claims"))?;
+        let limits = &settings.limits;
+        let router = Router::new(
+            settings.domain.clone(),
+            settings.keys.targets.clone(),
+            self.targets.clone(),
+            self.current.clone(),
+            self.demand.clone(),
+            self.clock,
+        );
+        let body = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+        let gateway: Gateway<Kinds, Current> = Gateway {
+            targets: Http,
+            router: Arc::new(router),
+            claims,
+            observer: Samples,
+            clock: self.clock,
+            names: self.current.clone(),
+            limits: Limits {
+                body,
+                deadline: limits.deadline,
+                bounds: Bounds {
+                    max: limits.max_deadline,
+                    gap: limits.token_gap,
+                },
+            },
+            ready: Arc::clone(&self.ready),
+        };
+        let config = Config {
+            name: "callers".to_owned(),
+            workers: limits.exchanges,
+            body_limit: body,
+            ..Config::default()
+        };
+        let metrics = install_metrics();
+        let handler = move |exchange: Exchange| match exchange.path() {
+            "/metrics" => serve_metrics(exchange, metrics.as_ref()),
+            _ => gateway.serve(exchange),
+        };
+        let listener = listen(settings.listen.callers, "callers")?;
+        let handle = server::start(listener, config, handler).map_err(at("callers"))?;
+        Ok((handle, recorders))
+    }
+
+    fn start_operators(&self) -> Result<server::Handle, StartError> {
+        let settings = &self.settings;
+        let operators = Operators {
+            me: settings.instance.clone(),
+            others: self.others(),
+            platform: settings.keys.platform.clone(),
+            current: self.current.clone(),
+            proposer: self.proposer.clone(),
+            peers: self.peers.clone(),
+            targets: self.targets.clone(),
+            views: Arc::clone(&self.views),
+            own: self.own_summary(),
+            clock: self.clock,
+        };
+        let config = Config {
+            name: "operators".to_owned(),
+            workers: 64,
+            ..Config::default()
+        };
+        let listener = listen(settings.listen.operators, "operators")?;
+        let handler = move |exchange| operators.serve(exchange);
+        server::start(listener, config, handler).map_err(at("operators"))
+    }
+
+    fn start_targets(&self) -> Result<server::Handle, StartError> {
+        let targets = self.targets.clone();
+        let config = Config {
+            name: "targets".to_owned(),
+            workers: 256,
+            ..Config::default()
+        };
+        let listener = listen(self.settings.listen.targets, "targets")?;
+        let handler = move |exchange| targets.serve(exchange);
+        server::start(listener, config, handler).map_err(at("targets"))
+    }
+}
+
+/// Installs the recorder of metrics; a second instance in one process has none.
+fn install_metrics() -> Option<PrometheusHandle> {
+    PrometheusBuilder::new().install_recorder().ok()
+}
+
+fn serve_metrics(exchange: Exchange, metrics: Option<&PrometheusHandle>) {
+    let text = metrics.map(PrometheusHandle::render).unwrap_or_default();
+    let response = Response::new(200).header("Content-Type", "text/plain; version=0.0.4");
+    if let Err(error) = exchange.respond(response.body(text)) {
+        log::debug!(step = "metrics"; "{error}");
+    }
+}
+
+/// Starts an instance.
+pub fn start(settings: Settings) -> Result<Node, StartError> {
+    let clock = System::start();
+    let key: Key = settings.keys.cluster.parse().map_err(at("cluster key"))?;
+    let (current, ready) = (Current::default(), Arc::new(AtomicBool::new(false)));
+    let handler = Arc::new(Handler::default());
+    let peer_handle = start_peers(&settings, &key, Arc::clone(&handler))?;
+    let peers = peer_handle.client();
+    let replica = start_replica(&settings, &peers, clock)?;
+    let membership = start_membership(&settings, &key, clock, {
+        let (current, replica, ready) = (current.clone(), replica.clone(), Arc::clone(&ready));
+        move || Progress {
+            revision: current.get().revision,
+            log: replica
+                .as_ref()
+                .map(|replica| replica.status().applied)
+                .unwrap_or_default(),
+            ready: ready.load(Ordering::Relaxed),
+        }
+    })?;
+    let membership = Arc::new(membership);
+    let views: follow::Views = {
+        let membership = Arc::clone(&membership);
+        Arc::new(move || membership.view())
+    };
+    let voters = settings.peers.iter().filter(|peer| peer.voter);
+    let voters = voters.map(|peer| peer.instance.clone()).collect();
+    let me = settings.instance.clone();
+    let proposer = Proposer::new(me, voters, replica.clone(), peers.clone(), clock);
+    let core = Core {
+        clock,
+        ready,
+        current,
+        targets: Targets::new(clock),
+        demand: Demand::new(clock),
+        peers,
+        replica,
+        proposer,
+        control: Control::default(),
+        views,
+        settings,
+    };
+    assemble(core, &handler, peer_handle, membership)
+}
+
+fn assemble(
+    core: Core,
+    handler: &Handler,
+    peers: buckthornmast_peer::Handle<Handler>,
+    membership: Arc<buckthornmast_membership::Handle>,
+) -> Result<Node, StartError> {
+    let me = core.settings.instance.clone();
+    let leader = core
+        .replica
+        .as_ref()
+        .map(|replica| Arc::new(Leader::new(me, Arc::clone(replica), core.clock)));
+    let watch = leader
+        .clone()
+        .map(leader::watch)
+        .transpose()
+        .map_err(at("leader"))?;
+    let notebook = Arc::new(Mutex::new(Notebook::new(Life(rand::random()))));
+    handler.set(Arc::new(Receiver {
+        current: core.current.clone(),
+        replica: core.replica.clone(),
+        leader: leader.clone(),
+        targets: core.targets.clone(),
+        demand: core.demand.clone(),
+        notebook: Arc::clone(&notebook),
+        control: core.control.clone(),
+        own: core.own_summary(),
+    }));
+    let follower = follow::start(follow::Parts {
+        domain: core.settings.domain.clone(),
+        current: core.current.clone(),
+        replica: core.replica.clone(),
+        peers: core.peers.clone(),
+        views: Arc::clone(&core.views),
+    })
+    .map_err(at("follow"))?;
+    let relay = targets::relay(
+        core.targets.clone(),
+        core.demand.clone(),
+        core.peers.clone(),
+        core.others(),
+    )
+    .map_err(at("relay"))?;
+    core.start_control(leader, notebook)?;
+    let target_port = core.start_targets()?;
+    let operators = core.start_operators()?;
+    let (callers, recorders) = core.start_callers()?;
+    core.ready.store(true, Ordering::Relaxed);
+    log::info!(step = "start", callers:% = callers.address(); "instance started");
+    Ok(Node {
+        ready: core.ready,
+        callers,
+        operators,
+        targets: target_port,
+        reports: core.targets,
+        recorders,
+        control: core.control,
+        relay,
+        follower,
+        watch,
+        membership,
+        replica: core.replica,
+        peers,
+    })
+}
+
+impl Node {
+    /// Stops gracefully: the balancer first, then callers, the lease, and everything else.
+    pub fn stop(mut self) {
+        self.ready.store(false, Ordering::Relaxed);
+        thread::sleep(UNREADY_PAUSE);
+        self.callers.stop();
+        self.recorders.stop();
+        self.reports.end_listeners();
+        self.control.stop();
+        self.operators.stop();
+        self.targets.stop();
+        self.relay.stop();
+        self.follower.stop();
+        if let Some(watch) = &mut self.watch {
+            watch.stop();
+        }
+        if let Some(membership) = Arc::into_inner(self.membership) {
+            membership.stop();
+        }
+        if let Some(replica) = &self.replica {
+            replica.stop();
+        }
+        self.peers.stop();
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/operators.rs
@@ -0,0 +1,351 @@
+//! Port of the operators.
+
+use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
+
+use buckthornmast_config::{declaration, fault::Fault, folder::Values};
+use buckthornmast_http::{exchange::Exchange, problem::Problem, response::Response};
+use buckthornmast_membership::view::State;
+use buckthornmast_placement::named::Named;
+use buckthornmast_state::{
+    machine::{Answer, Command},
+    settings::{self, Change, Scope, Write},
+};
+use buckthornmast_types::{
+    id,
+    outcome::Run,
+    time::{Clock, System},
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{
+    access::{self, Bearer},
+    current::{Current, Snapshot, scope_of, values_of},
+    follow::Views,
+    message::{Request, Response as Answered},
+    peers::Peers,
+    propose::{ProposeError, Proposer},
+    summary::{self, Own},
+    targets::Targets,
+};
+
+/// Largest body of a write in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Time for a write to be committed.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time to wait for the revision that a write builds on.
+const CATCH_UP: Duration = Duration::from_secs(2);
+
+/// Time for a voter to return a history.
+const HISTORY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Parts behind the port.
+pub struct Operators {
+    /// This instance.
+    pub me: id::Instance,
+    /// All other instances.
+    pub others: Vec<id::Instance>,
+    /// Digest of the platform operators' token.
+    pub platform: String,
+    /// Settings in force.
+    pub current: Current,
+    /// Way to the log.
+    pub proposer: Proposer,
+    /// Client to the other instances.
+    pub peers: Peers,
+    /// Reports of targets.
+    pub targets: Targets,
+    /// Membership.
+    pub views: Views,
+    /// Own summary.
+    pub own: Own,
+    /// Clock.
+    pub clock: System,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    id: id::Write,
+    base: id::Revision,
+    changes: Vec<Change>,
+}
+
+type Result<T> = std::result::Result<T, Problem>;
+
+fn respond(exchange: Exchange, result: Result<Response>) {
+    let response = result.unwrap_or_else(Response::from);
+    if let Err(error) = exchange.respond(response) {
+        log::debug!(step = "respond"; "{error}");
+    }
+}
+
+fn ok(value: &Value) -> Result<Response> {
+    Ok(Response::json(200, value.to_string()))
+}
+
+fn forbidden(scope: &Scope) -> Problem {
+    Problem::new(403, "outside of the token's subtree", "access").detail(scope.to_string())
+}
+
+impl Operators {
+    /// Serves one exchange.
+    pub fn serve(&self, mut exchange: Exchange) {
+        let result = self.answer(&mut exchange);
+        respond(exchange, result);
+    }
+
+    fn answer(&self, exchange: &mut Exchange) -> Result<Response> {
+        let snapshot = self.current.get();
+        let header = exchange.header("authorization");
+        let bearer = access::identify(header, &self.platform, &snapshot.declarations);
+        let bearer = bearer.ok_or_else(|| Problem::new(401, "no valid bearer token", "access"))?;
+        let path = exchange.path().to_owned();
+        let (head, rest) = match path.strip_prefix("/v1/").map(|path| path.split_once('/')) {
+            Some(Some((head, rest))) => (head.to_owned(), rest),
+            Some(None) => (path.trim_start_matches("/v1/").to_owned(), ""),
+            None => (String::new(), ""),
+        };
+        match (exchange.method(), head.as_str()) {
+            ("PUT", "settings") => self.write(exchange, &bearer, rest),
+            ("GET", "settings") => read(&snapshot, &bearer, rest),
+            ("GET", "history") => self.history(&bearer, rest),
+            ("GET", "status") => self.status(&snapshot),
+            _ => Err(Problem::new(404, "no such path", "route")),
+        }
+    }
+
+    fn write(&self, exchange: &mut Exchange, bearer: &Bearer, scope: &str) -> Result<Response> {
+        let scope = parse_scope(scope)?;
+        if !bearer.may_use(&scope) {
+            return Err(forbidden(&scope));
+        }
+        let text = exchange.text(MAX_BODY_BYTES)?;
+        let body: Body = serde_json::from_str(&text)
+            .map_err(|error| Problem::new(400, "bad write", "parse").detail(error.to_string()))?;
+        let faults = self.check(&scope, &body);
+        if !faults.is_empty() {
+            let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            let body = json!({ "outcome": "refused", "faults": faults });
+            return Ok(Response::json(422, body.to_string()));
+        }
+        let Body { id, base, changes } = body;
+        let command = Command::Write(Write {
+            scope,
+            id,
+            base,
+            changes,
+        });
+        match self.proposer.propose(&command, WRITE_TIMEOUT) {
+            Ok(Answer::Write(answer)) => Ok(written(answer)),
+            Ok(_) => Err(Problem::new(500, "internal error", "log").run(Run::Unknown)),
+            Err(error) => {
+                let run = match error {
+                    ProposeError::NotProposed => Run::No,
+                    ProposeError::Unknown => Run::Unknown,
+                };
+                let problem = Problem::new(503, "the write has no answer", "log");
+                let problem = problem.detail(error.to_string()).run(run);
+                Err(problem.retry_after(Duration::from_secs(1)))
+            }
+        }
+    }
+
+    /// Returns the faults of the scope as it would be after a write.
+    ///
+    /// A write on another base than the current one is not checked, since the log refuses it.
+    fn check(&self, scope: &Scope, body: &Body) -> Vec<Fault> {
+        let snapshot = self.wait_for(scope, body.base);
+        if snapshot.tree.scope_revision(scope) != body.base {
+            return Vec::new();
+        }
+        let subtree = snapshot.tree.scopes().get(scope);
+        let mut values = subtree
+            .map(|subtree| subtree.values.clone())
+            .unwrap_or_default();
+        for change in &body.changes {
+            match &change.value {
+                Some(value) => values.insert(change.path.clone(), value.clone()),
+                None => values.remove(&change.path),
+            };
+        }
+        let mut faults = check_policy(&values);
+        let others: BTreeMap<_, _> = values_of(&snapshot.tree);
+        faults.extend(declaration::check_scope(&scope_of(scope), &values, &others));
+        faults
+    }
+
+    /// Returns the settings in force once they have reached a revision of a scope, or after a while.
+    fn wait_for(&self, scope: &Scope, base: id::Revision) -> Arc<Snapshot> {
+        let deadline = self.clock.now() + CATCH_UP;
+        loop {
+            let snapshot = self.current.get();
+            if snapshot.tree.scope_revision(scope) >= base || self.clock.now() >= deadline {
+                return snapshot;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn history(&self, bearer: &Bearer, scope: &str) -> Result<Response> {
+        let scope = parse_scope(scope)?;
+        if !bearer.may_use(&scope) {
+            return Err(forbidden(&scope));
+        }
+        for voter in self.proposer.voters() {
+            let request = Request::History {
+                scope: scope.clone(),
+            };
+            let answer = if voter == self.me {
+                self.proposer.history(&scope)
+            } else {
+                match self.peers.call(&voter, request, HISTORY_TIMEOUT) {
+                    Ok(Answered::History(history)) => history,
+                    _ => None,
+                }
+            };
+            if let Some(history) = answer {
+                return ok(&json!({ "scope": scope.to_string(), "history": history }));
+            }
+        }
+        Err(Problem::new(503, "no voter answered", "history").retry_after(Duration::from_secs(1)))
+    }
+
+    fn status(&self, snapshot: &Snapshot) -> Result<Response> {
+        let own = (self.me.clone(), (self.own)());
+        let gathered = summary::gather(&self.peers, &self.others, own);
+        let view = (self.views)();
+        let highest = view.peers.iter().map(|peer| peer.progress.revision).max();
+        let highest = highest.unwrap_or_default().max(snapshot.revision);
+        let instances = view.peers.iter().map(|peer| {
+            let found = gathered
+                .summaries
+                .iter()
+                .find(|(name, _)| *name == peer.instance);
+            let state = if peer.instance == self.me {
+                State::Alive
+            } else {
+                peer.state
+            };
+            let revision = found.map_or(peer.progress.revision, |(_, summary)| summary.revision);
+            json!({
+                "instance": peer.instance,
+                "domain": peer.domain,
+                "state": format!("{state:?}").to_lowercase(),
+                "revision": revision,
+                "reached": revision >= highest && state == State::Alive,
+                "ready": found.is_some_and(|(_, summary)| summary.ready),
+                "replica": found.and_then(|(_, summary)| summary.replica.clone()),
+                "controller": found.and_then(|(_, summary)| summary.controller),
+            })
+        });
+        ok(&json!({
+            "instance": self.me,
+            "revision": highest,
+            "leader": self.proposer.leader(),
+            "instances": instances.collect::<Vec<_>>(),
+            "targets": self.target_rows(snapshot),
+        }))
+    }
+
+    fn target_rows(&self, snapshot: &Snapshot) -> Vec<Value> {
+        let now = self.clock.now();
+        let drained = &snapshot.declarations.platform.drained;
+        let rows = self.targets.all().into_iter().map(|seen| {
+            let report = &seen.report;
+            json!({
+                "target": report.target,
+                "domain": report.domain,
+                "service": report.service,
+                "kind": report.kind,
+                "age_ms": crate::message::millis(now.since(seen.sent)),
+                "leaving": report.leaving,
+                "drained": drained.contains(&report.target),
+                "running": report.load.running,
+                "copies": report.copies,
+            })
+        });
+        rows.collect()
+    }
+}
+
+fn parse_scope(text: &str) -> Result<Scope> {
+    text.parse().map_err(|error: id::LabelError| {
+        Problem::new(400, "bad scope", "parse").detail(error.to_string())
+    })
+}
+
+/// Returns the fault of a policy whose name or parameters are not known.
+fn check_policy(values: &Values) -> Vec<Fault> {
+    let policy = crate::policy::text_of(values);
+    let shadow = values.get("policy/shadow").cloned();
+    let check = |key: &str, text: Option<String>| {
+        let error = text?.parse::<Named>().err()?;
+        Some(Fault {
+            file: String::new(),
+            section: "policy".to_owned(),
+            key: key.to_owned(),
+            line: None,
+            message: error.to_string(),
+        })
+    };
+    check("name", policy)
+        .into_iter()
+        .chain(check("shadow", shadow))
+        .collect()
+}
+
+fn written(answer: settings::Answer) -> Response {
+    match answer {
+        settings::Answer::Accepted { revision, all } => {
+            let body = json!({ "outcome": "accepted", "revision": revision, "all": all });
+            Response::json(200, body.to_string())
+        }
+        settings::Answer::Conflict { revision } => {
+            let body = json!({ "outcome": "conflict", "revision": revision });
+            Response::json(409, body.to_string())
+        }
+        settings::Answer::Refused(refusal) => {
+            let body = json!({ "outcome": "refused", "faults": [format!("{refusal:?}")] });
+            Response::json(422, body.to_string())
+        }
+    }
+}
+
+/// Returns the values below a path, or all that the bearer may read.
+fn read(snapshot: &Snapshot, bearer: &Bearer, path: &str) -> Result<Response> {
+    let (scope, below) = split_scope(path);
+    let wanted = scope.map(parse_scope).transpose()?;
+    if let Some(scope) = wanted.as_ref().filter(|scope| !bearer.may_use(scope)) {
+        return Err(forbidden(scope));
+    }
+    let mut scopes = serde_json::Map::new();
+    for (scope, subtree) in snapshot.tree.scopes() {
+        if !bearer.may_use(scope) || wanted.as_ref().is_some_and(|wanted| wanted != scope) {
+            continue;
+        }
+        let values: BTreeMap<_, _> = subtree
+            .values
+            .iter()
+            .filter(|(path, _)| path.starts_with(below))
+            .collect();
+        let entry = json!({ "revision": subtree.revision, "values": values });
+        scopes.insert(scope.to_string(), entry);
+    }
+    ok(&json!({ "revision": snapshot.revision, "scopes": scopes }))
+}
+
+/// Splits `team/NAME/path` or `platform/path`.
+fn split_scope(path: &str) -> (Option<&str>, &str) {
+    let end = if path.starts_with("team/") {
+        path.match_indices('/').nth(1).map(|(at, _)| at)
+    } else {
+        path.find('/')
+    };
+    match end {
+        _ if path.is_empty() => (None, ""),
+        Some(end) => (Some(&path[..end]), &path[end + 1..]),
+        None => (Some(path), ""),
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/summary.rs
@@ -0,0 +1,101 @@
+//! What an instance tells others about itself for status and reports.
+
+use std::{sync::Arc, thread, time::Duration};
+
+use buckthornmast_consensus::status::{Role, Status};
+use buckthornmast_controller::counter::Counters;
+use buckthornmast_types::id;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    message::{Request, Response},
+    peers::Peers,
+};
+
+/// Time for an instance to answer; one that takes longer is listed as missing.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// State of an instance.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Summary {
+    /// Revision of the settings in force.
+    pub revision: id::Revision,
+    /// Whether callers may be sent here.
+    pub ready: bool,
+    /// State of the replica, if the instance has one.
+    pub replica: Option<Replicated>,
+    /// Token of the controller lease, if the instance holds one.
+    pub controller: Option<id::Token>,
+    /// Moves per team since the controller started.
+    pub moves: Counters,
+}
+
+/// State of a replica.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Replicated {
+    /// Role.
+    pub role: Role,
+    /// Term.
+    pub term: id::Term,
+    /// Highest committed index.
+    pub commit: id::Index,
+    /// Highest applied index.
+    pub applied: id::Index,
+    /// Leader, if known.
+    pub leader: Option<id::Instance>,
+    /// Why the replica neither votes nor acknowledges.
+    pub fault: Option<String>,
+}
+
+impl From<Status> for Replicated {
+    fn from(status: Status) -> Self {
+        Self {
+            role: status.role,
+            term: status.term,
+            commit: status.commit,
+            applied: status.applied,
+            leader: status.leader,
+            fault: status.fault,
+        }
+    }
+}
+
+/// Summaries of all instances that answered.
+#[derive(Debug, Default)]
+pub struct Gathered {
+    /// Answers.
+    pub summaries: Vec<(id::Instance, Summary)>,
+    /// Instances that did not answer.
+    pub missing: Vec<id::Instance>,
+}
+
+/// Asks all instances at once.
+pub fn gather(peers: &Peers, others: &[id::Instance], own: (id::Instance, Summary)) -> Gathered {
+    let asked: Vec<_> = others
+        .iter()
+        .map(|other| {
+            let (peers, to) = (peers.clone(), other.clone());
+            let ask = move || peers.call(&to, Request::Summary, TIMEOUT);
+            (
+                other.clone(),
+                thread::Builder::new().name("gather".to_owned()).spawn(ask),
+            )
+        })
+        .collect();
+    let mut gathered = Gathered {
+        summaries: vec![own],
+        missing: Vec::new(),
+    };
+    for (instance, thread) in asked {
+        let answer = thread.ok().and_then(|thread| thread.join().ok());
+        match answer {
+            Some(Ok(Response::Summary(summary))) => gathered.summaries.push((instance, *summary)),
+            _ => gathered.missing.push(instance),
+        }
+    }
+    gathered.summaries.sort_by(|a, b| a.0.cmp(&b.0));
+    gathered
+}
+
+/// Source of the own summary.
+pub type Own = Arc<dyn Fn() -> Summary + Send + Sync>;
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/targets.rs
@@ -0,0 +1,239 @@
+//! Reports of targets: intake, relay to the other instances, and the newest report of each target.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use buckthornmast_http::{exchange::Exchange, problem::Problem, response::Response};
+use buckthornmast_types::{
+    id,
+    report::Report,
+    time::{Clock, Point, System},
+};
+use flume::{Receiver, RecvTimeoutError, Sender};
+
+use crate::{
+    demand::Demand,
+    message::{Notice, Relayed, millis},
+    peers::Peers,
+};
+
+/// Largest report in bytes; one with 1,000 artifacts has about 100 KB.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// Targets that are remembered; more means that names are forged or never retired.
+const MAX_TARGETS: usize = 20_000;
+
+/// Time without a report after which a target is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// Time between two batches of relayed reports, so that a change is known everywhere well within the
+/// 3 s after which a leaving target gets no new work.
+const RELAY_PERIOD: Duration = Duration::from_millis(200);
+
+/// Rounds of the relay between two notices of demand, which make one second.
+const DEMAND_ROUNDS: u32 = 5;
+
+/// Reports in one notice.
+const RELAY_BATCH: usize = 64;
+
+/// Newest report of a target.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// Report.
+    pub report: Arc<Report>,
+    /// When the target sent it, on this instance's clock.
+    pub sent: Point,
+}
+
+/// Called with each newer report.
+pub type Listener = Sender<Seen>;
+
+#[derive(Default)]
+struct Table {
+    seen: BTreeMap<id::Target, Seen>,
+    relay: BTreeMap<id::Target, Seen>,
+    listeners: Vec<Listener>,
+}
+
+/// Newest reports of all targets.
+#[derive(Clone)]
+pub struct Targets {
+    table: Arc<Mutex<Table>>,
+    clock: System,
+}
+
+impl Targets {
+    /// Starts without targets.
+    pub fn new(clock: System) -> Self {
+        Self {
+            table: Arc::default(),
+            clock,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a listener, which gets every newer report unless its queue is full.
+    pub fn listen(&self, listener: Listener) {
+        self.lock().listeners.push(listener);
+    }
+
+    /// Takes a report that its target sent `age` ago, and returns whether it is newer.
+    pub fn accept(&self, report: Report, age: Duration, relay: bool) -> bool {
+        let now = self.clock.now();
+        let target = report.target.clone();
+        let mut table = self.lock();
+        if let Some(seen) = table.seen.get(&target)
+            && !report.supersedes(&seen.report)
+        {
+            return false;
+        }
+        if table.seen.len() >= MAX_TARGETS && !table.seen.contains_key(&target) {
+            log::warn!(step = "report", peer = target.as_str(); "too many targets, report dropped");
+            return false;
+        }
+        let seen = Seen {
+            report: Arc::new(report),
+            sent: now - age,
+        };
+        table.listeners.retain(|listener| {
+            !matches!(
+                listener.try_send(seen.clone()),
+                Err(flume::TrySendError::Disconnected(_))
+            )
+        });
+        if relay {
+            table.relay.insert(target.clone(), seen.clone());
+        }
+        table.seen.insert(target, seen);
+        true
+    }
+
+    /// Returns the newest report of a target.
+    pub fn get(&self, target: &id::Target) -> Option<Seen> {
+        self.lock().seen.get(target).cloned()
+    }
+
+    /// Ends all listeners.
+    pub fn end_listeners(&self) {
+        self.lock().listeners.clear();
+    }
+
+    /// Returns the newest report of each target.
+    pub fn all(&self) -> Vec<Seen> {
+        self.lock().seen.values().cloned().collect()
+    }
+
+    fn take_relay(&self) -> Vec<Seen> {
+        std::mem::take(&mut self.lock().relay)
+            .into_values()
+            .collect()
+    }
+
+    fn forget_old(&self) {
+        let now = self.clock.now();
+        self.lock()
+            .seen
+            .retain(|_, seen| now.since(seen.sent) < FORGET_AFTER);
+    }
+
+    /// Serves the port of the targets.
+    pub fn serve(&self, mut exchange: Exchange) {
+        if (exchange.method(), exchange.path()) != ("POST", "/v1/report") {
+            return respond(exchange, Problem::new(404, "no such path", "route").into());
+        }
+        let report = exchange
+            .text(MAX_REPORT_BYTES)
+            .map_err(Problem::from)
+            .and_then(|text| {
+                serde_json::from_str::<Report>(&text).map_err(|error| {
+                    Problem::new(400, "bad report", "parse").detail(error.to_string())
+                })
+            });
+        match report {
+            Ok(report) => {
+                self.accept(report, Duration::ZERO, true);
+                respond(exchange, Response::json(200, "{}"));
+            }
+            Err(problem) => respond(exchange, problem.into()),
+        }
+    }
+}
+
+fn respond(exchange: Exchange, response: Response) {
+    if let Err(error) = exchange.respond(response) {
+        log::debug!(step = "report"; "{error}");
+    }
+}
+
+/// Thread that relays reports.
+pub struct Relay {
+    stop: Option<Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Relay {
+    /// Joins the thread.
+    pub fn stop(&mut self) {
+        self.stop = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts to relay the reports that targets sent to this instance.
+pub fn relay(
+    targets: Targets,
+    demand: Demand,
+    peers: Peers,
+    others: Vec<id::Instance>,
+) -> std::io::Result<Relay> {
+    let (stop, stopped) = flume::bounded(1);
+    let run = move || relay_until(&stopped, &targets, &demand, &peers, &others);
+    let thread = thread::Builder::new().name("relay".to_owned()).spawn(run)?;
+    Ok(Relay {
+        stop: Some(stop),
+        thread: Some(thread),
+    })
+}
+
+fn relay_until(
+    stopped: &Receiver<()>,
+    targets: &Targets,
+    demand: &Demand,
+    peers: &Peers,
+    others: &[id::Instance],
+) {
+    let mut round = 0_u32;
+    while stopped.recv_timeout(RELAY_PERIOD) == Err(RecvTimeoutError::Timeout) {
+        let now = targets.clock.now();
+        let relayed: Vec<Relayed> = targets
+            .take_relay()
+            .into_iter()
+            .map(|seen| Relayed {
+                report: Report::clone(&seen.report),
+                age_ms: millis(now.since(seen.sent)),
+            })
+            .collect();
+        for batch in relayed.chunks(RELAY_BATCH) {
+            for other in others {
+                peers.notify(other, Notice::Reports(batch.to_vec()));
+            }
+        }
+        if round.is_multiple_of(DEMAND_ROUNDS) {
+            let rows = demand.own();
+            for other in others {
+                peers.notify(other, Notice::Demand(rows.clone()));
+            }
+            targets.forget_old();
+        }
+        round = round.wrapping_add(1);
+    }
+}
--- a/crates/buckthornmast_lease/src/grantor.rs
+++ b/crates/buckthornmast_lease/src/grantor.rs
@@ -129,6 +129,11 @@
         self.leases.insert(domain, lease);
     }
 
+    /// Returns the newest token of a domain.
+    pub fn token(&self, domain: &id::Domain) -> Option<id::Token> {
+        self.leases.get(domain).map(|lease| lease.token)
+    }
+
     /// Notes that a proposed grant was not appended or was refused by the state machine.
     ///
     /// A proposal whose fate is unknown stays pending, because it may still take effect.
--- a/crates/buckthornmast_ledger/src/entry.rs
+++ b/crates/buckthornmast_ledger/src/entry.rs
@@ -1,7 +1,6 @@
 //! Open orders and how they end.
 
-use std::fmt;
-
+pub use buckthornmast_types::report::Mark;
 use buckthornmast_types::{
     order::Action,
     prelude::*,
@@ -36,23 +35,6 @@
     }
 }
 
-/// Position of a report in the history of its target.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Mark {
-    /// Start of the target.
-    pub incarnation: id::Incarnation,
-    /// Number of the report within the incarnation.
-    pub sequence: u64,
-}
-
-impl fmt::Display for Mark {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.incarnation, self.sequence)
-    }
-}
-
 /// How an order ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/buckthornmast_state/src/leases.rs
+++ b/crates/buckthornmast_state/src/leases.rs
@@ -5,13 +5,15 @@
 
 use std::collections::BTreeMap;
 
-use buckthornmast_types::{id, order::Order};
+use buckthornmast_types::{id, order::Order, report::Mark};
 use serde::{Deserialize, Serialize};
 
 /// Failure domains.
 pub const MAX_DOMAINS: usize = 256;
 /// Open intents of all failure domains.
 pub const MAX_INTENTS: usize = 8192;
+/// Targets of a failure domain whose newest report is remembered.
+pub const MAX_MARKS: usize = 4096;
 /// Orders of one command.
 pub const MAX_ORDERS: usize = 256;
 
@@ -57,6 +59,8 @@
     pub token: id::Token,
     /// Orders; at most [`MAX_ORDERS`].
     pub orders: Vec<id::Order>,
+    /// Newest report of each target that the controller has acted on.
+    pub marks: Vec<(id::Target, Mark)>,
 }
 
 /// Answer to a grant or a handover.
@@ -66,8 +70,12 @@
     Granted {
         /// New token.
         token: id::Token,
+        /// Whether the domain never had a lease before.
+        is_first: bool,
         /// Open intents of the domain.
         intents: Vec<Order>,
+        /// Newest report of each target that earlier controllers have acted on.
+        marks: Vec<(id::Target, Mark)>,
     },
     /// Another grant came first.
     Conflict {
@@ -107,6 +115,7 @@
 struct Held {
     lease: Lease,
     intents: BTreeMap<id::Order, Order>,
+    marks: BTreeMap<id::Target, Mark>,
 }
 
 /// Leases and intents of all failure domains.
@@ -164,11 +173,18 @@
         let held = self.domains.entry(domain.clone()).or_insert_with(|| Held {
             lease: lease.clone(),
             intents: BTreeMap::new(),
+            marks: BTreeMap::new(),
         });
         held.lease = lease;
         Granted::Granted {
             token,
+            is_first: current.is_none(),
             intents: held.intents.values().cloned().collect(),
+            marks: held
+                .marks
+                .iter()
+                .map(|(target, mark)| (target.clone(), *mark))
+                .collect(),
         }
     }
 
@@ -214,9 +230,15 @@
             Ok(held) => held,
             Err(refusal) => return refusal,
         };
-        if resolve.orders.len() > MAX_ORDERS {
+        let is_known = |(target, _): &(id::Target, Mark)| held.marks.contains_key(target);
+        let added = resolve.marks.iter().filter(|mark| !is_known(mark)).count();
+        if resolve.orders.len() > MAX_ORDERS || held.marks.len() + added > MAX_MARKS {
             return Recorded::Full;
         }
+        for (target, mark) in &resolve.marks {
+            let newest = held.marks.entry(target.clone()).or_default();
+            *newest = (*newest).max(*mark);
+        }
         let before = held.intents.len();
         for order in &resolve.orders {
             held.intents.remove(order);
--- a/crates/buckthornmast_target/src/engine.rs
+++ b/crates/buckthornmast_target/src/engine.rs
@@ -33,8 +33,13 @@
     /// Stream of an answer.
     type Tokens: Tokens;
 
-    /// Gives an order.
-    fn order(&self, at: &Endpoint, order: &order::Order) -> Result<order::Reply, Error>;
+    /// Gives an order; no byte of it leaves after `not_after` from now.
+    fn order(
+        &self,
+        at: &Endpoint,
+        order: &order::Order,
+        not_after: Duration,
+    ) -> Result<order::Reply, Error>;
 
     /// Starts to generate; waits for the first byte of the answer within `bound`.
     fn generate(&self, at: &Endpoint, work: &Work, bound: Duration) -> Result<Self::Tokens, Error>;
--- a/crates/buckthornmast_target/src/mapping.rs
+++ b/crates/buckthornmast_target/src/mapping.rs
@@ -85,23 +85,23 @@
     at: &Endpoint,
     path: &str,
     body: &[u8],
-    bound: Duration,
+    timeouts: &client::Timeouts,
 ) -> Result<client::Response, Error> {
     let token = authorization(at);
     let mut headers = vec![("Content-Type", "application/json")];
     if let Some(token) = &token {
         headers.push(("Authorization", token));
     }
-    send(step, at, &post(path, &headers, body), bound)
+    send(step, at, &post(path, &headers, body), timeouts)
 }
 
 fn send(
     step: &'static str,
     at: &Endpoint,
     request: &client::Request<'_>,
-    bound: Duration,
+    timeouts: &client::Timeouts,
 ) -> Result<client::Response, Error> {
-    client::send(at.address, request, &timeouts(bound)).map_err(|error| {
+    client::send(at.address, request, timeouts).map_err(|error| {
         let reason = error.to_string();
         failure(step, at)(if error.sent {
             Cause::Lost { reason }
@@ -153,10 +153,21 @@
 impl Engine for Http {
     type Tokens = Events;
 
-    fn order(&self, at: &Endpoint, order: &order::Order) -> Result<order::Reply, Error> {
+    fn order(
+        &self,
+        at: &Endpoint,
+        order: &order::Order,
+        not_after: Duration,
+    ) -> Result<order::Reply, Error> {
         let fail = failure("order", at);
         let body = serde_json::to_vec(order).map_err(|error| fail(malformed(&error)))?;
-        let mut response = send_json("order", at, "/v1/orders", &body, ORDER_TIMEOUT)?;
+        // The request is written as soon as the connection stands, so only connecting may take long.
+        let timeouts = client::Timeouts {
+            connect: CONNECT_TIMEOUT.min(not_after),
+            head: ORDER_TIMEOUT,
+            gap: ORDER_TIMEOUT,
+        };
+        let mut response = send_json("order", at, "/v1/orders", &body, &timeouts)?;
         if let Some(cause) = cause_of(&response) {
             return match cause {
                 Cause::Refused { .. } => Ok(order::Reply::Refused),
@@ -176,7 +187,7 @@
                 reason: error.to_string(),
             })
         })?;
-        let response = send_json("generate", at, "/v1/generate", &body, bound)?;
+        let response = send_json("generate", at, "/v1/generate", &body, &timeouts(bound))?;
         match cause_of(&response) {
             Some(cause) => Err(fail(cause)),
             None => Ok(Events {
@@ -188,7 +199,8 @@
 
     fn cancel(&self, at: &Endpoint, request: id::Request, attempt: id::Attempt) {
         let body = json!({ "request": request, "attempt": attempt }).to_string();
-        let _ = send_json("cancel", at, "/v1/cancel", body.as_bytes(), CONNECT_TIMEOUT);
+        let timeouts = timeouts(CONNECT_TIMEOUT);
+        let _ = send_json("cancel", at, "/v1/cancel", body.as_bytes(), &timeouts);
     }
 }
 
@@ -238,7 +250,7 @@
             headers: &headers,
             body: &call.body,
         };
-        let mut response = send("forward", at, &request, bound)?;
+        let mut response = send("forward", at, &request, &timeouts(bound))?;
         // A bare 503 may come from a proxy behind a service that has started to work, so only one that
         // says when to come back counts as a refusal.
         if let Some(
--- a/crates/buckthornmast_types/src/report.rs
+++ b/crates/buckthornmast_types/src/report.rs
@@ -1,6 +1,6 @@
 //! Reports that targets publish about themselves.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +40,23 @@
     pub slots: u32,
 }
 
+/// Position of a report in the history of its target.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Mark {
+    /// Start of the target.
+    pub incarnation: id::Incarnation,
+    /// Number of the report within the incarnation.
+    pub sequence: u64,
+}
+
+impl fmt::Display for Mark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.incarnation, self.sequence)
+    }
+}
+
 /// Report of a target about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
