Run the whole path: three instances, engines, a plain service, settings to answers

Cause: nothing had yet run from declarations to an answered request. Change: buckthornmastctl, example declarations and quickstart.sh; an instance answers an accepted write once it is in force there, since the next write through it was checked against the settings before (seen: a team's write refused because the platform's write had not arrived yet).

--- /dev/null
+++ b/crates/buckthornmast_ctl/src/client.rs
@@ -0,0 +1,129 @@
+//! Calls to the operators' port.
+
+use serde_json::Value;
+
+use crate::outcome::Failure;
+
+/// Time for one call in seconds; a write takes up to 5 s at the instance.
+const TIMEOUT_SECONDS: u64 = 10;
+
+/// Tries of a write whose fate is unknown.
+const TRIES: u32 = 5;
+
+/// Answer of an instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// Body.
+    pub body: Value,
+}
+
+/// Client to the instances.
+#[derive(Debug, Clone)]
+pub struct Client {
+    servers: Vec<String>,
+    token: String,
+}
+
+fn is_final(status: u16) -> bool {
+    status != 503 && status != 408
+}
+
+impl Client {
+    /// Returns a client; `servers` are addresses in the order in which they are tried.
+    pub fn new(servers: Vec<String>, token: String) -> Self {
+        Self { servers, token }
+    }
+
+    fn send(&self, server: &str, method: minreq::Method, path: &str, body: &str) -> Option<Answer> {
+        let request = minreq::Request::new(method, format!("http://{server}{path}"))
+            .with_header("Authorization", format!("Bearer {}", self.token))
+            .with_header("Content-Type", "application/json")
+            .with_timeout(TIMEOUT_SECONDS)
+            .with_body(body);
+        match request.send() {
+            Ok(response) => {
+                let status = response.status_code;
+                let body = serde_json::from_slice(response.as_bytes()).unwrap_or(Value::Null);
+                Some(Answer { status, body })
+            }
+            Err(error) => {
+                eprintln!("{server}: {error}");
+                None
+            }
+        }
+    }
+
+    fn call(&self, method: &minreq::Method, path: &str, body: &str) -> Result<Answer, Failure> {
+        let mut last = None;
+        for turn in 0..TRIES {
+            for server in &self.servers {
+                let Some(answer) = self.send(server, method.clone(), path, body) else {
+                    continue;
+                };
+                if is_final(answer.status) {
+                    return judge(answer);
+                }
+                last = Some(answer);
+            }
+            if turn + 1 < TRIES {
+                std::thread::sleep(std::time::Duration::from_millis(500));
+            }
+        }
+        let message = match last {
+            Some(answer) => problem_text(&answer.body),
+            None => format!("none of {} answered", self.servers.join(", ")),
+        };
+        Err(Failure::Unknown { message })
+    }
+
+    /// Reads.
+    pub fn get(&self, path: &str) -> Result<Value, Failure> {
+        self.call(&minreq::Method::Get, path, "")
+            .map(|answer| answer.body)
+    }
+
+    /// Writes; the body must be safe to send again.
+    pub fn put(&self, path: &str, body: &Value) -> Result<Value, Failure> {
+        self.call(&minreq::Method::Put, path, &body.to_string())
+            .map(|answer| answer.body)
+    }
+}
+
+fn problem_text(body: &Value) -> String {
+    let text = |key: &str| body[key].as_str().unwrap_or_default().to_owned();
+    let detail = text("detail");
+    if detail.is_empty() {
+        text("title")
+    } else {
+        format!("{}: {detail}", text("title"))
+    }
+}
+
+fn judge(answer: Answer) -> Result<Answer, Failure> {
+    match answer.status {
+        200..=299 => Ok(answer),
+        409 => {
+            let revision = &answer.body["revision"];
+            let message = format!("the scope is at revision {revision} now, diff and apply again");
+            Err(Failure::Conflict { message })
+        }
+        422 => {
+            let faults = answer.body["faults"]
+                .as_array()
+                .cloned()
+                .unwrap_or_default();
+            let faults: Vec<&str> = faults.iter().filter_map(Value::as_str).collect();
+            Err(Failure::Refused {
+                message: faults.join("\n"),
+            })
+        }
+        400..=499 => Err(Failure::Refused {
+            message: problem_text(&answer.body),
+        }),
+        status => Err(Failure::Unknown {
+            message: format!("{status} {}", problem_text(&answer.body)),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_ctl/src/outcome.rs
@@ -0,0 +1,55 @@
+//! Results of commands and their exit codes.
+
+use std::process::ExitCode;
+
+use snafu::Snafu;
+
+/// Failure of a command.
+#[derive(Debug, Snafu)]
+pub enum Failure {
+    /// The tool itself failed.
+    #[snafu(display("{message}"))]
+    Local {
+        /// Reason.
+        message: String,
+    },
+    /// The settings were changed meanwhile.
+    #[snafu(display("conflict: {message}"))]
+    Conflict {
+        /// Reason.
+        message: String,
+    },
+    /// The declarations or the token are not valid.
+    #[snafu(display("refused: {message}"))]
+    Refused {
+        /// Reason.
+        message: String,
+    },
+    /// No instance gave an answer.
+    #[snafu(display("unknown: {message}"))]
+    Unknown {
+        /// Reason.
+        message: String,
+    },
+}
+
+impl Failure {
+    /// Returns the exit code.
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::Local { .. } => 1,
+            Self::Conflict { .. } => 3,
+            Self::Refused { .. } => 4,
+            Self::Unknown { .. } => 5,
+        }
+    }
+}
+
+impl From<&Failure> for ExitCode {
+    fn from(failure: &Failure) -> Self {
+        failure.code().into()
+    }
+}
+
+/// Result of a command; the text is printed to standard output.
+pub type Outcome = Result<String, Failure>;
--- a/crates/buckthornmast_daemon/src/operators.rs
+++ b/crates/buckthornmast_daemon/src/operators.rs
@@ -35,7 +35,7 @@
 /// Time for a write to be committed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Time to wait for the revision that a write builds on.
+/// Time to wait for settings that were written to reach this instance.
 const CATCH_UP: Duration = Duration::from_secs(2);
 
 /// Time for a voter to return a history.
@@ -138,7 +138,13 @@
             changes,
         });
         match self.proposer.propose(&command, WRITE_TIMEOUT) {
-            Ok(Answer::Write(answer)) => Ok(written(answer)),
+            Ok(Answer::Write(answer)) => {
+                if let settings::Answer::Accepted { all, .. } = answer {
+                    // The next write through this instance is checked against this one.
+                    self.wait_until(|snapshot| snapshot.revision >= all);
+                }
+                Ok(written(answer))
+            }
             Ok(_) => Err(Problem::new(500, "internal error", "log").run(Run::Unknown)),
             Err(error) => {
                 let run = match error {
@@ -156,7 +162,7 @@
     ///
     /// A write on another base than the current one is not checked, since the log refuses it.
     fn check(&self, scope: &Scope, body: &Body) -> Vec<Fault> {
-        let snapshot = self.wait_for(scope, body.base);
+        let snapshot = self.wait_until(|s| s.tree.scope_revision(scope) >= body.base);
         if snapshot.tree.scope_revision(scope) != body.base {
             return Vec::new();
         }
@@ -176,12 +182,12 @@
         faults
     }
 
-    /// Returns the settings in force once they have reached a revision of a scope, or after a while.
-    fn wait_for(&self, scope: &Scope, base: id::Revision) -> Arc<Snapshot> {
+    /// Returns the settings in force once they meet a condition, or after a while.
+    fn wait_until(&self, is_met: impl Fn(&Snapshot) -> bool) -> Arc<Snapshot> {
         let deadline = self.clock.now() + CATCH_UP;
         loop {
             let snapshot = self.current.get();
-            if snapshot.tree.scope_revision(scope) >= base || self.clock.now() >= deadline {
+            if is_met(&snapshot) || self.clock.now() >= deadline {
                 return snapshot;
             }
             thread::sleep(Duration::from_millis(20));
