Model-check the log

Cause: the invariants of the log need more than examples. Change: a specification of 3 replicas that calls the core's step function, searched with pathfinding; mutations that break each invariant. A probed candidate makes a higher term durable before it shows it.

--- a/crates/buckthornmast_consensus/src/core.rs
+++ b/crates/buckthornmast_consensus/src/core.rs
@@ -8,6 +8,7 @@
 mod found;
 mod install;
 mod leader;
+mod model;
 mod replication;
 
 use std::time::Duration;
--- a/crates/buckthornmast_consensus/src/core/found.rs
+++ b/crates/buckthornmast_consensus/src/core/found.rs
@@ -5,10 +5,11 @@
 //! on the set. A voter with an empty folder grants it like any other vote, once a term, so that two
 //! attempts (the first disk may have been lost in between) can't both found a log.
 
+use buckthornmast_storage::record::Hard;
 use buckthornmast_types::{id, time::Point};
 
 use crate::{
-    core::{Core, Effects, State},
+    core::{Core, Effect, Effects, State},
     message::{Body, Member},
 };
 
@@ -48,8 +49,8 @@
         }
         // The founding term must be above every term that a listed voter has voted in.
         if term > self.hard.term {
-            self.hard.term = term;
-            self.hard.vote = None;
+            self.hard = Hard { term, vote: None };
+            out.push(Effect::Hard(self.hard));
         }
         let State::Probing { fresh } = &mut self.state else {
             return;
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/core/model.rs
@@ -0,0 +1,32 @@
+//! Access for the model checker in `tests/`.
+
+use buckthornmast_types::time::Point;
+
+use crate::{
+    core::{Core, State},
+    voters::Voters,
+};
+
+impl<C> Core<C> {
+    /// Sets every point to zero, so that states that differ only in time are equal. The specification
+    /// chooses for each step whether timeouts have passed.
+    #[doc(hidden)]
+    pub fn forget_times(&mut self) {
+        self.heard = Point::ZERO;
+        self.deadline = Point::ZERO;
+        if let State::Leader(leading) = &mut self.state {
+            leading.beat = Point::ZERO;
+            for progress in &mut leading.progress {
+                progress.since = Point::ZERO;
+                progress.acked = None;
+                progress.heard = Point::ZERO;
+            }
+        }
+    }
+
+    /// Returns the voter sets for a mutation that a check has to catch.
+    #[doc(hidden)]
+    pub fn voters_mut(&mut self) -> &mut Voters {
+        &mut self.voters
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/tests/model.rs
@@ -0,0 +1,333 @@
+//! Model checks: the invariants hold in every reachable state within the bounds, and each of them is broken
+//! by a mutation of the protocol.
+//!
+//! A check starts after a scripted part, which brings the group into the situation that it is about.
+
+#[path = "support/ghost.rs"]
+mod ghost;
+#[path = "support/spec.rs"]
+mod spec;
+
+use std::{
+    hash::{Hash, Hasher},
+    time::Instant,
+};
+
+use pathfinding::prelude::{bfs, bfs_reach};
+
+use crate::{
+    ghost::{FORGOT, PREFIX, TWICE, TWO_LEADERS},
+    spec::{Action, Budget, Mutation, World},
+};
+
+/// States after which a search ends, so that it stays under 20 s in a debug build. The environment variable
+/// `MODEL_STATES` sets another number for longer runs.
+const MAX_STATES: usize = 40_000;
+
+fn max_states() -> usize {
+    let wanted = std::env::var("MODEL_STATES").ok();
+    wanted
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(MAX_STATES)
+}
+
+const NOTHING: Budget = Budget {
+    timeouts: 0,
+    beats: 0,
+    claims: 0,
+    restarts: 0,
+    losses: 0,
+    repeats: 0,
+};
+const SCRIPT: Budget = Budget {
+    timeouts: 9,
+    beats: 9,
+    claims: 9,
+    restarts: 9,
+    losses: 9,
+    repeats: 9,
+};
+
+/// World with the number of actions that lead to it, which doesn't count for equality.
+#[derive(Clone)]
+struct Step(World, usize);
+
+impl PartialEq for Step {
+    fn eq(&self, other: &Self) -> bool {
+        self.0 == other.0
+    }
+}
+
+impl Eq for Step {}
+
+impl Hash for Step {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+fn successors(step: &Step) -> Vec<Step> {
+    let actions = step.0.actions();
+    let next = |action| Step(step.0.act(action), step.1 + 1);
+    actions.iter().map(next).collect()
+}
+
+/// Searches all states within the budget.
+fn check(name: &str, start: World) {
+    let begin = Instant::now();
+    let (mut states, mut depth, limit) = (0, 0, max_states());
+    for step in bfs_reach(Step(start, 0), successors).take(limit) {
+        states += 1;
+        depth = depth.max(step.1);
+        assert_eq!(step.0.broken, None, "{name}: {}", step.0.describe());
+    }
+    let end = if states < limit {
+        "all states"
+    } else {
+        "bounded"
+    };
+    println!(
+        "{name}: {states} states, depth {depth}, {end}, {:.1?}",
+        begin.elapsed()
+    );
+}
+
+/// Searches for the shortest way to break an invariant and prints it.
+fn catch(name: &str, invariant: &'static str, start: World) {
+    let begin = Instant::now();
+    let mut states = 0;
+    let path = bfs(
+        &Step(start.watch(invariant), 0),
+        |step| {
+            states += 1;
+            if states < 5 * MAX_STATES {
+                successors(step)
+            } else {
+                Vec::new()
+            }
+        },
+        |step| step.0.broken == Some(invariant),
+    );
+    let path = path.unwrap_or_default();
+    println!(
+        "{name}: {invariant:?} after {} steps, {states} states, {:.1?}",
+        path.len(),
+        begin.elapsed()
+    );
+    for Step(world, _) in &path {
+        println!("    {}", world.describe());
+    }
+    assert!(!path.is_empty(), "{name}: the mutation was not caught");
+}
+
+/// Three voters with a first voter set; nobody leads.
+fn founded() -> World {
+    let world = World::new(3, SCRIPT, Mutation::None);
+    let world = world.then(&[Action::Timeout(0)]).settle(&[0, 1, 2]);
+    let world = world.then(&[Action::Beat(0)]).settle(&[0, 1, 2]);
+    world.then(&[Action::Timeout(0)])
+}
+
+/// The same, with replica 1 as leader.
+fn led() -> World {
+    founded().then(&[Action::Timeout(1)]).settle(&[0, 1, 2])
+}
+
+/// Replica 1 leads in a term. Replica 2 has voted for 0 in the next one, the vote is on its way, and then
+/// its disk was lost; replica 1 has brought the new disk up to date.
+fn voted_away(mutation: Mutation) -> World {
+    let world = led().with(SCRIPT, mutation).then(&[Action::Timeout(0)]);
+    let world = world
+        .deliver(0, 2)
+        .then(&[Action::Lose(2), Action::Beat(1)]);
+    let world = world.settle(&[1, 2]).then(&[Action::Beat(1)]);
+    world.settle(&[1, 2])
+}
+
+/// Guards against two logs founded by the same instances, also when a disk is lost in between.
+#[test]
+fn found_bounded() {
+    let budget = Budget {
+        timeouts: 2,
+        beats: 1,
+        losses: 1,
+        ..NOTHING
+    };
+    check("found", World::new(3, budget, Mutation::None));
+}
+
+/// Guards against elections that go wrong by loss, reordering, duplication or restarts.
+#[test]
+fn elect_bounded() {
+    let budget = Budget {
+        timeouts: 2,
+        restarts: 1,
+        ..NOTHING
+    };
+    check(
+        "elect with restarts",
+        founded().with(budget, Mutation::None),
+    );
+    let budget = Budget {
+        timeouts: 2,
+        repeats: 1,
+        ..NOTHING
+    };
+    check("elect with repeats", founded().with(budget, Mutation::None));
+}
+
+/// Guards against a claim that is granted twice across a change of the leader.
+#[test]
+fn claim_bounded() {
+    let budget = Budget {
+        timeouts: 1,
+        claims: 2,
+        ..NOTHING
+    };
+    check("claim", led().with(budget, Mutation::None));
+}
+
+/// The same with restarts.
+#[test]
+fn claim_with_restarts_bounded() {
+    let budget = Budget {
+        timeouts: 1,
+        claims: 1,
+        restarts: 1,
+        ..NOTHING
+    };
+    check("claim with restarts", led().with(budget, Mutation::None));
+}
+
+/// Guards against faults that only show when everything can happen at once.
+#[test]
+fn everything_bounded() {
+    let budget = Budget {
+        timeouts: 2,
+        beats: 1,
+        claims: 2,
+        restarts: 1,
+        losses: 1,
+        repeats: 1,
+    };
+    check("everything", led().with(budget, Mutation::None));
+}
+
+/// Guards against a lost disk that counts as a voter.
+#[test]
+fn lose_disk_bounded() {
+    let budget = Budget {
+        timeouts: 1,
+        beats: 2,
+        losses: 1,
+        ..NOTHING
+    };
+    check("lose disk", led().with(budget, Mutation::None));
+}
+
+/// The same with a second loss right after the replacement.
+#[test]
+fn lose_disk_again_bounded() {
+    let world = led()
+        .then(&[Action::Lose(2), Action::Beat(1)])
+        .settle(&[0, 1, 2]);
+    let world = world.then(&[Action::Beat(1)]).settle(&[0, 1, 2]);
+    let budget = Budget {
+        timeouts: 1,
+        beats: 1,
+        losses: 1,
+        ..NOTHING
+    };
+    check("lose disk again", world.with(budget, Mutation::None));
+}
+
+/// Guards against quorums of an old and a new voter set without a common member.
+#[test]
+fn replace_voter_bounded() {
+    let budget = Budget {
+        beats: 2,
+        claims: 1,
+        ..NOTHING
+    };
+    check(
+        "replace voter",
+        voted_away(Mutation::None).with(budget, Mutation::None),
+    );
+}
+
+/// Guards against a check of "one leader a term" that finds nothing.
+#[test]
+fn forget_vote_caught() {
+    let budget = Budget {
+        timeouts: 2,
+        restarts: 1,
+        ..NOTHING
+    };
+    catch(
+        "forget vote",
+        FORGOT,
+        founded().with(budget, Mutation::ForgetVote),
+    );
+    catch(
+        "forget vote",
+        TWO_LEADERS,
+        founded().with(budget, Mutation::ForgetVote),
+    );
+}
+
+/// Guards against a check of committed prefixes that finds nothing.
+#[test]
+fn lose_tail_caught() {
+    let budget = Budget {
+        timeouts: 1,
+        claims: 1,
+        restarts: 1,
+        ..NOTHING
+    };
+    catch("lose tail", PREFIX, led().with(budget, Mutation::LoseTail));
+}
+
+/// Guards against a check of replacement that doesn't need the majority of the old set.
+#[test]
+fn no_joint_caught() {
+    let budget = Budget {
+        beats: 3,
+        ..NOTHING
+    };
+    catch(
+        "no joint",
+        PREFIX,
+        voted_away(Mutation::NoJoint).with(budget, Mutation::NoJoint),
+    );
+}
+
+/// Guards against a check of lost disks that finds nothing.
+#[test]
+fn keep_identity_caught() {
+    let budget = Budget {
+        timeouts: 2,
+        losses: 1,
+        ..NOTHING
+    };
+    catch(
+        "keep identity",
+        FORGOT,
+        led().with(budget, Mutation::KeepIdentity),
+    );
+}
+
+/// Guards against a check of claims that finds nothing.
+#[test]
+fn answer_early_caught() {
+    let budget = Budget {
+        timeouts: 1,
+        beats: 1,
+        claims: 2,
+        ..NOTHING
+    };
+    catch(
+        "answer early",
+        TWICE,
+        led().with(budget, Mutation::AnswerEarly),
+    );
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/tests/support/ghost.rs
@@ -0,0 +1,95 @@
+//! Invariants, checked over the effects of all replicas.
+
+use std::collections::BTreeMap;
+
+use buckthornmast_consensus::{
+    core::{Core, Effect},
+    message::{Entry, Member, Payload},
+    status::Role,
+};
+use buckthornmast_storage::record::Hard;
+use buckthornmast_types::id;
+
+pub(crate) const TWO_LEADERS: &str = "two leaders in one term";
+pub(crate) const PREFIX: &str = "committed prefixes differ";
+pub(crate) const FORGOT: &str = "a disk identity forgot its term or vote";
+pub(crate) const TWICE: &str = "an acknowledged claim was granted twice";
+
+/// History that no replica remembers.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Ghost {
+    leaders: BTreeMap<id::Term, Member>,
+    committed: BTreeMap<id::Index, Entry<u8>>,
+    hard: BTreeMap<id::Disk, Hard>,
+    granted: Option<u8>,
+}
+
+impl Ghost {
+    /// Checks the effects of one step. `before` is the commit index before it.
+    pub(crate) fn observe(
+        &mut self,
+        core: &Core<u8>,
+        before: id::Index,
+        effects: &[Effect<u8>],
+    ) -> Result<(), &'static str> {
+        for effect in effects {
+            match effect {
+                Effect::Hard(hard) => self.remember(core.me().disk, *hard)?,
+                Effect::Fault(_) => return Err(PREFIX),
+                _ => {}
+            }
+        }
+        let hard = core.hard();
+        if core.role() == Role::Leader {
+            let first = self.leaders.entry(hard.term);
+            if first.or_insert_with(|| core.me().clone()) != core.me() {
+                return Err(TWO_LEADERS);
+            }
+        }
+        for entry in core.log().from(before.next()) {
+            let index = entry.position.index;
+            if index > core.commit() {
+                break;
+            }
+            let first = self.committed.entry(index);
+            if first.or_insert_with(|| entry.clone()) != entry {
+                return Err(PREFIX);
+            }
+            if core.role() == Role::Leader && entry.position.term == hard.term {
+                self.acknowledge(core, entry)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn remember(&mut self, disk: id::Disk, hard: Hard) -> Result<(), &'static str> {
+        let known = self.hard.entry(disk).or_insert(hard);
+        let second_vote =
+            hard.term == known.term && known.vote.is_some() && hard.vote != known.vote;
+        if hard.term < known.term || second_vote {
+            return Err(FORGOT);
+        }
+        *known = hard;
+        Ok(())
+    }
+
+    /// Notes the answer to a claim: it is granted if it is the first one in the log.
+    pub(crate) fn acknowledge(
+        &mut self,
+        core: &Core<u8>,
+        entry: &Entry<u8>,
+    ) -> Result<(), &'static str> {
+        let Payload::Command(claimer) = entry.payload else {
+            return Ok(());
+        };
+        let mut log = core.log().from(id::Index(1));
+        let first = log.find(|entry| matches!(entry.payload, Payload::Command(_)));
+        if first != Some(entry) {
+            return Ok(());
+        }
+        match self.granted.replace(claimer) {
+            Some(other) if other != claimer => Err(TWICE),
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_consensus/tests/support/spec.rs
@@ -0,0 +1,409 @@
+//! Small specification of a group of replicas.
+//!
+//! It calls the same [`Core::step`] as the driver. A message that is never delivered is lost; messages are
+//! delivered in any order, and again while the budget lasts. A replica that gets no messages is
+//! partitioned. Time is abstract: a timeout may pass at any step, so stickiness and check-quorum never
+//! rule a schedule out. A round of pre-votes is one step, as it changes no voter.
+
+use std::{
+    collections::BTreeSet,
+    fmt::Write as _,
+    hash::{DefaultHasher, Hash, Hasher},
+    rc::Rc,
+    time::Duration,
+};
+
+use buckthornmast_consensus::{
+    core::{Core, Durable, Effect, Input, Timing},
+    message::{Body, Member, Message},
+    status::Role,
+};
+use buckthornmast_types::{id, time::Point};
+
+use crate::ghost::Ghost;
+
+/// Change of the protocol that a check has to catch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Mutation {
+    None,
+    /// A restart forgets the vote, as if it had not been synced.
+    ForgetVote,
+    /// A restart loses the last entry, as if it had been acknowledged before its sync.
+    LoseTail,
+    /// A new voter set needs no majority of the old one.
+    NoJoint,
+    /// An emptied folder keeps its disk identity.
+    KeepIdentity,
+    /// A claim is answered when it is appended.
+    AnswerEarly,
+}
+
+/// What may still happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct Budget {
+    pub(crate) timeouts: u8,
+    pub(crate) beats: u8,
+    pub(crate) claims: u8,
+    pub(crate) restarts: u8,
+    pub(crate) losses: u8,
+    pub(crate) repeats: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Action {
+    Timeout(usize),
+    Beat(usize),
+    Claim(usize),
+    Restart(usize),
+    Lose(usize),
+    Deliver(usize),
+    Repeat(usize),
+}
+
+type Mail = (usize, usize, Message<u8>);
+
+/// State of the whole group.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct World {
+    nodes: Vec<Rc<Core<u8>>>,
+    network: Vec<Rc<Mail>>,
+    ghost: Rc<Ghost>,
+    budget: Budget,
+    disks: u8,
+    mutation: Mutation,
+    // Only this invariant counts, if one is given.
+    watched: Option<&'static str>,
+    pub(crate) broken: Option<&'static str>,
+}
+
+const EARLY: Point = Point(1);
+const LATE: Point = Point(1_000_000);
+
+// Equal numbers give equal identities.
+fn disk(number: u8) -> id::Disk {
+    let text = format!("00000000-0000-4000-8000-0000000000{number:02x}");
+    text.parse().unwrap_or_else(|_| id::Disk::generate())
+}
+
+fn timing() -> Timing {
+    let timeout = Duration::from_millis(100);
+    Timing {
+        heartbeat: Duration::from_millis(10),
+        election_min: timeout,
+        election_max: timeout,
+    }
+}
+
+fn hash_of(mail: &Rc<Mail>) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    mail.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn names(count: usize) -> Vec<id::Instance> {
+    (0..count)
+        .filter_map(|node| format!("n{node}").parse().ok())
+        .collect()
+}
+
+impl World {
+    /// Returns a group of empty folders.
+    pub(crate) fn new(count: usize, budget: Budget, mutation: Mutation) -> Self {
+        let mut world = Self {
+            mutation,
+            nodes: Vec::new(),
+            network: Vec::new(),
+            ghost: Rc::default(),
+            budget,
+            disks: u8::try_from(count).unwrap_or(u8::MAX),
+
+            watched: None,
+            broken: None,
+        };
+        for (number, name) in (0..).zip(names(count)) {
+            let node = world.start(name, disk(number), Durable::default(), count);
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    fn start(
+        &self,
+        instance: id::Instance,
+        disk: id::Disk,
+        durable: Durable<u8>,
+        count: usize,
+    ) -> Rc<Core<u8>> {
+        let me = Member { instance, disk };
+        let mut core = Core::new(me, &names(count), timing(), durable, 0, Point::ZERO);
+        core.forget_times();
+        Rc::new(core)
+    }
+
+    fn index_of(&self, instance: &id::Instance) -> usize {
+        let position = self
+            .nodes
+            .iter()
+            .position(|node| node.me().instance == *instance);
+        position.unwrap_or(usize::MAX)
+    }
+
+    fn role(&self, node: usize) -> Role {
+        self.nodes[node].role()
+    }
+
+    /// Takes a new budget, for the part of a schedule that is searched after a scripted part.
+    pub(crate) fn with(mut self, budget: Budget, mutation: Mutation) -> Self {
+        self.budget = budget;
+        self.mutation = mutation;
+        self
+    }
+
+    /// Ignores all invariants but one.
+    pub(crate) fn watch(mut self, invariant: &'static str) -> Self {
+        self.watched = Some(invariant);
+        self
+    }
+
+    /// Delivers mail from and to the listed replicas until there is none.
+    pub(crate) fn settle(mut self, among: &[usize]) -> Self {
+        let inside = |mail: &Rc<Mail>| among.contains(&mail.0) && among.contains(&mail.1);
+        while let Some(position) = self.network.iter().position(inside) {
+            self = self.act(&Action::Deliver(position));
+        }
+        self
+    }
+
+    pub(crate) fn then(self, actions: &[Action]) -> Self {
+        actions.iter().fold(self, |world, action| world.act(action))
+    }
+
+    /// Delivers the first mail between two replicas.
+    pub(crate) fn deliver(self, from: usize, to: usize) -> Self {
+        let found = self
+            .network
+            .iter()
+            .position(|mail| (mail.0, mail.1) == (from, to));
+        match found {
+            Some(position) => self.act(&Action::Deliver(position)),
+            None => self,
+        }
+    }
+
+    /// Returns everything that can happen next.
+    pub(crate) fn actions(&self) -> Vec<Action> {
+        let Budget {
+            timeouts,
+            beats,
+            claims,
+            restarts,
+            losses,
+            repeats,
+        } = self.budget;
+        let mut actions = Vec::new();
+        if self.broken.is_some() {
+            return actions;
+        }
+        for node in 0..self.nodes.len() {
+            let leads = self.role(node) == Role::Leader;
+            let mut offer = |left: u8, fits: bool, action: fn(usize) -> Action| {
+                if left > 0 && fits {
+                    actions.push(action(node));
+                }
+            };
+            offer(timeouts, !leads, Action::Timeout);
+            offer(beats, leads, Action::Beat);
+            offer(claims, leads, Action::Claim);
+            offer(restarts, true, Action::Restart);
+            offer(losses, true, Action::Lose);
+        }
+        for mail in 0..self.network.len() {
+            actions.push(Action::Deliver(mail));
+            if repeats > 0 {
+                actions.push(Action::Repeat(mail));
+            }
+        }
+        actions
+    }
+
+    /// Returns the state after an action.
+    pub(crate) fn act(&self, action: &Action) -> Self {
+        let mut world = self.clone();
+        let budget = &mut world.budget;
+        match *action {
+            Action::Timeout(node) => {
+                budget.timeouts = budget.timeouts.saturating_sub(1);
+                world.step(node, LATE, Input::Tick);
+                world.settle_pre_votes(node);
+            }
+            Action::Beat(node) => {
+                budget.beats = budget.beats.saturating_sub(1);
+                world.step(node, EARLY, Input::Tick);
+            }
+            Action::Claim(node) => {
+                let claimer = budget.claims;
+                budget.claims = budget.claims.saturating_sub(1);
+                let commands = vec![(claimer, 1)];
+                world.step(node, EARLY, Input::Propose { wall: 0, commands });
+            }
+            Action::Restart(node) => {
+                budget.restarts = budget.restarts.saturating_sub(1);
+                world.restart(node);
+            }
+            Action::Lose(node) => {
+                budget.losses = budget.losses.saturating_sub(1);
+                world.lose(node);
+            }
+            Action::Deliver(mail) => {
+                let mail = world.network.remove(mail);
+                world.receive(&mail);
+            }
+            Action::Repeat(mail) => {
+                budget.repeats = budget.repeats.saturating_sub(1);
+                let mail = Rc::clone(&world.network[mail]);
+                world.receive(&mail);
+            }
+        }
+        world.tidy();
+        world
+    }
+
+    /// Drops mail that the receiver ignores (the random schedules deliver such mail) and brings the
+    /// rest into one order, so that equal states are equal.
+    fn tidy(&mut self) {
+        let Self { nodes, network, .. } = self;
+        network.retain(|mail| {
+            let (receiver, message) = (&nodes[mail.1], &mail.2);
+            let term = receiver.hard().term;
+            match message.body {
+                Body::Voted { granted, .. } => {
+                    granted && message.term == term && receiver.role() == Role::Candidate
+                }
+                Body::Appended { .. } | Body::Received { .. } => message.term >= term,
+                Body::Vote { voter, .. } => voter == receiver.me().disk && message.term >= term,
+                _ => true,
+            }
+        });
+        network.sort_by_cached_key(hash_of);
+        network.dedup();
+    }
+
+    fn restart(&mut self, node: usize) {
+        let old = &self.nodes[node];
+        let mut durable = old.durable();
+        match self.mutation {
+            Mutation::ForgetVote => durable.hard.vote = None,
+            Mutation::LoseTail => durable.log.truncate(durable.log.last().index),
+            _ => {}
+        }
+        let Member { instance, disk } = old.me().clone();
+        self.nodes[node] = self.start(instance, disk, durable, self.nodes.len());
+    }
+
+    fn lose(&mut self, node: usize) {
+        let Member {
+            instance,
+            disk: old,
+        } = self.nodes[node].me().clone();
+        let new = if self.mutation == Mutation::KeepIdentity {
+            old
+        } else {
+            self.disks += 1;
+            disk(self.disks)
+        };
+        self.nodes[node] = self.start(instance, new, Durable::default(), self.nodes.len());
+    }
+
+    fn receive(&mut self, mail: &Mail) {
+        let (from, to, message) = mail.clone();
+        // A vote is asked for after the voter's own timeout, so that it isn't refused.
+        let now = match message.body {
+            Body::Vote { .. } => LATE,
+            _ => EARLY,
+        };
+        // A leader votes only after it has stepped down for lack of a quorum.
+        let is_vote = matches!(message.body, Body::Vote { pre: false, .. });
+        if is_vote && self.role(to) == Role::Leader {
+            self.step(to, now, Input::Tick);
+        }
+        let from = self.nodes[from].me().instance.clone();
+        self.step(to, now, Input::Receive { from, message });
+    }
+
+    fn step(&mut self, node: usize, now: Point, input: Input<u8>) {
+        let mut core = (*self.nodes[node]).clone();
+        let before = core.commit();
+        let mut effects = Vec::new();
+        core.step(now, input, &mut effects);
+        core.forget_times();
+        if self.mutation == Mutation::NoJoint {
+            core.voters_mut().commit(id::Index(u64::MAX));
+        }
+        let mut result = Rc::make_mut(&mut self.ghost).observe(&core, before, &effects);
+        if self.mutation == Mutation::AnswerEarly {
+            let proposed = effects.iter().find_map(|effect| match effect {
+                Effect::Proposed(first) => core.log().get(first.index),
+                _ => None,
+            });
+            if let Some(entry) = proposed {
+                let answered = Rc::make_mut(&mut self.ghost).acknowledge(&core, entry);
+                result = result.and(answered);
+            }
+        }
+        let found = result.err();
+        let found = found.filter(|found| self.watched.is_none_or(|watched| watched == *found));
+        self.broken = self.broken.or(found);
+        self.nodes[node] = Rc::new(core);
+        for effect in effects {
+            if let Effect::Send { to, message } = effect {
+                let to = self.index_of(&to);
+                self.post(node, to, message);
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, mut message: Message<u8>) {
+        match &mut message.body {
+            Body::Append { sent, .. } | Body::Appended { sent, .. } => *sent = Point::ZERO,
+            Body::Chunk { sent, .. } | Body::Received { sent, .. } => *sent = Point::ZERO,
+            _ => {}
+        }
+        self.network.push(Rc::new((from, to, message)));
+    }
+
+    /// Delivers all pre-votes of a replica and their answers.
+    fn settle_pre_votes(&mut self, node: usize) {
+        let is_pre = |mail: &Rc<Mail>| {
+            let pre = matches!(
+                mail.2.body,
+                Body::Vote { pre: true, .. } | Body::Voted { pre: true, .. }
+            );
+            pre && (mail.0 == node || mail.1 == node)
+        };
+        while let Some(position) = self.network.iter().position(is_pre) {
+            let mail = self.network.remove(position);
+            self.receive(&mail);
+        }
+    }
+
+    /// Returns one line about the replicas.
+    pub(crate) fn describe(&self) -> String {
+        let mut line = String::new();
+        for node in &self.nodes {
+            let (hard, last) = (node.hard(), node.log().last());
+            let _ = write!(
+                line,
+                "{} {:?} term {} last {}/{} commit {}; ",
+                node.me().instance,
+                node.role(),
+                hard.term,
+                last.index,
+                last.term,
+                node.commit()
+            );
+        }
+        let mail: BTreeSet<_> = self.network.iter().map(|mail| (mail.0, mail.1)).collect();
+        let _ = write!(line, "mail {mail:?}");
+        line
+    }
+}
