state: keep the newest report that a controller acted on, and scope claims by service

Cause: a successor that acts on a report older than the one its predecessor closed orders on could count memory as free that is taken. Plain services belong to the platform, not to a team. Change: Resolve carries a mark per target, Grant returns them; claims are named by key and service; the reference model of the tests follows both.

--- a/crates/buckthornmast_state/tests/limits.rs
+++ b/crates/buckthornmast_state/tests/limits.rs
@@ -49,7 +49,7 @@
     let claim = Claim {
         id: Id {
             key: id::Key(key),
-            team: "peach".parse().unwrap(),
+            service: "plant-ledger".parse().unwrap(),
         },
         owner: "i1".parse().unwrap(),
         request: id::Request(uuid(number)),
@@ -222,11 +222,11 @@
     let mut random = [0; 10];
     random[2..].copy_from_slice(&(number as u64).to_be_bytes());
     let key = uuid::Builder::from_unix_timestamp_millis(START, &random).into_uuid();
-    let team = "peach".parse().ok()?;
+    let service = "plant-ledger".parse().ok()?;
     Some((
         Id {
             key: id::Key(key),
-            team,
+            service,
         },
         id::Request(uuid(number)),
     ))
@@ -275,7 +275,7 @@
         to: Some("i2".parse().unwrap()),
     };
     let answer = machine.apply(id::Index(9), LogTime(0), &Command::Handover(handover));
-    let Answer::Granted(Granted::Granted { token, intents }) = answer else {
+    let Answer::Granted(Granted::Granted { token, intents, .. }) = answer else {
         panic!("{answer:?}")
     };
     assert_eq!((token, intents.len()), (id::Token(9), MAX_INTENTS));
--- a/crates/buckthornmast_state/tests/reference.rs
+++ b/crates/buckthornmast_state/tests/reference.rs
@@ -1,7 +1,7 @@
 //! The machine against a plain reference model, with random commands from a small universe.
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use arbtest::arbitrary::{Result, Unstructured};
 use buckthornmast_consensus::machine::{LogTime, Machine};
@@ -13,6 +13,7 @@
 use buckthornmast_types::{
     id,
     order::{Action, Order},
+    report::Mark,
 };
 
 const DAY: u64 = 24 * 60 * 60 * 1000;
@@ -33,6 +34,7 @@
     token: id::Token,
     holder: Option<id::Instance>,
     intents: HashMap<id::Order, Order>,
+    marks: BTreeMap<id::Target, Mark>,
 }
 
 #[derive(Default)]
@@ -73,15 +75,22 @@
                 domain,
                 token,
                 orders,
-            }) => Answer::Recorded(self.fenced(domain, *token, |intents| {
-                intents.extend(orders.iter().map(|order| (order.id, order.clone())));
-            })),
+            }) => {
+                Answer::Recorded(self.fenced(domain, *token, |ModelLease { intents, .. }| {
+                    intents.extend(orders.iter().map(|order| (order.id, order.clone())));
+                }))
+            }
             Command::Resolve(Resolve {
                 domain,
                 token,
                 orders,
-            }) => Answer::Recorded(self.fenced(domain, *token, |intents| {
-                intents.retain(|id, _| !orders.contains(id));
+                marks,
+            }) => Answer::Recorded(self.fenced(domain, *token, |lease| {
+                lease.intents.retain(|id, _| !orders.contains(id));
+                for (target, mark) in marks {
+                    let newest = lease.marks.get(target).copied().unwrap_or_default();
+                    lease.marks.insert(target.clone(), newest.max(*mark));
+                }
             })),
         }
     }
@@ -204,20 +213,27 @@
         }
         let token = id::Token(index.0);
         let old = self.leases.remove(domain);
-        let intents = old.map(|lease| lease.intents).unwrap_or_default();
+        let is_first = old.is_none();
+        let (intents, marks) = old
+            .map(|lease| (lease.intents, lease.marks))
+            .unwrap_or_default();
         let mut open: Vec<_> = intents.values().cloned().collect();
         open.sort_by_key(|order| order.id);
+        let known = marks.clone().into_iter().collect();
         self.leases.insert(
             domain.clone(),
             ModelLease {
                 token,
                 holder,
                 intents,
+                marks,
             },
         );
         Granted::Granted {
             token,
+            is_first,
             intents: open,
+            marks: known,
         }
     }
 
@@ -225,11 +241,11 @@
         &mut self,
         domain: &id::Domain,
         token: id::Token,
-        change: impl FnOnce(&mut HashMap<id::Order, Order>),
+        change: impl FnOnce(&mut ModelLease),
     ) -> Recorded {
         match self.leases.get_mut(domain) {
             Some(lease) if lease.token == token && lease.holder.is_some() => {
-                change(&mut lease.intents);
+                change(lease);
                 Recorded::Recorded
             }
             lease => Recorded::Fenced {
@@ -253,12 +269,25 @@
     u.choose(items)
 }
 
+fn mark(u: &mut Unstructured<'_>) -> Result<(id::Target, Mark)> {
+    let target = pick(u, &["engine-1", "engine-2"])?.parse().unwrap();
+    let incarnation = id::Incarnation(u.int_in_range(1..=2)?);
+    let sequence = u.int_in_range(1..=3)?;
+    Ok((
+        target,
+        Mark {
+            incarnation,
+            sequence,
+        },
+    ))
+}
+
 /// Keys in the past, present and future of the schedules.
 fn claim_id(u: &mut Unstructured<'_>) -> Result<Id> {
     let hours = *pick(u, &[0, 0, 0, 12, 30])?;
     let key = key(START + hours * 60 * 60 * 1000, u.int_in_range(0..=1)?);
-    let team = pick(u, &["kuehlwerk", "peach"])?.parse().unwrap();
-    Ok(Id { key, team })
+    let service = pick(u, &["bestellkern", "plant-ledger"])?.parse().unwrap();
+    Ok(Id { key, service })
 }
 
 fn write(u: &mut Unstructured<'_>, machine: &State) -> Result<Write> {
@@ -344,6 +373,7 @@
             domain,
             token: given,
             orders: vec![id::Order(uuid(u.int_in_range(0..=5)?))],
+            marks: vec![mark(u)?],
         }),
     })
 }
