Add the replay harness and fix stalled rollouts

Cause: policies and routing rules have to be compared on the same seeded demand and faults. Change: crate buckthornmast_replay with traces for both deployments, fake engines, weight store and controller, three routing rules, a binary that prints the table and an example that lists the moves of a run. In placement: room that is being made is reserved; a version that is being replaced is not moved; adapters count as room; the arbiter also reclaims room for declared versions.

--- a/crates/buckthornmast_placement/src/arbiter.rs
+++ b/crates/buckthornmast_placement/src/arbiter.rs
@@ -8,9 +8,9 @@
 //!    memory and its share of the store's concurrent loads, divided by the team's weight.
 //!
 //! Within a step and team, higher value comes first. Unloads cost no budget, and are granted first so
-//! that memory becomes free early. A load that lacks memory for an artifact without a reachable copy
-//! reclaims it: spare copies of other teams are unloaded, those of teams above their fair share of
-//! memory first, then the least demand. Only spare copies are reclaimed, so no team loses a model.
+//! that memory becomes free early. A load that lacks memory for an artifact without a reachable copy,
+//! or for a version that an operator has declared, reclaims it: spare copies are unloaded, those of the team itself and of teams above their fair
+//! share of memory first, then the least demand. Only spare copies are reclaimed, so no team loses a model.
 //!
 //! Ways that were weighed:
 //!
@@ -164,13 +164,15 @@
                 })
                 .map_or(0, |(at, _)| at);
             let (team, wish) = queue.remove(next);
-            if !self.grant(team, wish) && wish.reason == Reason::Unreachable {
+            if !self.grant(team, wish)
+                && matches!(wish.reason, Reason::Unreachable | Reason::Rollout)
+            {
                 self.reclaim(team, wish.action.artifact());
             }
         }
     }
 
-    /// Unloads spare copies of other teams so that a load fits later.
+    /// Unloads spare copies so that a load fits later.
     fn reclaim(&mut self, team: usize, item: usize) {
         let targets = 0..self.draft.view().targets.len();
         let best = targets
@@ -203,10 +205,12 @@
             let entry = &self.draft.view().artifacts[victim];
             self.shares.memory[entry.team] -= entry.bytes.0 as f64;
         }
+        // Without this, a lesser wish takes the memory as soon as it is free.
+        self.draft.reserve(target);
     }
 
-    /// Returns the copies of other teams that would have to go from a target, how many of them belong
-    /// to teams within their share, and the demand that they serve.
+    /// Returns the copies that would have to go from a target, how many of them belong to other teams
+    /// that are within their share, and the demand that they serve.
     fn victims(
         &self,
         team: usize,
@@ -222,13 +226,11 @@
         let leaving = leaving.map(|other| view.artifacts[*other].bytes).sum();
         let mut free = self.draft.free(target).saturating_add(leaving);
         let mut spare = on.to_vec();
-        spare.retain(|other| {
-            let entry = &view.artifacts[*other];
-            entry.team != team
-                && entry.base.is_none()
-                && duty::is_evictable(&self.draft, *other, target)
-        });
-        let is_within = |other: usize| !self.shares.is_above(view.artifacts[other].team);
+        spare.retain(|other| duty::is_victim(&self.draft, *other, item, target));
+        let is_within = |other: usize| {
+            let owner = view.artifacts[other].team;
+            owner != team && !self.shares.is_above(owner)
+        };
         let demand = |other: usize| duty::demand_per_copy(&self.draft, other);
         spare.sort_by(|a, b| {
             let shares = is_within(*a).cmp(&is_within(*b));
--- a/crates/buckthornmast_placement/src/draft.rs
+++ b/crates/buckthornmast_placement/src/draft.rs
@@ -61,6 +61,11 @@
         self.free[target]
     }
 
+    /// Keeps the free memory of a target for an artifact that is placed in a later decision.
+    pub fn reserve(&mut self, target: usize) {
+        self.free[target] = Bytes::ZERO;
+    }
+
     /// Returns the phase of the copy of an artifact on a target.
     pub fn phase(&self, item: usize, target: usize) -> Option<Phase> {
         let copy = self.copies[item].iter().find(|c| c.target == target);
--- a/crates/buckthornmast_placement/src/duty.rs
+++ b/crates/buckthornmast_placement/src/duty.rs
@@ -112,7 +112,9 @@
         .filter(|target| draft.is_eligible(item, *target))
         .max_by_key(|target| draft.free(*target));
     match target {
-        Some(target) if moves.len() < limit && reason == Reason::Unreachable => {
+        Some(target)
+            if moves.len() < limit && matches!(reason, Reason::Unreachable | Reason::Rollout) =>
+        {
             moves.push(wanted(target));
             true
         }
@@ -120,10 +122,13 @@
     }
 }
 
-/// Returns the best target with free memory: another failure domain first, then the lowest load, then
-/// the most free memory.
+/// Returns the best target with free memory: one that also has room for the adapters first, then
+/// another failure domain, then the lowest load, then the most free memory.
 pub fn best_target(draft: &Draft<'_>, item: usize) -> Option<usize> {
     let view = draft.view();
+    let adapters = view.artifacts.iter().filter(|e| e.base == Some(item));
+    let bytes = view.artifacts[item].bytes;
+    let bytes = bytes.saturating_add(adapters.map(|entry| entry.bytes).sum());
     let hosts = (0..view.targets.len()).filter(|target| draft.can_load(item, *target));
     hosts.min_by_key(|target| {
         let host = &view.targets[*target];
@@ -133,7 +138,8 @@
             .filter(|copy| view.targets[copy.target].domain == host.domain)
             .count();
         let load = (host.load.running + host.load.waiting) * 8 / host.load.slots.max(1);
-        (shared, load, std::cmp::Reverse(draft.free(*target)))
+        let tight = draft.free(*target) < bytes;
+        (tight, shared, load, std::cmp::Reverse(draft.free(*target)))
     })
 }
 
@@ -163,6 +169,8 @@
     for victim in victims {
         evict(draft, victim, target, Reason::Room, limit, moves);
     }
+    // Without this, a lesser wish takes the memory as soon as it is free.
+    draft.reserve(target);
     true
 }
 
@@ -183,10 +191,7 @@
     let mut spare: Vec<_> = draft.on(target).to_vec();
     spare.retain(|other| {
         let entry = &view.artifacts[*other];
-        entry.team == team
-            && entry.base.is_none()
-            && *other != item
-            && is_evictable(draft, *other, target)
+        entry.team == team && *other != item && is_victim(draft, *other, item, target)
     });
     spare.sort_by(|a, b| demand_per_copy(draft, *a).total_cmp(&demand_per_copy(draft, *b)));
     let (mut chosen, mut loss) = (Vec::new(), 0.0);
@@ -201,6 +206,15 @@
     (free >= need).then_some((chosen, loss))
 }
 
+/// Returns whether a copy may make room for an artifact: not the model that the artifact stands on.
+pub fn is_victim(draft: &Draft<'_>, victim: usize, item: usize, target: usize) -> bool {
+    let artifacts = &draft.view().artifacts;
+    match artifacts[victim].base {
+        Some(_) => draft.can_unload(victim, target),
+        None => artifacts[item].base != Some(victim) && is_evictable(draft, victim, target),
+    }
+}
+
 /// Returns whether a copy can go, possibly after its adapters have been moved to other copies.
 pub fn is_evictable(draft: &Draft<'_>, item: usize, target: usize) -> bool {
     draft.phase(item, target) == Some(Phase::Ready)
@@ -216,7 +230,9 @@
 }
 
 fn refuge(draft: &Draft<'_>, adapter: usize, from: usize) -> Option<usize> {
-    let base = draft.view().artifacts[adapter].base?;
+    let entry = &draft.view().artifacts[adapter];
+    // A version that is being replaced waits for its replacement; moving it would be in vain.
+    let base = entry.base.filter(|_| entry.replaced_by.is_none())?;
     let copies = draft.copies(base).iter();
     copies
         .map(|copy| copy.target)
--- a/crates/buckthornmast_placement/src/policy.rs
+++ b/crates/buckthornmast_placement/src/policy.rs
@@ -10,7 +10,7 @@
     /// Returns at most `limit` moves for artifacts of the team with index `team`.
     ///
     /// The result depends on the arguments only. A load may name a target that lacks memory if the
-    /// artifact has no reachable copy; the arbiter then reclaims memory from teams above their share.
+    /// artifact has no copy at all that can answer; the arbiter then reclaims spare copies of other teams.
     fn decide(&self, view: &View, team: usize, memory: &mut Self::Memory, limit: usize) -> Moves;
 
     /// Returns the moves that the policy would make, without changing its memory or anything else.
--- /dev/null
+++ b/crates/buckthornmast_replay/examples/moves.rs
@@ -0,0 +1,33 @@
+//! Prints every granted move of one run.
+
+use buckthornmast_placement::named::Named;
+use buckthornmast_replay::{
+    deployment::{KUEHLWERK, PEACH_GROOVE},
+    routing::PowerOfTwo,
+    trace::{KINDS, Trace},
+    world,
+};
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [deployment, trace, seed, policy] = arguments.as_slice() else {
+        eprintln!("usage: moves DEPLOYMENT TRACE SEED POLICY");
+        return;
+    };
+    let deployment = match deployment.as_str() {
+        "kuehlwerk" => KUEHLWERK,
+        _ => PEACH_GROOVE,
+    };
+    let kind = KINDS.into_iter().find(|kind| kind.name() == trace);
+    let (Some(kind), Ok(seed), Ok(policy)) = (kind, seed.parse(), policy.parse::<Named>()) else {
+        eprintln!("no such trace, seed or policy");
+        return;
+    };
+    let specs = deployment.specs(seed);
+    let trace = Trace::new(&deployment, &specs, kind, seed, 2400.0);
+    let score = world::run(&deployment, &specs, &trace, &[policy; 2], &PowerOfTwo, seed);
+    println!("# {} copies of replaced versions are left", score.replaced);
+    for entry in &score.log {
+        println!("{entry}");
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_replay/src/controller.rs
@@ -0,0 +1,300 @@
+//! Fake controller: builds the view from reports and open orders, and turns moves into orders.
+
+use std::time::Duration;
+
+use buckthornmast_placement::{
+    arbiter,
+    named::{self, Named},
+    plan::Move,
+    view::{self, Demand, Health, Host, Item, View},
+};
+use buckthornmast_types::{
+    rate::Rate,
+    report::{Load, Phase},
+    size::Bytes,
+    time::Point,
+};
+use smallvec::SmallVec;
+
+use crate::{
+    deployment::{Deployment, Spec, label},
+    engine::{self, Copy, Engine},
+};
+
+/// Age in seconds from which a report says nothing any more.
+pub const MAX_REPORT_AGE: f64 = 2.5;
+/// Time in seconds until an order that is not confirmed is sent again.
+const RESEND: f64 = 2.0;
+/// Time in seconds for which a load on a silent target is assumed to read from the store.
+const SILENT_LOAD: f64 = 60.0;
+/// Moves that a policy may wish for at once.
+const LIMIT: usize = 16;
+
+/// Report of an engine.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// Time of the sample in seconds.
+    pub at: f64,
+    /// Start of the engine.
+    pub incarnation: u64,
+    /// Copies.
+    pub copies: Vec<Copy>,
+    /// Load.
+    pub load: Load,
+}
+
+impl Report {
+    /// Samples an engine.
+    pub fn sample(engine: &Engine, now: f64) -> Self {
+        Self {
+            at: now,
+            incarnation: engine.incarnation,
+            copies: engine.copies.clone(),
+            load: Load {
+                running: engine.running,
+                waiting: u32::try_from(engine.waiting.len()).unwrap_or(u32::MAX),
+                slots: engine.slots,
+            },
+        }
+    }
+}
+
+/// Order to an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct Order {
+    /// Identity.
+    pub id: u64,
+    /// Artifact.
+    pub item: usize,
+    /// Target.
+    pub target: usize,
+    /// Whether it is a load; an unload otherwise.
+    pub load: bool,
+    /// Time of the decision in seconds.
+    pub decided: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Open {
+    order: Order,
+    since: f64,
+    sent: f64,
+    incarnation: u64,
+}
+
+/// Fake controller.
+#[derive(Debug)]
+pub struct Controller {
+    view: View,
+    teams: Vec<named::Team>,
+    reports: Vec<Report>,
+    open: Vec<Open>,
+    next: u64,
+    tokens: f64,
+    rate: f64,
+    /// Moves granted so far, and how many of them were loads.
+    pub granted: (u64, u64),
+    /// Granted moves with their times, one a line.
+    pub log: Vec<String>,
+}
+
+impl Controller {
+    /// Starts with the artifacts of a deployment.
+    pub fn new(deployment: &Deployment, policies: &[Named]) -> Self {
+        let hosts = (0..deployment.engines).map(|engine| Host {
+            id: label(&format!("e{engine:03}")),
+            domain: engine % deployment.domains,
+            memory: deployment.memory,
+            free: deployment.memory,
+            health: Health::Ready,
+            controlled: true,
+            load: Load::default(),
+            capacity: rate(engine::capacity(deployment.slots)),
+        });
+        let domains = (0..deployment.domains).map(|domain| label(&format!("d{domain}")));
+        Self {
+            view: View {
+                teams: deployment.teams(),
+                domains: domains.collect(),
+                targets: hosts.collect(),
+                store: view::Store {
+                    available: 0,
+                    concurrent: deployment.store_concurrent,
+                    speed: deployment.store_speed,
+                },
+                ..View::default()
+            },
+            teams: policies.iter().copied().map(named::Team::new).collect(),
+            reports: vec![Report::default(); deployment.engines],
+            open: Vec::new(),
+            next: 0,
+            tokens: 0.0,
+            rate: deployment.store_rate,
+            granted: (0, 0),
+            log: Vec::new(),
+        }
+    }
+
+    /// Declares artifacts with their targets; `day` is what is known about demand from earlier days.
+    pub fn declare(&mut self, spec: &Spec, targets: &[usize], day: [f32; 24]) {
+        self.view.artifacts.push(Item {
+            artifact: spec.artifact.clone(),
+            team: spec.team,
+            bytes: spec.bytes,
+            base: spec.base,
+            replaced_by: None,
+            demand: Demand {
+                day: Some(day),
+                ..Demand::default()
+            },
+            copies: SmallVec::new(),
+            declared: targets.iter().copied().collect(),
+            deadline: spec.deadline,
+            weight: 1.0,
+        });
+    }
+
+    /// Declares that a version replaces another.
+    pub fn replace(&mut self, old: usize, new: usize) {
+        self.view.artifacts[old].replaced_by = Some(new);
+    }
+
+    /// Returns the version that replaces an artifact.
+    pub fn replacement(&self, item: usize) -> Option<usize> {
+        self.view.artifacts[item].replaced_by
+    }
+
+    /// Returns the newest report of a target, if it is fresh.
+    pub fn fresh(&self, target: usize, now: f64) -> Option<&Report> {
+        let report = &self.reports[target];
+        (now - report.at < MAX_REPORT_AGE).then_some(report)
+    }
+
+    /// Takes in a report and closes the orders that it confirms.
+    pub fn observe(&mut self, target: usize, report: Report) {
+        self.open.retain(|open| {
+            let order = open.order;
+            if order.target != target {
+                return true;
+            }
+            let present = report.copies.iter().any(|copy| copy.item == order.item);
+            open.incarnation == report.incarnation && present != order.load
+        });
+        self.reports[target] = report;
+    }
+
+    /// Decides, and returns the orders to send now, repeated ones included.
+    pub fn decide(&mut self, now: f64, time_of_day: f64, demand: &[(f64, f64)]) -> Vec<Order> {
+        self.tokens = (self.tokens + self.rate).min(self.rate.max(1.0));
+        self.update(now, time_of_day, demand);
+        let budget = self.view.store.available;
+        let wishes: Vec<_> = self
+            .teams
+            .iter_mut()
+            .enumerate()
+            .map(|(team, policy)| policy.decide(&self.view, team, LIMIT))
+            .collect();
+        let moves = arbiter::arbitrate(&self.view, &wishes, budget);
+        let mut orders = self.resend(now);
+        orders.extend(moves.iter().map(|wish| self.order(now, wish)));
+        orders
+    }
+
+    fn order(&mut self, now: f64, wish: &Move) -> Order {
+        let (target, load) = (wish.action.target(), wish.action.is_load());
+        self.next += 1;
+        let order = Order {
+            id: self.next,
+            item: wish.action.artifact(),
+            target,
+            load,
+            decided: now,
+        };
+        self.open.push(Open {
+            order,
+            since: now,
+            sent: now,
+            incarnation: self.reports[target].incarnation,
+        });
+        let artifact = &self.view.artifacts[order.item].artifact;
+        let Move {
+            action,
+            reason,
+            value,
+        } = wish;
+        self.log.push(format!(
+            "{now:.2} {artifact} {action:?} {reason:?} {value:.3}"
+        ));
+        self.granted.0 += 1;
+        if load {
+            self.granted.1 += 1;
+            self.tokens -= 1.0;
+        }
+        order
+    }
+
+    fn resend(&mut self, now: f64) -> Vec<Order> {
+        let due = |open: &&mut Open| now - open.sent >= RESEND;
+        let due = self.open.iter_mut().filter(due);
+        let orders = due.map(|open| {
+            open.sent = now;
+            open.order
+        });
+        orders.collect()
+    }
+
+    fn update(&mut self, now: f64, time_of_day: f64, demand: &[(f64, f64)]) {
+        let view = &mut self.view;
+        view.now = Point::ZERO + Duration::from_secs_f64(now);
+        view.time_of_day = Duration::from_secs_f64(time_of_day);
+        for (entry, (requests, tokens)) in view.artifacts.iter_mut().zip(demand) {
+            entry.demand.rate = rate(*requests);
+            entry.demand.tokens = rate(*tokens);
+            entry.copies.clear();
+        }
+        let mut loading = 0;
+        for (target, report) in self.reports.iter().enumerate() {
+            let host = &mut view.targets[target];
+            let fresh = now - report.at < MAX_REPORT_AGE;
+            host.health = if fresh { Health::Ready } else { Health::Lost };
+            host.load = report.load;
+            let mut used = Bytes::ZERO;
+            for copy in &report.copies {
+                used = used.saturating_add(copy.bytes);
+                let phase = copy.phase;
+                view.artifacts[copy.item]
+                    .copies
+                    .push(view::Copy { target, phase });
+                let reading = fresh || now - report.at < SILENT_LOAD;
+                loading += usize::from(phase == Phase::Loading && reading);
+            }
+            host.free = host.memory.saturating_sub(used);
+        }
+        for open in &self.open {
+            let Order {
+                item, target, load, ..
+            } = open.order;
+            if load {
+                let phase = Phase::Loading;
+                let bytes = view.artifacts[item].bytes;
+                view.artifacts[item]
+                    .copies
+                    .push(view::Copy { target, phase });
+                view.targets[target].free = view.targets[target].free.saturating_sub(bytes);
+                let silent = view.targets[target].health == Health::Lost;
+                loading += usize::from(!silent || now - open.since < SILENT_LOAD);
+                continue;
+            }
+            let copies = &mut view.artifacts[item].copies;
+            if let Some(copy) = copies.iter_mut().find(|copy| copy.target == target) {
+                copy.phase = Phase::Unloading;
+            }
+        }
+        let free = view.store.concurrent.saturating_sub(loading);
+        view.store.available = free.min(self.tokens.max(0.0) as usize);
+    }
+}
+
+fn rate(value: f64) -> Rate {
+    Rate::per_second(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/buckthornmast_replay/src/store.rs
@@ -0,0 +1,45 @@
+//! Fake weight store with a limited number of loads at full speed.
+
+use buckthornmast_types::report::Phase;
+
+use crate::engine::Engine;
+
+/// Time from the last byte until a copy is ready, in seconds.
+const WARM_UP: f64 = 2.0;
+
+/// Fake weight store.
+#[derive(Debug, Clone, Copy)]
+pub struct Store {
+    /// Loads at full speed.
+    pub concurrent: usize,
+    /// Bytes a second of a load at full speed.
+    pub speed: f64,
+    /// Share of the speed that is there at present.
+    pub factor: f64,
+}
+
+impl Store {
+    /// Lets all loads read for a step and returns how many were reading. Loads above the limit share
+    /// the speed of those at the limit.
+    pub fn advance(&self, engines: &mut [Engine], now: f64, seconds: f64) -> usize {
+        let copies = || engines.iter().flat_map(|engine| &engine.copies);
+        let reading = copies().filter(|copy| copy.phase == Phase::Loading && copy.left > 0.0);
+        let count = reading.count();
+        let share = (self.concurrent as f64 / count.max(1) as f64).min(1.0);
+        let bytes = self.speed * self.factor * share * seconds;
+        for engine in engines {
+            for copy in &mut engine.copies {
+                if copy.phase == Phase::Loading && copy.left > 0.0 {
+                    copy.left -= bytes;
+                    copy.until = now + WARM_UP;
+                } else if copy.phase == Phase::Loading && copy.until <= now {
+                    copy.phase = Phase::Ready;
+                }
+            }
+            engine
+                .copies
+                .retain(|copy| copy.phase != Phase::Unloading || copy.until > now);
+        }
+        count
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_replay/src/trace.rs
@@ -0,0 +1,260 @@
+//! Traces: demand over time and the faults that occur.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+
+use crate::deployment::{Deployment, Spec};
+
+/// Kind of trace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The morning peak, early for some models and late for others.
+    Morning,
+    /// Three models whose demand grows tenfold, each for a quarter of the time.
+    Burst,
+    /// A model without demand is suddenly asked for.
+    Cold,
+    /// An engine dies, and another one after the first is back.
+    Dead,
+    /// A failure domain is cut off.
+    Partition,
+    /// Bursts while orders are lost or late.
+    Orders,
+    /// Bursts while the weight store is slow.
+    Store,
+    /// Three models and their adapters get a new version.
+    Rollout,
+}
+
+/// All kinds in the order of the table.
+pub const KINDS: [Kind; 8] = [
+    Kind::Morning,
+    Kind::Burst,
+    Kind::Cold,
+    Kind::Dead,
+    Kind::Partition,
+    Kind::Orders,
+    Kind::Store,
+    Kind::Rollout,
+];
+
+impl Kind {
+    /// Returns the name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Morning => "morning",
+            Self::Burst => "burst",
+            Self::Cold => "cold",
+            Self::Dead => "dead",
+            Self::Partition => "partition",
+            Self::Orders => "orders",
+            Self::Store => "store",
+            Self::Rollout => "rollout",
+        }
+    }
+}
+
+/// Fault or change at a moment.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    /// An engine dies.
+    Die(usize),
+    /// An engine comes back empty.
+    Restart(usize),
+    /// A failure domain can't be reached.
+    Cut(usize),
+    /// A failure domain can be reached again.
+    Heal(usize),
+    /// The weight store has this share of its speed.
+    Speed(f64),
+    /// New versions are declared.
+    Rollout,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Burst {
+    item: usize,
+    start: f64,
+    rise: f64,
+    end: f64,
+    factor: f64,
+}
+
+/// Demand and faults of one run.
+#[derive(Debug, Clone)]
+pub struct Trace {
+    /// Length in seconds.
+    pub seconds: f64,
+    /// Time of day at the start in seconds.
+    pub start: f64,
+    /// Faults with their times in seconds, in order.
+    pub faults: Vec<(f64, Fault)>,
+    /// Share of orders that are lost.
+    pub lost: f64,
+    /// Share of orders that are late by up to 8 s.
+    pub late: f64,
+    /// Models that get a new version.
+    pub rollouts: Vec<usize>,
+    base: Vec<f64>,
+    drift: Vec<f64>,
+    early: Vec<bool>,
+    bursts: Vec<Burst>,
+}
+
+/// Returns demand against the usual daytime demand at an hour of the day.
+fn shape(hour: f64, early: bool) -> f64 {
+    let peak = if early { 6.0 } else { 7.25 };
+    let bell = (-((hour - peak) / 0.45).powi(2)).exp();
+    let day = 1.0 / (1.0 + (-(hour - 6.5) * 3.0).exp()) / (1.0 + ((hour - 18.0) * 2.0).exp());
+    0.2 + 0.8 * day + 1.6 * bell
+}
+
+impl Trace {
+    /// Generates a trace.
+    pub fn new(
+        deployment: &Deployment,
+        specs: &[Spec],
+        kind: Kind,
+        seed: u64,
+        seconds: f64,
+    ) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed ^ 0x07ac_e000);
+        let capacity = deployment.engines as f64 * crate::engine::capacity(deployment.slots);
+        let tokens: f64 = specs.iter().map(|spec| spec.share * spec.tokens).sum();
+        let total = deployment.utilisation * capacity / tokens;
+        let base: Vec<f64> = specs.iter().map(|spec| spec.share * total).collect();
+        // Demand of the day differs from the mean that settings were declared from by up to 2.5 times.
+        let drift = base
+            .iter()
+            .map(|_| 2.5f64.powf(random.random_range(-1.0..1.0)));
+        let mut trace = Self {
+            seconds,
+            start: if kind == Kind::Morning {
+                5.5 * 3600.0
+            } else {
+                10.0 * 3600.0
+            },
+            faults: Vec::new(),
+            lost: 0.0,
+            late: 0.0,
+            rollouts: Vec::new(),
+            drift: drift.collect(),
+            early: base.iter().map(|_| random.random_bool(0.5)).collect(),
+            bursts: Vec::new(),
+            base,
+        };
+        trace.add_kind(deployment, specs, kind, &mut random);
+        trace
+    }
+
+    fn add_kind(
+        &mut self,
+        deployment: &Deployment,
+        specs: &[Spec],
+        kind: Kind,
+        random: &mut SmallRng,
+    ) {
+        let end = self.seconds;
+        let engine = random.random_range(0..deployment.engines);
+        let other =
+            (engine + 1 + random.random_range(0..deployment.engines - 1)) % deployment.engines;
+        let domain = random.random_range(0..deployment.domains);
+        match kind {
+            Kind::Morning => {}
+            Kind::Burst => self.add_bursts(specs, random),
+            Kind::Cold => self.add_cold(specs, random),
+            Kind::Dead => {
+                self.faults = vec![
+                    (end * 0.15, Fault::Die(engine)),
+                    (end * 0.5, Fault::Restart(engine)),
+                    (end * 0.55, Fault::Die(other)),
+                ];
+            }
+            Kind::Partition => {
+                self.faults = vec![
+                    (end * 0.25, Fault::Cut(domain)),
+                    (end * 0.5, Fault::Heal(domain)),
+                ];
+            }
+            Kind::Orders => {
+                self.add_bursts(specs, random);
+                (self.lost, self.late) = (0.3, 0.2);
+            }
+            Kind::Store => {
+                self.add_bursts(specs, random);
+                self.faults = vec![
+                    (end * 0.1, Fault::Speed(0.15)),
+                    (end * 0.8, Fault::Speed(1.0)),
+                ];
+            }
+            Kind::Rollout => {
+                let models: Vec<_> = (0..deployment.models).collect();
+                self.rollouts = models.choose_multiple(random, 3).copied().collect();
+                self.faults = vec![(end * 0.2, Fault::Rollout)];
+            }
+        }
+    }
+
+    fn add_bursts(&mut self, specs: &[Spec], random: &mut SmallRng) {
+        let total: f64 = self.base.iter().sum();
+        let models: Vec<_> = (0..specs.len())
+            .filter(|item| {
+                let share = self.base[*item] / total;
+                specs[*item].base.is_none() && (0.008..0.04).contains(&share)
+            })
+            .collect();
+        for (turn, item) in models.choose_multiple(random, 3).enumerate() {
+            let start = self.seconds * (0.1 + 0.3 * turn as f64);
+            self.bursts.push(Burst {
+                item: *item,
+                start,
+                rise: random.random_range(30.0..300.0),
+                end: start + self.seconds * 0.25,
+                factor: 10.0,
+            });
+        }
+    }
+
+    fn add_cold(&mut self, specs: &[Spec], random: &mut SmallRng) {
+        let mut models: Vec<_> = (0..specs.len())
+            .filter(|i| specs[*i].base.is_none())
+            .collect();
+        models.sort_by(|a, b| self.base[*a].total_cmp(&self.base[*b]));
+        let item = models[random.random_range(0..models.len().min(4))];
+        let total: f64 = self.base.iter().sum();
+        // The model asks for 15 % of the usual demand at once, after next to nothing.
+        let factor = 0.15 * total * specs[0].tokens / specs[item].tokens / (self.base[item] * 0.02);
+        self.base[item] *= 0.02;
+        self.bursts.push(Burst {
+            item,
+            start: self.seconds * 0.3,
+            rise: 1.0,
+            end: self.seconds * 0.8,
+            factor,
+        });
+    }
+
+    /// Returns the number of artifacts that have demand.
+    pub fn artifacts(&self) -> usize {
+        self.base.len()
+    }
+
+    /// Returns requests a second for an artifact at a time in seconds.
+    pub fn rate(&self, item: usize, time: f64) -> f64 {
+        let hour = (self.start + time) / 3600.0 % 24.0;
+        let mut rate = self.base[item] * self.drift[item] * shape(hour, self.early[item]);
+        for burst in self.bursts.iter().filter(|burst| burst.item == item) {
+            if time >= burst.start && time < burst.end {
+                let part = ((time - burst.start) / burst.rise).min(1.0);
+                rate *= burst.factor.powf(part);
+            }
+        }
+        rate
+    }
+
+    /// Returns what earlier days say about each hour of the day; bursts and today's drift are not in it.
+    pub fn day(&self, item: usize) -> [f32; 24] {
+        std::array::from_fn(|hour| {
+            (self.base[item] * shape(hour as f64 + 0.5, self.early[item])) as f32
+        })
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_replay/tests/invariants.rs
@@ -0,0 +1,106 @@
+//! Invariants of short runs with fixed seeds. Scores are not checked here.
+
+use buckthornmast_placement::named::Named;
+use buckthornmast_replay::{
+    deployment::{Deployment, KUEHLWERK, PEACH_GROOVE},
+    prelude::*,
+    routing::{LeastLoaded, PowerOfTwo, Random},
+    trace::{Fault, KINDS},
+};
+
+const SECONDS: f64 = 300.0;
+
+#[cfg(test)]
+fn play<R: Rule>(deployment: &Deployment, kind: Kind, policy: &str, seed: u64, rule: &R) -> Score {
+    let specs = deployment.specs(seed);
+    let trace = Trace::new(deployment, &specs, kind, seed, SECONDS);
+    let policy: Named = policy.parse().expect("a policy");
+    world::run(deployment, &specs, &trace, &[policy; 2], rule, seed)
+}
+
+/// Guards against overcommitted memory, loads over the store's budget, a last copy that is unloaded
+/// and an order that an engine has to refuse. The run itself records these.
+#[test]
+fn run_every_trace() {
+    for deployment in [KUEHLWERK, PEACH_GROOVE] {
+        for kind in KINDS {
+            for policy in [
+                "static",
+                "greedy",
+                "marginal",
+                "marginal cost=0 hold=0 knee=0.5",
+            ] {
+                let score = play(&deployment, kind, policy, 7, &PowerOfTwo);
+                let case = format!("{} {} {policy}", deployment.name, kind.name());
+                assert_eq!(score.faults, Vec::<String>::new(), "{case}");
+                assert!(
+                    score.requests > 0 && score.in_time <= score.requests,
+                    "{case}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against artifacts that lose their copies although no engine is lost, also during a
+/// rollout.
+#[test]
+fn run_keeps_copies() {
+    for kind in [
+        Kind::Morning,
+        Kind::Burst,
+        Kind::Cold,
+        Kind::Orders,
+        Kind::Store,
+        Kind::Rollout,
+    ] {
+        for policy in ["static", "greedy", "marginal cost=0 hold=0 knee=0.5"] {
+            let score = play(&KUEHLWERK, kind, policy, 8, &PowerOfTwo);
+            assert_eq!(score.unreachable, 0.0, "{} {policy}", kind.name());
+            assert_eq!(score.replaced, 0, "{policy} leaves old versions");
+        }
+    }
+}
+
+/// Guards against a dead engine whose artifacts are never loaded elsewhere.
+#[test]
+fn run_replaces_dead_engine() {
+    let specs = PEACH_GROOVE.specs(9);
+    let mut trace = Trace::new(&PEACH_GROOVE, &specs, Kind::Morning, 9, SECONDS);
+    trace.faults = vec![(30.0, Fault::Die(3))];
+    let held = PEACH_GROOVE.declared(&specs);
+    let only = held.iter().filter(|targets| **targets == [3]).count();
+    assert!(
+        only > 0,
+        "the engine holds no single copy, choose another seed"
+    );
+    for policy in ["static", "greedy", "marginal"] {
+        let policies = [policy.parse::<Named>().unwrap(); 2];
+        let score = world::run(&PEACH_GROOVE, &specs, &trace, &policies, &PowerOfTwo, 9);
+        let most = only as f64 * 120.0;
+        assert!(
+            score.unreachable < most,
+            "{policy}: {} s",
+            score.unreachable
+        );
+    }
+}
+
+/// Guards against runs of one seed that differ, which would make figures irreproducible.
+#[test]
+fn run_same_seed() {
+    let run = || play(&PEACH_GROOVE, Kind::Orders, "marginal", 10, &PowerOfTwo);
+    let (first, second) = (run(), run());
+    assert_eq!(first.log, second.log);
+    assert_eq!(first.in_time, second.in_time);
+}
+
+/// Guards against a rule that the harness can't be run with.
+#[test]
+fn run_every_rule() {
+    let deployment = PEACH_GROOVE;
+    let (kind, policy) = (Kind::Burst, "static");
+    let least = play(&deployment, kind, policy, 11, &LeastLoaded);
+    let random = play(&deployment, kind, policy, 11, &Random);
+    assert!(least.in_time > 0 && random.in_time > 0);
+}
