Make room for adapters that a tight target has no memory for

Cause: a large new version was loaded where its adapters did not fit, so the rollout never ended. Change: room is searched by one function for policies and arbiter, and counts the adapters that have no copy yet; a model whose targets are full gets another copy for them.

--- a/crates/buckthornmast_placement/src/arbiter.rs
+++ b/crates/buckthornmast_placement/src/arbiter.rs
@@ -174,15 +174,24 @@
 
     /// Unloads spare copies so that a load fits later.
     fn reclaim(&mut self, team: usize, item: usize) {
-        let targets = 0..self.draft.view().targets.len();
-        let best = targets
+        let view = self.draft.view();
+        let class = |other: usize| {
+            let owner = view.artifacts[other].team;
+            Some(usize::from(owner != team && !self.shares.is_above(owner)))
+        };
+        let best = (0..view.targets.len())
             .filter(|target| self.draft.is_eligible(item, *target))
             .filter_map(|target| {
-                let (victims, rank) = self.victims(team, item, target)?;
-                Some((target, victims, rank))
+                let room = duty::find_room(&self.draft, item, target, class)?;
+                Some((target, room))
             })
-            .min_by(|a, b| a.2.0.cmp(&b.2.0).then(a.2.1.total_cmp(&b.2.1)));
-        let Some((target, victims, _)) = best else {
+            .min_by(|a, b| {
+                let key = |room: &duty::Room| (room.class, room.tight);
+                key(&a.1)
+                    .cmp(&key(&b.1))
+                    .then(a.1.loss.total_cmp(&b.1.loss))
+            });
+        let Some((target, duty::Room { victims, .. })) = best else {
             return;
         };
         for victim in victims {
@@ -209,46 +218,6 @@
         self.draft.reserve(target);
     }
 
-    /// Returns the copies that would have to go from a target, how many of them belong to other teams
-    /// that are within their share, and the demand that they serve.
-    fn victims(
-        &self,
-        team: usize,
-        item: usize,
-        target: usize,
-    ) -> Option<(Vec<usize>, (usize, f64))> {
-        let view = self.draft.view();
-        let need = view.artifacts[item].bytes;
-        let on = self.draft.on(target);
-        let leaving = on
-            .iter()
-            .filter(|other| self.draft.phase(**other, target) == Some(Phase::Unloading));
-        let leaving = leaving.map(|other| view.artifacts[*other].bytes).sum();
-        let mut free = self.draft.free(target).saturating_add(leaving);
-        let mut spare = on.to_vec();
-        spare.retain(|other| duty::is_victim(&self.draft, *other, item, target));
-        let is_within = |other: usize| {
-            let owner = view.artifacts[other].team;
-            owner != team && !self.shares.is_above(owner)
-        };
-        let demand = |other: usize| duty::demand_per_copy(&self.draft, other);
-        spare.sort_by(|a, b| {
-            let shares = is_within(*a).cmp(&is_within(*b));
-            shares.then(demand(*a).total_cmp(&demand(*b)))
-        });
-        let (mut chosen, mut rank) = (Vec::new(), (0, 0.0));
-        for other in spare {
-            if free >= need {
-                break;
-            }
-            free = free.saturating_add(view.artifacts[other].bytes);
-            rank.0 += usize::from(is_within(other));
-            rank.1 += demand(other);
-            chosen.push(other);
-        }
-        (free >= need).then_some((chosen, rank))
-    }
-
     fn rest(&mut self, wishes: &[Moves]) {
         let mut queues: Vec<Vec<Move>> = wishes
             .iter()
--- a/crates/buckthornmast_placement/src/duty.rs
+++ b/crates/buckthornmast_placement/src/duty.rs
@@ -4,7 +4,7 @@
 //! proceeds. The new version is loaded beside the old one, or waits for memory; old copies go once the
 //! new version is reachable.
 
-use buckthornmast_types::report::Phase;
+use buckthornmast_types::{report::Phase, size::Bytes};
 
 use crate::{
     draft::Draft,
@@ -72,13 +72,53 @@
             true => Reason::Rollout,
             false => Reason::Unreachable,
         };
-        place(draft, team, item, reason, limit, moves);
+        let placed = place(draft, team, item, reason, limit, moves);
+        if let Some(base) = view.artifacts[item].base.filter(|_| !placed) {
+            widen(draft, team, base, reason, limit, moves);
+        }
+    }
+}
+
+/// Loads another copy of a model whose targets have no memory for an adapter that has no copy yet.
+fn widen(
+    draft: &mut Draft<'_>,
+    team: usize,
+    base: usize,
+    reason: Reason,
+    limit: usize,
+    moves: &mut Moves,
+) {
+    let copies = draft.copies(base).iter();
+    if copies.filter(|copy| copy.phase != Phase::Ready).count() > 0 {
+        return;
+    }
+    let target = best_target(draft, base);
+    match target.filter(|target| draft.free(*target) >= footprint(draft, base)) {
+        Some(target) => {
+            let action = Action::Load {
+                artifact: base,
+                target,
+            };
+            push(
+                draft,
+                moves,
+                limit,
+                Move {
+                    action,
+                    reason,
+                    value: 0.0,
+                },
+            );
+        }
+        None => {
+            make_room(draft, team, base, f64::INFINITY, limit, moves);
+        }
     }
 }
 
 /// Loads an artifact where it fits best, or makes room for it.
 ///
-/// Room for demand is made only if the copies that go serve less demand than the new copy would.
+/// Returns whether the artifact is loaded or room is being made. Room for demand is made only if the copies that go serve less demand than the new copy would.
 pub fn place(
     draft: &mut Draft<'_>,
     team: usize,
@@ -116,7 +156,7 @@
             if moves.len() < limit && matches!(reason, Reason::Unreachable | Reason::Rollout) =>
         {
             moves.push(wanted(target));
-            true
+            false
         }
         _ => false,
     }
@@ -126,9 +166,7 @@
 /// another failure domain, then the lowest load, then the most free memory.
 pub fn best_target(draft: &Draft<'_>, item: usize) -> Option<usize> {
     let view = draft.view();
-    let adapters = view.artifacts.iter().filter(|e| e.base == Some(item));
-    let bytes = view.artifacts[item].bytes;
-    let bytes = bytes.saturating_add(adapters.map(|entry| entry.bytes).sum());
+    let bytes = footprint(draft, item);
     let hosts = (0..view.targets.len()).filter(|target| draft.can_load(item, *target));
     hosts.min_by_key(|target| {
         let host = &view.targets[*target];
@@ -156,14 +194,17 @@
     moves: &mut Moves,
 ) -> bool {
     let view = draft.view();
+    let class = |other: usize| (view.artifacts[other].team == team).then_some(0);
     let best = (0..view.targets.len())
         .filter(|target| draft.is_eligible(item, *target))
-        .filter_map(|target| {
-            let (victims, loss) = victims(draft, team, item, target)?;
-            (loss < worth).then_some((target, victims, loss))
-        })
-        .min_by(|a, b| a.2.total_cmp(&b.2));
-    let Some((target, victims, _)) = best else {
+        .filter_map(|target| Some((target, find_room(draft, item, target, class)?)))
+        .filter(|(_, room)| room.loss < worth)
+        .min_by(|a, b| {
+            a.1.tight
+                .cmp(&b.1.tight)
+                .then(a.1.loss.total_cmp(&b.1.loss))
+        });
+    let Some((target, Room { victims, .. })) = best else {
         return false;
     };
     for victim in victims {
@@ -174,36 +215,62 @@
     true
 }
 
-/// Returns the spare copies of the team on a target that would free enough memory, and the demand that
-/// they serve. Memory that is already being freed counts.
-fn victims(
+/// Copies that would have to go from a target.
+#[derive(Debug, Clone, Default)]
+pub struct Room {
+    /// Copies.
+    pub victims: Vec<usize>,
+    /// Whether the artifact fits, but not all of its adapters that have no copy yet.
+    pub tight: bool,
+    /// Sum of the classes of the copies.
+    pub class: usize,
+    /// Demand that the copies serve.
+    pub loss: f64,
+}
+
+/// Returns the spare copies on a target that would free enough memory, of the lowest class and with the
+/// least demand first. Memory that is already being freed counts. `class` tells which copies may go.
+pub fn find_room(
     draft: &Draft<'_>,
-    team: usize,
     item: usize,
     target: usize,
-) -> Option<(Vec<usize>, f64)> {
+    class: impl Fn(usize) -> Option<usize>,
+) -> Option<Room> {
     let view = draft.view();
-    let bytes = |item: &usize| view.artifacts[*item].bytes;
-    let on = draft.on(target).iter();
-    let leaving = on.filter(|item| draft.phase(**item, target) == Some(Phase::Unloading));
+    let bytes = |item: usize| view.artifacts[item].bytes;
+    let on = draft.on(target).iter().copied();
+    let leaving = on.filter(|other| draft.phase(*other, target) == Some(Phase::Unloading));
     let mut free = draft.free(target).saturating_add(leaving.map(bytes).sum());
-    let need = view.artifacts[item].bytes;
-    let mut spare: Vec<_> = draft.on(target).to_vec();
-    spare.retain(|other| {
-        let entry = &view.artifacts[*other];
-        entry.team == team && *other != item && is_victim(draft, *other, item, target)
-    });
-    spare.sort_by(|a, b| demand_per_copy(draft, *a).total_cmp(&demand_per_copy(draft, *b)));
-    let (mut chosen, mut loss) = (Vec::new(), 0.0);
-    for other in spare {
-        if free >= need {
+    let on = draft.on(target).iter().copied();
+    let mut spare: Vec<(usize, f64, usize)> = on
+        .filter(|other| *other != item && is_victim(draft, *other, item, target))
+        .filter_map(|other| Some((class(other)?, demand_per_copy(draft, other), other)))
+        .collect();
+    spare.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    let mut room = Room::default();
+    for (class, loss, other) in spare {
+        if free >= footprint(draft, item) {
             break;
         }
-        free = free.saturating_add(bytes(&other));
-        loss += demand_per_copy(draft, other);
-        chosen.push(other);
+        free = free.saturating_add(bytes(other));
+        room.class += class;
+        room.loss += loss;
+        room.victims.push(other);
+    }
+    room.tight = free < footprint(draft, item);
+    (free >= bytes(item)).then_some(room)
+}
+
+/// Returns the memory of an artifact and of its adapters that have no copy yet.
+fn footprint(draft: &Draft<'_>, item: usize) -> Bytes {
+    let artifacts = &draft.view().artifacts;
+    let bytes = artifacts[item].bytes;
+    if artifacts[item].base.is_some() {
+        return bytes;
     }
-    (free >= need).then_some((chosen, loss))
+    let adapters = (0..artifacts.len()).filter(|other| artifacts[*other].base == Some(item));
+    let missing = adapters.filter(|adapter| !draft.is_covered(*adapter));
+    bytes.saturating_add(missing.map(|adapter| artifacts[adapter].bytes).sum())
 }
 
 /// Returns whether a copy may make room for an artifact: not the model that the artifact stands on.
