Ping idle connections less often and measure paced notices

Cause: a pinged connection was due again at the next timer tick, so idle connections took 2.2 KB/s each. Change: the time of the last answer decides; pings every 0.6 s, idle connections close after 3 s.

--- a/crates/buckthornmast_membership/examples/measure_membership.rs
+++ b/crates/buckthornmast_membership/examples/measure_membership.rs
@@ -18,8 +18,7 @@
 
 type Failure = Box<dyn std::error::Error>;
 
-const SPAN: Duration = Duration::from_secs(8);
-const DOMAINS: usize = 4;
+const SPAN: Duration = Duration::from_secs(5);
 
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const HEADERS: u64 = 28;
@@ -83,7 +82,7 @@
 }
 
 /// Returns datagrams, bytes and milliseconds of processor time per second and instance.
-fn measure(count: usize, sum: &Sum) -> Result<[f64; 3], Failure> {
+fn measure(count: usize, domains: usize, sum: &Sum) -> Result<[f64; 3], Failure> {
     let sockets: Result<Vec<UdpSocket>, _> =
         (0..count).map(|_| UdpSocket::bind("127.0.0.1:0")).collect();
     let mut members = Vec::new();
@@ -91,7 +90,7 @@
     for (index, socket) in sockets.iter().enumerate() {
         members.push(Member {
             instance: format!("node-{index:03}").parse()?,
-            domain: format!("zone-{}", index % DOMAINS).parse()?,
+            domain: format!("zone-{}", index % domains).parse()?,
             address: socket.local_addr()?,
         });
     }
@@ -127,7 +126,7 @@
         nanos as f64 / 1e6 / share,
     ];
     println!(
-        "{count:3} instances in {DOMAINS} domains, {alive} alive: {:.1} datagrams/s, {:.0} bytes/s sent with headers, {:.3} ms cpu/s",
+        "{count:3} instances in {domains} domains, {alive} alive: {:.1} datagrams/s, {:.0} bytes/s sent with headers, {:.3} ms cpu/s",
         row[0], row[1], row[2]
     );
     Ok(row)
@@ -155,26 +154,23 @@
 fn main() -> Result<(), Failure> {
     let sum = Sum::default();
     metrics::set_global_recorder(sum.clone()).map_err(|error| error.to_string())?;
-    let mut points = Vec::new();
-    for _ in 0..2 {
-        for count in [6, 24, 48] {
-            points.push((count as f64, measure(count, &sum)?));
+    let mut all = Vec::new();
+    for domains in [4, 1] {
+        let mut points = Vec::new();
+        for _ in 0..2 {
+            for count in [6, 24, 48] {
+                points.push((count as f64, measure(count, domains, &sum)?));
+            }
         }
+        let of = |value: usize| -> Vec<(f64, f64)> {
+            let points = points.iter();
+            points.map(|(count, row)| (*count, row[value])).collect()
+        };
+        fit("  bytes/s per instance, x = instances", &of(1));
+        fit("  ms cpu/s per instance, x = instances", &of(2));
+        all.extend(points);
     }
-    let of = |x: fn(&(f64, [f64; 3])) -> f64, y: usize| -> Vec<(f64, f64)> {
-        points.iter().map(|point| (x(point), point.1[y])).collect()
-    };
-    fit(
-        "bytes/s per instance, x = instances",
-        &of(|point| point.0, 1),
-    );
-    fit(
-        "ms cpu/s per instance, x = instances",
-        &of(|point| point.0, 2),
-    );
-    fit(
-        "ms cpu/s per instance, x = datagrams/s sent",
-        &of(|point| point.1[0], 2),
-    );
+    let of: Vec<_> = all.iter().map(|(_, row)| (row[0], row[2])).collect();
+    fit("all: ms cpu/s per instance, x = datagrams/s sent", &of);
     Ok(())
 }
--- a/crates/buckthornmast_peer/examples/measure_peer.rs
+++ b/crates/buckthornmast_peer/examples/measure_peer.rs
@@ -191,9 +191,30 @@
     Ok(())
 }
 
+/// Sends one small notice every 100 ms, like a leader to a follower.
+fn measure_paced(sockets: &Sockets) -> Result<(), Failure> {
+    const COUNT: u64 = 50;
+    let running = start_all(2)?;
+    let (client, to) = (running[0].1.client(), &running[1].0);
+    client.call(to, "warm up".into(), TIMEOUT)?;
+    let bytes = sockets.0.load(Ordering::SeqCst);
+    for sent in 0..COUNT {
+        client.notify(to, (sent, "x".repeat(100)));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let bytes = sockets.0.load(Ordering::SeqCst) - bytes;
+    println!(
+        "notices of 100 bytes at 10/s: {} bytes each (both directions)",
+        bytes / COUNT
+    );
+    running.into_iter().for_each(|(_, handle, _)| handle.stop());
+    Ok(())
+}
+
 /// Measures without calls, once without connections and once while connections are pinged.
 fn measure_idle(count: usize, sockets: &Sockets) -> Result<(), Failure> {
-    const SPAN: Duration = Duration::from_secs(3);
+    // Shorter than the time after which idle connections are closed.
+    const SPAN: Duration = Duration::from_millis(2500);
     let running = start_all(count)?;
     for connected in [false, true] {
         if connected {
@@ -209,7 +230,7 @@
         let bytes = sockets.0.load(Ordering::SeqCst) - bytes;
         let share = SPAN.as_secs_f64() * count as f64;
         println!(
-            "idle, {count} instances, {} connections each: {:.0} bytes/s and {:.2} ms cpu/s per instance",
+            "idle, {count} instances, {} connections each: {:.0} bytes/s (both directions) and {:.2} ms cpu/s per instance",
             if connected { count } else { 0 },
             bytes as f64 / share,
             cpu.as_secs_f64() * 1e3 / share,
@@ -225,6 +246,7 @@
     measure_calls(1, 5000)?;
     measure_calls(32, 2000)?;
     measure_notices(200_000)?;
+    measure_paced(&sockets)?;
     measure_idle(6, &sockets)?;
     measure_idle(24, &sockets)
 }
--- a/crates/buckthornmast_peer/src/config.rs
+++ b/crates/buckthornmast_peer/src/config.rs
@@ -26,7 +26,7 @@
     pub hold: Duration,
     /// Longest time that a connection may owe an answer before it is replaced; more than `hold`.
     pub silence: Duration,
-    /// Idle time after which a connection is pinged.
+    /// Time since the last answer after which an idle connection is pinged.
     pub ping: Duration,
     /// Idle time after which a connection is closed.
     pub idle: Duration,
@@ -60,10 +60,12 @@
     fn default() -> Self {
         Self {
             hold: Duration::from_millis(400),
-            // With `ping` this notices a silent connection within 2 s.
-            silence: Duration::from_millis(1300),
-            ping: Duration::from_millis(500),
-            idle: Duration::from_secs(5),
+            // A silent connection is noticed after `ping`, a third of it for the timer, and `silence`,
+            // which together are 2 s.
+            silence: Duration::from_millis(1200),
+            ping: Duration::from_millis(600),
+            // Pings take about 1 KB/s per connection, so idle ones are not kept for long.
+            idle: Duration::from_secs(3),
             connect: Duration::from_millis(1000),
             quiet: Duration::from_secs(15),
             body: 8 << 20,
--- a/crates/buckthornmast_peer/src/driver.rs
+++ b/crates/buckthornmast_peer/src/driver.rs
@@ -191,7 +191,7 @@
 
 /// Pings idle connections of all links until the task is dropped.
 async fn ping_idle(links: Vec<Arc<Link>>, interval: Duration) {
-    let mut ticks = tokio::time::interval(interval.max(Duration::from_millis(1)) / 2);
+    let mut ticks = tokio::time::interval(interval.max(Duration::from_millis(3)) / 3);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
--- a/crates/buckthornmast_peer/src/lane.rs
+++ b/crates/buckthornmast_peer/src/lane.rs
@@ -17,7 +17,10 @@
 /// Connection that is not in use.
 pub(crate) struct Lane {
     pub(crate) http: HttpClient,
+    /// Last exchange of a call or of notices.
     used: Instant,
+    /// Last answered exchange, pings included.
+    answered: Instant,
 }
 
 /// Connection in use and the permit for it.
@@ -67,9 +70,11 @@
             .map_err(|error| ExchangeError::Connect {
                 detail: error.to_string(),
             })?;
+        let now = Instant::now();
         Ok(Lane {
             http,
-            used: Instant::now(),
+            used: now,
+            answered: now,
         })
     }
 
@@ -91,11 +96,13 @@
     pub(crate) fn put(&self, busy: Busy<'_>) {
         let mut lane = busy.lane;
         lane.used = Instant::now();
+        lane.answered = lane.used;
         self.idle().push(lane);
     }
 
     /// Returns a connection whose ping was answered; its idle time goes on.
-    pub(crate) fn put_pinged(&self, lane: Lane) {
+    pub(crate) fn put_pinged(&self, mut lane: Lane) {
+        lane.answered = Instant::now();
         self.idle().insert(0, lane);
     }
 
@@ -104,7 +111,7 @@
         let now = Instant::now();
         let mut idle = self.idle();
         idle.retain(|lane| now.duration_since(lane.used) < limits.idle);
-        idle.extract_if(.., |lane| now.duration_since(lane.used) >= limits.ping)
+        idle.extract_if(.., |lane| now.duration_since(lane.answered) >= limits.ping)
             .collect()
     }
 }
