Give notices connections of their own

Cause: notices of the log shared 32 connections per peer with calls, whose polls hold one for 0.4 s each. Change: one more set of connections per peer, chosen by the kind of message; the thaw test also asserts that an instance that died meanwhile is never alive.

--- a/crates/buckthornmast_membership/tests/faults.rs
+++ b/crates/buckthornmast_membership/tests/faults.rs
@@ -176,6 +176,11 @@
                 .into_iter()
                 .find(|doubt| doubt.0 == 2 && doubt.2 == State::Dead);
             assert_eq!(dead, None, "{count} members");
+            assert_ne!(
+                net.state(2, 1),
+                State::Alive,
+                "{count} members: 1 died meanwhile"
+            );
         });
         assert_eq!(net.doubts(), [], "{count} members");
         assert_eq!(net.state(2, 1), State::Dead, "{count} members");
--- a/crates/buckthornmast_peer/src/client.rs
+++ b/crates/buckthornmast_peer/src/client.rs
@@ -22,7 +22,7 @@
     error::Step,
     exchange::{ExchangeError, exchange},
     lane::{Lane, Lanes},
-    message::{Answer, Ask, Refusal},
+    message::{Answer, Ask, Kind, Refusal},
     stats,
 };
 
@@ -53,6 +53,8 @@
     key: Key,
     limits: Limits,
     lanes: Lanes,
+    /// Connections for notices, so that these don't wait behind long calls.
+    notice_lanes: Lanes,
     session: Mutex<Option<Arc<Session>>>,
     /// Held while a session is asked for, so that callers ask once.
     opening: tokio::sync::Mutex<()>,
@@ -95,6 +97,7 @@
     pub(crate) fn new(me: id::Instance, key: Key, peer: Peer, limits: Limits) -> Self {
         Self {
             lanes: Lanes::new(peer.address, &limits),
+            notice_lanes: Lanes::new(peer.address, &limits),
             peer,
             me,
             key,
@@ -111,6 +114,13 @@
         self.limits.silence * 2_u32.pow(attempt.min(4)) + transfer
     }
 
+    fn lanes_for(&self, kind: Kind) -> &Lanes {
+        match kind {
+            Kind::Notices => &self.notice_lanes,
+            _ => &self.lanes,
+        }
+    }
+
     fn current(&self) -> Option<Arc<Session>> {
         let session = self.session.lock().unwrap_or_else(PoisonError::into_inner);
         session.clone()
@@ -126,23 +136,23 @@
     async fn exchange_on<R: DeserializeOwned>(
         &self,
         lane: &Lane,
-        message: &'static str,
+        kind: Kind,
         frame: &Sealed,
         attempt: u32,
     ) -> Result<Answer<R>, ExchangeError> {
-        let kind = self.peer.kind;
+        let (peer, message) = (self.peer.kind, kind.as_str());
         let bytes = frame.body.len();
-        stats::count_message("sent", kind, message, bytes);
+        stats::count_message("sent", peer, message, bytes);
         let limit = self.silence(bytes, attempt);
         let result = exchange(lane, &self.key, &self.peer.instance, frame, limit).await;
         match result {
             Ok((answer, bytes)) => {
-                stats::count_message("received", kind, message, bytes);
+                stats::count_message("received", peer, message, bytes);
                 Ok(answer)
             }
             Err(error) => {
                 if matches!(error, ExchangeError::Silent { .. }) {
-                    stats::count("buckthornmast_peer_silent_connections_total", kind, 1);
+                    stats::count("buckthornmast_peer_silent_connections_total", peer, 1);
                     log::debug!(step = "exchange", peer:% = self.peer.instance; "replace a silent connection");
                 }
                 Err(error)
@@ -156,25 +166,26 @@
     /// at hand.
     async fn exchange<R: DeserializeOwned>(
         &self,
-        message: &'static str,
+        lanes: &Lanes,
+        kind: Kind,
         frame: &Sealed,
         attempt: u32,
         sent: &AtomicBool,
     ) -> (bool, Result<Answer<R>, ExchangeError>) {
-        let busy = match self.lanes.take().await {
+        let busy = match lanes.take().await {
             Ok(busy) => busy,
             Err(error) => return (sent.load(Ordering::SeqCst), Err(error)),
         };
         let repeated = sent.swap(true, Ordering::SeqCst);
-        let answer = self.exchange_on(&busy.lane, message, frame, attempt).await;
+        let answer = self.exchange_on(&busy.lane, kind, frame, attempt).await;
         if answer.is_ok() {
-            self.lanes.put(busy);
+            lanes.put(busy);
         }
         (repeated, answer)
     }
 
     /// Returns the current session or asks for a new one.
-    async fn session(&self, attempt: u32) -> Result<Arc<Session>, ExchangeError> {
+    async fn session(&self, lanes: &Lanes, attempt: u32) -> Result<Arc<Session>, ExchangeError> {
         if let Some(session) = self.current() {
             return Ok(session);
         }
@@ -185,7 +196,9 @@
         let body = encode_plain(&Ask::Open)?;
         let frame = sealed::seal_request(&self.key, &self.me, Nonce::random(), body);
         let sent = AtomicBool::new(false);
-        let (_, answer) = self.exchange::<Value>("open", &frame, attempt, &sent).await;
+        let (_, answer) = self
+            .exchange::<Value>(lanes, Kind::Open, &frame, attempt, &sent)
+            .await;
         match answer? {
             Answer::Session(id) => {
                 let next = AtomicU64::new(0);
@@ -213,14 +226,15 @@
     /// established, and otherwise goes on until the caller drops the future at its deadline.
     pub(crate) async fn deliver<R: DeserializeOwned>(
         &self,
-        message: &'static str,
+        kind: Kind,
         body: &str,
         sent: &AtomicBool,
     ) -> Result<(Answer<R>, Nonce), Failure> {
+        let lanes = self.lanes_for(kind);
         let mut attempt = 0;
         let mut refusals = 0;
         loop {
-            let session = match self.session(attempt).await {
+            let session = match self.session(lanes, attempt).await {
                 Ok(session) => session,
                 Err(ExchangeError::Silent { .. }) => {
                     attempt += 1;
@@ -235,7 +249,7 @@
                 }
             };
             let frame = self.seal(&session, body.to_owned());
-            match self.deliver_frame(message, &frame, sent).await? {
+            match self.deliver_frame(kind, &frame, sent).await? {
                 // The first copy was refused, so the peer never took it.
                 Answer::Refused(Refusal::Session) if refusals < MAX_SESSION_REFUSALS => {
                     self.replace_session(Some(session.id), None);
@@ -249,14 +263,15 @@
     /// Sends copies of a frame until one is answered.
     async fn deliver_frame<R: DeserializeOwned>(
         &self,
-        message: &'static str,
+        kind: Kind,
         frame: &Sealed,
         sent: &AtomicBool,
     ) -> Result<Answer<R>, Failure> {
+        let lanes = self.lanes_for(kind);
         let mut attempt = 0;
         let mut broken = 0;
         loop {
-            let (repeated, answer) = self.exchange(message, frame, attempt, sent).await;
+            let (repeated, answer) = self.exchange(lanes, kind, frame, attempt, sent).await;
             match answer {
                 Ok(Answer::Refused(Refusal::Session)) if repeated => {
                     self.replace_session(Some(frame.nonce.session), None);
@@ -288,7 +303,7 @@
         body: &str,
         sent: &AtomicBool,
     ) -> Result<R, Failure> {
-        let (mut answer, nonce) = self.deliver("call", body, sent).await?;
+        let (mut answer, nonce) = self.deliver(Kind::Call, body, sent).await?;
         loop {
             match answer {
                 Answer::Done(response) => return Ok(response),
@@ -317,7 +332,7 @@
         let body = body.map_err(|error| failure(Step::Encode, true, error))?;
         let frame = self.seal(&session, body);
         let sent = AtomicBool::new(false);
-        match self.deliver_frame("poll", &frame, &sent).await {
+        match self.deliver_frame(Kind::Poll, &frame, &sent).await {
             // The poll was replayed, not the call; the next poll has another nonce.
             Ok(Answer::Refused(Refusal::Replayed)) => Ok(Answer::Running),
             Ok(Answer::Refused(Refusal::Session)) => {
@@ -334,23 +349,30 @@
 
     /// Closes connections that are not needed and pings the other idle ones.
     pub(crate) fn ping_idle(self: &Arc<Self>) {
-        for lane in self.lanes.take_due(&self.limits) {
-            let Some(session) = self.current() else {
-                return;
-            };
-            let link = self.clone();
-            tokio::spawn(async move {
-                let Ok(body) = encode_plain(&Ask::Ping) else {
-                    return;
-                };
-                let frame = link.seal(&session, body);
-                let answer = link.exchange_on::<Value>(&lane, "ping", &frame, 0).await;
-                if let Ok(Answer::Taken) = answer {
-                    link.lanes.put_pinged(lane);
-                } else if let Ok(Answer::Refused(Refusal::Session)) = answer {
-                    link.replace_session(Some(session.id), None);
+        for kind in [Kind::Call, Kind::Notices] {
+            for lane in self.lanes_for(kind).take_due(&self.limits) {
+                if let Some(session) = self.current() {
+                    tokio::spawn(self.clone().ping(kind, lane, session));
                 }
-            });
+            }
+        }
+    }
+
+    /// Pings an idle connection and returns it to its kind if it answers.
+    async fn ping(self: Arc<Self>, kind: Kind, lane: Lane, session: Arc<Session>) {
+        let Ok(body) = encode_plain(&Ask::Ping) else {
+            return;
+        };
+        let frame = self.seal(&session, body);
+        match self
+            .exchange_on::<Value>(&lane, Kind::Ping, &frame, 0)
+            .await
+        {
+            Ok(Answer::Taken) => self.lanes_for(kind).put_pinged(lane),
+            Ok(Answer::Refused(Refusal::Session)) => {
+                self.replace_session(Some(session.id), None);
+            }
+            _ => {}
         }
     }
 }
--- a/crates/buckthornmast_peer/src/message.rs
+++ b/crates/buckthornmast_peer/src/message.rs
@@ -10,6 +10,28 @@
 /// JSON-RPC error code for frames that are not believed.
 pub(crate) const UNAUTHENTICATED: i32 = -32001;
 
+/// Kind of a request, for counters and for the choice of connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Open,
+    Ping,
+    Call,
+    Poll,
+    Notices,
+}
+
+impl Kind {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Ping => "ping",
+            Self::Call => "call",
+            Self::Poll => "poll",
+            Self::Notices => "notices",
+        }
+    }
+}
+
 /// Body of a request.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -26,6 +48,18 @@
     Notices(Vec<N>),
 }
 
+impl<R, N> Ask<R, N> {
+    pub(crate) fn kind(&self) -> Kind {
+        match self {
+            Self::Open => Kind::Open,
+            Self::Ping => Kind::Ping,
+            Self::Call { .. } => Kind::Call,
+            Self::Poll { .. } => Kind::Poll,
+            Self::Notices(_) => Kind::Notices,
+        }
+    }
+}
+
 /// Body of an answer.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/buckthornmast_peer/src/notice.rs
+++ b/crates/buckthornmast_peer/src/notice.rs
@@ -12,7 +12,12 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
-use crate::{client::Link, config::Limits, message::Answer, message::Ask, stats};
+use crate::{
+    client::Link,
+    config::Limits,
+    message::{Answer, Ask, Kind},
+    stats,
+};
 
 /// Longest time that a batch is tried before it is dropped.
 ///
@@ -109,7 +114,7 @@
                 continue;
             }
             let sent = AtomicBool::new(false);
-            let delivery = link.deliver::<()>("notices", &body, &sent);
+            let delivery = link.deliver::<()>(Kind::Notices, &body, &sent);
             let answer = tokio::time::timeout(BATCH_TIMEOUT, delivery).await;
             // A replayed batch was taken from an earlier copy.
             let taken = match answer {
--- a/crates/buckthornmast_peer/src/server.rs
+++ b/crates/buckthornmast_peer/src/server.rs
@@ -59,16 +59,6 @@
     serde_json::to_string(answer).unwrap_or_default()
 }
 
-fn message_of<R, N>(ask: &Ask<R, N>) -> &'static str {
-    match ask {
-        Ask::Open => "open",
-        Ask::Ping => "ping",
-        Ask::Call { .. } => "call",
-        Ask::Poll { .. } => "poll",
-        Ask::Notices(_) => "notices",
-    }
-}
-
 fn unauthenticated(detail: &str) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(UNAUTHENTICATED, detail, None::<()>)
 }
@@ -103,7 +93,7 @@
         };
         let (message, body) = match serde_json::from_str::<Asked<H>>(body) {
             Ok(ask) => {
-                let message = message_of(&ask);
+                let message = ask.kind().as_str();
                 stats::count_message("received", kind, message, body.len());
                 (message, self.answer_ask(&frame, ask).await)
             }
