http: bounded server on mio and httparse, and a streaming client

Change: one thread reads requests without blocking; whole requests go to bounded workers; every state of a connection has a bounded life; a spare descriptor keeps accept going; the client bounds each gap between reads and says whether a byte may have been sent. Conclusion: half-open and slow clients cost a descriptor and a buffer each, no thread.

--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -3,12 +3,22 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
     time::Duration,
 };
 
 use snafu::Snafu;
 
-use crate::exchange::Exchange;
+use crate::{
+    exchange::Exchange,
+    link::Home,
+    pool::Pool,
+    reactor::{self, Reactor},
+};
 
 /// Bounds of a server.
 #[derive(Debug, Clone)]
@@ -71,6 +81,10 @@
 #[derive(Debug)]
 pub struct Handle {
     address: SocketAddr,
+    stopping: Arc<AtomicBool>,
+    waker: Arc<mio::Waker>,
+    pool: Arc<Pool>,
+    reactor: Option<JoinHandle<()>>,
 }
 
 impl Handle {
@@ -79,19 +93,86 @@
         self.address
     }
 
+    /// Returns the number of exchanges in progress on worker threads.
+    pub fn busy(&self) -> usize {
+        self.pool.busy()
+    }
+
     /// Stops accepting, lets exchanges in progress finish and joins all threads.
-    pub fn stop(self) {}
+    ///
+    /// A request that has arrived in part may still arrive within its time, so this takes the head and
+    /// body timeouts at most, and the longest exchange.
+    pub fn stop(mut self) {
+        self.shut_down();
+    }
+
+    fn shut_down(&mut self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        let _ = self.waker.wake();
+        if let Some(reactor) = self.reactor.take() {
+            // A panic of the thread has been printed by the panic hook.
+            let _ = reactor.join();
+        }
+        self.pool.join();
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.shut_down();
+    }
 }
 
 /// Starts a server on a listener.
-pub fn start<H>(listener: TcpListener, config: Config, _handler: H) -> Result<Handle, StartError>
+pub fn start<H>(listener: TcpListener, config: Config, handler: H) -> Result<Handle, StartError>
 where
     H: Fn(Exchange) + Send + Sync + 'static,
 {
-    let address = listener.local_addr().map_err(|source| StartError {
-        name: config.name.clone(),
-        step: "address",
-        source,
-    })?;
-    Ok(Handle { address })
+    let name = config.name.clone();
+    let failed = |step| {
+        let name = name.clone();
+        move |source| StartError { name, step, source }
+    };
+    let address = listener.local_addr().map_err(failed("address"))?;
+    listener.set_nonblocking(true).map_err(failed("listener"))?;
+    bound_silence(&listener).map_err(failed("keep-alive"))?;
+    let poll = mio::Poll::new().map_err(failed("poll"))?;
+    let waker = mio::Waker::new(poll.registry(), reactor::WAKER).map_err(failed("waker"))?;
+    let waker = Arc::new(waker);
+    let (sender, returns) = flume::unbounded();
+    let stopping = Arc::new(AtomicBool::new(false));
+    let home = Home {
+        sender,
+        waker: waker.clone(),
+        stopping: stopping.clone(),
+    };
+    let pool = Arc::new(Pool::new(&config));
+    let listener = mio::net::TcpListener::from_std(listener);
+    let crew = (pool.clone(), Arc::new(handler));
+    let mut reactor = Reactor::new(poll, listener, config, (home, returns), crew);
+    reactor.listen().map_err(failed("listen"))?;
+    let reactor = thread::Builder::new()
+        .name(format!("{name}-reactor"))
+        .spawn(move || reactor.run())
+        .map_err(failed("thread"))?;
+    Ok(Handle {
+        address,
+        stopping,
+        waker,
+        pool,
+        reactor: Some(reactor),
+    })
+}
+
+/// Bounds how long a peer may be silent on TCP level; accepted sockets inherit both options.
+fn bound_silence(listener: &TcpListener) -> io::Result<()> {
+    let socket = socket2::SockRef::from(listener);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(Duration::from_secs(10))
+        .with_interval(Duration::from_secs(3))
+        .with_retries(3);
+    socket.set_tcp_keepalive(&probes)?;
+    #[cfg(target_os = "linux")]
+    socket.set_tcp_user_timeout(Some(Duration::from_secs(10)))?;
+    Ok(())
 }
--- /dev/null
+++ b/crates/buckthornmast_http/tests/bad_input.rs
@@ -0,0 +1,288 @@
+//! Requests that must be answered with a clear client error.
+
+#![allow(clippy::unwrap_used, reason = "a helper that fails must fail its test")]
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    time::Duration,
+};
+
+use buckthornmast_http::prelude::*;
+
+fn serve() -> Handle {
+    let config = Config {
+        head_limit: 2048,
+        body_limit: 1024,
+        head_timeout: Duration::from_millis(500),
+        body_timeout: Duration::from_millis(500),
+        ..Config::default()
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let handler = |mut exchange: Exchange| {
+        let answer = match exchange.text(512) {
+            Ok(text) => Response::new(200).body(text),
+            Err(error) => Problem::from(error).into(),
+        };
+        let _ = exchange.respond(answer);
+    };
+    server::start(listener, config, handler).unwrap()
+}
+
+/// Sends bytes and returns all that is answered until the server closes.
+fn exchange(address: SocketAddr, bytes: &[u8], shut: bool) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let wait = Some(Duration::from_secs(20));
+    stream.set_read_timeout(wait).unwrap();
+    // The server may refuse and close before it has read everything.
+    let _ = stream.write_all(bytes);
+    if shut {
+        stream.shutdown(Shutdown::Write).unwrap();
+    }
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn post(headers: &str, body: &[u8]) -> Vec<u8> {
+    let mut bytes = format!("POST / HTTP/1.1\r\nHost: a\r\n{headers}\r\n").into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+/// Guards against bad input that hangs, that closes without an answer, or that reaches a handler.
+#[test]
+fn request_bad_input() {
+    let server = serve();
+    let long = format!("GET /{} HTTP/1.1\r\nHost: a\r\n\r\n", "a".repeat(4096));
+    let many = format!(
+        "GET / HTTP/1.1\r\nHost: a\r\n{}\r\n",
+        "a: b\r\n".repeat(120)
+    );
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    let plain = |text: &str| text.as_bytes().to_vec();
+    let cases: Vec<(&str, Vec<u8>, bool, u16)> = vec![
+        (
+            "unknown method",
+            plain("BREW / HTTP/1.1\r\nHost: a\r\n\r\n"),
+            false,
+            405,
+        ),
+        ("garbage", plain("\u{16}\u{3}\u{1}\r\n\r\n"), false, 400),
+        ("HTTP/2", plain("PRI * HTTP/2.0\r\n\r\n"), false, 400),
+        ("no host", plain("GET / HTTP/1.1\r\n\r\n"), false, 400),
+        (
+            "two hosts",
+            plain("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "broken header",
+            plain("GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "header space",
+            plain("GET / HTTP/1.1\r\nHost: a\r\nx : y\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "header bytes",
+            b"GET / HTTP/1.1\r\nHost: a\r\nx: \xff\r\n\r\n".to_vec(),
+            false,
+            400,
+        ),
+        ("long target", plain(&long), false, 431),
+        ("many headers", plain(&many), false, 431),
+        (
+            "path bytes",
+            b"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
+            false,
+            400,
+        ),
+        (
+            "path escape",
+            plain("GET /%ff HTTP/1.1\r\nHost: a\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "path half escape",
+            plain("GET /%f HTTP/1.1\r\nHost: a\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "path dots",
+            plain("GET /a/%2e%2e/b HTTP/1.1\r\nHost: a\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "path line break",
+            plain("GET /%0d%0a HTTP/1.1\r\nHost: a\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "absolute target",
+            plain("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "length sign",
+            post("Content-Length: +5\r\n", b"hello"),
+            false,
+            400,
+        ),
+        (
+            "length huge",
+            post("Content-Length: 99999999999999999999\r\n", b""),
+            false,
+            400,
+        ),
+        (
+            "two lengths",
+            post("Content-Length: 5\r\nContent-Length: 6\r\n", b"hello"),
+            false,
+            400,
+        ),
+        (
+            "length and chunks",
+            post(&format!("Content-Length: 5\r\n{chunked}"), b"0\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "unknown coding",
+            post("Transfer-Encoding: gzip\r\n", b""),
+            false,
+            400,
+        ),
+        ("chunk size", post(chunked, b"zz\r\n"), false, 400),
+        (
+            "chunk size huge",
+            post(chunked, b"fffffffffffffffff\r\n"),
+            false,
+            400,
+        ),
+        ("chunk end", post(chunked, b"1\r\nabc"), false, 400),
+        (
+            "body declared over limit",
+            post("Content-Length: 1025\r\n", b""),
+            false,
+            413,
+        ),
+        (
+            "body sent over limit",
+            post("Content-Length: 99999\r\n", &[b'a'; 99_999]),
+            false,
+            413,
+        ),
+        (
+            "chunks over limit",
+            post(chunked, &[b"5000\r\n".as_slice(), &[b'a'; 0x5000]].concat()),
+            false,
+            413,
+        ),
+        (
+            "body over the handler's limit",
+            post("Connection: close\r\nContent-Length: 513\r\n", &[b'a'; 513]),
+            false,
+            413,
+        ),
+        (
+            "body bytes",
+            post("Connection: close\r\nContent-Length: 2\r\n", b"a\xff"),
+            false,
+            400,
+        ),
+        ("truncated head", plain("GET / HT"), true, 400),
+        (
+            "truncated body",
+            post("Content-Length: 10\r\n", b"hello"),
+            true,
+            400,
+        ),
+        ("truncated chunks", post(chunked, b"5\r\nhel"), true, 400),
+        ("head never ends", plain("GET / HTTP/1.1\r\n"), false, 408),
+        (
+            "body never ends",
+            post("Content-Length: 10\r\n", b"hello"),
+            false,
+            408,
+        ),
+    ];
+    for (name, bytes, shut, status) in cases {
+        let answer = exchange(server.address(), &bytes, shut);
+        let start = format!("HTTP/1.1 {status} ");
+        assert!(answer.starts_with(&start), "{name}: {answer:?}");
+        assert!(answer.contains(r#""run":"no""#), "{name}: {answer:?}");
+        assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{name}: {answer:?}");
+    }
+    server.stop();
+}
+
+/// Guards against bytes that panic the parsers or leave the server unable to answer the next client.
+#[test]
+fn request_arbitrary_bytes() {
+    let server = serve();
+    let address = server.address();
+    arbtest::arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let start: &[u8] = u.choose(&[
+            b"".as_slice(),
+            b"GET / HTTP/1.1\r\n",
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        ])?;
+        exchange(address, &[start, &bytes].concat(), true);
+        Ok(())
+    })
+    .budget_ms(1000)
+    .seed(0x5eed_0000_0002);
+    let good = exchange(
+        address,
+        &post("Connection: close\r\nContent-Length: 2\r\n", b"ok"),
+        false,
+    );
+    assert!(good.ends_with("\r\n\r\nok"), "{good:?}");
+    server.stop();
+}
+
+/// Guards against a body whose chunks are split anywhere, pipelined requests and `100 Continue`.
+#[test]
+fn request_split_and_pipelined() {
+    let server = serve();
+    let bytes = [
+        post(
+            "Transfer-Encoding: chunked\r\n",
+            b"2;x=y\r\nab\r\n1\r\nc\r\n0\r\nt: u\r\n\r\n",
+        ),
+        post(
+            "Expect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n",
+            b"",
+        ),
+    ]
+    .concat();
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    stream.set_nodelay(true).unwrap();
+    for byte in &bytes {
+        stream.write_all(&[*byte]).unwrap();
+    }
+    let mut answer = String::new();
+    let mut buffer = [0; 1024];
+    while !answer.contains("100 Continue\r\n\r\n") {
+        let read = stream.read(&mut buffer).unwrap();
+        assert!(read > 0, "{answer:?}");
+        answer.push_str(std::str::from_utf8(&buffer[..read]).unwrap());
+    }
+    assert!(answer.contains("\r\n\r\nabc"), "{answer:?}");
+    stream.write_all(b"de").unwrap();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("\r\n\r\nde"), "{answer:?}");
+    server.stop();
+}
--- /dev/null
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -0,0 +1,252 @@
+//! Clients that stall, vanish or are served while the server stops.
+
+#![allow(clippy::unwrap_used, reason = "a helper that fails must fail its test")]
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use buckthornmast_http::{client::ReadError, prelude::*};
+
+const TIMEOUTS: client::Timeouts = client::Timeouts {
+    connect: Duration::from_secs(10),
+    write: Duration::from_secs(10),
+    head: Duration::from_secs(20),
+    gap: Duration::from_secs(20),
+};
+
+fn serve(config: Config, handler: impl Fn(Exchange) + Send + Sync + 'static) -> Handle {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    server::start(listener, config, handler).unwrap()
+}
+
+fn get(address: SocketAddr) -> Result<client::Response, client::SendError> {
+    let request = client::Request {
+        method: "GET",
+        target: "/",
+        headers: &[],
+        body: b"",
+    };
+    client::send(address, &request, &TIMEOUTS)
+}
+
+fn ok(exchange: Exchange) {
+    let _ = exchange.respond(Response::new(200).body("ok"));
+}
+
+/// Guards against half-open and slow clients that take the threads or connections of good ones, and
+/// that are kept for ever.
+#[test]
+fn serve_half_open_and_slow() {
+    let config = Config {
+        workers: 4,
+        connections: 300,
+        head_timeout: Duration::from_secs(2),
+        body_timeout: Duration::from_secs(2),
+        ..Config::default()
+    };
+    let server = serve(config, ok);
+    let address = server.address();
+    let mut bad = Vec::new();
+    for index in 0..400 {
+        let mut stream = TcpStream::connect(address).unwrap();
+        let head: &[u8] = if index % 2 == 0 {
+            b"GET / HTTP/1.1\r\nHo"
+        } else {
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n"
+        };
+        stream.write_all(head).unwrap();
+        bad.push(stream);
+    }
+    for round in 0..40 {
+        for slow in bad.iter_mut().skip(1).step_by(2) {
+            let _ = slow.write(b"a");
+        }
+        let mut answer = get(address).unwrap();
+        assert_eq!(answer.status, 200, "round {round}");
+        assert_eq!(answer.whole(100).unwrap(), b"ok");
+    }
+    for stream in &mut bad {
+        stream
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        let mut buffer = [0; 512];
+        let read = stream.read(&mut buffer).unwrap_or(0);
+        let answer = std::str::from_utf8(&buffer[..read]).unwrap();
+        let bounded = answer.is_empty() || answer.starts_with("HTTP/1.1 408 ");
+        assert!(bounded, "{answer:?}");
+    }
+    server.stop();
+}
+
+/// Guards against waiting behind busy workers instead of an immediate refusal.
+#[test]
+fn serve_over_workers() {
+    let (enter, entered) = flume::unbounded();
+    let (leave, left) = flume::unbounded::<()>();
+    let config = Config {
+        workers: 2,
+        ..Config::default()
+    };
+    let server = serve(config, move |exchange| {
+        enter.send(()).unwrap();
+        let _ = left.recv();
+        ok(exchange);
+    });
+    let address = server.address();
+    let busy: Vec<_> = (0..2)
+        .map(|_| thread::spawn(move || get(address).unwrap().status))
+        .collect();
+    entered.recv().unwrap();
+    entered.recv().unwrap();
+    let mut refused = get(address).unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.header("Retry-After"), Some("1"));
+    let body = String::from_utf8(refused.whole(1000).unwrap()).unwrap();
+    assert!(body.contains(r#""run":"no""#), "{body}");
+    drop(leave);
+    for thread in busy {
+        assert_eq!(thread.join().unwrap(), 200);
+    }
+    server.stop();
+}
+
+/// Guards against streaming on to a client that has left.
+#[test]
+fn stream_client_gone() {
+    let (report, reports) = flume::unbounded();
+    let server = serve(Config::default(), move |exchange| {
+        let mut stream = exchange.stream(200, &[]).unwrap();
+        let mut peeked = false;
+        for sent in 0_u32..100_000 {
+            peeked |= stream.is_gone();
+            if stream.event("token").is_err() {
+                report.send((sent, peeked)).unwrap();
+                return;
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+    });
+    let mut answer = get(server.address()).unwrap();
+    assert_eq!(answer.event().unwrap().as_deref(), Some("token"));
+    drop(answer);
+    let (_, peeked) = reports.recv_timeout(Duration::from_secs(60)).unwrap();
+    assert!(peeked, "the close was not seen between events");
+    server.stop();
+}
+
+/// Guards against a cut stream that looks complete, and against events held back in a buffer.
+#[test]
+fn stream_finish_and_cut() {
+    let (resume, resumed) = flume::unbounded::<()>();
+    let server = serve(Config::default(), move |exchange| {
+        let proper = exchange.path() == "/";
+        let mut stream = exchange.stream(200, &[("X", "a\r\nb: c")]).unwrap();
+        stream.event("one\ntwo").unwrap();
+        resumed.recv().unwrap();
+        stream.event("three").unwrap();
+        if proper {
+            stream.finish().unwrap();
+        }
+    });
+    for (target, proper) in [("/", true), ("/cut", false)] {
+        let request = client::Request {
+            method: "GET",
+            target,
+            headers: &[],
+            body: b"",
+        };
+        let mut answer = client::send(server.address(), &request, &TIMEOUTS).unwrap();
+        assert_eq!(answer.header("x"), Some("ab: c"));
+        assert_eq!(answer.event().unwrap().as_deref(), Some("one\ntwo"));
+        answer.set_gap(Duration::from_millis(50));
+        assert!(matches!(answer.event(), Err(ReadError::Gap { .. })));
+        resume.send(()).unwrap();
+        answer.set_gap(TIMEOUTS.gap);
+        assert_eq!(answer.event().unwrap().as_deref(), Some("three"));
+        match answer.event() {
+            Ok(None) if proper => {}
+            Err(ReadError::Cut { .. }) if !proper => {}
+            other => panic!("{target}: {other:?}"),
+        }
+    }
+    server.stop();
+}
+
+/// Guards against a handler that panics or forgets to answer and takes a worker or a client with it.
+#[test]
+fn serve_handler_fails() {
+    let config = Config {
+        workers: 1,
+        ..Config::default()
+    };
+    let server = serve(config, |exchange| assert_ne!(exchange.path(), "/"));
+    for _ in 0..3 {
+        let mut answer = get(server.address()).unwrap();
+        assert_eq!(answer.status, 500);
+        let body = String::from_utf8(answer.whole(1000).unwrap()).unwrap();
+        assert!(body.contains(r#""run":"unknown""#), "{body}");
+        // The worker counts as busy until shortly after the answer.
+        while server.busy() > 0 {
+            thread::yield_now();
+        }
+    }
+    server.stop();
+}
+
+/// Guards against a stop that cuts off an exchange in progress, or that goes on accepting.
+#[test]
+fn stop_drains() {
+    let (enter, entered) = flume::unbounded();
+    let (leave, left) = flume::unbounded::<()>();
+    let server = serve(Config::default(), move |exchange| {
+        enter.send(()).unwrap();
+        let mut stream = exchange.stream(200, &[]).unwrap();
+        let _ = left.recv();
+        stream.event("late").unwrap();
+        stream.finish().unwrap();
+    });
+    let address = server.address();
+    let caller = thread::spawn(move || {
+        let mut answer = get(address).unwrap();
+        (answer.event().unwrap(), answer.event().unwrap())
+    });
+    entered.recv().unwrap();
+    let stopper = thread::spawn(move || server.stop());
+    while TcpStream::connect(address).is_ok() {
+        thread::sleep(Duration::from_millis(10));
+    }
+    drop(leave);
+    assert_eq!(caller.join().unwrap(), (Some("late".to_owned()), None));
+    stopper.join().unwrap();
+    let error = get(address).unwrap_err();
+    assert!(!error.sent, "{error}");
+}
+
+/// Guards against an error that calls a request unsent although it may have been run.
+#[test]
+fn send_then_silence() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let timeouts = client::Timeouts {
+        head: Duration::from_millis(100),
+        ..TIMEOUTS
+    };
+    let request = client::Request {
+        method: "POST",
+        target: "/",
+        headers: &[],
+        body: b"x",
+    };
+    let error = client::send(address, &request, &timeouts).unwrap_err();
+    assert!(error.sent, "{error}");
+    let split = client::Request {
+        headers: &[("a", "b\r\nc: d")],
+        ..request
+    };
+    let error = client::send(address, &split, &timeouts).unwrap_err();
+    assert!(!error.sent, "{error}");
+}
