routing: add table, choice, admission, limits, budgets and attempt decisions

Cause: the request path needs its decisions as pure functions that the gateway and the replay share. Change: freshness, ejection with slow return and a capped share, breaker per copy, own domain first with spill, power of two choices with aged affinity, admission by deadline with fair shares, adaptive limit, retry budget, and the decision after a failed attempt. Conclusion: run no is decided only if nothing was dispatched or each dispatch was refused.

--- /dev/null
+++ b/crates/buckthornmast_routing/src/budget.rs
@@ -0,0 +1,70 @@
+//! Budget of retries and hedged requests.
+
+use buckthornmast_types::prelude::*;
+
+/// Bounds of a budget.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// Extra attempts per request.
+    pub share: f64,
+    /// Extra attempts that may be saved up, and that there are at the start.
+    pub most: f64,
+    /// Extra attempts that are earned without traffic, so that a rare request can be tried again.
+    pub trickle: Rate,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            // Retries add a tenth to the load at most, whatever fails.
+            share: 0.1,
+            most: 10.0,
+            trickle: Rate::per_second(0.5).unwrap_or_default(),
+        }
+    }
+}
+
+/// Extra attempts as a share of the traffic.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Retry {
+    config: Config,
+    tokens: f64,
+    at: Point,
+}
+
+impl Retry {
+    /// Returns a full budget.
+    pub fn new(config: Config, now: Point) -> Self {
+        Self {
+            config,
+            tokens: config.most,
+            at: now,
+        }
+    }
+
+    /// Notes a request; attempts beyond its first are not noted here.
+    pub fn request(&mut self) {
+        self.earn(self.config.share);
+    }
+
+    fn earn(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.config.most);
+    }
+
+    /// Takes an extra attempt out of the budget, if there is one.
+    pub fn take(&mut self, now: Point) -> bool {
+        let earned = now.since(self.at).as_secs_f64() * self.config.trickle.get();
+        self.at = self.at.max(now);
+        self.earn(earned);
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+
+    /// Takes a hedged attempt, which only a repeatable request may have.
+    pub fn take_hedge(&mut self, repeatable: bool, now: Point) -> bool {
+        repeatable && self.take(now)
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_routing/tests/admission.rs
@@ -0,0 +1,135 @@
+//! Admission, fair shares and adaptive limits.
+
+#![allow(clippy::unwrap_used, reason = "a helper that fails must fail its test")]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use buckthornmast_routing::{
+    admission::{Next, Refusal},
+    prelude::*,
+};
+use buckthornmast_types::prelude::*;
+
+fn gate(capacity: u32) -> (Gate<u32>, id::Model) {
+    let mut gate = Gate::new(admission::Config {
+        assumed: Duration::from_millis(100),
+        weights: BTreeMap::from([("heavy".parse().unwrap(), 3.0)]),
+        ..admission::Config::default()
+    });
+    let model = "m".parse().unwrap();
+    gate.set_capacity(&model, capacity);
+    (gate, model)
+}
+
+fn ask(key: u32, team: &str, priority: Priority, deadline: u64) -> Ask<u32> {
+    Ask {
+        key,
+        team: team.parse().unwrap(),
+        priority,
+        deadline: Point::from_millis(deadline),
+    }
+}
+
+/// Guards against a request that waits for an answer it can't get in time, and against a queue
+/// without a bound.
+#[test]
+fn offer_deadline_and_bounds() {
+    let (mut gate, model) = gate(1);
+    let now = Point::ZERO;
+    let class = Priority::Standard;
+    assert_eq!(
+        gate.offer(&model, ask(0, "a", class, 100), now),
+        Verdict::Run
+    );
+    for key in 1..=9 {
+        let verdict = gate.offer(&model, ask(key, "a", class, 1000), now);
+        assert_eq!(verdict, Verdict::Queued);
+    }
+    match gate.offer(&model, ask(10, "a", class, 1000), now) {
+        Verdict::Refused {
+            reason: Refusal::Deadline,
+            retry_after,
+        } => assert!(retry_after >= Duration::from_secs(1)),
+        other => panic!("{other:?}"),
+    }
+    // One of a higher class goes before all of them and is answered in time.
+    let urgent = ask(11, "a", Priority::Interactive, 300);
+    assert_eq!(gate.offer(&model, urgent, now), Verdict::Queued);
+    let far = u64::MAX / 2000;
+    let queued = (0..100).filter(|key| {
+        let verdict = gate.offer(&model, ask(100 + key, "a", class, far), now);
+        verdict == Verdict::Queued
+    });
+    assert_eq!(queued.count(), 64 - 10);
+    let other = gate.offer(&model, ask(300, "b", class, far), now);
+    assert_eq!(other, Verdict::Queued, "one team's queue blocks another");
+    assert!(gate.withdraw(&model, &300));
+    assert!(!gate.withdraw(&model, &300));
+    let late = Point::from_millis(950);
+    assert_eq!(gate.expire(late).len(), 10);
+    assert_eq!(gate.waiting(&model), 64 - 10);
+    let unknown = gate.offer(&"n".parse().unwrap(), ask(0, "a", class, far), now);
+    assert!(matches!(unknown, Verdict::Refused { .. }));
+}
+
+/// Guards against a team that floods its queue and takes the share of the others, against weights
+/// that do nothing, and against batch work that starves.
+#[test]
+fn next_fair_shares() {
+    let (mut gate, model) = gate(1);
+    let now = Point::ZERO;
+    let far = u64::MAX / 2000;
+    let class = Priority::Standard;
+    assert_eq!(
+        gate.offer(&model, ask(0, "a", class, far), now),
+        Verdict::Run
+    );
+    for key in 0..60 {
+        gate.offer(&model, ask(1000 + key, "a", class, far), now);
+        gate.offer(&model, ask(2000 + key, "heavy", class, far), now);
+    }
+    for key in 0..10 {
+        gate.offer(&model, ask(3000 + key, "b", class, far), now);
+        gate.offer(&model, ask(4000 + key, "b", Priority::Batch, far), now);
+    }
+    let mut counts = BTreeMap::<u32, u32>::new();
+    for _ in 0..40 {
+        gate.finished(&model, Some(Duration::from_millis(100)));
+        match gate.next(&model, now) {
+            Some(Next::Run(key)) => *counts.entry(key / 1000).or_default() += 1,
+            other => panic!("{other:?}"),
+        }
+        assert_eq!(gate.next(&model, now), None, "more than the capacity");
+    }
+    let count = |team| counts.get(&team).copied().unwrap_or(0);
+    assert_eq!(count(4), 5, "batch: {counts:?}");
+    assert!(count(3) + count(4) >= 7, "team b: {counts:?}");
+    let ratio = f64::from(count(2)) / f64::from(count(1));
+    assert!((2.3..=3.7).contains(&ratio), "weight 3: {counts:?}");
+}
+
+/// Guards against a limit that lets a queue build up at a target, or that never recovers from one.
+#[test]
+fn limit_follows_latency() {
+    let mut limit = limit::Adaptive::new(limit::Config::default());
+    let unloaded = Duration::from_millis(100);
+    limit.answered(unloaded, 1);
+    // A target with 10 slots: beyond them latency grows with the number in progress.
+    let mut settle = |slots: f64| {
+        for _ in 0..20_000 {
+            let in_progress = limit.get();
+            let factor = (f64::from(in_progress) / slots).max(1.0);
+            limit.answered(unloaded.mul_f64(factor), in_progress);
+        }
+        limit.get()
+    };
+    let ten = settle(10.0);
+    assert!((10..=40).contains(&ten), "{ten} for 10 slots");
+    let fifty = settle(50.0);
+    assert!((50..=150).contains(&fifty), "{fifty} for 50 slots");
+    for _ in 0..200 {
+        limit.dropped();
+    }
+    assert_eq!(limit.get(), 1);
+    assert!(limit.allows(0), "no request could ever raise it again");
+}
--- /dev/null
+++ b/crates/buckthornmast_routing/tests/attempt.rs
@@ -0,0 +1,121 @@
+//! Decisions after failed attempts.
+
+use std::time::Duration;
+
+use buckthornmast_routing::{
+    attempt::{History, Known, Reason, decide},
+    prelude::*,
+};
+use buckthornmast_types::prelude::*;
+
+const STATES: [Dispatch; 5] = [
+    Dispatch::NotSent,
+    Dispatch::Refused,
+    Dispatch::Sent,
+    Dispatch::Streaming { next: 0 },
+    Dispatch::Streaming { next: 7 },
+];
+
+/// Returns all sequences of one to three failed attempts.
+fn sequences() -> Vec<Vec<Dispatch>> {
+    let mut all: Vec<Vec<Dispatch>> = vec![vec![]];
+    let mut last = all.clone();
+    for _ in 0..3 {
+        let longer = last.iter().flat_map(|start| {
+            STATES
+                .iter()
+                .map(|state| [start.clone(), vec![*state]].concat())
+        });
+        last = longer.collect();
+        all.extend(last.clone());
+    }
+    all.remove(0);
+    all
+}
+
+fn history(attempts: &[Dispatch]) -> History {
+    let mut history = History::default();
+    attempts.iter().for_each(|state| history.add(*state));
+    history
+}
+
+/// Guards against a client that is told its request was not run although a target may have run it,
+/// and against a second run of a request that must not be repeated.
+#[test]
+fn decide_every_combination() {
+    let now = Point::from_millis(1000);
+    let mut seen = 0;
+    for attempts in sequences() {
+        // 6 bits: repeatable, resumable, target left, attempts left, time left, budget left.
+        for bits in 0..64_u32 {
+            let bit = |index: u32| bits >> index & 1 == 1;
+            let tries = u32::try_from(attempts.len()).unwrap();
+            let known = Known {
+                repeatable: bit(0),
+                resumable: bit(1),
+                target_left: bit(2),
+                most: if bit(3) { tries + 1 } else { tries },
+                expected: Duration::from_millis(100),
+                deadline: Point::from_millis(if bit(4) { 1100 } else { 1099 }),
+            };
+            let mut asked = false;
+            let decision = decide(&history(&attempts), &known, now, || {
+                asked = true;
+                bit(5)
+            });
+            let harmless =
+                |state: &Dispatch| matches!(state, Dispatch::NotSent | Dispatch::Refused);
+            let certain = attempts.iter().all(harmless);
+            let next = attempts.iter().filter_map(|state| match state {
+                Dispatch::Streaming { next } => Some(*next),
+                _ => None,
+            });
+            let next = next.max();
+            let may_go_on = (certain || bit(0)) && (next.is_none() || bit(1));
+            let going_on = may_go_on && bit(2) && bit(3) && bit(4);
+            let expected = match next {
+                None => Decision::Retry,
+                Some(index) => Decision::Resume { index },
+            };
+            match decision {
+                Decision::End { run, reason } => {
+                    let expected = if certain { Run::No } else { Run::Unknown };
+                    assert_eq!(run, expected, "{attempts:?} {known:?}");
+                    assert!(!(going_on && bit(5)), "{attempts:?} {known:?}");
+                    assert_eq!(reason == Reason::Budget, going_on, "{attempts:?} {known:?}");
+                }
+                other => {
+                    assert!(going_on && bit(5), "{attempts:?} {known:?} {other:?}");
+                    assert_eq!(other, expected, "{attempts:?} {known:?}");
+                }
+            }
+            assert_eq!(asked, going_on, "budget asked for nothing: {attempts:?}");
+            seen += 1;
+        }
+    }
+    assert_eq!(seen, (5 + 25 + 125) * 64);
+}
+
+/// Guards against retries that multiply an overload, and against a budget that never refills.
+#[test]
+fn budget_share_of_traffic() {
+    let config = budget::Config::default();
+    let mut budget = budget::Retry::new(config, Point::ZERO);
+    let taken = (0..1000).filter(|_| {
+        budget.request();
+        budget.take(Point::ZERO)
+    });
+    let taken = taken.count();
+    assert!(
+        (100..=110).contains(&taken),
+        "{taken} retries of 1000 requests"
+    );
+    assert!(!budget.take(Point::ZERO));
+    assert!(budget.take(Point::from_millis(2000)), "no trickle");
+    let mut full = budget::Retry::new(config, Point::ZERO);
+    assert!(
+        !full.take_hedge(false, Point::ZERO),
+        "hedge of a request that must not repeat"
+    );
+    assert!(full.take_hedge(true, Point::ZERO));
+}
