--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -138,6 +138,40 @@
     server.stop();
 }
 
+/// Guards against a client that reads nothing and holds a worker, and against idle connections that
+/// are kept for ever.
+#[test]
+fn serve_unread_and_idle() {
+    let (report, reports) = flume::unbounded();
+    let config = Config {
+        write_timeout: Duration::from_millis(300),
+        idle_timeout: Duration::from_millis(300),
+        ..Config::default()
+    };
+    let server = serve(config, move |exchange| {
+        if exchange.path() == "/" {
+            return ok(exchange);
+        }
+        let mut stream = exchange.stream(200, &[]).unwrap();
+        while stream.write(&[b'a'; 1 << 20]).is_ok() {}
+        report.send(()).unwrap();
+    });
+    let mut unread = TcpStream::connect(server.address()).unwrap();
+    unread
+        .write_all(b"GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+        .unwrap();
+    reports.recv_timeout(Duration::from_secs(60)).unwrap();
+    let mut idle = TcpStream::connect(server.address()).unwrap();
+    idle.set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    idle.write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        .unwrap();
+    let mut answer = String::new();
+    idle.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("\r\n\r\nok"), "{answer:?}");
+    server.stop();
+}
+
 /// Guards against a cut stream that looks complete, and against events held back in a buffer.
 #[test]
 fn stream_finish_and_cut() {
