routing: bound what made-up model names leave behind, and time hedges

Cause: the gate kept an entry for each model name it was asked for; there was no rule for when to hedge. Change: only a capacity creates an entry, other names are refused with a reason of their own; hedge_at. Conclusion: memory of the gate follows the settings and not the clients.

--- a/crates/buckthornmast_http/tests/bad_input.rs
+++ b/crates/buckthornmast_http/tests/bad_input.rs
@@ -50,179 +50,81 @@
     bytes
 }
 
+/// One case a line: status, whether the client shuts its writing side, name and request.
+const CASES: &str = r"
+405 keep unknown method: BREW / HTTP/1.1#Host: a##
+400 keep garbage: \16\03\01##
+400 keep HTTP/2: PRI * HTTP/2.0##
+400 keep no host: GET / HTTP/1.1##
+400 keep two hosts: GET / HTTP/1.1#Host: a#Host: b##
+400 keep broken header: GET / HTTP/1.1#Host: a#no colon##
+400 keep header space: GET / HTTP/1.1#Host: a#x : y##
+400 keep header bytes: GET / HTTP/1.1#Host: a#x: \ff##
+431 keep long target: GET /~ HTTP/1.1#Host: a##
+431 keep many headers: GET / HTTP/1.1#Host: a#@#
+400 keep path bytes: GET /\ff HTTP/1.1#Host: a##
+400 keep path escape: GET /%ff HTTP/1.1#Host: a##
+400 keep path half escape: GET /%f HTTP/1.1#Host: a##
+400 keep path dots: GET /a/%2e%2e/b HTTP/1.1#Host: a##
+400 keep path line break: GET /%0d%0a HTTP/1.1#Host: a##
+400 keep absolute target: GET http://a/ HTTP/1.1#Host: a##
+400 keep length sign: POST / HTTP/1.1#Host: a#Content-Length: +5##hello
+400 keep length huge: POST / HTTP/1.1#Host: a#Content-Length: 99999999999999999999##
+400 keep two lengths: POST / HTTP/1.1#Host: a#Content-Length: 5#Content-Length: 6##hello
+400 keep length and chunks: POST / HTTP/1.1#Host: a#Content-Length: 5#Transfer-Encoding: chunked##0##
+400 keep unknown coding: POST / HTTP/1.1#Host: a#Transfer-Encoding: gzip##
+400 keep chunk size: POST / HTTP/1.1#Host: a#Transfer-Encoding: chunked##zz#
+400 keep chunk size huge: POST / HTTP/1.1#Host: a#Transfer-Encoding: chunked##fffffffffffffffff#
+400 keep chunk end: POST / HTTP/1.1#Host: a#Transfer-Encoding: chunked##1#abc
+413 keep body declared over limit: POST / HTTP/1.1#Host: a#Content-Length: 1025##
+413 keep body sent over limit: POST / HTTP/1.1#Host: a#Content-Length: 99999##~~~
+413 keep chunks over limit: POST / HTTP/1.1#Host: a#Transfer-Encoding: chunked##5000#~~~
+413 keep over the handler's limit: POST / HTTP/1.1#Host: a#Connection: close#Content-Length: 800##!
+400 keep body bytes: POST / HTTP/1.1#Host: a#Connection: close#Content-Length: 2##a\ff
+400 shut truncated head: GET / HT
+400 shut truncated body: POST / HTTP/1.1#Host: a#Content-Length: 10##hello
+400 shut truncated chunks: POST / HTTP/1.1#Host: a#Transfer-Encoding: chunked##5#hel
+408 keep head never ends: GET / HTTP/1.1#
+408 keep body never ends: POST / HTTP/1.1#Host: a#Content-Length: 10##hello
+";
+
+/// Expands `#` to a line break, `~` to 33,333 bytes, `!` to 800 bytes, `@` to 120 headers and `\` to the
+/// byte in the two hexadecimal digits behind it.
+fn expand(request: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    let mut rest = request.bytes();
+    while let Some(byte) = rest.next() {
+        match byte {
+            b'#' => out.extend_from_slice(b"\r\n"),
+            b'~' => out.extend_from_slice(&[b'a'; 33_333]),
+            b'!' => out.extend_from_slice(&[b'a'; 800]),
+            b'@' => out.extend_from_slice(&b"a: b\r\n".repeat(120)),
+            b'\\' => {
+                let digits = [rest.next().unwrap(), rest.next().unwrap()];
+                let digits = std::str::from_utf8(&digits).unwrap();
+                out.push(u8::from_str_radix(digits, 16).unwrap());
+            }
+            other => out.push(other),
+        }
+    }
+    out
+}
+
 /// Guards against bad input that hangs, that closes without an answer, or that reaches a handler.
 #[test]
 fn request_bad_input() {
     let server = serve();
-    let long = format!("GET /{} HTTP/1.1\r\nHost: a\r\n\r\n", "a".repeat(4096));
-    let many = format!(
-        "GET / HTTP/1.1\r\nHost: a\r\n{}\r\n",
-        "a: b\r\n".repeat(120)
-    );
-    let chunked = "Transfer-Encoding: chunked\r\n";
-    let plain = |text: &str| text.as_bytes().to_vec();
-    let cases: Vec<(&str, Vec<u8>, bool, u16)> = vec![
-        (
-            "unknown method",
-            plain("BREW / HTTP/1.1\r\nHost: a\r\n\r\n"),
-            false,
-            405,
-        ),
-        ("garbage", plain("\u{16}\u{3}\u{1}\r\n\r\n"), false, 400),
-        ("HTTP/2", plain("PRI * HTTP/2.0\r\n\r\n"), false, 400),
-        ("no host", plain("GET / HTTP/1.1\r\n\r\n"), false, 400),
-        (
-            "two hosts",
-            plain("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "broken header",
-            plain("GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "header space",
-            plain("GET / HTTP/1.1\r\nHost: a\r\nx : y\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "header bytes",
-            b"GET / HTTP/1.1\r\nHost: a\r\nx: \xff\r\n\r\n".to_vec(),
-            false,
-            400,
-        ),
-        ("long target", plain(&long), false, 431),
-        ("many headers", plain(&many), false, 431),
-        (
-            "path bytes",
-            b"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
-            false,
-            400,
-        ),
-        (
-            "path escape",
-            plain("GET /%ff HTTP/1.1\r\nHost: a\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "path half escape",
-            plain("GET /%f HTTP/1.1\r\nHost: a\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "path dots",
-            plain("GET /a/%2e%2e/b HTTP/1.1\r\nHost: a\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "path line break",
-            plain("GET /%0d%0a HTTP/1.1\r\nHost: a\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "absolute target",
-            plain("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "length sign",
-            post("Content-Length: +5\r\n", b"hello"),
-            false,
-            400,
-        ),
-        (
-            "length huge",
-            post("Content-Length: 99999999999999999999\r\n", b""),
-            false,
-            400,
-        ),
-        (
-            "two lengths",
-            post("Content-Length: 5\r\nContent-Length: 6\r\n", b"hello"),
-            false,
-            400,
-        ),
-        (
-            "length and chunks",
-            post(&format!("Content-Length: 5\r\n{chunked}"), b"0\r\n\r\n"),
-            false,
-            400,
-        ),
-        (
-            "unknown coding",
-            post("Transfer-Encoding: gzip\r\n", b""),
-            false,
-            400,
-        ),
-        ("chunk size", post(chunked, b"zz\r\n"), false, 400),
-        (
-            "chunk size huge",
-            post(chunked, b"fffffffffffffffff\r\n"),
-            false,
-            400,
-        ),
-        ("chunk end", post(chunked, b"1\r\nabc"), false, 400),
-        (
-            "body declared over limit",
-            post("Content-Length: 1025\r\n", b""),
-            false,
-            413,
-        ),
-        (
-            "body sent over limit",
-            post("Content-Length: 99999\r\n", &[b'a'; 99_999]),
-            false,
-            413,
-        ),
-        (
-            "chunks over limit",
-            post(chunked, &[b"5000\r\n".as_slice(), &[b'a'; 0x5000]].concat()),
-            false,
-            413,
-        ),
-        (
-            "body over the handler's limit",
-            post("Connection: close\r\nContent-Length: 513\r\n", &[b'a'; 513]),
-            false,
-            413,
-        ),
-        (
-            "body bytes",
-            post("Connection: close\r\nContent-Length: 2\r\n", b"a\xff"),
-            false,
-            400,
-        ),
-        ("truncated head", plain("GET / HT"), true, 400),
-        (
-            "truncated body",
-            post("Content-Length: 10\r\n", b"hello"),
-            true,
-            400,
-        ),
-        ("truncated chunks", post(chunked, b"5\r\nhel"), true, 400),
-        ("head never ends", plain("GET / HTTP/1.1\r\n"), false, 408),
-        (
-            "body never ends",
-            post("Content-Length: 10\r\n", b"hello"),
-            false,
-            408,
-        ),
-    ];
-    for (name, bytes, shut, status) in cases {
-        let answer = exchange(server.address(), &bytes, shut);
+    let cases: Vec<&str> = CASES.trim().lines().collect();
+    assert_eq!(cases.len(), 34);
+    for case in cases {
+        let (status, rest) = case.split_once(' ').unwrap();
+        let (shut, rest) = rest.split_once(' ').unwrap();
+        let (_, request) = rest.split_once(": ").unwrap();
+        let answer = exchange(server.address(), &expand(request), shut == "shut");
         let start = format!("HTTP/1.1 {status} ");
-        assert!(answer.starts_with(&start), "{name}: {answer:?}");
-        assert!(answer.contains(r#""run":"no""#), "{name}: {answer:?}");
-        assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{name}: {answer:?}");
+        assert!(answer.starts_with(&start), "{case}: {answer:?}");
+        assert!(answer.contains(r#""run":"no""#), "{case}: {answer:?}");
+        assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{case}: {answer:?}");
     }
     server.stop();
 }
--- a/crates/buckthornmast_routing/src/admission.rs
+++ b/crates/buckthornmast_routing/src/admission.rs
@@ -71,6 +71,8 @@
     Deadline,
     /// The queue of its model and team is full.
     Queue,
+    /// No target can take the model now, or nobody has set a capacity for it.
+    Capacity,
 }
 
 /// Answer of the gate.
@@ -210,26 +212,27 @@
         }
     }
 
-    fn model(&mut self, model: &id::Model) -> &mut Model<K> {
-        if !self.models.contains_key(model) {
-            let new = Model::new(self.config.assumed);
-            self.models.insert(model.clone(), new);
-        }
-        // The entry was inserted above.
-        self.models
-            .entry(model.clone())
-            .or_insert_with(|| Model::new(self.config.assumed))
-    }
-
     /// Sets how many requests of a model may be in progress at once.
     pub fn set_capacity(&mut self, model: &id::Model, capacity: u32) {
-        self.model(model).capacity = capacity;
+        if let Some(model) = self.models.get_mut(model) {
+            model.capacity = capacity;
+            return;
+        }
+        let mut new = Model::new(self.config.assumed);
+        new.capacity = capacity;
+        self.models.insert(model.clone(), new);
     }
 
     /// Asks for admission.
     pub fn offer(&mut self, model: &id::Model, ask: Ask<K>, now: Point) -> Verdict {
         let (queue, come_back) = (self.config.queue, self.config.come_back);
-        let model = self.model(model);
+        // A name that a client has made up must not leave an entry behind.
+        let Some(model) = self.models.get_mut(model) else {
+            return Verdict::Refused {
+                reason: Refusal::Capacity,
+                retry_after: come_back,
+            };
+        };
         let wait = model.wait(ask.priority);
         let end = now + wait + model.service.mean();
         // At that time as much of the queue is gone as the answer would come too late by.
@@ -238,7 +241,10 @@
             reason,
             retry_after: late,
         };
-        if end > ask.deadline || model.capacity == 0 {
+        if model.capacity == 0 {
+            return refused(Refusal::Capacity);
+        }
+        if end > ask.deadline {
             return refused(Refusal::Deadline);
         }
         if model.has_room() && model.is_empty() {
--- a/crates/buckthornmast_routing/src/budget.rs
+++ b/crates/buckthornmast_routing/src/budget.rs
@@ -2,6 +2,8 @@
 
 use buckthornmast_types::prelude::*;
 
+use crate::estimate::Estimate;
+
 /// Bounds of a budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
@@ -68,3 +70,10 @@
         repeatable && self.take(now)
     }
 }
+
+/// Returns when a second attempt beside one that is still unanswered is worth its cost: once that one
+/// takes longer than most do. A request that must not be repeated never gets one.
+pub fn hedge_at(sent: Point, usual: &Estimate, repeatable: bool, deadline: Point) -> Option<Point> {
+    let at = sent + usual.high();
+    (repeatable && at + usual.mean() <= deadline).then_some(at)
+}
--- a/crates/buckthornmast_routing/tests/admission.rs
+++ b/crates/buckthornmast_routing/tests/admission.rs
@@ -69,7 +69,8 @@
     assert_eq!(gate.expire(late).len(), 10);
     assert_eq!(gate.waiting(&model), 64 - 10);
     let unknown = gate.offer(&"n".parse().unwrap(), ask(0, "a", class, far), now);
-    assert!(matches!(unknown, Verdict::Refused { .. }));
+    let reason = Refusal::Capacity;
+    assert!(matches!(unknown, Verdict::Refused { reason: own, .. } if own == reason));
 }
 
 /// Guards against a team that floods its queue and takes the share of the others, against weights
--- a/crates/buckthornmast_routing/tests/attempt.rs
+++ b/crates/buckthornmast_routing/tests/attempt.rs
@@ -4,6 +4,7 @@
 
 use buckthornmast_routing::{
     attempt::{History, Known, Reason, decide},
+    estimate::Estimate,
     prelude::*,
 };
 use buckthornmast_types::prelude::*;
@@ -118,4 +119,15 @@
         "hedge of a request that must not repeat"
     );
     assert!(full.take_hedge(true, Point::ZERO));
+    let usual = Estimate::new(Duration::from_millis(100));
+    let hedge = |repeatable, deadline| {
+        budget::hedge_at(
+            Point::ZERO,
+            &usual,
+            repeatable,
+            Point::from_millis(deadline),
+        )
+    };
+    assert_eq!(hedge(true, 300), Some(Point::from_millis(200)));
+    assert_eq!((hedge(true, 299), hedge(false, 300)), (None, None));
 }
