--- a/crates/buckthornmast_http/src/exchange.rs
+++ b/crates/buckthornmast_http/src/exchange.rs
@@ -1,19 +1,22 @@
 //! One request and the answer to it.
 
 use std::{
+    future::Future,
     io,
     net::SocketAddr,
+    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    task::{Context, Poll},
     time::Duration,
 };
 
 use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::body::{Bytes, Frame};
 use snafu::Snafu;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{problem::Problem, response::Response};
 
@@ -79,6 +82,8 @@
     pub(crate) answer: Option<oneshot::Sender<Answer>>,
     /// Set when the connection has ended or the client has closed it.
     pub(crate) closed: Arc<AtomicBool>,
+    /// Closes the connection.
+    pub(crate) close: Arc<Notify>,
 }
 
 impl Exchange {
@@ -166,7 +171,11 @@
     /// Answers with a stream. The headers are sent at once.
     pub fn stream(mut self, status: u16, headers: &[(&str, &str)]) -> Result<Stream, Gone> {
         let (frames, queue) = mpsc::channel(STREAM_QUEUE);
-        let body = StreamBody::new(Queue(queue)).boxed();
+        let body = StreamBody::new(Queue {
+            frames: queue,
+            cut: None,
+        })
+        .boxed();
         let pairs = headers.iter().map(|(name, value)| (*name, *value));
         self.send(head(status, pairs).body(body).unwrap_or_else(|_| broken()))?;
         Ok(Stream {
@@ -175,6 +184,7 @@
             runtime: self.runtime.clone(),
             write_timeout: self.write_timeout,
             closed: Arc::clone(&self.closed),
+            close: Arc::clone(&self.close),
         })
     }
 }
@@ -223,21 +233,35 @@
 
 type Piece = Result<Frame<Bytes>, io::Error>;
 
-/// Frames of a streamed body. Without the final `None` after [`Stream::finish`] the connection is cut.
-struct Queue(mpsc::Receiver<Option<Bytes>>);
+/// Time for the last events of an unfinished answer to leave before the connection is cut, since the
+/// library drops what it has buffered when a body fails.
+const CUT_DELAY: Duration = Duration::from_millis(20);
+
+/// Frames of a streamed body. Without the final `None` of [`Stream::finish`] the connection is cut.
+struct Queue {
+    frames: mpsc::Receiver<Option<Bytes>>,
+    cut: Option<Pin<Box<tokio::time::Sleep>>>,
+}
 
 impl futures_core::Stream for Queue {
     type Item = Piece;
 
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        context: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Piece>> {
-        self.0.poll_recv(context).map(|piece| match piece {
-            Some(Some(bytes)) => Some(Ok(Frame::data(bytes))),
-            Some(None) => None,
-            None => Some(Err(io::Error::other("the answer was not finished"))),
-        })
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Piece>> {
+        if self.cut.is_none() {
+            match self.frames.poll_recv(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(Some(bytes))) => {
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                Poll::Ready(Some(None)) => return Poll::Ready(None),
+                Poll::Ready(None) => self.cut = Some(Box::pin(tokio::time::sleep(CUT_DELAY))),
+            }
+        }
+        let left = self.cut.as_mut().map(|cut| cut.as_mut().poll(context));
+        if left == Some(Poll::Pending) {
+            return Poll::Pending;
+        }
+        Poll::Ready(Some(Err(io::Error::other("the answer was not finished"))))
     }
 }
 
@@ -250,6 +274,7 @@
     runtime: tokio::runtime::Handle,
     write_timeout: Duration,
     closed: Arc<AtomicBool>,
+    close: Arc<Notify>,
 }
 
 impl Stream {
@@ -289,7 +314,11 @@
                 match self.runtime.block_on(send) {
                     Ok(Ok(())) => return Ok(()),
                     Ok(Err(_)) => io::ErrorKind::BrokenPipe,
-                    Err(_) => io::ErrorKind::TimedOut,
+                    Err(_) => {
+                        // What is buffered for this client will never be read.
+                        self.close.notify_one();
+                        io::ErrorKind::TimedOut
+                    }
                 }
             }
         };
--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -315,7 +315,7 @@
     H: Fn(Exchange) + Send + Sync + 'static,
 {
     let (channel, answered) = oneshot::channel();
-    let exchange = match read(shared, peer, Arc::clone(&closed), request).await {
+    let exchange = match read(shared, peer, place, Arc::clone(&closed), request).await {
         Ok(exchange) => Exchange {
             answer: Some(channel),
             ..exchange
@@ -357,6 +357,7 @@
 async fn read<H>(
     shared: &Shared<H>,
     peer: SocketAddr,
+    place: &Place,
     closed: Arc<AtomicBool>,
     request: Request<Incoming>,
 ) -> Result<Exchange, Problem> {
@@ -397,6 +398,7 @@
         runtime: shared.runtime.clone(),
         answer: None,
         closed,
+        close: place.handle(),
     })
 }
 
--- a/crates/buckthornmast_http/src/waiting.rs
+++ b/crates/buckthornmast_http/src/waiting.rs
@@ -68,6 +68,11 @@
             .remove(&self.number.load(Ordering::Relaxed));
     }
 
+    /// Returns a handle that closes the connection.
+    pub(crate) fn handle(&self) -> Arc<Notify> {
+        Arc::clone(&self.close)
+    }
+
     /// Returns once the connection has to give way.
     pub(crate) async fn closed(&self) {
         self.close.notified().await;
