Route with the routing crate: admission, two choices, ejection, limits, retry budget

Cause: the first router took the least loaded target and admitted everything. Change: gate with queues per model and team that threads wait at, power of two choices with prefix affinity, adaptive limit per target, retry budget; a target that has sent no token is watched through its reports, so a frozen one does not hold a request until its deadline.

--- a/crates/buckthornmast_daemon/src/lib.rs
+++ b/crates/buckthornmast_daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! It stops them in the opposite order, callers first.
 
 pub mod access;
+pub mod admit;
 pub mod claims;
 pub mod control;
 pub mod current;
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -49,7 +49,7 @@
     plan::Planner,
     propose::Proposer,
     receive::Receiver,
-    router::Router,
+    router::{self, Router},
     summary::{Own, Summary},
     targets::{self, Targets},
 };
@@ -93,6 +93,7 @@
     targets: server::Handle,
     reports: Targets,
     recorders: claims::Recorders,
+    updates: router::Updates,
     control: Control,
     relay: targets::Relay,
     follower: follow::Follower,
@@ -244,23 +245,26 @@
         self.control.start(around).map_err(at("controller"))
     }
 
-    fn start_callers(&self) -> Result<(server::Handle, claims::Recorders), StartError> {
+    fn start_callers(
+        &self,
+    ) -> Result<(server::Handle, claims::Recorders, router::Updates), StartError> {
         let settings = &self.settings;
         let (claims, recorders) = claims::start(settings.instance.clone(), self.proposer.clone())
             .map_err(at("claims"))?;
         let limits = &settings.limits;
-        let router = Router::new(
+        let router = Arc::new(Router::new(
             settings.domain.clone(),
             settings.keys.targets.clone(),
             self.targets.clone(),
             self.current.clone(),
             self.demand.clone(),
             self.clock,
-        );
+        ));
+        let updates = router::update(Arc::clone(&router)).map_err(at("router"))?;
         let body = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
         let gateway: Gateway<Kinds, Current> = Gateway {
             targets: Http,
-            router: Arc::new(router),
+            router,
             claims,
             observer: Samples,
             clock: self.clock,
@@ -288,7 +292,7 @@
         };
         let listener = listen(settings.listen.callers, "callers")?;
         let handle = server::start(listener, config, handler).map_err(at("callers"))?;
-        Ok((handle, recorders))
+        Ok((handle, recorders, updates))
     }
 
     fn start_operators(&self) -> Result<server::Handle, StartError> {
@@ -431,7 +435,7 @@
     core.start_control(leader, notebook)?;
     let target_port = core.start_targets()?;
     let operators = core.start_operators()?;
-    let (callers, recorders) = core.start_callers()?;
+    let (callers, recorders, updates) = core.start_callers()?;
     core.ready.store(true, Ordering::Relaxed);
     log::info!(step = "start", callers:% = callers.address(); "instance started");
     Ok(Node {
@@ -441,6 +445,7 @@
         targets: target_port,
         reports: core.targets,
         recorders,
+        updates,
         control: core.control,
         relay,
         follower,
@@ -459,6 +464,7 @@
         self.callers.stop();
         self.recorders.stop();
         self.reports.end_listeners();
+        self.updates.stop();
         self.control.stop();
         self.operators.stop();
         self.targets.stop();
--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -1,38 +1,113 @@
-//! Routing on the newest reports of targets.
+//! Routing on this instance: the pure decisions of the routing crate over the reports that arrive.
 
 use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
+    collections::{BTreeMap, BTreeSet},
+    sync::{Mutex, MutexGuard, PoisonError},
+    thread::{self, JoinHandle},
     time::Duration,
 };
 
 use buckthornmast_gateway::router::{self, Ask, Need, Pick, Refused, Report, Retry, Tried};
-use buckthornmast_target::engine::Endpoint;
+use buckthornmast_routing::{
+    attempt::{self, Decision, Known},
+    budget,
+    choice::{Affinity, Choice, PowerOfTwo, Prefix},
+    estimate::Estimate,
+    limit::{self, Adaptive},
+    table::{self, Candidates, Outcome, Slot, Table},
+};
+use buckthornmast_target::{engine::Endpoint, error::Cause};
 use buckthornmast_types::{
     artifact::Artifact,
-    id, report,
+    id,
     time::{Clock, System},
 };
+use flume::{Receiver, RecvTimeoutError, Sender};
+use rand::{SeedableRng, rngs::SmallRng};
+use smallvec::SmallVec;
+
+use crate::{
+    admit::{Admission, Permit},
+    current::{Current, Snapshot},
+    demand::Demand,
+    targets::{Seen, Targets},
+};
 
-use crate::{current::Current, demand::Demand, targets::Targets};
+/// Time between two updates of capacities and drains.
+const PERIOD: Duration = Duration::from_millis(200);
 
-/// Age of a report beyond which a target gets no new work; with the relay period it keeps the promise
-/// that a leaving target gets none after 3 s.
+/// Age of a report beyond which a target counts as dead to the requests that wait there.
 const FRESH: Duration = Duration::from_millis(2500);
 
+/// Updates between two looks for slow targets.
+const SLOW_ROUNDS: u32 = 5;
+
+/// Age of a report beyond which a target costs no time per choice.
+const PRUNE_AFTER: Duration = Duration::from_secs(60);
+
+/// Dispatches of one request at the most.
+const MAX_DISPATCHES: u32 = 4;
+
+/// Assumed time of a dispatch before the first sample.
+const ASSUMED: Duration = Duration::from_millis(200);
+
+/// Reports that wait to be taken into the table.
+const MAX_REPORTS: usize = 4096;
+
+struct State {
+    table: Table,
+    affinity: Affinity,
+    limits: BTreeMap<id::Target, Adaptive>,
+    budget: budget::Retry,
+    first: Estimate,
+    rng: SmallRng,
+}
+
 /// Router.
 pub struct Router {
+    state: Mutex<State>,
+    choice: PowerOfTwo,
+    admission: Admission,
     targets: Targets,
     current: Current,
     demand: Demand,
     clock: System,
     token: String,
-    domain: id::Domain,
-    in_flight: Arc<Mutex<BTreeMap<id::Target, u32>>>,
+}
+
+/// Thread that keeps the table up to date.
+pub struct Updates {
+    stop: Option<Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Updates {
+    /// Joins the thread.
+    pub fn stop(&mut self) {
+        self.stop = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts to take reports and settings into the router.
+pub fn update(router: std::sync::Arc<Router>) -> std::io::Result<Updates> {
+    let (listener, seen) = flume::bounded(MAX_REPORTS);
+    router.targets.listen(listener);
+    let (stop, stopped) = flume::bounded(1);
+    let run = move || router.run(&seen, &stopped);
+    let thread = thread::Builder::new()
+        .name("router".to_owned())
+        .spawn(run)?;
+    Ok(Updates {
+        stop: Some(stop),
+        thread: Some(thread),
+    })
 }
 
 impl Router {
-    /// Returns a router.
+    /// Returns a router without targets.
     pub fn new(
         domain: id::Domain,
         token: String,
@@ -41,118 +116,311 @@
         demand: Demand,
         clock: System,
     ) -> Self {
+        let state = State {
+            table: Table::new(table::Config::default(), domain),
+            affinity: Affinity::default(),
+            limits: BTreeMap::new(),
+            budget: budget::Retry::new(budget::Config::default(), clock.now()),
+            first: Estimate::new(ASSUMED),
+            rng: SmallRng::from_os_rng(),
+        };
         Self {
+            state: Mutex::new(state),
+            choice: PowerOfTwo::default(),
+            admission: Admission::new(clock),
             targets,
             current,
             demand,
             clock,
             token,
-            domain,
-            in_flight: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn run(&self, seen: &Receiver<Seen>, stopped: &Receiver<()>) {
+        let mut round = 0_u32;
+        loop {
+            let next = self.clock.now() + PERIOD;
+            loop {
+                let left = next.since(self.clock.now());
+                match seen.recv_timeout(left) {
+                    Ok(seen) => self.observe(&seen),
+                    Err(RecvTimeoutError::Timeout) => break,
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+            }
+            match stopped.try_recv() {
+                Err(flume::TryRecvError::Empty) => {}
+                _ => return,
+            }
+            self.refresh(round.is_multiple_of(SLOW_ROUNDS));
+            round = round.wrapping_add(1);
+        }
+    }
+
+    fn observe(&self, seen: &Seen) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let before = state.table.slot(&seen.report.target);
+        let old = before
+            .and_then(|slot| state.table.report(slot))
+            .map(|old| old.incarnation);
+        state
+            .table
+            .observe(seen.report.as_ref().clone(), now.since(seen.sent), now);
+        if let (Some(slot), Some(old)) = (before, old)
+            && old != seen.report.incarnation
+        {
+            // A restarted engine has an empty cache and another speed.
+            state.affinity.forget_all(slot);
+            state.limits.remove(&seen.report.target);
+        }
+    }
+
+    /// Takes drains and capacities from the settings and the reports.
+    fn refresh(&self, look_for_slow: bool) {
+        let now = self.clock.now();
+        let snapshot = self.current.get();
+        let drained: BTreeSet<_> = snapshot
+            .declarations
+            .platform
+            .drained
+            .iter()
+            .cloned()
+            .collect();
+        let mut state = self.lock();
+        state.table.set_drains(drained);
+        if look_for_slow {
+            state.table.eject_slow(now);
+            state.table.prune(PRUNE_AFTER, now);
+        }
+        let capacities = capacities(&state, &snapshot, now);
+        drop(state);
+        let teams = snapshot.declarations.platform.teams.iter();
+        let weights = teams.map(|(team, member)| (team.clone(), member.share.unwrap_or(1.0)));
+        self.admission.update(&capacities, weights.collect());
+    }
+
+    fn endpoint(&self, seen: &buckthornmast_types::report::Report) -> Endpoint {
+        let snapshot = self.current.get();
+        let kind = snapshot.declarations.platform.kinds.get(&seen.kind);
+        let token = kind
+            .is_none_or(|kind| kind.access)
+            .then(|| self.token.clone());
+        Endpoint {
+            target: seen.target.clone(),
+            address: seen.address,
+            token,
         }
     }
 }
 
-/// Returns the artifact on a target that meets a need.
-fn match_artifact(report: &report::Report, wanted: &Artifact, exact: bool) -> Option<Artifact> {
-    let is_usable =
-        |artifact: &Artifact| report.is_ready(artifact) && report.is_ready(&artifact.base());
-    if is_usable(wanted) {
-        return Some(wanted.clone());
+/// Returns how many requests of each model and service may be in progress.
+fn capacities(
+    state: &State,
+    snapshot: &Snapshot,
+    now: buckthornmast_types::time::Point,
+) -> BTreeMap<id::Model, u32> {
+    let mut capacities = BTreeMap::new();
+    for (name, model) in &snapshot.catalog.models {
+        let candidates = find(state, &model.artifact, false, &[], now);
+        let sum = candidates
+            .1
+            .iter()
+            .map(|candidate| state.limit(candidate.slot))
+            .sum();
+        capacities.extend(name.parse().ok().map(|name| (name, sum)));
+    }
+    for (name, plain) in &snapshot.catalog.services {
+        let need = table::Need::Service(&plain.service);
+        let count = state.table.candidates(need, &[], now).len();
+        let sum = u32::try_from(count)
+            .unwrap_or(u32::MAX)
+            .saturating_mul(plain.concurrency);
+        capacities.extend(name.parse().ok().map(|name| (name, sum)));
     }
-    let same_name = |artifact: &&Artifact| {
-        let adapter = |a: &Artifact| a.adapter.as_ref().map(|pin| pin.adapter.clone());
-        artifact.model == wanted.model && adapter(artifact) == adapter(wanted)
+    capacities
+}
+
+impl State {
+    fn limit(&self, slot: Slot) -> u32 {
+        let Some(report) = self.table.report(slot) else {
+            return 0;
+        };
+        let limit = self.limits.get(&report.target);
+        limit.map_or_else(|| start_limit(report.load.slots), Adaptive::get)
+    }
+}
+
+/// Limit of a target before the first sample: its slots, half of them over again for the queue.
+fn start_limit(slots: u32) -> u32 {
+    slots.max(2).saturating_mul(3) / 2
+}
+
+/// Returns the artifact to use and the targets that have it ready, base model included.
+fn find(
+    state: &State,
+    wanted: &Artifact,
+    exact: bool,
+    tried: &[Slot],
+    now: buckthornmast_types::time::Point,
+) -> (Artifact, Candidates) {
+    let candidates = |artifact: &Artifact| {
+        let mut found = state
+            .table
+            .candidates(table::Need::Artifact(artifact), tried, now);
+        let base = artifact.base();
+        found.retain(|candidate| {
+            let report = state.table.report(candidate.slot);
+            report.is_some_and(|report| report.is_ready(&base))
+        });
+        found
     };
-    if exact {
-        return None;
-    }
-    let copies = report.copies.iter().map(|copy| &copy.artifact);
-    copies
-        .filter(same_name)
-        .find(|artifact| is_usable(artifact))
-        .cloned()
+    let found = candidates(wanted);
+    if !found.is_empty() || exact {
+        return (wanted.clone(), found);
+    }
+    // While a version is rolled out, the one before still answers.
+    for older in state.table.versions(wanted) {
+        let found = candidates(&older);
+        if !found.is_empty() {
+            return (older, found);
+        }
+    }
+    (wanted.clone(), Candidates::new())
 }
 
 impl router::Router for Router {
-    type Permit = ();
+    type Permit = Permit;
 
-    fn admit(&self, ask: &Ask<'_>) -> Result<(), Refused> {
+    fn admit(&self, ask: &Ask<'_>) -> Result<Permit, Refused> {
         if ask.team.is_some() {
-            self.demand.count(ask.name, 0);
+            self.demand.count(ask.name, ask.tokens);
         }
-        Ok(())
+        let permit = self.admission.admit(ask)?;
+        self.lock().budget.request();
+        Ok(permit)
     }
 
     fn pick(&self, need: &Need<'_>, tried: &Tried) -> Option<Pick> {
         let now = self.clock.now();
-        let snapshot = self.current.get();
-        let platform = &snapshot.declarations.platform;
-        let mut in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let mut best: Option<((bool, bool, u32), Pick)> = None;
-        for seen in self.targets.all() {
-            let report = &seen.report;
-            let is_open = !report.leaving
-                && now.since(seen.sent) < FRESH
-                && !platform.drained.contains(&report.target)
-                && !tried.contains(&report.target);
-            if !is_open {
-                continue;
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let tried: SmallVec<[Slot; 4]> = tried
+            .iter()
+            .filter_map(|target| state.table.slot(target))
+            .collect();
+        let (artifact, candidates, prefix) = match need {
+            Need::Artifact {
+                artifact,
+                exact,
+                prefix,
+            } => {
+                let (artifact, found) = find(state, artifact, *exact, &tried, now);
+                (Some(artifact), found, Some(Prefix(*prefix)))
             }
-            let artifact = match need {
-                Need::Artifact {
-                    artifact, exact, ..
-                } => match match_artifact(report, artifact, *exact) {
-                    Some(found) => Some(found),
-                    None => continue,
-                },
-                Need::Service { service, .. } if report.service == **service => None,
-                Need::Service { .. } => continue,
-            };
-            let is_older = match (need, &artifact) {
-                (Need::Artifact { artifact, .. }, Some(found)) => *artifact != found,
-                _ => false,
-            };
-            let own = in_flight.get(&report.target).copied().unwrap_or(0);
-            let rank = (
-                is_older,
-                report.domain != self.domain,
-                own.max(report.load.running),
-            );
-            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                let kind = platform.kinds.get(&report.kind);
-                let token = kind
-                    .is_none_or(|kind| kind.access)
-                    .then(|| self.token.clone());
-                let endpoint = Endpoint {
-                    target: report.target.clone(),
-                    address: report.address,
-                    token,
-                };
-                best = Some((rank, Pick { endpoint, artifact }));
-            }
-        }
-        let (_, pick) = best?;
-        *in_flight.entry(pick.endpoint.target.clone()).or_default() += 1;
-        Some(pick)
-    }
-
-    fn done(&self, pick: &Pick, _report: &Report<'_>) {
-        let mut in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = in_flight.get_mut(&pick.endpoint.target) {
-            *count = count.saturating_sub(1);
+            Need::Service { service, .. } => (
+                None,
+                state
+                    .table
+                    .candidates(table::Need::Service(service), &tried, now),
+                None,
+            ),
+        };
+        let below: Candidates = candidates
+            .iter()
+            .filter(|c| c.own < state.limit(c.slot))
+            .copied()
+            .collect();
+        // Admission has let the request in, so a target beyond its limit is better than none.
+        let candidates = if below.is_empty() { candidates } else { below };
+        let slot = self.choice.choose(
+            &candidates,
+            prefix,
+            &mut state.affinity,
+            now,
+            &mut state.rng,
+        )?;
+        let report = state.table.report(slot)?.clone();
+        let table_need = match (&artifact, need) {
+            (Some(artifact), _) => table::Need::Artifact(artifact),
+            (None, Need::Service { service, .. }) => table::Need::Service(service),
+            (None, Need::Artifact { artifact, .. }) => table::Need::Artifact(artifact),
+        };
+        state.table.started(slot, table_need, now);
+        if let Some(prefix) = prefix {
+            state.affinity.learn(prefix, slot, now);
         }
+        drop(guard);
+        Some(Pick {
+            endpoint: self.endpoint(&report),
+            artifact,
+        })
     }
 
-    fn may_retry(&self, retry: &Retry<'_>) -> bool {
-        let is_safe =
-            retry.repeatable || retry.error.run() == buckthornmast_types::outcome::Run::No;
-        is_safe && retry.dispatches < 4
+    fn is_alive(&self, pick: &Pick) -> bool {
+        let seen = self.targets.get(&pick.endpoint.target);
+        seen.is_some_and(|seen| self.clock.now().since(seen.sent) < FRESH)
+    }
+
+    fn done(&self, pick: &Pick, report: &Report<'_>) {
+        let now = self.clock.now();
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let target = &pick.endpoint.target;
+        let Some(slot) = state.table.slot(target) else {
+            return;
+        };
+        let Some(known) = state.table.report(slot) else {
+            return;
+        };
+        let (service, slots) = (known.service.clone(), known.load.slots);
+        let limit = state.limits.entry(target.clone()).or_insert_with(|| {
+            let start = start_limit(slots);
+            Adaptive::new(limit::Config {
+                start,
+                most: start.max(16) * 2,
+                ..limit::Config::default()
+            })
+        });
+        let outcome = match report {
+            Report::Answered { first, .. } => {
+                limit.answered(*first, state.table.own(slot));
+                state.first.add(*first);
+                Outcome::Answered(*first)
+            }
+            Report::Failed { error } => match error.cause {
+                Cause::NotSent { .. } => Outcome::Unreachable,
+                Cause::Refused { .. } => {
+                    limit.dropped();
+                    Outcome::Failed
+                }
+                _ => Outcome::Failed,
+            },
+            Report::Abandoned => Outcome::Abandoned,
+        };
+        let need = match &pick.artifact {
+            Some(artifact) => table::Need::Artifact(artifact),
+            None => table::Need::Service(&service),
+        };
+        state.table.finished(slot, need, outcome, now);
+    }
+
+    fn decide(&self, retry: &Retry<'_>) -> Decision {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let known = Known {
+            repeatable: retry.repeatable,
+            resumable: true,
+            // Whether one is left is seen when the next one is picked.
+            target_left: true,
+            most: MAX_DISPATCHES,
+            expected: state.first.mean(),
+            deadline: retry.deadline,
+        };
+        attempt::decide(retry.history, &known, now, || state.budget.take(now))
     }
 }
--- a/crates/buckthornmast_gateway/src/generate.rs
+++ b/crates/buckthornmast_gateway/src/generate.rs
@@ -11,6 +11,7 @@
     problem::Problem,
     response::Response,
 };
+use buckthornmast_routing::attempt::{Decision, History};
 use buckthornmast_target::{
     engine::{Engine, Tokens},
     error::{Cause, Error},
@@ -29,7 +30,7 @@
     deadline::Deadline,
     gateway::{Gateway, Names, Parts, deadline_problem, respond},
     observe::{End, Observer, Sample},
-    router::{Ask, Need, Pick, Report, Retry, Router, Tried},
+    router::{Ask, Need, Pick, Report, Retry, Router, Tried, dispatch_of},
 };
 
 /// Way in which tokens reach the caller.
@@ -51,7 +52,7 @@
 }
 
 /// How one dispatch ended.
-enum Dispatch {
+enum Dispatched {
     Finished(Finish),
     Failed(Error),
     Ended(Failure),
@@ -117,56 +118,53 @@
     }
 
     fn generate(&mut self) -> Result<Finish, Failure> {
-        let left = self
-            .left()
-            .ok_or_else(|| Failure::Problem(deadline_problem(Run::No)))?;
         let ask = Ask {
             team: Some(&self.model.team),
             name: &self.request.model,
             priority: self.model.priority,
-            left,
+            tokens: self.request.max_tokens,
+            deadline: self.deadline.0,
         };
         let _permit = self.gateway.router.admit(&ask).map_err(|refused| {
             let problem = Problem::new(503, "over capacity", "admit").detail(refused.to_string());
             Failure::Problem(problem.retry_after(refused.retry_after))
         })?;
-        let mut run = Run::No;
+        let mut history = History::default();
         let mut last: Option<Error> = None;
-        for dispatches in 1.. {
+        loop {
             let Some(left) = self.left() else {
-                return Err(Failure::Problem(deadline_problem(run)));
+                return Err(Failure::Problem(deadline_problem(history.run())));
             };
             let Some(pick) = self.pick() else {
-                return Err(Failure::Problem(unavailable(last.as_ref(), run)));
+                return Err(Failure::Problem(unavailable(last.as_ref(), history.run())));
             };
-            match self.dispatch(&pick, left) {
-                Dispatch::Finished(finish) => return Ok(finish),
-                Dispatch::Ended(failure) => return Err(failure),
-                Dispatch::Failed(error) => {
-                    log::info!(
-                        step = error.step, peer = error.target.as_str(),
-                        request = self.head.request.to_string().as_str();
-                        "dispatch {dispatches} failed after {} tokens: {error}",
-                        self.answer.tokens().len(),
-                    );
-                    if error.run() == Run::Unknown {
-                        run = Run::Unknown;
-                    }
-                    self.tried.push(pick.endpoint.target.clone());
-                    let retry = Retry {
-                        error: &error,
-                        dispatches,
-                        repeatable: true,
-                        left,
-                    };
-                    if !self.gateway.router.may_retry(&retry) {
-                        return Err(Failure::Problem(unavailable(Some(&error), run)));
-                    }
-                    last = Some(error);
-                }
+            let error = match self.dispatch(&pick, left) {
+                Dispatched::Finished(finish) => return Ok(finish),
+                Dispatched::Ended(failure) => return Err(failure),
+                Dispatched::Failed(error) => error,
+            };
+            history.add(dispatch_of(&error, self.answer.tokens().len()));
+            self.log_failure(&error, &history);
+            self.tried.push(pick.endpoint.target.clone());
+            let retry = Retry {
+                history: &history,
+                repeatable: true,
+                deadline: self.deadline.0,
+            };
+            if let Decision::End { run, .. } = self.gateway.router.decide(&retry) {
+                return Err(Failure::Problem(unavailable(Some(&error), run)));
             }
+            last = Some(error);
         }
-        Err(Failure::Problem(unavailable(last.as_ref(), run)))
+    }
+
+    fn log_failure(&self, error: &Error, history: &History) {
+        log::info!(
+            step = error.step, peer = error.target.as_str(),
+            request = self.head.request.to_string().as_str();
+            "dispatch {} failed after {} tokens: {error}",
+            history.attempts(), self.answer.tokens().len(),
+        );
     }
 
     fn pick(&mut self) -> Option<Pick> {
@@ -183,7 +181,7 @@
     }
 
     /// Dispatches once and reports to the router how it ended.
-    fn dispatch(&mut self, pick: &Pick, left: Duration) -> Dispatch {
+    fn dispatch(&mut self, pick: &Pick, left: Duration) -> Dispatched {
         let begun = self.gateway.clock.now();
         let tokens_before = self.answer.tokens().len();
         let work = self.work(pick, left);
@@ -191,19 +189,19 @@
         let result = self.receive(pick, &work, &mut first);
         let now = self.gateway.clock.now();
         let report = match &result {
-            Dispatch::Finished(_) => Report::Answered {
+            Dispatched::Finished(_) => Report::Answered {
                 first: first.unwrap_or(now).since(begun),
                 total: now.since(begun),
             },
-            Dispatch::Failed(error) => Report::Failed { error },
-            Dispatch::Ended(_) => Report::Abandoned,
+            Dispatched::Failed(error) => Report::Failed { error },
+            Dispatched::Ended(_) => Report::Abandoned,
         };
         self.gateway.router.done(pick, &report);
         if self.answer.tokens().len() > tokens_before {
             // A target that made progress may be tried again once others failed.
             self.tried.clear();
         }
-        if matches!(result, Dispatch::Ended(_)) {
+        if matches!(result, Dispatched::Ended(_)) {
             self.gateway
                 .targets
                 .cancel(&pick.endpoint, work.request, work.attempt);
@@ -228,38 +226,44 @@
         }
     }
 
-    fn receive(&mut self, pick: &Pick, work: &Work, first: &mut Option<Point>) -> Dispatch {
+    fn receive(&mut self, pick: &Pick, work: &Work, first: &mut Option<Point>) -> Dispatched {
         let gateway = self.gateway;
         let Some(left) = self.left() else {
-            return Dispatch::Ended(Failure::Problem(deadline_problem(Run::No)));
+            return Dispatched::Ended(Failure::Problem(deadline_problem(Run::No)));
         };
-        let stream = gateway.targets.generate(&pick.endpoint, work, left);
+        // A target answers with its head at once, also when the request has to wait for the batch.
+        let bound = gateway.limits.bounds.gap.min(left);
+        let stream = gateway.targets.generate(&pick.endpoint, work, bound);
         let mut stream = match stream {
             Ok(stream) => stream,
-            Err(error) => return Dispatch::Failed(error),
+            Err(error) => return Dispatched::Failed(error),
         };
         loop {
             let Some(left) = self.left() else {
-                return Dispatch::Ended(Failure::Problem(deadline_problem(Run::Unknown)));
+                return Dispatched::Ended(Failure::Problem(deadline_problem(Run::Unknown)));
             };
-            // The first token waits for the batch and the prompt, so only the deadline bounds it.
-            let gap = if first.is_some() {
-                gateway.limits.bounds.gap.min(left)
+            let is_first = first.is_none();
+            // The first token waits for the batch and the prompt, as long as the target reports.
+            let gap = if is_first {
+                FIRST_TOKEN_LOOK
             } else {
-                left
+                gateway.limits.bounds.gap
             };
-            let chunk = match stream.next(gap) {
+            let chunk = match stream.next(gap.min(left)) {
                 Ok(Some(chunk)) => chunk,
-                Ok(None) => return Dispatch::Failed(cut_short(pick)),
-                Err(error) => return Dispatch::Failed(error),
+                Ok(None) => return Dispatched::Failed(cut_short(pick)),
+                Err(error) if is_first && is_silent(&error) && gateway.router.is_alive(pick) => {
+                    continue;
+                }
+                Err(error) => return Dispatched::Failed(error),
             };
             first.get_or_insert_with(|| gateway.clock.now());
             match self.take(chunk) {
-                Ok(Some(finish)) => return Dispatch::Finished(finish),
+                Ok(Some(finish)) => return Dispatched::Finished(finish),
                 Ok(None) => {}
-                Err(Taken::Gone) => return Dispatch::Ended(Failure::Gone),
+                Err(Taken::Gone) => return Dispatched::Ended(Failure::Gone),
                 Err(Taken::Broken(reason)) => {
-                    return Dispatch::Failed(malformed(pick, reason));
+                    return Dispatched::Failed(malformed(pick, reason));
                 }
             }
         }
@@ -356,6 +360,9 @@
     Broken(String),
 }
 
+/// Time between two looks at whether a target that has sent no token is still alive.
+const FIRST_TOKEN_LOOK: Duration = Duration::from_millis(500);
+
 const STREAM_HEADERS: [(&str, &str); 2] = [
     ("Content-Type", "text/event-stream"),
     ("Cache-Control", "no-cache"),
@@ -391,6 +398,10 @@
     xxhash_rust::xxh3::xxh3_64(first.as_bytes())
 }
 
+fn is_silent(error: &Error) -> bool {
+    matches!(error.cause, Cause::Silent { .. })
+}
+
 fn cut_short(pick: &Pick) -> Error {
     malformed(pick, "the stream ended before the answer did".to_owned())
 }
--- a/crates/buckthornmast_gateway/src/router.rs
+++ b/crates/buckthornmast_gateway/src/router.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use buckthornmast_target::{engine::Endpoint, error::Error};
-use buckthornmast_types::{artifact::Artifact, id};
+use buckthornmast_routing::attempt::{Decision, Dispatch, History};
+use buckthornmast_target::{
+    engine::Endpoint,
+    error::{Cause, Error},
+};
+use buckthornmast_types::{artifact::Artifact, id, time::Point};
 use smallvec::SmallVec;
 use snafu::Snafu;
 
@@ -40,8 +44,10 @@
     pub name: &'a str,
     /// Priority, higher first.
     pub priority: u8,
-    /// Time that the caller still waits.
-    pub left: Duration,
+    /// Tokens of the answer at the most; 0 for a plain service.
+    pub tokens: u32,
+    /// Time at which the caller stops waiting.
+    pub deadline: Point,
 }
 
 /// Reason why a request is not admitted.
@@ -82,17 +88,27 @@
     Abandoned,
 }
 
-/// Question whether a failed request is dispatched again.
+/// Question what comes after a failed dispatch.
 #[derive(Debug, Clone, Copy)]
 pub struct Retry<'a> {
-    /// Error of the last dispatch.
-    pub error: &'a Error,
-    /// Dispatches so far.
-    pub dispatches: u32,
+    /// All failed dispatches so far.
+    pub history: &'a History,
     /// Whether the request may be run twice.
     pub repeatable: bool,
-    /// Time that the caller still waits.
-    pub left: Duration,
+    /// Time at which the caller stops waiting.
+    pub deadline: Point,
+}
+
+/// Returns how far a failed dispatch got, for the decision on a further one.
+pub fn dispatch_of(error: &Error, tokens: usize) -> Dispatch {
+    match error.cause {
+        Cause::NotSent { .. } => Dispatch::NotSent,
+        Cause::Refused { .. } => Dispatch::Refused,
+        _ if tokens > 0 => Dispatch::Streaming {
+            next: tokens as u64,
+        },
+        _ => Dispatch::Sent,
+    }
 }
 
 /// Routing as the request path sees it.
@@ -106,9 +122,12 @@
     /// Chooses a target; the choice counts as in flight until [`Router::done`].
     fn pick(&self, need: &Need<'_>, tried: &Tried) -> Option<Pick>;
 
+    /// Returns whether a chosen target still reports.
+    fn is_alive(&self, pick: &Pick) -> bool;
+
     /// Ends a choice.
     fn done(&self, pick: &Pick, report: &Report<'_>);
 
-    /// Returns whether a failed request may be dispatched again.
-    fn may_retry(&self, retry: &Retry<'_>) -> bool;
+    /// Decides what comes after a failed dispatch.
+    fn decide(&self, retry: &Retry<'_>) -> Decision;
 }
--- a/crates/buckthornmast_gateway/src/service.rs
+++ b/crates/buckthornmast_gateway/src/service.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use buckthornmast_http::{exchange::Exchange, problem::Problem, response::Response};
+use buckthornmast_routing::attempt::{Decision, History};
 use buckthornmast_target::{
     engine::{Answer, Call, Plain as _},
     error::Error,
@@ -18,7 +19,7 @@
     claim::{Claim, Claims, Denied, Grant, MAX_KEPT_BYTES, Outcome},
     deadline::Deadline,
     gateway::{Gateway, Names, Parts, bad_request, deadline_problem, respond},
-    router::{Ask, Need, Pick, Report, Retry, Router, Tried},
+    router::{Ask, Need, Pick, Report, Retry, Router, Tried, dispatch_of},
 };
 
 /// Header of the idempotency key (IETF httpapi draft).
@@ -195,54 +196,48 @@
     call: &Call,
     deadline: Deadline,
 ) -> Result<Answer, Problem> {
-    let left = || deadline.left(gateway.clock.now());
-    let now = left().ok_or_else(|| deadline_problem(Run::No))?;
     let ask = Ask {
         team: None,
         name: plain.service.as_str(),
         priority: 5,
-        left: now,
+        tokens: 0,
+        deadline: deadline.0,
     };
     let _permit = gateway.router.admit(&ask).map_err(|refused| {
         let problem = Problem::new(503, "over capacity", "admit").detail(refused.to_string());
         problem.retry_after(refused.retry_after)
     })?;
     let mut tried = Tried::new();
-    let mut run = Run::No;
+    let mut history = History::default();
     let mut last: Option<Error> = None;
-    for dispatches in 1.. {
-        let Some(left) = left() else {
-            return Err(deadline_problem(run));
+    loop {
+        let Some(left) = deadline.left(gateway.clock.now()) else {
+            return Err(deadline_problem(history.run()));
         };
         let need = Need::Service {
             service: &plain.service,
             concurrency: plain.concurrency,
         };
         let Some(pick) = gateway.router.pick(&need, &tried) else {
-            break;
+            return Err(failed(last.as_ref(), history.run()));
         };
         let error = match forward(gateway, &pick, call, left) {
             Ok(answer) => return Ok(answer),
             Err(error) => error,
         };
         log::info!(step = error.step, peer = error.target.as_str(); "call failed: {error}");
-        if error.run() == Run::Unknown {
-            run = Run::Unknown;
-        }
+        history.add(dispatch_of(&error, 0));
         let retry = Retry {
-            error: &error,
-            dispatches,
+            history: &history,
             repeatable: plain.repeatable,
-            left,
+            deadline: deadline.0,
         };
-        let again = gateway.router.may_retry(&retry);
+        if let Decision::End { run, .. } = gateway.router.decide(&retry) {
+            return Err(failed(Some(&error), run));
+        }
         tried.push(pick.endpoint.target);
         last = Some(error);
-        if !again {
-            break;
-        }
     }
-    Err(failed(last.as_ref(), run))
 }
 
 fn forward<P: Parts, N: Names>(
--- a/crates/buckthornmast_routing/src/admission.rs
+++ b/crates/buckthornmast_routing/src/admission.rs
@@ -212,6 +212,11 @@
         }
     }
 
+    /// Sets the weights of teams, for waiting requests too.
+    pub fn set_weights(&mut self, weights: BTreeMap<id::Team, f64>) {
+        self.config.weights = weights;
+    }
+
     /// Sets how many requests of a model may be in progress at once.
     pub fn set_capacity(&mut self, model: &id::Model, capacity: u32) {
         if let Some(model) = self.models.get_mut(model) {
--- a/crates/buckthornmast_routing/src/table.rs
+++ b/crates/buckthornmast_routing/src/table.rs
@@ -174,6 +174,28 @@
         self.entry(slot).map(|entry| &entry.report)
     }
 
+    /// Returns the requests of this instance in progress at a target.
+    pub fn own(&self, slot: Slot) -> u32 {
+        self.entry(slot).map_or(0, |entry| entry.own)
+    }
+
+    /// Returns the other versions of a model or adapter that targets have.
+    pub fn versions(&self, wanted: &Artifact) -> Vec<Artifact> {
+        let name = |artifact: &Artifact| {
+            let adapter = artifact.adapter.as_ref().map(|pin| pin.adapter.clone());
+            (artifact.model.clone(), adapter)
+        };
+        let wanted_name = name(wanted);
+        let others = self.artifacts.keys().filter(|artifact| *artifact != wanted);
+        let mut found: Vec<Artifact> = others
+            .filter(|artifact| name(artifact) == wanted_name)
+            .cloned()
+            .collect();
+        // A fixed order, newest label first, so that instances agree.
+        found.sort_by(|a, b| b.cmp(a));
+        found
+    }
+
     /// Returns the place of a target.
     pub fn slot(&self, target: &id::Target) -> Option<Slot> {
         self.slots.get(target).copied()
