Add the trial crate: real daemons and targets with relays that can be cut

Cause: failures have to be shown on real processes. Change: a launcher of daemons and stand-ins on loopback, relays per direction (open, cut, silent), callers.

--- /dev/null
+++ b/crates/buckthornmast_trial/src/cluster.rs
@@ -0,0 +1,309 @@
+//! Cluster of daemons with targets.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    fs, io,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+};
+
+use sha2::{Digest, Sha256};
+use tempfile::TempDir;
+
+use crate::{
+    process::Process,
+    relay::{Mode, Relay, bind_both},
+    wait::wait_for,
+};
+
+/// Bearer token of the platform's operators.
+pub const PLATFORM_TOKEN: &str = "platform-secret";
+
+/// Bearer token of the team of [`DECLARATIONS`].
+pub const TEAM_TOKEN: &str = "press-secret";
+
+/// Token that targets check.
+const TARGET_TOKEN: &str = "target-secret";
+
+/// Cluster key.
+const CLUSTER_KEY: &str = "1f0c7d52c7f64f4b8d0e9a3b5c6d7e8f1f0c7d52c7f64f4b8d0e9a3b5c6d7e8f";
+
+/// Instance to start.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// Name.
+    pub name: &'static str,
+    /// Failure domain.
+    pub domain: &'static str,
+    /// Whether it has a disk and votes.
+    pub voter: bool,
+}
+
+/// Ports of an instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Ports {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Operators.
+    pub operators: SocketAddr,
+    /// Targets.
+    pub targets: SocketAddr,
+    /// Peers, TCP and UDP.
+    pub peers: SocketAddr,
+}
+
+/// Instance of a cluster.
+#[derive(Debug)]
+pub struct Instance {
+    /// What it was started as.
+    pub plan: Plan,
+    /// Ports.
+    pub ports: Ports,
+    /// Process; `None` while it is down.
+    pub process: Option<Process>,
+}
+
+/// Target of a cluster.
+#[derive(Debug)]
+pub struct Target {
+    /// Name.
+    pub name: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Process.
+    pub process: Process,
+}
+
+/// Running cluster.
+#[derive(Debug)]
+pub struct Cluster {
+    folder: TempDir,
+    daemon: PathBuf,
+    standin: PathBuf,
+    /// Instances.
+    pub instances: Vec<Instance>,
+    /// Targets.
+    pub targets: Vec<Target>,
+    relays: BTreeMap<(usize, usize), Relay>,
+}
+
+fn digest(token: &str) -> String {
+    Sha256::digest(token.as_bytes())
+        .iter()
+        .fold(String::new(), |mut text, byte| {
+            let _ = write!(text, "{byte:02x}");
+            text
+        })
+}
+
+/// Reserves ports that are free now.
+fn reserve(count: usize) -> io::Result<Vec<Ports>> {
+    let mut held = Vec::new();
+    let mut ports = Vec::new();
+    for _ in 0..count {
+        let (peers, udp) = bind_both()?;
+        let tcp: Vec<TcpListener> = (0..3)
+            .map(|_| TcpListener::bind("127.0.0.1:0"))
+            .collect::<io::Result<_>>()?;
+        ports.push(Ports {
+            callers: tcp[0].local_addr()?,
+            operators: tcp[1].local_addr()?,
+            targets: tcp[2].local_addr()?,
+            peers: peers.local_addr()?,
+        });
+        held.push((peers, udp, tcp));
+    }
+    Ok(ports)
+}
+
+impl Cluster {
+    /// Starts the instances; `programs` is the folder with the built programs.
+    pub fn start(programs: &Path, plans: &[Plan]) -> io::Result<Self> {
+        let ports = reserve(plans.len())?;
+        let instances = plans.iter().zip(ports);
+        let instances: Vec<Instance> = instances
+            .map(|(plan, ports)| Instance {
+                plan: *plan,
+                ports,
+                process: None,
+            })
+            .collect();
+        let mut relays = BTreeMap::new();
+        for from in 0..instances.len() {
+            for (to, instance) in instances.iter().enumerate() {
+                if from != to {
+                    relays.insert((from, to), Relay::start(instance.ports.peers)?);
+                }
+            }
+        }
+        let mut cluster = Self {
+            folder: tempfile::tempdir()?,
+            daemon: programs.join("buckthornmastd"),
+            standin: programs.join("buckthornmast-standin"),
+            instances,
+            targets: Vec::new(),
+            relays,
+        };
+        for index in 0..cluster.instances.len() {
+            fs::write(cluster.settings_file(index), cluster.settings(index))?;
+            cluster.launch(index)?;
+        }
+        Ok(cluster)
+    }
+
+    fn settings_file(&self, index: usize) -> PathBuf {
+        self.folder
+            .path()
+            .join(format!("{}.ini", self.instances[index].plan.name))
+    }
+
+    /// Returns the data folder of an instance.
+    pub fn data(&self, index: usize) -> PathBuf {
+        self.folder.path().join(self.instances[index].plan.name)
+    }
+
+    /// Returns the file that the log lines of an instance go to.
+    pub fn log_file(&self, index: usize) -> PathBuf {
+        self.folder
+            .path()
+            .join(format!("{}.log", self.instances[index].plan.name))
+    }
+
+    fn settings(&self, index: usize) -> String {
+        let Instance { plan, ports, .. } = &self.instances[index];
+        let mut text = format!(
+            "[instance]\nname = {}\ndomain = {}\n",
+            plan.name, plan.domain
+        );
+        if plan.voter {
+            let _ = writeln!(text, "data = {}", self.data(index).display());
+        }
+        let _ = writeln!(
+            text,
+            "[listen]\ncallers = {}\noperators = {}\ntargets = {}\npeers = {}\nheartbeat = {}",
+            ports.callers, ports.operators, ports.targets, ports.peers, ports.peers
+        );
+        let platform = digest(PLATFORM_TOKEN);
+        let _ = writeln!(
+            text,
+            "[keys]\ncluster = {CLUSTER_KEY}\nplatform-token-sha256 = {platform}\n\
+             targets = {TARGET_TOKEN}"
+        );
+        for (peer, instance) in self.instances.iter().enumerate() {
+            let relay = self.relays.get(&(index, peer));
+            let address = relay.map_or(instance.ports.peers, Relay::address);
+            let voter = if instance.plan.voter { "yes" } else { "no" };
+            let _ = writeln!(
+                text,
+                "[peer {}]\ndomain = {}\naddress = {address}\nheartbeat = {address}\nvoter = {voter}",
+                instance.plan.name, instance.plan.domain
+            );
+        }
+        text
+    }
+
+    /// Starts an instance that is down.
+    pub fn launch(&mut self, index: usize) -> io::Result<()> {
+        let args = [
+            "--config".to_owned(),
+            self.settings_file(index).display().to_string(),
+        ];
+        let process = Process::start(&self.daemon, &args, &self.log_file(index))?;
+        self.instances[index].process = Some(process);
+        Ok(())
+    }
+
+    /// Kills an instance.
+    pub fn kill(&mut self, index: usize) {
+        self.instances[index].process = None;
+    }
+
+    /// Sends a signal to an instance.
+    pub fn signal(&self, index: usize, name: &str) -> io::Result<()> {
+        match &self.instances[index].process {
+            Some(process) => process.signal(name),
+            None => Err(io::Error::other("the instance is down")),
+        }
+    }
+
+    /// Deletes the data folder of an instance that is down.
+    pub fn lose_disk(&self, index: usize) -> io::Result<()> {
+        fs::remove_dir_all(self.data(index))
+    }
+
+    /// Sets the mode of the relay in one direction.
+    pub fn relay(&self, from: usize, to: usize, mode: Mode) {
+        if let Some(relay) = self.relays.get(&(from, to)) {
+            relay.set(mode);
+        }
+    }
+
+    /// Sets the mode of all relays from and to an instance.
+    pub fn isolate(&self, index: usize, mode: Mode) {
+        for other in 0..self.instances.len() {
+            self.relay(index, other, mode);
+            self.relay(other, index, mode);
+        }
+    }
+
+    /// Starts a target that reports to the instances of its failure domain.
+    pub fn add_target(
+        &mut self,
+        name: &str,
+        domain: &str,
+        kind: &str,
+        service: &str,
+        flags: &[&str],
+    ) -> io::Result<usize> {
+        let mut args: Vec<String> = Vec::new();
+        let named = [
+            ("--name", name),
+            ("--domain", domain),
+            ("--kind", kind),
+            ("--service", service),
+            ("--listen", "127.0.0.1:0"),
+        ];
+        for (flag, value) in named {
+            args.extend([flag.to_owned(), value.to_owned()]);
+        }
+        for instance in self
+            .instances
+            .iter()
+            .filter(|instance| instance.plan.domain == domain)
+        {
+            args.extend(["--report-to".to_owned(), instance.ports.targets.to_string()]);
+        }
+        args.extend(flags.iter().map(|flag| (*flag).to_owned()));
+        let log = self.folder.path().join(format!("target-{name}.log"));
+        let _ = fs::remove_file(&log);
+        let process = Process::start(&self.standin, &args, &log)?;
+        let address = wait_for("the address of a target", || {
+            let text = fs::read_to_string(&log).ok()?;
+            let line = text
+                .lines()
+                .find_map(|line| line.strip_prefix("listening on "))?;
+            line.parse().ok()
+        });
+        self.targets.push(Target {
+            name: name.to_owned(),
+            address,
+            process,
+        });
+        Ok(self.targets.len() - 1)
+    }
+
+    /// Starts a model engine with the access token.
+    pub fn add_engine(&mut self, name: &str, domain: &str, flags: &[&str]) -> io::Result<usize> {
+        let mut all = vec!["--access-token", TARGET_TOKEN, "--memory", "24GiB"];
+        all.extend(flags);
+        self.add_target(name, domain, "engine", "chat", &all)
+    }
+
+    /// Starts a plain service whose calls must not be repeated.
+    pub fn add_plain(&mut self, name: &str, domain: &str, flags: &[&str]) -> io::Result<usize> {
+        let mut all = vec!["--plain"];
+        all.extend(flags);
+        self.add_target(name, domain, "counter", "ledger", &all)
+    }
+}
