Check the ledger against a plain reference

Cause: the model check is exhaustive but small. Change: 100 fixed seeds of 8,000 bytes each drive ledger and fake engines that take attempts late, twice or never, over two targets and four artifacts. Conclusion: accounting holds in the reference's terms.

--- /dev/null
+++ b/crates/buckthornmast_ledger/tests/reference.rs
@@ -0,0 +1,253 @@
+//! The ledger against a plain reference: engines that execute every attempt late, twice or never.
+
+#[path = "support/build.rs"]
+mod build;
+
+use std::collections::BTreeMap;
+
+use arbtest::{arbitrary::Unstructured, arbtest};
+use buckthornmast_ledger::prelude::*;
+use buckthornmast_types::{order::Action, prelude::*, report::Phase};
+use build::{artifact, load, order, report, target, unload};
+
+const TARGETS: [(&str, bool); 2] = [("t", false), ("u", true)];
+const ARTIFACTS: [(&str, u64); 4] = [("a@1", 3), ("b@1", 4), ("c@1", 5), ("d@1", 6)];
+const MEMORY: u64 = 10;
+
+struct Engine {
+    incarnation: u64,
+    sequence: u64,
+    token: u64,
+    copies: BTreeMap<&'static str, Phase>,
+    /// Attempts that may still arrive, each with its order.
+    flying: Vec<(Order, Attempt)>,
+    answers: Vec<(Order, Attempt, Outcome)>,
+    reports: Vec<Report>,
+}
+
+struct World {
+    book: Book,
+    token: u64,
+    number: u128,
+    intents: BTreeMap<id::Order, Order>,
+    marks: BTreeMap<id::Target, Mark>,
+    engines: Vec<Engine>,
+}
+
+fn bytes(text: &str) -> u64 {
+    let mut sizes = ARTIFACTS.iter();
+    sizes.find(|(name, _)| *name == text).map_or(0, |(_, b)| *b)
+}
+
+impl Engine {
+    fn may_execute(&self, honours: bool, order: &Order, attempt: Attempt) -> bool {
+        let is_fenced = honours && attempt.token.0 < self.token;
+        order.incarnation.0 == self.incarnation && !is_fenced
+    }
+
+    /// Returns the memory taken if every load on the way is executed.
+    fn reference(&self, honours: bool) -> u64 {
+        let mut artifacts: Vec<&str> = self.copies.keys().copied().collect();
+        for (order, attempt) in &self.flying {
+            if let Action::Load { artifact: a, .. } = &order.action
+                && self.may_execute(honours, order, *attempt)
+            {
+                let names = ARTIFACTS.iter().map(|(name, _)| *name);
+                artifacts.extend(names.filter(|name| artifact(name) == *a));
+            }
+        }
+        artifacts.sort_unstable();
+        artifacts.dedup();
+        artifacts.into_iter().map(bytes).sum()
+    }
+
+    fn execute(&mut self, honours: bool, index: usize) {
+        let (order, attempt) = self.flying.swap_remove(index);
+        if order.incarnation.0 != self.incarnation {
+            return;
+        }
+        if !self.may_execute(honours, &order, attempt) {
+            self.answers.push((order, attempt, Outcome::Fenced));
+            return;
+        }
+        if honours {
+            self.token = attempt.token.0;
+        }
+        for (name, _) in ARTIFACTS {
+            match &order.action {
+                Action::Load { artifact: a, .. } if *a == artifact(name) => {
+                    self.copies.entry(name).or_insert(Phase::Loading);
+                }
+                Action::Unload { artifact: a } if *a == artifact(name) => {
+                    self.copies.remove(name);
+                }
+                _ => {}
+            }
+        }
+        self.answers.push((order, attempt, Outcome::Accepted));
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let engine = |_| Engine {
+            incarnation: 1,
+            sequence: 0,
+            token: 0,
+            copies: BTreeMap::new(),
+            flying: Vec::new(),
+            answers: Vec::new(),
+            reports: Vec::new(),
+        };
+        Self {
+            book: build::book(1),
+            token: 1,
+            number: 0,
+            intents: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            engines: TARGETS.iter().map(engine).collect(),
+        }
+    }
+
+    fn close(&mut self, closed: impl IntoIterator<Item = Closed>) {
+        for closed in closed {
+            self.intents.remove(&closed.order.id);
+            let mark = self.marks.entry(closed.order.target).or_default();
+            *mark = closed.mark.max(*mark);
+        }
+    }
+
+    fn intend(&mut self, u: &mut Unstructured<'_>, at: usize) -> arbtest::arbitrary::Result<bool> {
+        let (name, size) = *u.choose(&ARTIFACTS)?;
+        let action = if u.ratio(2, 3)? {
+            load(name, size)
+        } else {
+            unload(name)
+        };
+        self.number += 1;
+        let incarnation = self.book.incarnation(&target(TARGETS[at].0));
+        let incarnation = incarnation.map_or(0, |i| i.0);
+        let order = order(self.number, TARGETS[at].0, incarnation, self.token, action);
+        let is_reserved = self.book.reserve(order.clone(), &Guard::default()).is_ok();
+        if is_reserved {
+            self.intents.insert(order.id, order);
+        }
+        Ok(is_reserved)
+    }
+
+    fn send(&mut self, u: &mut Unstructured<'_>, at: usize) -> arbtest::arbitrary::Result<()> {
+        let target = target(TARGETS[at].0);
+        let due = self.book.due().map(|entry| entry.order().clone());
+        let due: Vec<Order> = due.filter(|order| order.target == target).collect();
+        if due.is_empty() || !self.book.is_current(&target) {
+            return Ok(());
+        }
+        let order = u.choose(&due)?;
+        if let Some(attempt) = self.book.sent(&target, order.id) {
+            self.engines[at].flying.push((order.clone(), attempt));
+        }
+        Ok(())
+    }
+
+    fn fail_over(&mut self) {
+        self.token += 1;
+        self.book = build::book(self.token);
+        for order in self.intents.values() {
+            self.book.inherit(order.clone());
+        }
+        for (target, mark) in &self.marks {
+            self.book.require(target, *mark);
+        }
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<bool> {
+        let at = u.choose_index(TARGETS.len())?;
+        let (name, honours) = TARGETS[at];
+        let engine = &mut self.engines[at];
+        match u.int_in_range(0..=19)? {
+            0..=3 => return self.intend(u, at),
+            4..=7 => self.send(u, at)?,
+            8..=10 if !engine.flying.is_empty() => {
+                let index = u.choose_index(engine.flying.len())?;
+                engine.execute(honours, index);
+            }
+            11..=12 if !engine.answers.is_empty() => {
+                let index = u.choose_index(engine.answers.len())?;
+                let (order, attempt, outcome) = engine.answers.swap_remove(index);
+                let closed = self
+                    .book
+                    .answered(&order.target, order.id, attempt, outcome);
+                self.close(closed);
+            }
+            13 => engine.copies.values_mut().for_each(|p| *p = Phase::Ready),
+            14 => {
+                engine.sequence += 1;
+                let copies = engine.copies.iter();
+                let copies: Vec<_> = copies.map(|(n, p)| (*n, *p, bytes(n))).collect();
+                let mark = (engine.incarnation, engine.sequence);
+                engine
+                    .reports
+                    .push(report(name, mark, engine.token, &copies));
+            }
+            15..=17 if !engine.reports.is_empty() => {
+                let report = u.choose(&engine.reports)?.clone();
+                let closed = self.book.observe(&report, honours);
+                self.close(closed);
+            }
+            18 if u.ratio(1, 4)? => {
+                engine.incarnation += 1;
+                engine.sequence = 0;
+                engine.token = 0;
+                engine.copies.clear();
+            }
+            19 if u.ratio(1, 4)? => self.fail_over(),
+            19 if honours => engine.token = engine.token.max(self.token),
+            19 if u.ratio(1, 4)? => {
+                self.token += 1;
+                self.book.raise(id::Token(self.token));
+            }
+            _ => {}
+        }
+        Ok(false)
+    }
+
+    fn check(&self) {
+        for (engine, (name, honours)) in self.engines.iter().zip(TARGETS) {
+            let reference = engine.reference(honours);
+            assert!(
+                reference <= MEMORY,
+                "{name} may come to hold {reference} of {MEMORY}"
+            );
+            let target = target(name);
+            let is_same = self.book.incarnation(&target).map(|i| i.0) == Some(engine.incarnation);
+            if is_same && self.book.is_current(&target) {
+                let worst = self.book.worst(&target).0;
+                assert!(
+                    worst >= reference,
+                    "{name}: {worst} counted, {reference} possible"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against any order of events in which a target could be overcommitted or is counted too low.
+#[test]
+fn ledger_against_reference() {
+    // The low half of a seed is the number of bytes that the steps are drawn from.
+    const SIZE: u64 = 8_000;
+    let mut reserved = 0_u64;
+    for seed in 1..=100_u64 {
+        arbtest(|u| {
+            let mut world = World::new();
+            while !u.is_empty() {
+                reserved += u64::from(world.step(u)?);
+                world.check();
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | SIZE);
+    }
+    println!("{reserved} orders reserved");
+    assert!(reserved > 1_000, "only {reserved} orders were reserved");
+}
