--- a/crates/buckthornmast_controller/src/driver.rs
+++ b/crates/buckthornmast_controller/src/driver.rs
@@ -87,6 +87,10 @@
     lease: (Sender<()>, JoinHandle<()>),
 }
 
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> std::io::Result<JoinHandle<()>> {
+    thread::Builder::new().name(name.to_owned()).spawn(run)
+}
+
 /// Starts the controller of a domain on a candidate.
 pub fn start<L, J, O, E, P, C>(parts: Parts<L, J, O, E, P, C>) -> std::io::Result<Handle<C>>
 where
@@ -97,12 +101,9 @@
     P: Plan,
     C: Clock,
 {
-    let Parts {
-        candidate, clock, ..
-    } = &parts;
-    let clock = clock.clone();
+    let clock = parts.clock;
     let shared = Arc::new(Shared {
-        holder: Mutex::new(Holder::new(candidate.clone(), clock.now())),
+        holder: Mutex::new(Holder::new(parts.candidate, clock.now())),
         grant: Mutex::new(None),
         counters: Mutex::new(Counters::default()),
     });
@@ -131,13 +132,8 @@
         clean_again: Point::ZERO,
     };
     let every = parts.round_every;
-    let lease = thread::Builder::new()
-        .name("lease".to_owned())
-        .spawn(move || keeper.run(&lease_stopped))?;
-    let spawned = thread::Builder::new()
-        .name("controller".to_owned())
-        .spawn(move || rounds.run(every, &rounds_stopped));
-    let rounds = match spawned {
+    let lease = spawn("lease", move || keeper.run(&lease_stopped))?;
+    let rounds = match spawn("controller", move || rounds.run(every, &rounds_stopped)) {
         Ok(rounds) => rounds,
         Err(error) => {
             drop(lease_stop);
--- a/crates/buckthornmast_controller/tests/orders_model.rs
+++ b/crates/buckthornmast_controller/tests/orders_model.rs
@@ -83,9 +83,37 @@
     scope.check("last copy");
 }
 
-/// Guards against a search that cannot find the faults that it is meant to exclude.
+fn find(scope: &Scope, mutations: &[Mutation]) {
+    for mutation in mutations {
+        let scope = Scope {
+            mutation: *mutation,
+            ..scope.clone()
+        };
+        scope.find();
+    }
+}
+
+/// Guards against a search that cannot find an overcommitted target.
+#[test]
+fn planted_memory_faults_are_found() {
+    let mutations = [
+        Mutation::ForgetIntents,
+        Mutation::UnloadIsDone,
+        Mutation::SkipMarks,
+    ];
+    find(&MEMORY, &mutations);
+}
+
+/// Guards against a search that cannot find intents that are lost without the quorum.
+#[test]
+fn planted_quorum_faults_are_found() {
+    let mutations = [Mutation::AnsweredIsComplete, Mutation::CleanBeforeResolved];
+    find(&QUORUM, &mutations);
+}
+
+/// Guards against a search that cannot find the loss of the last copy.
 #[test]
-fn planted_faults_are_found() {
+fn planted_guard_fault_is_found() {
     let guarded = Scope {
         honours: &[false, true],
         ready: &["a"],
@@ -93,14 +121,5 @@
         guarded: &["a"],
         ..MEMORY
     };
-    for (mutation, scope) in [
-        (Mutation::ForgetIntents, MEMORY),
-        (Mutation::UnloadIsDone, MEMORY),
-        (Mutation::SkipMarks, MEMORY),
-        (Mutation::AnsweredIsComplete, QUORUM),
-        (Mutation::CleanBeforeResolved, QUORUM),
-        (Mutation::NoGuard, guarded),
-    ] {
-        Scope { mutation, ..scope }.find();
-    }
+    find(&guarded, &[Mutation::NoGuard]);
 }
