--- a/crates/buckthornmast_controller/tests/orders_model.rs
+++ b/crates/buckthornmast_controller/tests/orders_model.rs
@@ -35,14 +35,17 @@
 /// Guards against an overcommitted target after lost and late orders and a failover.
 #[test]
 fn memory_after_failover() {
-    for honours in [&[false], &[true]] {
-        let scope = Scope {
-            honours,
-            orders: 2,
-            ..MEMORY
-        };
-        scope.check(&format!("failover, honours {honours:?}"));
-    }
+    let ignoring = Scope {
+        orders: 2,
+        ..MEMORY
+    };
+    ignoring.check("failover, target ignores tokens");
+    let honouring = Scope {
+        honours: &[true],
+        reports: 2,
+        ..ignoring
+    };
+    honouring.check("failover, target honours tokens");
 }
 
 /// Guards against a restarted target that is charged for, or credited with, orders of its earlier run.
@@ -51,6 +54,7 @@
     for honours in [&[false], &[true]] {
         let scope = Scope {
             honours,
+            reports: 2,
             failovers: 0,
             target_restarts: 1,
             ..MEMORY
@@ -73,14 +77,43 @@
         ready: &["a"],
         artifacts: &["a"],
         guarded: &["a"],
+        reports: 2,
         ..MEMORY
     };
     scope.check("last copy");
 }
 
-/// Guards against a search that cannot find the faults that it is meant to exclude.
+fn find(scope: &Scope, mutations: &[Mutation]) {
+    for mutation in mutations {
+        let scope = Scope {
+            mutation: *mutation,
+            ..scope.clone()
+        };
+        scope.find();
+    }
+}
+
+/// Guards against a search that cannot find an overcommitted target.
+#[test]
+fn planted_memory_faults_are_found() {
+    let mutations = [
+        Mutation::ForgetIntents,
+        Mutation::UnloadIsDone,
+        Mutation::SkipMarks,
+    ];
+    find(&MEMORY, &mutations);
+}
+
+/// Guards against a search that cannot find intents that are lost without the quorum.
 #[test]
-fn planted_faults_are_found() {
+fn planted_quorum_faults_are_found() {
+    let mutations = [Mutation::AnsweredIsComplete, Mutation::CleanBeforeResolved];
+    find(&QUORUM, &mutations);
+}
+
+/// Guards against a search that cannot find the loss of the last copy.
+#[test]
+fn planted_guard_fault_is_found() {
     let guarded = Scope {
         honours: &[false, true],
         ready: &["a"],
@@ -88,14 +121,5 @@
         guarded: &["a"],
         ..MEMORY
     };
-    for (mutation, scope) in [
-        (Mutation::ForgetIntents, MEMORY),
-        (Mutation::UnloadIsDone, MEMORY),
-        (Mutation::SkipMarks, MEMORY),
-        (Mutation::AnsweredIsComplete, QUORUM),
-        (Mutation::CleanBeforeResolved, QUORUM),
-        (Mutation::NoGuard, guarded),
-    ] {
-        Scope { mutation, ..scope }.find();
-    }
+    find(&guarded, &[Mutation::NoGuard]);
 }
