Split the search for a target and test two policies side by side

Change: the worth of one target is a function of its own; room that is being made for an artifact that left the view is forgotten; a replay test with greedy beside marginal.

--- a/crates/buckthornmast_placement/src/marginal.rs
+++ b/crates/buckthornmast_placement/src/marginal.rs
@@ -173,6 +173,9 @@
             }
         }
         memory.since = since;
+        memory
+            .intents
+            .retain(|artifact, _| tracks.contains_key(artifact));
         memory.tracks = tracks;
         memory.dropped.retain(|_, at| now.since(*at) < self.hold);
         outlooks
@@ -263,19 +266,19 @@
 
     /// Returns the best target for one more copy of an artifact, if a copy is worth its cost.
     fn choose(&mut self, item: usize) -> Option<Choice> {
-        if self.estimate.pressure(item) <= self.policy.knee {
+        let pressure = self.estimate.pressure(item);
+        if pressure <= self.policy.knee {
             return None;
         }
         let entry = &self.view.artifacts[item];
         let intent = self.memory.intents.get(&entry.artifact).cloned();
-        let seconds = entry.bytes.0 as f64 / self.view.store.speed.max(1.0);
-        let seconds = if self.view.store.speed > 0.0 {
-            seconds
+        let speed = self.view.store.speed;
+        let seconds = if speed > 0.0 {
+            entry.bytes.0 as f64 / speed
         } else {
             0.0
         };
         let span = (self.policy.horizon.as_secs_f64() - seconds).max(0.0);
-        let pressure = self.estimate.pressure(item);
         let mut best: Option<Choice> = None;
         let mut examined = 0;
         for at in 0..self.order.len() {
@@ -289,41 +292,50 @@
             examined += 1;
             let extra = self.extra[item];
             let gain = self.estimate.gain(item, extra, Some(target), None) * span;
-            if gain <= self.cost
-                || best
-                    .as_ref()
-                    .is_some_and(|b| gain * SPREAD * INTENT <= b.value)
-            {
-                continue;
-            }
-            let Some(room) = self.room(item, target) else {
+            let most = gain * SPREAD * INTENT;
+            if gain <= self.cost || best.as_ref().is_some_and(|b| most <= b.value) {
                 continue;
-            };
-            let loss = room.loss * self.policy.horizon.as_secs_f64();
-            let mut value = gain - loss - self.cost * (1.0 + room.moves);
-            if value <= 0.0 {
-                continue;
-            }
-            if !self.has_domain(item, target) {
-                value *= SPREAD;
-            }
-            if intent.as_ref() == Some(&self.view.targets[target].id) {
-                value *= INTENT;
-            }
-            if best.as_ref().is_none_or(|b| value > b.value) {
-                let score = value / entry.bytes.0.max(1) as f64;
-                let victims = room.victims;
-                best = Some(Choice {
-                    target,
-                    victims,
-                    value,
-                    score,
-                });
             }
+            let choice = self.weigh(item, target, gain, intent.as_ref());
+            let floor = best.as_ref().map_or(0.0, |best| best.value);
+            best = choice.filter(|choice| choice.value > floor).or(best);
         }
         best
     }
 
+    /// Returns a copy on a target with its worth, if that exceeds its cost.
+    fn weigh(
+        &mut self,
+        item: usize,
+        target: usize,
+        gain: f64,
+        intent: Option<&id::Target>,
+    ) -> Option<Choice> {
+        let Room {
+            victims,
+            loss,
+            moves,
+        } = self.room(item, target)?;
+        let loss = loss * self.policy.horizon.as_secs_f64();
+        let mut value = gain - loss - self.cost * (1.0 + moves);
+        if value <= 0.0 {
+            return None;
+        }
+        if !self.has_domain(item, target) {
+            value *= SPREAD;
+        }
+        if intent == Some(&self.view.targets[target].id) {
+            value *= INTENT;
+        }
+        let score = value / self.view.artifacts[item].bytes.0.max(1) as f64;
+        Some(Choice {
+            target,
+            victims,
+            value,
+            score,
+        })
+    }
+
     fn has_domain(&self, item: usize, target: usize) -> bool {
         let domain = self.view.targets[target].domain;
         let mut copies = self.draft.copies(item).iter();
--- a/crates/buckthornmast_replay/tests/invariants.rs
+++ b/crates/buckthornmast_replay/tests/invariants.rs
@@ -95,6 +95,17 @@
     assert_eq!(first.in_time, second.in_time);
 }
 
+/// Guards against policies of two teams that disturb each other's artifacts.
+#[test]
+fn run_mixed_policies() {
+    let specs = KUEHLWERK.specs(12);
+    let trace = Trace::new(&KUEHLWERK, &specs, Kind::Burst, 12, SECONDS);
+    let policies = ["greedy fill=0.3", "marginal"].map(|text| text.parse::<Named>().unwrap());
+    let score = world::run(&KUEHLWERK, &specs, &trace, &policies, &PowerOfTwo, 12);
+    assert_eq!(score.faults, Vec::<String>::new());
+    assert_eq!(score.unreachable, 0.0);
+}
+
 /// Guards against a rule that the harness can't be run with.
 #[test]
 fn run_every_rule() {
