--- /dev/null
+++ b/crates/buckthornmast_daemon/tests/claims.rs
@@ -0,0 +1,149 @@
+//! Requests that must not be repeated, over real processes.
+
+#[path = "support/press.rs"]
+mod press;
+
+use std::{thread, time::Duration};
+
+use buckthornmast_trial::prelude::*;
+use buckthornmast_types::id;
+
+fn runs(cluster: &Cluster, target: usize) -> u64 {
+    let counters = caller::counters(cluster.targets[target].address);
+    counters["plain"]["total"].as_u64().unwrap_or(u64::MAX)
+}
+
+fn wait_for_order(cluster: &Cluster, index: usize) {
+    let port = cluster.instances[index].ports.callers;
+    wait_for("an accepted order", || {
+        (caller::order(port, id::Key::generate(), "warm up").status == 200).then_some(())
+    });
+}
+
+/// Guards against a second run when the first instance is killed while the service works, and against
+/// an answer that claims to know what happened.
+#[test]
+fn order_owner_killed() {
+    let mut cluster = press::start(&press::THREE);
+    let counter = cluster
+        .add_plain("counter", "north", &["--call-time", "1500ms"])
+        .unwrap();
+    wait_for_order(&cluster, 0);
+    wait_for_order(&cluster, 2);
+    let before = runs(&cluster, counter);
+    let (port, key) = (cluster.instances[0].ports.callers, id::Key::generate());
+    let first = thread::spawn(move || caller::order(port, key, "LP 7"));
+    wait_for("the run", || {
+        (runs(&cluster, counter) == before + 1).then_some(())
+    });
+    cluster.kill(0);
+    assert_eq!(
+        first.join().unwrap().status,
+        0,
+        "the killed instance has answered"
+    );
+    for index in [1, 2, 1] {
+        let port = cluster.instances[index].ports.callers;
+        let resend = wait_for("an answer that is not for lack of a leader", || {
+            let answer = caller::order(port, key, "LP 7");
+            (answer.status != 503).then_some(answer)
+        });
+        assert_eq!(
+            (resend.status, resend.run().as_deref()),
+            (409, Some("unknown"))
+        );
+    }
+    assert_eq!(runs(&cluster, counter), before + 1);
+}
+
+/// Guards against an instance that dispatches without a quorum, and against a request that was told
+/// "not run" and can never be run afterwards.
+#[test]
+fn order_minority() {
+    let mut cluster = press::start(&press::THREE);
+    let counter = cluster.add_plain("counter", "north", &[]).unwrap();
+    wait_for_order(&cluster, 0);
+    wait_for_order(&cluster, 2);
+    let before = runs(&cluster, counter);
+    cluster.isolate(0, Mode::Cut);
+    let (port, key) = (cluster.instances[0].ports.callers, id::Key::generate());
+    let denied = caller::order(port, key, "LP 8");
+    assert_eq!(
+        (denied.status, denied.run().as_deref()),
+        (503, Some("no")),
+        "{}",
+        denied.text
+    );
+    assert_eq!(runs(&cluster, counter), before);
+    cluster.isolate(0, Mode::Open);
+    // The claim of the denied request may still be held until its release is committed.
+    let ran = wait_for("the order to run", || {
+        let answer = caller::order(port, key, "LP 8");
+        (answer.status == 200).then_some(answer)
+    });
+    let resend = caller::order(cluster.instances[2].ports.callers, key, "LP 8");
+    assert_eq!((resend.status, resend.text), (200, ran.text));
+    assert_eq!(runs(&cluster, counter), before + 1);
+}
+
+/// Guards against a key that lets one request pass for another, and against keys without a time.
+#[test]
+fn order_bad_key() {
+    let mut cluster = press::start(&press::THREE);
+    let counter = cluster.add_plain("counter", "north", &[]).unwrap();
+    wait_for_order(&cluster, 0);
+    let before = runs(&cluster, counter);
+    let port = cluster.instances[0].ports.callers;
+    let key = id::Key::generate();
+    assert_eq!(caller::order(port, key, "LP 9").status, 200);
+    assert_eq!(caller::order(port, key, "LP 10").status, 422);
+    let random: id::Key = "5bd9d0a4-0c83-4e9b-8b8e-0d3f8ac6f3b1".parse().unwrap();
+    // A UUIDv7 of the year 2020.
+    let old: id::Key = "016f5e66-e800-7000-8000-000000000000".parse().unwrap();
+    for key in [random, old] {
+        let answer = caller::order(port, key, "LP 11");
+        assert_eq!((answer.status, answer.run().as_deref()), (400, Some("no")));
+    }
+    assert_eq!(
+        caller::post(port, "/services/ledger/orders", "LP 12").status,
+        400
+    );
+    assert_eq!(runs(&cluster, counter), before + 1);
+}
+
+/// Guards against claims that are forgotten when two voters lose their disks one after the other.
+#[test]
+fn order_disks_lost_in_turn() {
+    let mut cluster = press::start(&press::THREE);
+    let counter = cluster.add_plain("counter", "north", &[]).unwrap();
+    wait_for_order(&cluster, 0);
+    let before = runs(&cluster, counter);
+    let key = id::Key::generate();
+    assert_eq!(
+        caller::order(cluster.instances[0].ports.callers, key, "LP 13").status,
+        200
+    );
+    for lost in [0, 1] {
+        cluster.kill(lost);
+        cluster.lose_disk(lost).unwrap();
+        cluster.launch(lost).unwrap();
+        wait_for("the replaced voter", || {
+            let status = cluster.status(2);
+            let instances = status["instances"].as_array()?;
+            let name = cluster.instances[lost].plan.name;
+            let row = instances.iter().find(|row| row["instance"] == name)?;
+            let role = row["replica"]["role"].as_str()?;
+            matches!(role, "follower" | "leader").then_some(())
+        });
+    }
+    thread::sleep(Duration::from_millis(200));
+    for index in 0..3 {
+        let port = cluster.instances[index].ports.callers;
+        let resend = wait_for("an answer that is not for lack of a leader", || {
+            let answer = caller::order(port, key, "LP 13");
+            (answer.status != 503).then_some(answer)
+        });
+        assert_eq!(resend.status, 200, "{}", resend.text);
+    }
+    assert_eq!(runs(&cluster, counter), before + 1);
+}
--- /dev/null
+++ b/crates/buckthornmast_trial/examples/claims.rs
@@ -0,0 +1,71 @@
+//! Measures orders that must not be repeated: time to answer and changes of the log's leader.
+
+use std::{
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
+
+use buckthornmast_trial::prelude::*;
+use buckthornmast_types::id;
+
+const ORDERS: usize = 200;
+
+fn main() -> std::io::Result<()> {
+    let programs = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "target/release".to_owned());
+    let voter = |name, domain| Plan {
+        name,
+        domain,
+        voter: true,
+    };
+    let plans = [
+        voter("north-1", "north"),
+        voter("north-2", "north"),
+        voter("south-1", "south"),
+    ];
+    let mut cluster = Cluster::start(Path::new(&programs), &plans)?;
+    cluster.apply(0, Path::new("examples/declarations"));
+    cluster.add_plain("counter", "north", &["--call-time", "0ms"])?;
+    let port = cluster.instances[0].ports.callers;
+    wait_for("an order", || {
+        (caller::order(port, id::Key::generate(), "x").status == 200).then_some(())
+    });
+    let mut times = Vec::new();
+    let mut failed = 0;
+    for _ in 0..ORDERS {
+        let start = Instant::now();
+        if caller::order(port, id::Key::generate(), "x").status == 200 {
+            times.push(start.elapsed());
+        } else {
+            failed += 1;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    times.sort();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+    println!(
+        "{} orders, {failed} failed, p50 {:.1?}, p99 {:.1?}, max {:.1?}",
+        times.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+    for index in 0..3 {
+        let log = std::fs::read_to_string(cluster.log_file(index))?;
+        let leads = log
+            .lines()
+            .filter(|line| line.contains("grants controller leases"))
+            .count();
+        println!("{}: led {leads} times", cluster.instances[index].plan.name);
+        for line in log
+            .lines()
+            .filter(|line| line.contains("WARN") || line.contains("ERROR"))
+            .take(8)
+        {
+            println!("  {line}");
+        }
+    }
+    Ok(())
+}
--- a/crates/buckthornmast_trial/src/cluster.rs
+++ b/crates/buckthornmast_trial/src/cluster.rs
@@ -8,10 +8,14 @@
     path::{Path, PathBuf},
 };
 
+use buckthornmast_config::folder::Folder;
+use buckthornmast_types::id;
+use serde_json::Value;
 use sha2::{Digest, Sha256};
 use tempfile::TempDir;
 
 use crate::{
+    caller,
     process::Process,
     relay::{Mode, Relay, bind_both},
     wait::wait_for,
@@ -306,4 +310,46 @@
         all.extend(flags);
         self.add_target(name, domain, "counter", "ledger", &all)
     }
+
+    /// Writes a folder of declarations through an instance and waits until all instances have them.
+    pub fn apply(&self, through: usize, declarations: &Path) {
+        let folder = Folder::read(declarations).unwrap_or_default();
+        let port = self.instances[through].ports.operators;
+        for (scope, values) in &folder.scopes {
+            let changes: Vec<(&str, Option<&str>)> = values
+                .iter()
+                .map(|(path, value)| (path.as_str(), Some(value.as_str())))
+                .collect();
+            let id = id::Write::generate();
+            wait_for("an accepted write", || {
+                let answer = caller::write(port, &scope.to_string(), id, 0, &changes);
+                (answer.status == 200).then_some(())
+            });
+        }
+        let revision = folder.scopes.len() as u64;
+        for index in 0..self.instances.len() {
+            wait_for("the settings at all instances", || {
+                (self.revision(index)? >= revision).then_some(())
+            });
+        }
+    }
+
+    /// Returns the revision of the settings in force at an instance.
+    pub fn revision(&self, index: usize) -> Option<u64> {
+        let port = self.instances[index].ports.operators;
+        caller::operator_get(port, "/v1/settings/").json()["revision"].as_u64()
+    }
+
+    /// Waits until a model answers at an instance.
+    pub fn wait_for_model(&self, index: usize, model: &str) {
+        let port = self.instances[index].ports.callers;
+        wait_for("an answer of a model", || {
+            (caller::chat(port, model, "hello", 1).status == 200).then_some(())
+        });
+    }
+
+    /// Returns the status as an instance sees it.
+    pub fn status(&self, index: usize) -> Value {
+        caller::operator_get(self.instances[index].ports.operators, "/v1/status").json()
+    }
 }
