--- a/crates/buckthornmast_consensus/examples/throughput.rs
+++ b/crates/buckthornmast_consensus/examples/throughput.rs
@@ -1,10 +1,12 @@
 //! Measures proposals a second and their latency with three replicas in one process and synced folders.
 //!
-//! `cargo run --release -p buckthornmast_consensus --example throughput -- FOLDER`
+//! `cargo run --release -p buckthornmast_consensus --example throughput -- FOLDER`; with `memory` in place of a
+//! folder, nothing is written to a disk.
 
 use std::{
     collections::BTreeMap,
     error::Error,
+    io,
     path::PathBuf,
     sync::{
         Arc, Mutex, PoisonError, Weak,
@@ -137,28 +139,20 @@
     Ok(())
 }
 
-fn main() -> Result<(), Box<dyn Error>> {
-    let folder = std::env::args().nth(1).ok_or("usage: throughput FOLDER")?;
-    let folder = PathBuf::from(folder);
+fn run<F: Files>(files: impl Fn(&id::Instance) -> io::Result<F>) -> Result<(), Box<dyn Error>> {
     let names = ["a", "b", "c"].map(str::parse::<id::Instance>);
     let names: Vec<_> = names.into_iter().collect::<Result<_, _>>()?;
     let slots = Slots::default();
     let mut handles = Vec::new();
     for name in &names {
-        let path = folder.join(name.as_str());
         let wire = Wire {
             from: name.clone(),
             slots: Arc::clone(&slots),
         };
         let config = Config::new(name.clone(), names.clone());
-        let files = move || Folder::open(&path);
-        let handle = Arc::new(start(
-            config,
-            files,
-            Count::default(),
-            wire,
-            System::start(),
-        )?);
+        let machine = Count::default();
+        let handle = start(config, || files(name), machine, wire, System::start())?;
+        let handle = Arc::new(handle);
         let mut slots = slots.lock().unwrap_or_else(PoisonError::into_inner);
         slots.insert(name.clone(), Arc::downgrade(&handle));
         handles.push(handle);
@@ -173,3 +167,14 @@
     }
     Ok(())
 }
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let folder = std::env::args()
+        .nth(1)
+        .ok_or("usage: throughput FOLDER|memory")?;
+    if folder == "memory" {
+        return run(|_| Ok(Memory::default()));
+    }
+    let folder = PathBuf::from(folder);
+    run(|name| Folder::open(folder.join(name.as_str())))
+}
