Publish a fault before proposers are answered; split the message dispatch

Cause: fail_sync_of_leader failed once in a workspace run: the proposer was answered before the status showed the fault. Change: the status is published when the replica stops voting; dispatch moved to core/receive.rs. Conclusion: the order was a fault of the driver, not of the test.

--- a/crates/buckthornmast_consensus/src/core.rs
+++ b/crates/buckthornmast_consensus/src/core.rs
@@ -9,6 +9,7 @@
 mod install;
 mod leader;
 mod model;
+mod receive;
 mod replication;
 
 use std::time::Duration;
@@ -297,93 +298,6 @@
         }
     }
 
-    fn receive(
-        &mut self,
-        now: Point,
-        from: &id::Instance,
-        message: Message<C>,
-        out: &mut Effects<C>,
-    ) {
-        if !message.is_plausible() {
-            return;
-        }
-        let Message { term, disk, body } = message;
-        let sender = Member {
-            instance: from.clone(),
-            disk,
-        };
-        match body {
-            // A request for a vote may be refused without adopting its term.
-            Body::Vote {
-                pre,
-                voter,
-                last,
-                founding,
-            } => {
-                if voter == self.me.disk {
-                    self.vote(now, &sender, (pre, term, last), &founding, out);
-                }
-                return;
-            }
-            Body::Probe => {
-                let fresh = self.is_fresh();
-                return self.send(from, Body::Probed { fresh }, out);
-            }
-            Body::Probed { fresh } => return self.probed(now, sender, fresh, term, out),
-            _ => {}
-        }
-        if term > self.hard.term {
-            self.follow_term(term, now, out);
-        }
-        // An answer given in an older term says nothing about this one: the entries that it
-        // acknowledges may have been replaced since.
-        let is_answer = matches!(
-            body,
-            Body::Voted { .. } | Body::Appended { .. } | Body::Received { .. }
-        );
-        if is_answer && term < self.hard.term && !matches!(body, Body::Voted { pre: true, .. }) {
-            return;
-        }
-        match body {
-            Body::Voted {
-                pre,
-                asked,
-                granted,
-                settled,
-            } => {
-                if self.voters.settle(settled) {
-                    self.note_settled(out);
-                }
-                self.voted(now, sender, (pre, asked, granted), out);
-            }
-            Body::Append {
-                sent,
-                prev,
-                commit,
-                entries,
-            } => self.append(now, from, term, (sent, prev, commit), entries, out),
-            Body::Appended {
-                sent,
-                accepted,
-                index,
-            } => self.appended(now, &sender, sent, accepted, index, out),
-            Body::Chunk {
-                sent,
-                position,
-                total,
-                offset,
-                data,
-            } => self.chunk(now, from, term, sent, (position, total, offset), &data, out),
-            Body::Received {
-                sent,
-                index,
-                offset,
-                done,
-            } => self.received(now, &sender, sent, (index, offset, done), out),
-            Body::Vote { .. } | Body::Probe | Body::Probed { .. } => {}
-        }
-    }
-
     pub(crate) fn send(&self, to: &id::Instance, body: Body<C>, out: &mut Effects<C>) {
         self.send_in(self.hard.term, to, body, out);
     }
--- a/crates/buckthornmast_consensus/src/driver/replica.rs
+++ b/crates/buckthornmast_consensus/src/driver/replica.rs
@@ -317,6 +317,8 @@
         self.core
             .step(self.clock.now(), Input::Fault, &mut Vec::new());
         self.fault.get_or_insert(reason);
+        // Proposers that get no answer find the reason in the status.
+        self.publish();
     }
 
     fn persist(&mut self, work: &Work<M::Command>) -> Result<(), WriteError> {
