--- a/crates/buckthornmast_daemon/tests/support/press.rs
+++ b/crates/buckthornmast_daemon/tests/support/press.rs
@@ -39,11 +39,3 @@
     cluster.apply(0, &declarations());
     cluster
 }
-
-/// Adds engines by name and failure domain.
-#[expect(clippy::unwrap_used, reason = "a test ends if its targets can't start")]
-pub(crate) fn add_engines(cluster: &mut Cluster, engines: &[(&str, &str)], flags: &[&str]) {
-    for (name, domain) in engines {
-        cluster.add_engine(name, domain, flags).unwrap();
-    }
-}
--- a/crates/buckthornmast_trial/src/cluster.rs
+++ b/crates/buckthornmast_trial/src/cluster.rs
@@ -304,6 +304,14 @@
         self.add_target(name, domain, "engine", "chat", &all)
     }
 
+    /// Starts model engines by name and failure domain.
+    pub fn add_engines(&mut self, engines: &[(&str, &str)], flags: &[&str]) -> io::Result<()> {
+        for (name, domain) in engines {
+            self.add_engine(name, domain, flags)?;
+        }
+        Ok(())
+    }
+
     /// Starts a plain service whose calls must not be repeated.
     pub fn add_plain(&mut self, name: &str, domain: &str, flags: &[&str]) -> io::Result<usize> {
         let mut all = vec!["--plain"];
