Check policy names and parameters in the command-line tool as the instances do

Cause: buckthornmastctl check accepted a policy that apply then refused; the setting [limits] drain was read and never used.

--- a/crates/buckthornmast_config/src/daemon.rs
+++ b/crates/buckthornmast_config/src/daemon.rs
@@ -73,8 +73,6 @@
     pub max_deadline: Duration,
     /// Longest wait between two tokens of a target.
     pub token_gap: Duration,
-    /// Longest wait for requests in progress at a planned stop.
-    pub drain: Duration,
 }
 
 /// Keys of one instance.
@@ -122,14 +120,7 @@
     ),
     (
         "limits",
-        &[
-            "exchanges",
-            "body",
-            "deadline",
-            "max-deadline",
-            "token-gap",
-            "drain",
-        ],
+        &["exchanges", "body", "deadline", "max-deadline", "token-gap"],
     ),
     ("keys", &["cluster", "platform-token-sha256", "targets"]),
     ("peer", &["domain", "address", "heartbeat", "voter"]),
@@ -242,7 +233,6 @@
     let deadline = span("deadline", Duration::from_secs(30));
     let max_deadline = span("max-deadline", Duration::from_secs(600));
     let token_gap = span("token-gap", Duration::from_secs(2));
-    let drain = span("drain", Duration::from_secs(600));
     let body = reader.or("limits", "body", "a size such as 1MiB", Bytes::mib(1));
     let exchanges = reader.or("limits", "exchanges", "a count of 1 or more", 2000_usize);
     if exchanges == 0 {
@@ -254,7 +244,6 @@
         deadline,
         max_deadline,
         token_gap,
-        drain,
     }
 }
 
--- a/crates/buckthornmast_config/src/declaration.rs
+++ b/crates/buckthornmast_config/src/declaration.rs
@@ -97,6 +97,17 @@
 /// Keys of the policy section that are not parameters of the policy.
 pub const POLICY_KEYS: [&str; 3] = ["name", "shadow", "moves-weight"];
 
+impl Policy {
+    /// Returns the text form of the policy: its name and its parameters as `key=value`.
+    pub fn text(&self) -> String {
+        let parameters = self
+            .parameters
+            .iter()
+            .map(|(key, value)| format!(" {key}={value}"));
+        parameters.fold(self.name.clone(), |text, parameter| text + &parameter)
+    }
+}
+
 /// Service-level objective.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Objective {
@@ -382,6 +393,22 @@
         faults
     }
 
+    /// Returns the faults of policies that a rule does not know; the rule says why.
+    pub fn check_policies(&self, rule: impl Fn(&str) -> Result<(), String>) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (name, team) in &self.teams {
+            let scope = Scope::Team(name.clone());
+            let shadow = team.policy.shadow.clone().map(|text| ("shadow", text));
+            let policy = Some(("name", team.policy.text()));
+            for (key, text) in policy.into_iter().chain(shadow) {
+                if let Err(message) = rule(&text) {
+                    faults.push(fault(&scope, "policy".to_owned(), key, message));
+                }
+            }
+        }
+        faults
+    }
+
     fn check_platform(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
         for (name, service) in &self.platform.services {
--- a/crates/buckthornmast_ctl/src/apply.rs
+++ b/crates/buckthornmast_ctl/src/apply.rs
@@ -7,6 +7,7 @@
     fault::Fault,
     folder::{Folder, Scope, Values},
 };
+use buckthornmast_placement::named;
 use buckthornmast_types::id;
 use serde_json::{Value, json};
 
@@ -49,7 +50,9 @@
         message: join(faults),
     };
     let folder = Folder::read(path).map_err(|faults| refuse(&faults))?;
-    let mut faults = Declarations::read(&folder.scopes).check();
+    let declarations = Declarations::read(&folder.scopes);
+    let mut faults = declarations.check();
+    faults.extend(declarations.check_policies(named::check));
     for fault in &mut faults {
         fault.file = path.join(&fault.file).display().to_string();
     }
--- a/crates/buckthornmast_daemon/src/operators.rs
+++ b/crates/buckthornmast_daemon/src/operators.rs
@@ -2,10 +2,9 @@
 
 use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
 
-use buckthornmast_config::{declaration, fault::Fault, folder::Values};
+use buckthornmast_config::{declaration, fault::Fault};
 use buckthornmast_http::{exchange::Exchange, problem::Problem, response::Response};
 use buckthornmast_membership::view::State;
-use buckthornmast_placement::named::Named;
 use buckthornmast_state::{
     machine::{Answer, Command},
     settings::{self, Change, Scope, Write},
@@ -24,6 +23,7 @@
     follow::Views,
     message::{Request, Response as Answered},
     peers::Peers,
+    policy,
     propose::{ProposeError, Proposer},
     summary::{self, Own},
     targets::Targets,
@@ -176,7 +176,7 @@
                 None => values.remove(&change.path),
             };
         }
-        let mut faults = check_policy(&values);
+        let mut faults = policy::check(&scope_of(scope), &values);
         let others: BTreeMap<_, _> = values_of(&snapshot.tree);
         faults.extend(declaration::check_scope(&scope_of(scope), &values, &others));
         faults
@@ -282,26 +282,6 @@
     })
 }
 
-/// Returns the fault of a policy whose name or parameters are not known.
-fn check_policy(values: &Values) -> Vec<Fault> {
-    let policy = crate::policy::text_of(values);
-    let shadow = values.get("policy/shadow").cloned();
-    let check = |key: &str, text: Option<String>| {
-        let error = text?.parse::<Named>().err()?;
-        Some(Fault {
-            file: String::new(),
-            section: "policy".to_owned(),
-            key: key.to_owned(),
-            line: None,
-            message: error.to_string(),
-        })
-    };
-    check("name", policy)
-        .into_iter()
-        .chain(check("shadow", shadow))
-        .collect()
-}
-
 fn written(answer: settings::Answer) -> Response {
     match answer {
         settings::Answer::Accepted { revision, all } => {
--- a/crates/buckthornmast_placement/src/named.rs
+++ b/crates/buckthornmast_placement/src/named.rs
@@ -195,6 +195,13 @@
     }
 }
 
+/// Returns why a text form is refused, if it is.
+pub fn check(text: &str) -> Result<(), String> {
+    text.parse::<Named>()
+        .map(drop)
+        .map_err(|error| error.to_string())
+}
+
 /// Policy of a team and what it remembers.
 #[derive(Debug, Clone)]
 pub struct Team {
