--- a/crates/buckthornmast_membership/tests/faults.rs
+++ b/crates/buckthornmast_membership/tests/faults.rs
@@ -1,5 +1,6 @@
 //! Fault tables over the pure table in virtual time, with fixed seeds.
 
+#[path = "support/common.rs"]
 mod common;
 
 use buckthornmast_membership::prelude::*;
--- a/crates/buckthornmast_peer/tests/contract.rs
+++ b/crates/buckthornmast_peer/tests/contract.rs
@@ -1,5 +1,6 @@
 //! Contract of calls and notices over loopback.
 
+#[path = "support/common.rs"]
 mod common;
 
 use std::{sync::atomic::Ordering, time::Duration};
--- a/crates/buckthornmast_peer/tests/faults.rs
+++ b/crates/buckthornmast_peer/tests/faults.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "tests")]
 
+#[path = "support/common.rs"]
 mod common;
 
 use std::{
