report: collector, merge, burn and policy reports

Instances kept no history of finished requests, so no report could be made. The crate is pure: bounded buckets per key, extracts that are merged in any order, burn rates over several windows, policies on two measures, SVG. No figures yet; the daemon is not wired.

--- /dev/null
+++ b/crates/buckthornmast_report/src/policies.rs
@@ -0,0 +1,300 @@
+//! Policies over time and against each other, on two measures that are never combined.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use buckthornmast_types::id;
+use serde::Serialize;
+
+use crate::{
+    extract::{Moves, SLOT_MS, Usage},
+    fleet::{Covered, Fleet, Missing},
+    tier::Counts,
+};
+
+/// Definition of the first measure, printed with the figures.
+pub const DEFINITION: &str = "attainment per accelerator = share of requests answered within their \
+deadline / accelerators used by the team's copies; a copy uses its target's accelerators times its \
+part of the target's accelerator memory, averaged over the time that the controllers measured and \
+added up over the domains";
+
+/// What a shadow figure cannot tell, printed with the figures.
+pub const CAVEAT: &str = "a shadow policy decides on the placement that the real policy made: it has no \
+attainment of its own, its moves free no memory and change no queue, and a move that it goes on \
+wishing for is counted once; its count is an estimate of its first steps, not of a run";
+
+/// Resamples of the bootstrap interval.
+const RESAMPLES: usize = 1000;
+
+/// Seed of the bootstrap, so that a report over the same data shows the same figures.
+const SEED: u64 = 7;
+
+/// Slots below which no spread is given.
+const MIN_SLOTS: usize = 3;
+
+/// Period in which the settings named a policy.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Period {
+    /// Team.
+    pub team: id::Team,
+    /// Revision of the team's settings at which an instance first saw it.
+    pub revision: u64,
+    /// When an instance first saw it.
+    pub since_ms: u64,
+    /// When the next one was seen.
+    pub until_ms: Option<u64>,
+    /// Policy.
+    pub policy: String,
+    /// Shadow policy.
+    pub shadow: Option<String>,
+}
+
+/// Spread over slots of a quarter of an hour.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Spread {
+    /// Standard deviation of the slots.
+    pub deviation: f64,
+    /// Lower end of the 90 % bootstrap interval of the mean of slots.
+    pub low: f64,
+    /// Upper end.
+    pub high: f64,
+}
+
+/// Moves of a shadow policy beside those of the real one.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Shadow {
+    /// Shadow policy.
+    pub policy: String,
+    /// Moves that it would have made.
+    pub moves: Moves,
+    /// Moves of the real policy while the shadow policy was named.
+    pub real: Moves,
+    /// Time in which a controller measured, averaged over the domains.
+    pub observed_ms: u64,
+}
+
+/// One policy of a team.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Row {
+    /// Team.
+    pub team: id::Team,
+    /// Policy.
+    pub policy: String,
+    /// Requests.
+    pub counts: Counts,
+    /// Share of requests answered within their deadline.
+    pub attainment: Option<f64>,
+    /// Accelerators used on average.
+    pub accelerators: Option<f64>,
+    /// Attainment per accelerator.
+    pub per_accelerator: Option<f64>,
+    /// Slots that have both requests and use.
+    pub slots: usize,
+    /// Spread of attainment per accelerator over the slots.
+    pub spread: Option<Spread>,
+    /// Moves.
+    pub moves: Moves,
+    /// Moves an hour.
+    pub moves_per_hour: Option<f64>,
+    /// Time in which a controller measured, averaged over the domains.
+    pub observed_ms: u64,
+    /// Shadow policies.
+    pub shadows: Vec<Shadow>,
+    /// Start of each slot and its attainment per accelerator.
+    pub steps: Vec<(u64, f64)>,
+}
+
+/// Report `policies`.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Policies {
+    /// Time of the report.
+    pub at_ms: u64,
+    /// Definition of attainment per accelerator.
+    pub definition: &'static str,
+    /// What shadow figures cannot tell.
+    pub caveat: &'static str,
+    /// Instances that answered.
+    pub covered: Vec<Covered>,
+    /// Instances that did not; their requests and moves are in no figure.
+    pub missing: Vec<Missing>,
+    /// Domains of which no instance answered.
+    pub missing_domains: Vec<id::Domain>,
+    /// Policies over time.
+    pub periods: Vec<Period>,
+    /// Policies against each other.
+    pub rows: Vec<Row>,
+}
+
+/// Returns the accelerators used: the mean of each domain, added up.
+fn accelerators(by_domain: &BTreeMap<&id::Domain, Usage>) -> Option<f64> {
+    let means = by_domain.values().filter(|usage| usage.observed_ms > 0);
+    let sum: f64 = means
+        .map(|usage| usage.accelerator_ms as f64 / usage.observed_ms as f64)
+        .sum();
+    (sum > 0.0).then_some(sum)
+}
+
+fn share(counts: Counts) -> Option<f64> {
+    (counts.total > 0).then(|| counts.good as f64 / counts.total as f64)
+}
+
+fn mean_observed(by_domain: &BTreeMap<&id::Domain, Usage>) -> u64 {
+    let sum: u64 = by_domain.values().map(|usage| usage.observed_ms).sum();
+    sum / (by_domain.len() as u64).max(1)
+}
+
+/// Linear congruential generator, so that the interval needs no crate and never changes.
+struct Generator(u64);
+
+impl Generator {
+    fn below(&mut self, bound: usize) -> usize {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        ((self.0 >> 33) as usize) % bound
+    }
+}
+
+/// Returns the spread of values.
+pub fn spread(values: &[f64]) -> Option<Spread> {
+    if values.len() < MIN_SLOTS {
+        return None;
+    }
+    let count = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / count;
+    let squares: f64 = values.iter().map(|value| (value - mean).powi(2)).sum();
+    let mut generator = Generator(SEED);
+    let mut means: Vec<f64> = (0..RESAMPLES)
+        .map(|_| {
+            let drawn = (0..values.len()).map(|_| values[generator.below(values.len())]);
+            drawn.sum::<f64>() / count
+        })
+        .collect();
+    means.sort_by(f64::total_cmp);
+    Some(Spread {
+        deviation: (squares / (count - 1.0)).sqrt(),
+        low: means[RESAMPLES / 20],
+        high: means[RESAMPLES - 1 - RESAMPLES / 20],
+    })
+}
+
+fn periods(fleet: &Fleet, teams: &BTreeSet<id::Team>) -> Vec<Period> {
+    let mut periods: Vec<Period> = Vec::new();
+    for ((team, revision, policy, shadow), since_ms) in &fleet.periods {
+        if !teams.contains(team) {
+            continue;
+        }
+        if let Some(last) = periods.last_mut().filter(|last| last.team == *team) {
+            if last.policy == *policy && last.shadow == *shadow {
+                // An instance that started later saw the same policy at a later revision.
+                last.since_ms = last.since_ms.min(*since_ms);
+                continue;
+            }
+            last.until_ms = Some(*since_ms);
+        }
+        periods.push(Period {
+            team: team.clone(),
+            revision: *revision,
+            since_ms: *since_ms,
+            until_ms: None,
+            policy: policy.clone(),
+            shadow: shadow.clone(),
+        });
+    }
+    periods
+}
+
+#[derive(Default)]
+struct Sums<'a> {
+    counts: Counts,
+    usage: BTreeMap<&'a id::Domain, Usage>,
+    slots: BTreeMap<u64, (Counts, BTreeMap<&'a id::Domain, Usage>)>,
+    shadows: BTreeMap<&'a str, BTreeMap<&'a id::Domain, Usage>>,
+}
+
+fn sum<'a>(
+    fleet: &'a Fleet,
+    teams: &BTreeSet<id::Team>,
+) -> BTreeMap<(&'a id::Team, &'a str), Sums<'a>> {
+    let mut all: BTreeMap<(&id::Team, &str), Sums<'_>> = BTreeMap::new();
+    for ((slot, team, _, policy), counts) in &fleet.series {
+        let sums = all.entry((team, policy)).or_default();
+        sums.counts.add(*counts);
+        sums.slots.entry(*slot).or_default().0.add(*counts);
+    }
+    for ((slot, team, policy, shadow, domain), usage) in &fleet.uses {
+        let sums = all.entry((team, policy)).or_default();
+        sums.usage.entry(domain).or_default().add(*usage);
+        let in_slot = &mut sums.slots.entry(*slot).or_default().1;
+        in_slot.entry(domain).or_default().add(*usage);
+        if let Some(shadow) = shadow {
+            let by_domain = sums.shadows.entry(shadow).or_default();
+            by_domain.entry(domain).or_default().add(*usage);
+        }
+    }
+    all.retain(|(team, _), _| teams.contains(*team));
+    all
+}
+
+fn total(by_domain: &BTreeMap<&id::Domain, Usage>) -> Usage {
+    let mut total = Usage::default();
+    by_domain.values().for_each(|usage| total.add(*usage));
+    total
+}
+
+impl Row {
+    fn compute(team: &id::Team, policy: &str, sums: &Sums<'_>) -> Self {
+        let attainment = share(sums.counts);
+        let accelerators = accelerators(&sums.usage);
+        let step = |(slot, (counts, usage)): (&u64, &(Counts, BTreeMap<_, _>))| {
+            let used = self::accelerators(usage)?;
+            Some((slot * SLOT_MS, share(*counts)? / used))
+        };
+        let steps: Vec<(u64, f64)> = sums.slots.iter().filter_map(step).collect();
+        let values: Vec<f64> = steps.iter().map(|(_, value)| *value).collect();
+        let observed_ms = mean_observed(&sums.usage);
+        let moves = total(&sums.usage).moves;
+        let hours = observed_ms as f64 / 3_600_000.0;
+        let shadows = sums.shadows.iter().map(|(policy, usage)| Shadow {
+            policy: (*policy).to_owned(),
+            moves: total(usage).shadow,
+            real: total(usage).moves,
+            observed_ms: mean_observed(usage),
+        });
+        Self {
+            team: team.clone(),
+            policy: policy.to_owned(),
+            counts: sums.counts,
+            attainment,
+            accelerators,
+            per_accelerator: attainment.zip(accelerators).map(|(a, used)| a / used),
+            slots: steps.len(),
+            spread: spread(&values),
+            moves,
+            moves_per_hour: (observed_ms > 0).then(|| moves.total() as f64 / hours),
+            observed_ms,
+            shadows: shadows.collect(),
+            steps,
+        }
+    }
+}
+
+impl Policies {
+    /// Computes the report over the teams that the reader may see.
+    pub fn compute(fleet: &Fleet, teams: &BTreeSet<id::Team>) -> Self {
+        let sums = sum(fleet, teams);
+        let rows = sums
+            .iter()
+            .map(|((team, policy), sums)| Row::compute(team, policy, sums));
+        Self {
+            at_ms: fleet.at_ms,
+            definition: DEFINITION,
+            caveat: CAVEAT,
+            covered: fleet.covered.iter().cloned().collect(),
+            missing: fleet.missing.iter().cloned().collect(),
+            missing_domains: fleet.missing_domains().into_iter().cloned().collect(),
+            periods: periods(fleet, teams),
+            rows: rows.collect(),
+        }
+    }
+}
