daemon, ctl: serve the reports burn and policies

quickstart.sh failed since GET /v1/reports/NAME had no handler. Samples now feed the collector, Summary carries its extract, the planner evaluates shadow policies, and the operators' port merges what the instances answer.

--- a/crates/buckthornmast_ctl/src/client.rs
+++ b/crates/buckthornmast_ctl/src/client.rs
@@ -45,7 +45,9 @@
         match request.send() {
             Ok(response) => {
                 let status = response.status_code;
-                let body = serde_json::from_slice(response.as_bytes()).unwrap_or(Value::Null);
+                let text = || String::from_utf8_lossy(response.as_bytes()).into_owned();
+                let body = serde_json::from_slice(response.as_bytes());
+                let body = body.unwrap_or_else(|_| Value::String(text()));
                 Some(Answer { status, body })
             }
             Err(error) => {
@@ -78,7 +80,7 @@
         Err(Failure::Unknown { message })
     }
 
-    /// Reads.
+    /// Reads. A body that is not JSON is returned as a string.
     pub fn get(&self, path: &str) -> Result<Value, Failure> {
         self.call(&minreq::Method::Get, path, "")
             .map(|answer| answer.body)
--- a/crates/buckthornmast_ctl/src/flags.rs
+++ b/crates/buckthornmast_ctl/src/flags.rs
@@ -45,6 +45,8 @@
         /// Prints a report: burn or policies.
         cmd report {
             required name: String
+            /// Writes the chart of the report to this file and prints nothing else.
+            optional --svg file: PathBuf
         }
     }
 }
--- a/crates/buckthornmast_ctl/src/main.rs
+++ b/crates/buckthornmast_ctl/src/main.rs
@@ -57,7 +57,11 @@
         CtlCmd::History(history) => show::history(&client(flags)?, &history.team, flags.json),
         CtlCmd::Status(_) => show::status(&client(flags)?, flags.json),
         CtlCmd::Report(report) if REPORTS.contains(&report.name.as_str()) => {
-            show::report(&client(flags)?, &report.name, flags.json)
+            let client = client(flags)?;
+            match &report.svg {
+                Some(file) => show::chart(&client, &report.name, file),
+                None => show::report(&client, &report.name, flags.json),
+            }
         }
         CtlCmd::Report(report) => {
             let message = format!("no report {:?}, expected burn or policies", report.name);
--- a/crates/buckthornmast_ctl/src/show.rs
+++ b/crates/buckthornmast_ctl/src/show.rs
@@ -1,5 +1,7 @@
 //! Commands that only read.
 
+use std::path::Path;
+
 use serde_json::Value;
 
 use crate::{
@@ -139,3 +141,13 @@
     }
     Ok(text_of(&body["text"]))
 }
+
+/// Writes the chart of a report to a file.
+pub fn chart(client: &Client, name: &str, file: &Path) -> Outcome {
+    let body = client.get(&format!("/v1/reports/{name}.svg"))?;
+    let svg = body.as_str().unwrap_or_default();
+    std::fs::write(file, svg).map_err(|error| Failure::Local {
+        message: format!("{}: {error}", file.display()),
+    })?;
+    Ok(String::new())
+}
--- a/crates/buckthornmast_daemon/src/lib.rs
+++ b/crates/buckthornmast_daemon/src/lib.rs
@@ -23,7 +23,9 @@
 pub mod policy;
 pub mod propose;
 pub mod receive;
+pub mod reports;
 pub mod router;
+pub mod shadow;
 pub mod summary;
 pub mod targets;
 
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -49,7 +49,9 @@
     plan::Planner,
     propose::Proposer,
     receive::Receiver,
+    reports::{self, Reports},
     router::Router,
+    shadow::Shadows,
     summary::{Own, Summary},
     targets::{self, Targets},
 };
@@ -96,6 +98,7 @@
     control: Control,
     relay: targets::Relay,
     follower: follow::Follower,
+    reporter: reports::Handle,
     watch: Option<leader::Watch>,
     membership: Arc<buckthornmast_membership::Handle>,
     replica: Option<Arc<Replica>>,
@@ -185,6 +188,7 @@
     proposer: Proposer,
     control: Control,
     views: follow::Views,
+    history: Reports,
 }
 
 impl Core {
@@ -198,12 +202,14 @@
     fn own_summary(&self) -> Own {
         let (current, ready) = (self.current.clone(), Arc::clone(&self.ready));
         let (control, replica) = (self.control.clone(), self.replica.clone());
+        let history = self.history.clone();
         Arc::new(move || Summary {
             revision: current.get().revision,
             ready: ready.load(Ordering::Relaxed),
             replica: replica.as_ref().map(|replica| replica.status().into()),
             controller: control.token(),
             moves: control.counters(),
+            extract: history.extract(),
         })
     }
 
@@ -226,6 +232,7 @@
             demand: self.demand.clone(),
             clock: self.clock,
             teams: BTreeMap::new(),
+            shadows: Shadows::new(self.history.clone()),
         };
         let around = Surroundings {
             me: settings.instance.clone(),
@@ -262,7 +269,9 @@
             targets: Http,
             router: Arc::new(router),
             claims,
-            observer: Samples,
+            observer: Samples {
+                reports: self.history.clone(),
+            },
             clock: self.clock,
             names: self.current.clone(),
             limits: Limits {
@@ -315,6 +324,17 @@
         server::start(listener, config, handler).map_err(at("operators"))
     }
 
+    fn start_reports(&self) -> Result<reports::Handle, StartError> {
+        let parts = reports::Parts {
+            domain: self.settings.domain.clone(),
+            reports: self.history.clone(),
+            control: self.control.clone(),
+            targets: self.targets.clone(),
+            clock: self.clock,
+        };
+        reports::start(parts).map_err(at("reports"))
+    }
+
     fn start_targets(&self) -> Result<server::Handle, StartError> {
         let targets = self.targets.clone();
         let config = Config {
@@ -373,6 +393,7 @@
     let core = Core {
         clock,
         ready,
+        history: Reports::new(current.clone()),
         current,
         targets: Targets::new(clock),
         demand: Demand::new(clock),
@@ -429,6 +450,7 @@
     )
     .map_err(at("relay"))?;
     core.start_control(leader, notebook)?;
+    let reporter = core.start_reports()?;
     let target_port = core.start_targets()?;
     let operators = core.start_operators()?;
     let (callers, recorders) = core.start_callers()?;
@@ -444,6 +466,7 @@
         control: core.control,
         relay,
         follower,
+        reporter,
         watch,
         membership,
         replica: core.replica,
@@ -464,6 +487,7 @@
         self.targets.stop();
         self.relay.stop();
         self.follower.stop();
+        self.reporter.stop();
         if let Some(watch) = &mut self.watch {
             watch.stop();
         }
--- a/crates/buckthornmast_daemon/src/observe.rs
+++ b/crates/buckthornmast_daemon/src/observe.rs
@@ -1,13 +1,19 @@
-//! Metrics of finished requests.
+//! Metrics and reports of finished requests.
 
 use buckthornmast_gateway::observe::{End, Observer, Sample};
 use metrics::{counter, histogram};
 
+use crate::reports::Reports;
+
 /// Receiver of samples.
-pub struct Samples;
+pub struct Samples {
+    /// Collector for reports.
+    pub reports: Reports,
+}
 
 impl Observer for Samples {
     fn observe(&self, sample: &Sample<'_>) {
+        self.reports.record(sample);
         let team = sample.team.to_string();
         let end = match sample.end {
             End::Answered => "answered",
--- a/crates/buckthornmast_daemon/src/operators.rs
+++ b/crates/buckthornmast_daemon/src/operators.rs
@@ -25,7 +25,8 @@
     message::{Request, Response as Answered},
     peers::Peers,
     propose::{ProposeError, Proposer},
-    summary::{self, Own},
+    reports,
+    summary::{self, Gathered, Own},
     targets::Targets,
 };
 
@@ -112,6 +113,10 @@
             ("GET", "settings") => read(&snapshot, &bearer, rest),
             ("GET", "history") => self.history(&bearer, rest),
             ("GET", "status") => self.status(&snapshot),
+            ("GET", "reports") => {
+                let gather = || self.gather();
+                reports::answer(&snapshot, &bearer, rest, &(self.views)(), gather)
+            }
             _ => Err(Problem::new(404, "no such path", "route")),
         }
     }
@@ -218,9 +223,13 @@
         Err(Problem::new(503, "no voter answered", "history").retry_after(Duration::from_secs(1)))
     }
 
-    fn status(&self, snapshot: &Snapshot) -> Result<Response> {
+    fn gather(&self) -> Gathered {
         let own = (self.me.clone(), (self.own)());
-        let gathered = summary::gather(&self.peers, &self.others, own);
+        summary::gather(&self.peers, &self.others, own)
+    }
+
+    fn status(&self, snapshot: &Snapshot) -> Result<Response> {
+        let gathered = self.gather();
         let view = (self.views)();
         let highest = view.peers.iter().map(|peer| peer.progress.revision).max();
         let highest = highest.unwrap_or_default().max(snapshot.revision);
--- a/crates/buckthornmast_daemon/src/plan.rs
+++ b/crates/buckthornmast_daemon/src/plan.rs
@@ -31,6 +31,7 @@
     current::{Current, Snapshot},
     demand::Demand,
     policy,
+    shadow::Shadows,
     targets::{Seen, Targets},
 };
 
@@ -60,6 +61,8 @@
     pub clock: System,
     /// Policies with their memory.
     pub teams: BTreeMap<id::Team, Team>,
+    /// Shadow policies.
+    pub shadows: Shadows,
 }
 
 /// Returns this domain's part of the store's budget.
@@ -446,6 +449,7 @@
             wishes.push(self.team(name, wanted).decide(&view, index, MAX_MOVES));
         }
         let granted = arbitrate(&view, &wishes, MAX_MOVES);
+        self.shadows.evaluate(&snapshot, &view, &wishes, MAX_MOVES);
         let moves = granted
             .iter()
             .filter_map(|wish| to_move(wish.action, &view, &snapshot));
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/reports.rs
@@ -0,0 +1,319 @@
+//! Reports: the collector of this instance, what feeds it, and the answers on the operators' port.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use buckthornmast_gateway::observe::{self, Sample};
+use buckthornmast_http::{problem::Problem, response::Response};
+use buckthornmast_membership::view::View;
+use buckthornmast_report::{
+    burn::{Burn, Objective},
+    collector::{Collector, End, Event, Windows},
+    extract::{Extract, Moves, Period},
+    fleet::{Fleet, Source},
+    policies::Policies,
+};
+use buckthornmast_state::settings::Scope;
+use buckthornmast_types::{
+    id,
+    time::{Clock, System, unix_millis},
+};
+use flume::{RecvTimeoutError, Sender};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::{
+    access::Bearer,
+    control::Control,
+    current::{Current, Snapshot},
+    policy,
+    summary::Gathered,
+    targets::Targets,
+};
+
+/// Time between two measurements of accelerators and moves.
+const TICK: Duration = Duration::from_secs(1);
+
+/// Age of a report beyond which its target's accelerators are not counted as used.
+const FRESH: Duration = Duration::from_secs(5);
+
+/// Collector of this instance.
+#[derive(Clone)]
+pub struct Reports {
+    collector: Arc<Mutex<Collector>>,
+    current: Current,
+}
+
+impl Reports {
+    /// Returns an empty collector.
+    pub fn new(current: Current) -> Self {
+        let collector = Arc::new(Mutex::new(Collector::new(unix_millis())));
+        Self { collector, current }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Collector> {
+        self.collector
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a sample.
+    pub fn record(&self, sample: &Sample<'_>) {
+        let event = Event {
+            team: sample.team,
+            objective: sample.objective,
+            model: sample.model,
+            target: sample.target,
+            end: match sample.end {
+                observe::End::Answered => End::Answered,
+                observe::End::Refused => End::Refused,
+                observe::End::Failed => End::Failed,
+                observe::End::Abandoned => End::Abandoned,
+            },
+            met: sample.met,
+            first_token: sample.first_token,
+            total: sample.total,
+        };
+        self.lock().record(unix_millis(), &event);
+    }
+
+    /// Counts moves that the shadow policy of a team would have made.
+    pub fn count_shadow(&self, team: &id::Team, moves: Moves) {
+        self.lock().count_shadow(unix_millis(), team, moves);
+    }
+
+    /// Returns what other instances need for reports.
+    pub fn extract(&self) -> Extract {
+        let snapshot = self.current.get();
+        let objectives = objectives(&snapshot, None).into_iter();
+        let windows: Windows = objectives
+            .map(|objective| ((objective.team, objective.name), objective.window))
+            .collect();
+        self.lock().extract(unix_millis(), &windows)
+    }
+}
+
+/// Returns the declared objectives of one team or of all.
+fn objectives(snapshot: &Snapshot, only: Option<&id::Team>) -> Vec<Objective> {
+    let mut objectives = Vec::new();
+    for (team, declared) in &snapshot.declarations.teams {
+        if only.is_some_and(|only| only != team) {
+            continue;
+        }
+        let of_team = declared.objectives.iter().map(|(name, o)| Objective {
+            team: team.clone(),
+            name: name.clone(),
+            attainment: o.attainment,
+            window: o.window,
+        });
+        objectives.extend(of_team);
+    }
+    objectives
+}
+
+/// What the measurements are taken from.
+pub struct Parts {
+    /// Failure domain.
+    pub domain: id::Domain,
+    /// Collector.
+    pub reports: Reports,
+    /// Controller.
+    pub control: Control,
+    /// Reports of targets.
+    pub targets: Targets,
+    /// Clock.
+    pub clock: System,
+}
+
+/// Thread that measures accelerators and moves.
+pub struct Handle {
+    stop: Sender<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Handle {
+    /// Stops the thread and joins it.
+    pub fn stop(&mut self) {
+        let _ = self.stop.send(());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts to measure.
+pub fn start(parts: Parts) -> std::io::Result<Handle> {
+    let (stop, stopped) = flume::bounded(1);
+    let run = move || {
+        let mut last = parts.clock.now();
+        while stopped.recv_timeout(TICK) == Err(RecvTimeoutError::Timeout) {
+            let now = parts.clock.now();
+            measure(&parts, now.since(last));
+            last = now;
+        }
+    };
+    let thread = thread::Builder::new()
+        .name("reports".to_owned())
+        .spawn(run)?;
+    Ok(Handle {
+        stop,
+        thread: Some(thread),
+    })
+}
+
+fn measure(parts: &Parts, span: Duration) {
+    let snapshot = parts.reports.current.get();
+    let now_ms = unix_millis();
+    let counters = parts.control.counters();
+    // Only the holder of the lease measures, so that a domain is not counted twice.
+    let used = parts
+        .control
+        .token()
+        .map(|_| accelerators(parts, &snapshot));
+    let mut collector = parts.reports.lock();
+    for (team, declared) in &snapshot.declarations.teams {
+        collector.set_policy(period(&snapshot, team, &declared.policy, now_ms));
+        if let Some(used) = &used {
+            let used = used.get(team).copied().unwrap_or_default();
+            collector.use_accelerators(now_ms, team, used, span);
+        }
+    }
+    for (team, moves) in &counters.teams {
+        let moves = Moves {
+            loads: moves.loads,
+            unloads: moves.unloads,
+            shifts: moves.shifts,
+        };
+        collector.count_moves(now_ms, team, moves);
+    }
+}
+
+fn period(
+    snapshot: &Snapshot,
+    team: &id::Team,
+    declared: &buckthornmast_config::declaration::Policy,
+    now_ms: u64,
+) -> Period {
+    let scope = Scope::Team(team.clone());
+    let values = snapshot.tree.scopes().get(&scope);
+    let named = values.and_then(|subtree| policy::text_of(&subtree.values));
+    Period {
+        team: team.clone(),
+        revision: snapshot.tree.scope_revision(&scope).0,
+        since_ms: now_ms,
+        policy: named.unwrap_or_else(|| declared.name.clone()),
+        shadow: declared.shadow.clone(),
+    }
+}
+
+/// Returns the accelerators of this domain that each team's copies use.
+fn accelerators(parts: &Parts, snapshot: &Snapshot) -> BTreeMap<id::Team, f64> {
+    let mut owners: BTreeMap<&id::Model, &id::Team> = BTreeMap::new();
+    for (team, declared) in &snapshot.declarations.teams {
+        owners.extend(declared.models.keys().map(|model| (model, team)));
+    }
+    let now = parts.clock.now();
+    let mut used: BTreeMap<id::Team, f64> = BTreeMap::new();
+    for seen in parts.targets.all() {
+        let report = &seen.report;
+        let is_fresh = now.since(seen.sent) < FRESH;
+        if report.domain != parts.domain || report.memory.0 == 0 || !is_fresh {
+            continue;
+        }
+        for copy in &report.copies {
+            if let Some(team) = owners.get(&copy.artifact.model) {
+                let part = copy.bytes.0 as f64 / report.memory.0 as f64;
+                let sum = used.entry((*team).clone()).or_default();
+                *sum += part * f64::from(report.accelerators);
+            }
+        }
+    }
+    used
+}
+
+/// Merges what the instances answered; those that did not are listed with when they were last heard.
+fn merge(gathered: Gathered, view: &View) -> Fleet {
+    let now_ms = unix_millis();
+    let mut answered: BTreeMap<id::Instance, Extract> = gathered
+        .summaries
+        .into_iter()
+        .map(|(instance, summary)| (instance, summary.extract))
+        .collect();
+    let sources = view.peers.iter().map(|peer| Source {
+        instance: peer.instance.clone(),
+        domain: peer.domain.clone(),
+        heard_ms: (peer.incarnation.0 > 0)
+            .then(|| now_ms.saturating_sub(crate::message::millis(peer.age))),
+        // An instance of an older version answers without an extract, which is no data either.
+        extract: answered
+            .remove(&peer.instance)
+            .filter(|extract| extract.at_ms > 0),
+    });
+    Fleet::merge(now_ms, sources.collect::<Vec<_>>())
+}
+
+fn body(report: &impl Serialize, text: &str) -> Result<Response, Problem> {
+    let mut body = serde_json::to_value(report).map_err(|error| internal(&error))?;
+    if let Value::Object(fields) = &mut body {
+        fields.insert("text".to_owned(), json!(text));
+    }
+    Ok(Response::json(200, body.to_string()))
+}
+
+fn internal(error: &impl ToString) -> Problem {
+    Problem::new(500, "internal error", "report").detail(error.to_string())
+}
+
+fn svg(
+    drawn: Result<String, buckthornmast_report::chart::ChartError>,
+) -> Result<Response, Problem> {
+    let text = drawn.map_err(|error| internal(&error))?;
+    let response = Response::new(200).header("Content-Type", "image/svg+xml");
+    Ok(response.body(text))
+}
+
+/// Answers `GET /v1/reports/NAME` and `GET /v1/reports/NAME.svg`.
+///
+/// A team sees only its own objectives and policies.
+pub fn answer(
+    snapshot: &Snapshot,
+    bearer: &Bearer,
+    name: &str,
+    view: &View,
+    gather: impl FnOnce() -> Gathered,
+) -> Result<Response, Problem> {
+    let only = match bearer {
+        Bearer::Platform => None,
+        Bearer::Team(team) => Some(team),
+    };
+    let (name, is_svg) = match name.strip_suffix(".svg") {
+        Some(name) => (name, true),
+        None => (name, false),
+    };
+    match name {
+        "burn" => {
+            let report = Burn::compute(&merge(gather(), view), &objectives(snapshot, only));
+            if is_svg {
+                svg(report.svg())
+            } else {
+                body(&report, &report.text())
+            }
+        }
+        "policies" => {
+            let teams = snapshot.declarations.teams.keys().cloned();
+            let is_seen = |team: &id::Team| only.is_none_or(|only| only == team);
+            let teams: BTreeSet<id::Team> = teams.filter(is_seen).collect();
+            let report = Policies::compute(&merge(gather(), view), &teams);
+            if is_svg {
+                svg(report.svg())
+            } else {
+                body(&report, &report.text())
+            }
+        }
+        _ => Err(Problem::new(404, "no such report", "route").detail("burn or policies")),
+    }
+}
--- a/crates/buckthornmast_daemon/src/summary.rs
+++ b/crates/buckthornmast_daemon/src/summary.rs
@@ -4,6 +4,7 @@
 
 use buckthornmast_consensus::status::{Role, Status};
 use buckthornmast_controller::counter::Counters;
+use buckthornmast_report::extract::Extract;
 use buckthornmast_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +29,9 @@
     pub controller: Option<id::Token>,
     /// Moves per team since the controller started.
     pub moves: Counters,
+    /// Finished requests for reports; empty from an instance that has no collector.
+    #[serde(default)]
+    pub extract: Extract,
 }
 
 /// State of a replica.
