--- /dev/null
+++ b/crates/buckthornmast_report/src/chart.rs
@@ -0,0 +1,160 @@
+//! Reports as SVG.
+
+use std::collections::BTreeMap;
+
+use plotters::{coord::types::RangedCoordf64, prelude::*};
+
+use crate::{burn::Burn, policies::Policies};
+
+/// Size in pixels.
+const SIZE: (u32, u32) = (960, 480);
+
+/// Reason why a chart is not drawn.
+pub type ChartError = Box<dyn std::error::Error + Send + Sync>;
+
+type Lines = BTreeMap<String, Vec<(f64, f64)>>;
+
+/// Time between two points beyond which the line is broken, in hours: a slot without requests is no data.
+const MAX_GAP_HOURS: f64 = 0.26;
+
+fn hours_before(at_ms: u64, point_ms: u64) -> f64 {
+    -(at_ms.saturating_sub(point_ms) as f64) / 3_600_000.0
+}
+
+/// What is drawn.
+struct Chart<'a> {
+    title: &'a str,
+    note: String,
+    unit: &'a str,
+    lines: Lines,
+    limits: &'a [(&'a str, f64)],
+}
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
+type Plane<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+fn fail(error: impl std::fmt::Display) -> ChartError {
+    ChartError::from(error.to_string())
+}
+
+impl Chart<'_> {
+    fn first(&self) -> f64 {
+        let points = self.lines.values().flatten();
+        points.map(|point| point.0).fold(-0.5, f64::min)
+    }
+
+    fn draw(&self) -> Result<String, ChartError> {
+        let mut svg = String::new();
+        {
+            let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+            area.fill(&WHITE).map_err(fail)?;
+            let mut plane = self.plane(&area)?;
+            self.draw_lines(&mut plane)?;
+            self.draw_limits(&mut plane)?;
+            plane
+                .configure_series_labels()
+                .border_style(BLACK)
+                .background_style(WHITE)
+                .draw()
+                .map_err(fail)?;
+            area.present().map_err(fail)?;
+        }
+        Ok(svg)
+    }
+
+    fn plane<'a, 'b>(&self, area: &Area<'b>) -> Result<Plane<'a, 'b>, ChartError> {
+        let values = self.lines.values().flatten().map(|point| point.1);
+        let limits = self.limits.iter().map(|limit| limit.1);
+        let top = values.chain(limits).fold(0.1, f64::max) * 1.1;
+        let mut plane = ChartBuilder::on(area)
+            .caption(self.title, ("sans-serif", 20))
+            .margin(12)
+            .x_label_area_size(44)
+            .y_label_area_size(60)
+            .build_cartesian_2d(self.first()..0.0, 0.0..top)
+            .map_err(fail)?;
+        plane
+            .configure_mesh()
+            .x_desc(format!("hours before the report; {}", self.note))
+            .y_desc(self.unit)
+            .draw()
+            .map_err(fail)?;
+        Ok(plane)
+    }
+
+    fn draw_lines(&self, plane: &mut Plane<'_, '_>) -> Result<(), ChartError> {
+        for (at, (name, line)) in self.lines.iter().enumerate() {
+            let color = Palette99::pick(at).to_rgba();
+            for part in line.chunk_by(|a, b| b.0 - a.0 <= MAX_GAP_HOURS) {
+                let series = LineSeries::new(part.iter().copied(), &color).point_size(2);
+                plane.draw_series(series).map_err(fail)?;
+            }
+            // The label stands once for all parts of a line.
+            plane
+                .draw_series(LineSeries::new(std::iter::empty(), &color))
+                .map_err(fail)?
+                .label(name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color));
+        }
+        Ok(())
+    }
+
+    fn draw_limits(&self, plane: &mut Plane<'_, '_>) -> Result<(), ChartError> {
+        for (name, limit) in self.limits {
+            let ends = [(self.first(), *limit), (0.0, *limit)];
+            plane
+                .draw_series(LineSeries::new(ends, &RED))
+                .map_err(fail)?
+                .label(*name)
+                .legend(|(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], RED));
+        }
+        Ok(())
+    }
+}
+
+fn note(covered: usize, missing: usize) -> String {
+    format!("data of {covered} of {} instances", covered + missing)
+}
+
+impl Burn {
+    /// Returns the burn rates over time as SVG.
+    pub fn svg(&self) -> Result<String, ChartError> {
+        let mut lines = Lines::new();
+        for step in &self.steps {
+            let name = format!("{}/{}", step.team, step.objective);
+            let point = (hours_before(self.at_ms, step.at_ms), step.rate);
+            lines.entry(name).or_default().push(point);
+        }
+        let note = note(self.covered.len(), self.missing.len());
+        let chart = Chart {
+            title: "Burn rate",
+            note,
+            unit: "burn rate",
+            lines,
+            limits: &[("budget lasts its window", 1.0)],
+        };
+        chart.draw()
+    }
+}
+
+impl Policies {
+    /// Returns attainment per accelerator over time as SVG.
+    pub fn svg(&self) -> Result<String, ChartError> {
+        let mut lines = Lines::new();
+        for row in &self.rows {
+            let steps = row.steps.iter();
+            let points = steps.map(|(at, value)| (hours_before(self.at_ms, *at), *value));
+            let name = format!("{} {}: {} moves", row.team, row.policy, row.moves.total());
+            lines.entry(name).or_default().extend(points);
+        }
+        let note = note(self.covered.len(), self.missing.len());
+        let chart = Chart {
+            title: "Attainment per accelerator",
+            note,
+            unit: "attainment per accelerator",
+            lines,
+            limits: &[],
+        };
+        chart.draw()
+    }
+}
