Share one type for scopes of settings

Cause: config and state each had the same type and conversions between them. Change: types::scope::Scope.

--- a/crates/buckthornmast_config/src/folder.rs
+++ b/crates/buckthornmast_config/src/folder.rs
@@ -3,9 +3,10 @@
 //! `platform.ini` belongs to the platform and `teams/NAME.ini` to the team of that name. Each file
 //! becomes a map from paths to values: `[model pistachio] version = 3` is `model/pistachio/version`.
 
-use std::{collections::BTreeMap, fmt, fs, path::Path, str::FromStr};
+use std::{collections::BTreeMap, fs, path::Path};
 
 use buckthornmast_types::id;
+pub use buckthornmast_types::scope::Scope;
 
 use crate::{
     fault::Fault,
@@ -16,36 +17,6 @@
 /// Values by path.
 pub type Values = BTreeMap<String, String>;
 
-/// Owner of a subtree of settings.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Scope {
-    /// The platform.
-    Platform,
-    /// A team.
-    Team(id::Team),
-}
-
-impl fmt::Display for Scope {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Platform => f.write_str("platform"),
-            Self::Team(team) => write!(f, "team/{team}"),
-        }
-    }
-}
-
-impl FromStr for Scope {
-    type Err = id::LabelError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text.strip_prefix("team/") {
-            Some(team) => team.parse().map(Self::Team),
-            None if text == "platform" => Ok(Self::Platform),
-            None => text.parse().map(Self::Team),
-        }
-    }
-}
-
 /// Declarations of one folder, one map of values per scope.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Folder {
--- a/crates/buckthornmast_daemon/src/current.rs
+++ b/crates/buckthornmast_daemon/src/current.rs
@@ -9,10 +9,10 @@
 
 use buckthornmast_config::{
     declaration::Declarations,
-    folder::{self, Values},
+    folder::{Scope, Values},
 };
 use buckthornmast_gateway::{catalog::Catalog, gateway::Names};
-use buckthornmast_state::settings::{Scope, Tree};
+use buckthornmast_state::settings::Tree;
 use buckthornmast_types::id;
 
 /// Settings of one revision in every form that is needed.
@@ -28,19 +28,11 @@
     pub catalog: Arc<Catalog>,
 }
 
-/// Converts a scope of the replicated state.
-pub fn scope_of(scope: &Scope) -> folder::Scope {
-    match scope {
-        Scope::Platform => folder::Scope::Platform,
-        Scope::Team(team) => folder::Scope::Team(team.clone()),
-    }
-}
-
 /// Returns the values of a tree per scope.
-pub fn values_of(tree: &Tree) -> BTreeMap<folder::Scope, Values> {
+pub fn values_of(tree: &Tree) -> BTreeMap<Scope, Values> {
     let scopes = tree.scopes().iter();
     scopes
-        .map(|(scope, subtree)| (scope_of(scope), subtree.values.clone()))
+        .map(|(scope, subtree)| (scope.clone(), subtree.values.clone()))
         .collect()
 }
 
--- a/crates/buckthornmast_daemon/src/operators.rs
+++ b/crates/buckthornmast_daemon/src/operators.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     access::{self, Bearer},
-    current::{Current, Snapshot, scope_of, values_of},
+    current::{Current, Snapshot, values_of},
     follow::Views,
     message::{Request, Response as Answered},
     peers::Peers,
@@ -181,9 +181,9 @@
                 None => values.remove(&change.path),
             };
         }
-        let mut faults = policy::check(&scope_of(scope), &values);
+        let mut faults = policy::check(scope, &values);
         let others: BTreeMap<_, _> = values_of(&snapshot.tree);
-        faults.extend(declaration::check_scope(&scope_of(scope), &values, &others));
+        faults.extend(declaration::check_scope(scope, &values, &others));
         faults
     }
 
--- a/crates/buckthornmast_state/src/settings.rs
+++ b/crates/buckthornmast_state/src/settings.rs
@@ -2,14 +2,11 @@
 
 mod book;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    fmt,
-    str::FromStr,
-};
+use std::collections::{BTreeMap, VecDeque};
 
 use buckthornmast_consensus::machine::LogTime;
 use buckthornmast_types::id;
+pub use buckthornmast_types::scope::Scope;
 use serde::{Deserialize, Serialize};
 
 pub use crate::settings::book::{
@@ -32,36 +29,6 @@
 /// Bytes of the writes that a tree keeps for deltas.
 pub const MAX_RECENT_BYTES: usize = 2 << 20;
 
-/// Subtree that a write is confined to.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Scope {
-    /// Settings of the platform.
-    Platform,
-    /// Settings of one team.
-    Team(id::Team),
-}
-
-impl fmt::Display for Scope {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Platform => f.write_str("platform"),
-            Self::Team(team) => write!(f, "team/{team}"),
-        }
-    }
-}
-
-impl FromStr for Scope {
-    type Err = id::LabelError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        if text == "platform" {
-            return Ok(Self::Platform);
-        }
-        let team = text.strip_prefix("team/").unwrap_or(text);
-        team.parse().map(Self::Team)
-    }
-}
-
 /// Change of one value.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Change {
--- a/crates/buckthornmast_types/src/lib.rs
+++ b/crates/buckthornmast_types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod outcome;
 pub mod rate;
 pub mod report;
+pub mod scope;
 pub mod size;
 pub mod time;
 
@@ -23,6 +24,7 @@
         outcome::Run,
         rate::Rate,
         report::{self, Report},
+        scope::Scope,
         size::Bytes,
         time::{self, Clock, Point},
     };
