Say when settings have not been confirmed for 8 s

Cause: an instance that is cut off served old settings and nothing said so. Change: a voter that knows the leader confirms; others ask the first live instance of their failure domain, which asks a voter; status and a metric show the age.

--- /dev/null
+++ b/crates/buckthornmast_daemon/src/confirm.rs
@@ -0,0 +1,110 @@
+//! How long ago the settings in force were confirmed.
+//!
+//! A voter that knows the log's leader confirms its own. Any other instance asks the first live instance of
+//! its failure domain by name, and that one asks a voter, so voters are not asked by everybody. An instance
+//! whose settings are not confirmed for a while goes on serving and says that they may be stale.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use buckthornmast_membership::view::View;
+use buckthornmast_types::{
+    id,
+    time::{Clock, Point, System},
+};
+use metrics::gauge;
+
+use crate::{
+    message::{Request, Response, millis},
+    peers::{Peers, Replica},
+};
+
+/// Age from which settings may be stale: the time within which a change has to be in force everywhere.
+pub const STALE_AFTER: Duration = Duration::from_secs(8);
+
+/// Time for another instance to answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time of the last confirmation.
+#[derive(Debug, Clone)]
+pub struct Confirmed {
+    at: Arc<Mutex<Point>>,
+    clock: System,
+}
+
+impl Confirmed {
+    /// Counts from the start of the process.
+    pub fn new(clock: System) -> Self {
+        let at = Arc::new(Mutex::new(clock.now()));
+        Self { at, clock }
+    }
+
+    /// Returns the time since the last confirmation.
+    pub fn age(&self) -> Duration {
+        let at = *self.at.lock().unwrap_or_else(PoisonError::into_inner);
+        self.clock.now().since(at)
+    }
+
+    /// Notes a confirmation that is this old.
+    fn note(&self, age: Duration) {
+        let confirmed = self.clock.now() - age;
+        let mut at = self.at.lock().unwrap_or_else(PoisonError::into_inner);
+        *at = (*at).max(confirmed);
+    }
+}
+
+/// Returns the instance to ask: one that comes before this one in its failure domain, else a voter.
+fn source<'a>(
+    me: &id::Instance,
+    domain: &id::Domain,
+    voters: &'a [id::Instance],
+    view: &'a View,
+) -> Option<&'a id::Instance> {
+    let mut earlier = view
+        .alive()
+        .filter(|peer| peer.domain == *domain && peer.instance < *me);
+    if let Some(first) = earlier.next() {
+        return Some(&first.instance);
+    }
+    let is_alive = |voter: &&id::Instance| view.alive().any(|peer| peer.instance == **voter);
+    voters.iter().find(is_alive)
+}
+
+/// Parts of a confirmation.
+pub struct Parts<'a> {
+    /// This instance.
+    pub me: &'a id::Instance,
+    /// Failure domain of this instance.
+    pub domain: &'a id::Domain,
+    /// Voters.
+    pub voters: &'a [id::Instance],
+    /// Local replica.
+    pub replica: Option<&'a Replica>,
+    /// Client to the other instances.
+    pub peers: &'a Peers,
+}
+
+/// Tries to confirm the settings once.
+pub fn confirm(confirmed: &Confirmed, parts: &Parts<'_>, view: &View) {
+    if let Some(replica) = parts.replica {
+        if replica.status().leader.is_some() {
+            confirmed.note(Duration::ZERO);
+        }
+    } else if let Some(source) = source(parts.me, parts.domain, parts.voters, view) {
+        let asked = confirmed.clock.now();
+        if let Ok(Response::Confirmed { age_ms }) =
+            parts.peers.call(source, Request::Confirmed, TIMEOUT)
+        {
+            let waited = confirmed.clock.now().since(asked);
+            confirmed.note(Duration::from_millis(age_ms) + waited);
+        }
+    }
+    let age = millis(confirmed.age());
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "an age in milliseconds is far below 2^52"
+    )]
+    gauge!("buckthornmast_settings_confirmed_age_seconds").set(age as f64 / 1000.0);
+}
--- a/crates/buckthornmast_daemon/src/follow.rs
+++ b/crates/buckthornmast_daemon/src/follow.rs
@@ -15,6 +15,7 @@
 use flume::{Receiver, RecvTimeoutError, Sender};
 
 use crate::{
+    confirm::{self, Confirmed},
     current::Current,
     message::{Request, Response},
     peers::{Peers, Replica},
@@ -23,6 +24,9 @@
 /// Time between two looks; a change passes two instances within the target of 1 s.
 const PERIOD: Duration = Duration::from_millis(50);
 
+/// Rounds between two confirmations, which make two seconds.
+const CONFIRM_ROUNDS: u32 = 40;
+
 /// Time for a peer to answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -41,6 +45,12 @@
     pub peers: Peers,
     /// Membership.
     pub views: Views,
+    /// This instance.
+    pub me: id::Instance,
+    /// Voters.
+    pub voters: Vec<id::Instance>,
+    /// Confirmation of the settings.
+    pub confirmed: Confirmed,
 }
 
 /// Running thread.
@@ -72,7 +82,19 @@
 }
 
 fn run(parts: &Parts, stopped: &Receiver<()>) {
+    let mut round = 0_u32;
     while stopped.recv_timeout(PERIOD) == Err(RecvTimeoutError::Timeout) {
+        if round.is_multiple_of(CONFIRM_ROUNDS) {
+            let confirmation = confirm::Parts {
+                me: &parts.me,
+                domain: &parts.domain,
+                voters: &parts.voters,
+                replica: parts.replica.as_deref(),
+                peers: &parts.peers,
+            };
+            confirm::confirm(&parts.confirmed, &confirmation, &(parts.views)());
+        }
+        round = round.wrapping_add(1);
         if let Some(replica) = &parts.replica {
             follow_replica(&parts.current, replica);
         }
--- a/crates/buckthornmast_daemon/src/lib.rs
+++ b/crates/buckthornmast_daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod access;
 pub mod admit;
 pub mod claims;
+pub mod confirm;
 pub mod control;
 pub mod current;
 pub mod demand;
--- a/crates/buckthornmast_daemon/src/message.rs
+++ b/crates/buckthornmast_daemon/src/message.rs
@@ -158,6 +158,8 @@
     Lease(LeaseAsk),
     /// Ask the journal of a candidate.
     Journal(JournalAsk),
+    /// Return how long ago the settings in force were confirmed.
+    Confirmed,
     /// Return what this instance knows for status and reports.
     Summary,
 }
@@ -175,6 +177,11 @@
     Lease(LeaseReply),
     /// Answer of a journal.
     Journal(JournalReply),
+    /// Time since the settings were confirmed.
+    Confirmed {
+        /// Milliseconds.
+        age_ms: u64,
+    },
     /// Summary.
     Summary(Box<Summary>),
 }
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -38,11 +38,13 @@
 
 use crate::{
     claims::{self, Claims},
+    confirm::Confirmed,
     control::{Control, Surroundings},
     current::Current,
     demand::Demand,
     follow,
     leader::{self, Leader},
+    message::millis,
     observe::Samples,
     operators::Operators,
     peers::{Handler, Peers, Replica, Transport},
@@ -188,6 +190,7 @@
     replica: Option<Arc<Replica>>,
     proposer: Proposer,
     control: Control,
+    confirmed: Confirmed,
     views: follow::Views,
     history: Reports,
 }
@@ -203,10 +206,11 @@
     fn own_summary(&self) -> Own {
         let (current, ready) = (self.current.clone(), Arc::clone(&self.ready));
         let (control, replica) = (self.control.clone(), self.replica.clone());
-        let history = self.history.clone();
+        let (history, confirmed) = (self.history.clone(), self.confirmed.clone());
         Arc::new(move || Summary {
             revision: current.get().revision,
             ready: ready.load(Ordering::Relaxed),
+            confirmed_ms: millis(confirmed.age()),
             replica: replica.as_ref().map(|replica| replica.status().into()),
             controller: control.token(),
             moves: control.counters(),
@@ -405,6 +409,7 @@
         replica,
         proposer,
         control: Control::default(),
+        confirmed: Confirmed::new(clock),
         views,
         settings,
     };
@@ -436,6 +441,7 @@
         demand: core.demand.clone(),
         notebook: Arc::clone(&notebook),
         control: core.control.clone(),
+        confirmed: core.confirmed.clone(),
         own: core.own_summary(),
     }));
     let follower = follow::start(follow::Parts {
@@ -444,6 +450,9 @@
         replica: core.replica.clone(),
         peers: core.peers.clone(),
         views: Arc::clone(&core.views),
+        me: core.settings.instance.clone(),
+        voters: core.proposer.voters(),
+        confirmed: core.confirmed.clone(),
     })
     .map_err(at("follow"))?;
     let relay = targets::relay(
--- a/crates/buckthornmast_daemon/src/operators.rs
+++ b/crates/buckthornmast_daemon/src/operators.rs
@@ -19,9 +19,10 @@
 
 use crate::{
     access::{self, Bearer},
+    confirm::STALE_AFTER,
     current::{Current, Snapshot, values_of},
     follow::Views,
-    message::{Request, Response as Answered},
+    message::{Request, Response as Answered, millis},
     peers::Peers,
     policy,
     propose::{ProposeError, Proposer},
@@ -250,6 +251,7 @@
                 "state": format!("{state:?}").to_lowercase(),
                 "revision": revision,
                 "reached": revision >= highest && state == State::Alive,
+                "stale": found.map(|(_, summary)| summary.confirmed_ms > millis(STALE_AFTER)),
                 "ready": found.is_some_and(|(_, summary)| summary.ready),
                 "replica": found.and_then(|(_, summary)| summary.replica.clone()),
                 "controller": found.and_then(|(_, summary)| summary.controller),
@@ -274,7 +276,7 @@
                 "domain": report.domain,
                 "service": report.service,
                 "kind": report.kind,
-                "age_ms": crate::message::millis(now.since(seen.sent)),
+                "age_ms": millis(now.since(seen.sent)),
                 "leaving": report.leaving,
                 "drained": drained.contains(&report.target),
                 "running": report.load.running,
--- a/crates/buckthornmast_daemon/src/peers.rs
+++ b/crates/buckthornmast_daemon/src/peers.rs
@@ -61,6 +61,7 @@
         Request::History { .. } => Response::History(None),
         Request::Lease(_) => Response::Lease(LeaseReply::NotNow { hint: None }),
         Request::Journal(_) => Response::Journal(JournalReply::Done(false)),
+        Request::Confirmed => Response::Confirmed { age_ms: u64::MAX },
         Request::Summary => Response::Summary(Box::default()),
     }
 }
--- a/crates/buckthornmast_daemon/src/receive.rs
+++ b/crates/buckthornmast_daemon/src/receive.rs
@@ -9,11 +9,12 @@
 use buckthornmast_types::id;
 
 use crate::{
+    confirm::Confirmed,
     control::Control,
     current::Current,
     demand::Demand,
     leader::Leader,
-    message::{JournalAsk, JournalReply, Notice, Refusal, Request, Response},
+    message::{JournalAsk, JournalReply, Notice, Refusal, Request, Response, millis},
     peers::{Replica, refuse},
     summary::Own,
     targets::Targets,
@@ -35,6 +36,8 @@
     pub notebook: Arc<Mutex<Notebook>>,
     /// Controller of this candidate.
     pub control: Control,
+    /// Confirmation of the settings.
+    pub confirmed: Confirmed,
     /// Own summary.
     pub own: Own,
 }
@@ -72,6 +75,9 @@
                 None => refuse(&request),
             },
             Request::Journal(ask) => Response::Journal(self.journal(ask)),
+            Request::Confirmed => Response::Confirmed {
+                age_ms: millis(self.confirmed.age()),
+            },
             Request::Summary => Response::Summary(Box::new((self.own)())),
         }
     }
--- a/crates/buckthornmast_daemon/src/summary.rs
+++ b/crates/buckthornmast_daemon/src/summary.rs
@@ -23,6 +23,9 @@
     pub revision: id::Revision,
     /// Whether callers may be sent here.
     pub ready: bool,
+    /// Milliseconds since the settings in force were confirmed.
+    #[serde(default)]
+    pub confirmed_ms: u64,
     /// State of the replica, if the instance has one.
     pub replica: Option<Replicated>,
     /// Token of the controller lease, if the instance holds one.
--- a/crates/buckthornmast_daemon/tests/settings.rs
+++ b/crates/buckthornmast_daemon/tests/settings.rs
@@ -76,8 +76,8 @@
     }
 }
 
-/// Guards against a cut-off instance that accepts a write or goes back, and against a status that calls
-/// it reached.
+/// Guards against a cut-off instance that accepts a write, goes back or hides that its settings may be
+/// stale, and against a status that calls it reached.
 #[test]
 fn write_during_cut() {
     let plans = [
@@ -116,11 +116,21 @@
         let row = rows.iter().find(|row| row["instance"] == "south-2")?;
         (row["reached"] == false && row["state"] == "dead").then_some(())
     });
+    let is_stale = || {
+        let status = cluster.status(3);
+        let rows = status["instances"].as_array()?;
+        let row = rows.iter().find(|row| row["instance"] == "south-2")?;
+        row["stale"].as_bool()
+    };
+    wait_for("an instance that calls its settings stale", || {
+        is_stale()?.then_some(())
+    });
     cluster.isolate(3, Mode::Open);
     wait_for("the new revision", || {
         (cluster.revision(3)? == 3).then_some(())
     });
     assert_eq!(value(&cluster, 3).as_deref(), Some("8"));
+    wait_for("confirmed settings", || (!is_stale()?).then_some(()));
 }
 
 /// Guards against a revision that goes back or is lost when all instances are killed at once, and
