Commit the outcome of an order before it is answered, and repair the process tests

Cause: a resend at another instance right after the answer found the claim still held (409, unknown), because the outcome was recorded after the answer. Ports of the tests were taken from the range of outgoing connections, so a daemon sometimes found its port in use. The HTTP client of the tests makes up a 503 for a connection that was closed without an answer. Change: the answer waits up to 500 ms for its outcome to be committed; servers get ports below 32,000; a made-up status counts as no answer; orders that were not run for lack of a leader are sent again.

--- a/crates/buckthornmast_daemon/src/claims.rs
+++ b/crates/buckthornmast_daemon/src/claims.rs
@@ -1,7 +1,7 @@
 //! Store of idempotency claims on the replicated state.
 //!
-//! Outcomes and releases are recorded in the background: the answer to the caller does not wait for
-//! them, and they are tried until they are committed. A claim whose proposal has no answer is
+//! Outcomes and releases are recorded in the background and tried until they are committed. The answer to
+//! the caller waits a moment for its outcome, so that a resend right after it finds the outcome. A claim whose proposal has no answer is
 //! released, since this instance never dispatches it.
 
 use std::{
@@ -25,17 +25,26 @@
 /// Threads that record; each waits for one commit, and the log commits many at once.
 const RECORDERS: usize = 8;
 
+/// Time that an answer waits for its outcome to be committed.
+const OUTCOME_WAIT: Duration = Duration::from_millis(500);
+
 /// Time for one try to record.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Tries to record before a claim is left as it is; it then answers `unknown` until its key expires.
 const RECORD_TRIES: u32 = 60;
 
+/// Command to record, and who waits for it.
+struct Job {
+    command: machine::Command,
+    done: Option<Sender<()>>,
+}
+
 /// Store of claims.
 pub struct Claims {
     me: id::Instance,
     proposer: Proposer,
-    waiting: Sender<machine::Command>,
+    waiting: Sender<Job>,
 }
 
 /// Threads that record outcomes and releases.
@@ -73,16 +82,19 @@
     ))
 }
 
-fn record(proposer: &Proposer, commands: &Receiver<machine::Command>) {
-    for command in commands {
+fn record(proposer: &Proposer, jobs: &Receiver<Job>) {
+    for Job { command, done } in jobs {
         let mut tries = 0;
         while let Err(error) = proposer.propose(&command, RECORD_TIMEOUT) {
             tries += 1;
-            if tries >= RECORD_TRIES || commands.is_disconnected() && tries >= 2 {
+            if tries >= RECORD_TRIES || jobs.is_disconnected() && tries >= 2 {
                 log::error!(step = "claim"; "outcome or release not recorded: {error}");
                 break;
             }
         }
+        if let Some(done) = done {
+            let _ = done.try_send(());
+        }
     }
 }
 
@@ -94,8 +106,8 @@
 }
 
 impl Claims {
-    fn record_later(&self, command: machine::Command) {
-        if self.waiting.try_send(command).is_err() {
+    fn record_later(&self, command: machine::Command, done: Option<Sender<()>>) {
+        if self.waiting.try_send(Job { command, done }).is_err() {
             log::error!(step = "claim"; "too many outcomes wait to be recorded, one is dropped");
         }
     }
@@ -105,7 +117,7 @@
             id: id_of(claim),
             request: claim.request,
         };
-        self.record_later(machine::Command::Release(release));
+        self.record_later(machine::Command::Release(release), None);
     }
 }
 
@@ -151,7 +163,10 @@
             request: claim.request,
             outcome,
         };
-        self.record_later(machine::Command::Complete(complete));
+        let (done, recorded) = flume::bounded(1);
+        self.record_later(machine::Command::Complete(complete), Some(done));
+        // Without a quorum the caller still gets its answer; a resend then finds the claim held.
+        let _ = recorded.recv_timeout(OUTCOME_WAIT);
     }
 
     fn release(&self, claim: &claim::Claim, _grant: Grant) {
--- a/crates/buckthornmast_daemon/tests/claims.rs
+++ b/crates/buckthornmast_daemon/tests/claims.rs
@@ -13,6 +13,15 @@
     counters["plain"]["total"].as_u64().unwrap_or(u64::MAX)
 }
 
+/// Sends an order until the log has a leader to claim it with. A 503 says that it was not run.
+fn settled(cluster: &Cluster, index: usize, key: id::Key, body: &str) -> caller::Answer {
+    let port = cluster.instances[index].ports.callers;
+    wait_for("an answer that is not for lack of a leader", || {
+        let answer = caller::order(port, key, body);
+        (answer.status != 503).then_some(answer)
+    })
+}
+
 fn wait_for_order(cluster: &Cluster, index: usize) {
     let port = cluster.instances[index].ports.callers;
     wait_for("an accepted order", || {
@@ -37,17 +46,14 @@
         (runs(&cluster, counter) == before + 1).then_some(())
     });
     cluster.kill(0);
+    let answer = first.join().unwrap();
     assert_eq!(
-        first.join().unwrap().status,
-        0,
-        "the killed instance has answered"
+        answer.status, 0,
+        "the killed instance has answered: {}",
+        answer.text
     );
     for index in [1, 2, 1] {
-        let port = cluster.instances[index].ports.callers;
-        let resend = wait_for("an answer that is not for lack of a leader", || {
-            let answer = caller::order(port, key, "LP 7");
-            (answer.status != 503).then_some(answer)
-        });
+        let resend = settled(&cluster, index, key, "LP 7");
         assert_eq!(
             (resend.status, resend.run().as_deref()),
             (409, Some("unknown"))
@@ -81,7 +87,7 @@
         let answer = caller::order(port, key, "LP 8");
         (answer.status == 200).then_some(answer)
     });
-    let resend = caller::order(cluster.instances[2].ports.callers, key, "LP 8");
+    let resend = settled(&cluster, 2, key, "LP 8");
     assert_eq!((resend.status, resend.text), (200, ran.text));
     assert_eq!(runs(&cluster, counter), before + 1);
 }
@@ -95,13 +101,13 @@
     let before = runs(&cluster, counter);
     let port = cluster.instances[0].ports.callers;
     let key = id::Key::generate();
-    assert_eq!(caller::order(port, key, "LP 9").status, 200);
-    assert_eq!(caller::order(port, key, "LP 10").status, 422);
+    assert_eq!(settled(&cluster, 0, key, "LP 9").status, 200);
+    assert_eq!(settled(&cluster, 0, key, "LP 10").status, 422);
     let random: id::Key = "5bd9d0a4-0c83-4e9b-8b8e-0d3f8ac6f3b1".parse().unwrap();
     // A UUIDv7 of the year 2020.
     let old: id::Key = "016f5e66-e800-7000-8000-000000000000".parse().unwrap();
     for key in [random, old] {
-        let answer = caller::order(port, key, "LP 11");
+        let answer = settled(&cluster, 0, key, "LP 11");
         assert_eq!((answer.status, answer.run().as_deref()), (400, Some("no")));
     }
     assert_eq!(
@@ -119,10 +125,12 @@
     wait_for_order(&cluster, 0);
     let before = runs(&cluster, counter);
     let key = id::Key::generate();
-    assert_eq!(
-        caller::order(cluster.instances[0].ports.callers, key, "LP 13").status,
-        200
-    );
+    assert_eq!(settled(&cluster, 0, key, "LP 13").status, 200);
+    // The outcome may be recorded shortly after the answer.
+    wait_for("the recorded outcome", || {
+        let port = cluster.instances[2].ports.callers;
+        (caller::order(port, key, "LP 13").status == 200).then_some(())
+    });
     for lost in [0, 1] {
         cluster.kill(lost);
         cluster.lose_disk(lost).unwrap();
@@ -138,11 +146,7 @@
     }
     thread::sleep(Duration::from_millis(200));
     for index in 0..3 {
-        let port = cluster.instances[index].ports.callers;
-        let resend = wait_for("an answer that is not for lack of a leader", || {
-            let answer = caller::order(port, key, "LP 13");
-            (answer.status != 503).then_some(answer)
-        });
+        let resend = settled(&cluster, index, key, "LP 13");
         assert_eq!(resend.status, 200, "{}", resend.text);
     }
     assert_eq!(runs(&cluster, counter), before + 1);
--- a/crates/buckthornmast_trial/src/caller.rs
+++ b/crates/buckthornmast_trial/src/caller.rs
@@ -10,6 +10,9 @@
 /// Time for one request in seconds; it only ends a test that hangs.
 const TIMEOUT_SECONDS: u64 = 60;
 
+/// Reason phrase of an answer that the server never sent.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Answer to a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
@@ -33,6 +36,11 @@
 
 fn send(request: minreq::Request) -> Answer {
     match request.with_timeout(TIMEOUT_SECONDS).send() {
+        // The library makes up a status for a connection that was closed without an answer.
+        Ok(response) if response.reason_phrase == NO_STATUS_LINE => Answer {
+            status: 0,
+            text: response.reason_phrase,
+        },
         Ok(response) => {
             let text = String::from_utf8_lossy(response.as_bytes()).into_owned();
             Answer {
--- a/crates/buckthornmast_trial/src/cluster.rs
+++ b/crates/buckthornmast_trial/src/cluster.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     fmt::Write as _,
     fs, io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
 };
 
@@ -106,17 +106,15 @@
     let mut held = Vec::new();
     let mut ports = Vec::new();
     for _ in 0..count {
-        let (peers, udp) = bind_both()?;
-        let tcp: Vec<TcpListener> = (0..3)
-            .map(|_| TcpListener::bind("127.0.0.1:0"))
-            .collect::<io::Result<_>>()?;
+        let four: Vec<_> = (0..4).map(|_| bind_both()).collect::<io::Result<_>>()?;
+        let address = |index: usize| four[index].0.local_addr();
         ports.push(Ports {
-            callers: tcp[0].local_addr()?,
-            operators: tcp[1].local_addr()?,
-            targets: tcp[2].local_addr()?,
-            peers: peers.local_addr()?,
+            callers: address(0)?,
+            operators: address(1)?,
+            targets: address(2)?,
+            peers: address(3)?,
         });
-        held.push((peers, udp, tcp));
+        held.extend(four);
     }
     Ok(ports)
 }
@@ -343,7 +341,18 @@
     }
 
     /// Returns the revision of the settings in force at an instance.
+    ///
+    /// Panics with its log if the instance has ended by itself, since waiting would be in vain.
     pub fn revision(&self, index: usize) -> Option<u64> {
+        if let Some(process) = &self.instances[index].process {
+            let log = || fs::read_to_string(self.log_file(index)).unwrap_or_default();
+            assert!(
+                process.is_running(),
+                "{} ended: {}",
+                self.instances[index].plan.name,
+                log()
+            );
+        }
         let port = self.instances[index].ports.operators;
         caller::operator_get(port, "/v1/settings/").json()["revision"].as_u64()
     }
--- a/crates/buckthornmast_trial/src/process.rs
+++ b/crates/buckthornmast_trial/src/process.rs
@@ -55,6 +55,12 @@
         self.child.wait()
     }
 
+    /// Returns whether the process has not ended; one that was not waited for stays as a zombie.
+    pub fn is_running(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        stat.is_ok_and(|stat| !stat.contains(") Z "))
+    }
+
     /// Returns the id of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/buckthornmast_trial/src/relay.rs
+++ b/crates/buckthornmast_trial/src/relay.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU16, Ordering},
     },
     thread,
     time::Duration,
@@ -102,11 +102,28 @@
     }
 }
 
-/// Binds TCP and UDP to the same free port.
+/// First port of the range that servers are given.
+///
+/// It ends below the range from which the system takes ports of outgoing connections, since one of those
+/// could take a reserved port before its server starts.
+const FIRST_PORT: u16 = 10_000;
+
+/// Ports of the range.
+const PORTS: u16 = 22_000;
+
+/// Binds TCP and UDP to a free port that no other process of these tests is given soon.
 pub fn bind_both() -> io::Result<(TcpListener, UdpSocket)> {
-    for _ in 0..100 {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        if let Ok(socket) = UdpSocket::bind(listener.local_addr()?) {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    // Processes that run at the same time have ids close to each other and begin far apart.
+    let offset = u16::try_from(std::process::id() % u32::from(PORTS)).unwrap_or_default();
+    let offset = offset.wrapping_mul(97) % PORTS;
+    for _ in 0..PORTS {
+        let next = NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = FIRST_PORT + (offset + next % PORTS) % PORTS;
+        let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) else {
+            continue;
+        };
+        if let Ok(socket) = UdpSocket::bind(("127.0.0.1", port)) {
             return Ok((listener, socket));
         }
     }
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -33,8 +33,9 @@
   done
 }
 
-# A port counts as free if nothing accepts a connection on it.
-next=$((20000 + RANDOM % 20000))
+# A port counts as free if nothing accepts a connection on it. The range ends below the one from which the
+# system takes ports of outgoing connections.
+next=$((10000 + RANDOM % 20000))
 free_port() {
   while (exec 3<>"/dev/tcp/127.0.0.1/$next") 2>/dev/null; do next=$((next + 1)); done
   port=$next
