placement: load artifacts only on targets of their service

Cause: the view had no services, so a model could be planned on an engine of another service, where the controller could not use it. Change: service of artifacts and targets in the view, part of eligibility; the planner fills it. Measured: decide_other_service fails without the check and passes with it; placement and replay tests pass.

--- a/crates/buckthornmast_daemon/src/plan.rs
+++ b/crates/buckthornmast_daemon/src/plan.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use buckthornmast_config::declaration::Store;
+use buckthornmast_config::declaration::{self, Store};
 use buckthornmast_controller::{
     core::Config,
     plan::{Move, Need, Plan, Planned, TargetView, View},
@@ -44,6 +44,9 @@
 /// Tokens a second of one slot, until targets report their speed.
 const SLOT_TOKENS: f64 = 20.0;
 
+/// Deadline of a model whose objective is not known.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
 /// Store budget where the platform declares none.
 const DEFAULT_STORE: (f64, u32) = (1.0, 1);
 
@@ -124,6 +127,7 @@
             hosts.push(view::Host {
                 id: report.target.clone(),
                 domain: domain_index(snapshot, &report.domain),
+                service: service_index(snapshot, &report.service),
                 memory: report.memory,
                 free: controlled
                     .map_or_else(|| report.memory.saturating_sub(used), |target| target.free),
@@ -164,49 +168,52 @@
         .unwrap_or(domains.len())
 }
 
-fn team_index(snapshot: &Snapshot, name: &id::Team) -> usize {
-    snapshot
-        .declarations
-        .teams
+/// Returns the position of a service, or one past the end for a service that is not declared.
+fn service_index(snapshot: &Snapshot, service: &id::Service) -> usize {
+    let services = &snapshot.declarations.platform.services;
+    services
         .keys()
-        .position(|known| known == name)
-        .unwrap_or_default()
+        .position(|known| known == service)
+        .unwrap_or(services.len())
 }
 
 /// Returns the declared artifacts, models before their adapters.
 fn declared_items(snapshot: &Snapshot, demand: &BTreeMap<String, (f64, f64)>) -> Items {
     let mut items = Items::default();
-    for (name, team) in &snapshot.declarations.teams {
-        for (model, declared) in &team.models {
-            let Some(artifact) = team.model_artifact(model) else {
+    for (index, team) in snapshot.declarations.teams.values().enumerate() {
+        let entry = |name: &str, model: &declaration::Model, bytes: Bytes| Entry {
+            team: index,
+            service: service_index(snapshot, &model.service),
+            bytes,
+            demand: demand.get(name).copied().unwrap_or_default(),
+            deadline: team
+                .objectives
+                .get(&model.objective)
+                .map_or(DEFAULT_DEADLINE, |objective| objective.deadline),
+            weight: f64::from(model.priority.max(1)) / 5.0,
+        };
+        for (name, model) in &team.models {
+            let Some(artifact) = team.model_artifact(name) else {
                 continue;
             };
-            let deadline = team.objectives.get(&declared.objective).map(|o| o.deadline);
-            let item = Entry {
-                team: team_index(snapshot, name),
-                bytes: declared.memory,
-                demand: demand.get(model.as_str()).copied().unwrap_or_default(),
-                deadline: deadline.unwrap_or(Duration::from_secs(30)),
-                weight: f64::from(declared.priority.max(1)) / 5.0,
-            };
-            items.push(artifact, item, &declared.service);
+            items.push(
+                artifact,
+                entry(name.as_str(), model, model.memory),
+                &model.service,
+            );
         }
-        for (adapter, declared) in &team.adapters {
-            let Some(artifact) = team.adapter_artifact(adapter) else {
+        for (name, adapter) in &team.adapters {
+            let Some(artifact) = team.adapter_artifact(name) else {
                 continue;
             };
-            let Some(base) = team.models.get(&declared.model) else {
+            let Some(model) = team.models.get(&adapter.model) else {
                 continue;
             };
-            let deadline = team.objectives.get(&base.objective).map(|o| o.deadline);
-            let item = Entry {
-                team: team_index(snapshot, name),
-                bytes: declared.memory,
-                demand: demand.get(adapter.as_str()).copied().unwrap_or_default(),
-                deadline: deadline.unwrap_or(Duration::from_secs(30)),
-                weight: f64::from(base.priority.max(1)) / 5.0,
-            };
-            items.push(artifact, item, &base.service);
+            items.push(
+                artifact,
+                entry(name.as_str(), model, adapter.memory),
+                &model.service,
+            );
         }
     }
     items
@@ -214,6 +221,7 @@
 
 struct Entry {
     team: usize,
+    service: usize,
     bytes: Bytes,
     demand: (f64, f64),
     deadline: Duration,
@@ -228,6 +236,7 @@
         let rate = |value: f64| Rate::per_second(value).unwrap_or_default();
         self.services.push(service.clone());
         self.list.push(view::Item {
+            service: entry.service,
             artifact,
             team: entry.team,
             bytes: entry.bytes,
@@ -264,6 +273,7 @@
         }
         let entry = Entry {
             team: self.list[new].team,
+            service: self.list[new].service,
             bytes,
             demand: (0.0, 0.0),
             deadline: self.list[new].deadline,
--- a/crates/buckthornmast_placement/examples/decision_time.rs
+++ b/crates/buckthornmast_placement/examples/decision_time.rs
@@ -20,6 +20,7 @@
 
 fn host(i: usize) -> Result<Host, Failure> {
     Ok(Host {
+        service: 0,
         id: format!("t{i:04}").parse()?,
         domain: i % 4,
         memory: Bytes::gib(320),
@@ -33,6 +34,7 @@
 
 fn item(name: &str, model: usize, base: Option<usize>, gib: u64) -> Result<Item, Failure> {
     Ok(Item {
+        service: 0,
         artifact: name.parse()?,
         team: model % TEAMS,
         bytes: Bytes::gib(gib),
--- a/crates/buckthornmast_placement/src/draft.rs
+++ b/crates/buckthornmast_placement/src/draft.rs
@@ -97,7 +97,8 @@
     pub fn is_eligible(&self, item: usize, target: usize) -> bool {
         let host = &self.view.targets[target];
         let entry = &self.view.artifacts[item];
-        host.health == Health::Ready
+        host.service == entry.service
+            && host.health == Health::Ready
             && entry.bytes <= host.memory
             && self.phase(item, target).is_none()
             && entry
--- a/crates/buckthornmast_placement/src/view.rs
+++ b/crates/buckthornmast_placement/src/view.rs
@@ -45,6 +45,8 @@
     pub artifact: Artifact,
     /// Index of the team.
     pub team: usize,
+    /// Index of the service whose targets may load it.
+    pub service: usize,
     /// Accelerator memory of one copy.
     pub bytes: Bytes,
     /// Index of the base model, for an adapter.
@@ -101,6 +103,8 @@
     pub id: id::Target,
     /// Index of the failure domain.
     pub domain: usize,
+    /// Index of the service.
+    pub service: usize,
     /// Accelerator memory.
     pub memory: Bytes,
     /// Memory that is free in the worst case over unresolved orders.
--- a/crates/buckthornmast_placement/tests/placement/common.rs
+++ b/crates/buckthornmast_placement/tests/placement/common.rs
@@ -11,6 +11,7 @@
 
 pub(crate) fn host(name: &str, domain: usize, gib: u64) -> Host {
     Host {
+        service: 0,
         id: name.parse().unwrap(),
         domain,
         memory: Bytes::gib(gib),
@@ -25,6 +26,7 @@
 pub(crate) fn item(artifact: &str, team: usize, gib: u64, requests: f64) -> Item {
     let artifact: Artifact = artifact.parse().unwrap();
     Item {
+        service: 0,
         artifact,
         team,
         bytes: Bytes::gib(gib),
--- a/crates/buckthornmast_placement/tests/placement/policy.rs
+++ b/crates/buckthornmast_placement/tests/placement/policy.rs
@@ -121,3 +121,23 @@
     }
     assert_eq!(moves, 0);
 }
+
+/// Guards against an artifact that is loaded on a target of another service.
+#[test]
+fn decide_other_service() {
+    let mut view = view(1, 2, 40);
+    view.artifacts.push(item("chat@1", 0, 10, 5.0));
+    view.targets[0].service = 1;
+    view.targets[1].health = view::Health::Lost;
+    for policy in ["static", "greedy", "marginal"] {
+        let policy: Named = policy.parse().unwrap();
+        let moves = policy.decide(&view, 0, &mut Default::default(), 10);
+        assert_eq!(moves, Vec::new(), "{policy}");
+    }
+    view.artifacts[0].service = 1;
+    let policy: Named = "greedy".parse().unwrap();
+    assert_eq!(
+        policy.decide(&view, 0, &mut Default::default(), 10).len(),
+        1
+    );
+}
--- a/crates/buckthornmast_replay/src/controller.rs
+++ b/crates/buckthornmast_replay/src/controller.rs
@@ -102,6 +102,7 @@
     /// Starts with the artifacts of a deployment.
     pub fn new(deployment: &Deployment, policies: &[Named]) -> Self {
         let hosts = (0..deployment.engines).map(|engine| Host {
+            service: 0,
             id: label(&format!("e{engine:03}")),
             domain: engine % deployment.domains,
             memory: deployment.memory,
@@ -138,6 +139,7 @@
     /// Declares artifacts with their targets; `day` is what is known about demand from earlier days.
     pub fn declare(&mut self, spec: &Spec, targets: &[usize], day: [f32; 24]) {
         self.view.artifacts.push(Item {
+            service: 0,
             artifact: spec.artifact.clone(),
             team: spec.team,
             bytes: spec.bytes,
