Follow the operations page as a new user and mend what it showed

Cause: an unknown report ended with code 1 and not 2; status called an instance without settings ready. Change: wrong usage always ends with 2; ready in status means the same as /readyz.

--- a/crates/buckthornmast_ctl/src/main.rs
+++ b/crates/buckthornmast_ctl/src/main.rs
@@ -7,15 +7,12 @@
     apply,
     client::Client,
     flags::{Ctl, CtlCmd},
-    outcome::{Failure, Outcome},
+    outcome::{Failure, Outcome, USAGE},
     show,
 };
 
 const REPORTS: [&str; 2] = ["burn", "policies"];
 
-/// Exit code of wrong usage.
-const USAGE: u8 = 2;
-
 fn client(flags: &Ctl) -> Result<Client, Failure> {
     let from_env = |name: &str| std::env::var(name).unwrap_or_default();
     let mut servers = flags.server.clone();
@@ -29,7 +26,7 @@
     }
     if servers.is_empty() {
         let message = "no --server and no BUCKTHORNMAST_SERVERS".to_owned();
-        return Err(Failure::Local { message });
+        return Err(Failure::Usage { message });
     }
     let token = flags
         .token
@@ -40,7 +37,7 @@
 
 fn run(flags: &Ctl) -> Outcome {
     let scope: Option<Scope> = match &flags.scope {
-        Some(text) => Some(text.parse().map_err(|error| Failure::Local {
+        Some(text) => Some(text.parse().map_err(|error| Failure::Usage {
             message: format!("--scope: {error}"),
         })?),
         None => None,
@@ -65,7 +62,7 @@
         }
         CtlCmd::Report(report) => {
             let message = format!("no report {:?}, expected burn or policies", report.name);
-            Err(Failure::Local { message })
+            Err(Failure::Usage { message })
         }
     }
 }
--- a/crates/buckthornmast_ctl/src/outcome.rs
+++ b/crates/buckthornmast_ctl/src/outcome.rs
@@ -4,6 +4,9 @@
 
 use snafu::Snafu;
 
+/// Exit code of wrong usage.
+pub const USAGE: u8 = 2;
+
 /// Failure of a command.
 #[derive(Debug, Snafu)]
 pub enum Failure {
@@ -13,6 +16,12 @@
         /// Reason.
         message: String,
     },
+    /// The command line is wrong.
+    #[snafu(display("{message}"))]
+    Usage {
+        /// Reason.
+        message: String,
+    },
     /// The settings were changed meanwhile.
     #[snafu(display("conflict: {message}"))]
     Conflict {
@@ -38,6 +47,7 @@
     pub fn code(&self) -> u8 {
         match self {
             Self::Local { .. } => 1,
+            Self::Usage { .. } => USAGE,
             Self::Conflict { .. } => 3,
             Self::Refused { .. } => 4,
             Self::Unknown { .. } => 5,
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -209,7 +209,7 @@
         let (history, confirmed) = (self.history.clone(), self.confirmed.clone());
         Arc::new(move || Summary {
             revision: current.get().revision,
-            ready: ready.load(Ordering::Relaxed),
+            ready: ready.load(Ordering::Relaxed) && current.get().revision > id::Revision(0),
             confirmed_ms: millis(confirmed.age()),
             replica: replica.as_ref().map(|replica| replica.status().into()),
             controller: control.token(),
