Test the request path with fakes of target, router and claims

The assembly of answers had no test of its own, and neither had the boundary between "not run" and "unknown" in calls of plain services.

A table and a comparison with a plain reference cover late, doubled, foreign and missing chunks. A scripted target fails at each step while the caller's answer, the number of dispatches and the fate of the claim are checked.

--- /dev/null
+++ b/crates/buckthornmast_gateway/tests/assembly.rs
@@ -0,0 +1,213 @@
+//! Chunks that arrive late, twice, from elsewhere or not at all.
+
+use arbtest::arbitrary::{self, Unstructured};
+use buckthornmast_gateway::assembly::{Answer, Broken, MAX_EARLY_CHUNKS};
+use buckthornmast_target::work::{Chunk, Event, Finish};
+use buckthornmast_types::id;
+
+fn chunk(request: id::Request, attempt: u64, index: u32, event: Event) -> Chunk {
+    Chunk {
+        request,
+        attempt: id::Attempt(attempt),
+        index,
+        event,
+    }
+}
+
+fn token(text: &str) -> Event {
+    Event::Token(text.to_owned())
+}
+
+/// Guards against answers with lost, doubled, foreign or reordered tokens, and against an answer that
+/// counts as whole while a token is missing.
+#[test]
+fn accept_table() {
+    let (own, other) = (id::Request::generate(), id::Request::generate());
+    let t = |index, text| chunk(own, 1, index, token(text));
+    let end = |index| chunk(own, 1, index, Event::Finish(Finish::Stop));
+    let cases: Vec<(&str, Vec<Chunk>, &str, bool)> = vec![
+        ("in order", vec![t(0, "a"), t(1, "b"), end(2)], "ab", true),
+        ("no tokens", vec![end(0)], "", true),
+        ("reversed", vec![end(2), t(1, "b"), t(0, "a")], "ab", true),
+        ("late", vec![t(1, "b"), t(0, "a"), end(2)], "ab", true),
+        (
+            "doubled",
+            vec![t(0, "a"), t(0, "a"), t(1, "b"), t(0, "x"), end(2)],
+            "ab",
+            true,
+        ),
+        (
+            "doubled while early",
+            vec![t(1, "b"), t(1, "x"), t(0, "a"), end(2)],
+            "ab",
+            true,
+        ),
+        ("missing token", vec![t(0, "a"), end(2)], "a", false),
+        ("missing first", vec![t(1, "b"), end(2)], "", false),
+        ("missing end", vec![t(0, "a"), t(1, "b")], "ab", false),
+        (
+            "foreign request",
+            vec![t(0, "a"), chunk(other, 1, 1, token("x")), end(2)],
+            "a",
+            false,
+        ),
+        (
+            "other attempts",
+            vec![
+                t(0, "a"),
+                chunk(own, 0, 1, token("x")),
+                chunk(own, 2, 1, token("x")),
+                t(1, "b"),
+                end(2),
+            ],
+            "ab",
+            true,
+        ),
+        (
+            "foreign end",
+            vec![
+                t(0, "a"),
+                chunk(other, 1, 1, Event::Finish(Finish::Stop)),
+                chunk(own, 0, 1, Event::Finish(Finish::Stop)),
+            ],
+            "a",
+            false,
+        ),
+        (
+            "after the end",
+            vec![t(0, "a"), end(1), t(1, "x"), t(2, "y")],
+            "a",
+            true,
+        ),
+        (
+            "beyond an early end",
+            vec![t(2, "x"), end(1), t(0, "a")],
+            "a",
+            true,
+        ),
+    ];
+    for (name, chunks, text, is_whole) in cases {
+        let mut answer = Answer::new(own);
+        answer.next_attempt();
+        let mut passed = String::new();
+        for chunk in chunks {
+            passed.push_str(&answer.accept(chunk).unwrap().concat());
+        }
+        assert_eq!(passed, text, "{name}: passed on");
+        assert_eq!(answer.tokens().concat(), text, "{name}: kept");
+        assert_eq!(answer.finish().is_some(), is_whole, "{name}: whole");
+    }
+}
+
+/// Guards against a missing token that is waited for without end.
+#[test]
+fn accept_too_many_early() {
+    let own = id::Request::generate();
+    let mut answer = Answer::new(own);
+    answer.next_attempt();
+    let most = u32::try_from(MAX_EARLY_CHUNKS).unwrap();
+    for index in 1..=most {
+        assert_eq!(
+            answer.accept(chunk(own, 1, index, token("x"))),
+            Ok(&[][..]),
+            "{index}"
+        );
+    }
+    let further = answer.accept(chunk(own, 1, most + 1, token("x")));
+    assert_eq!(further, Err(Broken::Missing { index: 0 }));
+    let missing = answer.accept(chunk(own, 1, 0, token("x")));
+    assert_eq!(missing.map(<[String]>::len), Ok(MAX_EARLY_CHUNKS + 1));
+}
+
+/// Guards against early chunks of a lost attempt that get into the answer of the next one.
+#[test]
+fn next_attempt_forgets_early() {
+    let own = id::Request::generate();
+    let mut answer = Answer::new(own);
+    answer.next_attempt();
+    answer.accept(chunk(own, 1, 0, token("a"))).unwrap();
+    answer.accept(chunk(own, 1, 2, token("old"))).unwrap();
+    let end = chunk(own, 1, 3, Event::Finish(Finish::Stop));
+    answer.accept(end).unwrap();
+    assert_eq!(answer.next_attempt(), id::Attempt(2));
+    answer.accept(chunk(own, 2, 1, token("b"))).unwrap();
+    assert_eq!(
+        (answer.tokens().concat().as_str(), answer.finish()),
+        ("ab", None)
+    );
+}
+
+/// Plain reference: keeps every chunk of the attempt and searches from the start each time.
+#[derive(Default)]
+struct Reference {
+    base: Vec<String>,
+    arrived: Vec<(u32, Event)>,
+}
+
+impl Reference {
+    fn read(&self) -> (Vec<String>, Option<Finish>) {
+        let mut tokens = self.base.clone();
+        loop {
+            let position = u32::try_from(tokens.len()).unwrap();
+            let found = self.arrived.iter().find(|(index, _)| *index == position);
+            match found {
+                Some((_, Event::Token(token))) => tokens.push(token.clone()),
+                Some((_, Event::Finish(finish))) => return (tokens, Some(*finish)),
+                None => return (tokens, None),
+            }
+        }
+    }
+}
+
+fn compare(u: &mut Unstructured<'_>, whole: &mut u32, taken: &mut u32) -> arbitrary::Result<()> {
+    let (own, other) = (id::Request::generate(), id::Request::generate());
+    let (mut answer, mut reference) = (Answer::new(own), Reference::default());
+    let mut attempt = answer.next_attempt();
+    let mut passed: Vec<String> = Vec::new();
+    while u.len() >= 8 {
+        if answer.finish().is_none() && u.ratio(1, 12)? {
+            reference.base = reference.read().0;
+            reference.arrived.clear();
+            attempt = answer.next_attempt();
+            continue;
+        }
+        let request = if u.ratio(1, 8)? { other } else { own };
+        let from = if u.ratio(1, 8)? { 0 } else { attempt.0 };
+        let near = u32::try_from(answer.tokens().len()).unwrap() + u.int_in_range(0..=3)?;
+        let index = near.saturating_sub(1);
+        let event = if u.ratio(1, 16)? {
+            Event::Finish(Finish::Length)
+        } else {
+            token(&format!("{index}-{} ", u.int_in_range(0..=3)?))
+        };
+        if request == own && from == attempt.0 {
+            reference.arrived.push((index, event.clone()));
+        }
+        let tokens = answer.accept(chunk(request, from, index, event)).unwrap();
+        *taken += u32::try_from(tokens.len()).unwrap();
+        passed.extend_from_slice(tokens);
+        let (tokens, finish) = reference.read();
+        assert_eq!(
+            (answer.tokens(), answer.finish()),
+            (tokens.as_slice(), finish)
+        );
+        assert_eq!(passed, tokens);
+    }
+    *whole += u32::from(answer.finish().is_some());
+    Ok(())
+}
+
+/// Guards against any order of chunks in which the answer differs from the plain reference.
+#[test]
+fn accept_reference() {
+    let (mut whole, mut taken) = (0, 0);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..2_000 {
+        arbtest::arbtest(|u| compare(u, &mut whole, &mut taken)).seed(number << 32 | 512);
+    }
+    println!("{whole} whole answers, {taken} tokens");
+    assert!(
+        whole > 200 && taken > 10_000,
+        "{whole} whole answers, {taken} tokens"
+    );
+}
--- /dev/null
+++ b/crates/buckthornmast_gateway/tests/generate.rs
@@ -0,0 +1,97 @@
+//! Streams whose engine fails.
+
+#![allow(clippy::unwrap_used, reason = "a helper that fails must fail its test")]
+
+#[path = "support/fakes.rs"]
+mod fakes;
+
+use buckthornmast_http::client::ReadError;
+use buckthornmast_target::{
+    error::Cause,
+    work::{Event, Finish},
+};
+use fakes::{Fake, Step};
+
+fn token(text: &str) -> Step {
+    Ok(Some(Event::Token(text.to_owned())))
+}
+
+fn end() -> Step {
+    Ok(Some(Event::Finish(Finish::Stop)))
+}
+
+fn lost() -> Step {
+    Err(Cause::Lost {
+        reason: "for the test".to_owned(),
+    })
+}
+
+const BODY: &str =
+    r#"{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":9,"stream":true}"#;
+
+/// Returns all events, and whether the stream ended properly.
+fn stream(fake: &Fake) -> (String, bool) {
+    let server = fakes::serve(fake);
+    let mut response = fakes::post(&server, "/v1/chat/completions", &[], BODY);
+    let mut events = String::new();
+    let whole = loop {
+        match response.event() {
+            Ok(Some(event)) => events.push_str(&event),
+            Ok(None) => break true,
+            Err(ReadError::Cut { .. }) => break false,
+            Err(error) => panic!("{error}"),
+        }
+    };
+    server.stop();
+    (events, whole)
+}
+
+/// Guards against a resumed answer that repeats or skips tokens.
+#[test]
+fn stream_resumed() {
+    let fake = Fake::default();
+    fake.script().streams = [
+        Ok(vec![token("a"), token("b"), lost()]),
+        Ok(vec![token("c"), end()]),
+    ]
+    .into();
+    let (events, whole) = stream(&fake);
+    assert!(whole && events.ends_with("[DONE]"), "{events}");
+    for text in ["a", "b", "c"] {
+        assert_eq!(
+            events.matches(&format!("\"content\":\"{text}\"")).count(),
+            1
+        );
+    }
+    let works = &fake.script().works;
+    assert_eq!(
+        (works[1].resume.concat().as_str(), works[1].attempt.0),
+        ("ab", 2)
+    );
+}
+
+/// Guards against a cut answer that looks complete, also when the engine ends its stream early.
+#[test]
+fn stream_cut() {
+    for (name, last) in [("lost", lost()), ("ended early", Ok(None))] {
+        let fake = Fake::default();
+        fake.script().streams = [
+            Ok(vec![token("a"), last]),
+            Err(Cause::NotSent {
+                reason: "for the test".to_owned(),
+            }),
+            Err(Cause::NotSent {
+                reason: "for the test".to_owned(),
+            }),
+        ]
+        .into();
+        let (events, whole) = stream(&fake);
+        assert!(!whole, "{name}: {events}");
+        assert!(!events.contains("[DONE]"), "{name}: {events}");
+        assert!(
+            !events.contains("\"finish_reason\":\"stop\""),
+            "{name}: {events}"
+        );
+        assert!(events.contains("\"run\":\"unknown\""), "{name}: {events}");
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_gateway/tests/service.rs
@@ -0,0 +1,199 @@
+//! Calls of plain services: what a caller is told, and what becomes of the claim.
+
+#![allow(clippy::unwrap_used, reason = "a helper that fails must fail its test")]
+
+#[path = "support/fakes.rs"]
+mod fakes;
+
+use std::time::Duration;
+
+use buckthornmast_gateway::claim::{Denied, Outcome};
+use buckthornmast_target::error::Cause;
+use buckthornmast_types::id;
+use fakes::Fake;
+use serde_json::Value;
+
+fn text() -> String {
+    "for the test".to_owned()
+}
+
+fn not_sent() -> Cause {
+    Cause::NotSent { reason: text() }
+}
+
+fn refused() -> Cause {
+    Cause::Refused {
+        status: 503,
+        retry_after: Some(Duration::from_secs(1)),
+    }
+}
+
+fn lost() -> Cause {
+    Cause::Lost { reason: text() }
+}
+
+/// What one call has led to.
+#[derive(Debug, PartialEq)]
+struct Seen {
+    status: u16,
+    run: Option<String>,
+    log: String,
+}
+
+fn seen(status: u16, run: &str, log: &str) -> Seen {
+    Seen {
+        status,
+        run: (!run.is_empty()).then(|| run.to_owned()),
+        log: log.to_owned(),
+    }
+}
+
+fn call(service: &str, prepare: impl FnOnce(&Fake)) -> (Seen, Option<String>) {
+    let fake = Fake::default();
+    prepare(&fake);
+    let server = fakes::serve(&fake);
+    let key = id::Key::generate().to_string();
+    let target = format!("/services/{service}/orders");
+    let mut response = fakes::post(&server, &target, &[("Idempotency-Key", &key)], "LP 7");
+    let body = response.whole(1 << 16).unwrap();
+    let problem: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    if problem.is_object() {
+        let kind = response.header("content-type");
+        assert_eq!(kind, Some("application/problem+json"));
+        assert!(problem["step"].is_string(), "{problem}");
+    }
+    let seen = Seen {
+        status: response.status,
+        run: problem["run"].as_str().map(str::to_owned),
+        log: fake.script().log.join(" "),
+    };
+    let retry_after = response.header("retry-after").map(str::to_owned);
+    server.stop();
+    (seen, retry_after)
+}
+
+/// Guards against "not run" for a call that may have been run, a second dispatch of such a call, and a
+/// claim that is released after it.
+#[test]
+fn call_once_failures() {
+    let silent = || Cause::Silent {
+        bound: Duration::from_secs(1),
+    };
+    let malformed = || Cause::Malformed { reason: text() };
+    let failed = || Cause::Failed { status: 500 };
+    type Case = (&'static str, Vec<Result<&'static str, Cause>>, Seen);
+    let cases: Vec<Case> = vec![
+        (
+            "answered",
+            vec![Ok("done")],
+            seen(200, "", "claim dispatch complete"),
+        ),
+        (
+            "not sent, then answered",
+            vec![Err(not_sent()), Ok("done")],
+            seen(200, "", "claim dispatch dispatch complete"),
+        ),
+        (
+            "refused, then answered",
+            vec![Err(refused()), Ok("done")],
+            seen(200, "", "claim dispatch dispatch complete"),
+        ),
+        (
+            "never sent",
+            vec![Err(not_sent()), Err(not_sent()), Err(refused())],
+            seen(503, "no", "claim dispatch dispatch dispatch release"),
+        ),
+        (
+            "lost",
+            vec![Err(lost()), Ok("x")],
+            seen(502, "unknown", "claim dispatch"),
+        ),
+        (
+            "silent",
+            vec![Err(silent()), Ok("x")],
+            seen(502, "unknown", "claim dispatch"),
+        ),
+        (
+            "malformed",
+            vec![Err(malformed()), Ok("x")],
+            seen(502, "unknown", "claim dispatch"),
+        ),
+        (
+            "failed",
+            vec![Err(failed()), Ok("x")],
+            seen(502, "unknown", "claim dispatch"),
+        ),
+        (
+            "not sent, then lost",
+            vec![Err(not_sent()), Err(lost()), Ok("x")],
+            seen(502, "unknown", "claim dispatch dispatch"),
+        ),
+    ];
+    for (name, script, expected) in cases {
+        let (seen, _) = call("ledger", |fake| fake.script().calls = script.into());
+        assert_eq!(seen, expected, "{name}");
+    }
+}
+
+/// Guards against a call that may be repeated and is told "not run" because only its last dispatch
+/// was not sent.
+#[test]
+fn call_repeatable_failures() {
+    let (seen_once, _) = call("desk", |fake| {
+        fake.script().calls = [Err(lost()), Ok("done")].into();
+    });
+    assert_eq!(seen_once, seen(200, "", "dispatch dispatch"));
+    let (seen_last, _) = call("desk", |fake| {
+        fake.script().calls = [Err(lost()), Err(not_sent()), Err(refused())].into();
+    });
+    assert_eq!(
+        seen_last,
+        seen(502, "unknown", "dispatch dispatch dispatch")
+    );
+}
+
+/// Guards against a claim that stays held although nothing was dispatched.
+#[test]
+fn call_once_not_dispatched() {
+    let (none, _) = call("ledger", |fake| fake.script().is_empty = true);
+    assert_eq!(none, seen(503, "no", "claim release"));
+    let (full, retry_after) = call("ledger", |fake| fake.script().is_full = true);
+    assert_eq!(full, seen(503, "no", "claim release"));
+    assert_eq!(retry_after.as_deref(), Some("7"));
+    let (late, _) = call("ledger", |fake| {
+        fake.script().passes = Duration::from_secs(31);
+        fake.script().calls = [Err(refused()), Ok("x")].into();
+    });
+    assert_eq!(late.log, "claim dispatch release");
+    assert_eq!(late.run.as_deref(), Some("no"));
+}
+
+/// Guards against a dispatch without a granted claim, and against answers that a resend can't act on.
+#[test]
+fn call_once_denied() {
+    let outcome = |body: Option<&[u8]>| Outcome {
+        status: 201,
+        content_type: "text/plain".to_owned(),
+        body: body.map(<[u8]>::to_vec),
+    };
+    let unavailable = Denied::Unavailable { reason: text() };
+    let kept = Denied::Done {
+        outcome: outcome(Some(b"first")),
+    };
+    let large = Denied::Done {
+        outcome: outcome(None),
+    };
+    let cases = [
+        ("done", kept, 201, "", None),
+        ("done, not kept", large, 409, "unknown", None),
+        ("held", Denied::Held, 409, "unknown", Some("1")),
+        ("mismatch", Denied::Mismatch, 422, "no", None),
+        ("expired", Denied::Expired, 400, "no", None),
+        ("unavailable", unavailable, 503, "no", Some("1")),
+    ];
+    for (name, denied, status, run, again) in cases {
+        let (seen_one, retry_after) = call("ledger", |fake| fake.script().denied = Some(denied));
+        assert_eq!(seen_one, seen(status, run, "claim"), "{name}");
+        assert_eq!(retry_after.as_deref(), again, "{name}");
+    }
+}
