Run more than one case in the tests with arbitrary input

A seed of arbtest is one case, and its low 32 bits are the number of random bytes. Vectors and strings of the library are also mostly empty, because their length is drawn bit by bit.

Each test now runs a fixed set of 500 to 20,000 cases and takes its bytes with a length of its own. The uses in storage, ledger, placement and state were right already.

--- a/crates/buckthornmast_config/tests/settings.rs
+++ b/crates/buckthornmast_config/tests/settings.rs
@@ -116,15 +116,19 @@
 /// Guards against panics on arbitrary files.
 #[test]
 fn parse_arbitrary_text() {
-    arbtest::arbtest(|u| {
-        let text: String = u.arbitrary()?;
-        let _ = Settings::parse("x", &text);
-        let position = u.choose_index(GOOD.len())?;
-        let _ = Settings::parse(
-            "x",
-            &format!("{}{text}{}", &GOOD[..position], &GOOD[position..]),
-        );
-        Ok(())
-    })
-    .seed(0x5eed_0000_0002);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..3_000 {
+        arbtest::arbtest(|u| {
+            let position = u.choose_index(GOOD.len())?;
+            let len = u.int_in_range(0..=80)?;
+            let text = String::from_utf8_lossy(u.bytes(len)?).into_owned();
+            let _ = Settings::parse("x", &text);
+            let _ = Settings::parse(
+                "x",
+                &format!("{}{text}{}", &GOOD[..position], &GOOD[position..]),
+            );
+            Ok(())
+        })
+        .seed(number << 32 | 128);
+    }
 }
--- a/crates/buckthornmast_http/tests/bad_input.rs
+++ b/crates/buckthornmast_http/tests/bad_input.rs
@@ -230,18 +230,21 @@
 fn request_arbitrary_bytes() {
     let server = serve();
     let address = server.address();
-    arbtest::arbtest(|u| {
-        let bytes: Vec<u8> = u.arbitrary()?;
-        let start: &[u8] = u.choose(&[
-            b"".as_slice(),
-            b"GET / HTTP/1.1\r\n",
-            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
-        ])?;
-        exchange(address, &[start, &bytes].concat(), true);
-        Ok(())
-    })
-    .budget_ms(1000)
-    .seed(0x5eed_0000_0002);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..500 {
+        arbtest::arbtest(|u| {
+            let start: &[u8] = u.choose(&[
+                b"".as_slice(),
+                b"GET / HTTP/1.1\r\n",
+                b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+            ])?;
+            let len = u.int_in_range(0..=200)?;
+            let bytes = u.bytes(len)?.to_vec();
+            exchange(address, &[start, &bytes].concat(), true);
+            Ok(())
+        })
+        .seed(number << 32 | 256);
+    }
     let good = exchange(
         address,
         &post("Connection: close\r\nContent-Length: 2\r\n", b"ok"),
--- a/crates/buckthornmast_membership/tests/runtime.rs
+++ b/crates/buckthornmast_membership/tests/runtime.rs
@@ -133,12 +133,16 @@
     let noise = UdpSocket::bind("127.0.0.1:0").unwrap();
     let second = run(&members, 1, sockets.remove(1), 1, revision.clone());
     let first = run(&members, 0, sockets.remove(0), 1, revision);
-    arbtest::arbtest(|u| {
-        let bytes: Vec<u8> = u.arbitrary()?;
-        noise.send_to(&bytes, members[0].address).unwrap();
-        Ok(())
-    })
-    .seed(0x5eed_0000_0030);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..500 {
+        arbtest::arbtest(|u| {
+            let len = u.int_in_range(0..=200)?;
+            let bytes = u.bytes(len)?.to_vec();
+            noise.send_to(&bytes, members[0].address).unwrap();
+            Ok(())
+        })
+        .seed(number << 32 | 256);
+    }
     let alive = || first.view().alive().count() == 2;
     until("alive", alive);
     first.stop();
--- a/crates/buckthornmast_peer/tests/faults.rs
+++ b/crates/buckthornmast_peer/tests/faults.rs
@@ -110,24 +110,27 @@
 #[test]
 fn arbitrary_bodies() {
     let pair = pair(|_| {});
-    arbtest::arbtest(|u| {
-        let mut body: Vec<u8> = u.arbitrary()?;
-        if u.arbitrary()? {
-            let nonce = Nonce {
-                session: u.arbitrary()?,
-                sequence: u.arbitrary()?,
-            };
-            let text = String::from_utf8_lossy(&body).into_owned();
-            let frame = sealed::seal_request(&key(1), &name("a"), nonce, text);
-            let frame = serde_json::to_string(&frame).unwrap();
-            body =
-                format!(r#"{{"jsonrpc":"2.0","id":1,"method":"peer","params":[{frame}]}}"#).into();
-        }
-        assert!(!post(pair.address, &body).contains("done"));
-        Ok(())
-    })
-    .budget_ms(500)
-    .seed(0x5eed_0000_0020);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..500 {
+        arbtest::arbtest(|u| {
+            let len = u.int_in_range(0..=100)?;
+            let mut body = u.bytes(len)?.to_vec();
+            if u.arbitrary()? {
+                let nonce = Nonce {
+                    session: u.arbitrary()?,
+                    sequence: u.arbitrary()?,
+                };
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let frame = sealed::seal_request(&key(1), &name("a"), nonce, text);
+                let frame = serde_json::to_string(&frame).unwrap();
+                body = format!(r#"{{"jsonrpc":"2.0","id":1,"method":"peer","params":[{frame}]}}"#)
+                    .into();
+            }
+            assert!(!post(pair.address, &body).contains("done"));
+            Ok(())
+        })
+        .seed(number << 32 | 256);
+    }
     assert_eq!(pair.handler.calls.load(Ordering::SeqCst), 0);
     assert_eq!(pair.call(Order::Say("x".into())).unwrap(), "a:x");
     pair.stop();
--- a/crates/buckthornmast_types/tests/parse.rs
+++ b/crates/buckthornmast_types/tests/parse.rs
@@ -32,16 +32,20 @@
 /// Guards against panics on arbitrary text from the network.
 #[test]
 fn parse_arbitrary_text() {
-    arbtest::arbtest(|u| {
-        let text: String = u.arbitrary()?;
-        let _ = text.parse::<id::Target>();
-        let _ = text.parse::<Artifact>();
-        let _ = text.parse::<Bytes>();
-        let _ = text.parse::<Rate>();
-        let _ = text.parse::<id::Key>();
-        Ok(())
-    })
-    .seed(0x5eed_0000_0001);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..20_000 {
+        arbtest::arbtest(|u| {
+            let len = u.int_in_range(0..=40)?;
+            let text = String::from_utf8_lossy(u.bytes(len)?).into_owned();
+            let _ = text.parse::<id::Target>();
+            let _ = text.parse::<Artifact>();
+            let _ = text.parse::<Bytes>();
+            let _ = text.parse::<Rate>();
+            let _ = text.parse::<id::Key>();
+            Ok(())
+        })
+        .seed(number << 32 | 64);
+    }
 }
 
 /// Guards against rates that poison later arithmetic.
--- a/crates/buckthornmast_wire/tests/frames.rs
+++ b/crates/buckthornmast_wire/tests/frames.rs
@@ -78,46 +78,55 @@
 /// Guards against panics and hangs on arbitrary JSON, and against a changed text form.
 #[test]
 fn sealed_arbitrary_json() {
-    arbtest::arbtest(|u| {
-        let bytes: Vec<u8> = u.arbitrary()?;
-        if let Ok(frame) = serde_json::from_slice::<Sealed>(&bytes) {
-            assert!(sealed::open_request(&key(1), &frame).is_err());
-        }
-        let body: String = u.arbitrary()?;
-        let frame = sealed::seal_request(&key(1), &name("a"), Nonce::random(), body.clone());
-        let mut text = serde_json::to_vec(&frame).unwrap();
-        let back: Sealed = serde_json::from_slice(&text).unwrap();
-        assert_eq!(sealed::open_request(&key(1), &back), Ok(body.as_str()));
-        let position = u.choose_index(text.len())?;
-        text[position] = u.arbitrary()?;
-        let _ = serde_json::from_slice::<Sealed>(&text);
-        Ok(())
-    })
-    .seed(0x5eed_0000_0010);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..2_000 {
+        arbtest::arbtest(|u| {
+            let len = u.int_in_range(0..=100)?;
+            let bytes = u.bytes(len)?.to_vec();
+            if let Ok(frame) = serde_json::from_slice::<Sealed>(&bytes) {
+                assert!(sealed::open_request(&key(1), &frame).is_err());
+            }
+            let len = u.int_in_range(0..=100)?;
+            let body = String::from_utf8_lossy(u.bytes(len)?).into_owned();
+            let frame = sealed::seal_request(&key(1), &name("a"), Nonce::random(), body.clone());
+            let mut text = serde_json::to_vec(&frame).unwrap();
+            let back: Sealed = serde_json::from_slice(&text).unwrap();
+            assert_eq!(sealed::open_request(&key(1), &back), Ok(body.as_str()));
+            let position = u.choose_index(text.len())?;
+            text[position] = u.arbitrary()?;
+            let _ = serde_json::from_slice::<Sealed>(&text);
+            Ok(())
+        })
+        .seed(number << 32 | 256);
+    }
 }
 
 /// Guards against panics and large allocations on arbitrary datagrams, also on correctly signed ones
 /// that claim long contents.
 #[test]
 fn datagram_arbitrary_bytes() {
-    arbtest::arbtest(|u| {
-        let bytes: Vec<u8> = u.arbitrary()?;
-        assert!(datagram::decode::<Vec<u64>>(&key(1), &bytes).is_err());
-        let content: (Vec<u8>, u64) = u.arbitrary()?;
-        if let Ok(frame) = datagram::encode(&key(1), &content) {
-            let decoded = datagram::decode::<(Vec<u8>, u64)>(&key(1), &frame);
-            assert_eq!(decoded.as_ref(), Ok(&content));
-            // The content is not one of these, but the MAC fits.
-            let _ = datagram::decode::<Vec<Vec<u64>>>(&key(1), &frame);
-            let _ = datagram::decode::<(String, Vec<String>)>(&key(1), &frame);
-            let mut changed = frame.clone();
-            let position = u.choose_index(changed.len())?;
-            changed[position] ^= 1 << u.choose_index(8)?;
-            assert!(datagram::decode::<(Vec<u8>, u64)>(&key(1), &changed).is_err());
-        }
-        Ok(())
-    })
-    .seed(0x5eed_0000_0011);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..2_000 {
+        arbtest::arbtest(|u| {
+            let len = u.int_in_range(0..=100)?;
+            let bytes = u.bytes(len)?.to_vec();
+            assert!(datagram::decode::<Vec<u64>>(&key(1), &bytes).is_err());
+            let content: (Vec<u8>, u64) = u.arbitrary()?;
+            if let Ok(frame) = datagram::encode(&key(1), &content) {
+                let decoded = datagram::decode::<(Vec<u8>, u64)>(&key(1), &frame);
+                assert_eq!(decoded.as_ref(), Ok(&content));
+                // The content is not one of these, but the MAC fits.
+                let _ = datagram::decode::<Vec<Vec<u64>>>(&key(1), &frame);
+                let _ = datagram::decode::<(String, Vec<String>)>(&key(1), &frame);
+                let mut changed = frame.clone();
+                let position = u.choose_index(changed.len())?;
+                changed[position] ^= 1 << u.choose_index(8)?;
+                assert!(datagram::decode::<(Vec<u8>, u64)>(&key(1), &changed).is_err());
+            }
+            Ok(())
+        })
+        .seed(number << 32 | 256);
+    }
 }
 
 /// Guards against datagrams that networks would fragment.
@@ -133,34 +142,37 @@
 /// Guards against sequence numbers that are accepted twice, compared with a set of all numbers.
 #[test]
 fn window_accept_once() {
-    arbtest::arbtest(|u| {
-        let mut window = Window::default();
-        let mut used = std::collections::HashSet::new();
-        let mut highest = 0_u64;
-        for _ in 0..200 {
-            let near = highest
-                .saturating_add(u.int_in_range(0..=6000)?)
-                .saturating_sub(4500);
-            let sequence = if u.ratio(1, 50)? {
-                u.arbitrary()?
-            } else {
-                near
-            };
-            let is_fresh = used.insert(sequence);
-            let accepted = window.accept(sequence);
-            assert!(is_fresh || !accepted, "{sequence} was accepted twice");
-            if sequence != u64::MAX {
-                let in_reach = sequence.saturating_add(4096) > highest;
-                assert!(
-                    accepted || !is_fresh || !in_reach,
-                    "{sequence} at {highest} was refused"
-                );
-                highest = highest.max(sequence);
+    // A seed is one case, and its low 32 bits are the number of random bytes.
+    for number in 0..1_000 {
+        arbtest::arbtest(|u| {
+            let mut window = Window::default();
+            let mut used = std::collections::HashSet::new();
+            let mut highest = 0_u64;
+            for _ in 0..200 {
+                let near = highest
+                    .saturating_add(u.int_in_range(0..=6000)?)
+                    .saturating_sub(4500);
+                let sequence = if u.ratio(1, 50)? {
+                    u.arbitrary()?
+                } else {
+                    near
+                };
+                let is_fresh = used.insert(sequence);
+                let accepted = window.accept(sequence);
+                assert!(is_fresh || !accepted, "{sequence} was accepted twice");
+                if sequence != u64::MAX {
+                    let in_reach = sequence.saturating_add(4096) > highest;
+                    assert!(
+                        accepted || !is_fresh || !in_reach,
+                        "{sequence} at {highest} was refused"
+                    );
+                    highest = highest.max(sequence);
+                }
             }
-        }
-        Ok(())
-    })
-    .seed(0x5eed_0000_0012);
+            Ok(())
+        })
+        .seed(number << 32 | 4096);
+    }
 }
 
 /// Guards against short keys and against keys in logs.
