Answer 504 when the deadline ends a wait, and don't blame the target

Waits for a target are bounded by the deadline of the request. When it passed during such a wait, the error was taken for a failure of the target: the caller got 503 "no target could answer", the engine went on with the work, and the router counted a failure, which ejects a healthy engine whose callers have short deadlines.

An error of a generation after the deadline now ends the request with 504 and run "unknown", reports the dispatch as abandoned and cancels the work. Calls of plain services answer 504 as well; their target still counts as failed, since nothing else would notice a hung service.

--- a/crates/buckthornmast_gateway/src/generate.rs
+++ b/crates/buckthornmast_gateway/src/generate.rs
@@ -86,6 +86,7 @@
         request: id,
         model: request.model.clone(),
         created: buckthornmast_types::time::unix_millis() / 1000,
+        prompt_words: request.words(),
     };
     let sink = if request.stream {
         Sink::Closed(exchange)
@@ -236,7 +237,7 @@
         let stream = gateway.targets.generate(&pick.endpoint, work, bound);
         let mut stream = match stream {
             Ok(stream) => stream,
-            Err(error) => return Dispatched::Failed(error),
+            Err(error) => return self.failed(error),
         };
         loop {
             let Some(left) = self.left() else {
@@ -255,7 +256,7 @@
                 Err(error) if is_first && is_silent(&error) && gateway.router.is_alive(pick) => {
                     continue;
                 }
-                Err(error) => return Dispatched::Failed(error),
+                Err(error) => return self.failed(error),
             };
             first.get_or_insert_with(|| gateway.clock.now());
             match self.take(chunk) {
@@ -269,6 +270,16 @@
         }
     }
 
+    /// Returns how a dispatch ended that got no further. Waits are bounded by the deadline, so an error
+    /// after it says nothing about the target, which would be ejected for it.
+    fn failed(&self, error: Error) -> Dispatched {
+        let is_late = self.left().is_none();
+        if is_late && matches!(error.cause, Cause::Silent { .. } | Cause::Lost { .. }) {
+            return Dispatched::Ended(Failure::Problem(deadline_problem(Run::Unknown)));
+        }
+        Dispatched::Failed(error)
+    }
+
     /// Takes a chunk and passes on the tokens that are now in order.
     fn take(&mut self, chunk: buckthornmast_target::work::Chunk) -> Result<Option<Finish>, Taken> {
         let before = self.answer.tokens().len();
--- a/crates/buckthornmast_gateway/src/service.rs
+++ b/crates/buckthornmast_gateway/src/service.rs
@@ -233,6 +233,9 @@
             deadline: deadline.0,
         };
         if let Decision::End { run, .. } = gateway.router.decide(&retry) {
+            if deadline.left(gateway.clock.now()).is_none() {
+                return Err(deadline_problem(run));
+            }
             return Err(failed(Some(&error), run));
         }
         tried.push(pick.endpoint.target);
--- a/crates/buckthornmast_gateway/tests/generate.rs
+++ b/crates/buckthornmast_gateway/tests/generate.rs
@@ -5,12 +5,15 @@
 #[path = "support/fakes.rs"]
 mod fakes;
 
+use std::time::Duration;
+
 use buckthornmast_http::client::ReadError;
 use buckthornmast_target::{
     error::Cause,
     work::{Event, Finish},
 };
 use fakes::{Fake, Step};
+use serde_json::Value;
 
 fn token(text: &str) -> Step {
     Ok(Some(Event::Token(text.to_owned())))
@@ -70,6 +73,35 @@
     );
 }
 
+/// Guards against a target that is taken for failed, and in time ejected, because a caller's deadline
+/// ended the wait.
+#[test]
+fn stream_deadline() {
+    let silent = Cause::Silent {
+        bound: Duration::from_secs(1),
+    };
+    // The deadline of the model is 20 s.
+    for (passes, steps) in [
+        (11, Ok(vec![token("a"), Err(silent.clone())])),
+        (21, Err(silent)),
+    ] {
+        let fake = Fake::default();
+        fake.script().passes = Duration::from_secs(passes);
+        fake.script().streams = [steps].into();
+        let server = fakes::serve(&fake);
+        let body = BODY.replace("true", "false");
+        let mut response = fakes::post(&server, "/v1/chat/completions", &[], &body);
+        let problem: Value = serde_json::from_slice(&response.whole(1 << 16).unwrap()).unwrap();
+        server.stop();
+        assert_eq!(
+            (response.status, &problem["step"]),
+            (504, &"deadline".into())
+        );
+        assert_eq!(problem["run"], "unknown");
+        assert_eq!(fake.script().log.join(" "), "dispatch abandoned cancel");
+    }
+}
+
 /// Guards against a cut answer that looks complete, also when the engine ends its stream early.
 #[test]
 fn stream_cut() {
--- a/crates/buckthornmast_gateway/tests/service.rs
+++ b/crates/buckthornmast_gateway/tests/service.rs
@@ -164,8 +164,12 @@
         fake.script().passes = Duration::from_secs(31);
         fake.script().calls = [Err(refused()), Ok("x")].into();
     });
-    assert_eq!(late.log, "claim dispatch release");
-    assert_eq!(late.run.as_deref(), Some("no"));
+    assert_eq!(late, seen(504, "no", "claim dispatch release"));
+    let (lost_late, _) = call("ledger", |fake| {
+        fake.script().passes = Duration::from_secs(31);
+        fake.script().calls = [Err(lost()), Ok("x")].into();
+    });
+    assert_eq!(lost_late, seen(504, "unknown", "claim dispatch"));
 }
 
 /// Guards against a dispatch without a granted claim, and against answers that a resend can't act on.
--- a/crates/buckthornmast_gateway/tests/support/fakes.rs
+++ b/crates/buckthornmast_gateway/tests/support/fakes.rs
@@ -43,7 +43,7 @@
     pub(crate) is_full: bool,
     /// Whether the router knows no target.
     pub(crate) is_empty: bool,
-    /// Time that passes at each dispatch.
+    /// Time that passes at each dispatch, and before a step of a stream fails.
     pub(crate) passes: Duration,
     /// What happened, in order.
     pub(crate) log: Vec<String>,
@@ -86,11 +86,15 @@
     work: Work,
     at: Endpoint,
     next: u32,
+    fake: Fake,
 }
 
 impl Tokens for FakeTokens {
     fn next(&mut self, _gap: Duration) -> Result<Option<Chunk>, Error> {
         let step = self.steps.pop_front().unwrap_or_else(|| Err(unscripted()));
+        if step.is_err() {
+            self.fake.clock.advance(self.fake.script().passes);
+        }
         let event = step.map_err(|cause| error(&self.at, cause))?;
         self.next += 1;
         Ok(event.map(|event| Chunk {
@@ -125,6 +129,7 @@
             next: u32::try_from(work.resume.len()).unwrap_or(u32::MAX),
             work: work.clone(),
             at: at.clone(),
+            fake: self.clone(),
         })
     }
 
@@ -180,7 +185,11 @@
         true
     }
 
-    fn done(&self, _pick: &Pick, _report: &Report<'_>) {}
+    fn done(&self, _pick: &Pick, report: &Report<'_>) {
+        if matches!(report, Report::Abandoned) {
+            self.note("abandoned");
+        }
+    }
 
     fn decide(&self, retry: &Retry<'_>) -> Decision {
         let known = Known {
