Send all three members of usage in whole answers

Typed clients of this interface require prompt_tokens and total_tokens; the answer had completion_tokens only. Engines don't report the size of a prompt, so its words are counted, and the field says so.

--- a/crates/buckthornmast_gateway/src/chat.rs
+++ b/crates/buckthornmast_gateway/src/chat.rs
@@ -97,6 +97,14 @@
     })
 }
 
+impl Request {
+    /// Returns the number of words in all messages.
+    pub fn words(&self) -> usize {
+        let words = |message: &Message| message.content.split_whitespace().count();
+        self.messages.iter().map(words).sum()
+    }
+}
+
 /// Identity that every part of one answer repeats.
 #[derive(Debug, Clone)]
 pub struct Head {
@@ -106,6 +114,9 @@
     pub model: String,
     /// Seconds since the epoch.
     pub created: u64,
+    /// Words of the conversation. Engines don't report how many tokens a prompt has, and typed clients
+    /// refuse an answer without `prompt_tokens`.
+    pub prompt_words: usize,
 }
 
 impl Head {
@@ -141,7 +152,11 @@
         let message = json!({ "role": "assistant", "content": tokens.concat() });
         let choice = json!({ "index": 0, "message": message, "finish_reason": finish.as_str() });
         let mut object = self.object("chat.completion", choice);
-        object["usage"] = json!({ "completion_tokens": tokens.len() });
+        object["usage"] = json!({
+            "prompt_tokens": self.prompt_words,
+            "completion_tokens": tokens.len(),
+            "total_tokens": self.prompt_words + tokens.len(),
+        });
         object.to_string()
     }
 }
