Test the interface of callers over a real daemon

One cluster answers a table of 31 bad requests with a problem that names the step and "run: no", lists models, answers whole and streamed, refuses what can't be answered in time, keeps deadlines and cuts a stream whose engine died. A second test holds 300 half-open and slow clients, also with 200 descriptors.

Heads that the parser of hyper refuses (no colon, two lengths, garbage) get a bare 400 without a problem; the table says so and checks the status only.

--- /dev/null
+++ b/crates/buckthornmast_daemon/tests/callers.rs
@@ -0,0 +1,493 @@
+//! Interface of callers, over a real daemon with a real engine and service.
+
+#![allow(clippy::unwrap_used, reason = "a helper that fails must fail its test")]
+
+#[path = "support/press.rs"]
+mod press;
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use buckthornmast_http::client::{self, ReadError, Response, Timeouts};
+use buckthornmast_trial::prelude::*;
+use buckthornmast_types::id;
+use serde_json::Value;
+
+/// Model of the declarations that one engine holds.
+const MODEL: &str = "catalogue";
+
+/// Bound that only ends a test that hangs.
+const HANG: Duration = Duration::from_secs(60);
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// Answer read as raw bytes, to see what a client of any make sees.
+struct Raw {
+    status: u16,
+    head: String,
+    body: String,
+}
+
+/// Sends bytes, then closes its side if told to, and reads until the daemon closes.
+fn raw(address: SocketAddr, bytes: &[u8], shut: bool) -> Raw {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(HANG)).unwrap();
+    // The daemon may refuse and close before it has read everything.
+    let _ = stream.write_all(bytes);
+    if shut {
+        stream.shutdown(Shutdown::Write).unwrap();
+    }
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
+    Raw {
+        status: status.unwrap_or(0),
+        head: head.to_lowercase(),
+        body: body.to_owned(),
+    }
+}
+
+fn request(method: &str, path: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n{headers}\
+         Content-Length: {length}\r\n\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+fn chat(headers: &str, body: &str) -> Vec<u8> {
+    request("POST", CHAT, headers, body.as_bytes())
+}
+
+fn send(address: SocketAddr, headers: &[(&str, &str)], tokens: u32, stream: bool) -> Response {
+    let body = caller::chat_body(MODEL, "a b", tokens, stream);
+    let request = client::Request {
+        method: "POST",
+        target: CHAT,
+        headers,
+        body: body.as_bytes(),
+    };
+    client::send(address, &request, &Timeouts::all(HANG)).unwrap()
+}
+
+fn json(response: &mut Response) -> Value {
+    serde_json::from_slice(&response.whole(1 << 20).unwrap()).unwrap()
+}
+
+/// Returns all events, and whether the stream ended properly.
+fn events(response: &mut Response) -> (Vec<String>, bool) {
+    let mut events = Vec::new();
+    loop {
+        match response.event() {
+            Ok(Some(event)) => events.push(event),
+            Ok(None) => return (events, true),
+            Err(ReadError::Cut { .. }) => return (events, false),
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+/// Returns how many tokens the engine has sent.
+fn engine_tokens(cluster: &Cluster) -> u64 {
+    caller::counters(cluster.targets[0].address)["engine"]["tokens"]
+        .as_u64()
+        .unwrap()
+}
+
+fn start() -> Cluster {
+    let mut cluster = press::start(&press::THREE[..1]);
+    cluster
+        .add_engine("engine-1", "north", &["--token-gap", "50ms"])
+        .unwrap();
+    cluster.add_plain("counter", "north", &[]).unwrap();
+    cluster.wait_for_model(0, MODEL);
+    cluster
+}
+
+type Case = (&'static str, Vec<u8>, bool, u16, &'static str);
+
+/// Bad bodies of chat requests.
+fn bad_bodies() -> Vec<Case> {
+    let message = r#""messages":[{"role":"user","content":"a"}]"#;
+    let with = |rest: &str| chat("", &format!(r#"{{"model":"{MODEL}",{rest}}}"#));
+    let huge = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n";
+    let short =
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n{\"model\"";
+    let chunks =
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"m";
+    vec![
+        ("oversized body", huge.to_vec(), false, 413, "body"),
+        ("truncated body", short.to_vec(), true, 400, "body"),
+        ("truncated chunks", chunks.to_vec(), true, 400, "body"),
+        ("empty body", chat("", ""), false, 400, "parse"),
+        ("no JSON", chat("", "{"), false, 400, "parse"),
+        ("other JSON", chat("", "[1]"), false, 400, "parse"),
+        ("no messages", with(r#""messages":[]"#), false, 400, "parse"),
+        (
+            "no message list",
+            with(r#""stream":true"#),
+            false,
+            400,
+            "parse",
+        ),
+        (
+            "two answers",
+            with(&format!(r#"{message},"n":2"#)),
+            false,
+            400,
+            "parse",
+        ),
+        (
+            "no answer",
+            with(&format!(r#"{message},"n":0"#)),
+            false,
+            400,
+            "parse",
+        ),
+        (
+            "no tokens",
+            with(&format!(r#"{message},"max_tokens":0"#)),
+            false,
+            400,
+            "parse",
+        ),
+        (
+            "less than none",
+            with(&format!(r#"{message},"max_tokens":-1"#)),
+            false,
+            400,
+            "parse",
+        ),
+        (
+            "too many tokens",
+            with(&format!(r#"{message},"max_tokens":99999"#)),
+            false,
+            400,
+            "parse",
+        ),
+        (
+            "no stream flag",
+            with(&format!(r#"{message},"stream":"yes""#)),
+            false,
+            400,
+            "parse",
+        ),
+        (
+            "not UTF-8",
+            request("POST", CHAT, "", b"{\"model\":\"\xff\"}"),
+            false,
+            400,
+            "body",
+        ),
+    ]
+}
+
+/// Bad heads, names and deadlines.
+fn bad_heads() -> Vec<Case> {
+    let good = caller::chat_body(MODEL, "a", 1, false);
+    let deadline = |value: &str| chat(&format!("Request-Timeout-Ms: {value}\r\n"), &good);
+    let unknown = caller::chat_body("nobody", "a", 1, false);
+    let get = |path: &str| request("GET", path, "", b"");
+    let order = |headers: &str| request("POST", "/services/ledger/orders", headers, b"LP 7");
+    vec![
+        ("unknown model", chat("", &unknown), false, 404, "route"),
+        (
+            "unknown service",
+            get("/services/nobody/x"),
+            false,
+            404,
+            "route",
+        ),
+        (
+            "model as service",
+            get("/services/chat/x"),
+            false,
+            404,
+            "route",
+        ),
+        ("unknown path", get("/v2/models"), false, 404, "route"),
+        (
+            "unknown method",
+            request("BREW", CHAT, "", b""),
+            false,
+            405,
+            "head",
+        ),
+        ("wrong method", get(CHAT), false, 405, "route"),
+        ("deadline word", deadline("soon"), false, 400, "deadline"),
+        ("deadline zero", deadline("0"), false, 400, "deadline"),
+        ("deadline sign", deadline("-5"), false, 400, "deadline"),
+        ("deadline part", deadline("1.5"), false, 400, "deadline"),
+        (
+            "deadline far",
+            deadline("999999999999"),
+            false,
+            400,
+            "deadline",
+        ),
+        (
+            "deadline overflow",
+            deadline("99999999999999999999999"),
+            false,
+            400,
+            "deadline",
+        ),
+        ("order without key", order(""), false, 400, "claim"),
+        (
+            "order with bad key",
+            order("Idempotency-Key: x\r\n"),
+            false,
+            400,
+            "claim",
+        ),
+        (
+            "header bytes",
+            b"GET /v1/models HTTP/1.1\r\nHost: a\r\nConnection: close\r\nx: \xff\r\n\r\n".to_vec(),
+            false,
+            400,
+            "head",
+        ),
+        (
+            "no host",
+            b"GET /v1/models HTTP/1.1\r\nConnection: close\r\n\r\n".to_vec(),
+            false,
+            400,
+            "head",
+        ),
+    ]
+}
+
+/// Each is answered with a problem that names the step, and nothing is run.
+fn check_bad_input(cluster: &Cluster) {
+    let address = cluster.instances[0].ports.callers;
+    let before = engine_tokens(cluster);
+    for (name, bytes, shut, status, step) in bad_bodies().into_iter().chain(bad_heads()) {
+        let answer = raw(address, &bytes, shut);
+        assert_eq!(answer.status, status, "{name}: {}", answer.body);
+        let kind = "content-type: application/problem+json";
+        assert!(answer.head.contains(kind), "{name}: {}", answer.head);
+        let problem: Value = serde_json::from_str(&answer.body).unwrap();
+        let seen = (problem["step"].as_str(), problem["run"].as_str());
+        assert_eq!(seen, (Some(step), Some("no")), "{name}: {problem}");
+        assert_eq!(problem["status"], status, "{name}: {problem}");
+        assert!(problem["title"].is_string(), "{name}: {problem}");
+    }
+    // The parser of the library answers these itself, with a status and no body.
+    for (name, bytes) in [
+        ("no colon", "GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n"),
+        (
+            "space in name",
+            "GET / HTTP/1.1\r\nHost: a\r\nx : y\r\n\r\n",
+        ),
+        (
+            "two lengths",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        ),
+        ("garbage", "\u{16}\u{3}\u{1}\r\n\r\n"),
+    ] {
+        assert_eq!(raw(address, bytes.as_bytes(), false).status, 400, "{name}");
+    }
+    assert_eq!(engine_tokens(cluster), before, "bad input was run");
+}
+
+fn check_models(cluster: &Cluster) {
+    let answer = caller::get(cluster.instances[0].ports.callers, "/v1/models");
+    let list = answer.json();
+    assert_eq!(
+        (answer.status, list["object"].as_str()),
+        (200, Some("list"))
+    );
+    let mut names = Vec::new();
+    for model in list["data"].as_array().unwrap() {
+        let kind = (model["object"].as_str(), model["owned_by"].as_str());
+        assert_eq!(kind, (Some("model"), Some("press")));
+        names.push(model["id"].as_str().unwrap());
+    }
+    names.sort_unstable();
+    assert_eq!(names, ["catalogue", "macon-orders", "proof-reader"]);
+}
+
+fn check_whole(cluster: &Cluster) {
+    let mut response = send(cluster.instances[0].ports.callers, &[], 3, false);
+    assert_eq!(response.status, 200);
+    assert_eq!(response.header("content-type"), Some("application/json"));
+    let answer = json(&mut response);
+    assert_eq!(
+        (&answer["object"], &answer["model"]),
+        (&"chat.completion".into(), &MODEL.into())
+    );
+    assert!(answer["id"].as_str().unwrap().starts_with("chatcmpl-"));
+    assert!(answer["created"].as_u64().is_some());
+    let choices = answer["choices"].as_array().unwrap();
+    assert_eq!((choices.len(), &choices[0]["index"]), (1, &0.into()));
+    assert_eq!(choices[0]["finish_reason"], "length");
+    let message = &choices[0]["message"];
+    assert_eq!(
+        (&message["role"], &message["content"]),
+        (&"assistant".into(), &"a-0 b-1 a-2 ".into())
+    );
+    // Typed clients refuse an answer without any of the three.
+    let usage = |key: &str| {
+        answer["usage"][key]
+            .as_u64()
+            .unwrap_or_else(|| panic!("no {key}"))
+    };
+    assert_eq!(usage("completion_tokens"), 3);
+    assert_eq!(usage("prompt_tokens") + 3, usage("total_tokens"));
+}
+
+fn check_streamed(cluster: &Cluster) {
+    let mut response = send(cluster.instances[0].ports.callers, &[], 3, true);
+    assert_eq!(response.status, 200);
+    assert_eq!(response.header("content-type"), Some("text/event-stream"));
+    let (events, whole) = events(&mut response);
+    assert!(whole);
+    assert_eq!((events.len(), events[4].as_str()), (5, "[DONE]"));
+    let chunks: Vec<Value> = events[..4]
+        .iter()
+        .map(|event| serde_json::from_str(event).unwrap())
+        .collect();
+    let mut text = String::new();
+    for (index, chunk) in chunks.iter().enumerate() {
+        assert_eq!(chunk["object"], "chat.completion.chunk");
+        assert_eq!(
+            (&chunk["id"], &chunk["model"]),
+            (&chunks[0]["id"], &MODEL.into())
+        );
+        let choice = &chunk["choices"][0];
+        let role = choice["delta"]["role"].as_str();
+        assert_eq!(role, (index == 0).then_some("assistant"));
+        let reason = choice["finish_reason"].as_str();
+        assert_eq!(reason, (index == 3).then_some("length"));
+        text.push_str(choice["delta"]["content"].as_str().unwrap_or_default());
+    }
+    assert_eq!(text, "a-0 b-1 a-2 ");
+}
+
+/// The answer would take 400 tokens; the engine has sent fewer when the caller is answered.
+fn check_deadline(cluster: &Cluster) {
+    let address = cluster.instances[0].ports.callers;
+    let bound = [("Request-Timeout-Ms", "1500")];
+    let before = engine_tokens(cluster);
+    let mut whole = send(address, &bound, 400, false);
+    let problem = json(&mut whole);
+    assert_eq!(
+        (whole.status, &problem["step"]),
+        (504, &"deadline".into()),
+        "{problem}"
+    );
+    assert_eq!(problem["run"], "unknown");
+    assert!(
+        engine_tokens(cluster) < before + 400,
+        "answered after the whole answer"
+    );
+    let mut streamed = send(address, &bound, 400, true);
+    let (events, is_whole) = events(&mut streamed);
+    assert_cut(&events, is_whole);
+    assert!(
+        engine_tokens(cluster) < before + 800,
+        "answered after the whole answer"
+    );
+}
+
+fn assert_cut(events: &[String], is_whole: bool) {
+    assert!(!is_whole, "a cut stream has ended properly");
+    assert!(events.iter().all(|event| event != "[DONE]"));
+    assert!(
+        events
+            .iter()
+            .all(|event| !event.contains(r#""finish_reason":"length""#))
+    );
+    let last: Value = serde_json::from_str(events.last().unwrap()).unwrap();
+    assert_eq!(last["error"]["run"], "unknown", "{last}");
+    assert!(last["error"]["step"].is_string(), "{last}");
+}
+
+/// One millisecond is less than any answer of the engine has taken.
+fn check_refused(cluster: &Cluster) {
+    let before = engine_tokens(cluster);
+    let address = cluster.instances[0].ports.callers;
+    let mut response = send(address, &[("Request-Timeout-Ms", "1")], 5, true);
+    let problem = json(&mut response);
+    assert_eq!(
+        (response.status, &problem["step"]),
+        (503, &"admit".into()),
+        "{problem}"
+    );
+    assert_eq!(problem["run"], "no");
+    let again: u64 = response.header("retry-after").unwrap().parse().unwrap();
+    assert!(again >= 1);
+    assert_eq!(engine_tokens(cluster), before, "a refused request was run");
+}
+
+/// The only engine dies within the answer.
+fn check_cut(cluster: &mut Cluster) {
+    let address = cluster.instances[0].ports.callers;
+    let mut response = send(address, &[], 400, true);
+    assert!(response.event().unwrap().is_some());
+    cluster.targets[0].process.kill();
+    let (events, is_whole) = events(&mut response);
+    assert_cut(&events, is_whole);
+}
+
+/// Guards against half-open and slow clients, and a lack of descriptors, that shut good callers out or
+/// end the daemon.
+#[test]
+fn caller_beside_bad_clients() {
+    let cluster = start();
+    let address = cluster.instances[0].ports.callers;
+    let connect = |head: &[u8]| {
+        let mut stream = TcpStream::connect(address).unwrap();
+        // The daemon closes the oldest of them when it runs out of descriptors.
+        let _ = stream.write_all(head);
+        stream
+    };
+    let attack = || -> Vec<TcpStream> {
+        let half_open = (0..150).map(|_| connect(b"POST /v1/chat/completions HTTP/1.1\r\nHo"));
+        let slow =
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n{";
+        let slow = (0..150).map(|_| connect(slow));
+        half_open.chain(slow).collect()
+    };
+    let bad = attack();
+    for round in 0..5 {
+        let answer = caller::chat(address, MODEL, "hello", 1);
+        assert_eq!(answer.status, 200, "{round}: {}", answer.text);
+    }
+    drop(bad);
+    cluster.limit_descriptors(0, 200).unwrap();
+    let bad = attack();
+    // A caller may be refused while descriptors are short, but not for good.
+    wait_for("an answer beside bad clients", || {
+        (caller::chat(address, MODEL, "hello", 1).status == 200).then_some(())
+    });
+    drop(bad);
+    cluster.wait_for_model(0, MODEL);
+    assert_eq!(caller::get(address, "/readyz").status, 200);
+}
+
+/// Guards against bad input that is run or answered unclearly, deadlines that bind nobody, answers
+/// that existing clients can't read, and a cut stream that passes for a whole one.
+#[test]
+fn caller_contract() {
+    let mut cluster = start();
+    check_models(&cluster);
+    check_whole(&cluster);
+    check_streamed(&cluster);
+    check_bad_input(&cluster);
+    check_refused(&cluster);
+    check_deadline(&cluster);
+    let order = caller::order(
+        cluster.instances[0].ports.callers,
+        id::Key::generate(),
+        "LP 7",
+    );
+    assert_eq!(order.status, 200, "{}", order.text);
+    check_cut(&mut cluster);
+}
--- a/crates/buckthornmast_trial/src/cluster.rs
+++ b/crates/buckthornmast_trial/src/cluster.rs
@@ -28,7 +28,7 @@
 pub const TEAM_TOKEN: &str = "press-secret";
 
 /// Token that targets check.
-const TARGET_TOKEN: &str = "target-secret";
+pub const TARGET_TOKEN: &str = "target-secret";
 
 /// Cluster key.
 const CLUSTER_KEY: &str = "1f0c7d52c7f64f4b8d0e9a3b5c6d7e8f1f0c7d52c7f64f4b8d0e9a3b5c6d7e8f";
@@ -231,6 +231,17 @@
         }
     }
 
+    /// Sets how many file descriptors an instance may have.
+    pub fn limit_descriptors(&self, index: usize, most: u64) -> io::Result<()> {
+        let process = self.instances[index].process.as_ref();
+        let id = process
+            .map(Process::id)
+            .and_then(|id| i32::try_from(id).ok());
+        let id = id.ok_or_else(|| io::Error::other("the instance is down"))?;
+        let limit = (most, most);
+        rlimit::prlimit(id, rlimit::Resource::NOFILE, Some(limit), None)
+    }
+
     /// Deletes the data folder of an instance that is down.
     pub fn lose_disk(&self, index: usize) -> io::Result<()> {
         fs::remove_dir_all(self.data(index))
