Let the stand-in measure late work of a leaving target and its loads

Cause: tests of failures need figures that only the target can give. Change: the engine counts generations asked for more than 3 s after it began to leave, records begin and end of each load, and /counters shows running requests. The trial crate reads streams, abandons them, and sends orders to engines.

--- a/crates/buckthornmast_daemon/tests/support/press.rs
+++ b/crates/buckthornmast_daemon/tests/support/press.rs
@@ -1,6 +1,6 @@
 //! Cluster with the declarations of the quick start.
 
-use std::path::Path;
+use std::{fs, path::Path};
 
 use buckthornmast_trial::prelude::*;
 
@@ -33,9 +33,27 @@
 }
 
 /// Starts instances without targets and applies the declarations.
-#[expect(clippy::unwrap_used, reason = "a test ends if its cluster can't start")]
+#[allow(dead_code, reason = "not every test file starts this cluster")]
 pub(crate) fn start(plans: &[Plan]) -> Cluster {
+    start_edited(plans, &[])
+}
+
+/// Starts instances with some lines of the platform's declarations replaced.
+#[allow(dead_code, reason = "not every test file edits declarations")]
+#[expect(clippy::unwrap_used, reason = "a test ends if its cluster can't start")]
+pub(crate) fn start_edited(plans: &[Plan], edits: &[(&str, &str)]) -> Cluster {
+    let folder = tempfile::tempdir().unwrap();
+    let from = declarations();
+    fs::create_dir(folder.path().join("teams")).unwrap();
+    for file in ["platform.ini", "teams/press.ini"] {
+        let mut text = fs::read_to_string(from.join(file)).unwrap();
+        for (old, new) in edits.iter().filter(|_| file == "platform.ini") {
+            assert!(text.contains(old), "no {old:?} in {file}");
+            text = text.replacen(old, new, 1);
+        }
+        fs::write(folder.path().join(file), text).unwrap();
+    }
     let cluster = Cluster::start(programs(), plans).unwrap();
-    cluster.apply(0, &declarations());
+    cluster.apply(0, folder.path());
     cluster
 }
--- a/crates/buckthornmast_standin/src/engine.rs
+++ b/crates/buckthornmast_standin/src/engine.rs
@@ -21,6 +21,9 @@
 /// Prompt prefixes that the cache remembers.
 const CACHED_PREFIXES: usize = 64;
 
+/// Time after which a target that is leaving must get no new work.
+const LEAVING_BOUND: Duration = Duration::from_secs(3);
+
 /// Properties of an engine.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -53,6 +56,19 @@
     pub tokens: u64,
     /// Generations started while the engine was leaving.
     pub started_while_leaving: u64,
+    /// Generations asked for more than 3 s after the engine began to leave, refused ones included.
+    pub asked_after_leaving_bound: u64,
+    /// Loads in the order in which they began.
+    pub loads: Vec<Loading>,
+}
+
+/// Load of an artifact, in milliseconds since the start of the engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Loading {
+    /// When it began.
+    pub begun_ms: u64,
+    /// When it is done.
+    pub done_ms: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -62,6 +78,10 @@
     done: Point,
 }
 
+fn millis(at: Point) -> u64 {
+    u64::try_from(at.since(Point::default()).as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Model engine.
 #[derive(Debug)]
 pub struct Engine {
@@ -70,7 +90,7 @@
     token: id::Token,
     running: u32,
     waiting: u32,
-    leaving: bool,
+    leaving: Option<Point>,
     prefixes: VecDeque<u64>,
     counters: Counters,
 }
@@ -84,7 +104,7 @@
             token: id::Token(0),
             running: 0,
             waiting: 0,
-            leaving: false,
+            leaving: None,
             prefixes: VecDeque::new(),
             counters: Counters::default(),
         }
@@ -144,6 +164,10 @@
             bytes,
         };
         self.residents.push(Resident { copy, done });
+        self.counters.loads.push(Loading {
+            begun_ms: millis(now),
+            done_ms: millis(done),
+        });
         Reply::Accepted
     }
 
@@ -176,6 +200,10 @@
     /// Starts a generation, or returns `false` if the artifact is not ready.
     pub fn begin(&mut self, now: Point, artifact: &Artifact) -> bool {
         self.advance(now);
+        let is_late = self
+            .leaving
+            .is_some_and(|since| now.since(since) > LEAVING_BOUND);
+        self.counters.asked_after_leaving_bound += u64::from(is_late);
         let ready = self
             .find(artifact)
             .is_some_and(|r| r.copy.phase == Phase::Ready);
@@ -186,9 +214,7 @@
         if !(ready && base_ready) {
             return false;
         }
-        if self.leaving {
-            self.counters.started_while_leaving += 1;
-        }
+        self.counters.started_while_leaving += u64::from(self.is_leaving());
         self.counters.generations += 1;
         self.running += 1;
         true
@@ -227,14 +253,14 @@
         self.config.prompt_time * uncached
     }
 
-    /// Says whether the engine is leaving.
-    pub fn set_leaving(&mut self, leaving: bool) {
-        self.leaving = leaving;
+    /// Says that the engine is leaving.
+    pub fn leave(&mut self, now: Point) {
+        self.leaving.get_or_insert(now);
     }
 
     /// Returns whether the engine is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving
+        self.leaving.is_some()
     }
 
     /// Returns the artifacts in memory.
--- a/crates/buckthornmast_standin/src/serve.rs
+++ b/crates/buckthornmast_standin/src/serve.rs
@@ -94,7 +94,7 @@
 
     /// Announces that the target is leaving.
     pub fn leave(&self) {
-        lock(&self.shared.engine).set_leaving(true);
+        lock(&self.shared.engine).leave(self.shared.clock.now());
         self.announcer.wake();
     }
 
@@ -215,7 +215,7 @@
     match (exchange.method(), exchange.path()) {
         ("GET", "/counters") => respond(exchange, Response::json(200, counters(shared))),
         ("POST", "/leave") => {
-            lock(&shared.engine).set_leaving(true);
+            lock(&shared.engine).leave(shared.clock.now());
             respond(exchange, Response::json(200, "{}"));
         }
         _ if shared.flags.plain => call(shared, exchange),
@@ -235,6 +235,8 @@
     json!({
         "engine": engine.counters(),
         "used": engine.used(),
+        "running": engine.load_now().running,
+        "started": shared.started,
         "plain": &*plain,
         "repeated": plain.repeated(),
     })
--- a/crates/buckthornmast_trial/src/caller.rs
+++ b/crates/buckthornmast_trial/src/caller.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use buckthornmast_types::id;
+use buckthornmast_types::{id, order::Order};
 use serde_json::{Value, json};
 
-use crate::cluster::PLATFORM_TOKEN;
+use crate::cluster::{PLATFORM_TOKEN, TARGET_TOKEN};
 
 /// Time for one request in seconds; it only ends a test that hangs.
 const TIMEOUT_SECONDS: u64 = 60;
@@ -81,6 +81,14 @@
     send(request)
 }
 
+/// Sends an order to an engine as a controller would.
+pub fn order_engine(address: SocketAddr, order: &Order) -> Answer {
+    let request = minreq::post(format!("http://{address}/v1/orders"))
+        .with_header("Authorization", format!("Bearer {TARGET_TOKEN}"))
+        .with_body(serde_json::to_vec(order).unwrap_or_default());
+    send(request)
+}
+
 /// Reads from the operators' port.
 pub fn operator_get(address: SocketAddr, path: &str) -> Answer {
     let token = format!("Bearer {PLATFORM_TOKEN}");
--- a/crates/buckthornmast_trial/src/cluster.rs
+++ b/crates/buckthornmast_trial/src/cluster.rs
@@ -28,7 +28,7 @@
 pub const TEAM_TOKEN: &str = "press-secret";
 
 /// Token that targets check.
-const TARGET_TOKEN: &str = "target-secret";
+pub const TARGET_TOKEN: &str = "target-secret";
 
 /// Cluster key.
 const CLUSTER_KEY: &str = "1f0c7d52c7f64f4b8d0e9a3b5c6d7e8f1f0c7d52c7f64f4b8d0e9a3b5c6d7e8f";
--- a/crates/buckthornmast_trial/src/lib.rs
+++ b/crates/buckthornmast_trial/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod process;
 pub mod relay;
+pub mod stream;
 pub mod wait;
 
 /// Names that most users of this crate import together.
@@ -18,6 +19,7 @@
         cluster::{Cluster, Instance, Plan, Target},
         process::Process,
         relay::{Mode, Relay},
+        stream,
         wait::wait_for,
     };
 }
--- /dev/null
+++ b/crates/buckthornmast_trial/src/stream.rs
@@ -0,0 +1,105 @@
+//! Streamed chat requests.
+
+use std::{
+    io::{BufRead, BufReader, Read},
+    net::SocketAddr,
+};
+
+use serde_json::Value;
+
+use crate::caller;
+
+/// Time for a whole stream in seconds; it only ends a test that hangs.
+const TIMEOUT_SECONDS: u64 = 120;
+
+/// Stream that has ended.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Streamed {
+    /// Status code; 0 if there was no answer.
+    pub status: u16,
+    /// Tokens in the order in which they arrived.
+    pub tokens: Vec<String>,
+    /// Whether the stream had its proper end: a finish reason, `[DONE]` and the end of the body.
+    pub is_whole: bool,
+    /// Last error, from the transport or from an error event.
+    pub error: Option<String>,
+}
+
+fn open(
+    address: SocketAddr,
+    model: &str,
+    prompt: &str,
+    tokens: u32,
+) -> Result<minreq::ResponseLazy, minreq::Error> {
+    minreq::post(format!("http://{address}/v1/chat/completions"))
+        .with_body(caller::chat_body(model, prompt, tokens, true))
+        .with_header("Request-Timeout-Ms", (TIMEOUT_SECONDS * 1000).to_string())
+        .with_timeout(TIMEOUT_SECONDS)
+        .send_lazy()
+}
+
+/// Reads a stream to its end.
+pub fn read(address: SocketAddr, model: &str, prompt: &str, tokens: u32) -> Streamed {
+    follow(address, model, prompt, tokens, |_| {})
+}
+
+/// Reads a stream to its end and calls back after each event with the number of tokens so far.
+pub fn follow(
+    address: SocketAddr,
+    model: &str,
+    prompt: &str,
+    tokens: u32,
+    mut seen: impl FnMut(usize),
+) -> Streamed {
+    let mut streamed = Streamed::default();
+    let response = match open(address, model, prompt, tokens) {
+        Ok(response) => response,
+        Err(error) => {
+            streamed.error = Some(error.to_string());
+            return streamed;
+        }
+    };
+    streamed.status = response.status_code;
+    let (mut is_finished, mut is_done) = (false, false);
+    for line in BufReader::with_capacity(1 << 10, response).lines() {
+        let text = match line {
+            Ok(text) => text,
+            Err(error) => {
+                streamed.error = Some(error.to_string());
+                return streamed;
+            }
+        };
+        let data = text.strip_prefix("data: ").unwrap_or_default();
+        is_done |= data == "[DONE]";
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        let choice = &event["choices"][0];
+        is_finished |= choice["finish_reason"].is_string();
+        if let Some(token) = choice["delta"]["content"].as_str() {
+            streamed.tokens.push(token.to_owned());
+            seen(streamed.tokens.len());
+        }
+        if !event["error"].is_null() {
+            streamed.error = Some(event["error"].to_string());
+        }
+    }
+    streamed.is_whole = is_finished && is_done && streamed.error.is_none();
+    streamed
+}
+
+/// Opens a stream, reads some bytes of it and goes away.
+pub fn abandon(address: SocketAddr, model: &str, prompt: &str, tokens: u32, bytes: usize) -> bool {
+    let Ok(mut response) = open(address, model, prompt, tokens) else {
+        return false;
+    };
+    let mut buffer = vec![0; bytes];
+    response.read_exact(&mut buffer).is_ok()
+}
+
+/// Returns the tokens that a stand-in engine generates for a prompt.
+pub fn expected(prompt: &str, tokens: u32) -> Vec<String> {
+    let words: Vec<&str> = prompt.split_whitespace().collect();
+    let word = |index: u32| words.get(index as usize % words.len().max(1));
+    (0..tokens)
+        .map(|index| format!("{}-{index} ", word(index).unwrap_or(&"ok")))
+        .collect()
+}
