Take drains into every choice of a target, and test leaving and drains

Cause: the routing table took drains from the settings every 200 ms, so that an instance went on choosing a drained target after it reported the revision with the drain as in force. Change: a choice takes the drains of newer settings first, under the same lock. Conclusion: no choice is made by drains that are no longer in force.

--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -1,7 +1,7 @@
 //! Routing on this instance: the pure decisions of the routing crate over the reports that arrive.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::{Mutex, MutexGuard, PoisonError},
     thread::{self, JoinHandle},
     time::Duration,
@@ -33,7 +33,7 @@
     targets::{Seen, Targets},
 };
 
-/// Time between two updates of capacities and drains.
+/// Time between two updates of capacities.
 const PERIOD: Duration = Duration::from_millis(200);
 
 /// Age of a report beyond which a target counts as dead to the requests that wait there.
@@ -56,6 +56,8 @@
 
 struct State {
     table: Table,
+    /// Revision of the settings that the drains of the table come from.
+    drains_of: id::Revision,
     affinity: Affinity,
     limits: BTreeMap<id::Target, Adaptive>,
     budget: budget::Retry,
@@ -106,6 +108,20 @@
     })
 }
 
+impl State {
+    /// Takes the drains of newer settings.
+    ///
+    /// Each choice does this, so that no choice is made by settings that are no longer in force.
+    fn take_drains(&mut self, snapshot: &Snapshot) {
+        if snapshot.revision <= self.drains_of {
+            return;
+        }
+        let drained = snapshot.declarations.platform.drained.iter().cloned();
+        self.table.set_drains(drained.collect());
+        self.drains_of = snapshot.revision;
+    }
+}
+
 impl Router {
     /// Returns a router without targets.
     pub fn new(
@@ -118,6 +134,7 @@
     ) -> Self {
         let state = State {
             table: Table::new(table::Config::default(), domain),
+            drains_of: id::Revision(0),
             affinity: Affinity::default(),
             limits: BTreeMap::new(),
             budget: budget::Retry::new(budget::Config::default(), clock.now()),
@@ -184,15 +201,8 @@
     fn refresh(&self, look_for_slow: bool) {
         let now = self.clock.now();
         let snapshot = self.current.get();
-        let drained: BTreeSet<_> = snapshot
-            .declarations
-            .platform
-            .drained
-            .iter()
-            .cloned()
-            .collect();
         let mut state = self.lock();
-        state.table.set_drains(drained);
+        state.take_drains(&snapshot);
         if look_for_slow {
             state.table.eject_slow(now);
             state.table.prune(PRUNE_AFTER, now);
@@ -307,8 +317,10 @@
 
     fn pick(&self, need: &Need<'_>, tried: &Tried) -> Option<Pick> {
         let now = self.clock.now();
+        let snapshot = self.current.get();
         let mut guard = self.lock();
         let state = &mut *guard;
+        state.take_drains(&snapshot);
         let tried: SmallVec<[Slot; 4]> = tried
             .iter()
             .filter_map(|target| state.table.slot(target))
--- /dev/null
+++ b/crates/buckthornmast_daemon/tests/leaving.rs
@@ -0,0 +1,121 @@
+//! Targets that leave or are drained, over real processes.
+
+#[path = "support/press.rs"]
+mod press;
+#[path = "support/watch.rs"]
+mod watch;
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
+};
+
+use buckthornmast_trial::prelude::*;
+
+/// Time for which callers go on after the targets began to leave; the stand-ins count what comes after 3 s.
+const LOAD_WHILE_LEAVING: Duration = Duration::from_secs(7);
+
+fn generations(cluster: &Cluster, target: usize) -> u64 {
+    watch::engine(cluster, target)["engine"]["generations"]
+        .as_u64()
+        .unwrap()
+}
+
+fn call_until(is_stopped: &AtomicBool, address: SocketAddr) {
+    for number in 0.. {
+        if is_stopped.load(Ordering::Relaxed) {
+            return;
+        }
+        let prompt = format!("hello {number}");
+        // An instance without any other engine refuses, which is right here.
+        for model in ["catalogue", "proof-reader"] {
+            caller::chat(address, model, &prompt, 1);
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against an instance that goes on sending work to a target that said it is leaving, because
+/// the notice did not reach it or because it is cut off from all others.
+#[test]
+fn leave_with_instance_cut_off() {
+    let mut cluster = press::start(&press::THREE);
+    let engines = [("e1", "north"), ("e2", "north")];
+    cluster.add_engines(&engines, &[]).unwrap();
+    let cut_off = cluster.instances[2].ports.callers;
+    let mut prompts = 0..;
+    for target in [0, 1] {
+        wait_for("work of the last instance at both engines", || {
+            let before = generations(&cluster, target);
+            // Requests with the same first message go to the same engine.
+            let prompt = format!("hello {}", prompts.next()?);
+            caller::chat(cut_off, "proof-reader", &prompt, 1);
+            (generations(&cluster, target) > before).then_some(())
+        });
+    }
+    let is_stopped = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for instance in &cluster.instances {
+            scope.spawn(|| call_until(&is_stopped, instance.ports.callers));
+        }
+        cluster.isolate(2, Mode::Cut);
+        let answer = caller::post(cluster.targets[0].address, "/leave", "");
+        assert_eq!(answer.status, 200);
+        thread::sleep(LOAD_WHILE_LEAVING);
+        is_stopped.store(true, Ordering::Relaxed);
+    });
+    let counters = watch::engine(&cluster, 0);
+    assert_eq!(
+        counters["engine"]["asked_after_leaving_bound"], 0,
+        "{counters}"
+    );
+    cluster.wait_for_model(0, "catalogue");
+}
+
+/// Guards against an instance that routes to a drained target once the drain is in force there, a drain
+/// that never ends, and callers who are refused although another engine has the model.
+#[test]
+fn drain_under_load() {
+    let mut cluster = press::start(&press::THREE);
+    let engines = [("e1", "north"), ("e2", "north"), ("e3", "north")];
+    cluster.add_engines(&engines, &[]).unwrap();
+    for index in 0..3 {
+        wait_for("two copies", || {
+            (watch::ready_at(&cluster, index, "proof-reader@1").len() >= 2).then_some(())
+        });
+        cluster.wait_for_model(index, "proof-reader");
+    }
+    let chatters = [0, 2]
+        .map(|index| watch::Chatter::start(cluster.instances[index].ports.callers, "proof-reader"));
+    let at = watch::ready_at(&cluster, 0, "proof-reader@1");
+    let name = at.first().unwrap().clone();
+    let drained = cluster.targets.iter().position(|t| t.name == name).unwrap();
+    let revision = cluster.revision(0).unwrap();
+    watch::set(
+        &cluster,
+        0,
+        "platform",
+        &format!("target/{name}/drain"),
+        "yes",
+    );
+    for index in 0..3 {
+        wait_for("the drain at all instances", || {
+            (cluster.revision(index)? > revision).then_some(())
+        });
+    }
+    // Requests that chose the engine before the drain was in force are over by then.
+    chatters
+        .iter()
+        .for_each(watch::Chatter::wait_for_new_request);
+    let before = generations(&cluster, drained);
+    wait_for("the artifacts to move", || {
+        (watch::engine(&cluster, drained)["used"] == 0).then_some(())
+    });
+    assert_eq!(generations(&cluster, drained), before);
+    for chatter in chatters {
+        assert!(chatter.stop() > 0);
+    }
+    cluster.wait_for_model(0, "catalogue");
+}
