--- a/crates/buckthornmast_consensus/src/core.rs
+++ b/crates/buckthornmast_consensus/src/core.rs
@@ -1,8 +1,9 @@
 //! Pure protocol: messages and time in, effects out.
 //!
 //! The caller of [`Core::step`] makes the effects [`Effect::Hard`], [`Effect::Append`],
-//! [`Effect::Install`] and [`Effect::Bootstrapped`] durable before it carries out any other effect of the
-//! same batch. A replica counts its own entries towards a quorum on this condition.
+//! [`Effect::Install`] and [`Effect::Bootstrapped`] durable and reports it by [`Input::Synced`]. Until then a
+//! replica neither counts nor acknowledges the entries concerned, and [`crate::writes::Writes`] holds back the
+//! messages that promise more.
 
 mod election;
 mod found;
@@ -11,6 +12,7 @@
 mod model;
 mod receive;
 mod replication;
+mod sync;
 
 use std::time::Duration;
 
@@ -120,6 +122,13 @@
         /// Entries before that index that stay in the log for slow followers.
         keep: u64,
     },
+    /// A write is durable that was started when the log and the hard state were these.
+    Synced {
+        /// Last position of the log.
+        last: Position,
+        /// Hard state.
+        hard: Hard,
+    },
     /// A write failed: nothing may be promised any more.
     Fault,
 }
@@ -170,6 +179,15 @@
     Stopped,
 }
 
+/// Entries of the term's leader that wait for a sync to be acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Unsynced {
+    pub(crate) leader: id::Instance,
+    pub(crate) term: id::Term,
+    pub(crate) sent: Point,
+    pub(crate) matched: id::Index,
+}
+
 /// One replica.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Core<C> {
@@ -184,6 +202,10 @@
     pub(crate) bootstrapped: bool,
     pub(crate) voters: Voters,
     pub(crate) commit: id::Index,
+    // Entries up to here are durable, and so is this hard state.
+    pub(crate) durable: id::Index,
+    pub(crate) synced: Hard,
+    pub(crate) unsynced: Option<Unsynced>,
     pub(crate) state: State,
     pub(crate) leader: Option<id::Instance>,
     // When a leader was last heard from; the start counts, as the lost memory may hold a promise.
@@ -209,6 +231,9 @@
             peers: others.cloned().collect(),
             me,
             timing,
+            durable: durable.log.last().index,
+            synced: durable.hard,
+            unsynced: None,
             hard: durable.hard,
             log: durable.log,
             snapshot: durable.snapshot,
@@ -266,6 +291,7 @@
             _ if self.state == State::Stopped => {}
             Input::Tick => self.tick(now, out),
             Input::Receive { from, message } => self.receive(now, &from, message, out),
+            Input::Synced { last, hard } => self.note_synced(last, hard, out),
             Input::Compact {
                 index,
                 machine,
@@ -372,6 +398,16 @@
         self.hard
     }
 
+    /// Returns the hard state that is durable.
+    pub fn synced(&self) -> Hard {
+        self.synced
+    }
+
+    /// Returns the index up to which the log is durable.
+    pub fn durable_index(&self) -> id::Index {
+        self.durable
+    }
+
     /// Returns the log.
     pub fn log(&self) -> &Log<C> {
         &self.log
--- a/crates/buckthornmast_consensus/src/core/install.rs
+++ b/crates/buckthornmast_consensus/src/core/install.rs
@@ -81,12 +81,14 @@
             return;
         }
         let index = position.index;
-        let (received, done) = if index <= self.commit {
+        let received = if index <= self.commit {
             self.incoming = None;
-            (total, true)
+            total
         } else {
             self.collect((position, total, offset), data, out)
         };
+        // An installed snapshot counts from the next heartbeat after its sync.
+        let done = index <= self.commit && index <= self.durable;
         let body = Body::Received {
             sent,
             index,
@@ -101,7 +103,7 @@
         (position, total, offset): (Position, u64, u64),
         data: &[u8],
         out: &mut Effects<C>,
-    ) -> (u64, bool) {
+    ) -> u64 {
         let fits = |incoming: &Incoming| incoming.position == position && incoming.total == total;
         let mut incoming = match self.incoming.take().filter(fits) {
             Some(incoming) => incoming,
@@ -118,15 +120,15 @@
         let received = incoming.data.len() as u64;
         if received < total {
             self.incoming = Some(incoming);
-            return (received, false);
+            return received;
         }
         match Content::decode(&incoming.data) {
             Some(content) if content.position == position => {
                 self.install(&content, incoming.data, out);
-                (total, true)
+                total
             }
             // The parts don't make up a snapshot, so the transfer starts over.
-            _ => (0, false),
+            _ => 0,
         }
     }
 
@@ -140,6 +142,8 @@
             self.log.compact(position.index);
         } else {
             self.log = Log::after(position, content.at);
+            // Only the committed part of the old log is known to agree with the new one.
+            self.durable = self.durable.min(self.commit);
         }
         self.commit = position.index;
         self.load_voters();
--- a/crates/buckthornmast_consensus/src/core/leader.rs
+++ b/crates/buckthornmast_consensus/src/core/leader.rs
@@ -136,7 +136,7 @@
         };
         let matched = |member: &Member| {
             if *member == self.me {
-                return self.log.last().index;
+                return self.durable;
             }
             let progress = leading.progress.iter().find(|progress| {
                 progress.instance == member.instance && progress.disk == Some(member.disk)
--- a/crates/buckthornmast_consensus/src/core/model.rs
+++ b/crates/buckthornmast_consensus/src/core/model.rs
@@ -14,6 +14,9 @@
     pub fn forget_times(&mut self) {
         self.heard = Point::ZERO;
         self.deadline = Point::ZERO;
+        if let Some(unsynced) = &mut self.unsynced {
+            unsynced.sent = Point::ZERO;
+        }
         if let State::Leader(leading) = &mut self.state {
             leading.beat = Point::ZERO;
             for progress in &mut leading.progress {
--- a/crates/buckthornmast_consensus/src/core/replication.rs
+++ b/crates/buckthornmast_consensus/src/core/replication.rs
@@ -139,11 +139,12 @@
         let matched = entries
             .last()
             .map_or(prev.index, |entry| entry.position.index);
+        let is_heartbeat = entries.is_empty();
         if !self.extend(entries, out) {
             return;
         }
         self.commit_to(commit.min(matched), out);
-        self.send(from, answer(true, matched), out);
+        self.acknowledge(from, sent, matched, is_heartbeat, out);
     }
 
     /// Notes the leader of the term; false if the sender is an old leader.
@@ -200,6 +201,7 @@
                 }
                 Some(_) => {
                     self.log.truncate(position.index);
+                    self.durable = self.durable.min(id::Index(position.index.0 - 1));
                     self.voters.truncate(position.index);
                 }
                 None => {}
--- a/crates/buckthornmast_consensus/src/driver.rs
+++ b/crates/buckthornmast_consensus/src/driver.rs
@@ -1,11 +1,20 @@
-//! Driver thread of one replica.
+//! Threads of one replica.
 //!
-//! The thread takes everything that waits in its inbox as one batch, steps the core through it, makes the
-//! results durable with one sync, and only then sends answers, applies commands and answers proposers.
-//! A leader's appends may leave before its own sync, since its own entries count towards a quorum only
-//! through effects that are carried out after it.
+//! The protocol thread takes everything that waits in its inbox as one batch, steps the core through it and
+//! sends what promises nothing. The writer thread makes the results durable, one write at a time, with one
+//! sync for everything that arrived during the last one. Votes, acknowledgements, the leader's own share
+//! in a quorum, application and answers wait for the write that covers them. So a leader sends heartbeats,
+//! and a follower hears them, while a sync takes longer than an election timeout.
+//!
+//! The alternative was to step the core only between writes and to repeat the last heartbeats meanwhile.
+//! A follower could then answer nothing during its sync, and a leader whose followers sync at the same time
+//! would step down. Therefore the core goes on during a write and learns of its end by
+//! [`Input::Synced`](crate::core::Input::Synced); [`Writes`](crate::writes::Writes) is pure as well, and the
+//! model checks run both.
 
+mod folder;
 mod replica;
+mod writer;
 
 use std::{
     io,
@@ -17,7 +26,10 @@
     time::Duration,
 };
 
-use buckthornmast_storage::{files::Files, store::OpenError};
+use buckthornmast_storage::{
+    files::Files,
+    store::{OpenError, WriteError},
+};
 use buckthornmast_types::{id, time::Clock};
 use snafu::{ResultExt, Snafu};
 
@@ -146,6 +158,7 @@
 enum Event<M: Machine> {
     Message(id::Instance, Message<M::Command>),
     Propose(Proposal<M>),
+    Written(Result<(), WriteError>),
     Stop,
 }
 
@@ -155,7 +168,7 @@
     status: Mutex<Status>,
 }
 
-/// Running replica. Dropping it stops the thread.
+/// Running replica. Dropping it stops the threads.
 #[derive(Debug)]
 pub struct Handle<M: Machine> {
     inbox: flume::Sender<Event<M>>,
@@ -163,7 +176,7 @@
     thread: Mutex<Option<JoinHandle<()>>>,
 }
 
-/// Opens the data folder and starts the driver thread.
+/// Opens the data folder and starts the threads.
 pub fn start<F, M, T, K>(
     config: Config,
     files: impl Fn() -> io::Result<F>,
@@ -182,10 +195,17 @@
         status: Mutex::new(Status::default()),
     });
     let (inbox, events) = flume::bounded(MAX_INBOX);
-    let replica = Replica::open(config, files, Arc::clone(&shared), transport, clock)?;
+    let replica = Replica::open(
+        config,
+        files,
+        inbox.clone(),
+        Arc::clone(&shared),
+        transport,
+        clock,
+    )?;
     let thread = thread::Builder::new()
         .name("consensus".to_owned())
-        .spawn(move || replica.run(&events))
+        .spawn(move || replica.run(events))
         .context(ThreadSnafu)?;
     Ok(Handle {
         inbox,
@@ -246,7 +266,7 @@
         read(&machine.unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Stops the thread and waits for it.
+    /// Stops the threads and waits for them, also for a write in flight.
     pub fn stop(&self) {
         let thread = self.thread.lock();
         let thread = thread.unwrap_or_else(PoisonError::into_inner).take();
--- a/crates/buckthornmast_consensus/src/driver/replica.rs
+++ b/crates/buckthornmast_consensus/src/driver/replica.rs
@@ -1,4 +1,4 @@
-//! Loop of the driver thread.
+//! Loop of the protocol thread.
 
 use std::{
     collections::BTreeMap,
@@ -7,29 +7,25 @@
     time::Duration,
 };
 
-use buckthornmast_storage::{
-    files::Files,
-    record::{Record, Snapshot as File},
-    store::{LOG, OpenError, Recovered, SNAPSHOT, Store, WriteError},
-};
+use buckthornmast_storage::{files::Files, store::WriteError};
 use buckthornmast_types::{
     id,
     time::{Clock, unix_millis},
 };
-use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
 use crate::{
-    core::{Core, Durable, Effect, Input},
+    core::{Core, Effect, Input},
     driver::{
-        Config, Event, FolderSnafu, Proposal, ProposeError, Reply, SNAPSHOT_BYTES, Shared,
-        StartError, Transport,
+        Config, Event, Proposal, ProposeError, Reply, SNAPSHOT_BYTES, Shared, StartError,
+        ThreadSnafu, Transport, folder,
+        writer::{Job, Writer},
     },
-    log::Log,
-    machine::{LogTime, Machine},
-    message::{Body, Entry, Member, Message, Payload, Position},
-    snapshot::{Content, Snapshot},
+    machine::Machine,
+    message::{Member, Message, Payload, Position},
+    snapshot::Content,
     status::Role,
+    writes::Writes,
 };
 
 /// Events of one batch, so that one batch doesn't hold up heartbeats.
@@ -39,9 +35,10 @@
 /// Entries that stay in the log when it is compacted, so that a slow follower needs no snapshot.
 const KEEP_ENTRIES: u64 = 512;
 
-pub(super) struct Replica<F, M: Machine, T, K> {
+pub(super) struct Replica<M: Machine, T, K> {
     core: Core<M::Command>,
-    store: Store<F>,
+    writes: Writes<M::Command>,
+    writer: Writer,
     shared: Arc<Shared<M>>,
     transport: T,
     clock: K,
@@ -53,89 +50,21 @@
     fault: Option<String>,
 }
 
-/// What one batch has to do, sorted by kind.
-struct Work<C> {
-    hard: bool,
-    append: Option<id::Index>,
-    install: Option<bool>,
-    bootstrapped: bool,
-    send: Vec<(id::Instance, Message<C>)>,
-}
-
-type Opened<F, C> = (Store<F>, Durable<C>, Option<String>);
-
-/// Opens the folder. A damaged one is given up, since its replica may have forgotten votes and entries;
-/// it starts over under a new disk identity, as a learner.
-fn open_folder<F: Files, C: DeserializeOwned>(
-    files: impl Fn() -> io::Result<F>,
-) -> Result<Opened<F, C>, StartError> {
-    let open = || {
-        files().map_err(|source| OpenError::Open {
-            step: "open",
-            source,
-        })
-    };
-    let loaded = open().and_then(Store::open).and_then(|(store, recovered)| {
-        let durable = load(recovered)?;
-        Ok((store, durable, None))
-    });
-    match loaded {
-        Err(error @ OpenError::Damaged { .. }) => {
-            log::error!(step = "open"; "folder given up, joining as a learner: {error}");
-            let (store, recovered) = open().and_then(Store::reset).context(FolderSnafu)?;
-            let durable = load(recovered).context(FolderSnafu)?;
-            Ok((store, durable, Some(error.to_string())))
-        }
-        loaded => loaded.context(FolderSnafu),
-    }
-}
-
-fn load<C: DeserializeOwned>(recovered: Recovered) -> Result<Durable<C>, OpenError> {
-    let damaged = |file, detail: &str| OpenError::Damaged {
-        file,
-        detail: detail.to_owned(),
-    };
-    let (index, term) = recovered.base;
-    let mut base_at = LogTime::default();
-    let mut snapshot = None;
-    if let Some(file) = recovered.snapshot {
-        let content = Content::decode(&file.data)
-            .ok_or_else(|| damaged(SNAPSHOT, "the content can't be decoded"))?;
-        base_at = content.at;
-        snapshot = Some(Snapshot {
-            position: content.position,
-            data: file.data,
-        });
-    }
-    let mut log = Log::after(Position { term, index }, base_at);
-    for (_, _, payload) in recovered.entries {
-        let entry = postcard::from_bytes::<Entry<C>>(&payload)
-            .map_err(|_| damaged(LOG, "an entry can't be decoded"))?;
-        log.push(entry);
-    }
-    Ok(Durable {
-        hard: recovered.hard,
-        log,
-        snapshot,
-        bootstrapped: recovered.bootstrapped,
-    })
-}
-
-impl<F, M, T, K> Replica<F, M, T, K>
+impl<M, T, K> Replica<M, T, K>
 where
-    F: Files,
     M: Machine,
     T: Transport<Command = M::Command>,
     K: Clock,
 {
-    pub(super) fn open(
+    pub(super) fn open<F: Files>(
         config: Config,
         files: impl Fn() -> io::Result<F>,
+        inbox: flume::Sender<Event<M>>,
         shared: Arc<Shared<M>>,
         transport: T,
         clock: K,
     ) -> Result<Self, StartError> {
-        let (store, durable, damage) = open_folder(files)?;
+        let (store, durable, damage) = folder::open(files)?;
         let content = durable.snapshot.as_ref();
         if let Some(content) = content.and_then(|snapshot| Content::decode(&snapshot.data)) {
             let machine = shared.machine.write();
@@ -146,12 +75,15 @@
             instance: config.instance,
             disk: store.disk(),
         };
+        let report = move |result| inbox.send(Event::Written(result)).is_ok();
+        let writer = Writer::start(store, report).context(ThreadSnafu)?;
         let now = clock.now();
         let core = Core::new(me, &config.voters, config.timing, durable, config.seed, now);
         let mut replica = Self {
             applied: core.commit(),
             core,
-            store,
+            writes: Writes::default(),
+            writer,
             shared,
             transport,
             clock,
@@ -165,26 +97,33 @@
         Ok(replica)
     }
 
-    pub(super) fn run(mut self, events: &flume::Receiver<Event<M>>) {
+    /// Runs until stopped.
+    pub(super) fn run(mut self, events: flume::Receiver<Event<M>>) {
         loop {
             let due = self.core.next_tick().since(self.clock.now());
             let first = match events.recv_timeout(due.min(MAX_WAIT)) {
                 Ok(event) => Some(event),
                 Err(flume::RecvTimeoutError::Timeout) => None,
-                Err(flume::RecvTimeoutError::Disconnected) => return,
+                Err(flume::RecvTimeoutError::Disconnected) => break,
             };
             let batch = first.into_iter().chain(events.try_iter().take(MAX_BATCH));
-            if !self.batch(batch) {
-                return;
+            if !self.batch(batch, || events.is_empty()) {
+                break;
             }
             self.publish();
         }
+        // The writer may wait for room in the inbox.
+        drop(events);
+        self.writer.stop();
     }
 
     /// Processes a batch; false if it asks to stop.
-    fn batch(&mut self, events: impl Iterator<Item = Event<M>>) -> bool {
+    fn batch(
+        &mut self,
+        events: impl Iterator<Item = Event<M>>,
+        is_drained: impl Fn() -> bool,
+    ) -> bool {
         let now = self.clock.now();
-        let before = (self.core.hard().term, self.core.commit());
         let mut effects = Vec::new();
         let mut proposals = Vec::new();
         let mut go_on = true;
@@ -196,12 +135,16 @@
                 }
                 Event::Propose(proposal) if proposal.take() => proposals.push(proposal),
                 Event::Propose(_) => {}
+                Event::Written(result) => self.written(result, &mut effects),
                 Event::Stop => go_on = false,
             }
         }
         self.propose(proposals, &mut effects);
-        self.core.step(now, Input::Tick, &mut effects);
-        self.carry_out(effects, before);
+        // A message of the leader may still wait, so an election timeout counts only after all are read.
+        if self.core.role() == Role::Leader || is_drained() {
+            self.core.step(now, Input::Tick, &mut effects);
+        }
+        self.carry_out(effects);
         if self.wants_snapshot() {
             self.save_snapshot();
         }
@@ -248,62 +191,51 @@
         }
     }
 
-    fn carry_out(
-        &mut self,
-        effects: Vec<Effect<M::Command>>,
-        (term, commit): (id::Term, id::Index),
-    ) {
-        let mut work = self.sort(effects);
-        if self.fault.is_none() {
-            // Appends that say nothing new about term and commit hold no promise of this replica.
-            let (early, late) = work.send.into_iter().partition(|(_, message)| {
-                let plain =
-                    matches!(&message.body, Body::Append { commit: told, .. } if *told <= commit);
-                plain && message.term == term
-            });
-            work.send = late;
-            self.send(early);
+    fn carry_out(&mut self, effects: Vec<Effect<M::Command>>) {
+        for effect in &effects {
+            if let Effect::Fault(reason) = effect {
+                self.stop_voting((*reason).to_owned());
+            }
         }
-        if let Err(error) = self.persist(&work) {
-            self.stop_voting(error.to_string());
+        let send = self.writes.take(&self.core, effects);
+        if self.fault.is_none() {
+            self.send(send);
+            if let Err(error) = self.write() {
+                self.stop_voting(error.to_string());
+            }
         }
         if self.fault.is_some() {
             return self.fail_waiting(|_| true);
         }
-        self.send(work.send);
-        if work.install == Some(true) {
-            self.restore();
-        }
         self.apply();
         let leads = self.core.role() == Role::Leader;
         let term = self.core.hard().term;
         self.fail_waiting(|appended| !leads || appended != term);
     }
 
-    fn sort(&mut self, effects: Vec<Effect<M::Command>>) -> Work<M::Command> {
-        let mut work = Work {
-            hard: false,
-            append: None,
-            install: None,
-            bootstrapped: false,
-            send: Vec::new(),
+    /// Hands the next write to the writer, unless it is busy.
+    fn write(&mut self) -> Result<(), WriteError> {
+        let Some(work) = self.writes.start(&self.core) else {
+            return Ok(());
         };
-        for effect in effects {
-            match effect {
-                Effect::Hard(_) => work.hard = true,
-                Effect::Append(from) => {
-                    work.append = Some(work.append.map_or(from, |first| first.min(from)));
-                }
-                Effect::Install { restore } => {
-                    work.install = Some(restore || work.install == Some(true));
-                }
-                Effect::Bootstrapped => work.bootstrapped = true,
-                Effect::Send { to, message } => work.send.push((to, message)),
-                Effect::Fault(reason) => self.stop_voting(reason.to_owned()),
-                Effect::Commit(_) | Effect::Proposed(_) | Effect::Refused => {}
-            }
+        let job = Job::new(&self.core, &work)?;
+        self.writer.write(job);
+        Ok(())
+    }
+
+    /// Goes on after a write.
+    fn written(&mut self, result: Result<(), WriteError>, effects: &mut Vec<Effect<M::Command>>) {
+        if let Err(error) = result {
+            return self.stop_voting(error.to_string());
+        }
+        let Some(finished) = self.writes.finish().filter(|_| self.fault.is_none()) else {
+            return;
+        };
+        self.send(finished.send);
+        self.core.step(self.clock.now(), finished.input, effects);
+        if finished.restore {
+            self.restore();
         }
-        work
     }
 
     fn send(&self, messages: Vec<(id::Instance, Message<M::Command>)>) {
@@ -321,41 +253,6 @@
         self.publish();
     }
 
-    fn persist(&mut self, work: &Work<M::Command>) -> Result<(), WriteError> {
-        if self.fault.is_some() {
-            return Ok(());
-        }
-        if work.bootstrapped {
-            self.store.mark_bootstrapped()?;
-        }
-        let snapshot = self.core.snapshot().filter(|_| work.install.is_some());
-        if let Some(snapshot) = snapshot {
-            let base = self.core.log().base();
-            let mut records = vec![
-                Record::Hard(self.core.hard()),
-                Record::Base {
-                    index: base.index,
-                    term: base.term,
-                },
-            ];
-            records.extend(entries(self.core.log(), base.index.next())?);
-            let file = File {
-                index: snapshot.position.index,
-                term: snapshot.position.term,
-                data: Arc::clone(&snapshot.data),
-            };
-            return self.store.compact(&file, &records);
-        }
-        let mut records = Vec::new();
-        if work.hard {
-            records.push(Record::Hard(self.core.hard()));
-        }
-        if let Some(from) = work.append {
-            records.extend(entries(self.core.log(), from)?);
-        }
-        self.store.append(&records)
-    }
-
     fn restore(&mut self) {
         let Some(snapshot) = self.core.snapshot() else {
             return;
@@ -376,8 +273,10 @@
     }
 
     fn apply(&mut self) {
-        let commit = self.core.commit();
-        if self.applied >= commit || self.fault.is_some() {
+        let commit = self.core.commit().min(self.core.durable_index());
+        // A log that begins later belongs to a snapshot that is not durable yet.
+        let is_behind = self.applied < self.core.log().base().index;
+        if self.applied >= commit || is_behind || self.fault.is_some() {
             return;
         }
         let shared = Arc::clone(&self.shared);
@@ -450,8 +349,7 @@
             log::error!(step = "snapshot"; "the snapshot is too large and was not taken");
         }
         self.bytes = 0;
-        let before = (self.core.hard().term, self.core.commit());
-        self.carry_out(effects, before);
+        self.carry_out(effects);
     }
 
     fn publish(&mut self) {
@@ -478,15 +376,3 @@
         status.damage.clone_from(&self.damage);
     }
 }
-
-fn entries<C: serde::Serialize>(log: &Log<C>, from: id::Index) -> Result<Vec<Record>, WriteError> {
-    let encode = |entry: &Entry<C>| {
-        let payload = postcard::to_stdvec(entry).map_err(|_| WriteError::TooLarge)?;
-        Ok(Record::Entry {
-            index: entry.position.index,
-            term: entry.position.term,
-            payload,
-        })
-    };
-    log.from(from).map(encode).collect()
-}
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/driver/writer.rs
@@ -0,0 +1,116 @@
+//! Thread that writes to the data folder.
+
+use std::{
+    io,
+    sync::Arc,
+    thread::{self, JoinHandle},
+};
+
+use buckthornmast_storage::{
+    files::Files,
+    record::{Record, Snapshot as File},
+    store::{Store, WriteError},
+};
+use buckthornmast_types::id;
+use serde::Serialize;
+
+use crate::{core::Core, log::Log, message::Entry, writes::Work};
+
+/// One write.
+pub(super) struct Job {
+    bootstrapped: bool,
+    snapshot: Option<File>,
+    records: Vec<Record>,
+}
+
+impl Job {
+    /// Encodes what a write has to make durable.
+    pub(super) fn new<C: Clone + Serialize>(
+        core: &Core<C>,
+        work: &Work,
+    ) -> Result<Self, WriteError> {
+        let mut records = Vec::new();
+        let snapshot = core.snapshot().filter(|_| work.install);
+        if work.hard || snapshot.is_some() {
+            records.push(Record::Hard(core.hard()));
+        }
+        if snapshot.is_some() {
+            let base = core.log().base();
+            records.push(Record::Base {
+                index: base.index,
+                term: base.term,
+            });
+            records.extend(entries(core.log(), base.index.next())?);
+        } else if let Some(from) = work.append {
+            records.extend(entries(core.log(), from)?);
+        }
+        Ok(Self {
+            bootstrapped: work.bootstrapped,
+            snapshot: snapshot.map(|snapshot| File {
+                index: snapshot.position.index,
+                term: snapshot.position.term,
+                data: Arc::clone(&snapshot.data),
+            }),
+            records,
+        })
+    }
+
+    fn run<F: Files>(&self, store: &mut Store<F>) -> Result<(), WriteError> {
+        if self.bootstrapped {
+            store.mark_bootstrapped()?;
+        }
+        match &self.snapshot {
+            Some(snapshot) => store.compact(snapshot, &self.records),
+            None => store.append(&self.records),
+        }
+    }
+}
+
+fn entries<C: serde::Serialize>(log: &Log<C>, from: id::Index) -> Result<Vec<Record>, WriteError> {
+    let encode = |entry: &Entry<C>| {
+        let payload = postcard::to_stdvec(entry).map_err(|_| WriteError::TooLarge)?;
+        Ok(Record::Entry {
+            index: entry.position.index,
+            term: entry.position.term,
+            payload,
+        })
+    };
+    log.from(from).map(encode).collect()
+}
+
+/// Handle of the thread.
+pub(super) struct Writer {
+    jobs: flume::Sender<Job>,
+    thread: JoinHandle<()>,
+}
+
+impl Writer {
+    /// Starts the thread. It calls `report` after each write and ends when that returns false.
+    pub(super) fn start<F: Files>(
+        mut store: Store<F>,
+        report: impl Fn(Result<(), WriteError>) -> bool + Send + 'static,
+    ) -> io::Result<Self> {
+        let (jobs, inbox) = flume::bounded::<Job>(1);
+        let thread = thread::Builder::new()
+            .name("consensus-write".to_owned())
+            .spawn(move || {
+                while let Ok(job) = inbox.recv() {
+                    if !report(job.run(&mut store)) {
+                        return;
+                    }
+                }
+            })?;
+        Ok(Self { jobs, thread })
+    }
+
+    /// Starts a write. At most one may be in flight, so this doesn't block.
+    pub(super) fn write(&self, job: Job) {
+        let _ = self.jobs.send(job);
+    }
+
+    /// Waits for the write in flight and joins the thread.
+    pub(super) fn stop(self) {
+        drop(self.jobs);
+        let _ = self.thread.join();
+    }
+}
--- a/crates/buckthornmast_consensus/src/lib.rs
+++ b/crates/buckthornmast_consensus/src/lib.rs
@@ -1,7 +1,7 @@
 //! Replicated log among a few voters.
 //!
 //! [`core::Core`] is the pure protocol: messages and time in, effects out. [`driver::start`] runs it on a
-//! thread with a data folder, a transport and a clock. The model checker in `tests/` calls the same
+//! thread with a transport and a clock, and writes to a data folder on another one. The model checker in `tests/` calls the same
 //! functions as the driver.
 
 pub mod core;
@@ -12,6 +12,7 @@
 pub mod snapshot;
 pub mod status;
 pub mod voters;
+pub mod writes;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/writes.rs
@@ -0,0 +1,154 @@
+//! Order of writes, and of the messages that wait for them.
+//!
+//! One write is in flight at a time. What arrives meanwhile is written together afterwards. The protocol goes
+//! on during a write: [`Core`] counts and acknowledges only entries that [`Input::Synced`] has reported, and
+//! all other messages that promise something wait here for the write that covers them.
+
+use buckthornmast_storage::record::Hard;
+use buckthornmast_types::id;
+
+use crate::{
+    core::{Core, Effect, Input},
+    message::{Body, Message, Position},
+};
+
+/// What a write has to make durable.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Work {
+    /// Whether the hard state has changed.
+    pub hard: bool,
+    /// First entry that has changed.
+    pub append: Option<id::Index>,
+    /// Whether the snapshot has changed; the whole log is then written again.
+    pub install: bool,
+    /// Whether the machine has to be restored from the snapshot afterwards.
+    pub restore: bool,
+    /// Whether the mark that forbids a bootstrap is new.
+    pub bootstrapped: bool,
+}
+
+impl Work {
+    fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+
+    fn add<C>(&mut self, effect: &Effect<C>) {
+        match effect {
+            Effect::Hard(_) => self.hard = true,
+            Effect::Append(from) => {
+                self.append = Some(self.append.map_or(*from, |first| first.min(*from)));
+            }
+            Effect::Install { restore } => {
+                self.install = true;
+                self.restore |= restore;
+            }
+            Effect::Bootstrapped => self.bootstrapped = true,
+            _ => {}
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Flight {
+    last: Position,
+    hard: Hard,
+    restore: bool,
+}
+
+type Mail<C> = Vec<(id::Instance, Message<C>)>;
+
+/// A finished write.
+#[derive(Debug)]
+pub struct Finished<C> {
+    /// Input that reports it to the core.
+    pub input: Input<C>,
+    /// Messages that waited for it.
+    pub send: Mail<C>,
+    /// Whether the machine has to be restored from the snapshot.
+    pub restore: bool,
+}
+
+/// Write in flight, the next one, and what waits for them.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Writes<C> {
+    flight: Option<Flight>,
+    next: Work,
+    // Messages that wait for the write in flight and for the next one.
+    held: Mail<C>,
+    held_next: Mail<C>,
+}
+
+impl<C> Default for Writes<C> {
+    fn default() -> Self {
+        Self {
+            flight: None,
+            next: Work::default(),
+            held: Vec::new(),
+            held_next: Vec::new(),
+        }
+    }
+}
+
+/// Returns whether a message promises nothing but that its term is durable.
+fn is_free<C>(message: &Message<C>, durable: id::Term) -> bool {
+    let free = match message.body {
+        // The core acknowledges entries and snapshots only up to the durable index.
+        Body::Append { .. } | Body::Appended { .. } => true,
+        Body::Chunk { .. } | Body::Received { .. } => true,
+        Body::Vote { .. } | Body::Voted { .. } | Body::Probe | Body::Probed { .. } => false,
+    };
+    free && message.term <= durable
+}
+
+impl<C: Clone> Writes<C> {
+    /// Notes the effects of steps of the core and returns the messages that may leave at once.
+    pub fn take(&mut self, core: &Core<C>, effects: Vec<Effect<C>>) -> Mail<C> {
+        effects.iter().for_each(|effect| self.next.add(effect));
+        let mut send = Vec::new();
+        for effect in effects {
+            let Effect::Send { to, message } = effect else {
+                continue;
+            };
+            let free = is_free(&message, core.synced().term);
+            let queue = if !free && !self.next.is_empty() {
+                &mut self.held_next
+            } else if !free && self.flight.is_some() {
+                &mut self.held
+            } else {
+                &mut send
+            };
+            queue.push((to, message));
+        }
+        send
+    }
+
+    /// Starts the next write; `None` if one is in flight or there is nothing to write.
+    pub fn start(&mut self, core: &Core<C>) -> Option<Work> {
+        if self.flight.is_some() || self.next.is_empty() {
+            return None;
+        }
+        let work = std::mem::take(&mut self.next);
+        self.held = std::mem::take(&mut self.held_next);
+        self.flight = Some(Flight {
+            last: core.log().last(),
+            hard: core.hard(),
+            restore: work.restore,
+        });
+        Some(work)
+    }
+
+    /// Ends the write in flight, which has succeeded.
+    pub fn finish(&mut self) -> Option<Finished<C>> {
+        let Flight {
+            last,
+            hard,
+            restore,
+        } = self.flight.take()?;
+        Some(Finished {
+            input: Input::Synced { last, hard },
+            send: std::mem::take(&mut self.held),
+            // A newer snapshot is restored after its own write.
+            restore: restore && !self.next.restore,
+        })
+    }
+}
--- a/crates/buckthornmast_consensus/tests/driver.rs
+++ b/crates/buckthornmast_consensus/tests/driver.rs
@@ -3,11 +3,11 @@
 #[path = "support/network.rs"]
 mod network;
 
-use std::{sync::Arc, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 
 use buckthornmast_consensus::prelude::*;
 use buckthornmast_storage::prelude::*;
-use buckthornmast_types::id;
+use buckthornmast_types::{id, time::Point};
 
 use crate::network::{Network, Record, leader, names, wait_for};
 
@@ -181,3 +181,103 @@
     let answer = cluster.handles[cut].propose(3, TIMEOUT);
     assert!(matches!(answer, Err(ProposeError::NotLeader { .. })));
 }
+
+impl Cluster {
+    /// Waits until the lease of the leader has moved on by twice the longest election timeout; the leader must
+    /// not change meanwhile.
+    fn outlast_elections(&self, node: usize) {
+        let status = || self.handles[node].status();
+        let term = status().term;
+        let mut start: Option<Point> = None;
+        wait_for("two election timeouts under one leader", || {
+            let now = status();
+            assert_eq!((now.role, now.term), (Role::Leader, term));
+            let until = now.leader_lease?;
+            let start = *start.get_or_insert(until);
+            (until >= start + Timing::default().election_max * 2).then_some(())
+        });
+    }
+
+    fn has_applied(&self, node: usize, command: u64) -> bool {
+        self.handles[node].read(|machine| machine.0.contains(&command))
+    }
+
+    /// Proposes while syncs of these replicas are blocked; returns the answer after they were let through.
+    fn propose_blocked(&self, node: usize, blocked: &[usize], command: u64) {
+        let proposer = {
+            let handle = Arc::clone(&self.handles[node]);
+            thread::spawn(move || handle.propose(command, Duration::from_secs(120)))
+        };
+        for node in blocked {
+            wait_for("blocked sync", || {
+                (self.disks[*node].blocked_syncs() > 0).then_some(())
+            });
+        }
+        self.outlast_elections(node);
+        assert!(!self.has_applied(node, command), "answered before the sync");
+        assert!(!proposer.is_finished(), "answered before the sync");
+        for node in blocked {
+            self.disks[*node].block_syncs(None);
+        }
+        let answer = proposer.join();
+        assert!(matches!(answer, Ok(Ok(_))), "{answer:?}");
+    }
+}
+
+/// Guards against a leader that falls silent during its own sync, or answers before it.
+#[test]
+fn block_sync_of_leader() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    cluster.disks[node].block_syncs(Some(""));
+    cluster.propose_blocked(node, &[node], 2);
+}
+
+/// Guards against followers that don't hear the leader during their own syncs, and against a leader that
+/// counts what they have not synced.
+#[test]
+fn block_syncs_of_followers() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    let followers = [(node + 1) % 3, (node + 2) % 3];
+    for follower in followers {
+        cluster.disks[follower].block_syncs(Some(""));
+    }
+    cluster.propose_blocked(node, &followers, 2);
+}
+
+/// Guards against a snapshot that holds up heartbeats.
+#[test]
+fn block_snapshot_of_leader() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    cluster.disks[node].block_syncs(Some("snapshot"));
+    (2..SNAPSHOT_ENTRIES).for_each(|command| cluster.propose(command));
+    // The group's first entries count as well, so the snapshot may already be due.
+    cluster.propose_blocked(node, &[node], 1000);
+}
+
+/// Guards against a blocked sync that fails in the end and is taken for a success.
+#[test]
+fn fail_blocked_sync() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    let disk = &cluster.disks[node];
+    disk.block_syncs(Some(""));
+    let proposer = {
+        let handle = Arc::clone(&cluster.handles[node]);
+        thread::spawn(move || handle.propose(2, Duration::from_secs(120)))
+    };
+    wait_for("blocked sync", || (disk.blocked_syncs() > 0).then_some(()));
+    disk.fail_sync(true);
+    disk.block_syncs(None);
+    assert_eq!(proposer.join().unwrap(), Err(ProposeError::Unknown));
+    wait_for("stop", || {
+        (cluster.handles[node].status().role == Role::Stopped).then_some(())
+    });
+    assert!(!cluster.has_applied(node, 2));
+}
--- a/crates/buckthornmast_consensus/tests/model.rs
+++ b/crates/buckthornmast_consensus/tests/model.rs
@@ -331,3 +331,63 @@
         led().with(budget, Mutation::AnswerEarly),
     );
 }
+
+/// Guards against a promise or a count before the sync that covers it, when the protocol goes on meanwhile.
+#[test]
+fn slow_syncs_bounded() {
+    let budget = Budget {
+        timeouts: 1,
+        claims: 1,
+        restarts: 1,
+        ..NOTHING
+    };
+    for slow in [&[1][..], &[2], &[0, 1, 2]] {
+        let world = led().slow(slow).with(budget, Mutation::None);
+        check("slow syncs", world);
+    }
+    let budget = Budget {
+        timeouts: 2,
+        restarts: 1,
+        ..NOTHING
+    };
+    let world = founded().slow(&[0, 1, 2]).with(budget, Mutation::None);
+    check("slow syncs of votes", world);
+}
+
+/// Guards against a check of slow syncs that finds no early acknowledgement.
+#[test]
+fn ack_early_caught() {
+    let budget = Budget {
+        timeouts: 1,
+        claims: 1,
+        restarts: 1,
+        ..NOTHING
+    };
+    let world = led().slow(&[2]).with(budget, Mutation::AckEarly);
+    catch("acknowledge early", PREFIX, world);
+}
+
+/// Guards against a check of slow syncs that finds no early vote.
+#[test]
+fn vote_early_caught() {
+    let budget = Budget {
+        timeouts: 2,
+        restarts: 1,
+        ..NOTHING
+    };
+    let world = founded().slow(&[2]).with(budget, Mutation::AckEarly);
+    catch("vote early", TWO_LEADERS, world);
+}
+
+/// Guards against a check of slow syncs that finds no leader that counts itself early.
+#[test]
+fn count_early_caught() {
+    let budget = Budget {
+        timeouts: 1,
+        claims: 1,
+        restarts: 1,
+        ..NOTHING
+    };
+    let world = led().slow(&[1]).with(budget, Mutation::CountEarly);
+    catch("count early", PREFIX, world);
+}
--- a/crates/buckthornmast_consensus/tests/schedules.rs
+++ b/crates/buckthornmast_consensus/tests/schedules.rs
@@ -16,19 +16,19 @@
 /// - 3, 244 and 5, 369: a follower rejected appends for good, with a hint before what was known to match.
 const FAILED: [(usize, u64); 3] = [(3, 11), (3, 244), (5, 369)];
 
-fn run(replicas: usize, seed: u64) -> u32 {
-    let mut sim = Sim::new(replicas, seed);
+fn run(replicas: usize, seed: u64, is_slow: bool) -> u32 {
+    let mut sim = Sim::new(replicas, seed, is_slow);
     sim.run();
     sim.replaced
 }
 
-fn run_all(replicas: usize) {
+fn run_all(replicas: usize, is_slow: bool) {
     let wanted = std::env::var("SCHEDULES").ok();
     let count = wanted.and_then(|text| text.parse().ok()).unwrap_or(COUNT);
     let mut replaced = 0;
     for seed in 0..count {
-        println!("replicas {replicas} seed {seed}");
-        replaced += run(replicas, seed);
+        println!("replicas {replicas} seed {seed} slow {is_slow}");
+        replaced += run(replicas, seed, is_slow);
     }
     println!("{count} schedules of {replicas} replicas, {replaced} disks lost");
 }
@@ -36,19 +36,33 @@
 /// Guards against rare interleavings among three replicas.
 #[test]
 fn schedule_three() {
-    run_all(3);
+    run_all(3, false);
+}
+
+/// Guards against promises before their sync, and against syncs longer than an election timeout that stop
+/// the group.
+#[test]
+fn schedule_three_slow() {
+    run_all(3, true);
+}
+
+/// The same with five replicas.
+#[test]
+fn schedule_five_slow() {
+    run_all(5, true);
 }
 
 /// Guards against rare interleavings among five replicas.
 #[test]
 fn schedule_five() {
-    run_all(5);
+    run_all(5, false);
 }
 
 /// Guards against the return of faults that a seed has found.
 #[test]
 fn schedule_failed_before() {
     for (replicas, seed) in FAILED {
-        run(replicas, seed);
+        run(replicas, seed, false);
+        run(replicas, seed, true);
     }
 }
--- a/crates/buckthornmast_consensus/tests/support/ghost.rs
+++ b/crates/buckthornmast_consensus/tests/support/ghost.rs
@@ -32,12 +32,11 @@
         before: id::Index,
         effects: &[Effect<u8>],
     ) -> Result<(), &'static str> {
-        for effect in effects {
-            match effect {
-                Effect::Hard(hard) => self.remember(core.me().disk, *hard)?,
-                Effect::Fault(_) => return Err(PREFIX),
-                _ => {}
-            }
+        if effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Fault(_)))
+        {
+            return Err(PREFIX);
         }
         let hard = core.hard();
         if core.role() == Role::Leader {
@@ -62,7 +61,8 @@
         Ok(())
     }
 
-    fn remember(&mut self, disk: id::Disk, hard: Hard) -> Result<(), &'static str> {
+    /// Notes a hard state that has become durable; one that was lost before may be replaced.
+    pub(crate) fn remember(&mut self, disk: id::Disk, hard: Hard) -> Result<(), &'static str> {
         let known = self.hard.entry(disk).or_insert(hard);
         let second_vote =
             hard.term == known.term && known.vote.is_some() && hard.vote != known.vote;
--- a/crates/buckthornmast_consensus/tests/support/sim.rs
+++ b/crates/buckthornmast_consensus/tests/support/sim.rs
@@ -1,7 +1,7 @@
 //! Group of replicas in virtual time with a random network, crashes and lost disks.
 //!
-//! Each replica has its own clock, which runs up to 1 % fast or slow. Persisting is part of a step, as the
-//! driver sends nothing before it.
+//! Each replica has its own clock, which runs up to 1 % fast or slow. Syncs end at once or, in a slow
+//! group, after a random time in which the replica goes on; a crash then loses the write or not.
 
 use std::{
     cmp::Reverse,
@@ -14,6 +14,7 @@
     message::{Member, Message, Payload},
     snapshot::Content,
     status::Role,
+    writes::Writes,
 };
 use buckthornmast_storage::record::Hard;
 use buckthornmast_types::{id, time::Point};
@@ -26,6 +27,9 @@
 
 struct Node {
     core: Core<u32>,
+    writes: Writes<u32>,
+    disk: Durable<u32>,
+    flight: Option<(u64, Durable<u32>)>,
     down_until: u64,
     rate: u64,
     applied: Vec<u32>,
@@ -35,6 +39,8 @@
 pub(crate) struct Sim {
     now: u64,
     random: SmallRng,
+    // Times of syncs, if they take any; of its own, so that they don't change the other choices.
+    slow: Option<SmallRng>,
     nodes: Vec<Node>,
     names: Vec<id::Instance>,
     mail: BinaryHeap<Reverse<(u64, u64, usize, usize)>>,
@@ -60,13 +66,14 @@
 }
 
 impl Sim {
-    pub(crate) fn new(count: usize, seed: u64) -> Self {
+    pub(crate) fn new(count: usize, seed: u64, is_slow: bool) -> Self {
         let names: Vec<id::Instance> = (0..count)
             .map(|node| format!("n{node}").parse().unwrap())
             .collect();
         let mut sim = Self {
             now: 1_000_000,
             random: SmallRng::seed_from_u64(seed),
+            slow: is_slow.then(|| SmallRng::seed_from_u64(seed)),
             nodes: Vec::new(),
             names,
             mail: BinaryHeap::new(),
@@ -86,6 +93,9 @@
             let core = sim.boot(node, rate, None, Durable::default());
             sim.nodes.push(Node {
                 core,
+                writes: Writes::default(),
+                disk: Durable::default(),
+                flight: None,
                 down_until: 0,
                 rate,
                 applied: Vec::new(),
@@ -164,6 +174,10 @@
         self.now += STEP;
         for node in 0..self.nodes.len() {
             self.revive(node);
+            let due = self.nodes[node].flight.as_ref().map(|flight| flight.0);
+            if self.is_up(node) && due.is_some_and(|due| due <= self.now) {
+                self.sync(node);
+            }
             if self.is_up(node) {
                 self.step(node, Input::Tick);
             }
@@ -200,15 +214,24 @@
         if until == 0 || (until > self.now && self.now < FAULTS) {
             return;
         }
-        let durable = self.nodes[node].core.durable();
+        let flight = self.nodes[node].flight.take();
+        let completed = |random: &mut SmallRng| random.random_bool(0.5);
+        if let Some((_, content)) = flight.filter(|_| self.slow.as_mut().is_some_and(completed)) {
+            self.check_hard(node, content.hard);
+            self.nodes[node].disk = content;
+        }
+        let durable = self.nodes[node].disk.clone();
         let disk = self.nodes[node].core.me().disk;
         self.replace_core(node, Some(disk), durable);
     }
 
     fn replace_core(&mut self, node: usize, disk: Option<id::Disk>, durable: Durable<u32>) {
-        let core = self.boot(node, self.nodes[node].rate, disk, durable);
+        let core = self.boot(node, self.nodes[node].rate, disk, durable.clone());
         let node = &mut self.nodes[node];
         node.core = core;
+        node.writes = Writes::default();
+        node.disk = durable;
+        node.flight = None;
         node.down_until = 0;
         node.applied.clear();
         node.upto = id::Index(0);
@@ -274,17 +297,14 @@
         let mut effects = Vec::new();
         self.nodes[node].core.step(now, input, &mut effects);
         for effect in &effects {
-            match effect {
-                Effect::Hard(hard) => self.check_hard(node, *hard),
-                Effect::Fault(reason) => panic!("n{node}: {reason}"),
-                Effect::Install { restore: true } => load(&mut self.nodes[node]),
-                Effect::Send { to, message } => {
-                    let to = self.names.iter().position(|name| name == to).unwrap();
-                    self.post(node, to, message);
-                }
-                _ => {}
+            if let Effect::Fault(reason) = effect {
+                panic!("n{node}: {reason}");
             }
         }
+        let at = &mut self.nodes[node];
+        let send = at.writes.take(&at.core, effects.clone());
+        self.post_all(node, send);
+        self.write(node);
         let core = &self.nodes[node].core;
         if core.role() == Role::Leader {
             let first = self.leaders.entry(core.hard().term);
@@ -295,6 +315,51 @@
         effects
     }
 
+    /// Starts the next write, unless one is in flight.
+    fn write(&mut self, node: usize) {
+        let at = &mut self.nodes[node];
+        if at.writes.start(&at.core).is_none() {
+            return;
+        }
+        let content = at.core.durable();
+        // The quiet time has no long syncs, since its end has to show progress.
+        let is_quiet = self.now >= FAULTS;
+        let draw = |random: &mut SmallRng| match random.random_range(0..100) {
+            _ if is_quiet => random.random_range(0..5_000),
+            0..2 => random.random_range(100_000..1_500_000),
+            2..20 => random.random_range(5_000..100_000),
+            _ => random.random_range(0..5_000),
+        };
+        let time = self.slow.as_mut().map_or(0, draw);
+        self.nodes[node].flight = Some((self.now + time, content));
+        if self.slow.is_none() {
+            self.sync(node);
+        }
+    }
+
+    /// Ends the write in flight.
+    fn sync(&mut self, node: usize) {
+        let Some((_, content)) = self.nodes[node].flight.take() else {
+            return;
+        };
+        self.check_hard(node, content.hard);
+        self.nodes[node].disk = content;
+        if let Some(finished) = self.nodes[node].writes.finish() {
+            self.post_all(node, finished.send);
+            if finished.restore {
+                load(&mut self.nodes[node]);
+            }
+            self.step(node, finished.input);
+        }
+    }
+
+    fn post_all(&mut self, from: usize, mail: Vec<(id::Instance, Message<u32>)>) {
+        for (to, message) in mail {
+            let to = self.names.iter().position(|name| *name == to).unwrap();
+            self.post(from, to, &message);
+        }
+    }
+
     fn post(&mut self, from: usize, to: usize, message: &Message<u32>) {
         let copies = match self.random.random_range(0..100) {
             0..5 => 0,
@@ -321,10 +386,15 @@
             upto,
             ..
         } = &mut self.nodes[node];
+        // As in the driver: only what is durable, and not past a snapshot that isn't.
+        if *upto < core.log().base().index {
+            return;
+        }
+        let limit = core.commit().min(core.durable_index());
         let mut answered = Vec::new();
         for entry in core.log().from(upto.next()) {
             let position = entry.position;
-            if position.index > core.commit() {
+            if position.index > limit {
                 break;
             }
             *upto = position.index;
--- a/crates/buckthornmast_consensus/tests/support/spec.rs
+++ b/crates/buckthornmast_consensus/tests/support/spec.rs
@@ -17,6 +17,7 @@
     core::{Core, Durable, Effect, Input, Timing},
     message::{Body, Member, Message},
     status::Role,
+    writes::Writes,
 };
 use buckthornmast_types::{id, time::Point};
 
@@ -36,6 +37,10 @@
     KeepIdentity,
     /// A claim is answered when it is appended.
     AnswerEarly,
+    /// Entries and votes are acknowledged when their write starts.
+    AckEarly,
+    /// A leader counts its own entries when their write starts.
+    CountEarly,
 }
 
 /// What may still happen.
@@ -58,14 +63,26 @@
     Lose(usize),
     Deliver(usize),
     Repeat(usize),
+    Sync(usize),
 }
 
 type Mail = (usize, usize, Message<u8>);
 
+/// Disk of a replica with the content of the write in flight.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Disk {
+    writes: Writes<u8>,
+    content: Durable<u8>,
+    flight: Option<Durable<u8>>,
+}
+
 /// State of the whole group.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct World {
     nodes: Vec<Rc<Core<u8>>>,
+    stores: Vec<Rc<Disk>>,
+    // Replicas whose syncs are actions of their own; the others sync at once.
+    slow: Vec<usize>,
     network: Vec<Rc<Mail>>,
     ghost: Rc<Ghost>,
     budget: Budget,
@@ -112,6 +129,8 @@
         let mut world = Self {
             mutation,
             nodes: Vec::new(),
+            stores: vec![Rc::default(); count],
+            slow: Vec::new(),
             network: Vec::new(),
             ghost: Rc::default(),
             budget,
@@ -159,6 +178,12 @@
         self
     }
 
+    /// Lets syncs of these replicas take any time.
+    pub(crate) fn slow(mut self, nodes: &[usize]) -> Self {
+        self.slow = nodes.to_vec();
+        self
+    }
+
     /// Ignores all invariants but one.
     pub(crate) fn watch(mut self, invariant: &'static str) -> Self {
         self.watched = Some(invariant);
@@ -216,6 +241,7 @@
             offer(claims, leads, Action::Claim);
             offer(restarts, true, Action::Restart);
             offer(losses, true, Action::Lose);
+            offer(1, self.stores[node].flight.is_some(), Action::Sync);
         }
         for mail in 0..self.network.len() {
             actions.push(Action::Deliver(mail));
@@ -258,6 +284,7 @@
                 let mail = world.network.remove(mail);
                 world.receive(&mail);
             }
+            Action::Sync(node) => world.sync(node),
             Action::Repeat(mail) => {
                 budget.repeats = budget.repeats.saturating_sub(1);
                 let mail = Rc::clone(&world.network[mail]);
@@ -290,13 +317,17 @@
 
     fn restart(&mut self, node: usize) {
         let old = &self.nodes[node];
-        let mut durable = old.durable();
+        let mut durable = self.stores[node].content.clone();
         match self.mutation {
             Mutation::ForgetVote => durable.hard.vote = None,
             Mutation::LoseTail => durable.log.truncate(durable.log.last().index),
             _ => {}
         }
         let Member { instance, disk } = old.me().clone();
+        self.stores[node] = Rc::new(Disk {
+            content: durable.clone(),
+            ..Disk::default()
+        });
         self.nodes[node] = self.start(instance, disk, durable, self.nodes.len());
     }
 
@@ -311,6 +342,7 @@
             self.disks += 1;
             disk(self.disks)
         };
+        self.stores[node] = Rc::default();
         self.nodes[node] = self.start(instance, new, Durable::default(), self.nodes.len());
     }
 
@@ -350,15 +382,59 @@
                 result = result.and(answered);
             }
         }
+        self.note(result);
+        let store = Rc::make_mut(&mut self.stores[node]);
+        let send = store.writes.take(&core, effects);
+        if store.writes.start(&core).is_some() {
+            store.flight = Some(core.durable());
+        }
+        let role = core.role();
+        self.nodes[node] = Rc::new(core);
+        self.post_all(node, send);
+        let early = match self.mutation {
+            Mutation::AckEarly => role != Role::Leader,
+            Mutation::CountEarly => role == Role::Leader,
+            _ => false,
+        };
+        if !self.slow.contains(&node) {
+            self.sync(node);
+        } else if early {
+            self.finish(node);
+        }
+    }
+
+    /// Ends the write in flight.
+    fn sync(&mut self, node: usize) {
+        let store = Rc::make_mut(&mut self.stores[node]);
+        let Some(content) = store.flight.take() else {
+            return;
+        };
+        let disk = self.nodes[node].me().disk;
+        let forgot = Rc::make_mut(&mut self.ghost).remember(disk, content.hard);
+        store.content = content;
+        self.note(forgot);
+        self.finish(node);
+    }
+
+    /// Reports the end of the write in flight.
+    fn finish(&mut self, node: usize) {
+        let store = Rc::make_mut(&mut self.stores[node]);
+        if let Some(finished) = store.writes.finish() {
+            self.post_all(node, finished.send);
+            self.step(node, EARLY, finished.input);
+        }
+    }
+
+    fn note(&mut self, result: Result<(), &'static str>) {
         let found = result.err();
         let found = found.filter(|found| self.watched.is_none_or(|watched| watched == *found));
         self.broken = self.broken.or(found);
-        self.nodes[node] = Rc::new(core);
-        for effect in effects {
-            if let Effect::Send { to, message } = effect {
-                let to = self.index_of(&to);
-                self.post(node, to, message);
-            }
+    }
+
+    fn post_all(&mut self, from: usize, mail: Vec<(id::Instance, Message<u8>)>) {
+        for (to, message) in mail {
+            let to = self.index_of(&to);
+            self.post(from, to, message);
         }
     }
 
--- /dev/null
+++ b/crates/buckthornmast_storage/examples/disk_load.rs
@@ -0,0 +1,67 @@
+//! Loads a disk for a bounded time: writes blocks and syncs after each, and reports how long syncs took.
+//!
+//! Arguments: folder, seconds (at most 120), writers (at most 8).
+
+use std::{
+    fs::OpenOptions,
+    io::{self, Seek, SeekFrom, Write},
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
+
+const BLOCK: usize = 8 << 20;
+/// The file is written over again, so that the load doesn't fill the disk.
+const BLOCKS: u64 = 16;
+
+fn write(path: &Path, until: Instant) -> io::Result<Vec<Duration>> {
+    let mut options = OpenOptions::new();
+    let mut file = options.create(true).write(true).truncate(true).open(path)?;
+    let block = vec![0x5a; BLOCK];
+    let mut times = Vec::new();
+    let mut round = 0;
+    while Instant::now() < until {
+        file.seek(SeekFrom::Start(round % BLOCKS * BLOCK as u64))?;
+        file.write_all(&block)?;
+        let start = Instant::now();
+        file.sync_data()?;
+        times.push(start.elapsed());
+        round += 1;
+    }
+    std::fs::remove_file(path)?;
+    Ok(times)
+}
+
+fn main() -> io::Result<()> {
+    let mut arguments = std::env::args().skip(1);
+    let folder = arguments.next().unwrap_or_else(|| "target".to_owned());
+    let mut number = |default: u64, most: u64| {
+        let given = arguments.next().and_then(|text| text.parse().ok());
+        given.unwrap_or(default).min(most)
+    };
+    let until = Instant::now() + Duration::from_secs(number(30, 120));
+    let writers = number(2, 8);
+    let threads: Vec<_> = (0..writers)
+        .map(|n| {
+            let path = Path::new(&folder).join(format!("load-{n}"));
+            thread::spawn(move || write(&path, until))
+        })
+        .collect();
+    let mut times = Vec::new();
+    for thread in threads {
+        let written = thread.join().map_err(|_| io::Error::other("panic"))??;
+        times.extend(written);
+    }
+    times.sort();
+    let Some(last) = times.len().checked_sub(1) else {
+        return Ok(());
+    };
+    println!(
+        "{} syncs of 8 MiB, p50 {:.1?}, p99 {:.1?}, max {:.1?}",
+        times.len(),
+        times[last / 2],
+        times[last * 99 / 100],
+        times[last]
+    );
+    Ok(())
+}
--- a/crates/buckthornmast_storage/src/memory.rs
+++ b/crates/buckthornmast_storage/src/memory.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeMap,
     io,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
 };
 
 use crate::files::Files;
@@ -24,12 +24,15 @@
     room: Option<usize>,
     steps: Option<usize>,
     syncs: u64,
+    gate: Option<String>,
+    blocked: usize,
 }
 
 /// Folder in memory; clones share the content.
 #[derive(Debug, Default, Clone)]
 pub struct Memory {
     state: Arc<Mutex<State>>,
+    opened: Arc<Condvar>,
 }
 
 impl Memory {
@@ -37,6 +40,34 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Makes syncs of files whose names start with this block until the next call; `None` lets all through.
+    pub fn block_syncs(&self, prefix: Option<&str>) {
+        self.state().gate = prefix.map(str::to_owned);
+        self.opened.notify_all();
+    }
+
+    /// Returns how many syncs are blocked.
+    pub fn blocked_syncs(&self) -> usize {
+        self.state().blocked
+    }
+
+    fn pass_gate(&self, name: &str) -> MutexGuard<'_, State> {
+        let mut state = self.state();
+        let is_closed = |state: &mut State| {
+            let gate = state.gate.as_deref();
+            gate.is_some_and(|prefix| name.starts_with(prefix))
+        };
+        if is_closed(&mut state) {
+            state.blocked += 1;
+            state = self
+                .opened
+                .wait_while(state, is_closed)
+                .unwrap_or_else(PoisonError::into_inner);
+            state.blocked -= 1;
+        }
+        state
+    }
+
     /// Makes every sync fail from now on, or succeed again.
     pub fn fail_sync(&self, fail: bool) {
         self.state().fail_sync = fail;
@@ -159,7 +190,7 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        let mut state = self.state();
+        let mut state = self.pass_gate(name);
         state.step()?;
         if state.fail_sync {
             return Err(io::Error::other("injected sync failure"));
