Let a leader resign when its disk hangs

Cause: a leader now sends heartbeats while it writes, so one whose disk hangs would stay leader and answer nothing. A writer thread that ends by a panic would go unnoticed.

Change: a leader resigns after 5 s of one write, by default, and a replica whose writer thread has ended stops voting.

Conclusion: a disk that hangs costs the group one election instead of its service.

--- a/crates/buckthornmast_consensus/src/core.rs
+++ b/crates/buckthornmast_consensus/src/core.rs
@@ -129,6 +129,8 @@
         /// Hard state.
         hard: Hard,
     },
+    /// The replica can't do the work of a leader; another one has to be elected.
+    Resign,
     /// A write failed: nothing may be promised any more.
     Fault,
 }
@@ -179,7 +181,7 @@
     Stopped,
 }
 
-/// Entries of the term's leader that wait for a sync to be acknowledged.
+/// Entries or a snapshot of the term's leader that wait for a sync to be acknowledged.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Unsynced {
     pub(crate) leader: id::Instance,
@@ -290,6 +292,8 @@
             Input::Propose { wall, commands } => self.propose(now, LogTime(wall), commands, out),
             _ if self.state == State::Stopped => {}
             Input::Tick => self.tick(now, out),
+            Input::Resign if matches!(self.state, State::Leader(_)) => self.follow(None, now),
+            Input::Resign => {}
             Input::Receive { from, message } => self.receive(now, &from, message, out),
             Input::Synced { last, hard } => self.note_synced(last, hard, out),
             Input::Compact {
--- a/crates/buckthornmast_consensus/src/core/install.rs
+++ b/crates/buckthornmast_consensus/src/core/install.rs
@@ -87,8 +87,11 @@
         } else {
             self.collect((position, total, offset), data, out)
         };
-        // An installed snapshot counts from the next heartbeat after its sync.
-        let done = index <= self.commit && index <= self.durable;
+        let has = index <= self.commit;
+        let done = has && index <= self.durable;
+        if has && !done {
+            self.await_sync(from, sent, index);
+        }
         let body = Body::Received {
             sent,
             index,
--- a/crates/buckthornmast_consensus/src/core/sync.rs
+++ b/crates/buckthornmast_consensus/src/core/sync.rs
@@ -50,19 +50,24 @@
             self.send_accepted(from, sent, matched, out);
         }
         if matched > self.durable {
-            let term = self.hard.term;
-            let before = self.unsynced.take().filter(|before| before.term == term);
-            let (sent_before, matched_before) =
-                before.map_or((sent, matched), |before| (before.sent, before.matched));
-            self.unsynced = Some(Unsynced {
-                leader: from.clone(),
-                term,
-                sent: sent.max(sent_before),
-                matched: matched.max(matched_before),
-            });
+            self.await_sync(from, sent, matched);
         }
     }
 
+    /// Notes that the leader is to be told of a durable index later.
+    pub(crate) fn await_sync(&mut self, from: &id::Instance, sent: Point, matched: id::Index) {
+        let term = self.hard.term;
+        let before = self.unsynced.take().filter(|before| before.term == term);
+        let (sent_before, matched_before) =
+            before.map_or((sent, matched), |before| (before.sent, before.matched));
+        self.unsynced = Some(Unsynced {
+            leader: from.clone(),
+            term,
+            sent: sent.max(sent_before),
+            matched: matched.max(matched_before),
+        });
+    }
+
     fn send_accepted(
         &self,
         to: &id::Instance,
--- a/crates/buckthornmast_consensus/src/driver.rs
+++ b/crates/buckthornmast_consensus/src/driver.rs
@@ -48,6 +48,9 @@
 /// Command bytes applied since the last snapshot after which the next one is taken.
 pub const SNAPSHOT_BYTES: u64 = 16 << 20;
 
+/// Time of a write after which a leader resigns. Syncs of up to 1.5 s were seen on a busy disk.
+pub const MAX_LEADER_WRITE: Duration = Duration::from_secs(5);
+
 /// Settings of a replica.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -59,6 +62,9 @@
     pub timing: Timing,
     /// Entries between snapshots, by default [`SNAPSHOT_ENTRIES`].
     pub snapshot_entries: u64,
+    /// Time of a write after which a leader resigns, by default [`MAX_LEADER_WRITE`]. It sends heartbeats
+    /// meanwhile but answers nothing, so a disk that hangs would otherwise stop the group.
+    pub max_leader_write: Duration,
     /// Seed of the election timeouts; must differ between instances.
     pub seed: u64,
 }
@@ -73,6 +79,7 @@
             voters,
             timing: Timing::default(),
             snapshot_entries: SNAPSHOT_ENTRIES,
+            max_leader_write: MAX_LEADER_WRITE,
         }
     }
 }
--- a/crates/buckthornmast_consensus/src/driver/replica.rs
+++ b/crates/buckthornmast_consensus/src/driver/replica.rs
@@ -10,7 +10,7 @@
 use buckthornmast_storage::{files::Files, store::WriteError};
 use buckthornmast_types::{
     id,
-    time::{Clock, unix_millis},
+    time::{Clock, Point, unix_millis},
 };
 use snafu::ResultExt;
 
@@ -45,6 +45,9 @@
     applied: id::Index,
     bytes: u64,
     snapshot_entries: u64,
+    max_leader_write: Duration,
+    // When the write in flight was started.
+    started: Option<Point>,
     waiting: BTreeMap<id::Index, (id::Term, Reply<M>)>,
     damage: Option<String>,
     fault: Option<String>,
@@ -89,6 +92,8 @@
             clock,
             bytes: 0,
             snapshot_entries: config.snapshot_entries.max(1),
+            max_leader_write: config.max_leader_write,
+            started: None,
             waiting: BTreeMap::new(),
             damage,
             fault: None,
@@ -144,6 +149,7 @@
         if self.core.role() == Role::Leader || is_drained() {
             self.core.step(now, Input::Tick, &mut effects);
         }
+        self.watch_writer(now, &mut effects);
         self.carry_out(effects);
         if self.wants_snapshot() {
             self.save_snapshot();
@@ -220,11 +226,24 @@
         };
         let job = Job::new(&self.core, &work)?;
         self.writer.write(job);
+        self.started = Some(self.clock.now());
         Ok(())
     }
 
+    fn watch_writer(&mut self, now: Point, effects: &mut Vec<Effect<M::Command>>) {
+        if self.fault.is_none() && self.writer.is_finished() {
+            self.stop_voting("the writer thread has ended".to_owned());
+        }
+        let is_late = |started| now >= started + self.max_leader_write;
+        if self.core.role() == Role::Leader && self.started.is_some_and(is_late) {
+            log::warn!(step = "persist", term = self.core.hard().term.0; "leader resigns: a write takes too long");
+            self.core.step(now, Input::Resign, effects);
+        }
+    }
+
     /// Goes on after a write.
     fn written(&mut self, result: Result<(), WriteError>, effects: &mut Vec<Effect<M::Command>>) {
+        self.started = None;
         if let Err(error) = result {
             return self.stop_voting(error.to_string());
         }
--- a/crates/buckthornmast_consensus/src/driver/writer.rs
+++ b/crates/buckthornmast_consensus/src/driver/writer.rs
@@ -108,6 +108,11 @@
         let _ = self.jobs.send(job);
     }
 
+    /// Returns whether the thread has ended, which only a panic makes it do before it is stopped.
+    pub(super) fn is_finished(&self) -> bool {
+        self.thread.is_finished()
+    }
+
     /// Waits for the write in flight and joins the thread.
     pub(super) fn stop(self) {
         drop(self.jobs);
--- a/crates/buckthornmast_consensus/tests/driver.rs
+++ b/crates/buckthornmast_consensus/tests/driver.rs
@@ -23,8 +23,12 @@
 
 impl Cluster {
     fn start(count: usize) -> Self {
+        Self::start_on(Network::default(), count)
+    }
+
+    fn start_on(network: Network, count: usize) -> Self {
         let mut cluster = Self {
-            network: Network::default(),
+            network,
             names: names(count),
             disks: Vec::new(),
             handles: Vec::new(),
@@ -182,7 +186,14 @@
     assert!(matches!(answer, Err(ProposeError::NotLeader { .. })));
 }
 
+type Proposer = thread::JoinHandle<Result<u64, ProposeError>>;
+
 impl Cluster {
+    fn spawn(&self, node: usize, command: u64) -> Proposer {
+        let handle = Arc::clone(&self.handles[node]);
+        thread::spawn(move || handle.propose(command, Duration::from_secs(120)))
+    }
+
     /// Waits until the lease of the leader has moved on by twice the longest election timeout; the leader must
     /// not change meanwhile.
     fn outlast_elections(&self, node: usize) {
@@ -204,10 +215,7 @@
 
     /// Proposes while syncs of these replicas are blocked; returns the answer after they were let through.
     fn propose_blocked(&self, node: usize, blocked: &[usize], command: u64) {
-        let proposer = {
-            let handle = Arc::clone(&self.handles[node]);
-            thread::spawn(move || handle.propose(command, Duration::from_secs(120)))
-        };
+        let proposer = self.spawn(node, command);
         for node in blocked {
             wait_for("blocked sync", || {
                 (self.disks[*node].blocked_syncs() > 0).then_some(())
@@ -255,9 +263,40 @@
     cluster.propose(1);
     let node = leader(&cluster.handles);
     cluster.disks[node].block_syncs(Some("snapshot"));
-    (2..SNAPSHOT_ENTRIES).for_each(|command| cluster.propose(command));
-    // The group's first entries count as well, so the snapshot may already be due.
-    cluster.propose_blocked(node, &[node], 1000);
+    let disk = &cluster.disks[node];
+    let pending = (2..4 * SNAPSHOT_ENTRIES).find_map(|command| {
+        let proposer = cluster.spawn(node, command);
+        wait_for("answer or snapshot", || {
+            let is_blocked = disk.blocked_syncs() > 0;
+            (is_blocked || proposer.is_finished()).then_some(())
+        });
+        (disk.blocked_syncs() > 0).then_some(proposer)
+    });
+    cluster.outlast_elections(node);
+    disk.block_syncs(None);
+    let answer = pending.map(thread::JoinHandle::join);
+    assert!(matches!(answer, Some(Ok(Ok(_)))), "{answer:?}");
+}
+
+/// Guards against a leader that keeps its term while its disk hangs.
+#[test]
+fn resign_on_hanging_disk() {
+    let mut network = Network::default();
+    network.max_leader_write = Some(Duration::from_millis(500));
+    let cluster = Cluster::start_on(network, 3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    let disk = &cluster.disks[node];
+    disk.block_syncs(Some(""));
+    let proposer = cluster.spawn(node, 2);
+    let rest = cluster.handles.iter().enumerate();
+    let rest = rest.filter(|(other, _)| *other != node);
+    let rest: Vec<_> = rest.map(|(_, handle)| Arc::clone(handle)).collect();
+    let next = leader(&rest);
+    assert!(rest[next].propose(3, TIMEOUT).is_ok());
+    assert_eq!(proposer.join().unwrap(), Err(ProposeError::Unknown));
+    disk.block_syncs(None);
+    cluster.wait_applied(node, 3);
 }
 
 /// Guards against a blocked sync that fails in the end and is taken for a success.
@@ -268,10 +307,7 @@
     let node = leader(&cluster.handles);
     let disk = &cluster.disks[node];
     disk.block_syncs(Some(""));
-    let proposer = {
-        let handle = Arc::clone(&cluster.handles[node]);
-        thread::spawn(move || handle.propose(2, Duration::from_secs(120)))
-    };
+    let proposer = cluster.spawn(node, 2);
     wait_for("blocked sync", || (disk.blocked_syncs() > 0).then_some(()));
     disk.fail_sync(true);
     disk.block_syncs(None);
--- a/crates/buckthornmast_consensus/tests/support/network.rs
+++ b/crates/buckthornmast_consensus/tests/support/network.rs
@@ -48,6 +48,8 @@
 pub(crate) struct Network {
     slots: Arc<Mutex<BTreeMap<id::Instance, Slot>>>,
     cut: Arc<Mutex<Vec<id::Instance>>>,
+    // Set only in a test of it, so that a blocked sync doesn't end a leader on a slow machine.
+    pub(crate) max_leader_write: Option<Duration>,
 }
 
 pub(crate) struct Wire {
@@ -91,6 +93,7 @@
     ) -> Arc<Handle<Record>> {
         let mut config = Config::new(name.clone(), voters.to_vec());
         config.snapshot_entries = snapshot_entries;
+        config.max_leader_write = self.max_leader_write.unwrap_or(Duration::from_secs(600));
         let wire = Wire {
             from: name.clone(),
             network: self.clone(),
