--- a/crates/buckthornmast_consensus/tests/driver.rs
+++ b/crates/buckthornmast_consensus/tests/driver.rs
@@ -3,11 +3,11 @@
 #[path = "support/network.rs"]
 mod network;
 
-use std::{sync::Arc, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 
 use buckthornmast_consensus::prelude::*;
 use buckthornmast_storage::prelude::*;
-use buckthornmast_types::id;
+use buckthornmast_types::{id, time::Point};
 
 use crate::network::{Network, Record, leader, names, wait_for};
 
@@ -23,8 +23,12 @@
 
 impl Cluster {
     fn start(count: usize) -> Self {
+        Self::start_on(Network::default(), count)
+    }
+
+    fn start_on(network: Network, count: usize) -> Self {
         let mut cluster = Self {
-            network: Network::default(),
+            network,
             names: names(count),
             disks: Vec::new(),
             handles: Vec::new(),
@@ -181,3 +185,135 @@
     let answer = cluster.handles[cut].propose(3, TIMEOUT);
     assert!(matches!(answer, Err(ProposeError::NotLeader { .. })));
 }
+
+type Proposer = thread::JoinHandle<Result<u64, ProposeError>>;
+
+impl Cluster {
+    fn spawn(&self, node: usize, command: u64) -> Proposer {
+        let handle = Arc::clone(&self.handles[node]);
+        thread::spawn(move || handle.propose(command, Duration::from_secs(120)))
+    }
+
+    /// Waits until the lease of the leader has moved on by twice the longest election timeout; the leader must
+    /// not change meanwhile.
+    fn outlast_elections(&self, node: usize) {
+        let status = || self.handles[node].status();
+        let term = status().term;
+        let mut start: Option<Point> = None;
+        wait_for("two election timeouts under one leader", || {
+            let now = status();
+            assert_eq!((now.role, now.term), (Role::Leader, term));
+            let until = now.leader_lease?;
+            let start = *start.get_or_insert(until);
+            (until >= start + Timing::default().election_max * 2).then_some(())
+        });
+    }
+
+    fn has_applied(&self, node: usize, command: u64) -> bool {
+        self.handles[node].read(|machine| machine.0.contains(&command))
+    }
+
+    /// Proposes while syncs of these replicas are blocked; returns the answer after they were let through.
+    fn propose_blocked(&self, node: usize, blocked: &[usize], command: u64) {
+        let proposer = self.spawn(node, command);
+        for node in blocked {
+            wait_for("blocked sync", || {
+                (self.disks[*node].blocked_syncs() > 0).then_some(())
+            });
+        }
+        self.outlast_elections(node);
+        assert!(!self.has_applied(node, command), "answered before the sync");
+        assert!(!proposer.is_finished(), "answered before the sync");
+        for node in blocked {
+            self.disks[*node].block_syncs(None);
+        }
+        let answer = proposer.join();
+        assert!(matches!(answer, Ok(Ok(_))), "{answer:?}");
+    }
+}
+
+/// Guards against a leader that falls silent during its own sync, or answers before it.
+#[test]
+fn block_sync_of_leader() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    cluster.disks[node].block_syncs(Some(""));
+    cluster.propose_blocked(node, &[node], 2);
+}
+
+/// Guards against followers that don't hear the leader during their own syncs, and against a leader that
+/// counts what they have not synced.
+#[test]
+fn block_syncs_of_followers() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    let followers = [(node + 1) % 3, (node + 2) % 3];
+    for follower in followers {
+        cluster.disks[follower].block_syncs(Some(""));
+    }
+    cluster.propose_blocked(node, &followers, 2);
+}
+
+/// Guards against a snapshot that holds up heartbeats.
+#[test]
+fn block_snapshot_of_leader() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    cluster.disks[node].block_syncs(Some("snapshot"));
+    let disk = &cluster.disks[node];
+    let pending = (2..4 * SNAPSHOT_ENTRIES).find_map(|command| {
+        let proposer = cluster.spawn(node, command);
+        wait_for("answer or snapshot", || {
+            let is_blocked = disk.blocked_syncs() > 0;
+            (is_blocked || proposer.is_finished()).then_some(())
+        });
+        (disk.blocked_syncs() > 0).then_some(proposer)
+    });
+    cluster.outlast_elections(node);
+    disk.block_syncs(None);
+    let answer = pending.map(thread::JoinHandle::join);
+    assert!(matches!(answer, Some(Ok(Ok(_)))), "{answer:?}");
+}
+
+/// Guards against a leader that keeps its term while its disk hangs.
+#[test]
+fn resign_on_hanging_disk() {
+    let mut network = Network::default();
+    network.max_leader_write = Some(Duration::from_millis(500));
+    let cluster = Cluster::start_on(network, 3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    let disk = &cluster.disks[node];
+    disk.block_syncs(Some(""));
+    let proposer = cluster.spawn(node, 2);
+    let rest = cluster.handles.iter().enumerate();
+    let rest = rest.filter(|(other, _)| *other != node);
+    let rest: Vec<_> = rest.map(|(_, handle)| Arc::clone(handle)).collect();
+    let next = leader(&rest);
+    assert!(rest[next].propose(3, TIMEOUT).is_ok());
+    assert_eq!(proposer.join().unwrap(), Err(ProposeError::Unknown));
+    disk.block_syncs(None);
+    cluster.wait_applied(node, 3);
+}
+
+/// Guards against a blocked sync that fails in the end and is taken for a success.
+#[test]
+fn fail_blocked_sync() {
+    let cluster = Cluster::start(3);
+    cluster.propose(1);
+    let node = leader(&cluster.handles);
+    let disk = &cluster.disks[node];
+    disk.block_syncs(Some(""));
+    let proposer = cluster.spawn(node, 2);
+    wait_for("blocked sync", || (disk.blocked_syncs() > 0).then_some(()));
+    disk.fail_sync(true);
+    disk.block_syncs(None);
+    assert_eq!(proposer.join().unwrap(), Err(ProposeError::Unknown));
+    wait_for("stop", || {
+        (cluster.handles[node].status().role == Role::Stopped).then_some(())
+    });
+    assert!(!cluster.has_applied(node, 2));
+}
