--- a/quickstart.sh
+++ b/quickstart.sh
@@ -154,16 +154,24 @@
 say "an engine dies in mid-stream"
 chat "$caller" proof-reader "three sleeves and a proof" 120 true >"$run/broken.txt" &
 stream=$!
-sleep 1
-busy=$("$bin/buckthornmastctl" --json status | grep -B9 '"running": 1' | sed -n 's/.*"target": "\(.*\)".*/\1/p' | head -1)
-# The engine that has sent tokens and has not finished is the busy one.
-for name in engine-n1 engine-n2 engine-s1 engine-s2; do
-  address=$(sed -n 's/^listening on //p' "$run/$name.log")
-  tokens=$(curl -sS "http://$address/counters" | sed 's/.*"tokens":\([0-9]*\).*/\1/')
-  sleep 0.2
-  again=$(curl -sS "http://$address/counters" | sed 's/.*"tokens":\([0-9]*\).*/\1/')
-  if [ "$again" -gt "$tokens" ]; then busy=$name; fi
-done
+tokens_of() { # engine
+  local address
+  address=$(sed -n 's/^listening on //p' "$run/$1.log")
+  curl -sS "http://$address/counters" | sed 's/.*"tokens":\([0-9]*\).*/\1/'
+}
+# The engine whose tokens go up is the busy one.
+find_busy() {
+  local name before
+  for name in engine-n1 engine-n2 engine-s1 engine-s2; do
+    before=$(tokens_of "$name")
+    sleep 0.2
+    if [ "$(tokens_of "$name")" -gt "$before" ]; then busy=$name; return 0; fi
+  done
+  return 1
+}
+busy=""
+await 20 find_busy || true
+if [ -z "$busy" ]; then echo "FAILED: no engine is busy"; exit 1; fi
 variable="pid_${busy//-/_}"
 echo "killing $busy"
 kill -KILL "${!variable}"
