--- /dev/null
+++ b/crates/buckthornmast_daemon/src/control/calls.rs
@@ -0,0 +1,206 @@
+//! The log and the journals as the controller sees them.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use buckthornmast_controller::{
+    notebook::{Life, Notebook, coverage},
+    port::{self, LogError, Notes},
+};
+use buckthornmast_ledger::entry::Closed;
+use buckthornmast_state::{
+    leases::{Intend, Recorded, Resolve},
+    machine::{Answer, Command},
+};
+use buckthornmast_types::{id, order::Order};
+
+use crate::{
+    leader::Leader,
+    message::{JournalAsk, JournalReply, LeaseAsk, LeaseReply, Notice, Request, Response},
+    peers::Peers,
+    propose::{ProposeError, Proposer},
+};
+
+/// Time for the log to record or resolve.
+pub(super) const LOG_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time for a message of the lease; less than half of a lease, so that a lost one can be repeated.
+const LEASE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time for the journal of another candidate.
+const JOURNAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Calls that the surroundings share.
+pub(super) struct Calls {
+    pub(super) me: id::Instance,
+    pub(super) domain: id::Domain,
+    pub(super) others: Vec<id::Instance>,
+    pub(super) proposer: Proposer,
+    pub(super) leader: Option<Arc<Leader>>,
+    pub(super) peers: Peers,
+    pub(super) notebook: Arc<Mutex<Notebook>>,
+}
+
+impl Calls {
+    fn notebook(&self) -> MutexGuard<'_, Notebook> {
+        self.notebook.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn recorded(&self, command: &Command) -> Result<(), LogError> {
+        match self.proposer.propose(command, LOG_TIMEOUT) {
+            Ok(Answer::Recorded(Recorded::Recorded)) => Ok(()),
+            Ok(Answer::Recorded(Recorded::Fenced { .. })) => Err(LogError::Superseded),
+            Ok(_) => Err(LogError::NotRecorded),
+            Err(ProposeError::NotProposed) => Err(LogError::NotRecorded),
+            Err(ProposeError::Unknown) => Err(LogError::Unknown),
+        }
+    }
+
+    /// Asks the leader of the log, wherever it is.
+    pub(super) fn ask_leader(&self, ask: &LeaseAsk) -> Option<LeaseReply> {
+        let mut voter = self.proposer.voters().into_iter().next()?;
+        // A voter that does not lead names the leader, which is asked next.
+        for _ in 0..2 {
+            let reply = if voter == self.me {
+                self.leader.as_ref()?.answer(&self.me, ask)
+            } else {
+                match self
+                    .peers
+                    .call(&voter, Request::Lease(ask.clone()), LEASE_TIMEOUT)
+                {
+                    Ok(Response::Lease(reply)) => reply,
+                    _ => {
+                        self.proposer.forget_leader();
+                        return None;
+                    }
+                }
+            };
+            match reply {
+                LeaseReply::NotNow { hint: Some(hint) } if hint != voter => {
+                    self.proposer.set_leader(Some(hint.clone()));
+                    voter = hint;
+                }
+                LeaseReply::NotNow { .. } => {
+                    self.proposer.forget_leader();
+                    return None;
+                }
+                reply => return Some(reply),
+            }
+        }
+        None
+    }
+
+    pub(super) fn ask_journal(&self, of: &id::Instance, ask: JournalAsk) -> Option<JournalReply> {
+        match self.peers.call(of, Request::Journal(ask), JOURNAL_TIMEOUT) {
+            Ok(Response::Journal(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+}
+
+/// Replicated log.
+pub(super) struct Log(pub(super) Arc<Calls>);
+
+impl port::Log for Log {
+    fn intend(&self, token: id::Token, orders: &[Order]) -> Result<(), LogError> {
+        let domain = self.0.domain.clone();
+        self.0.recorded(&Command::Intend(Intend {
+            domain,
+            token,
+            orders: orders.to_vec(),
+        }))
+    }
+
+    fn resolve(&self, token: id::Token, closed: &[Closed]) -> Result<(), LogError> {
+        let domain = self.0.domain.clone();
+        let orders = closed.iter().map(|closed| closed.order.id).collect();
+        let marks = closed
+            .iter()
+            .map(|closed| (closed.order.target.clone(), closed.mark));
+        let marks = marks.collect();
+        self.0.recorded(&Command::Resolve(Resolve {
+            domain,
+            token,
+            orders,
+            marks,
+        }))
+    }
+}
+
+/// Journals of the other candidates and the own one.
+pub(super) struct Journal {
+    calls: Arc<Calls>,
+    /// Lives of the other journals, as fetched by the last declaration.
+    lives: Mutex<Vec<(id::Instance, Life)>>,
+}
+
+impl Journal {
+    pub(super) fn new(calls: Arc<Calls>) -> Self {
+        Self {
+            calls,
+            lives: Mutex::default(),
+        }
+    }
+}
+
+impl port::Journal for Journal {
+    fn record(&self, token: id::Token, orders: &[Order]) -> bool {
+        let calls = &self.calls;
+        let record = |other: &id::Instance| {
+            let ask = JournalAsk::Record {
+                token,
+                orders: orders.to_vec(),
+            };
+            matches!(
+                calls.ask_journal(other, ask),
+                Some(JournalReply::Done(true))
+            )
+        };
+        let is_everywhere = !calls.others.is_empty() && calls.others.iter().all(record);
+        is_everywhere && calls.notebook().record(token, orders)
+    }
+
+    fn read(&self, token: id::Token) -> Notes {
+        let calls = &self.calls;
+        let mut pages = vec![Some(calls.notebook().read(token))];
+        for other in &calls.others {
+            pages.push(match calls.ask_journal(other, JournalAsk::Read { token }) {
+                Some(JournalReply::Page(page)) => Some(page),
+                _ => None,
+            });
+        }
+        let coverage = coverage(&pages);
+        let intents = pages
+            .into_iter()
+            .flatten()
+            .flat_map(|page| page.intents)
+            .collect();
+        Notes { intents, coverage }
+    }
+
+    fn forget(&self, orders: &[id::Order]) {
+        self.calls.notebook().forget(orders);
+        for other in &self.calls.others {
+            self.calls
+                .peers
+                .notify(other, Notice::Forget(orders.to_vec()));
+        }
+    }
+
+    fn declare_clean(&self) {
+        let calls = &self.calls;
+        let mut lives = self.lives.lock().unwrap_or_else(PoisonError::into_inner);
+        for (other, life) in lives.drain(..) {
+            calls.ask_journal(&other, JournalAsk::DeclareClean { life });
+        }
+        let own = calls.notebook().life();
+        calls.notebook().declare_clean(own);
+        for other in &calls.others {
+            if let Some(JournalReply::Life(life)) = calls.ask_journal(other, JournalAsk::Life) {
+                lives.push((other.clone(), life));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/control/lease.rs
@@ -0,0 +1,84 @@
+//! Sends the messages of the controller lease.
+
+use std::sync::Arc;
+
+use buckthornmast_controller::port::{self, Grant, LeaseAnswer};
+use buckthornmast_lease::holder::Effect;
+use buckthornmast_state::{
+    leases::{Granted, Handover},
+    machine::Command,
+};
+use flume::Sender;
+
+use crate::{
+    control::{
+        calls::{Calls, LOG_TIMEOUT},
+        pool::Job,
+    },
+    message::{JournalAsk, JournalReply, LeaseAsk, LeaseReply},
+};
+
+/// Way of the lease's messages.
+pub(super) struct Lease {
+    pub(super) jobs: Sender<Job>,
+    pub(super) calls: Arc<Calls>,
+}
+
+/// Carries out one effect of the lease and returns the answer, if there is one.
+fn carry_out(calls: &Calls, effect: Effect) -> Option<LeaseAnswer> {
+    let domain = calls.domain.clone();
+    match effect {
+        Effect::Ask { number } => match calls.ask_leader(&LeaseAsk::Grant { domain }) {
+            Some(LeaseReply::Granted(Granted::Granted {
+                token,
+                is_first,
+                intents,
+                marks,
+            })) => {
+                let grant = Grant {
+                    token,
+                    is_first,
+                    intents,
+                    marks,
+                };
+                Some(LeaseAnswer::Granted { number, grant })
+            }
+            Some(_) => Some(LeaseAnswer::NotGranted { number }),
+            None => None,
+        },
+        Effect::Renew { token, number } => {
+            match calls.ask_leader(&LeaseAsk::Renew { domain, token })? {
+                LeaseReply::Renewed => Some(LeaseAnswer::Renewed { number }),
+                LeaseReply::Superseded => Some(LeaseAnswer::Refused { token }),
+                _ => None,
+            }
+        }
+        Effect::RequestPromise { to, token, number } => {
+            match calls.ask_journal(&to, JournalAsk::Promise { token })? {
+                JournalReply::Done(true) => Some(LeaseAnswer::Promised { from: to, number }),
+                _ => None,
+            }
+        }
+        Effect::Handover { token } => {
+            let command = Command::Handover(Handover {
+                domain,
+                token,
+                to: None,
+            });
+            let _ = calls.proposer.propose(&command, LOG_TIMEOUT);
+            Some(LeaseAnswer::HandedOver)
+        }
+    }
+}
+
+impl port::Peers for Lease {
+    fn post(&self, effect: Effect, answer: Sender<LeaseAnswer>) {
+        let calls = Arc::clone(&self.calls);
+        let job = Box::new(move || {
+            if let Some(reply) = carry_out(&calls, effect) {
+                let _ = answer.send(reply);
+            }
+        });
+        let _ = self.jobs.send(job);
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/control/orders.rs
@@ -0,0 +1,82 @@
+//! Sends orders to the targets.
+
+use std::time::Duration;
+
+use buckthornmast_controller::port::{self, Answered};
+use buckthornmast_ledger::entry::{Attempt, Outcome};
+use buckthornmast_target::{
+    engine::{Endpoint, Engine},
+    error::Cause,
+    mapping::Http,
+};
+use buckthornmast_types::{
+    id,
+    order::Order,
+    time::{Clock, Point, System},
+};
+use flume::Sender;
+
+use crate::{control::pool::Job, current::Current, targets::Targets};
+
+/// Way of orders to the targets.
+pub(super) struct Orders {
+    pub(super) jobs: Sender<Job>,
+    pub(super) targets: Targets,
+    pub(super) current: Current,
+    pub(super) token: String,
+    pub(super) clock: System,
+}
+
+impl Orders {
+    /// Returns where a target is reached.
+    fn endpoint(&self, target: &id::Target) -> Option<Endpoint> {
+        let seen = self.targets.get(target)?;
+        let snapshot = self.current.get();
+        let kind = snapshot.declarations.platform.kinds.get(&seen.report.kind);
+        let token = kind
+            .is_none_or(|kind| kind.access)
+            .then(|| self.token.clone());
+        Some(Endpoint {
+            target: target.clone(),
+            address: seen.report.address,
+            token,
+        })
+    }
+}
+
+/// Sends one order and returns how the attempt ended.
+fn send_order(endpoint: &Endpoint, order: &Order, left: Duration) -> Outcome {
+    match Http.order(endpoint, order, left) {
+        Ok(reply) => reply.into(),
+        Err(error) => {
+            log::info!(step = "order", peer = order.target.as_str(); "{error}");
+            match error.cause {
+                Cause::NotSent { .. } => Outcome::NotSent,
+                _ => Outcome::Unknown,
+            }
+        }
+    }
+}
+
+impl port::Orders for Orders {
+    fn send(&self, order: Order, attempt: Attempt, not_after: Point, answer: Sender<Answered>) {
+        let endpoint = self.endpoint(&order.target);
+        let clock = self.clock;
+        let job = Box::new(move || {
+            let left = not_after.since(clock.now());
+            let outcome = match &endpoint {
+                Some(endpoint) if !left.is_zero() => send_order(endpoint, &order, left),
+                _ => Outcome::NotSent,
+            };
+            let answered = Answered {
+                target: order.target.clone(),
+                order: order.id,
+                attempt,
+                outcome,
+            };
+            let _ = answer.send(answered);
+        });
+        // The pool ends after the controller, so the job is always taken.
+        let _ = self.jobs.send(job);
+    }
+}
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -1,8 +1,10 @@
 //! Assembly of one instance.
 
+mod open;
+
 use std::{
     collections::BTreeMap,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -12,7 +14,6 @@
 };
 
 use buckthornmast_config::daemon::Settings;
-use buckthornmast_consensus::driver;
 use buckthornmast_controller::notebook::{Life, Notebook};
 use buckthornmast_gateway::{
     deadline::Bounds,
@@ -23,15 +24,9 @@
     response::Response,
     server::{self, Config},
 };
-use buckthornmast_membership::{config as membership, message::Progress};
-use buckthornmast_peer::config as peer;
-use buckthornmast_state::machine::State;
-use buckthornmast_storage::files::Folder;
+use buckthornmast_membership::message::Progress;
 use buckthornmast_target::mapping::Http;
-use buckthornmast_types::{
-    id,
-    time::{System, unix_millis},
-};
+use buckthornmast_types::{id, time::System};
 use buckthornmast_wire::key::Key;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use snafu::Snafu;
@@ -45,9 +40,10 @@
     follow,
     leader::{self, Leader},
     message::millis,
+    node::open::{start_membership, start_peers, start_replica},
     observe::Samples,
     operators::Operators,
-    peers::{Handler, Peers, Replica, Transport},
+    peers::{Handler, Peers, Replica},
     plan::Planner,
     propose::Proposer,
     receive::Receiver,
@@ -112,72 +108,6 @@
     TcpListener::bind(address).map_err(at(step))
 }
 
-fn start_peers(
-    settings: &Settings,
-    key: &Key,
-    handler: Arc<Handler>,
-) -> Result<buckthornmast_peer::Handle<Handler>, StartError> {
-    let others = settings
-        .peers
-        .iter()
-        .filter(|peer| peer.instance != settings.instance);
-    let peers = others.map(|peer| peer::Peer {
-        instance: peer.instance.clone(),
-        address: peer.address,
-        kind: if peer.voter { "voter" } else { "other" },
-    });
-    let config = peer::Config {
-        me: settings.instance.clone(),
-        key: key.clone(),
-        listener: listen(settings.listen.peers, "peers")?,
-        peers: peers.collect(),
-        limits: peer::Limits::default(),
-    };
-    buckthornmast_peer::start(config, handler).map_err(at("peers"))
-}
-
-fn start_membership(
-    settings: &Settings,
-    key: &Key,
-    clock: System,
-    progress: impl FnMut() -> Progress + Send + 'static,
-) -> Result<buckthornmast_membership::Handle, StartError> {
-    let members = settings.peers.iter().map(|peer| membership::Member {
-        instance: peer.instance.clone(),
-        domain: peer.domain.clone(),
-        address: peer.heartbeat,
-    });
-    let config = membership::Config {
-        me: settings.instance.clone(),
-        members: members.collect(),
-        key: key.clone(),
-        socket: UdpSocket::bind(settings.listen.heartbeat).map_err(at("heartbeat"))?,
-        incarnation: id::Incarnation(unix_millis()),
-        timing: membership::Timing::default(),
-    };
-    buckthornmast_membership::start(config, progress, clock).map_err(at("membership"))
-}
-
-fn start_replica(
-    settings: &Settings,
-    peers: &Peers,
-    clock: System,
-) -> Result<Option<Arc<Replica>>, StartError> {
-    let Some(data) = settings.data.clone() else {
-        return Ok(None);
-    };
-    if !settings.own().is_some_and(|own| own.voter) {
-        return Ok(None);
-    }
-    let voters = settings.peers.iter().filter(|peer| peer.voter);
-    let voters = voters.map(|peer| peer.instance.clone()).collect();
-    let config = driver::Config::new(settings.instance.clone(), voters);
-    let folder = move || Folder::open(data.clone());
-    let transport = Transport::new(peers.clone());
-    let replica = driver::start(config, folder, State::default(), transport, clock);
-    Ok(Some(Arc::new(replica.map_err(at("replica"))?)))
-}
-
 /// Parts that most others need.
 struct Core {
     settings: Settings,
