gateway: resume with the version that an answer began with, and keep an unknown outcome unknown

Change: the session keeps the artifact of the first tokens; a dispatch is told what the earlier ones leave open.

--- a/crates/buckthornmast_gateway/src/generate.rs
+++ b/crates/buckthornmast_gateway/src/generate.rs
@@ -18,6 +18,7 @@
     work::{Finish, Work},
 };
 use buckthornmast_types::{
+    artifact::Artifact,
     id,
     outcome::Run,
     time::{Clock, Point},
@@ -70,6 +71,8 @@
     sink: Option<Sink>,
     tried: Tried,
     target: Option<id::Target>,
+    /// Artifact that the answer began with; another version would go on with another text.
+    begun: Option<Artifact>,
 }
 
 /// Carries a chat request to its end.
@@ -105,6 +108,7 @@
         sink: Some(sink),
         tried: Tried::new(),
         target: None,
+        begun: None,
     };
     let end = match session.generate() {
         Ok(finish) => session.finish(finish),
@@ -139,7 +143,7 @@
             let Some(pick) = self.pick() else {
                 return Err(Failure::Problem(unavailable(last.as_ref(), history.run())));
             };
-            let error = match self.dispatch(&pick, left) {
+            let error = match self.dispatch(&pick, left, history.run()) {
                 Dispatched::Finished(finish) => return Ok(finish),
                 Dispatched::Ended(failure) => return Err(failure),
                 Dispatched::Failed(error) => error,
@@ -169,12 +173,10 @@
     }
 
     fn pick(&mut self) -> Option<Pick> {
-        let exact = !self.answer.tokens().is_empty();
-        let prefix = prefix_of(self.request);
         let need = Need::Artifact {
-            artifact: &self.model.artifact,
-            exact,
-            prefix,
+            artifact: self.begun.as_ref().unwrap_or(&self.model.artifact),
+            exact: self.begun.is_some(),
+            prefix: prefix_of(self.request),
         };
         let pick = self.gateway.router.pick(&need, &self.tried)?;
         self.target = Some(pick.endpoint.target.clone());
@@ -182,12 +184,12 @@
     }
 
     /// Dispatches once and reports to the router how it ended.
-    fn dispatch(&mut self, pick: &Pick, left: Duration) -> Dispatched {
+    fn dispatch(&mut self, pick: &Pick, left: Duration, before: Run) -> Dispatched {
         let begun = self.gateway.clock.now();
         let tokens_before = self.answer.tokens().len();
         let work = self.work(pick, left);
         let mut first = None;
-        let result = self.receive(pick, &work, &mut first);
+        let result = self.receive(pick, &work, before, &mut first);
         let now = self.gateway.clock.now();
         let report = match &result {
             Dispatched::Finished(_) => Report::Answered {
@@ -199,6 +201,7 @@
         };
         self.gateway.router.done(pick, &report);
         if self.answer.tokens().len() > tokens_before {
+            self.begun.get_or_insert(work.artifact.clone());
             // A target that made progress may be tried again once others failed.
             self.tried.clear();
         }
@@ -227,10 +230,17 @@
         }
     }
 
-    fn receive(&mut self, pick: &Pick, work: &Work, first: &mut Option<Point>) -> Dispatched {
+    /// Dispatches and passes on the tokens; `before` says whether an earlier dispatch may have run.
+    fn receive(
+        &mut self,
+        pick: &Pick,
+        work: &Work,
+        before: Run,
+        first: &mut Option<Point>,
+    ) -> Dispatched {
         let gateway = self.gateway;
         let Some(left) = self.left() else {
-            return Dispatched::Ended(Failure::Problem(deadline_problem(Run::No)));
+            return Dispatched::Ended(Failure::Problem(deadline_problem(before)));
         };
         // A target answers with its head at once, also when the request has to wait for the batch.
         let bound = gateway.limits.bounds.gap.min(left);
