daemon: refuse a write that can't be checked here

Cause, found by reading: an instance that had not caught up with the base of a write passed it on unchecked.

--- a/crates/buckthornmast_daemon/src/operators.rs
+++ b/crates/buckthornmast_daemon/src/operators.rs
@@ -1,6 +1,6 @@
 //! Port of the operators.
 
-use std::{collections::BTreeMap, sync::Arc, thread, time::Duration};
+use std::{cmp::Ordering, collections::BTreeMap, sync::Arc, thread, time::Duration};
 
 use buckthornmast_config::{declaration, fault::Fault};
 use buckthornmast_http::{exchange::Exchange, problem::Problem, response::Response};
@@ -130,7 +130,7 @@
         let text = exchange.text(MAX_BODY_BYTES)?;
         let body: Body = serde_json::from_str(&text)
             .map_err(|error| Problem::new(400, "bad write", "parse").detail(error.to_string()))?;
-        let faults = self.check(&scope, &body);
+        let faults = self.check(&scope, &body)?;
         if !faults.is_empty() {
             let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
             let body = json!({ "outcome": "refused", "faults": faults });
@@ -166,11 +166,17 @@
 
     /// Returns the faults of the scope as it would be after a write.
     ///
-    /// A write on another base than the current one is not checked, since the log refuses it.
-    fn check(&self, scope: &Scope, body: &Body) -> Vec<Fault> {
+    /// A write on an older base is not checked, since the log refuses it. One on a newer base than this
+    /// instance has can't be checked here, and accepting it unchecked could put faults into force.
+    fn check(&self, scope: &Scope, body: &Body) -> Result<Vec<Fault>> {
         let snapshot = self.wait_until(|s| s.tree.scope_revision(scope) >= body.base);
-        if snapshot.tree.scope_revision(scope) != body.base {
-            return Vec::new();
+        match snapshot.tree.scope_revision(scope).cmp(&body.base) {
+            Ordering::Equal => {}
+            Ordering::Greater => return Ok(Vec::new()),
+            Ordering::Less => {
+                let problem = Problem::new(503, "settings not up to date here", "settings");
+                return Err(problem.retry_after(Duration::from_secs(1)));
+            }
         }
         let subtree = snapshot.tree.scopes().get(scope);
         let mut values = subtree
@@ -185,7 +191,7 @@
         let mut faults = policy::check(scope, &values);
         let others: BTreeMap<_, _> = values_of(&snapshot.tree);
         faults.extend(declaration::check_scope(scope, &values, &others));
-        faults
+        Ok(faults)
     }
 
     /// Returns the settings in force once they meet a condition, or after a while.
--- a/crates/buckthornmast_daemon/tests/settings.rs
+++ b/crates/buckthornmast_daemon/tests/settings.rs
@@ -168,6 +168,20 @@
     let policy = [("policy/name", Some("gready"))];
     let bad = caller::write(port, SCOPE, id::Write::generate(), 1, &policy);
     assert_eq!(bad.status, 422, "{}", bad.text);
+    // A base that no instance has can't be checked, so the write must not be accepted.
+    let ahead = caller::write(
+        port,
+        SCOPE,
+        id::Write::generate(),
+        7,
+        &[(PATH, Some("high"))],
+    );
+    assert_eq!(
+        (ahead.status, ahead.run().as_deref()),
+        (503, Some("no")),
+        "{}",
+        ahead.text
+    );
     let unsigned = caller::get(port, "/v1/settings/team/press");
     assert_eq!(unsigned.status, 401);
     assert_eq!(cluster.revision(1), Some(2));
