Test a cut-off domain, silent connections and a lost quorum

Change: two tests over real processes, each with one cluster. Conclusion: a cut-off domain answers, denies orders with run no, loads a lost model again and takes the newer settings after the cut; writes and orders go on after all connections fell silent; chat goes on without a quorum.

--- /dev/null
+++ b/crates/buckthornmast_daemon/tests/cut.rs
@@ -0,0 +1,131 @@
+//! Failure domains that are cut off, connections that fall silent and a lost quorum, over real processes.
+
+#[path = "support/press.rs"]
+mod press;
+#[path = "support/watch.rs"]
+mod watch;
+
+use buckthornmast_trial::prelude::*;
+use buckthornmast_types::id;
+
+const FOUR: [Plan; 4] = [
+    press::THREE[0],
+    press::THREE[1],
+    press::THREE[2],
+    Plan {
+        name: "south-2",
+        domain: "south",
+        voter: false,
+    },
+];
+
+const TEAM: &str = "team/press";
+const PATH: &str = "model/catalogue/priority";
+
+fn wait_for_order(cluster: &Cluster, index: usize) {
+    let (port, key) = (cluster.instances[index].ports.callers, id::Key::generate());
+    wait_for("an accepted order", || {
+        (caller::order(port, key, "LP 1").status == 200).then_some(())
+    });
+}
+
+fn assert_order_denied(cluster: &Cluster, index: usize) {
+    let port = cluster.instances[index].ports.callers;
+    let denied = caller::order(port, id::Key::generate(), "LP 2");
+    let found = (denied.status, denied.run());
+    assert_eq!(found, (503, Some("no".to_owned())), "{}", denied.text);
+}
+
+fn cut_south(cluster: &Cluster, mode: Mode) {
+    for (north, south) in [(0, 2), (0, 3), (1, 2), (1, 3)] {
+        cluster.relay(north, south, mode);
+        cluster.relay(south, north, mode);
+    }
+}
+
+/// Guards against a cut-off domain that stops answering, runs an order without a quorum, can't repair
+/// its own placements, or keeps old settings after the cut.
+#[test]
+fn domain_cut_off() {
+    let mut cluster = press::start(&FOUR);
+    let engines = [("s1", "south"), ("s2", "south")];
+    cluster.add_engines(&engines, &[]).unwrap();
+    let counter = cluster.add_plain("counter", "south", &[]).unwrap();
+    let south = [2, 3];
+    for index in south {
+        cluster.wait_for_model(index, "catalogue");
+        wait_for_order(&cluster, index);
+    }
+    let before = watch::engine(&cluster, counter)["plain"]["total"].clone();
+    let chatters = south
+        .map(|index| watch::Chatter::start(cluster.instances[index].ports.callers, "catalogue"));
+    cut_south(&cluster, Mode::Cut);
+    watch::set(&cluster, 0, TEAM, PATH, "8");
+    wait_for("the status of the cut", || {
+        let status = cluster.status(2);
+        let rows = status["instances"].as_array()?;
+        let row = rows.iter().find(|row| row["instance"] == "north-1")?;
+        (row["state"] == "dead").then_some(())
+    });
+    for index in south {
+        assert_order_denied(&cluster, index);
+    }
+    assert_eq!(watch::engine(&cluster, counter)["plain"]["total"], before);
+    for chatter in chatters {
+        assert!(chatter.stop() > 0);
+    }
+    cluster.targets[0].process.kill();
+    cluster.wait_for_model(3, "catalogue");
+    cluster.wait_for_model(2, "proof-reader");
+    assert_eq!(watch::engine(&cluster, 1)["engine"]["overcommitted"], 0);
+    let newer = cluster.revision(0).unwrap();
+    assert!(cluster.revision(3).unwrap() < newer);
+    cut_south(&cluster, Mode::Open);
+    for index in south {
+        wait_for("the newer settings", || {
+            (cluster.revision(index)? >= newer).then_some(())
+        });
+        wait_for_order(&cluster, index);
+    }
+}
+
+/// Guards against instances that wait for good on connections that fell silent, orders that run twice
+/// because of them, and callers that are refused for lack of a quorum that chat does not need.
+#[test]
+fn connections_silent_then_quorum_lost() {
+    let mut cluster = press::start(&press::THREE);
+    cluster.add_engine("s1", "south", &[]).unwrap();
+    let counter = cluster.add_plain("counter", "south", &[]).unwrap();
+    cluster.wait_for_model(2, "catalogue");
+    for index in 0..3 {
+        wait_for_order(&cluster, index);
+    }
+    let total = || {
+        watch::engine(&cluster, counter)["plain"]["total"]
+            .as_u64()
+            .unwrap()
+    };
+    let before = total();
+    for index in 0..3 {
+        cluster.isolate(index, Mode::Silent);
+    }
+    for (index, value) in ["7", "8", "9"].iter().enumerate() {
+        wait_for_order(&cluster, index);
+        watch::set(&cluster, index, TEAM, PATH, value);
+    }
+    assert_eq!(total(), before + 3);
+    let chatter = watch::Chatter::start(cluster.instances[2].ports.callers, "catalogue");
+    cluster.kill(0);
+    cluster.kill(1);
+    assert_order_denied(&cluster, 2);
+    wait_for("the status of the loss", || {
+        let status = cluster.status(2);
+        let rows = status["instances"].as_array()?;
+        let dead = rows.iter().filter(|row| row["state"] == "dead");
+        (dead.count() == 2).then_some(())
+    });
+    assert_order_denied(&cluster, 2);
+    assert!(chatter.stop() > 0);
+    let counters = watch::engine(&cluster, counter);
+    assert_eq!(counters["repeated"], 0, "{counters}");
+}
