Unload an old copy only once the new one is known everywhere, and test control

Cause: the controller unloaded the old version as soon as it saw the new one ready. An instance whose newest report was older still chose the old version; the engine refused it and there was no other to choose, so callers got 503. Change: an unload waits until another copy has been ready for 2.7 s, longer than any report is routed by (2.5 s). The wait is zero by default in the controller crate and set by the daemon. A change of version takes up to 2.7 s longer until the old memory is free. The searches of orders do not include the wait.

--- a/crates/buckthornmast_controller/src/admit.rs
+++ b/crates/buckthornmast_controller/src/admit.rs
@@ -10,6 +10,7 @@
     counter::Kind,
     keep,
     plan::{Move, Planned, View},
+    settled::Settled,
 };
 
 /// What becomes of a move.
@@ -61,7 +62,7 @@
             self.admit_one(now, wanted, &mut loads);
         }
         self.admit_kept(now, planned.moves, &mut loads);
-        self.end_shifts();
+        self.end_shifts(now);
         for wanted in &upkeep {
             self.admit_one(now, wanted, &mut loads);
         }
@@ -90,7 +91,7 @@
                 team,
                 target,
                 artifact,
-            } => self.unload((team, Kind::Unload), target, artifact),
+            } => self.unload(now, (team, Kind::Unload), target, artifact),
             Move::Shift {
                 team,
                 from,
@@ -142,7 +143,21 @@
         self.reserve(order, of)
     }
 
-    fn unload(&mut self, of: (&id::Team, Kind), target: &id::Target, artifact: &Artifact) -> Fate {
+    fn unload(
+        &mut self,
+        now: Point,
+        of: (&id::Team, Kind),
+        target: &id::Target,
+        artifact: &Artifact,
+    ) -> Fate {
+        let (Some(book), Some(guard)) = (&self.book, &self.guard) else {
+            return Fate::Never;
+        };
+        let ready_before = Settled::bound(now, self.config.ready_for);
+        let copy = (target, artifact);
+        if !self.settled.may_unload((book, guard), copy, ready_before) {
+            return Fate::Later;
+        }
         let artifact = artifact.clone();
         match self.order(target, Action::Unload { artifact }) {
             Some(order) => self.reserve(order, of),
@@ -188,7 +203,7 @@
     }
 
     /// Unloads the old copy of each shift whose new copy is ready.
-    fn end_shifts(&mut self) {
+    fn end_shifts(&mut self, now: Point) {
         let mut shifts = std::mem::take(&mut self.shifts);
         shifts.retain(|shift| {
             let Some(book) = &self.book else {
@@ -196,7 +211,7 @@
             };
             if book.keeps(&shift.to, &shift.artifact) {
                 let of = (&shift.team, Kind::ShiftEnd);
-                return self.unload(of, &shift.from, &shift.artifact) == Fate::Later;
+                return self.unload(now, of, &shift.from, &shift.artifact) == Fate::Later;
             }
             // The load that began the shift may have been dropped.
             let mut open = book.open_on(&shift.to);
--- a/crates/buckthornmast_controller/src/core.rs
+++ b/crates/buckthornmast_controller/src/core.rs
@@ -14,6 +14,7 @@
     notebook::Coverage,
     plan::{Move, Planned, TargetView, View},
     port::{Answered, Grant, Notes},
+    settled::Settled,
     store::Budget,
 };
 
@@ -34,6 +35,9 @@
     pub settle_for: Duration,
     /// Age of the newest report from which a target counts as silent.
     pub live_for: Duration,
+    /// Time for which a copy must have been ready before another one is unloaded for it. The longest
+    /// age of a report that is routed by: no instance then still lacks the new copy.
+    pub ready_for: Duration,
     /// Part of the lease that is left unused, so that no order leaves after its end.
     pub margin: Duration,
     /// Time for which a move that does not fit yet is kept.
@@ -52,6 +56,7 @@
             raise_after: Duration::from_secs(10),
             settle_for: Duration::from_secs(30),
             live_for: Duration::from_millis(2_500),
+            ready_for: Duration::ZERO,
             margin: Duration::from_millis(200),
             keep_for: Duration::from_secs(10),
             keep_at_most: 4096,
@@ -116,6 +121,7 @@
 pub struct Core {
     pub(crate) config: Config,
     known: BTreeMap<id::Target, Known>,
+    pub(crate) settled: Settled,
     pub(crate) book: Option<Book>,
     pub(crate) store: Budget,
     pub(crate) meta: BTreeMap<id::Order, Meta>,
@@ -137,6 +143,7 @@
             store: Budget::empty(config.rate, config.at_once, Point::ZERO),
             config,
             known: BTreeMap::new(),
+            settled: Settled::default(),
             book: None,
             meta: BTreeMap::new(),
             guard: None,
@@ -291,6 +298,7 @@
             self.closed.extend(book.observe(&report, honours));
             self.forget_closed(before);
         }
+        self.settled.observe(&report, sampled);
         let known = Known {
             sampled,
             honours,
--- a/crates/buckthornmast_controller/src/lib.rs
+++ b/crates/buckthornmast_controller/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod admit;
 mod keep;
+mod settled;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- /dev/null
+++ b/crates/buckthornmast_controller/src/settled.rs
@@ -0,0 +1,52 @@
+//! How long copies have been ready.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use buckthornmast_ledger::{book::Book, guard::Guard};
+use buckthornmast_types::{prelude::*, report::Phase};
+
+/// Since when each target has reported each of its copies as ready.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Settled {
+    since: BTreeMap<id::Target, BTreeMap<Artifact, Point>>,
+}
+
+impl Settled {
+    /// Takes in the newest report of a target.
+    pub(crate) fn observe(&mut self, report: &Report, sampled: Point) {
+        let before = self.since.remove(&report.target).unwrap_or_default();
+        let ready = report.copies.iter().filter(|c| c.phase == Phase::Ready);
+        let since = ready.map(|copy| {
+            let at = before.get(&copy.artifact).copied().unwrap_or(sampled);
+            (copy.artifact.clone(), at)
+        });
+        self.since.insert(report.target.clone(), since.collect());
+    }
+
+    /// Returns whether every need of an artifact has another copy that has been ready for a while.
+    pub(crate) fn may_unload(
+        &self,
+        (book, guard): (&Book, &Guard),
+        (target, artifact): (&id::Target, &Artifact),
+        ready_before: Point,
+    ) -> bool {
+        let is_old = |other: &id::Target, kept: &Artifact| {
+            let since = self.since.get(other).and_then(|ready| ready.get(kept));
+            since.is_some_and(|since| *since <= ready_before)
+        };
+        guard.needs_of(artifact).all(|need| {
+            guard.targets().iter().any(|other| {
+                need.iter().any(|kept| {
+                    (other != target || kept != artifact)
+                        && book.keeps(other, kept)
+                        && is_old(other, kept)
+                })
+            })
+        })
+    }
+
+    /// Returns the latest moment at which a copy must have become ready to count.
+    pub(crate) fn bound(now: Point, ready_for: Duration) -> Point {
+        Point::ZERO + now.since(Point::ZERO).saturating_sub(ready_for)
+    }
+}
--- a/crates/buckthornmast_controller/tests/faults.rs
+++ b/crates/buckthornmast_controller/tests/faults.rs
@@ -3,6 +3,8 @@
 #[path = "support/fake.rs"]
 mod fake;
 
+use std::time::Duration;
+
 use buckthornmast_controller::prelude::*;
 use buckthornmast_ledger::prelude::*;
 use buckthornmast_types::{order::Action, prelude::*};
@@ -253,6 +255,33 @@
     assert_eq!(domain.moves(), (1, 1, 0));
 }
 
+/// Guards against an old version that is unloaded while an instance may still know of no other one.
+#[test]
+fn version_change_ready_for() {
+    let mut domain = Domain::new(&[("t", false, &[("a@1", 4), ("a@2", 4)])]);
+    domain.planned.needs = vec![need("a@2", 4, &["a@1"])];
+    domain.core = Core::new(Config {
+        ready_for: Duration::from_secs(1),
+        ..fake::config()
+    });
+    domain.core.elected(domain.now, &fake::grant(1));
+    domain.core.notes(domain.now, &fake::notes());
+    domain.report();
+    for _ in 0..9 {
+        domain.advance(100);
+        domain.report();
+        assert_eq!(domain.round().len(), 0);
+    }
+    domain.advance(100);
+    domain.report();
+    let sent = domain.round();
+    let expected = Action::Unload {
+        artifact: artifact("a@1"),
+    };
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].order.action, expected);
+}
+
 /// Guards against a version change that leaves fewer copies, or changes only one of them.
 #[test]
 fn version_change_of_each_copy() {
--- a/crates/buckthornmast_daemon/src/plan.rs
+++ b/crates/buckthornmast_daemon/src/plan.rs
@@ -40,6 +40,10 @@
 /// Age of a report beyond which a target of another domain counts as lost.
 const FRESH: Duration = Duration::from_millis(2500);
 
+/// Time for which a copy must have been ready before another one is unloaded for it: the age up to which
+/// a report is routed by, and some time for requests that have chosen already.
+const READY_FOR: Duration = Duration::from_millis(2700);
+
 /// Tokens a second of one slot, until targets report their speed.
 const SLOT_TOKENS: f64 = 20.0;
 
@@ -99,7 +103,10 @@
     /// Returns the configuration of the controller.
     pub fn config(&self) -> Config {
         let (rate, at_once) = store_share(&self.current.get(), &self.domain);
-        Config::new(rate, at_once)
+        Config {
+            ready_for: READY_FOR,
+            ..Config::new(rate, at_once)
+        }
     }
 
     fn hosts(&self, now: Point, own: &View, snapshot: &Snapshot) -> (Vec<view::Host>, Vec<Seen>) {
