--- a/crates/buckthornmast_gateway/tests/assembly.rs
+++ b/crates/buckthornmast_gateway/tests/assembly.rs
@@ -1,5 +1,7 @@
 //! Chunks that arrive late, twice, from elsewhere or not at all.
 
+#![allow(clippy::unwrap_used, reason = "a helper that fails must fail its test")]
+
 use arbtest::arbitrary::{self, Unstructured};
 use buckthornmast_gateway::assembly::{Answer, Broken, MAX_EARLY_CHUNKS};
 use buckthornmast_target::work::{Chunk, Event, Finish};
