--- a/crates/buckthornmast_trial/src/lib.rs
+++ b/crates/buckthornmast_trial/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod fit;
 pub mod process;
 pub mod relay;
 pub mod stream;
@@ -17,6 +18,7 @@
     pub use crate::{
         caller,
         cluster::{Cluster, Instance, Plan, Target},
+        fit::Fit,
         process::Process,
         relay::{Mode, Relay},
         stream,
