Rank targets once per model when copies are declared

Cause: each plan of a controller ranked all targets for every artifact and hashed both names again at each comparison. It also looked targets of the own domain and old versions up by scanning lists.

Change: targets are ranked once for each model and service, only as far as copies are declared, and the lookups use maps. The targets chosen are the same; a test compares them with the full sort.

--- a/crates/buckthornmast_daemon/src/plan.rs
+++ b/crates/buckthornmast_daemon/src/plan.rs
@@ -1,7 +1,9 @@
 //! Plans of the controller: settings, demand and reports go to the policies and the arbiter.
 
+pub mod declared;
+
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -30,6 +32,7 @@
 use crate::{
     current::{Current, Snapshot},
     demand::Demand,
+    plan::declared::{declare, declared_copies},
     policy,
     targets::{Seen, Targets},
 };
@@ -106,15 +109,13 @@
         let drained = &snapshot.declarations.platform.drained;
         let mut hosts = Vec::new();
         let mut seen_hosts = Vec::new();
+        let controlled_by_name = by_name(own);
         for seen in self.targets.all() {
             let report = &seen.report;
             if report.accelerators == 0 {
                 continue;
             }
-            let controlled = own
-                .targets
-                .iter()
-                .find(|target| target.target == report.target);
+            let controlled = controlled_by_name.get(&report.target).copied();
             let is_fresh = now.since(seen.sent) < FRESH;
             let is_leaving = report.leaving || drained.contains(&report.target);
             let used: Bytes = report.copies.iter().map(|copy| copy.bytes).sum();
@@ -153,6 +154,12 @@
     }
 }
 
+/// Returns the targets of the own failure domain by name.
+fn by_name(own: &View) -> HashMap<&id::Target, &TargetView> {
+    let targets = own.targets.iter();
+    targets.map(|target| (&target.target, target)).collect()
+}
+
 fn domain_index(snapshot: &Snapshot, domain: &id::Domain) -> usize {
     let domains = &snapshot.declarations.platform.domains;
     domains
@@ -297,11 +304,9 @@
 /// Puts the copies of all targets into the items and returns those that nobody declares.
 fn place_copies(items: &mut Items, seen: &[Seen], own: &View) -> Vec<(id::Target, Artifact)> {
     let mut strays = Vec::new();
+    let controlled_by_name = by_name(own);
     for (target, seen) in seen.iter().enumerate() {
-        let controlled = own
-            .targets
-            .iter()
-            .find(|view| view.target == seen.report.target);
+        let controlled = controlled_by_name.get(&seen.report.target).copied();
         for (artifact, phase, bytes) in copies_of(seen, controlled) {
             let known = items.index.get(&artifact).copied();
             match known.or_else(|| items.push_old(&artifact, bytes)) {
@@ -316,39 +321,6 @@
     strays
 }
 
-fn rank(artifact: &Artifact, target: &id::Target) -> u64 {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
-    (artifact.model.as_str(), target.as_str()).hash(&mut hasher);
-    hasher.finish()
-}
-
-/// Declares copies on targets by rendezvous hashing, so that all controllers agree without messages.
-///
-/// An adapter ranks targets like its model, since it needs the model beside it.
-fn declare(items: &mut Items, seen: &[Seen], copies: &BTreeMap<Artifact, u32>) {
-    for (item, service) in items.list.iter_mut().zip(&items.services) {
-        let Some(count) = copies.get(&item.artifact) else {
-            continue;
-        };
-        let fits = |target: &usize| seen[*target].report.service == *service;
-        let mut targets: Vec<usize> = (0..seen.len()).filter(fits).collect();
-        targets.sort_by_key(|target| rank(&item.artifact, &seen[*target].report.target));
-        item.declared = targets.into_iter().take(*count as usize).collect();
-    }
-}
-
-fn declared_copies(snapshot: &Snapshot) -> BTreeMap<Artifact, u32> {
-    let mut copies = BTreeMap::new();
-    for team in snapshot.declarations.teams.values() {
-        let models = team.models.iter();
-        copies.extend(models.filter_map(|(m, d)| Some((team.model_artifact(m)?, d.copies))));
-        let adapters = team.adapters.iter();
-        copies.extend(adapters.filter_map(|(a, d)| Some((team.adapter_artifact(a)?, d.copies))));
-    }
-    copies
-}
-
 /// Returns what must stay reachable through this domain's targets.
 ///
 /// A copy in a domain that comes earlier by name frees this domain from keeping one. The first domain
@@ -372,14 +344,17 @@
         .iter()
         .enumerate()
         .filter(|(_, item)| item.replaced_by.is_none());
+    let mut old_by_new: HashMap<usize, Vec<&view::Item>> = HashMap::new();
+    for old in &items.list {
+        if let Some(new) = old.replaced_by {
+            old_by_new.entry(new).or_default().push(old);
+        }
+    }
     let need = |(index, item): (usize, &view::Item)| {
         if is_kept_elsewhere(item) {
             return None;
         }
-        let old = items
-            .list
-            .iter()
-            .filter(|old| old.replaced_by == Some(index));
+        let old = old_by_new.get(&index).into_iter().flatten();
         Some(Need {
             team: (*teams.get(item.team)?).clone(),
             service: items.services[index].clone(),
