--- /dev/null
+++ b/crates/buckthornmast_daemon/examples/capacity.rs
@@ -0,0 +1,410 @@
+//! Measures the cost of relayed reports, demand rows, settings and claims at several sizes.
+
+use std::{
+    error::Error,
+    fmt::Write as _,
+    fs,
+    hint::black_box,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use buckthornmast_config::folder::{self, Folder};
+use buckthornmast_consensus::machine::{LogTime, Machine};
+use buckthornmast_daemon::{
+    current::Current,
+    demand::Row,
+    message::{Notice, Relayed, Response},
+    targets::Targets,
+};
+use buckthornmast_state::{
+    claims::{Claim, Complete, Fingerprint, Id, Outcome},
+    machine::{Command, State},
+    settings::{Change, Scope, Write},
+};
+use buckthornmast_trial::fit::Fit;
+use buckthornmast_types::{
+    artifact::Artifact,
+    id,
+    report::{Copy, Load, Phase, Report},
+    size::Bytes,
+    time::{System, unix_millis},
+};
+use buckthornmast_wire::{
+    key::Key,
+    sealed::{Nonce, Sealed, open_request, seal_request},
+};
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+const KEY: &str = "1f0c7d52c7f64f4b8d0e9a3b5c6d7e8f1f0c7d52c7f64f4b8d0e9a3b5c6d7e8f";
+
+/// Time for which each step is repeated; the kernel counts processor time in ticks of some milliseconds.
+const REPEAT: Duration = Duration::from_millis(600);
+
+/// Reports in one notice, as in the daemon.
+const BATCH: usize = 64;
+
+/// Adapters of a model; the two deployments have 3.3 and 4.6.
+const ADAPTERS: usize = 4;
+
+/// Teams that the models are divided among.
+const TEAMS: usize = 10;
+
+/// Models in all copies of the settings that are held to see their memory.
+const HELD: usize = 16_000;
+
+/// Returns the processor time of this thread.
+fn processor() -> Duration {
+    let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text.split(' ').next().and_then(|field| field.parse().ok());
+    Duration::from_nanos(nanos.unwrap_or_default())
+}
+
+/// Returns the resident memory of this process in bytes.
+fn resident() -> f64 {
+    let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kib.unwrap_or_default() * 1024.0
+}
+
+/// Returns the mean processor time of a step in microseconds.
+fn cost(mut step: impl FnMut() -> Result<()>) -> Result<f64> {
+    let (begin, start) = (processor(), Instant::now());
+    let mut steps = 0.0;
+    while start.elapsed() < REPEAT {
+        step()?;
+        steps += 1.0;
+    }
+    Ok((processor() - begin).as_secs_f64() * 1e6 / steps)
+}
+
+/// Prints the line through one column over the first.
+fn print_fit<const N: usize>(what: &str, rows: &[[f64; N]], column: usize) {
+    let points: Vec<(f64, f64)> = rows.iter().map(|row| (row[0], row[column])).collect();
+    if let Some(fit) = Fit::through(&points) {
+        println!("  fit {what}: {fit}");
+    }
+}
+
+/// Returns a report with as many models, each with two adapters, as an engine holds.
+fn report(target: usize, models: usize, sequence: u64) -> Result<Report> {
+    let mut copies = Vec::new();
+    for model in 0..models {
+        let base = format!("model-{:04}@7", (target * 7 + model) % 820);
+        let first = format!("{base}+adapter-a{model}@3");
+        let second = format!("{base}+adapter-b{model}@3");
+        for name in [base, first, second] {
+            copies.push(Copy {
+                artifact: name.parse::<Artifact>()?,
+                phase: Phase::Ready,
+                bytes: Bytes(14 << 30),
+            });
+        }
+    }
+    Ok(Report {
+        target: format!("engine-{target:04}").parse()?,
+        domain: "muc-nord".parse()?,
+        kind: "engine".parse()?,
+        service: "sprachhalle".parse()?,
+        address: "10.20.30.40:8000".parse()?,
+        incarnation: id::Incarnation(1_764_796_395_123),
+        sequence,
+        leaving: false,
+        accelerators: 4,
+        memory: Bytes(320 << 30),
+        copies,
+        token: id::Token(48_213),
+        load: Load {
+            running: 12,
+            waiting: 3,
+            slots: 32,
+        },
+    })
+}
+
+/// Passes one report of each target on, as two instances do; returns bytes and time to seal and to take.
+fn relay(targets: usize, models: usize) -> Result<[f64; 4]> {
+    let key: Key = KEY.parse()?;
+    let from: id::Instance = "muc-nord-17".parse()?;
+    let relayed = |target| -> Result<Relayed> {
+        let report = report(target, models, 48_213)?;
+        Ok(Relayed {
+            report,
+            age_ms: 120,
+        })
+    };
+    let relayed: Vec<Relayed> = (0..targets).map(relayed).collect::<Result<_>>()?;
+    let mut texts = Vec::new();
+    let seal = cost(|| {
+        texts.clear();
+        for batch in relayed.chunks(BATCH) {
+            let body = serde_json::to_string(&[Notice::Reports(batch.to_vec())])?;
+            let sealed = seal_request(&key, &from, Nonce::random(), body);
+            texts.push(serde_json::to_string(&sealed)?);
+        }
+        Ok(())
+    })?;
+    let take = cost(|| {
+        // A new table takes each report as a newer one.
+        let table = Targets::new(System::start());
+        for text in &texts {
+            let sealed: Sealed = serde_json::from_str(text)?;
+            let notices: Vec<Notice> = serde_json::from_str(open_request(&key, &sealed)?)?;
+            for notice in notices {
+                if let Notice::Reports(reports) = notice {
+                    for relayed in reports {
+                        table.accept(relayed.report, Duration::ZERO, false);
+                    }
+                }
+            }
+        }
+        Ok(())
+    })?;
+    let bytes: usize = texts.iter().map(String::len).sum();
+    println!(
+        "  {targets} targets: {bytes} bytes, {seal:.0} us to seal for one peer, {take:.0} us to take"
+    );
+    Ok([targets as f64, bytes as f64, seal, take])
+}
+
+fn reports() -> Result<()> {
+    for models in [1, 3] {
+        let copies = models * 3;
+        println!("relay of one report of each target, {copies} artifacts a target");
+        let mut rows = Vec::new();
+        for targets in [30, 120, 467] {
+            rows.push(relay(targets, models)?);
+        }
+        print_fit("bytes, x = reports", &rows, 1);
+        print_fit("us to seal for one peer, x = reports", &rows, 2);
+        print_fit("us to take, x = reports", &rows, 3);
+    }
+    Ok(())
+}
+
+fn demand() -> Result<()> {
+    println!("demand notice");
+    let mut sizes = Vec::new();
+    for models in [30_usize, 200, 820] {
+        let row = |model: usize| Row {
+            name: format!("model-{model:04}"),
+            requests: (model + 1) as f64 / 7.0,
+            tokens: (model + 1) as f64 * 400.0 / 7.0,
+        };
+        let rows: Vec<Row> = (0..models).map(row).collect();
+        let size = serde_json::to_string(&Notice::Demand(rows))?.len();
+        println!("  {models} rows: {size} bytes");
+        sizes.push([models as f64, size as f64]);
+    }
+    print_fit("bytes, x = rows", &sizes, 1);
+    Ok(())
+}
+
+/// Writes declarations of a platform with some models, each with its adapters.
+fn declare(path: &Path, models: usize) -> Result<()> {
+    fs::create_dir_all(path.join("teams"))?;
+    let mut platform =
+        "[platform]\nname = measured\n[domain north]\nregion = demo\n[kind engine]\n\
+        role = model\nfencing = honoured\naccess = checked\n[service chat]\nkind = engine\n"
+            .to_owned();
+    for team in 0..TEAMS {
+        let digest = format!("{team:0>64}");
+        writeln!(
+            platform,
+            "[team team-{team}]\ntoken-sha256 = {digest}\nshare = 1"
+        )?;
+        let mut text = "[policy]\nname = marginal\n[objective chat]\ndeadline = 20s\n\
+            first-token = 390ms\nattainment = 0.95\nwindow = 28d\n"
+            .to_owned();
+        for model in (team..models).step_by(TEAMS) {
+            writeln!(
+                text,
+                "[model model-{model:04}]\nservice = chat\nversion = 7\nmemory = 14GiB\n\
+                 objective = chat\ncopies = 2\npriority = 5"
+            )?;
+            for adapter in 0..ADAPTERS {
+                writeln!(
+                    text,
+                    "[adapter adapter-{model:04}-{adapter}]\nmodel = model-{model:04}\n\
+                     version = 3\nmemory = 300MiB"
+                )?;
+            }
+        }
+        fs::write(path.join(format!("teams/team-{team}.ini")), text)?;
+    }
+    fs::write(path.join("platform.ini"), platform)?;
+    Ok(())
+}
+
+fn write_to(state: &mut State, scope: &Scope, changes: Vec<Change>) {
+    let write = Write {
+        scope: scope.clone(),
+        id: id::Write::generate(),
+        base: state.tree().scope_revision(scope),
+        changes,
+    };
+    state.apply(id::Index(1), LogTime(unix_millis()), &Command::Write(write));
+}
+
+/// Applies the declarations in writes of at most 1,000 changes and returns the number of changes.
+fn apply(state: &mut State, folder: &Folder) -> usize {
+    let mut count = 0;
+    for (scope, values) in &folder.scopes {
+        let scope = match scope {
+            folder::Scope::Platform => Scope::Platform,
+            folder::Scope::Team(team) => Scope::Team(team.clone()),
+        };
+        let change = |(path, value): (&String, &String)| Change {
+            path: path.clone(),
+            value: Some(value.clone()),
+        };
+        let changes: Vec<Change> = values.iter().map(change).collect();
+        count += changes.len();
+        for changes in changes.chunks(1000) {
+            write_to(state, &scope, changes.to_vec());
+        }
+    }
+    count
+}
+
+fn settings_at(held: &mut Vec<Current>, models: usize) -> Result<[f64; 5]> {
+    let path = tempfile::tempdir()?;
+    declare(path.path(), models)?;
+    let folder = Folder::read(path.path()).map_err(|_| "declarations are refused")?;
+    let mut state = State::default();
+    let values = apply(&mut state, &folder);
+    let before = state.tree().revision();
+    let change = Change {
+        path: "models/model-0000/version".to_owned(),
+        value: Some("8".to_owned()),
+    };
+    write_to(&mut state, &Scope::Team("team-0".parse()?), vec![change]);
+    let tree = state.tree().clone();
+    let size = |update| serde_json::to_string(&Response::Followed(update)).map(|text| text.len());
+    let delta = size(tree.changes_since(before))?;
+    let all = size(tree.changes_since(id::Revision(0)))?;
+    let start = resident();
+    let copies = HELD / models;
+    let first = held.len();
+    for _ in 0..copies {
+        let current = Current::default();
+        current.advance(&tree);
+        held.push(current);
+    }
+    let memory = (resident() - start) / copies as f64;
+    let build = cost(|| {
+        let current = Current::default();
+        current.advance(&tree);
+        black_box(current.get());
+        Ok(())
+    })? / 1e3;
+    let copy = cost(|| {
+        black_box(tree.clone());
+        Ok(())
+    })? / 1e3;
+    let names = held[first].get().catalog.models.len();
+    println!(
+        "  {models} models, {values} values, {names} names: snapshot {build:.2} ms and {memory:.0} \
+         bytes, copy of the tree {copy:.2} ms, delta {delta} bytes, all {all} bytes"
+    );
+    Ok([models as f64, build, memory, delta as f64, all as f64])
+}
+
+fn settings() -> Result<()> {
+    println!("settings, {ADAPTERS} adapters a model");
+    // Freed memory would be taken again uncounted.
+    let mut held = Vec::new();
+    let mut rows = Vec::new();
+    for models in [30, 200, 820] {
+        rows.push(settings_at(&mut held, models)?);
+    }
+    print_fit("snapshot ms, x = models", &rows, 1);
+    print_fit("snapshot bytes, x = models", &rows, 2);
+    print_fit("bytes of all, x = models", &rows, 4);
+    Ok(())
+}
+
+/// Applies a claim and its outcome.
+fn run_once(state: &mut State, index: usize, body: usize) -> Result<()> {
+    let at = LogTime(unix_millis());
+    let id = Id {
+        key: id::Key::generate(),
+        service: "plant-ledger".parse()?,
+    };
+    let request = id::Request::generate();
+    let claim = Claim {
+        id: id.clone(),
+        owner: "macon-a-1".parse()?,
+        request,
+        fingerprint: Fingerprint(index as u128 | 1 << 127),
+    };
+    let outcome = Outcome {
+        status: 200,
+        kind: "application/json".to_owned(),
+        body: Some(vec![b'x'; body]),
+    };
+    let complete = Complete {
+        id,
+        request,
+        outcome,
+    };
+    let index = id::Index(index as u64);
+    state.apply(index, at, &Command::Claim(claim));
+    state.apply(index, at, &Command::Complete(complete));
+    Ok(())
+}
+
+fn claims_at(held: &mut Vec<State>, count: usize, body: usize) -> Result<[f64; 4]> {
+    let start = resident();
+    let mut state = State::default();
+    let begin = Instant::now();
+    for index in 0..count {
+        run_once(&mut state, index, body)?;
+    }
+    let each = begin.elapsed().as_secs_f64() * 1e6 / count as f64;
+    let memory = resident() - start;
+    let mut bytes = 0;
+    let snapshot = cost(|| {
+        bytes = black_box(state.snapshot()).len();
+        Ok(())
+    })? / 1e3;
+    let (kept, counted) = (state.claims().len(), state.claims().bytes());
+    println!(
+        "  {kept} of {count} kept: {counted} bytes counted, {memory:.0} resident, snapshot {bytes} \
+         bytes in {snapshot:.2} ms, {each:.2} us to apply claim and outcome"
+    );
+    held.push(state);
+    Ok([kept as f64, memory, bytes as f64, snapshot])
+}
+
+fn claims() -> Result<()> {
+    // Freed memory would be taken again uncounted.
+    let mut held = Vec::new();
+    for body in [0, 200] {
+        println!("claims, outcome with a body of {body} bytes");
+        let mut rows = Vec::new();
+        for count in [5_000, 20_000, 60_000] {
+            rows.push(claims_at(&mut held, count, body)?);
+        }
+        print_fit("resident bytes, x = claims", &rows, 1);
+        print_fit("snapshot bytes, x = claims", &rows, 2);
+        print_fit("snapshot ms, x = claims", &rows, 3);
+    }
+    Ok(())
+}
+
+fn main() -> Result<()> {
+    println!("load {}", fs::read_to_string("/proc/loadavg")?.trim());
+    for part in std::env::args().skip(1) {
+        match part.as_str() {
+            "reports" => reports()?,
+            "demand" => demand()?,
+            "settings" => settings()?,
+            "claims" => claims()?,
+            _ => return Err("usage: capacity [reports|demand|settings|claims]...".into()),
+        }
+    }
+    Ok(())
+}
--- a/crates/buckthornmast_trial/src/lib.rs
+++ b/crates/buckthornmast_trial/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod fit;
 pub mod process;
 pub mod relay;
 pub mod wait;
@@ -16,6 +17,7 @@
     pub use crate::{
         caller,
         cluster::{Cluster, Instance, Plan, Target},
+        fit::Fit,
         process::Process,
         relay::{Mode, Relay},
         wait::wait_for,
