Pass reports on once, and only as a brief while their content stays the same

Cause: both instances that a target reports to passed on the whole report each second; above 19 targets at 6 instances that is more than the 20 KB/s that control may take. Change: the second instance waits 0.4 s for the first; unchanged reports go as a brief with load and a hash of the content, and an instance that lacks the content asks for it.

--- a/crates/buckthornmast_daemon/examples/capacity.rs
+++ b/crates/buckthornmast_daemon/examples/capacity.rs
@@ -15,7 +15,8 @@
     current::Current,
     demand::Row,
     message::{Notice, Relayed, Response},
-    targets::Targets,
+    relay::content_of,
+    targets::{Origin, Targets},
 };
 use buckthornmast_state::{
     claims::{Claim, Complete, Fingerprint, Id, Outcome},
@@ -124,18 +125,34 @@
     })
 }
 
-/// Passes one report of each target on, as two instances do; returns bytes and time to seal and to take.
-fn relay(targets: usize, models: usize) -> Result<[f64; 4]> {
-    let key: Key = KEY.parse()?;
-    let from: id::Instance = "muc-nord-17".parse()?;
-    let relayed = |target| -> Result<Relayed> {
-        let report = report(target, models, 48_213)?;
-        Ok(Relayed {
+/// Returns what is passed on for a report that was, or was not, passed on before.
+fn relayed(target: usize, models: usize, is_known: bool) -> Result<Relayed> {
+    let report = report(target, models, 48_213)?;
+    if !is_known {
+        let report = Box::new(report);
+        return Ok(Relayed::Full {
             report,
             age_ms: 120,
-        })
-    };
-    let relayed: Vec<Relayed> = (0..targets).map(relayed).collect::<Result<_>>()?;
+        });
+    }
+    Ok(Relayed::Brief {
+        content: content_of(&report),
+        target: report.target,
+        incarnation: report.incarnation,
+        sequence: report.sequence + 1,
+        leaving: report.leaving,
+        load: report.load,
+        age_ms: 120,
+    })
+}
+
+/// Passes one report of each target on to one instance; returns bytes and time to seal and to take.
+fn relay(targets: usize, models: usize, is_known: bool) -> Result<[f64; 4]> {
+    let key: Key = KEY.parse()?;
+    let from: id::Instance = "muc-nord-17".parse()?;
+    let relayed: Vec<Relayed> = (0..targets)
+        .map(|target| relayed(target, models, is_known))
+        .collect::<Result<_>>()?;
     let mut texts = Vec::new();
     let seal = cost(|| {
         texts.clear();
@@ -147,16 +164,24 @@
         Ok(())
     })?;
     let take = cost(|| {
-        // A new table takes each report as a newer one.
+        // A new table takes each report as a newer one; for briefs it has to know the reports before.
         let table = Targets::new(System::start());
+        for target in 0..if is_known { targets } else { 0 } {
+            table.accept(
+                report(target, models, 48_213)?,
+                Duration::ZERO,
+                Origin::Instance,
+            );
+        }
         for text in &texts {
             let sealed: Sealed = serde_json::from_str(text)?;
             let notices: Vec<Notice> = serde_json::from_str(open_request(&key, &sealed)?)?;
             for notice in notices {
                 if let Notice::Reports(reports) = notice {
-                    for relayed in reports {
-                        table.accept(relayed.report, Duration::ZERO, false);
-                    }
+                    assert!(
+                        table.accept_relayed(reports).is_empty(),
+                        "content was lacking"
+                    );
                 }
             }
         }
@@ -170,12 +195,13 @@
 }
 
 fn reports() -> Result<()> {
-    for models in [1, 3] {
+    for (models, is_known) in [(1, false), (3, false), (3, true)] {
         let copies = models * 3;
-        println!("relay of one report of each target, {copies} artifacts a target");
+        let form = if is_known { "unchanged" } else { "new" };
+        println!("relay of one {form} report of each target, {copies} artifacts a target");
         let mut rows = Vec::new();
         for targets in [30, 120, 467] {
-            rows.push(relay(targets, models)?);
+            rows.push(relay(targets, models, is_known)?);
         }
         print_fit("bytes, x = reports", &rows, 1);
         print_fit("us to seal for one peer, x = reports", &rows, 2);
--- a/crates/buckthornmast_daemon/examples/plan_time.rs
+++ b/crates/buckthornmast_daemon/examples/plan_time.rs
@@ -9,7 +9,14 @@
 
 use buckthornmast_consensus::machine::{LogTime, Machine};
 use buckthornmast_controller::plan::{Plan, View};
-use buckthornmast_daemon::{current::Current, demand::Demand, plan::Planner, targets::Targets};
+use buckthornmast_daemon::{
+    current::Current,
+    demand::Demand,
+    plan::Planner,
+    reports::Reports,
+    shadow::Shadows,
+    targets::{Origin, Targets},
+};
 use buckthornmast_state::{
     machine::{Command, State},
     settings::{Change, Scope, Write},
@@ -129,16 +136,21 @@
     let names = current.get().catalog.models.len();
     let targets = Targets::new(clock);
     for target in 0..count {
-        targets.accept(report(target, count, models)?, Duration::ZERO, false);
+        targets.accept(
+            report(target, count, models)?,
+            Duration::ZERO,
+            Origin::Instance,
+        );
     }
     let demand = Demand::new(clock);
     let mut planner = Planner {
         domain: "north".parse()?,
-        current,
+        current: current.clone(),
         targets,
         demand,
         clock,
         teams: BTreeMap::new(),
+        shadows: Shadows::new(Reports::new(current.clone())),
     };
     let mut times = Vec::new();
     for _ in 0..PLANS {
--- a/crates/buckthornmast_daemon/src/lib.rs
+++ b/crates/buckthornmast_daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod policy;
 pub mod propose;
 pub mod receive;
+pub mod relay;
 pub mod reports;
 pub mod router;
 pub mod shadow;
--- a/crates/buckthornmast_daemon/src/message.rs
+++ b/crates/buckthornmast_daemon/src/message.rs
@@ -8,18 +8,42 @@
     machine::{Answer, Command},
     settings::{Entry, Scope, Update},
 };
-use buckthornmast_types::{id, order::Order, report::Report};
+use buckthornmast_types::{
+    id,
+    order::Order,
+    report::{Load, Report},
+};
 use serde::{Deserialize, Serialize};
 
-use crate::summary::Summary;
+use crate::{relay::Content, summary::Summary};
 
 /// Report of a target, passed on by the instance that received it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Relayed {
-    /// Report.
-    pub report: Report,
-    /// Milliseconds since the target sent it.
-    pub age_ms: u64,
+pub enum Relayed {
+    /// Whole report.
+    Full {
+        /// Report.
+        report: Box<Report>,
+        /// Milliseconds since the target sent it.
+        age_ms: u64,
+    },
+    /// Newer report whose content has not changed.
+    Brief {
+        /// Target.
+        target: id::Target,
+        /// Start of the target.
+        incarnation: id::Incarnation,
+        /// Number of the report.
+        sequence: u64,
+        /// Content of the report.
+        content: Content,
+        /// Whether the target wants no new work.
+        leaving: bool,
+        /// Load.
+        load: Load,
+        /// Milliseconds since the target sent it.
+        age_ms: u64,
+    },
 }
 
 /// Message without an answer.
@@ -29,6 +53,8 @@
     Consensus(Message<Command>),
     /// Reports of targets.
     Reports(Vec<Relayed>),
+    /// Targets whose content the sender lacks.
+    Wanted(Vec<id::Target>),
     /// Demand at the sender.
     Demand(Vec<crate::demand::Row>),
     /// Intents that the quorum has, so that journals may forget them.
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -365,6 +365,7 @@
         current: core.current.clone(),
         replica: core.replica.clone(),
         leader: leader.clone(),
+        peers: core.peers.clone(),
         targets: core.targets.clone(),
         demand: core.demand.clone(),
         notebook: Arc::clone(&notebook),
--- a/crates/buckthornmast_daemon/src/receive.rs
+++ b/crates/buckthornmast_daemon/src/receive.rs
@@ -15,7 +15,7 @@
     demand::Demand,
     leader::Leader,
     message::{JournalAsk, JournalReply, Notice, Refusal, Request, Response, millis},
-    peers::{Replica, refuse},
+    peers::{Peers, Replica, refuse},
     summary::Own,
     targets::Targets,
 };
@@ -28,6 +28,8 @@
     pub replica: Option<Arc<Replica>>,
     /// Grantor of leases, if there is a replica.
     pub leader: Option<Arc<Leader>>,
+    /// Client to the other instances.
+    pub peers: Peers,
     /// Reports of targets.
     pub targets: Targets,
     /// Demand of all instances.
@@ -106,11 +108,12 @@
                 }
             }
             Notice::Reports(reports) => {
-                for relayed in reports {
-                    let age = Duration::from_millis(relayed.age_ms);
-                    self.targets.accept(relayed.report, age, false);
+                let wanted = self.targets.accept_relayed(reports);
+                if !wanted.is_empty() {
+                    self.peers.notify(from, Notice::Wanted(wanted));
                 }
             }
+            Notice::Wanted(targets) => self.targets.want(targets),
             Notice::Demand(rows) => self.demand.accept(from, rows),
             Notice::Forget(orders) => self.notebook().forget(&orders),
         }
--- a/crates/buckthornmast_daemon/src/targets.rs
+++ b/crates/buckthornmast_daemon/src/targets.rs
@@ -17,8 +17,9 @@
 
 use crate::{
     demand::Demand,
-    message::{Notice, Relayed, millis},
+    message::{Notice, Relayed},
     peers::Peers,
+    relay::{Content, Outbox, content_of},
 };
 
 /// Largest report in bytes; one with 1,000 artifacts has about 100 KB.
@@ -37,6 +38,9 @@
 /// Rounds of the relay between two notices of demand, which make one second.
 const DEMAND_ROUNDS: u32 = 5;
 
+/// Time that the second instance with a report gives the first one to pass it on; two rounds of the relay.
+const BACKUP_DELAY: Duration = Duration::from_millis(400);
+
 /// Reports in one notice.
 const RELAY_BATCH: usize = 64;
 
@@ -47,6 +51,19 @@
     pub report: Arc<Report>,
     /// When the target sent it, on this instance's clock.
     pub sent: Point,
+    /// Hash of what does not change with every report.
+    pub content: Content,
+}
+
+/// Where a report came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The target itself, which counts on this instance to pass it on.
+    Target,
+    /// The target itself, which counts on another instance first.
+    Backup,
+    /// Another instance.
+    Instance,
 }
 
 /// Called with each newer report.
@@ -55,7 +72,7 @@
 #[derive(Default)]
 struct Table {
     seen: BTreeMap<id::Target, Seen>,
-    relay: BTreeMap<id::Target, Seen>,
+    outbox: Outbox,
     listeners: Vec<Listener>,
 }
 
@@ -85,7 +102,18 @@
     }
 
     /// Takes a report that its target sent `age` ago, and returns whether it is newer.
-    pub fn accept(&self, report: Report, age: Duration, relay: bool) -> bool {
+    pub fn accept(&self, report: Report, age: Duration, origin: Origin) -> bool {
+        let content = content_of(&report);
+        self.accept_known(report, content, age, origin)
+    }
+
+    fn accept_known(
+        &self,
+        report: Report,
+        content: Content,
+        age: Duration,
+        origin: Origin,
+    ) -> bool {
         let now = self.clock.now();
         let target = report.target.clone();
         let mut table = self.lock();
@@ -99,6 +127,7 @@
             return false;
         }
         let seen = Seen {
+            content,
             report: Arc::new(report),
             sent: now - age,
         };
@@ -108,13 +137,59 @@
                 Err(flume::TrySendError::Disconnected(_))
             )
         });
-        if relay {
-            table.relay.insert(target.clone(), seen.clone());
+        match origin {
+            Origin::Target => table.outbox.put(seen.clone(), now),
+            Origin::Backup => table.outbox.put(seen.clone(), now + BACKUP_DELAY),
+            Origin::Instance => table.outbox.heard(&seen.report),
         }
         table.seen.insert(target, seen);
         true
     }
 
+    /// Takes what another instance passed on, and returns the targets whose content is lacking.
+    pub fn accept_relayed(&self, relayed: Vec<Relayed>) -> Vec<id::Target> {
+        let mut wanted = Vec::new();
+        for relayed in relayed {
+            let (report, content, age_ms) = match relayed {
+                Relayed::Full { report, age_ms } => {
+                    let content = content_of(&report);
+                    (*report, content, age_ms)
+                }
+                Relayed::Brief {
+                    target,
+                    incarnation,
+                    sequence,
+                    content,
+                    leaving,
+                    load,
+                    age_ms,
+                } => {
+                    let seen = self.get(&target);
+                    let known = seen.filter(|seen| {
+                        seen.report.incarnation == incarnation && seen.content == content
+                    });
+                    let Some(known) = known else {
+                        wanted.push(target);
+                        continue;
+                    };
+                    let mut report = Report::clone(&known.report);
+                    report.sequence = sequence;
+                    report.leaving = leaving;
+                    report.load = load;
+                    (report, content, age_ms)
+                }
+            };
+            let age = Duration::from_millis(age_ms);
+            self.accept_known(report, content, age, Origin::Instance);
+        }
+        wanted
+    }
+
+    /// Passes on whole reports of these targets next time.
+    pub fn want(&self, targets: Vec<id::Target>) {
+        self.lock().outbox.want(targets);
+    }
+
     /// Returns the newest report of a target.
     pub fn get(&self, target: &id::Target) -> Option<Seen> {
         self.lock().seen.get(target).cloned()
@@ -130,17 +205,19 @@
         self.lock().seen.values().cloned().collect()
     }
 
-    fn take_relay(&self) -> Vec<Seen> {
-        std::mem::take(&mut self.lock().relay)
-            .into_values()
-            .collect()
+    fn take_relay(&self) -> Vec<Relayed> {
+        let now = self.clock.now();
+        self.lock().outbox.take(now)
     }
 
     fn forget_old(&self) {
         let now = self.clock.now();
-        self.lock()
+        let table = &mut *self.lock();
+        table
             .seen
             .retain(|_, seen| now.since(seen.sent) < FORGET_AFTER);
+        let seen = &table.seen;
+        table.outbox.retain(|target| seen.contains_key(target));
     }
 
     /// Serves the port of the targets.
@@ -158,7 +235,13 @@
             });
         match report {
             Ok(report) => {
-                self.accept(report, Duration::ZERO, true);
+                let is_backup = exchange.query() == Some("backup=yes");
+                let origin = if is_backup {
+                    Origin::Backup
+                } else {
+                    Origin::Target
+                };
+                self.accept(report, Duration::ZERO, origin);
                 respond(exchange, Response::json(200, "{}"));
             }
             Err(problem) => respond(exchange, problem.into()),
@@ -213,15 +296,7 @@
 ) {
     let mut round = 0_u32;
     while stopped.recv_timeout(RELAY_PERIOD) == Err(RecvTimeoutError::Timeout) {
-        let now = targets.clock.now();
-        let relayed: Vec<Relayed> = targets
-            .take_relay()
-            .into_iter()
-            .map(|seen| Relayed {
-                report: Report::clone(&seen.report),
-                age_ms: millis(now.since(seen.sent)),
-            })
-            .collect();
+        let relayed = targets.take_relay();
         for batch in relayed.chunks(RELAY_BATCH) {
             for other in others {
                 peers.notify(other, Notice::Reports(batch.to_vec()));
--- a/crates/buckthornmast_standin/src/announce.rs
+++ b/crates/buckthornmast_standin/src/announce.rs
@@ -67,7 +67,7 @@
         let report = serde_json::to_vec(&make(number)).unwrap_or_default();
         let mut reached = 0;
         for instance in instances {
-            if reached < RECEIVERS && send(*instance, &report) {
+            if reached < RECEIVERS && send(*instance, &report, reached > 0) {
                 reached += 1;
             }
         }
@@ -78,12 +78,17 @@
     }
 }
 
-fn send(instance: SocketAddr, report: &[u8]) -> bool {
+fn send(instance: SocketAddr, report: &[u8], is_backup: bool) -> bool {
+    let target = if is_backup {
+        "/v1/report?backup=yes"
+    } else {
+        "/v1/report"
+    };
     let bound = Duration::from_millis(500);
     let timeouts = client::Timeouts::all(bound);
     let request = client::Request {
         method: "POST",
-        target: "/v1/report",
+        target,
         headers: &[("Content-Type", "application/json")],
         body: report,
     };
