Shorten the election timeout to 500 to 800 ms

Cause: the timeout of 700 to 1,100 ms was chosen so that a sync, which held up heartbeats, cost no term. Syncs no longer hold them up.

Change: 500 to 800 ms, heartbeat as before at 100 ms.

--- a/crates/buckthornmast_consensus/src/core.rs
+++ b/crates/buckthornmast_consensus/src/core.rs
@@ -59,13 +59,13 @@
 }
 
 impl Default for Timing {
-    /// Intervals for round trips of a few milliseconds. A sync holds up heartbeats and took up to 607 ms on a
-    /// busy disk, so the shortest timeout is above that.
+    /// Intervals for round trips of a few milliseconds. A sync doesn't hold up heartbeats, so the shortest timeout
+    /// only has to bridge a few lost or late ones, on a machine whose threads wait for a processor.
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(100),
-            election_min: Duration::from_millis(700),
-            election_max: Duration::from_millis(1100),
+            election_min: Duration::from_millis(500),
+            election_max: Duration::from_millis(800),
         }
     }
 }
