--- a/crates/buckthornmast_trial/src/cluster.rs
+++ b/crates/buckthornmast_trial/src/cluster.rs
@@ -24,7 +24,7 @@
 /// Bearer token of the platform's operators.
 pub const PLATFORM_TOKEN: &str = "platform-secret";
 
-/// Bearer token of the team of [`DECLARATIONS`].
+/// Bearer token of the team of the example declarations.
 pub const TEAM_TOKEN: &str = "press-secret";
 
 /// Token that targets check.
