Test that a drain counts as soon as it is in force

Change: drain_at_once sends a request with the same first message right after the instance shows the drain as in force.

--- a/crates/buckthornmast_daemon/tests/leaving.rs
+++ b/crates/buckthornmast_daemon/tests/leaving.rs
@@ -119,3 +119,40 @@
     }
     cluster.wait_for_model(0, "catalogue");
 }
+
+/// Guards against an instance that reports a drain as in force and still chooses the target.
+#[test]
+fn drain_at_once() {
+    let mut cluster = press::start(&press::THREE);
+    let engines = [("e1", "north"), ("e2", "north")];
+    cluster.add_engines(&engines, &[]).unwrap();
+    let port = cluster.instances[0].ports.callers;
+    for round in 0..3 {
+        wait_for("two copies", || {
+            (watch::ready_at(&cluster, 0, "proof-reader@1").len() == 2).then_some(())
+        });
+        // Requests with the same first message go to the same engine as long as it may be chosen.
+        let prompt = format!("round {round}");
+        let drained = wait_for("an answer", || {
+            let before = [0, 1].map(|target| generations(&cluster, target));
+            let status = caller::chat(port, "proof-reader", &prompt, 1).status;
+            let mut targets = [0, 1].into_iter();
+            let used = targets.find(|target| generations(&cluster, *target) > before[*target]);
+            used.filter(|_| status == 200)
+        });
+        let before = generations(&cluster, drained);
+        let path = format!("target/{}/drain", cluster.targets[drained].name);
+        for (value, is_drained) in [("yes", true), ("no", false)] {
+            let revision = cluster.revision(0).unwrap();
+            watch::set(&cluster, 0, "platform", &path, value);
+            wait_for("the drain in force", || {
+                (cluster.revision(0)? > revision).then_some(())
+            });
+            if is_drained {
+                let answer = caller::chat(port, "proof-reader", &prompt, 1);
+                assert_eq!(answer.status, 200, "{}", answer.text);
+                assert_eq!(generations(&cluster, drained), before);
+            }
+        }
+    }
+}
