--- /dev/null
+++ b/crates/buckthornmast_trial/examples/failover.rs
@@ -0,0 +1,193 @@
+//! Measures the time without a controller after a kill, and the time for a write to be in force.
+
+use std::{
+    collections::BTreeSet,
+    path::Path,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use buckthornmast_trial::prelude::*;
+use buckthornmast_types::id;
+
+const MAX_KILLS: usize = 50;
+
+/// Seconds for the measurement of kills, unless the second argument says otherwise.
+const KILLS_SECONDS: u64 = 240;
+
+const WRITES: usize = 1000;
+
+/// Pause between two looks at an instance; it bounds the resolution of both measurements.
+const LOOK: Duration = Duration::from_millis(2);
+
+const fn plan(name: &'static str, domain: &'static str, voter: bool) -> Plan {
+    Plan {
+        name,
+        domain,
+        voter,
+    }
+}
+
+/// Four failure domains with three voters.
+const PLANS: [Plan; 6] = [
+    plan("north-1", "north", true),
+    plan("north-2", "north", false),
+    plan("south-1", "south", true),
+    plan("south-2", "south", false),
+    plan("east-1", "east", true),
+    plan("west-1", "west", false),
+];
+
+/// Returns the token of the lease that an instance holds in its own view.
+fn token(cluster: &Cluster, index: usize) -> Option<u64> {
+    let status = cluster.status(index);
+    let rows = status["instances"].as_array()?;
+    let name = cluster.instances[index].plan.name;
+    let row = rows.iter().find(|row| row["instance"] == name)?;
+    row["controller"].as_u64()
+}
+
+/// Waits until one of the instances holds the lease.
+fn wait_for_holder(cluster: &Cluster, candidates: &[usize]) -> usize {
+    wait_for("a holder", || {
+        let mut candidates = candidates.iter().copied();
+        candidates.find(|index| token(cluster, *index).is_some())
+    })
+}
+
+/// Kills the holder of a domain's lease again and again.
+fn measure_failover(cluster: &mut Cluster, bound: Duration) -> std::io::Result<Vec<Duration>> {
+    let (begun, mut times) = (Instant::now(), Vec::new());
+    while times.len() < MAX_KILLS && begun.elapsed() < bound {
+        let holder = wait_for_holder(cluster, &[0, 1]);
+        let killed = Instant::now();
+        cluster.kill(holder);
+        wait_for_holder(cluster, &[1 - holder]);
+        times.push(killed.elapsed());
+        cluster.launch(holder)?;
+        wait_for("the restarted instance", || cluster.revision(holder));
+        // A restarted candidate may not ask for a lease before a full lease has passed.
+        thread::sleep(Duration::from_millis(2200));
+    }
+    Ok(times)
+}
+
+/// Follows the revision of an instance and records when each was first seen.
+fn follow(cluster: &Cluster, index: usize, is_over: &AtomicBool) -> Vec<(u64, Instant)> {
+    let mut seen: Vec<(u64, Instant)> = Vec::new();
+    while !is_over.load(Ordering::Relaxed) {
+        let revision = cluster.revision(index).unwrap_or_default();
+        if seen.last().is_none_or(|(last, _)| revision > *last) {
+            // The answer holds a revision that was in force when it was given.
+            seen.push((revision, Instant::now()));
+        }
+        thread::sleep(LOOK);
+    }
+    seen
+}
+
+/// Writes and measures from the accepted answer until the last instance shows the revision.
+fn measure_writes(cluster: &Cluster) -> Vec<Duration> {
+    let is_over = AtomicBool::new(false);
+    let (seen, mut accepted) = (Mutex::new(Vec::new()), Vec::new());
+    thread::scope(|scope| {
+        for index in 0..PLANS.len() {
+            let (is_over, seen) = (&is_over, &seen);
+            scope.spawn(move || {
+                let followed = follow(cluster, index, is_over);
+                let mut seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
+                seen.push(followed);
+            });
+        }
+        let port = cluster.instances[0].ports.operators;
+        let body = caller::operator_get(port, "/v1/settings/team/press").json();
+        let mut base = body["scopes"]["team/press"]["revision"].as_u64();
+        for number in 0..WRITES {
+            let value = (number % 9 + 1).to_string();
+            let change = [("model/catalogue/priority", Some(value.as_str()))];
+            let (id, from) = (id::Write::generate(), base.unwrap_or_default());
+            let answer = caller::write(port, "team/press", id, from, &change);
+            let body = answer.json();
+            match (body["all"].as_u64(), body["revision"].as_u64()) {
+                (Some(all), Some(own)) => {
+                    accepted.push((all, Instant::now()));
+                    base = Some(own);
+                }
+                _ => println!("write {number}: {} {}", answer.status, answer.text),
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        let last = accepted.last().map_or(0, |(all, _)| *all);
+        for index in 0..PLANS.len() {
+            wait_for("the last write", || {
+                (cluster.revision(index)? >= last).then_some(())
+            });
+        }
+        thread::sleep(Duration::from_millis(100));
+        is_over.store(true, Ordering::Relaxed);
+    });
+    let seen = seen.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let in_force = |(all, at): &(u64, Instant)| {
+        let first = |seen: &Vec<(u64, Instant)>| {
+            let mut seen = seen.iter();
+            seen.find(|(revision, _)| revision >= all)
+                .map(|(_, when)| when.saturating_duration_since(*at))
+        };
+        let times: Option<Vec<Duration>> = seen.iter().map(first).collect();
+        times.and_then(|times| times.into_iter().max())
+    };
+    accepted.iter().filter_map(in_force).collect()
+}
+
+fn print(what: &str, mut times: Vec<Duration>) {
+    times.sort();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share).round() as usize];
+    if times.is_empty() {
+        println!("{what}: nothing measured");
+        return;
+    }
+    println!(
+        "{what}: {} samples, p50 {:.2?}, p99 {:.2?}, max {:.2?}",
+        times.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+}
+
+/// Writes declarations with all domains of the cluster.
+fn declarations() -> std::io::Result<tempfile::TempDir> {
+    let folder = tempfile::tempdir()?;
+    let from = Path::new("examples/declarations");
+    std::fs::create_dir(folder.path().join("teams"))?;
+    let mut platform = std::fs::read_to_string(from.join("platform.ini"))?;
+    let domains: BTreeSet<&str> = PLANS.iter().map(|plan| plan.domain).collect();
+    for domain in domains {
+        if !platform.contains(&format!("[domain {domain}]")) {
+            platform += &format!("\n[domain {domain}]\nregion = demo\n");
+        }
+    }
+    std::fs::write(folder.path().join("platform.ini"), platform)?;
+    let team = "teams/press.ini";
+    std::fs::copy(from.join(team), folder.path().join(team))?;
+    Ok(folder)
+}
+
+fn main() -> std::io::Result<()> {
+    let programs = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "target/release".to_owned());
+    let seconds = std::env::args().nth(2).and_then(|text| text.parse().ok());
+    let bound = Duration::from_secs(seconds.unwrap_or(KILLS_SECONDS));
+    let mut cluster = Cluster::start(Path::new(&programs), &PLANS)?;
+    cluster.apply(0, declarations()?.path());
+    cluster.add_engine("e1", "north", &[])?;
+    print("write in force at 6 instances", measure_writes(&cluster));
+    let times = measure_failover(&mut cluster, bound)?;
+    print("time without a controller", times);
+    Ok(())
+}
