Revert the connection driven on the reading thread

Three runs before and after on a machine with three to four times as many running tasks as cores don't show a gain beyond their spread (gap added p99 11.7 to 38.5 ms before, 14.8 to 24.7 ms after; 87 to 94 and 84.5 to 108 us a token). To be tried again on a quiet machine.

--- a/crates/buckthornmast_http/src/client.rs
+++ b/crates/buckthornmast_http/src/client.rs
@@ -2,10 +2,9 @@
 //!
 //! Each request uses a connection of its own: a reused connection that the peer has just closed
 //! fails after bytes were written, which would leave it unknown whether the request was run. The
-//! calling thread drives the connection itself, so that a token wakes that thread and no task in
-//! between; a runtime that all clients of the process share only waits for sockets and timers.
+//! connection is driven on a runtime that all clients of the process share.
 
-use std::{future::Future, io, net::SocketAddr, pin::pin, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -110,26 +109,12 @@
     gap: Duration,
     body: Incoming,
     buffer: Vec<u8>,
-    connection: Connection,
+    connection: tokio::task::JoinHandle<()>,
 }
 
-/// Connection of one request; `None` once it has ended.
-#[derive(Debug)]
-struct Connection(Option<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>);
-
-impl Connection {
-    /// Moves the connection on until a future that depends on it is done.
-    async fn drive<T>(&mut self, future: impl Future<Output = T>) -> T {
-        let mut future = pin!(future);
-        if let Some(connection) = &mut self.0 {
-            tokio::select! {
-                biased;
-                output = future.as_mut() => return output,
-                // Its errors reach the response as well.
-                _ = connection => self.0 = None,
-            }
-        }
-        future.await
+impl Drop for Response {
+    fn drop(&mut self) {
+        self.connection.abort();
     }
 }
 
@@ -154,9 +139,8 @@
         let cut = |source| ReadError::Cut { peer, source };
         let runtime = runtime::shared().map_err(cut)?;
         loop {
-            let (body, connection) = (&mut self.body, &mut self.connection);
-            let next =
-                runtime.block_on(async { timeout(gap, connection.drive(body.frame())).await });
+            let body = &mut self.body;
+            let next = runtime.block_on(async { timeout(gap, body.frame()).await });
             match next {
                 Err(_) => return Err(ReadError::Gap { peer, gap }),
                 Ok(None) => return Ok(None),
@@ -269,16 +253,21 @@
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| fail("connect", false)(io::Error::other(error)))?;
-        let mut connection = Connection(Some(connection));
-        let answer = connection.drive(sender.send_request(request));
-        let answered = timeout(timeouts.head, answer).await;
+        let connection = tokio::spawn(async move {
+            // Its errors reach the response as well.
+            let _ = connection.await;
+        });
+        let answered = timeout(timeouts.head, sender.send_request(request)).await;
         let answered = match answered {
             Ok(answered) => answered.map_err(io::Error::other),
             Err(_) => Err(timed_out()),
         };
         match answered {
             Ok(response) => Ok(wrap(peer, timeouts.gap, response, connection)),
-            Err(error) => Err(fail("send", true)(error)),
+            Err(error) => {
+                connection.abort();
+                Err(fail("send", true)(error))
+            }
         }
     })
 }
@@ -287,7 +276,7 @@
     peer: SocketAddr,
     gap: Duration,
     response: hyper::Response<Incoming>,
-    connection: Connection,
+    connection: tokio::task::JoinHandle<()>,
 ) -> Response {
     let (head, body) = response.into_parts();
     let headers = head.headers.iter().filter_map(|(name, value)| {
