Add a measurement of bad clients against a whole daemon

The example of the http crate has no router and no targets behind the server. This one holds 1,000 half-open and 1,000 slow clients against a daemon with an engine, also with 600 descriptors, and counts what good callers get.

Its one run was made beside other work and only the end of its output was kept, so there are no latencies or counts here.

--- /dev/null
+++ b/crates/buckthornmast_trial/examples/hostile_callers.rs
@@ -0,0 +1,159 @@
+//! Measures good callers of a whole daemon beside 1,000 half-open and 1,000 slow ones, and after its
+//! descriptors ran out.
+
+use std::{
+    io::{self, ErrorKind, Write},
+    net::{SocketAddr, TcpStream},
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use buckthornmast_trial::prelude::*;
+use hdrhistogram::Histogram;
+
+/// Half-open clients, and as many slow ones.
+const BAD: usize = 1000;
+
+/// Threads of good callers.
+const CALLERS: u32 = 4;
+
+/// Calls of each.
+const CALLS: u32 = 100;
+
+/// Descriptors of the daemon in the last part; fewer than the bad clients want.
+const FEW: u64 = 600;
+
+const MODEL: &str = "catalogue";
+
+/// Returns latencies in microseconds and the number of calls that were not answered.
+fn call(address: SocketAddr) -> io::Result<(Histogram<u64>, u32)> {
+    let mut latencies = Histogram::new(3).map_err(io::Error::other)?;
+    let mut failed = 0;
+    for _ in 0..CALLS {
+        let start = Instant::now();
+        let answer = caller::chat(address, MODEL, "hello", 2);
+        if answer.status == 200 {
+            let micros = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+            latencies.record(micros).map_err(io::Error::other)?;
+        } else {
+            failed += 1;
+            eprintln!("status {}: {}", answer.status, answer.text);
+        }
+        thread::sleep(Duration::from_millis(16));
+    }
+    Ok((latencies, failed))
+}
+
+fn measure(label: &str, cluster: &Cluster) -> io::Result<()> {
+    let address = cluster.instances[0].ports.callers;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| thread::spawn(move || call(address)))
+        .collect();
+    let mut all = Histogram::<u64>::new(3).map_err(io::Error::other)?;
+    let mut failed = 0;
+    for caller in callers {
+        let joined = caller
+            .join()
+            .map_err(|_| io::Error::other("a caller panicked"))?;
+        let (latencies, missing) = joined?;
+        all.add(latencies).map_err(io::Error::other)?;
+        failed += missing;
+    }
+    let pid = cluster.instances[0].process.as_ref().map_or(0, Process::id);
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let value = |key: &str| {
+        status
+            .lines()
+            .find(|line| line.starts_with(key))
+            .map(str::to_owned)
+    };
+    let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd"))?.count();
+    println!(
+        "{label}: {} answers, {failed} failed, p50 {} us, p99 {} us, {:?}, {:?}, {descriptors} descriptors",
+        all.len(),
+        all.value_at_quantile(0.5),
+        all.value_at_quantile(0.99),
+        value("VmRSS"),
+        value("Threads"),
+    );
+    Ok(())
+}
+
+/// Keeps half-open and slow clients connected; those that the daemon closes connect again.
+fn attack(address: SocketAddr, stop: &AtomicBool) -> io::Result<usize> {
+    let connect = |index: usize| -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.write_all(if index < BAD {
+            b"POST /v1/chat/completions HTTP/1.1\r\nHo"
+        } else {
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"
+        })?;
+        stream.set_nonblocking(true)?;
+        Ok(stream)
+    };
+    // A daemon without descriptors closes connections at any moment, so errors only count.
+    let mut streams: Vec<Option<TcpStream>> = (0..2 * BAD).map(|n| connect(n).ok()).collect();
+    let mut closed = 0;
+    while !stop.load(Ordering::Relaxed) {
+        for (index, slot) in streams.iter_mut().enumerate() {
+            let is_open = slot.as_mut().is_some_and(|stream| {
+                let waits = stream
+                    .peek(&mut [0])
+                    .is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+                waits && (index < BAD || stream.write(b"a").is_ok())
+            });
+            if !is_open {
+                closed += 1;
+                *slot = connect(index).ok();
+            }
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+    Ok(closed)
+}
+
+fn under_attack(label: &str, cluster: &Cluster) -> io::Result<()> {
+    let address = cluster.instances[0].ports.callers;
+    let stop = Arc::new(AtomicBool::new(false));
+    let attacker = thread::spawn({
+        let stop = Arc::clone(&stop);
+        move || attack(address, &stop)
+    });
+    thread::sleep(Duration::from_secs(3));
+    measure(label, cluster)?;
+    stop.store(true, Ordering::Relaxed);
+    let closed = attacker
+        .join()
+        .map_err(|_| io::Error::other("the attacker panicked"))??;
+    println!("  {closed} bad clients were closed and connected again");
+    Ok(())
+}
+
+fn main() -> io::Result<()> {
+    let programs = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "target/release".to_owned());
+    let plan = Plan {
+        name: "north-1",
+        domain: "north",
+        voter: true,
+    };
+    rlimit::increase_nofile_limit(8192)?;
+    let mut cluster = Cluster::start(Path::new(&programs), &[plan])?;
+    cluster.apply(0, Path::new("examples/declarations"));
+    cluster.add_engine("engine-1", "north", &[])?;
+    cluster.wait_for_model(0, MODEL);
+    measure("alone", &cluster)?;
+    under_attack("with bad clients", &cluster)?;
+    thread::sleep(Duration::from_secs(1));
+    cluster.limit_descriptors(0, FEW)?;
+    under_attack("with few descriptors", &cluster)?;
+    thread::sleep(Duration::from_secs(1));
+    measure("afterwards", &cluster)?;
+    Ok(())
+}
