--- a/crates/buckthornmast_controller/src/lib.rs
+++ b/crates/buckthornmast_controller/src/lib.rs
@@ -14,11 +14,11 @@
 pub mod notebook;
 pub mod plan;
 pub mod port;
+pub mod settled;
 pub mod store;
 
 mod admit;
 mod keep;
-mod settled;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- a/crates/buckthornmast_controller/src/settled.rs
+++ b/crates/buckthornmast_controller/src/settled.rs
@@ -6,14 +6,14 @@
 use buckthornmast_types::{prelude::*, report::Phase};
 
 /// Since when each target has reported each of its copies as ready.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Settled {
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Settled {
     since: BTreeMap<id::Target, BTreeMap<Artifact, Point>>,
 }
 
 impl Settled {
     /// Takes in the newest report of a target.
-    pub(crate) fn observe(&mut self, report: &Report, sampled: Point) {
+    pub fn observe(&mut self, report: &Report, sampled: Point) {
         let before = self.since.remove(&report.target).unwrap_or_default();
         let ready = report.copies.iter().filter(|c| c.phase == Phase::Ready);
         let since = ready.map(|copy| {
@@ -24,7 +24,7 @@
     }
 
     /// Returns whether every need of an artifact has another copy that has been ready for a while.
-    pub(crate) fn may_unload(
+    pub fn may_unload(
         &self,
         (book, guard): (&Book, &Guard),
         (target, artifact): (&id::Target, &Artifact),
@@ -46,7 +46,7 @@
     }
 
     /// Returns the latest moment at which a copy must have become ready to count.
-    pub(crate) fn bound(now: Point, ready_for: Duration) -> Point {
+    pub fn bound(now: Point, ready_for: Duration) -> Point {
         Point::ZERO + now.since(Point::ZERO).saturating_sub(ready_for)
     }
 }
