Count no copy as ready for long before the clock's start

Cause: Settled::bound saturated at the start of the clock. Change: it returns nothing within the first ready_for of a process, and nothing may then be unloaded for a new copy.

--- a/crates/buckthornmast_controller/src/settled.rs
+++ b/crates/buckthornmast_controller/src/settled.rs
@@ -28,11 +28,13 @@
         &self,
         (book, guard): (&Book, &Guard),
         (target, artifact): (&id::Target, &Artifact),
-        ready_before: Point,
+        ready_before: Option<Point>,
     ) -> bool {
         let is_old = |other: &id::Target, kept: &Artifact| {
             let since = self.since.get(other).and_then(|ready| ready.get(kept));
-            since.is_some_and(|since| *since <= ready_before)
+            since
+                .zip(ready_before)
+                .is_some_and(|(since, before)| *since <= before)
         };
         guard.needs_of(artifact).all(|need| {
             guard.targets().iter().any(|other| {
@@ -45,8 +47,10 @@
         })
     }
 
-    /// Returns the latest moment at which a copy must have become ready to count.
-    pub fn bound(now: Point, ready_for: Duration) -> Point {
-        Point::ZERO + now.since(Point::ZERO).saturating_sub(ready_for)
+    /// Returns the latest moment at which a copy must have become ready to count; none if it lies before the start
+    /// of the clock, as what was ready then is not known.
+    pub fn bound(now: Point, ready_for: Duration) -> Option<Point> {
+        let before = now.since(Point::ZERO).checked_sub(ready_for)?;
+        Some(Point::ZERO + before)
     }
 }
