Start the wait of a copy anew when its target restarts

Cause: Settled kept the time since which a copy is ready by target, whatever its incarnation. If the controller missed the reports in between, a copy that was loaded again after a restart counted as ready for long, and the old one was unloaded while an instance still routed by a report that shows the new one as loading.

Ruled out: the age of the controller's own reports; a target without a fresh one no longer counts. Change: the time is kept for the incarnation that reported it.

--- a/crates/buckthornmast_controller/src/settled.rs
+++ b/crates/buckthornmast_controller/src/settled.rs
@@ -5,22 +5,30 @@
 use buckthornmast_ledger::{book::Book, guard::Guard};
 use buckthornmast_types::{prelude::*, report::Phase};
 
-/// Since when each target has reported each of its copies as ready.
+type Ready = BTreeMap<Artifact, Point>;
+
+/// Since when each target, in its current incarnation, has reported each of its copies as ready.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Settled {
-    since: BTreeMap<id::Target, BTreeMap<Artifact, Point>>,
+    since: BTreeMap<id::Target, (id::Incarnation, Ready)>,
 }
 
 impl Settled {
     /// Takes in the newest report of a target.
     pub fn observe(&mut self, report: &Report, sampled: Point) {
-        let before = self.since.remove(&report.target).unwrap_or_default();
+        let before = self.since.remove(&report.target);
+        // A restarted target had no copy for a while, which the reports in between may have told others.
+        let before = before
+            .filter(|(incarnation, _)| *incarnation == report.incarnation)
+            .map(|(_, ready)| ready)
+            .unwrap_or_default();
         let ready = report.copies.iter().filter(|c| c.phase == Phase::Ready);
         let since = ready.map(|copy| {
             let at = before.get(&copy.artifact).copied().unwrap_or(sampled);
             (copy.artifact.clone(), at)
         });
-        self.since.insert(report.target.clone(), since.collect());
+        let since = (report.incarnation, since.collect());
+        self.since.insert(report.target.clone(), since);
     }
 
     /// Returns whether every need of an artifact has another copy that has been ready for a while.
@@ -31,7 +39,7 @@
         ready_before: Option<Point>,
     ) -> bool {
         let is_old = |other: &id::Target, kept: &Artifact| {
-            let since = self.since.get(other).and_then(|ready| ready.get(kept));
+            let since = self.since.get(other).and_then(|(_, ready)| ready.get(kept));
             since
                 .zip(ready_before)
                 .is_some_and(|(since, before)| *since <= before)
