--- a/crates/buckthornmast_consensus/src/core/install.rs
+++ b/crates/buckthornmast_consensus/src/core/install.rs
@@ -164,22 +164,16 @@
         (index, offset, done): (id::Index, u64, bool),
         out: &mut Effects<C>,
     ) {
-        let last = self.log.last().index;
         let Some(peer) = self.answered(now, sender, sent) else {
             return;
         };
+        if done {
+            return self.note_matched(peer, now, index, out);
+        }
         let Some(progress) = self.progress_mut(peer) else {
             return;
         };
-        if done {
-            progress.matched = progress.matched.max(index.min(last));
-            progress.next = progress.next.max(progress.matched.next());
-            progress.transfer = None;
-            progress.probing = false;
-            self.advance_commit(out);
-            self.replace_voter(peer, now, out);
-            self.send_entries(peer, now, out);
-        } else if progress
+        if progress
             .transfer
             .is_some_and(|(current, sent)| current == index && sent != offset)
         {
--- a/crates/buckthornmast_consensus/src/core/replication.rs
+++ b/crates/buckthornmast_consensus/src/core/replication.rs
@@ -266,21 +266,9 @@
         let Some(peer) = self.answered(now, sender, sent) else {
             return;
         };
-        let Some(progress) = self.progress_mut(peer) else {
-            return;
-        };
         if accepted {
-            let was_behind = progress.matched < index;
-            progress.matched = progress.matched.max(index.min(last));
-            progress.next = progress.next.max(progress.matched.next());
-            progress.probing = false;
-            progress.transfer = None;
-            if was_behind {
-                self.advance_commit(out);
-            }
-            self.replace_voter(peer, now, out);
-            self.send_entries(peer, now, out);
-        } else {
+            self.note_matched(peer, now, index, out);
+        } else if let Some(progress) = self.progress_mut(peer) {
             // The hint may lie before what is known to match, as it skips the whole term.
             let next = index.max(progress.matched).min(last).next();
             if progress.probing && next >= progress.next {
@@ -291,4 +279,28 @@
             self.send_heartbeat(peer, now, out);
         }
     }
+
+    /// Notes that a replica durably has the log up to an index, and goes on from there.
+    pub(crate) fn note_matched(
+        &mut self,
+        peer: usize,
+        now: Point,
+        index: id::Index,
+        out: &mut Effects<C>,
+    ) {
+        let last = self.log.last().index;
+        let Some(progress) = self.progress_mut(peer) else {
+            return;
+        };
+        let was_behind = progress.matched < index;
+        progress.matched = progress.matched.max(index.min(last));
+        progress.next = progress.next.max(progress.matched.next());
+        progress.probing = false;
+        progress.transfer = None;
+        if was_behind {
+            self.advance_commit(out);
+        }
+        self.replace_voter(peer, now, out);
+        self.send_entries(peer, now, out);
+    }
 }
--- a/crates/buckthornmast_ctl/src/lib.rs
+++ b/crates/buckthornmast_ctl/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod flags;
 pub mod outcome;
 pub mod show;
-pub mod table;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- a/crates/buckthornmast_ctl/src/show.rs
+++ b/crates/buckthornmast_ctl/src/show.rs
@@ -2,12 +2,12 @@
 
 use std::path::Path;
 
+use buckthornmast_report::table;
 use serde_json::Value;
 
 use crate::{
     client::Client,
     outcome::{Failure, Outcome},
-    table,
 };
 
 fn text_of(value: &Value) -> String {
--- a/crates/buckthornmast_ctl/tests/apply.rs
+++ b/crates/buckthornmast_ctl/tests/apply.rs
@@ -3,10 +3,7 @@
 use std::{fs, path::Path};
 
 use buckthornmast_config::folder::Scope;
-use buckthornmast_ctl::{
-    apply::{self, Current},
-    table,
-};
+use buckthornmast_ctl::apply::{self, Current};
 
 fn examples(name: &str) -> std::path::PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -109,16 +106,3 @@
     ];
     assert_eq!(difference.rows, expected);
 }
-
-/// Guards against columns that do not line up.
-#[test]
-fn render_table() {
-    let rows = [
-        vec!["a".to_owned(), "long".to_owned()],
-        vec!["bcd".to_owned(), "x".to_owned()],
-    ];
-    assert_eq!(
-        table::render(&["id", "name"], &rows),
-        "ID   NAME\na    long\nbcd  x\n"
-    );
-}
--- a/crates/buckthornmast_report/src/lib.rs
+++ b/crates/buckthornmast_report/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod policies;
 pub mod render;
+pub mod table;
 pub mod tier;
 
 /// Names that most users of this crate import together.
--- a/crates/buckthornmast_report/src/render.rs
+++ b/crates/buckthornmast_report/src/render.rs
@@ -7,6 +7,7 @@
     extract::Moves,
     fleet::{Covered, Missing, Quantiles},
     policies::{self, Policies},
+    table,
 };
 
 /// Returns a duration in its two largest units.
@@ -33,26 +34,6 @@
     shown.join(" ")
 }
 
-fn table(header: &[&str], rows: &[Vec<String>]) -> String {
-    let mut widths: Vec<usize> = header.iter().map(|cell| cell.len()).collect();
-    for row in rows {
-        for (width, cell) in widths.iter_mut().zip(row) {
-            *width = (*width).max(cell.chars().count());
-        }
-    }
-    let header: Vec<String> = header.iter().map(|cell| cell.to_uppercase()).collect();
-    let mut text = String::new();
-    for row in std::iter::once(&header).chain(rows) {
-        let cells = row.iter().zip(&widths);
-        let cells: Vec<String> = cells
-            .map(|(c, w)| format!("{c:<width$}", width = *w))
-            .collect();
-        text.push_str(cells.join("  ").trim_end());
-        text.push('\n');
-    }
-    text
-}
-
 fn number(value: Option<f64>, digits: usize) -> String {
     value.map_or_else(|| "-".to_owned(), |value| format!("{value:.digits$}"))
 }
@@ -182,7 +163,7 @@
             "total ms",
         ];
         let rows: Vec<Vec<String>> = self.objectives.iter().map(burn_cells).collect();
-        text.push_str(&table(&header, &rows));
+        text.push_str(&table::render(&header, &rows));
         text.push_str("times are p50/p95/p99 of answered requests of the last hour\n");
         let rows: Vec<Vec<String>> = self.objectives.iter().flat_map(top_cells).collect();
         if !rows.is_empty() {
@@ -198,7 +179,7 @@
                 "abandoned",
                 "share %",
             ];
-            text.push_str(&table(&header, &rows));
+            text.push_str(&table::render(&header, &rows));
         }
         text
     }
@@ -261,7 +242,7 @@
         };
         let rows: Vec<Vec<String>> = self.periods.iter().map(period).collect();
         let header = ["team", "revision", "from", "to", "policy", "shadow"];
-        text.push_str(&table(&header, &rows));
+        text.push_str(&table::render(&header, &rows));
         text.push_str("\npolicies against each other over the last 3 d, or less where slots were dropped for room\n");
         let header = [
             "team",
@@ -277,7 +258,7 @@
             "measured",
         ];
         let rows: Vec<Vec<String>> = self.rows.iter().map(policy_cells).collect();
-        text.push_str(&table(&header, &rows));
+        text.push_str(&table::render(&header, &rows));
         let _ = writeln!(
             text,
             "{}\nslots are quarters of an hour; sd and the bootstrap interval of their mean need 3",
@@ -294,7 +275,7 @@
                 "would have moved",
                 "measured",
             ];
-            text.push_str(&table(&header, &rows));
+            text.push_str(&table::render(&header, &rows));
             let _ = writeln!(text, "{}", self.caveat);
         }
         text
