Test that a domain with one instance repairs its placements while it is cut off

Two of today's four failure domains have a single entry instance. Its controller renews the lease alone, but records no intents without the quorum, so it sends no orders.

--- a/crates/buckthornmast_daemon/tests/cut.rs
+++ b/crates/buckthornmast_daemon/tests/cut.rs
@@ -89,6 +89,31 @@
     }
 }
 
+/// Guards against a domain with a single instance that can't repair its own placements while it is cut off.
+#[test]
+fn lone_instance_cut_off() {
+    let mut cluster = press::start(&press::THREE);
+    let engines = [("s1", "south"), ("s2", "south")];
+    cluster.add_engines(&engines, &[]).unwrap();
+    cluster.wait_for_model(2, "catalogue");
+    for north in [0, 1] {
+        cluster.relay(north, 2, Mode::Cut);
+        cluster.relay(2, north, Mode::Cut);
+    }
+    wait_for("the status of the cut", || {
+        let status = cluster.status(2);
+        let rows = status["instances"].as_array()?;
+        let dead = rows.iter().filter(|row| row["state"] == "dead");
+        (dead.count() == 2).then_some(())
+    });
+    assert_order_denied(&cluster, 2);
+    // A copy that only one engine has is loaded at the other one.
+    cluster.targets[0].process.kill();
+    cluster.wait_for_model(2, "catalogue");
+    cluster.wait_for_model(2, "proof-reader");
+    assert_eq!(watch::engine(&cluster, 1)["engine"]["overcommitted"], 0);
+}
+
 /// Guards against instances that wait for good on connections that fell silent, orders that run twice
 /// because of them, and callers that are refused for lack of a quorum that chat does not need.
 #[test]
