Let a lone candidate repair its domain without the quorum

Cause: intents recorded without the quorum need another candidate, and a domain with one instance has none.

Change: a lone candidate records them in its own memory, but only for targets that honour tokens.

A search over two targets at once was too large for this machine's memory and was stopped; it is not part of the tests.

--- a/crates/buckthornmast_controller/src/core.rs
+++ b/crates/buckthornmast_controller/src/core.rs
@@ -209,15 +209,14 @@
             self.inherit(order, Place::Journals);
         }
         let is_settled = now.since(self.elected) >= self.config.settle_for;
-        let is_read = match notes.coverage {
-            Coverage::Complete => true,
-            Coverage::Answered => is_settled,
-            Coverage::Partial => false,
+        let Some(book) = &mut self.book else {
+            return;
         };
-        if let Some(book) = &mut self.book
-            && is_read
-        {
-            book.set_journals_read();
+        match notes.coverage {
+            Coverage::Complete => book.set_journals_read(),
+            Coverage::Answered if is_settled => book.set_journals_read(),
+            Coverage::Ignoring => book.set_ignoring_read(),
+            Coverage::Answered | Coverage::Partial => {}
         }
     }
 
@@ -419,6 +418,15 @@
         entries.map(|entry| entry.order().clone()).collect()
     }
 
+    /// Keeps the orders to targets that honour tokens.
+    pub fn honoured(&self, mut orders: Vec<Order>) -> Vec<Order> {
+        orders.retain(|order| {
+            let known = self.known.get(&order.target);
+            known.is_some_and(|known| known.honours)
+        });
+        orders
+    }
+
     /// Notes where the intents of orders are recorded.
     pub fn recorded(&mut self, orders: &[Order], place: Place) {
         for order in orders {
--- a/crates/buckthornmast_controller/src/driver.rs
+++ b/crates/buckthornmast_controller/src/driver.rs
@@ -354,7 +354,16 @@
                 Err(error) => self.log_failed(token, error),
             }
         }
-        if self.valid().is_some() && self.journal.record(token, &orders) {
+        // A lone candidate loses its journal with its memory. A successor then needs no intents of targets that
+        // it can fence.
+        let orders = match self.journal.is_alone() {
+            true => self.core.honoured(orders),
+            false => orders,
+        };
+        if orders.is_empty() || self.valid().is_none() {
+            return;
+        }
+        if self.journal.record(token, &orders) {
             self.core.recorded(&orders, Place::Journals);
         }
     }
--- a/crates/buckthornmast_controller/src/notebook.rs
+++ b/crates/buckthornmast_controller/src/notebook.rs
@@ -94,16 +94,21 @@
     Partial,
     /// Every candidate answered, but each may have restarted and lost intents.
     Answered,
+    /// The domain has one candidate, which may have lost intents of targets that honour tokens.
+    Ignoring,
     /// No intent can be missing.
     Complete,
 }
 
 /// Returns what the pages of all candidates of a domain cover; `None` stands for no answer.
 ///
-/// A single candidate records nothing without the quorum, so it has nothing to miss.
+/// A single candidate that does not reach the quorum gives orders only to targets that honour tokens, and
+/// keeps their intents in its own memory.
 pub fn coverage(pages: &[Option<Page>]) -> Coverage {
     let mut answered = pages.iter().flatten();
-    if pages.len() <= 1 || answered.any(|page| page.is_complete) {
+    if pages.len() <= 1 {
+        Coverage::Ignoring
+    } else if answered.any(|page| page.is_complete) {
         Coverage::Complete
     } else if pages.iter().all(Option::is_some) {
         Coverage::Answered
--- a/crates/buckthornmast_controller/src/port.rs
+++ b/crates/buckthornmast_controller/src/port.rs
@@ -55,7 +55,9 @@
 
 /// Journals at all other candidates; calls may block up to their own timeout.
 pub trait Journal: Send + 'static {
-    /// Records intents and returns whether every other candidate, and at least one, has them.
+    /// Returns whether the domain has no other candidate.
+    fn is_alone(&self) -> bool;
+    /// Records intents and returns whether every candidate has them.
     fn record(&self, token: id::Token, orders: &[Order]) -> bool;
     /// Reads the notebooks of all candidates, the own one included.
     fn read(&self, token: id::Token) -> Notes;
--- a/crates/buckthornmast_controller/tests/orders_model.rs
+++ b/crates/buckthornmast_controller/tests/orders_model.rs
@@ -20,6 +20,18 @@
     target_restarts: 0,
     quorum_losses: 0,
     candidate_restarts: 0,
+    is_alone: false,
+};
+
+/// A target that honours tokens and a candidate that is alone and loses the quorum and its memory.
+const ALONE: Scope = Scope {
+    honours: &[true],
+    orders: 2,
+    attempts: 2,
+    reports: 2,
+    quorum_losses: 1,
+    is_alone: true,
+    ..MEMORY
 };
 
 /// The same with a loss of the quorum and a restart of the other candidate.
@@ -69,6 +81,17 @@
     QUORUM.check("no quorum");
 }
 
+/// Guards against a lone candidate that overcommits a target after it lost its journal.
+#[test]
+fn memory_without_quorum_alone() {
+    ALONE.check("no quorum, alone, target honours tokens");
+    let ignoring = Scope {
+        honours: &[false],
+        ..ALONE
+    };
+    ignoring.check("no quorum, alone, target ignores tokens");
+}
+
 /// Guards against unloads that together remove the last ready copy.
 #[test]
 fn last_copy_is_kept() {
@@ -111,6 +134,17 @@
     find(&QUORUM, &mutations);
 }
 
+/// Guards against a search that cannot find what a lone candidate must not do.
+#[test]
+fn planted_alone_faults_are_found() {
+    find(&ALONE, &[Mutation::AloneIsComplete]);
+    let ignoring = Scope {
+        honours: &[false],
+        ..ALONE
+    };
+    find(&ignoring, &[Mutation::AloneOrdersAll]);
+}
+
 /// Guards against a search that cannot find the loss of the last copy.
 #[test]
 fn planted_guard_fault_is_found() {
--- a/crates/buckthornmast_controller/tests/support/spec.rs
+++ b/crates/buckthornmast_controller/tests/support/spec.rs
@@ -37,6 +37,10 @@
     CleanBeforeResolved,
     /// Unloads are reserved without the set that must stay reachable.
     NoGuard,
+    /// A lone candidate without the quorum gives orders to targets that ignore tokens.
+    AloneOrdersAll,
+    /// The journal of a lone candidate counts as complete after its restart.
+    AloneIsComplete,
 }
 
 /// Scope of one check.
@@ -57,6 +61,8 @@
     pub target_restarts: u8,
     pub quorum_losses: u8,
     pub candidate_restarts: u8,
+    /// Whether the domain has one candidate, which succeeds itself after a crash.
+    pub is_alone: bool,
 }
 
 type Copies = BTreeMap<&'static str, Phase>;
@@ -251,7 +257,15 @@
         if next.has_quorum {
             next.log.insert(order.id, order);
         } else {
-            let other = 1 - next.holder;
+            let may_order = self.honours[index(&order.target)];
+            if self.is_alone && !may_order && self.mutation != Mutation::AloneOrdersAll {
+                return None;
+            }
+            let other = if self.is_alone {
+                next.holder
+            } else {
+                1 - next.holder
+            };
             let token = next.book.token();
             next.notebooks[other]
                 .record(token, std::slice::from_ref(&order))
@@ -353,7 +367,9 @@
         next.spent.failovers += 1;
         self.restart(&mut next, state.holder);
         next.unresolved.clear();
-        next.holder = 1 - state.holder;
+        if !self.is_alone {
+            next.holder = 1 - state.holder;
+        }
         let token = id::Token(state.book.token().0 + 1);
         next.book = Book::new(token);
         if self.mutation != Mutation::SkipMarks {
@@ -362,7 +378,9 @@
             }
         }
         let mut pages = vec![Some(next.notebooks[next.holder].read(token))];
-        pages.push(is_reached.then(|| next.notebooks[state.holder].read(token)));
+        if !self.is_alone {
+            pages.push(is_reached.then(|| next.notebooks[state.holder].read(token)));
+        }
         if self.mutation != Mutation::ForgetIntents {
             let noted = pages.iter().flatten().flat_map(|page| &page.intents);
             for order in state.log.values().chain(noted) {
@@ -372,10 +390,13 @@
         let is_read = match coverage(&pages) {
             Coverage::Complete => true,
             Coverage::Answered => self.mutation == Mutation::AnsweredIsComplete,
+            Coverage::Ignoring => self.mutation == Mutation::AloneIsComplete,
             Coverage::Partial => false,
         };
         if is_read {
             next.book.set_journals_read();
+        } else if self.is_alone {
+            next.book.set_ignoring_read();
         }
         next
     }
@@ -403,7 +424,8 @@
         let is_resolved =
             state.unresolved.is_empty() || self.mutation == Mutation::CleanBeforeResolved;
         let is_clean = is_logged && is_resolved;
-        if !state.has_quorum || !state.book.are_journals_read() || !is_clean {
+        let has_other = !self.is_alone;
+        if !has_other || !state.has_quorum || !state.book.are_journals_read() || !is_clean {
             return None;
         }
         let mut next = state.clone();
--- a/crates/buckthornmast_controller/tests/threads.rs
+++ b/crates/buckthornmast_controller/tests/threads.rs
@@ -54,6 +54,10 @@
 }
 
 impl Journal for Port {
+    fn is_alone(&self) -> bool {
+        false
+    }
+
     fn record(&self, _: id::Token, _: &[Order]) -> bool {
         self.note("journal");
         true
--- a/crates/buckthornmast_daemon/src/control/calls.rs
+++ b/crates/buckthornmast_daemon/src/control/calls.rs
@@ -146,6 +146,10 @@
 }
 
 impl port::Journal for Journal {
+    fn is_alone(&self) -> bool {
+        self.calls.others.is_empty()
+    }
+
     fn record(&self, token: id::Token, orders: &[Order]) -> bool {
         let calls = &self.calls;
         let record = |other: &id::Instance| {
@@ -158,8 +162,7 @@
                 Some(JournalReply::Done(true))
             )
         };
-        let is_everywhere = !calls.others.is_empty() && calls.others.iter().all(record);
-        is_everywhere && calls.notebook().record(token, orders)
+        calls.others.iter().all(record) && calls.notebook().record(token, orders)
     }
 
     fn read(&self, token: id::Token) -> Notes {
--- a/crates/buckthornmast_ledger/src/account.rs
+++ b/crates/buckthornmast_ledger/src/account.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    book::Refusal,
+    book::{Journals, Refusal},
     entry::{Closed, End, Entry, Mark},
 };
 
@@ -68,10 +68,15 @@
     ///
     /// A report under the own token shows everything that earlier holders caused. Without one, the
     /// intents in all journals and a report as new as those that earlier holders acted on do.
-    pub(crate) fn is_current(&self, token: id::Token, journals_read: bool) -> bool {
+    pub(crate) fn is_current(&self, token: id::Token, journals: Journals) -> bool {
+        let is_read = match journals {
+            Journals::Unread => false,
+            Journals::Ignoring => !self.honours,
+            Journals::All => true,
+        };
         self.seen.as_ref().is_some_and(|seen| {
             let is_fenced = self.honours && seen.token >= token;
-            is_fenced || (journals_read && seen.mark >= self.at_least)
+            is_fenced || (is_read && seen.mark >= self.at_least)
         })
     }
 
--- a/crates/buckthornmast_ledger/src/book.rs
+++ b/crates/buckthornmast_ledger/src/book.rs
@@ -80,11 +80,22 @@
     }
 }
 
+/// Targets of which the journals' intents have been inherited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Journals {
+    /// None.
+    Unread,
+    /// Targets that ignore tokens. What may be missing of the others shows once they are fenced.
+    Ignoring,
+    /// All.
+    All,
+}
+
 /// Ledger of one controller.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Book {
     token: id::Token,
-    journals_read: bool,
+    journals: Journals,
     accounts: BTreeMap<id::Target, Account>,
 }
 
@@ -93,7 +104,7 @@
     pub fn new(token: id::Token) -> Self {
         Self {
             token,
-            journals_read: false,
+            journals: Journals::Unread,
             accounts: BTreeMap::new(),
         }
     }
@@ -136,12 +147,17 @@
 
     /// Notes that the intents of all journals that may hold some have been inherited.
     pub fn set_journals_read(&mut self) {
-        self.journals_read = true;
+        self.journals = Journals::All;
+    }
+
+    /// Notes the same for the targets that ignore tokens.
+    pub fn set_ignoring_read(&mut self) {
+        self.journals = self.journals.max(Journals::Ignoring);
     }
 
-    /// Returns whether the intents of all journals have been inherited.
+    /// Returns whether no journal has to be read any more.
     pub fn are_journals_read(&self) -> bool {
-        self.journals_read
+        self.journals != Journals::Unread
     }
 
     /// Takes a report in, in any order, and returns the orders that it closes.
@@ -180,7 +196,7 @@
             return Err(Refusal::Token { token });
         }
         let account = self.accounts.get(&order.target);
-        let account = account.filter(|a| a.is_current(self.token, self.journals_read));
+        let account = account.filter(|a| a.is_current(self.token, self.journals));
         let Some((account, seen)) = account.and_then(|a| Some((a, a.seen.as_ref()?))) else {
             return Err(Refusal::NotCurrent);
         };
@@ -239,7 +255,7 @@
     /// Returns whether a target has a ready copy that no open order may remove.
     pub fn keeps(&self, target: &id::Target, artifact: &Artifact) -> bool {
         self.accounts.get(target).is_some_and(|account| {
-            account.is_current(self.token, self.journals_read)
+            account.is_current(self.token, self.journals)
                 && account.seen.as_ref().is_some_and(|seen| !seen.leaving)
                 && account.keeps(artifact)
         })
@@ -289,7 +305,7 @@
     /// Returns the memory of a target that is free at the worst case; zero until its account is rebuilt.
     pub fn free(&self, target: &id::Target) -> Bytes {
         let account = self.accounts.get(target);
-        let account = account.filter(|a| a.is_current(self.token, self.journals_read));
+        let account = account.filter(|a| a.is_current(self.token, self.journals));
         account.map_or(Bytes::ZERO, |account| {
             let memory = account.seen.as_ref().map_or(Bytes::ZERO, |s| s.memory);
             memory.saturating_sub(account.worst())
@@ -305,7 +321,7 @@
     /// Returns whether the account of a target is rebuilt, so that it may be given orders.
     pub fn is_current(&self, target: &id::Target) -> bool {
         let account = self.accounts.get(target);
-        account.is_some_and(|a| a.is_current(self.token, self.journals_read))
+        account.is_some_and(|a| a.is_current(self.token, self.journals))
     }
 
     /// Returns the targets that honour tokens and have not reported this book's token yet.
