Let requests survive the drain of the only copy

A target that was drained or said that it is leaving got no work from that moment on, at every instance. If it had the only ready copy of a model, each request for the model was refused at once with 503, step admit, until the controller had loaded it elsewhere; requests that already waited were held until their deadline.

Such a target now answers for a short grace for the models of which it has the last ready copy, and for no others. The grace ends 2.5 s after the last time at which the target is known not to have been leaving: the last report that did not say so, or the last time at which a majority of voters was heard from with settings without the drain. It does not count from the notice, so that a late or repeated notice can't begin it anew, and an instance that knows no such time, as after a restart, gives none. It ends no later than the work of an instance that missed the notice did before.

Requests for a model that no target can take but that a target reports as loading wait in the admission queue if they can be answered in time, by the time that earlier loads took. They are dispatched on the report that says ready. If no copy is being loaded, waiting requests are refused at once, with Retry-After. A request that was admitted just before the last target went goes back to the queue.

--- a/crates/buckthornmast_daemon/src/admit.rs
+++ b/crates/buckthornmast_daemon/src/admit.rs
@@ -10,7 +10,7 @@
 };
 
 use buckthornmast_gateway::router::{Ask, Refused};
-use buckthornmast_routing::admission::{self, Gate, Next, Priority, Refusal, Verdict};
+use buckthornmast_routing::admission::{self, Coming, Gate, Next, Priority, Refusal, Verdict};
 use buckthornmast_types::{
     id,
     time::{Clock, Point, System},
@@ -26,9 +26,18 @@
 /// Priority below which a request counts as batch work.
 const STANDARD: u8 = 3;
 
+/// Room for the requests of a model.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Room {
+    /// Requests that may be in progress.
+    pub capacity: u32,
+    /// Copy that is being loaded, if there is no room without it.
+    pub coming: Option<Coming>,
+}
+
 struct Inner {
     gate: Gate<u64>,
-    waiting: HashMap<u64, Sender<bool>>,
+    waiting: HashMap<u64, Sender<Result<(), Refusal>>>,
     next_key: u64,
 }
 
@@ -44,15 +53,22 @@
     admission: Admission,
     model: id::Model,
     started: Point,
+    is_unused: bool,
+}
+
+impl Permit {
+    /// Gives the place up without a request having been served.
+    pub fn give_back(mut self) {
+        self.is_unused = true;
+    }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         let now = self.admission.clock.now();
         let mut inner = self.admission.lock();
-        inner
-            .gate
-            .finished(&self.model, Some(now.since(self.started)));
+        let service = (!self.is_unused).then(|| now.since(self.started));
+        inner.gate.finished(&self.model, service);
         inner.wake(&self.model, now);
     }
 }
@@ -61,17 +77,22 @@
     /// Lets waiting requests of a model run as far as there is room.
     fn wake(&mut self, model: &id::Model, now: Point) {
         while let Some(next) = self.gate.next(model, now) {
-            let (key, runs) = match next {
-                Next::Run(key) => (key, true),
-                Next::Expired(key) => (key, false),
+            let (key, verdict) = match next {
+                Next::Run(key) => (key, Ok(())),
+                Next::Expired(key) => (key, Err(Refusal::Deadline)),
             };
-            let waiting = self.waiting.remove(&key);
-            let is_there = waiting.is_some_and(|waiting| waiting.send(runs).is_ok());
-            if runs && !is_there {
+            let is_there = self.answer(key, verdict);
+            if verdict.is_ok() && !is_there {
                 self.gate.finished(model, None);
             }
         }
     }
+
+    /// Ends the wait of a request. Returns whether it still waited.
+    fn answer(&mut self, key: u64, verdict: Result<(), Refusal>) -> bool {
+        let waiting = self.waiting.remove(&key);
+        waiting.is_some_and(|waiting| waiting.send(verdict).is_ok())
+    }
 }
 
 fn class_of(priority: u8) -> Priority {
@@ -114,18 +135,30 @@
     }
 
     /// Sets capacities and weights and lets waiting requests run that now have room.
-    pub fn update(&self, capacities: &BTreeMap<id::Model, u32>, weights: BTreeMap<id::Team, f64>) {
+    pub fn update(&self, rooms: &BTreeMap<id::Model, Room>, weights: BTreeMap<id::Team, f64>) {
         let now = self.clock.now();
         let mut inner = self.lock();
         inner.gate.set_weights(weights);
-        for (model, capacity) in capacities {
-            inner.gate.set_capacity(model, *capacity);
+        for (model, room) in rooms {
+            inner.gate.set_capacity(model, room.capacity);
+            inner.gate.set_coming(model, room.coming);
             inner.wake(model, now);
         }
         for key in inner.gate.expire(now) {
-            if let Some(waiting) = inner.waiting.remove(&key) {
-                let _ = waiting.send(false);
-            }
+            inner.answer(key, Err(Refusal::Deadline));
+        }
+        for key in inner.gate.stranded() {
+            inner.answer(key, Err(Refusal::Capacity));
+        }
+    }
+
+    /// Lets no further request of a model run before the next update; those that can be answered in time
+    /// wait for the copy that is being loaded.
+    pub fn close(&self, model: &str, coming: Coming) {
+        if let Ok(model) = model.parse() {
+            let mut inner = self.lock();
+            inner.gate.set_capacity(&model, 0);
+            inner.gate.set_coming(&model, Some(coming));
         }
     }
 
@@ -165,8 +198,8 @@
             }
         };
         match turn.recv_timeout(ask.deadline.since(now)) {
-            Ok(true) => Ok(self.permit(model, self.clock.now())),
-            Ok(false) => Err(refused(Refusal::Deadline, Duration::from_secs(1))),
+            Ok(Ok(())) => Ok(self.permit(model, self.clock.now())),
+            Ok(Err(refusal)) => Err(refused(refusal, Duration::from_secs(1))),
             Err(_) => self.give_up(model, key, &turn),
         }
     }
@@ -176,12 +209,12 @@
         &self,
         model: id::Model,
         key: u64,
-        turn: &flume::Receiver<bool>,
+        turn: &flume::Receiver<Result<(), Refusal>>,
     ) -> Result<Permit, Refused> {
         let mut inner = self.lock();
         inner.waiting.remove(&key);
         inner.gate.withdraw(&model, &key);
-        if turn.try_recv() == Ok(true) {
+        if turn.try_recv() == Ok(Ok(())) {
             inner.gate.finished(&model, None);
         }
         Err(refused(Refusal::Deadline, Duration::from_secs(1)))
@@ -192,6 +225,7 @@
             admission: self.clone(),
             model,
             started,
+            is_unused: false,
         }
     }
 }
--- a/crates/buckthornmast_daemon/src/lib.rs
+++ b/crates/buckthornmast_daemon/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod shadow;
 pub mod summary;
 pub mod targets;
+pub mod witness;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -52,6 +52,7 @@
     shadow::Shadows,
     summary::{Own, Summary},
     targets::{self, Targets},
+    witness::Witness,
 };
 
 /// Time that the balancer gets to notice that an instance is not ready any more.
@@ -199,6 +200,10 @@
             self.targets.clone(),
             self.current.clone(),
             self.demand.clone(),
+            Witness {
+                views: Arc::clone(&self.views),
+                voters: self.proposer.voters(),
+            },
             self.clock,
         ));
         let updates = router::update(Arc::clone(&router)).map_err(at("router"))?;
--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -18,9 +18,9 @@
 };
 use buckthornmast_target::{engine::Endpoint, error::Cause};
 use buckthornmast_types::{
-    artifact::Artifact,
     id,
-    time::{Clock, System},
+    report::{Copy, Phase},
+    time::{Clock, Point, System},
 };
 use flume::{Receiver, RecvTimeoutError, Sender};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -31,8 +31,11 @@
     current::{Current, Snapshot},
     demand::Demand,
     targets::{Seen, Targets},
+    witness::Witness,
 };
 
+mod find;
+
 /// Time between two updates of capacities.
 const PERIOD: Duration = Duration::from_millis(200);
 
@@ -58,6 +61,8 @@
     table: Table,
     /// Revision of the settings that the drains of the table come from.
     drains_of: id::Revision,
+    /// When these settings were last known to be the newest.
+    newest: Option<Point>,
     affinity: Affinity,
     limits: BTreeMap<id::Target, Adaptive>,
     budget: budget::Retry,
@@ -73,6 +78,7 @@
     targets: Targets,
     current: Current,
     demand: Demand,
+    witness: Witness,
     clock: System,
     token: String,
 }
@@ -117,7 +123,7 @@
             return;
         }
         let drained = snapshot.declarations.platform.drained.iter().cloned();
-        self.table.set_drains(drained.collect());
+        self.table.set_drains(drained.collect(), self.newest);
         self.drains_of = snapshot.revision;
     }
 }
@@ -130,11 +136,13 @@
         targets: Targets,
         current: Current,
         demand: Demand,
+        witness: Witness,
         clock: System,
     ) -> Self {
         let state = State {
             table: Table::new(table::Config::default(), domain),
             drains_of: id::Revision(0),
+            newest: None,
             affinity: Affinity::default(),
             limits: BTreeMap::new(),
             budget: budget::Retry::new(budget::Config::default(), clock.now()),
@@ -148,6 +156,7 @@
             targets,
             current,
             demand,
+            witness,
             clock,
             token,
         }
@@ -164,7 +173,12 @@
             loop {
                 let left = next.since(self.clock.now());
                 match seen.recv_timeout(left) {
-                    Ok(seen) => self.observe(&seen),
+                    Ok(seen) => {
+                        if self.observe(&seen) {
+                            // Requests may be waiting for the copy.
+                            self.refresh(false);
+                        }
+                    }
                     Err(RecvTimeoutError::Timeout) => break,
                     Err(RecvTimeoutError::Disconnected) => return,
                 }
@@ -178,23 +192,29 @@
         }
     }
 
-    fn observe(&self, seen: &Seen) {
+    /// Takes a report, and returns whether a copy that was being loaded is ready.
+    fn observe(&self, seen: &Seen) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
         let before = state.table.slot(&seen.report.target);
-        let old = before
-            .and_then(|slot| state.table.report(slot))
-            .map(|old| old.incarnation);
+        let old = before.and_then(|slot| state.table.report(slot));
+        let incarnation = old.map(|old| old.incarnation);
+        let was_loading = |copy: &&Copy| {
+            let old = old.and_then(|old| old.copy(&copy.artifact));
+            copy.phase == Phase::Ready && old.is_some_and(|old| old.phase == Phase::Loading)
+        };
+        let is_any_ready = seen.report.copies.iter().any(|copy| was_loading(&copy));
         state
             .table
             .observe(seen.report.as_ref().clone(), now.since(seen.sent), now);
-        if let (Some(slot), Some(old)) = (before, old)
+        if let (Some(slot), Some(old)) = (before, incarnation)
             && old != seen.report.incarnation
         {
             // A restarted engine has an empty cache and another speed.
             state.affinity.forget_all(slot);
             state.limits.remove(&seen.report.target);
         }
+        is_any_ready
     }
 
     /// Takes drains and capacities from the settings and the reports.
@@ -203,15 +223,18 @@
         let snapshot = self.current.get();
         let mut state = self.lock();
         state.take_drains(&snapshot);
+        if let Some(newest) = self.witness.newest(snapshot.revision, now) {
+            state.newest = state.newest.max(Some(newest));
+        }
         if look_for_slow {
             state.table.eject_slow(now);
             state.table.prune(PRUNE_AFTER, now);
         }
-        let capacities = capacities(&state, &snapshot, now);
+        let rooms = find::rooms(&state, &snapshot, now);
         drop(state);
         let teams = snapshot.declarations.platform.teams.iter();
         let weights = teams.map(|(team, member)| (team.clone(), member.share.unwrap_or(1.0)));
-        self.admission.update(&capacities, weights.collect());
+        self.admission.update(&rooms, weights.collect());
     }
 
     fn endpoint(&self, seen: &buckthornmast_types::report::Report) -> Endpoint {
@@ -228,33 +251,6 @@
     }
 }
 
-/// Returns how many requests of each model and service may be in progress.
-fn capacities(
-    state: &State,
-    snapshot: &Snapshot,
-    now: buckthornmast_types::time::Point,
-) -> BTreeMap<id::Model, u32> {
-    let mut capacities = BTreeMap::new();
-    for (name, model) in &snapshot.catalog.models {
-        let candidates = find(state, &model.artifact, false, &[], now);
-        let sum = candidates
-            .1
-            .iter()
-            .map(|candidate| state.limit(candidate.slot))
-            .sum();
-        capacities.extend(name.parse().ok().map(|name| (name, sum)));
-    }
-    for (name, plain) in &snapshot.catalog.services {
-        let need = table::Need::Service(&plain.service);
-        let count = state.table.candidates(need, &[], now).len();
-        let sum = u32::try_from(count)
-            .unwrap_or(u32::MAX)
-            .saturating_mul(plain.concurrency);
-        capacities.extend(name.parse().ok().map(|name| (name, sum)));
-    }
-    capacities
-}
-
 impl State {
     fn limit(&self, slot: Slot) -> u32 {
         let Some(report) = self.table.report(slot) else {
@@ -270,39 +266,6 @@
     slots.max(2).saturating_mul(3) / 2
 }
 
-/// Returns the artifact to use and the targets that have it ready, base model included.
-fn find(
-    state: &State,
-    wanted: &Artifact,
-    exact: bool,
-    tried: &[Slot],
-    now: buckthornmast_types::time::Point,
-) -> (Artifact, Candidates) {
-    let candidates = |artifact: &Artifact| {
-        let mut found = state
-            .table
-            .candidates(table::Need::Artifact(artifact), tried, now);
-        let base = artifact.base();
-        found.retain(|candidate| {
-            let report = state.table.report(candidate.slot);
-            report.is_some_and(|report| report.is_ready(&base))
-        });
-        found
-    };
-    let found = candidates(wanted);
-    if !found.is_empty() || exact {
-        return (wanted.clone(), found);
-    }
-    // While a version is rolled out, the one before still answers.
-    for older in state.table.versions(wanted) {
-        let found = candidates(&older);
-        if !found.is_empty() {
-            return (older, found);
-        }
-    }
-    (wanted.clone(), Candidates::new())
-}
-
 impl router::Router for Router {
     type Permit = Permit;
 
@@ -331,7 +294,7 @@
                 exact,
                 prefix,
             } => {
-                let (artifact, found) = find(state, artifact, *exact, &tried, now);
+                let (artifact, found) = find::find(state, artifact, *exact, &tried, now);
                 (Some(artifact), found, Some(Prefix(*prefix)))
             }
             Need::Service { service, .. } => (
@@ -373,6 +336,28 @@
         })
     }
 
+    fn wait(&self, permit: Permit, ask: &Ask<'_>, need: &Need<'_>) -> Result<Permit, Refused> {
+        let Need::Artifact {
+            artifact, exact, ..
+        } = need
+        else {
+            return Err(Refused::no_target());
+        };
+        permit.give_back();
+        let now = self.clock.now();
+        let state = self.lock();
+        let (_, found) = find::find(&state, artifact, *exact, &[], now);
+        if found.is_empty() {
+            let Some(coming) = find::coming(&state, artifact, now) else {
+                return Err(Refused::no_target());
+            };
+            // The capacity is from before the last target went.
+            self.admission.close(ask.name, coming);
+        }
+        drop(state);
+        self.admission.admit(ask)
+    }
+
     fn is_alive(&self, pick: &Pick) -> bool {
         let seen = self.targets.get(&pick.endpoint.target);
         seen.is_some_and(|seen| self.clock.now().since(seen.sent) < FRESH)
--- a/crates/buckthornmast_gateway/src/generate.rs
+++ b/crates/buckthornmast_gateway/src/generate.rs
@@ -31,7 +31,7 @@
     deadline::Deadline,
     gateway::{Gateway, Names, Parts, deadline_problem, respond},
     observe::{End, Observer, Sample},
-    router::{Ask, Need, Pick, Report, Retry, Router, Tried, dispatch_of},
+    router::{Ask, Need, Pick, Refused, Report, Retry, Router, Tried, dispatch_of},
 };
 
 /// Way in which tokens reach the caller.
@@ -130,7 +130,7 @@
             tokens: self.request.max_tokens,
             deadline: self.deadline.0,
         };
-        let _permit = self.gateway.router.admit(&ask).map_err(|refused| {
+        let mut permit = self.gateway.router.admit(&ask).map_err(|refused| {
             let problem = Problem::new(503, "over capacity", "admit").detail(refused.to_string());
             Failure::Problem(problem.retry_after(refused.retry_after))
         })?;
@@ -141,7 +141,14 @@
                 return Err(Failure::Problem(deadline_problem(history.run())));
             };
             let Some(pick) = self.pick() else {
-                return Err(Failure::Problem(unavailable(last.as_ref(), history.run())));
+                if let Some(error) = &last {
+                    return Err(Failure::Problem(unavailable(error, history.run())));
+                }
+                // The last target with the model has gone since the request was admitted.
+                let router = &self.gateway.router;
+                let waited = router.wait(permit, &ask, &self.need());
+                permit = waited.map_err(|refused| Failure::Problem(no_target(&refused)))?;
+                continue;
             };
             let error = match self.dispatch(&pick, left, history.run()) {
                 Dispatched::Finished(finish) => return Ok(finish),
@@ -157,7 +164,7 @@
                 deadline: self.deadline.0,
             };
             if let Decision::End { run, .. } = self.gateway.router.decide(&retry) {
-                return Err(Failure::Problem(unavailable(Some(&error), run)));
+                return Err(Failure::Problem(unavailable(&error, run)));
             }
             last = Some(error);
         }
@@ -172,13 +179,16 @@
         );
     }
 
-    fn pick(&mut self) -> Option<Pick> {
-        let need = Need::Artifact {
+    fn need(&self) -> Need<'_> {
+        Need::Artifact {
             artifact: self.begun.as_ref().unwrap_or(&self.model.artifact),
             exact: self.begun.is_some(),
             prefix: prefix_of(self.request),
-        };
-        let pick = self.gateway.router.pick(&need, &self.tried)?;
+        }
+    }
+
+    fn pick(&mut self) -> Option<Pick> {
+        let pick = self.gateway.router.pick(&self.need(), &self.tried)?;
         self.target = Some(pick.endpoint.target.clone());
         Some(pick)
     }
@@ -435,13 +445,18 @@
     }
 }
 
+/// Returns the problem of a request for which there is no target.
+fn no_target(refused: &Refused) -> Problem {
+    Problem::new(503, "no target could answer", "dispatch")
+        .run(Run::No)
+        .retry_after(refused.retry_after)
+        .detail(refused.to_string())
+}
+
 /// Returns the problem of a request that no target could answer.
-fn unavailable(last: Option<&Error>, run: Run) -> Problem {
-    let problem = Problem::new(503, "no target could answer", "dispatch")
+fn unavailable(last: &Error, run: Run) -> Problem {
+    Problem::new(503, "no target could answer", "dispatch")
         .run(run)
-        .retry_after(Duration::from_secs(1));
-    match last {
-        Some(error) => problem.detail(error.to_string()),
-        None => problem.detail("no target with the model is ready"),
-    }
+        .retry_after(Duration::from_secs(1))
+        .detail(last.to_string())
 }
--- a/crates/buckthornmast_gateway/src/router.rs
+++ b/crates/buckthornmast_gateway/src/router.rs
@@ -60,6 +60,16 @@
     pub retry_after: Duration,
 }
 
+impl Refused {
+    /// Returns the refusal of a request that no target can take.
+    pub fn no_target() -> Self {
+        Self {
+            reason: "no target with the model is ready".to_owned(),
+            retry_after: Duration::from_secs(1),
+        }
+    }
+}
+
 /// Chosen target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Pick {
@@ -122,6 +132,18 @@
     /// Chooses a target; the choice counts as in flight until [`Router::done`].
     fn pick(&self, need: &Need<'_>, tried: &Tried) -> Option<Pick>;
 
+    /// Takes back the place of a request for which no target was found. If a copy is being loaded and the
+    /// deadline leaves room, waits for it and returns a new place.
+    fn wait(
+        &self,
+        permit: Self::Permit,
+        ask: &Ask<'_>,
+        need: &Need<'_>,
+    ) -> Result<Self::Permit, Refused> {
+        let _ = (permit, ask, need);
+        Err(Refused::no_target())
+    }
+
     /// Returns whether a chosen target still reports.
     fn is_alive(&self, pick: &Pick) -> bool;
 
--- a/crates/buckthornmast_gateway/tests/generate.rs
+++ b/crates/buckthornmast_gateway/tests/generate.rs
@@ -102,6 +102,41 @@
     assert_eq!((response.status, &problem["run"]), (504, &"unknown".into()));
 }
 
+/// Guards against a request that is refused, or dispatched after its deadline, although it was admitted and
+/// a copy is being loaded, and against one that is held although none is.
+#[test]
+fn whole_waits_for_a_copy() {
+    let cases = [
+        (true, 0, 200, "wait dispatch"),
+        (true, 21, 504, "wait"),
+        (false, 0, 503, "wait"),
+    ];
+    for (arrives, waited, status, log) in cases {
+        let fake = Fake::default();
+        {
+            let mut script = fake.script();
+            script.is_empty = true;
+            script.arrives = arrives;
+            script.picking = Duration::from_secs(waited);
+            script.streams = [Ok(vec![token("a"), end()])].into();
+        }
+        let server = fakes::serve(&fake);
+        let body = BODY.replace("true", "false");
+        let mut response = fakes::post(&server, "/v1/chat/completions", &[], &body);
+        let answer: Value = serde_json::from_slice(&response.whole(1 << 16).unwrap()).unwrap();
+        let retry_after = response.header("retry-after").map(str::to_owned);
+        server.stop();
+        assert_eq!(response.status, status, "{answer}");
+        assert_eq!(fake.script().log.join(" "), log);
+        if status != 200 {
+            assert_eq!(answer["run"], "no");
+        }
+        if !arrives {
+            assert_eq!(retry_after.as_deref(), Some("7"));
+        }
+    }
+}
+
 /// Guards against a target that is taken for failed, and in time ejected, because a caller's deadline
 /// ended the wait.
 #[test]
--- a/crates/buckthornmast_gateway/tests/support/fakes.rs
+++ b/crates/buckthornmast_gateway/tests/support/fakes.rs
@@ -44,6 +44,8 @@
     pub(crate) is_full: bool,
     /// Whether the router knows no target.
     pub(crate) is_empty: bool,
+    /// Whether the router knows a target once a request has waited for one.
+    pub(crate) arrives: bool,
     /// Time that passes at each dispatch, and before a step of a stream fails.
     pub(crate) passes: Duration,
     /// What happened, in order.
@@ -190,6 +192,21 @@
         Some(Pick { endpoint, artifact })
     }
 
+    fn wait(&self, (): (), _ask: &Ask<'_>, _need: &Need<'_>) -> Result<(), Refused> {
+        self.note("wait");
+        self.clock.advance(self.script().picking);
+        let mut script = self.script();
+        script.is_empty = !script.arrives;
+        if script.arrives {
+            Ok(())
+        } else {
+            Err(Refused {
+                reason: "none".to_owned(),
+                retry_after: Duration::from_secs(7),
+            })
+        }
+    }
+
     fn is_alive(&self, _pick: &Pick) -> bool {
         true
     }
--- a/crates/buckthornmast_routing/src/admission.rs
+++ b/crates/buckthornmast_routing/src/admission.rs
@@ -75,6 +75,15 @@
     Capacity,
 }
 
+/// Copy of a model without capacity that is being loaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Coming {
+    /// When it is expected to be ready.
+    pub at: Point,
+    /// Requests that may be in progress then.
+    pub capacity: u32,
+}
+
 /// Answer of the gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -114,6 +123,7 @@
     waiting: [usize; CLASSES],
     running: u32,
     capacity: u32,
+    coming: Option<Coming>,
     picks: u64,
     service: Estimate,
 }
@@ -126,6 +136,7 @@
             waiting: [0; CLASSES],
             running: 0,
             capacity: 0,
+            coming: None,
             picks: 0,
             service: Estimate::new(assumed),
         }
@@ -140,13 +151,19 @@
     }
 
     /// Returns the time until a request of a class is dispatched, with those that go before it.
-    fn wait(&self, priority: Priority) -> Duration {
+    fn wait(&self, priority: Priority, now: Point) -> Duration {
         if self.has_room() && self.is_empty() {
             return Duration::ZERO;
         }
         let ahead: usize = self.waiting[..=priority as usize].iter().sum();
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX).saturating_add(1);
-        self.service.mean().saturating_mul(ahead) / self.capacity.max(1)
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let mean = self.service.mean();
+        match self.coming.filter(|_| self.capacity == 0) {
+            Some(coming) => {
+                coming.at.since(now) + mean.saturating_mul(ahead) / coming.capacity.max(1)
+            }
+            None => mean.saturating_mul(ahead.saturating_add(1)) / self.capacity.max(1),
+        }
     }
 
     /// Returns the waiting requests of a team over all classes.
@@ -228,6 +245,14 @@
         self.models.insert(model.clone(), new);
     }
 
+    /// Sets whether a copy of a model is being loaded. It counts while the model has no capacity: requests
+    /// that can be answered in time then wait for it.
+    pub fn set_coming(&mut self, model: &id::Model, coming: Option<Coming>) {
+        if let Some(model) = self.models.get_mut(model) {
+            model.coming = coming;
+        }
+    }
+
     /// Asks for admission.
     pub fn offer(&mut self, model: &id::Model, ask: Ask<K>, now: Point) -> Verdict {
         let (queue, come_back) = (self.config.queue, self.config.come_back);
@@ -238,7 +263,7 @@
                 retry_after: come_back,
             };
         };
-        let wait = model.wait(ask.priority);
+        let wait = model.wait(ask.priority, now);
         let end = now + wait + model.service.mean();
         // At that time as much of the queue is gone as the answer would come too late by.
         let late = end.since(ask.deadline).max(come_back);
@@ -246,7 +271,7 @@
             reason,
             retry_after: late,
         };
-        if model.capacity == 0 {
+        if model.capacity == 0 && model.coming.is_none() {
             return refused(Refusal::Capacity);
         }
         if end > ask.deadline {
@@ -306,6 +331,24 @@
         expired
     }
 
+    /// Takes out the waiting requests of models without capacity of which no copy is being loaded, so that
+    /// they are answered at once and not held until their deadline.
+    pub fn stranded(&mut self) -> Vec<K> {
+        let models = self.models.values_mut();
+        let without = models.filter(|model| model.capacity == 0 && model.coming.is_none());
+        let mut stranded = Vec::new();
+        for model in without {
+            let classes = model.classes.iter_mut().flat_map(std::mem::take);
+            stranded.extend(
+                classes
+                    .flat_map(|(_, queue)| queue)
+                    .map(|waiting| waiting.key),
+            );
+            model.waiting = [0; CLASSES];
+        }
+        stranded
+    }
+
     /// Takes out a waiting request whose client has left. Returns whether it was there.
     pub fn withdraw(&mut self, model: &id::Model, key: &K) -> bool
     where
--- a/crates/buckthornmast_routing/src/lib.rs
+++ b/crates/buckthornmast_routing/src/lib.rs
@@ -8,11 +8,13 @@
 //! [`attempt::decide`] says what comes next, within [`budget::Retry`].
 
 pub mod admission;
+pub mod arrival;
 pub mod attempt;
 pub mod breaker;
 pub mod budget;
 pub mod choice;
 pub mod estimate;
+pub mod leave;
 pub mod limit;
 pub mod outlier;
 pub mod table;
--- a/crates/buckthornmast_routing/src/table.rs
+++ b/crates/buckthornmast_routing/src/table.rs
@@ -12,10 +12,16 @@
 use smallvec::SmallVec;
 
 use crate::{
+    arrival::{Loads, Pace},
     breaker::{self, Breaker},
+    leave::Leave,
     outlier::{self, Health},
 };
 
+mod last;
+
+pub use last::Arrival;
+
 /// Bounds of a table.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
@@ -94,7 +100,8 @@
     /// Requests of this instance in progress, and how many they were at the newest report.
     own: u32,
     own_at_report: u32,
-    drained: bool,
+    leave: Leave,
+    loads: Loads,
     /// Whether the indexes leave it out.
     pruned: bool,
     health: Health,
@@ -119,7 +126,7 @@
     }
 
     fn takes_work(&self, config: &Config, now: Point) -> bool {
-        !self.drained && !self.report.leaving && now.since(self.sampled) < config.freshness
+        self.leave.stays() && now.since(self.sampled) < config.freshness
     }
 }
 
@@ -133,6 +140,7 @@
     artifacts: HashMap<Artifact, Vec<Slot>>,
     services: HashMap<id::Service, Vec<Slot>>,
     drains: BTreeSet<id::Target>,
+    pace: Pace,
 }
 
 fn add<K: Clone + Eq + std::hash::Hash>(index: &mut HashMap<K, Vec<Slot>>, key: &K, slot: Slot) {
@@ -162,6 +170,7 @@
             artifacts: HashMap::new(),
             services: HashMap::new(),
             drains: BTreeSet::new(),
+            pace: Pace::default(),
         }
     }
 
@@ -218,7 +227,10 @@
             // A restarted target starts with a clean record.
             entry.health = Health::default();
             entry.breakers.clear();
+            entry.loads.clear();
         }
+        entry.leave.reported(&report, sampled);
+        entry.loads.observe(&report, sampled, &mut self.pace);
         entry.sampled = sampled;
         entry.own_at_report = entry.own;
         let old = std::mem::replace(&mut entry.report, report);
@@ -236,8 +248,14 @@
             add(&mut self.artifacts, &copy.artifact, slot);
         }
         add(&mut self.services, &report.service, slot);
+        let mut leave = Leave::default();
+        leave.reported(&report, sampled);
+        leave.drained(self.drains.contains(&report.target), None);
+        let mut loads = Loads::default();
+        loads.observe(&report, sampled, &mut self.pace);
         self.entries.push(Entry {
-            drained: self.drains.contains(&report.target),
+            leave,
+            loads,
             report,
             sampled,
             own: 0,
@@ -286,11 +304,13 @@
         }
     }
 
-    /// Takes the drains from the settings in force.
-    pub fn set_drains(&mut self, drains: BTreeSet<id::Target>) {
+    /// Takes the drains from the settings in force. `before` is the last time at which the settings before
+    /// them are known to have been the newest.
+    pub fn set_drains(&mut self, drains: BTreeSet<id::Target>, before: Option<Point>) {
         self.drains = drains;
         for entry in &mut self.entries {
-            entry.drained = self.drains.contains(&entry.report.target);
+            let is_drained = self.drains.contains(&entry.report.target);
+            entry.leave.drained(is_drained, before);
         }
     }
 
--- a/crates/buckthornmast_routing/tests/admission.rs
+++ b/crates/buckthornmast_routing/tests/admission.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use buckthornmast_routing::{
-    admission::{Next, Refusal},
+    admission::{Coming, Next, Refusal},
     prelude::*,
 };
 use buckthornmast_types::prelude::*;
@@ -134,3 +134,53 @@
     assert_eq!(limit.get(), 1);
     assert!(limit.allows(0), "no request could ever raise it again");
 }
+
+/// Guards against a request that is refused although a copy is ready before its deadline, that waits for a
+/// copy that comes too late or not at all, and that is held once its copy is given up.
+#[test]
+fn offer_while_a_copy_is_loaded() {
+    let (mut gate, model) = gate(0);
+    let (now, class) = (Point::ZERO, Priority::Standard);
+    let refused = |verdict| match verdict {
+        Verdict::Refused {
+            reason,
+            retry_after,
+        } => (reason, retry_after >= Duration::from_secs(1)),
+        other => panic!("{other:?}"),
+    };
+    let offer = |gate: &mut Gate<u32>, key, deadline| {
+        gate.offer(&model, ask(key, "a", class, deadline), now)
+    };
+    assert_eq!(
+        refused(offer(&mut gate, 0, 60_000)),
+        (Refusal::Capacity, true)
+    );
+    let coming = Coming {
+        at: Point::from_millis(2000),
+        capacity: 2,
+    };
+    gate.set_coming(&model, Some(coming));
+    // The load takes 2 s and the answer 0.1 s.
+    assert_eq!(
+        refused(offer(&mut gate, 1, 2050)),
+        (Refusal::Deadline, true)
+    );
+    for key in 2..66 {
+        assert_eq!(offer(&mut gate, key, 60_000), Verdict::Queued);
+    }
+    assert_eq!(
+        refused(offer(&mut gate, 66, 60_000)),
+        (Refusal::Queue, true)
+    );
+    assert_eq!(gate.next(&model, now), None);
+    assert!(gate.stranded().is_empty());
+    gate.set_capacity(&model, 2);
+    gate.set_coming(&model, None);
+    assert!(gate.stranded().is_empty());
+    assert_eq!(gate.next(&model, coming.at), Some(Next::Run(2)));
+    assert_eq!(gate.next(&model, coming.at), Some(Next::Run(3)));
+    assert_eq!(gate.next(&model, coming.at), None);
+    gate.set_capacity(&model, 0);
+    assert_eq!(gate.stranded(), (4..66).collect::<Vec<_>>());
+    assert_eq!(gate.waiting(&model), 0);
+}
--- a/crates/buckthornmast_routing/tests/table.rs
+++ b/crates/buckthornmast_routing/tests/table.rs
@@ -80,7 +80,7 @@
     assert_eq!(names(&table, &[], at(2499)), ["a1", "a3"]);
     assert_eq!(names(&table, &[], at(2500)), ["a1"]);
     assert!(names(&table, &[], at(2900)).is_empty());
-    table.set_drains(BTreeSet::from(["a3".parse().unwrap()]));
+    table.set_drains(BTreeSet::from(["a3".parse().unwrap()]), None);
     assert_eq!(names(&table, &[], at(1001)), ["a1"]);
     let mut unloading = report("a1", 4, 0);
     unloading.copies.clear();
