Load first what only a departing target has

Missing copies were loaded in the order of the settings, models with more demand first in the policies. A model on a drained target could wait behind lost ones for the weight store, and its callers with it, although the target answers for it for a short while only.

Within the places of its team, an artifact that only a drained or leaving target has ready is now the first to be loaded, in the controller's missing copies, in the moves that every policy owes, and among equals in the arbiter. Other teams' order stays as it was. Missing copies already came before kept and planned moves, so the order goes out in the first round after the drain is seen.

At one load a second the controller loaded lost, drained, wish; now it loads drained, lost, wish (faults drain_goes_first). With room for one model, each policy now loads the drained one (placement decide_drain_goes_first).

--- a/crates/buckthornmast_controller/src/core.rs
+++ b/crates/buckthornmast_controller/src/core.rs
@@ -347,6 +347,7 @@
             TargetView {
                 kind: report.kind.clone(),
                 service: report.service.clone(),
+                is_leaving: report.leaving,
                 is_live: !report.leaving && now.since(known.sampled) < self.config.live_for,
                 is_current: book.is_some_and(|book| book.is_current(target)),
                 accelerators: report.accelerators,
--- a/crates/buckthornmast_controller/src/keep.rs
+++ b/crates/buckthornmast_controller/src/keep.rs
@@ -1,6 +1,6 @@
 //! Moves that follow from the settings alone: missing copies, version changes and drains.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use buckthornmast_ledger::prelude::*;
 use buckthornmast_types::{prelude::*, report::Phase};
@@ -94,6 +94,23 @@
         self.view.targets[index].target.clone()
     }
 
+    /// Returns whether a target that is drained or leaving, and none that counts, has a need's artifact
+    /// ready in any version.
+    fn is_departing(&self, need: &Need, planned: &Planned) -> bool {
+        let departs = |index: &usize| {
+            let target = &self.view.targets[*index];
+            target.is_leaving || planned.drains.contains(&target.target)
+        };
+        let versions = std::iter::once(&need.artifact).chain(&need.old);
+        let holdings = versions.filter_map(|artifact| self.holdings.get(artifact));
+        let holdings: Vec<&Holding> = holdings.collect();
+        let is_kept = holdings.iter().any(|holding| !holding.kept.is_empty());
+        !is_kept
+            && holdings
+                .iter()
+                .any(|holding| holding.other.iter().any(departs))
+    }
+
     fn name(&self, index: usize) -> &id::Target {
         &self.view.targets[index].target
     }
@@ -108,10 +125,28 @@
     }
 }
 
+/// Returns the needs in the order in which missing copies are loaded: the places of each team stay as they
+/// are, and within them the artifacts that only a departing target has ready come first, since their
+/// callers wait for them from the moment at which that target gets no more work.
+fn in_order<'a>(stock: &Stock<'_>, planned: &'a Planned) -> Vec<&'a Need> {
+    let mut queues: HashMap<&id::Team, VecDeque<&Need>> = HashMap::new();
+    let (departing, others): (Vec<&Need>, Vec<&Need>) = planned
+        .needs
+        .iter()
+        .partition(|need| stock.is_departing(need, planned));
+    for need in departing.into_iter().chain(others) {
+        queues.entry(&need.team).or_default().push_back(need);
+    }
+    let teams = planned.needs.iter().map(|need| &need.team);
+    teams
+        .filter_map(|team| queues.get_mut(team)?.pop_front())
+        .collect()
+}
+
 /// Returns loads for needs without a ready copy on a target that counts.
 pub(crate) fn missing(stock: &mut Stock<'_>, planned: &Planned, limit: usize) -> Vec<Move> {
     let mut moves = Vec::new();
-    for need in &planned.needs {
+    for need in in_order(stock, planned) {
         if moves.len() >= limit {
             break;
         }
--- a/crates/buckthornmast_controller/src/plan.rs
+++ b/crates/buckthornmast_controller/src/plan.rs
@@ -90,6 +90,8 @@
     pub service: id::Service,
     /// Whether it reports and is not leaving.
     pub is_live: bool,
+    /// Whether its newest report says that it is leaving.
+    pub is_leaving: bool,
     /// Whether it may be given orders; not before its account is rebuilt.
     pub is_current: bool,
     /// Accelerators.
--- a/crates/buckthornmast_controller/tests/faults.rs
+++ b/crates/buckthornmast_controller/tests/faults.rs
@@ -312,6 +312,64 @@
     assert_eq!(domain.moves(), (0, 0, 1));
 }
 
+/// Guards against a model that only a drained or leaving target has and that waits for other loads of its
+/// team while the weight store is busy: for lost models and for moves of earlier plans.
+#[test]
+fn drain_goes_first() {
+    for says_so in [false, true] {
+        let mut domain = Domain::new(&[("t", false, &[("a@1", 4)]), ("u", true, &[])]);
+        let rate = Rate::per_second(1.0).unwrap();
+        domain.planned.store = Some((rate, 1));
+        domain.round();
+        domain.planned.needs = vec![need("lost@1", 3, &[]), need("a@1", 4, &[])];
+        domain.planned.moves = vec![load("u", "wish@1", 1)];
+        if says_so {
+            domain.engines.get_mut("t").unwrap().report.leaving = true;
+            domain.report();
+        } else {
+            domain.planned.drains = ["t".parse().unwrap()].into();
+        }
+        let mut order = Vec::new();
+        for _ in 0..3 {
+            domain.advance(1_000);
+            domain.report();
+            let sent = domain.round();
+            for load in loads(&sent) {
+                domain.deliver(load);
+                domain.answer(load, Outcome::Accepted);
+                let Action::Load { artifact, .. } = &load.order.action else {
+                    continue;
+                };
+                order.push(artifact.to_string());
+            }
+            domain.engines.values_mut().for_each(fake::Engine::finish);
+        }
+        assert_eq!(order, ["a@1", "lost@1", "wish@1"], "leaving: {says_so}");
+    }
+}
+
+/// Guards against one team's drain that delays the lost models of another team.
+#[test]
+fn drain_order_within_team() {
+    let mut domain = Domain::new(&[("t", false, &[("a@1", 4)]), ("u", true, &[])]);
+    domain.planned.store = Some((Rate::per_second(1.0).unwrap(), 1));
+    domain.round();
+    let mut other = need("other@1", 3, &[]);
+    other.team = "kiosk".parse().unwrap();
+    domain.planned.needs = vec![other, need("a@1", 4, &[])];
+    domain.planned.drains = ["t".parse().unwrap()].into();
+    domain.advance(1_000);
+    domain.report();
+    let sent = domain.round();
+    let loads = loads(&sent);
+    assert_eq!(loads.len(), 1);
+    let expected = Action::Load {
+        artifact: artifact("other@1"),
+        bytes: Bytes(3),
+    };
+    assert_eq!(loads[0].order.action, expected);
+}
+
 /// Guards against relying on the copies of a target that went silent.
 #[test]
 fn silent_target_is_replaced() {
--- a/crates/buckthornmast_placement/src/arbiter.rs
+++ b/crates/buckthornmast_placement/src/arbiter.rs
@@ -7,7 +7,7 @@
 //!    still has a wish is granted its next one. The dominant share is the larger of its share of
 //!    memory and its share of the store's concurrent loads, divided by the team's weight.
 //!
-//! Within a step and team, higher value comes first. Unloads cost no budget, and are granted first so
+//! Within a step and team, artifacts that only a departing target has come first, then higher value. Unloads cost no budget, and are granted first so
 //! that memory becomes free early. A load that lacks memory for an artifact without a reachable copy,
 //! or for a version that an operator has declared, reclaims it: spare copies are unloaded, those of the team itself and of teams above their fair
 //! share of memory first, then the least demand. Only spare copies are reclaimed, so no team loses a model.
@@ -148,8 +148,11 @@
             (wish.reason != Reason::Unreachable, is_adapter)
         };
         queue.sort_by(|a, b| {
+            let departs = |wish: &Move| !view.is_departing(wish.action.artifact());
             let values = b.1.value.total_cmp(&a.1.value);
-            rank(&a.1).cmp(&rank(&b.1)).then(values)
+            let ranks = rank(&a.1).cmp(&rank(&b.1));
+            let departing = departs(&a.1).cmp(&departs(&b.1));
+            ranks.then(departing).then(values)
         });
         while !queue.is_empty() {
             // Models come before adapters; among equals the team with the smallest share is first.
--- a/crates/buckthornmast_placement/src/duty.rs
+++ b/crates/buckthornmast_placement/src/duty.rs
@@ -55,11 +55,17 @@
             entry.replaced_by.is_none() || !entry.copies.is_empty()
         })
         .collect();
-    // A model comes before an adapter, which can't be loaded without it, then the larger demand counts.
+    // What only a departing target has comes first, since it still answers for a short while. A model comes
+    // before an adapter, which can't be loaded without it, then the larger demand counts.
     lost.sort_by(|a, b| {
         let key = |item: usize| {
             let entry = &view.artifacts[item];
-            (entry.base.is_some(), -entry.demand.rate.get())
+            let is_departing = view.is_departing(item);
+            (
+                !is_departing,
+                entry.base.is_some(),
+                -entry.demand.rate.get(),
+            )
         };
         key(*a)
             .partial_cmp(&key(*b))
--- a/crates/buckthornmast_placement/src/view.rs
+++ b/crates/buckthornmast_placement/src/view.rs
@@ -142,6 +142,16 @@
         copies.iter().any(|copy| self.is_reachable(*copy))
     }
 
+    /// Returns whether a target that is leaving, and no other, has an artifact ready.
+    pub fn is_departing(&self, item: usize) -> bool {
+        let copies = &self.artifacts[item].copies;
+        let departs = |copy: &Copy| {
+            copy.phase == report::Phase::Ready
+                && self.targets[copy.target].health == Health::Leaving
+        };
+        copies.iter().any(departs) && !self.is_item_reachable(item)
+    }
+
     /// Returns whether a version has a replacement that can answer requests.
     pub fn is_superseded(&self, item: usize) -> bool {
         let new = self.artifacts[item].replaced_by;
--- a/crates/buckthornmast_placement/tests/placement/rules.rs
+++ b/crates/buckthornmast_placement/tests/placement/rules.rs
@@ -265,6 +265,24 @@
     }
 }
 
+/// Guards against a model that only a leaving target has and that gets the last memory after a lost model of
+/// the same team with more demand.
+#[test]
+fn decide_drain_goes_first() {
+    for policy in POLICIES {
+        let mut view = view(1, 2, 10);
+        view.artifacts.push(item("lost@1", 0, 10, 50.0));
+        view.artifacts.push(item("m@1", 0, 10, 5.0));
+        put(&mut view, 1, 0, Phase::Ready);
+        view.targets[0].health = Health::Leaving;
+        let mut team = named::Team::new(policy.parse().unwrap());
+        let moves = arbitrate(&view, &[team.decide(&view, 0, 8)], 5);
+        let loads: Vec<_> = moves.iter().filter(|m| m.action.is_load()).collect();
+        assert_eq!(loads.len(), 1, "{policy}: {moves:?}");
+        assert_eq!(loads[0].action.artifact(), 1, "{policy}");
+    }
+}
+
 /// Guards against two controllers that give up the last two copies of a model at the same time.
 #[test]
 fn is_spare_two_controllers() {
