Show how full the claims are and refuse clearly

Cause: a refusal for lack of room read "no quorum for the claim" with `Retry-After: 1`, and operators saw nothing before it.

Change: 503 "no room for the claim", `run: no`, `Retry-After: 60`, as room comes back with the expiry of keys. Metrics buckthornmast_claims, _claims_open, _claims_body_bytes and _claims_fill_ratio at each voter, the field `claims` of a replica in status with a column of ctl, and a warning from 80 % on, armed again below 75 %. The 409 for an answer that is no longer kept names both reasons.

--- a/crates/buckthornmast_ctl/src/show.rs
+++ b/crates/buckthornmast_ctl/src/show.rs
@@ -99,6 +99,7 @@
                 text_of(&entry["ready"]),
                 text_of(&replica["role"]),
                 text_of(&replica["fault"]),
+                text_of(&replica["claims"]["percent"]),
                 text_of(&entry["controller"]),
             ]
         })
@@ -113,6 +114,7 @@
         "ready",
         "replica",
         "fault",
+        "claims_%",
         "controller",
     ];
     text.push_str(&table::render(&header, &rows));
--- a/crates/buckthornmast_daemon/src/claims.rs
+++ b/crates/buckthornmast_daemon/src/claims.rs
@@ -11,11 +11,12 @@
 
 use buckthornmast_gateway::claim::{self, Denied, Grant};
 use buckthornmast_state::{
-    claims::{Answer, Claim, Complete, Fingerprint, Id, Outcome, Release},
+    claims::{Answer, Claim, Complete, Fingerprint, Id, Outcome, Release, Usage},
     machine,
 };
 use buckthornmast_types::id;
 use flume::{Receiver, Sender};
+use metrics::gauge;
 
 use crate::propose::{ProposeError, Proposer};
 
@@ -34,6 +35,40 @@
 /// Tries to record before a claim is left as it is; it then answers `unknown` until its key expires.
 const RECORD_TRIES: u32 = 60;
 
+/// Fill in hundredths from which operators are warned.
+const WARN_PERCENT: u8 = 80;
+
+/// Fill in hundredths below which the warning is armed again, so that it is not repeated around the limit.
+const CALM_PERCENT: u8 = 75;
+
+/// Shows operators how full the claims of a replica are.
+#[derive(Debug, Default)]
+pub struct Gauge {
+    is_warned: bool,
+}
+
+impl Gauge {
+    /// Sets the metrics and returns whether it warned.
+    pub fn note(&mut self, usage: &Usage) -> bool {
+        gauge!("buckthornmast_claims").set(usage.claims as f64);
+        gauge!("buckthornmast_claims_open").set(usage.open as f64);
+        gauge!("buckthornmast_claims_body_bytes").set(usage.body_bytes as f64);
+        gauge!("buckthornmast_claims_fill_ratio").set(f64::from(usage.percent) / 100.0);
+        if usage.percent < CALM_PERCENT {
+            self.is_warned = false;
+        }
+        let warns = usage.percent >= WARN_PERCENT && !self.is_warned;
+        if warns {
+            self.is_warned = true;
+            log::warn!(
+                step = "claim", claims = usage.claims, open = usage.open, percent = usage.percent;
+                "claims are {} % full; at 100 % orders are refused as not run", usage.percent
+            );
+        }
+        warns
+    }
+}
+
 /// Command to record, and who waits for it.
 struct Job {
     command: machine::Command,
@@ -141,7 +176,7 @@
                 }),
                 Answer::Mismatch => Err(Denied::Mismatch),
                 Answer::BadKey => Err(Denied::Expired),
-                Answer::Full => Err(unavailable("no room for claims")),
+                Answer::Full => Err(Denied::Full),
             },
             Ok(_) => Err(unavailable("the log answered another command")),
             Err(error @ ProposeError::NotProposed) => Err(unavailable(&error.to_string())),
--- a/crates/buckthornmast_daemon/src/leader.rs
+++ b/crates/buckthornmast_daemon/src/leader.rs
@@ -25,6 +25,7 @@
 use flume::{Receiver, RecvTimeoutError, Sender};
 
 use crate::{
+    claims::Gauge,
     message::{LeaseAsk, LeaseReply},
     peers::Replica,
 };
@@ -32,6 +33,9 @@
 /// Time between two looks at the replica.
 const PERIOD: Duration = Duration::from_millis(20);
 
+/// Looks between two looks at the claims, which make one second.
+const GAUGE_ROUNDS: u32 = 50;
+
 /// Time for a grant to be committed.
 const GRANT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -79,8 +83,13 @@
 pub fn watch(leader: Arc<Leader>) -> std::io::Result<Watch> {
     let (stop, stopped): (Sender<()>, Receiver<()>) = flume::bounded(1);
     let run = move || {
+        let (mut gauge, mut round) = (Gauge::default(), 0_u32);
         while stopped.recv_timeout(PERIOD) == Err(RecvTimeoutError::Timeout) {
             leader.follow_replica();
+            if round.is_multiple_of(GAUGE_ROUNDS) {
+                gauge.note(&leader.replica.read(|state| state.claims().usage()));
+            }
+            round = round.wrapping_add(1);
         }
     };
     let thread = thread::Builder::new()
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -50,7 +50,7 @@
     reports::{self, Reports},
     router::{self, Router},
     shadow::Shadows,
-    summary::{Own, Summary},
+    summary::{Own, Replicated, Summary},
     targets::{self, Targets},
 };
 
@@ -141,7 +141,10 @@
             revision: current.get().revision,
             ready: ready.load(Ordering::Relaxed) && current.get().revision > id::Revision(0),
             confirmed_ms: millis(confirmed.age()),
-            replica: replica.as_ref().map(|replica| replica.status().into()),
+            replica: replica.as_ref().map(|replica| {
+                let claims = replica.read(|state| state.claims().usage());
+                Replicated::new(replica.status(), claims)
+            }),
             controller: control.token(),
             moves: control.counters(),
             extract: history.extract(),
--- a/crates/buckthornmast_daemon/src/summary.rs
+++ b/crates/buckthornmast_daemon/src/summary.rs
@@ -5,6 +5,7 @@
 use buckthornmast_consensus::status::{Role, Status};
 use buckthornmast_controller::counter::Counters;
 use buckthornmast_report::extract::Extract;
+use buckthornmast_state::claims::Usage;
 use buckthornmast_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -52,11 +53,16 @@
     pub leader: Option<id::Instance>,
     /// Why the replica neither votes nor acknowledges.
     pub fault: Option<String>,
+    /// How full the claims are.
+    #[serde(default)]
+    pub claims: Usage,
 }
 
-impl From<Status> for Replicated {
-    fn from(status: Status) -> Self {
+impl Replicated {
+    /// Returns the state of a replica.
+    pub fn new(status: Status, claims: Usage) -> Self {
         Self {
+            claims,
             role: status.role,
             term: status.term,
             commit: status.commit,
--- /dev/null
+++ b/crates/buckthornmast_daemon/tests/gauge.rs
@@ -0,0 +1,20 @@
+//! Tests of how operators see that the claims fill.
+
+use buckthornmast_daemon::claims::Gauge;
+use buckthornmast_state::claims::Usage;
+
+/// Guards against a warning that is missing at 80 %, comes every second, or never comes again.
+#[test]
+fn note_filling() {
+    let mut gauge = Gauge::default();
+    let seen = [0, 79, 80, 81, 99, 79, 80, 74, 79, 80, 100].map(|percent| {
+        gauge.note(&Usage {
+            percent,
+            ..Usage::default()
+        })
+    });
+    let wanted = [
+        false, false, true, false, false, false, false, false, false, true, false,
+    ];
+    assert_eq!(seen, wanted);
+}
--- a/crates/buckthornmast_gateway/src/claim.rs
+++ b/crates/buckthornmast_gateway/src/claim.rs
@@ -32,7 +32,7 @@
     pub status: u16,
     /// Content type.
     pub content_type: String,
-    /// Body, unless it was too large to keep.
+    /// Body, unless it was too large to keep or made room for newer ones.
     pub body: Option<Vec<u8>>,
 }
 
@@ -61,6 +61,9 @@
     /// The key's time lies outside of the retention.
     #[snafu(display("the key is older than the retention of claims or ahead of time"))]
     Expired,
+    /// There is no room for another claim until older keys expire.
+    #[snafu(display("no room for claims until older keys expire"))]
+    Full,
     /// No quorum could be reached; the claim will be released.
     #[snafu(display("no quorum: {reason}"))]
     Unavailable {
--- a/crates/buckthornmast_gateway/src/service.rs
+++ b/crates/buckthornmast_gateway/src/service.rs
@@ -31,6 +31,9 @@
 /// Time after which a caller may ask again for the outcome of a request in progress.
 const HELD_RETRY: Duration = Duration::from_secs(1);
 
+/// Time after which a caller may ask again when there is no room for claims; room comes back as keys expire.
+const FULL_RETRY: Duration = Duration::from_secs(60);
+
 /// Carries a call to its end.
 pub(crate) fn run<P: Parts, N: Names>(
     gateway: &Gateway<P, N>,
@@ -144,6 +147,7 @@
             .run(Run::Unknown)
             .retry_after(HELD_RETRY),
         Denied::Mismatch => Problem::new(422, "key used for another request", "claim"),
+        Denied::Full => Problem::new(503, "no room for the claim", "claim").retry_after(FULL_RETRY),
         Denied::Expired => Problem::new(400, "key outside of the retention", "claim"),
         _ => Problem::new(503, "no quorum for the claim", "claim").retry_after(HELD_RETRY),
     }
@@ -168,8 +172,8 @@
 fn replay(outcome: Outcome) -> Result<Response, Problem> {
     let Some(body) = outcome.body else {
         let detail = format!(
-            "the request ran and was answered with status {}; its answer was over {MAX_KEPT_BYTES} bytes \
-             and is not kept",
+            "the request ran and was answered with status {}; its answer is no longer kept: it was \
+             over {MAX_KEPT_BYTES} bytes or made room for newer ones",
             outcome.status
         );
         let problem = Problem::new(409, "request has run", "claim").run(Run::Unknown);
--- a/crates/buckthornmast_gateway/tests/service.rs
+++ b/crates/buckthornmast_gateway/tests/service.rs
@@ -193,6 +193,7 @@
         ("held", Denied::Held, 409, "unknown", Some("1")),
         ("mismatch", Denied::Mismatch, 422, "no", None),
         ("expired", Denied::Expired, 400, "no", None),
+        ("full", Denied::Full, 503, "no", Some("60")),
         ("unavailable", unavailable, 503, "no", Some("1")),
     ];
     for (name, denied, status, run, again) in cases {
