Tell only what has changed of the demand

Cause: each instance sent a row of 75.6 bytes for every name to every instance each second; 52 rows filled 20 KB/s at 6 instances.

Change: a row is told when it is off by 9 % (rounding to three digits takes the rest of 10 %), and after 10 s. Rates decay over 10 s without requests, so that a rare model would change by 10 % each second: its row is told as fading, and both ends let it decay alike. Rows are arrays in place of objects. A receiver that lacks the rows of an instance asks for all of them; policies wait after a start until every instance has answered, for 5 s at most. Rows count for 25 s after they were told, so that one lost notice does no harm; before, an instance was forgotten after 5 s.

Every instance is a candidate of its domain, so sending to candidates only would save nothing, and holders are not known everywhere.

--- a/crates/buckthornmast_daemon/examples/capacity.rs
+++ b/crates/buckthornmast_daemon/examples/capacity.rs
@@ -1,6 +1,7 @@
 //! Measures the cost of relayed reports, demand rows, settings and claims at several sizes.
 
 use std::{
+    collections::BTreeMap,
     error::Error,
     fmt::Write as _,
     fs,
@@ -10,16 +11,20 @@
 };
 
 use buckthornmast_config::folder::{self, Folder};
-use buckthornmast_consensus::machine::{LogTime, Machine};
+use buckthornmast_consensus::{
+    machine::{LogTime, Machine},
+    message::Position,
+    snapshot::Content,
+};
 use buckthornmast_daemon::{
     current::Current,
-    demand::Row,
+    demand::Table,
     message::{Notice, Relayed, Response},
     relay::content_of,
     targets::{Origin, Targets},
 };
 use buckthornmast_state::{
-    claims::{Claim, Complete, Fingerprint, Id, Outcome},
+    claims::{Claim, Complete, Fingerprint, Id, Outcome, RETENTION_MILLIS},
     machine::{Command, State},
     settings::{Change, Scope, Write},
 };
@@ -29,7 +34,7 @@
     id,
     report::{Copy, Load, Phase, Report},
     size::Bytes,
-    time::{System, unix_millis},
+    time::{Point, System, unix_millis},
 };
 use buckthornmast_wire::{
     key::Key,
@@ -64,8 +69,13 @@
 
 /// Returns the resident memory of this process in bytes.
 fn resident() -> f64 {
+    status("VmRSS:")
+}
+
+/// Returns a size that the kernel counts for this process in bytes.
+fn status(name: &str) -> f64 {
     let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
     let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
     kib.unwrap_or_default() * 1024.0
 }
@@ -210,21 +220,113 @@
     Ok(())
 }
 
+/// Seconds of demand, after as many as it takes for the rates to be steady.
+const DEMAND_SECONDS: u64 = 120;
+const DEMAND_WARM: u64 = 40;
+
+/// Sum in requests a second below which the error is given in requests a second.
+const SMALL: f64 = 0.05;
+
+/// Instances of each user.
+const INSTANCES: usize = 6;
+
+/// Returns a uniform number below 1 from a generator with a fixed seed.
+fn uniform(seed: &mut u64) -> f64 {
+    *seed = seed
+        .wrapping_mul(6_364_136_223_846_793_005)
+        .wrapping_add(1_442_695_040_888_963_407);
+    (*seed >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+/// Requests at random times at each instance, Zipf over the names, for some minutes of virtual time.
+fn demand_at(names: usize, rate: f64) -> Result<()> {
+    let instances: Vec<id::Instance> = (0..INSTANCES)
+        .map(|instance| format!("macon-a-{instance}").parse())
+        .collect::<std::result::Result<_, _>>()?;
+    let mut tables: Vec<Table> = (0..INSTANCES)
+        .map(|_| Table::new(Point::default(), []))
+        .collect();
+    let weights: Vec<f64> = (0..names).map(|name| 1.0 / (name + 1) as f64).collect();
+    let sum: f64 = weights.iter().sum();
+    let (mut seed, mut now) = (1, Point::default());
+    let (mut old, mut new, mut rows, mut told, mut error) = (0, 0, 0, 0, 0.0_f64);
+    let mut small = 0.0_f64;
+    for second in 0..DEMAND_SECONDS + DEMAND_WARM {
+        for step in 0..100 {
+            now = Point::from_millis(second * 1000 + step * 10);
+            for table in &mut tables {
+                for (name, weight) in weights.iter().enumerate() {
+                    if uniform(&mut seed) < rate * weight / sum / 100.0 {
+                        table.count(now, &format!("model-{name:04}"), 400);
+                    }
+                }
+            }
+        }
+        let mut exact = BTreeMap::<String, (f64, f64)>::new();
+        for at in 0..INSTANCES {
+            let own = tables[at].own(now);
+            for (name, (requests, tokens)) in &own {
+                let sum = exact.entry(name.clone()).or_default();
+                sum.0 += requests;
+                sum.1 += tokens;
+            }
+            let due = tables[at].take(now);
+            if second >= DEMAND_WARM {
+                let list: Vec<_> = own
+                    .iter()
+                    .map(|(name, (requests, tokens))| {
+                        serde_json::json!({"name": name, "requests": requests, "tokens": tokens})
+                    })
+                    .collect();
+                rows += list.len();
+                old += serde_json::to_string(&serde_json::json!({ "Demand": list }))?.len();
+            }
+            let Some(news) = due.news else { continue };
+            if second >= DEMAND_WARM {
+                told += news.steady.len() + news.fading.len();
+                new += serde_json::to_string(&Notice::Demand(news.clone()))?.len();
+            }
+            for other in (0..INSTANCES).filter(|other| *other != at) {
+                tables[other].accept(now, &instances[at], news.clone());
+            }
+        }
+        if second < DEMAND_WARM {
+            continue;
+        }
+        for table in &mut tables {
+            let total = table.total(now);
+            for (name, (requests, tokens)) in &exact {
+                let seen = total.get(name).copied().unwrap_or_default();
+                // Rows below 0.001 requests/s are not told, which is much of a sum that is as small.
+                if *requests < SMALL {
+                    small = small.max((seen.0 - requests).abs());
+                    continue;
+                }
+                error = error.max((seen.0 / requests - 1.0).abs());
+                error = error.max((seen.1 / tokens - 1.0).abs());
+            }
+        }
+    }
+    let each = |bytes: usize| {
+        (bytes * (INSTANCES - 1)) as f64 / (INSTANCES as u64 * DEMAND_SECONDS) as f64 / 1000.0
+    };
+    println!(
+        "  {names} names, {rate} requests/s an instance: {rows} rows became {told}, {:.2} KB/s an \
+         instance became {:.2}, sums off by at most {:.1} %, and by {small:.4} requests/s below {SMALL}",
+        each(old),
+        each(new),
+        error * 100.0
+    );
+    Ok(())
+}
+
 fn demand() -> Result<()> {
-    println!("demand notice");
-    let mut sizes = Vec::new();
-    for models in [30_usize, 200, 820] {
-        let row = |model: usize| Row {
-            name: format!("model-{model:04}"),
-            requests: (model + 1) as f64 / 7.0,
-            tokens: (model + 1) as f64 * 400.0 / 7.0,
-        };
-        let rows: Vec<Row> = (0..models).map(row).collect();
-        let size = serde_json::to_string(&Notice::Demand(rows))?.len();
-        println!("  {models} rows: {size} bytes");
-        sizes.push([models as f64, size as f64]);
+    println!("demand at {INSTANCES} instances, without the frames of the notices");
+    for names in [52, 200] {
+        for rate in [1.0, 10.0, 20.0, 100.0] {
+            demand_at(names, rate)?;
+        }
     }
-    print_fit("bytes, x = rows", &sizes, 1);
     Ok(())
 }
 
@@ -352,11 +454,16 @@
     Ok(())
 }
 
-/// Applies a claim and its outcome.
-fn run_once(state: &mut State, index: usize, body: usize) -> Result<()> {
-    let at = LogTime(unix_millis());
+/// Applies a claim and its outcome at a time.
+fn run_at(state: &mut State, at: LogTime, index: usize, body: usize) -> Result<()> {
+    let mut random = [0; 10];
+    random[..8].copy_from_slice(
+        &(index as u64)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+            .to_le_bytes(),
+    );
     let id = Id {
-        key: id::Key::generate(),
+        key: id::Key(uuid::Builder::from_unix_timestamp_millis(at.0, &random).into_uuid()),
         service: "plant-ledger".parse()?,
     };
     let request = id::Request::generate();
@@ -386,8 +493,11 @@
     let start = resident();
     let mut state = State::default();
     let begin = Instant::now();
+    // Keys over 24 h, as under a steady rate.
+    let first = unix_millis() - RETENTION_MILLIS;
     for index in 0..count {
-        run_once(&mut state, index, body)?;
+        let at = LogTime(first + index as u64 * RETENTION_MILLIS / count as u64);
+        run_at(&mut state, at, index, body)?;
     }
     let each = begin.elapsed().as_secs_f64() * 1e6 / count as f64;
     let memory = resident() - start;
@@ -396,10 +506,38 @@
         bytes = black_box(state.snapshot()).len();
         Ok(())
     })? / 1e3;
+    let encoded = state.snapshot();
+    let restore = cost(|| {
+        let mut copy = State::default();
+        copy.restore(&encoded)?;
+        black_box(copy);
+        Ok(())
+    })? / 1e3;
+    drop(encoded);
+    let content = Content {
+        position: Position::default(),
+        at: LogTime(0),
+        voters_at: Position::default(),
+        voters: Vec::new(),
+        machine: state.snapshot(),
+    };
+    let wrap = cost(|| {
+        black_box(content.encode());
+        Ok(())
+    })? / 1e3;
+    let later = LogTime(unix_millis() + 2 * RETENTION_MILLIS);
+    let mut old = state.clone();
+    let begin_purge = Instant::now();
+    run_at(&mut old, later, count, 0)?;
+    let purge = begin_purge.elapsed().as_secs_f64() * 1e3;
+    drop(old);
     let (kept, counted) = (state.claims().len(), state.claims().bytes());
     println!(
         "  {kept} of {count} kept: {counted} bytes counted, {memory:.0} resident, snapshot {bytes} \
-         bytes in {snapshot:.2} ms, {each:.2} us to apply claim and outcome"
+         bytes in {snapshot:.2} ms, wrapped for the log in {wrap:.2} ms, restored in {restore:.2} ms, \
+         {each:.2} us to apply claim and outcome, all purged at once in {purge:.1} ms, highest \
+         resident so far {:.0} MB",
+        status("VmHWM:") / 1e6
     );
     held.push(state);
     Ok([kept as f64, memory, bytes as f64, snapshot])
@@ -411,7 +549,7 @@
     for body in [0, 200] {
         println!("claims, outcome with a body of {body} bytes");
         let mut rows = Vec::new();
-        for count in [5_000, 20_000, 60_000] {
+        for count in [60_000, 400_000, 1_439_000] {
             rows.push(claims_at(&mut held, count, body)?);
         }
         print_fit("resident bytes, x = claims", &rows, 1);
@@ -421,6 +559,45 @@
     Ok(())
 }
 
+/// Takes snapshots of full claims as the driver of the log does, while it holds the one before.
+fn peak() -> Result<()> {
+    let mut state = State::default();
+    let (start, count) = (resident(), 1_439_000);
+    let first = unix_millis() - RETENTION_MILLIS;
+    for index in 0..count {
+        let at = LogTime(first + index as u64 * RETENTION_MILLIS / count as u64);
+        run_at(&mut state, at, index, 200)?;
+    }
+    println!(
+        "{} claims, bodies of 200 bytes: {:.0} MB",
+        state.claims().len(),
+        (resident() - start) / 1e6
+    );
+    let mut last = None;
+    for _ in 0..3 {
+        let begin = Instant::now();
+        let machine = state.snapshot();
+        let under_lock = begin.elapsed().as_secs_f64() * 1e3;
+        let content = Content {
+            position: Position::default(),
+            at: LogTime(0),
+            voters_at: Position::default(),
+            voters: Vec::new(),
+            machine,
+        };
+        last = content.encode();
+        println!(
+            "  snapshot {under_lock:.1} ms under the lock, {:.1} ms in all; {:.0} MB resident, {:.0} \
+             MB at most",
+            begin.elapsed().as_secs_f64() * 1e3,
+            resident() / 1e6,
+            status("VmHWM:") / 1e6
+        );
+    }
+    black_box(last);
+    Ok(())
+}
+
 fn main() -> Result<()> {
     println!("load {}", fs::read_to_string("/proc/loadavg")?.trim());
     for part in std::env::args().skip(1) {
@@ -429,7 +606,8 @@
             "demand" => demand()?,
             "settings" => settings()?,
             "claims" => claims()?,
-            _ => return Err("usage: capacity [reports|demand|settings|claims]...".into()),
+            "peak" => peak()?,
+            _ => return Err("usage: capacity [reports|demand|settings|claims|peak]...".into()),
         }
     }
     Ok(())
--- a/crates/buckthornmast_daemon/examples/plan_time.rs
+++ b/crates/buckthornmast_daemon/examples/plan_time.rs
@@ -142,7 +142,7 @@
             Origin::Instance,
         );
     }
-    let demand = Demand::new(clock);
+    let demand = Demand::new(clock, []);
     let mut planner = Planner {
         domain: "north".parse()?,
         current: current.clone(),
--- a/crates/buckthornmast_daemon/src/message.rs
+++ b/crates/buckthornmast_daemon/src/message.rs
@@ -56,7 +56,9 @@
     /// Targets whose content the sender lacks.
     Wanted(Vec<id::Target>),
     /// Demand at the sender.
-    Demand(Vec<crate::demand::Row>),
+    Demand(crate::demand::News),
+    /// The sender lacks the demand at the receiver.
+    DemandWanted,
     /// Intents that the quorum has, so that journals may forget them.
     Forget(Vec<id::Order>),
 }
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -125,12 +125,16 @@
     history: Reports,
 }
 
+fn others_of(settings: &Settings) -> Vec<id::Instance> {
+    let peers = settings.peers.iter().map(|peer| peer.instance.clone());
+    peers
+        .filter(|instance| *instance != settings.instance)
+        .collect()
+}
+
 impl Core {
     fn others(&self) -> Vec<id::Instance> {
-        let peers = self.settings.peers.iter().map(|peer| peer.instance.clone());
-        peers
-            .filter(|instance| *instance != self.settings.instance)
-            .collect()
+        others_of(&self.settings)
     }
 
     fn own_summary(&self) -> Own {
@@ -335,7 +339,7 @@
         history: Reports::new(current.clone()),
         current,
         targets: Targets::new(clock),
-        demand: Demand::new(clock),
+        demand: Demand::new(clock, others_of(&settings)),
         peers,
         replica,
         proposer,
--- a/crates/buckthornmast_daemon/src/plan.rs
+++ b/crates/buckthornmast_daemon/src/plan.rs
@@ -436,7 +436,12 @@
             },
         };
         let mut wishes: Vec<Moves> = Vec::new();
-        for (index, (name, team)) in snapshot.declarations.teams.iter().enumerate() {
+        // Without the rows of the others a busy model looks idle, so that policies wait after a start.
+        let teams = self
+            .demand
+            .is_settled()
+            .then_some(&snapshot.declarations.teams);
+        for (index, (name, team)) in teams.into_iter().flatten().enumerate() {
             let wanted = policy::named(&team.policy);
             wishes.push(self.team(name, wanted).decide(&view, index, MAX_MOVES));
         }
--- a/crates/buckthornmast_daemon/src/receive.rs
+++ b/crates/buckthornmast_daemon/src/receive.rs
@@ -114,7 +114,12 @@
                 }
             }
             Notice::Wanted(targets) => self.targets.want(targets),
-            Notice::Demand(rows) => self.demand.accept(from, rows),
+            Notice::Demand(news) => {
+                if self.demand.accept(from, news) {
+                    self.peers.notify(from, Notice::DemandWanted);
+                }
+            }
+            Notice::DemandWanted => self.demand.want(from),
             Notice::Forget(orders) => self.notebook().forget(&orders),
         }
     }
--- a/crates/buckthornmast_daemon/src/targets.rs
+++ b/crates/buckthornmast_daemon/src/targets.rs
@@ -16,7 +16,7 @@
 use flume::{Receiver, RecvTimeoutError, Sender};
 
 use crate::{
-    demand::Demand,
+    demand::{Demand, Due},
     message::{Notice, Relayed},
     peers::Peers,
     relay::{Content, Outbox, content_of},
@@ -287,6 +287,22 @@
     })
 }
 
+fn send_demand(due: Due, peers: &Peers, others: &[id::Instance]) {
+    for news in due.news {
+        for other in others {
+            peers.notify(other, Notice::Demand(news.clone()));
+        }
+    }
+    for (wanted, whole) in due.wanted {
+        for other in wanted {
+            peers.notify(&other, Notice::Demand(whole.clone()));
+        }
+    }
+    for other in due.ask {
+        peers.notify(&other, Notice::DemandWanted);
+    }
+}
+
 fn relay_until(
     stopped: &Receiver<()>,
     targets: &Targets,
@@ -303,10 +319,7 @@
             }
         }
         if round.is_multiple_of(DEMAND_ROUNDS) {
-            let rows = demand.own();
-            for other in others {
-                peers.notify(other, Notice::Demand(rows.clone()));
-            }
+            send_demand(demand.take(), peers, others);
             targets.forget_old();
         }
         round = round.wrapping_add(1);
--- /dev/null
+++ b/crates/buckthornmast_daemon/tests/demand.rs
@@ -0,0 +1,198 @@
+//! Tests of demand rows in virtual time.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use buckthornmast_daemon::demand::{Due, FORGET_AFTER, News, REFRESH, SETTLE, Table};
+use buckthornmast_types::{id, time::Point};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn instance(number: usize) -> id::Instance {
+    format!("i{number}").parse().unwrap()
+}
+
+fn at(span: Duration) -> Point {
+    Point::from_millis(u64::try_from(span.as_millis()).unwrap())
+}
+
+/// Tables of instances that tell each other everything but what a test loses.
+struct Cluster {
+    tables: Vec<Table>,
+    now: Duration,
+    rows: usize,
+}
+
+impl Cluster {
+    fn new(count: usize) -> Self {
+        let tables = (0..count).map(|me| {
+            let others = (0..count).filter(|other| *other != me).map(instance);
+            Table::new(Point::default(), others)
+        });
+        Self {
+            tables: tables.collect(),
+            now: Duration::ZERO,
+            rows: 0,
+        }
+    }
+
+    fn give(&mut self, from: usize, to: &id::Instance, news: &News) {
+        let to = (0..self.tables.len())
+            .find(|number| instance(*number) == *to)
+            .unwrap();
+        if self.tables[to].accept(at(self.now), &instance(from), news.clone()) {
+            self.tables[from].want(&instance(to));
+        }
+    }
+
+    /// Moves time on by a second and carries all notices, except changes from the instances that are cut.
+    fn tick(&mut self, cut: &[usize]) {
+        self.now += SECOND;
+        for from in 0..self.tables.len() {
+            let Due { news, wanted, ask } = self.tables[from].take(at(self.now));
+            if cut.contains(&from) {
+                continue;
+            }
+            if let Some(news) = news {
+                self.rows += news.steady.len() + news.fading.len();
+                for to in (0..self.tables.len()).filter(|to| *to != from) {
+                    self.give(from, &instance(to), &news);
+                }
+            }
+            if let Some((wanted, whole)) = wanted {
+                for to in wanted {
+                    self.give(from, &to, &whole);
+                }
+            }
+            for to in ask {
+                let to = (0..self.tables.len()).find(|number| instance(*number) == to);
+                self.tables[to.unwrap()].want(&instance(from));
+            }
+        }
+    }
+
+    fn exact(&mut self) -> BTreeMap<String, (f64, f64)> {
+        let mut sum = BTreeMap::<String, (f64, f64)>::new();
+        for table in &mut self.tables {
+            for (name, (requests, tokens)) in table.own(at(self.now)) {
+                let entry = sum.entry(name).or_default();
+                entry.0 += requests;
+                entry.1 += tokens;
+            }
+        }
+        sum
+    }
+
+    /// Fails unless every instance sees every name within 10 %.
+    fn assert_near(&mut self) {
+        let exact = self.exact();
+        for table in &mut self.tables {
+            let total = table.total(at(self.now));
+            for (name, (requests, tokens)) in &exact {
+                let seen = total.get(name).copied().unwrap_or_default();
+                assert!((seen.0 / requests - 1.0).abs() <= 0.1, "{name} {seen:?}");
+                assert!((seen.1 / tokens - 1.0).abs() <= 0.1, "{name} {seen:?}");
+            }
+        }
+    }
+}
+
+/// Guards against policies that plan on sums that are off by more than 10 %, under steady, rare, jumping and
+/// ending demand, and against rows that are sent without need.
+#[test]
+fn total_within_tenth() {
+    let mut cluster = Cluster::new(3);
+    for second in 0..120_u64 {
+        for from in 0..3_usize {
+            for name in 0..10_u64 {
+                // A jump at half time; the last names stop.
+                let jump = if second >= 60 && name < 3 { 8 } else { 1 };
+                let is_over = second >= 80 && name > 7;
+                let every = name + 1;
+                if !is_over && second % every == 0 {
+                    for _ in 0..jump * (from as u64 + 1) {
+                        let tokens = u32::try_from(100 + second % 7).unwrap();
+                        cluster.tables[from].count(at(cluster.now), &format!("m{name}"), tokens);
+                    }
+                }
+            }
+        }
+        cluster.tick(&[]);
+        cluster.assert_near();
+    }
+    let all = 120 * 3 * 10;
+    assert!(cluster.rows < all, "{} of {all} rows", cluster.rows);
+}
+
+/// Guards against a change that is lost for good with its notice.
+#[test]
+fn accept_after_lost_notice() {
+    let mut cluster = Cluster::new(2);
+    for second in 0..60_u64 {
+        let requests = if second < 30 { 1 } else { 20 };
+        for _ in 0..requests {
+            cluster.tables[0].count(at(cluster.now), "m", 10);
+        }
+        // The jump is not told while it lasts to grow.
+        let is_cut = (30..45).contains(&second);
+        cluster.tick(if is_cut { &[0] } else { &[] });
+    }
+    cluster.assert_near();
+    assert!(REFRESH * 2 < FORGET_AFTER);
+}
+
+/// Guards against a controller that starts and takes the rows that it lacks for zero, and against one that
+/// waits for the dead without end.
+#[test]
+fn settled_after_start() {
+    let mut cluster = Cluster::new(3);
+    for _ in 0..40 {
+        cluster.tables[0].count(at(cluster.now), "m", 10);
+        cluster.tick(&[]);
+    }
+    let others = [instance(0), instance(1)];
+    cluster.tables[2] = Table::new(at(cluster.now), others);
+    assert!(!cluster.tables[2].is_settled(at(cluster.now)));
+    let begin = cluster.now;
+    cluster.tick(&[1]);
+    cluster.tick(&[1]);
+    cluster.tick(&[1]);
+    let total = cluster.tables[2].total(at(cluster.now));
+    assert!(total.contains_key("m"));
+    assert!(
+        !cluster.tables[2].is_settled(at(cluster.now)),
+        "one is silent"
+    );
+    cluster.tick(&[]);
+    cluster.tick(&[]);
+    assert!(cluster.tables[2].is_settled(at(cluster.now)));
+    let mut alone = Table::new(at(begin), [instance(0)]);
+    assert!(!alone.is_settled(at(begin + SETTLE / 2)));
+    assert!(alone.is_settled(at(begin + SETTLE)));
+    assert!(alone.take(at(begin + SETTLE)).ask.is_empty());
+}
+
+/// Guards against the demand of a dead instance that counts for ever, and against one that comes back and is
+/// seen in part.
+#[test]
+fn forget_silent() {
+    let mut cluster = Cluster::new(2);
+    for second in 0..80_u64 {
+        for _ in 0..20 {
+            cluster.tables[0].count(at(cluster.now), "steady", 10);
+        }
+        cluster.tables[0].count(at(cluster.now), &format!("new-{second}"), 10);
+        cluster.tick(if (20..50).contains(&second) {
+            &[0]
+        } else {
+            &[]
+        });
+        let total = cluster.tables[1].total(at(cluster.now));
+        if second == 49 {
+            assert!(total.is_empty(), "{total:?}");
+        }
+        if second == 52 {
+            cluster.assert_near();
+        }
+    }
+}
