--- a/crates/buckthornmast_daemon/src/demand.rs
+++ b/crates/buckthornmast_daemon/src/demand.rs
@@ -281,7 +281,7 @@
         }
         let is_whole =
             |other: &id::Instance| self.heard.get(other).is_some_and(|heard| heard.is_whole);
-        let is_missing = |other: &&id::Instance| !is_whole(*other);
+        let is_missing = |other: &&id::Instance| !is_whole(other);
         self.expected.iter().filter(is_missing).cloned().collect()
     }
 
--- a/crates/buckthornmast_daemon/src/targets.rs
+++ b/crates/buckthornmast_daemon/src/targets.rs
@@ -288,12 +288,12 @@
 }
 
 fn send_demand(due: Due, peers: &Peers, others: &[id::Instance]) {
-    for news in due.news {
+    if let Some(news) = due.news {
         for other in others {
             peers.notify(other, Notice::Demand(news.clone()));
         }
     }
-    for (wanted, whole) in due.wanted {
+    if let Some((wanted, whole)) = due.wanted {
         for other in wanted {
             peers.notify(&other, Notice::Demand(whole.clone()));
         }
--- a/crates/buckthornmast_daemon/tests/claims.rs
+++ b/crates/buckthornmast_daemon/tests/claims.rs
@@ -117,6 +117,30 @@
     assert_eq!(runs(&cluster, counter), before + 1);
 }
 
+/// Guards against claims that fill unseen: a voter's status and metrics count them.
+#[test]
+fn order_shown_to_operators() {
+    let mut cluster = press::start(&press::THREE);
+    cluster.add_plain("counter", "north", &[]).unwrap();
+    wait_for_order(&cluster, 0);
+    wait_for("a claim in the status", || {
+        let status = cluster.status(0);
+        let instances = status["instances"].as_array()?;
+        let mut claims = instances.iter().map(|entry| &entry["replica"]["claims"]);
+        claims
+            .all(|claims| claims["claims"].as_u64() >= Some(1) && claims["percent"] == 0)
+            .then_some(())
+    });
+    let port = cluster.instances[0].ports.callers;
+    wait_for("a claim in the metrics", || {
+        let text = caller::get(port, "/metrics").text;
+        let mut lines = text.lines();
+        let claims = lines.find_map(|line| line.strip_prefix("buckthornmast_claims "))?;
+        let has_fill = text.contains("buckthornmast_claims_fill_ratio 0");
+        (has_fill && claims.parse::<f64>().ok()? >= 1.0).then_some(())
+    });
+}
+
 /// Guards against claims that are forgotten when two voters lose their disks one after the other.
 #[test]
 fn order_disks_lost_in_turn() {
