--- a/crates/buckthornmast_consensus/src/snapshot.rs
+++ b/crates/buckthornmast_consensus/src/snapshot.rs
@@ -10,7 +10,10 @@
 };
 
 /// Largest encoded snapshot, below the frame limit of the storage.
-pub const MAX_SNAPSHOT_BYTES: u64 = 48 << 20;
+pub const MAX_SNAPSHOT_BYTES: u64 = 60 << 20;
+
+/// Bytes of a snapshot beside the state of the machine for which room is made at once.
+const OTHER_BYTES: usize = 4 << 10;
 
 /// Content of a snapshot.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -24,9 +27,25 @@
     /// Voter set.
     pub voters: Vec<Member>,
     /// State of the machine.
+    #[serde(with = "piece")]
     pub machine: Vec<u8>,
 }
 
+/// Encodes and decodes bytes in one piece. The layout is that of a list, which takes one step a byte.
+mod piece {
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(bytes)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<u8>, D::Error> {
+        <&[u8]>::deserialize(deserializer).map(<[u8]>::to_vec)
+    }
+}
+
 /// Encoded snapshot with what the protocol needs from it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Snapshot {
@@ -47,7 +66,9 @@
 impl Content {
     /// Encodes a snapshot; `None` if it is larger than [`MAX_SNAPSHOT_BYTES`].
     pub fn encode(&self) -> Option<Snapshot> {
-        let data = postcard::to_stdvec(self).ok()?;
+        // A buffer that grows by doubling would copy a large state several times.
+        let buffer = Vec::with_capacity(self.machine.len() + OTHER_BYTES);
+        let data = postcard::to_extend(self, buffer).ok()?;
         (data.len() as u64 <= MAX_SNAPSHOT_BYTES).then(|| Snapshot {
             position: self.position,
             data: data.into(),
--- a/crates/buckthornmast_ctl/src/show.rs
+++ b/crates/buckthornmast_ctl/src/show.rs
@@ -100,6 +100,7 @@
                 text_of(&replica["role"]),
                 text_of(&replica["settled"]),
                 text_of(&replica["fault"]),
+                text_of(&replica["claims"]["percent"]),
                 text_of(&entry["controller"]),
             ]
         })
@@ -115,6 +116,7 @@
         "replica",
         "settled",
         "fault",
+        "claims_%",
         "controller",
     ];
     text.push_str(&table::render(&header, &rows));
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -50,7 +50,7 @@
     reports::{self, Reports},
     router::{self, Router},
     shadow::Shadows,
-    summary::{Own, Summary},
+    summary::{Own, Replicated, Summary},
     targets::{self, Targets},
     witness::Witness,
 };
@@ -126,12 +126,16 @@
     history: Reports,
 }
 
+fn others_of(settings: &Settings) -> Vec<id::Instance> {
+    let peers = settings.peers.iter().map(|peer| peer.instance.clone());
+    peers
+        .filter(|instance| *instance != settings.instance)
+        .collect()
+}
+
 impl Core {
     fn others(&self) -> Vec<id::Instance> {
-        let peers = self.settings.peers.iter().map(|peer| peer.instance.clone());
-        peers
-            .filter(|instance| *instance != self.settings.instance)
-            .collect()
+        others_of(&self.settings)
     }
 
     fn own_summary(&self) -> Own {
@@ -142,7 +146,10 @@
             revision: current.get().revision,
             ready: ready.load(Ordering::Relaxed) && current.get().revision > id::Revision(0),
             confirmed_ms: millis(confirmed.age()),
-            replica: replica.as_ref().map(|replica| replica.status().into()),
+            replica: replica.as_ref().map(|replica| {
+                let claims = replica.read(|state| state.claims().usage());
+                Replicated::new(replica.status(), claims)
+            }),
             controller: control.token(),
             moves: control.counters(),
             extract: history.extract(),
@@ -337,7 +344,7 @@
         history: Reports::new(current.clone()),
         current,
         targets: Targets::new(clock),
-        demand: Demand::new(clock),
+        demand: Demand::new(clock, others_of(&settings)),
         peers,
         replica,
         proposer,
