Bound answers of targets as a whole, and name own lacks

Cause: bounds held for each wait only. A plain target that sends a byte now and then kept its caller waiting past the deadline and held a thread (30 bytes in 3 s under a bound of 500 ms), comments in an event stream prolonged the wait for an event without end, and connecting came on top of the wait for the head. An answer with neither length nor chunks passed for whole when its target died in the middle. A connect that failed for lack of descriptors or ports of this process read as an unreachable target. Change: the bound on the head includes connecting, the gap bounds the wait for an event, and `forward` bounds the whole answer. An answer whose end can't be told from a cut is malformed. `Cause::Local` is the lack of resources of this instance (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, or a request that can't be built). Conclusion: an answer of a target ends by the deadline, and a cut one is not passed on.

--- a/crates/buckthornmast_http/src/client.rs
+++ b/crates/buckthornmast_http/src/client.rs
@@ -4,14 +4,19 @@
 //! fails after bytes were written, which would leave it unknown whether the request was run. The
 //! connection is driven on a runtime that all clients of the process share.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::{Bytes, Incoming},
+    body::{Body as _, Bytes, Incoming},
     client::conn::http1,
 };
 use hyper_util::rt::TokioIo;
+use rustix::io::Errno;
 use snafu::Snafu;
 use tokio::{net::TcpStream, time::timeout};
 
@@ -38,9 +43,9 @@
 pub struct Timeouts {
     /// Time to connect.
     pub connect: Duration,
-    /// Time from the connection to the whole response head.
+    /// Time to the whole response head, connecting included.
     pub head: Duration,
-    /// Longest gap between reads of the body.
+    /// Longest wait for the next bytes of the body, or for the next whole event.
     pub gap: Duration,
 }
 
@@ -69,6 +74,18 @@
     pub source: io::Error,
 }
 
+impl SendError {
+    /// Returns whether this process lacks a resource, which says nothing about the server.
+    pub fn is_local(&self) -> bool {
+        let errno = Errno::from_io_error(&self.source);
+        let is_lack = matches!(
+            errno,
+            Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM | Errno::ADDRNOTAVAIL)
+        );
+        !self.sent && (is_lack || self.step != "connect")
+    }
+}
+
 /// Reason why a body could not be read further.
 #[derive(Debug, Snafu)]
 pub enum ReadError {
@@ -107,6 +124,7 @@
     pub headers: Vec<(String, String)>,
     peer: SocketAddr,
     gap: Duration,
+    end: Option<Instant>,
     body: Incoming,
     buffer: Vec<u8>,
     connection: tokio::task::JoinHandle<()>,
@@ -128,19 +146,41 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    /// Changes the bound on the gap between reads.
+    /// Changes the bound on a single wait.
     pub fn set_gap(&mut self, gap: Duration) {
         self.gap = gap;
     }
 
+    /// Bounds all further waits together. Without it, each byte that arrives prolongs the reading.
+    pub fn set_end(&mut self, end: Instant) {
+        self.end = Some(end);
+    }
+
+    /// Returns whether the proper end of the body differs from a connection that was closed early.
+    ///
+    /// A body with neither a length nor chunks ends when the connection does (RFC 9112, section 6.3).
+    pub fn has_end(&self) -> bool {
+        self.body.size_hint().exact().is_some() || self.header("transfer-encoding").is_some()
+    }
+
     /// Returns the next bytes of the body, or `None` at its proper end.
     pub fn chunk(&mut self) -> Result<Option<Bytes>, ReadError> {
+        self.chunk_until(Instant::now() + self.gap)
+    }
+
+    fn chunk_until(&mut self, until: Instant) -> Result<Option<Bytes>, ReadError> {
         let (peer, gap) = (self.peer, self.gap);
         let cut = |source| ReadError::Cut { peer, source };
         let runtime = runtime::shared().map_err(cut)?;
+        let until = self.end.map_or(until, |end| end.min(until));
         loop {
+            let left = until.saturating_duration_since(Instant::now());
+            // A timeout of zero would still return bytes that have arrived, again and again.
+            if left.is_zero() {
+                return Err(ReadError::Gap { peer, gap });
+            }
             let body = &mut self.body;
-            let next = runtime.block_on(async { timeout(gap, body.frame()).await });
+            let next = runtime.block_on(async { timeout(left, body.frame()).await });
             match next {
                 Err(_) => return Err(ReadError::Gap { peer, gap }),
                 Ok(None) => return Ok(None),
@@ -155,7 +195,10 @@
     }
 
     /// Returns the data of the next server-sent event, or `None` at the proper end of the stream.
+    ///
+    /// The gap bounds the whole wait: comments and parts of an event don't prolong it.
     pub fn event(&mut self) -> Result<Option<String>, ReadError> {
+        let until = Instant::now() + self.gap;
         loop {
             if let Some(end) = find(&self.buffer, b"\n\n") {
                 let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
@@ -171,7 +214,7 @@
                     limit: MAX_EVENT_BYTES,
                 });
             }
-            match self.chunk()? {
+            match self.chunk_until(until)? {
                 Some(bytes) => self
                     .buffer
                     .extend(bytes.iter().filter(|byte| **byte != b'\r')),
@@ -245,6 +288,7 @@
     };
     let request = build(peer, request).map_err(fail("build", false))?;
     let runtime = runtime::shared().map_err(fail("runtime", false))?;
+    let begun = Instant::now();
     runtime.block_on(async {
         let stream = timeout(timeouts.connect, TcpStream::connect(peer)).await;
         let stream = stream.unwrap_or_else(|_| Err(timed_out()));
@@ -257,7 +301,8 @@
             // Its errors reach the response as well.
             let _ = connection.await;
         });
-        let answered = timeout(timeouts.head, sender.send_request(request)).await;
+        let left = timeouts.head.saturating_sub(begun.elapsed());
+        let answered = timeout(left, sender.send_request(request)).await;
         let answered = match answered {
             Ok(answered) => answered.map_err(io::Error::other),
             Err(_) => Err(timed_out()),
@@ -287,6 +332,7 @@
         headers: headers.collect(),
         peer,
         gap,
+        end: None,
         body,
         buffer: Vec::new(),
         connection,
--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -279,3 +279,38 @@
     assert!(answer.ends_with("\r\n\r\nok"), "{answer:?}");
     server.stop();
 }
+
+/// Guards against a wait for an event that comments, or an event that never ends, prolong for ever.
+#[test]
+fn event_behind_comments() {
+    for piece in [": busy\n\n", "data: a"] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n");
+            for _ in 0..60 {
+                if stream.write_all(piece.as_bytes()).is_err() {
+                    return;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        });
+        let request = client::Request {
+            method: "GET",
+            target: "/",
+            headers: &[],
+            body: b"",
+        };
+        let mut response = client::send(address, &request, &TIMEOUTS).unwrap();
+        response.set_gap(Duration::from_millis(400));
+        let event = response.event();
+        assert!(
+            matches!(event, Err(client::ReadError::Gap { .. })),
+            "{piece:?}: {event:?}"
+        );
+        drop(response);
+        server.join().unwrap();
+    }
+}
--- a/crates/buckthornmast_target/src/error.rs
+++ b/crates/buckthornmast_target/src/error.rs
@@ -14,6 +14,13 @@
         /// Reason in words.
         reason: String,
     },
+    /// This instance lacks what a call needs, such as a file descriptor or a port. No byte left it, and
+    /// it says nothing about the target.
+    #[snafu(display("not sent for lack of resources of this instance: {reason}"))]
+    Local {
+        /// Reason in words.
+        reason: String,
+    },
     /// The target positively refused and did not run the request.
     #[snafu(display("refused with status {status}"))]
     Refused {
@@ -64,7 +71,7 @@
     /// Returns whether the request may have been run.
     pub fn run(&self) -> Run {
         match self.cause {
-            Cause::NotSent { .. } | Cause::Refused { .. } => Run::No,
+            Cause::NotSent { .. } | Cause::Local { .. } | Cause::Refused { .. } => Run::No,
             _ => Run::Unknown,
         }
     }
--- a/crates/buckthornmast_target/src/mapping.rs
+++ b/crates/buckthornmast_target/src/mapping.rs
@@ -9,7 +9,7 @@
 //!
 //! A target that answers 429 or 503 to work says that it did not run it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use buckthornmast_http::client;
 use buckthornmast_types::{id, order};
@@ -105,6 +105,8 @@
         let reason = error.to_string();
         failure(step, at)(if error.sent {
             Cause::Lost { reason }
+        } else if error.is_local() {
+            Cause::Local { reason }
         } else {
             Cause::NotSent { reason }
         })
@@ -242,6 +244,7 @@
 impl Plain for Http {
     fn forward(&self, at: &Endpoint, call: &Call, bound: Duration) -> Result<Answer, Error> {
         let fail = failure("forward", at);
+        let end = Instant::now() + bound;
         let pass = call.headers.iter().filter(|(name, _)| is_end_to_end(name));
         let headers: Vec<(&str, &str)> = pass.map(|(name, value)| (&**name, &**value)).collect();
         let request = client::Request {
@@ -262,6 +265,13 @@
         {
             return Err(fail(cause));
         }
+        if !response.has_end() {
+            let reason = "it has neither a length nor chunks, so a cut answer would look whole";
+            return Err(fail(Cause::Malformed {
+                reason: reason.to_owned(),
+            }));
+        }
+        response.set_end(end);
         let body = response
             .whole(MAX_ANSWER_BYTES)
             .map_err(|error| fail(read_cause(error)))?;
--- /dev/null
+++ b/crates/buckthornmast_target/tests/descriptors.rs
@@ -0,0 +1,51 @@
+//! File descriptors that run out. The limit is of the process, so this test has a file of its own.
+
+#![allow(clippy::unwrap_used, reason = "a helper that fails must fail its test")]
+
+use std::{fs::File, net::TcpListener, time::Duration};
+
+use buckthornmast_target::{
+    engine::{Call, Endpoint, Plain},
+    error::Cause,
+    mapping::Http,
+};
+use buckthornmast_types::outcome::Run;
+
+/// Guards against a lack of descriptors of this process that counts against a healthy target.
+#[test]
+fn forward_without_descriptors() {
+    rlimit::setrlimit(rlimit::Resource::NOFILE, 64, 64).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let endpoint = Endpoint {
+        target: "t".parse().unwrap(),
+        address: listener.local_addr().unwrap(),
+        token: None,
+    };
+    let call = Call {
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    let forward = || {
+        let bound = Duration::from_millis(300);
+        Http.forward(&endpoint, &call, bound).unwrap_err()
+    };
+    // The first call starts the runtime of the clients; nobody accepts, so it ends without an answer.
+    assert!(matches!(
+        forward().cause,
+        Cause::Silent { .. } | Cause::Lost { .. }
+    ));
+    let mut taken = Vec::new();
+    while let Ok(file) = File::open("/dev/null") {
+        taken.push(file);
+    }
+    let error = forward();
+    assert!(matches!(error.cause, Cause::Local { .. }), "{error}");
+    assert_eq!(error.run(), Run::No, "{error}");
+    drop(taken);
+    assert!(matches!(
+        forward().cause,
+        Cause::Silent { .. } | Cause::Lost { .. }
+    ));
+}
