Answer before the cancel, notice callers that left, blame no target

Cause: the cancel of an attempt ran before the caller was told that its deadline had passed, up to 1 s later at a frozen engine. A caller that left while its request waited for admission or for the first token was noticed at the first token only, so the engine worked on its prompt in vain. A deadline that ended a connect counted as an unreachable engine, and a short one as a failure of a plain target, which ejects healthy targets. A lack of descriptors did the same and was tried at every target at once. A service name written with escapes or as /services/services/NAME reached the service under the path "/". Change: the cancel follows the answer. A caller that has left is looked for before each dispatch and each wait. Waits that a deadline ended are reported as abandoned, at plain services only below the longest silence of a target, so that one that hangs is still ejected. `Cause::Local` ends a request with 503, `Retry-After` and what its history says of `run`, and counts against nobody. Service names are taken from the request as it was sent. Conclusion: a deadline or a lack of this instance ejects no healthy target.

--- a/crates/buckthornmast_daemon/src/control/orders.rs
+++ b/crates/buckthornmast_daemon/src/control/orders.rs
@@ -51,7 +51,7 @@
         Err(error) => {
             log::info!(step = "order", peer = order.target.as_str(); "{error}");
             match error.cause {
-                Cause::NotSent { .. } => Outcome::NotSent,
+                Cause::NotSent { .. } | Cause::Local { .. } => Outcome::NotSent,
                 _ => Outcome::Unknown,
             }
         }
--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -405,6 +405,8 @@
                 Outcome::Answered(*first)
             }
             Report::Failed { error } => match error.cause {
+                // An own lack of resources says nothing about the target.
+                Cause::Local { .. } => Outcome::Abandoned,
                 Cause::NotSent { .. } => Outcome::Unreachable,
                 Cause::Refused { .. } => {
                     limit.dropped();
--- a/crates/buckthornmast_gateway/src/gateway.rs
+++ b/crates/buckthornmast_gateway/src/gateway.rs
@@ -9,7 +9,10 @@
 };
 
 use buckthornmast_http::{exchange::Exchange, problem::Problem, response::Response};
-use buckthornmast_target::engine::{Engine, Plain};
+use buckthornmast_target::{
+    engine::{Engine, Plain},
+    error::{Cause, Error},
+};
 use buckthornmast_types::{id, outcome::Run, time::Clock};
 
 use crate::{
@@ -177,8 +180,10 @@
     }
 
     fn service(&self, exchange: Exchange) {
-        let name = exchange.path().trim_start_matches("/services/");
-        let name = name.split('/').next().unwrap_or_default().to_owned();
+        // The target is passed on as it was sent, so the name is not percent-decoded either.
+        let name = exchange.target().strip_prefix("/services/");
+        let name = name.and_then(|rest| rest.split(['/', '?']).next());
+        let name = name.unwrap_or_default().to_owned();
         let Some((catalog, exchange)) = self.catalog(exchange) else {
             return;
         };
@@ -202,6 +207,24 @@
     respond(exchange, Response::from(problem).header("Allow", allowed));
 }
 
+/// Returns whether an error can come from a wait that the caller's deadline ended, which says nothing
+/// about the target.
+pub(crate) fn is_cut_by_deadline(error: &Error) -> bool {
+    matches!(
+        error.cause,
+        Cause::NotSent { .. } | Cause::Silent { .. } | Cause::Lost { .. }
+    )
+}
+
+/// Returns the problem of a request that this instance had no resources to dispatch. Another target
+/// would need the same resources, so none is tried.
+pub(crate) fn local_problem(error: &Error, run: Run) -> Problem {
+    Problem::new(503, "instance out of resources", "dispatch")
+        .run(run)
+        .detail(error.to_string())
+        .retry_after(Duration::from_secs(1))
+}
+
 /// Returns the problem of a request whose deadline passed.
 pub(crate) fn deadline_problem(run: Run) -> Problem {
     Problem::new(504, "deadline passed", "deadline")
--- a/crates/buckthornmast_gateway/src/generate.rs
+++ b/crates/buckthornmast_gateway/src/generate.rs
@@ -13,7 +13,7 @@
 };
 use buckthornmast_routing::attempt::{Decision, History};
 use buckthornmast_target::{
-    engine::{Engine, Tokens},
+    engine::{Endpoint, Engine, Tokens},
     error::{Cause, Error},
     work::{Finish, Work},
 };
@@ -29,7 +29,9 @@
     catalog::Model,
     chat::{Head, Request},
     deadline::Deadline,
-    gateway::{Gateway, Names, Parts, deadline_problem, respond},
+    gateway::{
+        Gateway, Names, Parts, deadline_problem, is_cut_by_deadline, local_problem, respond,
+    },
     observe::{End, Observer, Sample},
     router::{Ask, Need, Pick, Report, Retry, Router, Tried, dispatch_of},
 };
@@ -57,6 +59,8 @@
     Finished(Finish),
     Failed(Error),
     Ended(Failure),
+    /// Ended before a byte was sent, so that there is nothing to cancel.
+    Unsent(Failure),
 }
 
 struct Session<'a, P: Parts, N> {
@@ -73,6 +77,8 @@
     target: Option<id::Target>,
     /// Artifact that the answer began with; another version would go on with another text.
     begun: Option<Artifact>,
+    /// Attempt whose engine must be told to end it, once the caller has its answer.
+    ended: Option<(Endpoint, id::Attempt)>,
 }
 
 /// Carries a chat request to its end.
@@ -109,11 +115,16 @@
         tried: Tried::new(),
         target: None,
         begun: None,
+        ended: None,
     };
     let end = match session.generate() {
         Ok(finish) => session.finish(finish),
         Err(failure) => session.fail(failure),
     };
+    // A frozen engine takes a second not to answer a cancel, so the caller is answered first.
+    if let Some((endpoint, attempt)) = session.ended.take() {
+        gateway.targets.cancel(&endpoint, id, attempt);
+    }
     session.observe(end);
 }
 
@@ -137,6 +148,10 @@
         let mut history = History::default();
         let mut last: Option<Error> = None;
         loop {
+            // The caller may have left while its request waited for admission.
+            if self.is_gone() {
+                return Err(Failure::Gone);
+            }
             let Some(left) = self.left() else {
                 return Err(Failure::Problem(deadline_problem(history.run())));
             };
@@ -145,11 +160,14 @@
             };
             let error = match self.dispatch(&pick, left, history.run()) {
                 Dispatched::Finished(finish) => return Ok(finish),
-                Dispatched::Ended(failure) => return Err(failure),
+                Dispatched::Ended(failure) | Dispatched::Unsent(failure) => return Err(failure),
                 Dispatched::Failed(error) => error,
             };
             history.add(dispatch_of(&error, self.answer.tokens().len()));
             self.log_failure(&error, &history);
+            if let Cause::Local { .. } = error.cause {
+                return Err(Failure::Problem(local_problem(&error, history.run())));
+            }
             self.tried.push(pick.endpoint.target.clone());
             let retry = Retry {
                 history: &history,
@@ -190,6 +208,11 @@
         let work = self.work(pick, left);
         let mut first = None;
         let result = self.receive(pick, &work, before, &mut first);
+        let is_sent = !matches!(result, Dispatched::Unsent(_));
+        let result = match result {
+            Dispatched::Unsent(failure) => Dispatched::Ended(failure),
+            result => result,
+        };
         let now = self.gateway.clock.now();
         let report = match &result {
             Dispatched::Finished(_) => Report::Answered {
@@ -197,7 +220,7 @@
                 total: now.since(begun),
             },
             Dispatched::Failed(error) => Report::Failed { error },
-            Dispatched::Ended(_) => Report::Abandoned,
+            Dispatched::Ended(_) | Dispatched::Unsent(_) => Report::Abandoned,
         };
         self.gateway.router.done(pick, &report);
         if self.answer.tokens().len() > tokens_before {
@@ -205,10 +228,8 @@
             // A target that made progress may be tried again once others failed.
             self.tried.clear();
         }
-        if matches!(result, Dispatched::Ended(_)) {
-            self.gateway
-                .targets
-                .cancel(&pick.endpoint, work.request, work.attempt);
+        if is_sent && matches!(result, Dispatched::Ended(_)) {
+            self.ended = Some((pick.endpoint.clone(), work.attempt));
         }
         result
     }
@@ -240,16 +261,20 @@
     ) -> Dispatched {
         let gateway = self.gateway;
         let Some(left) = self.left() else {
-            return Dispatched::Ended(Failure::Problem(deadline_problem(before)));
+            return Dispatched::Unsent(Failure::Problem(deadline_problem(before)));
         };
         // A target answers with its head at once, also when the request has to wait for the batch.
         let bound = gateway.limits.bounds.gap.min(left);
         let stream = gateway.targets.generate(&pick.endpoint, work, bound);
         let mut stream = match stream {
             Ok(stream) => stream,
-            Err(error) => return self.failed(error),
+            Err(error) => return self.failed(error, before),
         };
         loop {
+            // Before the first token nothing else notices a caller that has left.
+            if self.is_gone() {
+                return Dispatched::Ended(Failure::Gone);
+            }
             let Some(left) = self.left() else {
                 return Dispatched::Ended(Failure::Problem(deadline_problem(Run::Unknown)));
             };
@@ -266,7 +291,7 @@
                 Err(error) if is_first && is_silent(&error) && gateway.router.is_alive(pick) => {
                     continue;
                 }
-                Err(error) => return self.failed(error),
+                Err(error) => return self.failed(error, before),
             };
             first.get_or_insert_with(|| gateway.clock.now());
             match self.take(chunk) {
@@ -282,12 +307,23 @@
 
     /// Returns how a dispatch ended that got no further. Waits are bounded by the deadline, so an error
     /// after it says nothing about the target, which would be ejected for it.
-    fn failed(&self, error: Error) -> Dispatched {
-        let is_late = self.left().is_none();
-        if is_late && matches!(error.cause, Cause::Silent { .. } | Cause::Lost { .. }) {
-            return Dispatched::Ended(Failure::Problem(deadline_problem(Run::Unknown)));
+    fn failed(&self, error: Error, before: Run) -> Dispatched {
+        if self.left().is_some() || !is_cut_by_deadline(&error) {
+            return Dispatched::Failed(error);
+        }
+        match error.run() {
+            Run::No => Dispatched::Unsent(Failure::Problem(deadline_problem(before))),
+            Run::Unknown => Dispatched::Ended(Failure::Problem(deadline_problem(Run::Unknown))),
+        }
+    }
+
+    /// Returns whether the caller has closed its connection.
+    fn is_gone(&self) -> bool {
+        match &self.sink {
+            Some(Sink::Whole(exchange) | Sink::Closed(exchange)) => exchange.is_gone(),
+            Some(Sink::Open(stream)) => stream.is_gone(),
+            None => true,
         }
-        Dispatched::Failed(error)
     }
 
     /// Takes a chunk and passes on the tokens that are now in order.
--- a/crates/buckthornmast_gateway/src/router.rs
+++ b/crates/buckthornmast_gateway/src/router.rs
@@ -102,7 +102,7 @@
 /// Returns how far a failed dispatch got, for the decision on a further one.
 pub fn dispatch_of(error: &Error, tokens: usize) -> Dispatch {
     match error.cause {
-        Cause::NotSent { .. } => Dispatch::NotSent,
+        Cause::NotSent { .. } | Cause::Local { .. } => Dispatch::NotSent,
         Cause::Refused { .. } => Dispatch::Refused,
         _ if tokens > 0 => Dispatch::Streaming {
             next: tokens as u64,
--- a/crates/buckthornmast_gateway/src/service.rs
+++ b/crates/buckthornmast_gateway/src/service.rs
@@ -10,7 +10,7 @@
 use buckthornmast_routing::attempt::{Decision, History};
 use buckthornmast_target::{
     engine::{Answer, Call, Plain as _},
-    error::Error,
+    error::{Cause, Error},
 };
 use buckthornmast_types::{id, outcome::Run, time::Clock};
 
@@ -18,7 +18,10 @@
     catalog::Plain,
     claim::{Claim, Claims, Denied, Grant, MAX_KEPT_BYTES, Outcome},
     deadline::Deadline,
-    gateway::{Gateway, Names, Parts, bad_request, deadline_problem, respond},
+    gateway::{
+        Gateway, Names, Parts, bad_request, deadline_problem, is_cut_by_deadline, local_problem,
+        respond,
+    },
     router::{Ask, Need, Pick, Report, Retry, Router, Tried, dispatch_of},
 };
 
@@ -227,6 +230,9 @@
         };
         log::info!(step = error.step, peer = error.target.as_str(); "call failed: {error}");
         history.add(dispatch_of(&error, 0));
+        if let Cause::Local { .. } = error.cause {
+            return Err(local_problem(&error, history.run()));
+        }
         let retry = Retry {
             history: &history,
             repeatable: plain.repeatable,
@@ -252,7 +258,11 @@
     let begun = gateway.clock.now();
     let result = gateway.targets.forward(&pick.endpoint, call, left);
     let total = gateway.clock.now().since(begun);
+    // A caller that waits for less than a target may be silent says nothing about it. One that waits for
+    // longer does: a target that hangs and still reports would never be ejected otherwise.
+    let is_short = left < gateway.limits.bounds.gap && total >= left;
     let report = match &result {
+        Err(error) if is_short && is_cut_by_deadline(error) => Report::Abandoned,
         Ok(_) => Report::Answered {
             first: total,
             total,
--- a/crates/buckthornmast_gateway/tests/generate.rs
+++ b/crates/buckthornmast_gateway/tests/generate.rs
@@ -5,7 +5,7 @@
 #[path = "support/fakes.rs"]
 mod fakes;
 
-use std::time::Duration;
+use std::{io::Write, net::TcpStream, sync::mpsc, time::Duration};
 
 use buckthornmast_http::client::ReadError;
 use buckthornmast_target::{
@@ -156,3 +156,105 @@
         assert!(events.contains("\"run\":\"unknown\""), "{name}: {events}");
     }
 }
+
+/// Guards against an answer that waits for the cancel of a frozen engine and so comes after its deadline.
+#[test]
+fn stream_deadline_before_cancel() {
+    let fake = Fake::default();
+    let (answered, wait) = mpsc::channel();
+    fake.script().passes = Duration::from_secs(21);
+    fake.script().answered = Some(wait);
+    fake.script().streams = [Err(Cause::Silent {
+        bound: Duration::from_secs(1),
+    })]
+    .into();
+    let server = fakes::serve(&fake);
+    let body = BODY.replace("true", "false");
+    let mut response = fakes::post(&server, "/v1/chat/completions", &[], &body);
+    assert!(response.whole(1 << 16).is_ok());
+    let _ = answered.send(());
+    server.stop();
+    assert_eq!(response.status, 504);
+    assert_eq!(fake.script().log.join(" "), "dispatch abandoned cancel");
+}
+
+/// Sends a request and goes away.
+fn abandon(fake: &Fake, body: &str) {
+    let server = fakes::serve(fake);
+    let mut caller = TcpStream::connect(server.address()).unwrap();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(head.as_bytes()).unwrap();
+    // The handler has the request by then; the rest of the test waits for what it does.
+    std::thread::sleep(Duration::from_millis(200));
+    drop(caller);
+    server.stop();
+}
+
+/// Guards against an engine that goes on with a prompt whose caller has gone away before the first token.
+#[test]
+fn stream_abandoned_before_first_token() {
+    for body in [BODY.to_owned(), BODY.replace("true", "false")] {
+        let fake = Fake::default();
+        let silent = || {
+            Err(Cause::Silent {
+                bound: Duration::from_millis(20),
+            })
+        };
+        let mut steps: Vec<Step> = (0..200).map(|_| silent()).collect();
+        steps.extend([token("a"), end()]);
+        fake.script().waiting = Duration::from_millis(20);
+        fake.script().streams = [Ok(steps)].into();
+        abandon(&fake, &body);
+        assert_eq!(fake.script().log.join(" "), "dispatch abandoned cancel");
+        assert_eq!(fake.script().served, 0, "{body}");
+    }
+}
+
+/// Guards against a dispatch for a caller that has gone away while its request waited for admission.
+#[test]
+fn stream_abandoned_before_dispatch() {
+    let fake = Fake::default();
+    fake.script().admitting = Duration::from_secs(1);
+    fake.script().streams = [Ok(vec![token("a"), end()])].into();
+    abandon(&fake, BODY);
+    assert_eq!(fake.script().log.join(" "), "");
+}
+
+/// Guards against a target that is taken for unreachable because a caller's deadline ended the connect.
+#[test]
+fn stream_deadline_in_connect() {
+    let fake = Fake::default();
+    fake.script().passes = Duration::from_secs(21);
+    fake.script().streams = [Err(Cause::NotSent {
+        reason: "for the test".to_owned(),
+    })]
+    .into();
+    let server = fakes::serve(&fake);
+    let mut response = fakes::post(&server, "/v1/chat/completions", &[], BODY);
+    let problem: Value = serde_json::from_slice(&response.whole(1 << 16).unwrap()).unwrap();
+    server.stop();
+    assert_eq!((response.status, &problem["run"]), (504, &"no".into()));
+    assert_eq!(fake.script().log.join(" "), "dispatch abandoned");
+}
+
+/// Guards against an own lack of resources that is tried again at once at each target.
+#[test]
+fn stream_without_resources() {
+    let fake = Fake::default();
+    let local = || {
+        Err(Cause::Local {
+            reason: "for the test".to_owned(),
+        })
+    };
+    fake.script().streams = [local(), local()].into();
+    let server = fakes::serve(&fake);
+    let mut response = fakes::post(&server, "/v1/chat/completions", &[], BODY);
+    let problem: Value = serde_json::from_slice(&response.whole(1 << 16).unwrap()).unwrap();
+    server.stop();
+    assert_eq!((response.status, &problem["run"]), (503, &"no".into()));
+    assert_eq!(response.header("retry-after"), Some("1"));
+    assert_eq!(fake.script().log.join(" "), "dispatch");
+}
--- a/crates/buckthornmast_gateway/tests/service.rs
+++ b/crates/buckthornmast_gateway/tests/service.rs
@@ -201,3 +201,73 @@
         assert_eq!(retry_after.as_deref(), again, "{name}");
     }
 }
+
+/// Guards against a plain target that is taken for failed because a caller's short deadline ended the
+/// wait, and against one that hangs and is never taken for failed.
+#[test]
+fn call_deadline() {
+    let silent = Cause::Silent {
+        bound: Duration::from_secs(1),
+    };
+    let causes = [(silent, "unknown"), (lost(), "unknown"), (not_sent(), "no")];
+    for (cause, run) in causes {
+        // The gap, the longest silence of a target, is 1 s.
+        for (deadline, log) in [("500", "dispatch abandoned"), ("1500", "dispatch")] {
+            let fake = Fake::default();
+            fake.script().passes = Duration::from_secs(2);
+            fake.script().calls = [Err(cause.clone())].into();
+            let server = fakes::serve(&fake);
+            let headers = [("Request-Timeout-Ms", deadline)];
+            let mut response = fakes::post(&server, "/services/desk/a", &headers, "");
+            let problem: Value = serde_json::from_slice(&response.whole(1 << 16).unwrap()).unwrap();
+            server.stop();
+            assert_eq!((response.status, &problem["run"]), (504, &run.into()));
+            assert_eq!(fake.script().log.join(" "), log, "{cause}, {deadline} ms");
+        }
+    }
+}
+
+/// Guards against an own lack of resources that is tried again at once at each target, or that leaves
+/// the claim held although nothing was sent.
+#[test]
+fn call_without_resources() {
+    let local = || Err(Cause::Local { reason: text() });
+    for (service, log) in [("ledger", "claim dispatch release"), ("desk", "dispatch")] {
+        let (seen_call, retry_after) = call(service, |fake| {
+            fake.script().calls = [local(), local(), Ok("")].into();
+        });
+        assert_eq!(seen_call, seen(503, "no", log), "{service}");
+        assert_eq!(retry_after.as_deref(), Some("1"), "{service}");
+    }
+    // What an earlier dispatch may have run stays unknown.
+    let (seen_call, _) = call("desk", |fake| {
+        fake.script().calls = [Err(lost()), local(), Ok("")].into();
+    });
+    assert_eq!(seen_call, seen(503, "unknown", "dispatch dispatch"));
+}
+
+/// Guards against a call that reaches a service under another path than the caller's, because its name
+/// is written in another way.
+#[test]
+fn call_path_as_sent() {
+    for (target, path) in [
+        ("/services/desk/a/b?c=d", Some("/a/b?c=d")),
+        ("/services/desk", Some("/")),
+        ("/services/desk?c=d", Some("/?c=d")),
+        ("/services/desk/%64", Some("/%64")),
+        ("/services/des%6b/a", None),
+        ("/%73ervices/desk/a", None),
+        ("/services/services/desk/a", None),
+    ] {
+        let fake = Fake::default();
+        fake.script().calls = [Ok("")].into();
+        let server = fakes::serve(&fake);
+        let response = fakes::post(&server, target, &[], "");
+        let status = if path.is_some() { 200 } else { 404 };
+        assert_eq!(response.status, status, "{target}");
+        let expected: Vec<&str> = path.into_iter().collect();
+        assert_eq!(fake.script().paths, expected, "{target}");
+        drop(response);
+        server.stop();
+    }
+}
--- a/crates/buckthornmast_gateway/tests/support/fakes.rs
+++ b/crates/buckthornmast_gateway/tests/support/fakes.rs
@@ -54,6 +54,16 @@
     pub(crate) found: Option<Artifact>,
     /// Time that passes when a target is picked.
     pub(crate) picking: Duration,
+    /// Time that admission takes on the wall clock.
+    pub(crate) admitting: Duration,
+    /// Time that a failed step of a stream takes on the wall clock.
+    pub(crate) waiting: Duration,
+    /// Paths that plain services were called with.
+    pub(crate) paths: Vec<String>,
+    /// Steps of streams that did not fail.
+    pub(crate) served: usize,
+    /// Told once the caller has its answer; a cancel waits for it.
+    pub(crate) answered: Option<std::sync::mpsc::Receiver<()>>,
 }
 
 #[derive(Clone, Default)]
@@ -99,6 +109,10 @@
         let step = self.steps.pop_front().unwrap_or_else(|| Err(unscripted()));
         if step.is_err() {
             self.fake.clock.advance(self.fake.script().passes);
+            let waiting = self.fake.script().waiting;
+            std::thread::sleep(waiting);
+        } else {
+            self.fake.script().served += 1;
         }
         let event = step.map_err(|cause| error(&self.at, cause))?;
         self.next += 1;
@@ -139,12 +153,19 @@
     }
 
     fn cancel(&self, _at: &Endpoint, _request: id::Request, _attempt: id::Attempt) {
-        self.note("cancel");
+        let answered = self.script().answered.take();
+        // The bound only ends a test in which the answer waits for the cancel.
+        let bound = Duration::from_secs(5);
+        match answered.map(|answered| answered.recv_timeout(bound)) {
+            Some(Err(_)) => self.note("cancel-before-answer"),
+            _ => self.note("cancel"),
+        }
     }
 }
 
 impl buckthornmast_target::engine::Plain for Fake {
-    fn forward(&self, at: &Endpoint, _call: &Call, _bound: Duration) -> Result<Answer, Error> {
+    fn forward(&self, at: &Endpoint, call: &Call, _bound: Duration) -> Result<Answer, Error> {
+        self.script().paths.push(call.path.clone());
         self.clock.advance(self.script().passes);
         self.note("dispatch");
         let next = self.script().calls.pop_front();
@@ -161,6 +182,8 @@
     type Permit = ();
 
     fn admit(&self, _ask: &Ask<'_>) -> Result<(), Refused> {
+        let admitting = self.script().admitting;
+        std::thread::sleep(admitting);
         if self.script().is_full {
             return Err(Refused {
                 reason: "full".to_owned(),
