Answer heads that can't be parsed with problem details

Cause: hyper answers a head that it can't parse itself, with a bare 400 or 431, and has no hook for it, so callers got no step and no `run`. Change: a thin layer between hyper and the socket holds back an error answer without a body that follows no handed-over request, until hyper has ended the connection. If hyper names a parse error, the body is replaced by a problem and all other headers stay; in any other case the answer leaves as it is. Nothing of HTTP is parsed a second time. Cut heads and the HTTP/2 preface are still closed without an answer. A request with both a length and chunks is no such case: hyper drops the length and reads the chunks. Conclusion: a head that is answered with an error is answered with a problem.

--- a/crates/buckthornmast_daemon/tests/callers.rs
+++ b/crates/buckthornmast_daemon/tests/callers.rs
@@ -188,6 +188,40 @@
     ]
 }
 
+/// Heads that the parser of the library refuses.
+fn unparsed_heads() -> Vec<Case> {
+    let long = "a".repeat(500_000);
+    let case = |name, text: &str, status| (name, text.as_bytes().to_vec(), false, status, "head");
+    vec![
+        case(
+            "no colon",
+            "GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n",
+            400,
+        ),
+        case(
+            "space in name",
+            "GET / HTTP/1.1\r\nHost: a\r\nx : y\r\n\r\n",
+            400,
+        ),
+        case(
+            "two lengths",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            400,
+        ),
+        case("garbage", "\u{16}\u{3}\u{1}\r\n\r\n", 400),
+        case(
+            "long target",
+            &format!("GET /{long} HTTP/1.1\r\nHost: a\r\n\r\n"),
+            431,
+        ),
+        case(
+            "long header",
+            &format!("GET / HTTP/1.1\r\nHost: a\r\nx: {long}\r\n\r\n"),
+            431,
+        ),
+    ]
+}
+
 /// Bad heads, names and deadlines.
 fn bad_heads() -> Vec<Case> {
     let good = caller::chat_body(MODEL, "a", 1, false);
@@ -267,7 +301,11 @@
 fn check_bad_input(cluster: &Cluster) {
     let address = cluster.instances[0].ports.callers;
     let before = engine_tokens(cluster);
-    for (name, bytes, shut, status, step) in bad_bodies().into_iter().chain(bad_heads()) {
+    for (name, bytes, shut, status, step) in bad_bodies()
+        .into_iter()
+        .chain(bad_heads())
+        .chain(unparsed_heads())
+    {
         let answer = raw(address, &bytes, shut);
         assert_eq!(answer.status, status, "{name}: {}", answer.body);
         let kind = "content-type: application/problem+json";
@@ -278,21 +316,6 @@
         assert_eq!(problem["status"], status, "{name}: {problem}");
         assert!(problem["title"].is_string(), "{name}: {problem}");
     }
-    // The parser of the library answers these itself, with a status and no body.
-    for (name, bytes) in [
-        ("no colon", "GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n"),
-        (
-            "space in name",
-            "GET / HTTP/1.1\r\nHost: a\r\nx : y\r\n\r\n",
-        ),
-        (
-            "two lengths",
-            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-        ),
-        ("garbage", "\u{16}\u{3}\u{1}\r\n\r\n"),
-    ] {
-        assert_eq!(raw(address, bytes.as_bytes(), false).status, 400, "{name}");
-    }
     assert_eq!(engine_tokens(cluster), before, "bad input was run");
 }
 
--- a/crates/buckthornmast_http/src/lib.rs
+++ b/crates/buckthornmast_http/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod problem;
 pub mod response;
 mod runtime;
+mod screen;
 pub mod server;
 mod waiting;
 mod workers;
--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener},
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -17,7 +17,7 @@
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::TcpStream,
@@ -31,6 +31,7 @@
     exchange::{Answer, Exchange, whole},
     problem::Problem,
     runtime,
+    screen::Screen,
     waiting::{Place, Waiting},
     workers::Workers,
 };
@@ -260,26 +261,35 @@
     set_options(&stream);
     let closed = Arc::new(AtomicBool::new(false));
     let place = shared.waiting.join();
-    let service = service_fn(|request| answer(&shared, peer, &place, Arc::clone(&closed), request));
-    let connection = http1::Builder::new()
+    let calls = Arc::new(AtomicU64::new(0));
+    let service = service_fn(|request| {
+        calls.fetch_add(1, Ordering::Relaxed);
+        answer(&shared, peer, &place, Arc::clone(&closed), request)
+    });
+    let screen = Screen::new(stream, Arc::clone(&calls));
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.config.head_timeout)
         .max_buf_size(shared.config.head_limit.max(8 << 10))
         .max_headers(MAX_HEADERS)
         .keep_alive(true)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+        .serve_connection(screen, service);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = &mut connection => result,
         () = place.closed() => Ok(()),
         _ = stopping.changed() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     closed.store(true, Ordering::Relaxed);
+    let is_refused = result.as_ref().is_err_and(hyper::Error::is_parse);
+    let ended = connection.into_parts().io.end(is_refused);
+    let ended = timeout(shared.config.write_timeout, ended).await;
     if let Err(error) = result {
         log::debug!(step = "connection", peer:% = peer; "{error}");
+    } else if let Ok(Err(error)) = ended {
+        log::debug!(step = "connection", peer:% = peer; "{error}");
     }
     shared.connections.fetch_sub(1, Ordering::Relaxed);
 }
--- a/crates/buckthornmast_http/tests/bad_input.rs
+++ b/crates/buckthornmast_http/tests/bad_input.rs
@@ -50,6 +50,23 @@
     bytes
 }
 
+/// Checks that an answer is a problem of a request that was not run, with a body of the stated length.
+fn assert_problem(name: &str, answer: &str, status: u16) {
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    let head = head.to_lowercase();
+    let kind = "\r\ncontent-type: application/problem+json";
+    assert!(head.contains(kind), "{name}: {answer:?}");
+    let length = format!("\r\ncontent-length: {}", body.len());
+    assert!(head.contains(&length), "{name}: {answer:?}");
+    for member in [
+        format!("\"status\":{status},"),
+        "\"run\":\"no\"".to_owned(),
+        "\"step\":".to_owned(),
+    ] {
+        assert!(body.contains(&member), "{name}: {answer:?}");
+    }
+}
+
 /// Guards against bad input that hangs, that closes without an answer, or that reaches a handler.
 #[test]
 fn request_bad_input() {
@@ -151,6 +168,28 @@
             false,
             400,
         ),
+        (
+            "two lengths behind a good request",
+            [
+                post("Content-Length: 1025\r\n", b""),
+                post("Content-Length: 5\r\nContent-Length: 6\r\n", b"hello"),
+            ]
+            .concat(),
+            false,
+            413,
+        ),
+        (
+            "version",
+            plain("GET / HTTP/1.9\r\nHost: a\r\n\r\n"),
+            false,
+            400,
+        ),
+        (
+            "old version with chunks",
+            plain("POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            false,
+            400,
+        ),
         (
             "unknown coding",
             post("Transfer-Encoding: gzip\r\n", b""),
@@ -212,6 +251,11 @@
     for (name, bytes, shut) in [
         ("truncated head", plain("GET / HT"), true),
         ("head never ends", plain("GET / HTTP/1.1\r\n"), false),
+        (
+            "HTTP/2 preface",
+            plain("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
+            false,
+        ),
     ] {
         // Nobody knows yet what such a client wants, so the connection is closed without an answer.
         assert_eq!(exchange(server.address(), &bytes, shut), "", "{name}");
@@ -221,6 +265,7 @@
         let start = format!("HTTP/1.1 {status} ");
         assert!(answer.starts_with(&start), "{name}: {answer:?}");
         assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{name}: {answer:?}");
+        assert_problem(name, &answer, status);
     }
     server.stop();
 }
@@ -287,3 +332,101 @@
     assert!(answer.ends_with("\r\n\r\nde"), "{answer:?}");
     server.stop();
 }
+
+/// Guards against an error that is found behind an answered request and is not told as a problem, or
+/// that takes the place of the answer before it.
+#[test]
+fn request_bad_after_good() {
+    let server = serve();
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    let wait = Some(Duration::from_secs(20));
+    stream.set_read_timeout(wait).unwrap();
+    stream
+        .write_all(&post("Content-Length: 2\r\n", b"ok"))
+        .unwrap();
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\nok") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        answer.push(byte[0]);
+    }
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nno colon\r\n\r\n")
+        .unwrap();
+    let mut second = String::new();
+    stream.read_to_string(&mut second).unwrap();
+    assert!(second.starts_with("HTTP/1.1 400 "), "{second:?}");
+    assert_problem("second", &second, 400);
+
+    // Both in one write: the first is answered with its own status, the second with a problem.
+    let both = [
+        post("Content-Length: 2\r\n", b"ok"),
+        b"GET / HTTP/1.1\r\nno colon\r\n\r\n".to_vec(),
+    ]
+    .concat();
+    let answers = exchange(server.address(), &both, false);
+    let (first, second) = answers.split_once("\r\n\r\nok").unwrap();
+    assert!(first.starts_with("HTTP/1.1 200 "), "{answers:?}");
+    assert!(second.starts_with("HTTP/1.1 400 "), "{answers:?}");
+    assert_problem("pipelined", second, 400);
+
+    // The first is refused before its body is read, which is in the same write.
+    let early = [
+        post("Content-Length: 1025\r\n", &[b'a'; 1025]),
+        b"GET / HTTP/1.1\r\nno colon\r\n\r\n".to_vec(),
+    ]
+    .concat();
+    let answers = exchange(server.address(), &early, false);
+    let (first, second) = answers.split_once('}').unwrap();
+    assert_problem("early", &format!("{first}}}"), 413);
+    assert!(second.starts_with("HTTP/1.1 400 "), "{answers:?}");
+    assert_problem("behind early", second, 400);
+    server.stop();
+}
+
+/// Guards against a handler's own empty error answer that is held back or replaced.
+#[test]
+fn respond_empty_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let handler = |exchange: Exchange| {
+        let _ = exchange.respond(Response::new(400));
+    };
+    let server = server::start(listener, Config::default(), handler).unwrap();
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    let wait = Some(Duration::from_secs(20));
+    stream.set_read_timeout(wait).unwrap();
+    for _ in 0..2 {
+        stream.write_all(&post("", b"")).unwrap();
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            answer.push(byte[0]);
+        }
+        let answer = String::from_utf8(answer).unwrap().to_lowercase();
+        assert!(answer.starts_with("http/1.1 400 "), "{answer:?}");
+        assert!(answer.contains("content-length: 0"), "{answer:?}");
+    }
+    server.stop();
+}
+
+/// Guards against a request with a length and chunks that is read by its length, or whose length is passed
+/// on: whatever stands behind this server could read it differently.
+#[test]
+fn request_length_and_chunks() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let handler = |mut exchange: Exchange| {
+        let length = exchange.header("content-length").is_some();
+        let text = exchange.text(512).unwrap_or_default();
+        let _ = exchange.respond(Response::new(200).body(format!("{text} {length}")));
+    };
+    let server = server::start(listener, Config::default(), handler).unwrap();
+    let (length, chunked) = ("Content-Length: 99\r\n", "Transfer-Encoding: chunked\r\n");
+    for headers in [format!("{length}{chunked}"), format!("{chunked}{length}")] {
+        let headers = format!("Connection: close\r\n{headers}");
+        let bytes = post(&headers, b"2\r\nok\r\n0\r\n\r\n");
+        let answer = exchange(server.address(), &bytes, false);
+        assert!(answer.ends_with("\r\n\r\nok false"), "{answer:?}");
+    }
+    server.stop();
+}
