Keep descriptors in reserve for all but callers

Cause: callers' connections were bounded by 8192 whatever the limit of descriptors was. A daemon of 256 with 400 idle clients accepted until nothing was left: its engine, the operators' port and the targets' port failed with EMFILE. Change: the daemon reads its soft limit (rlimit, a dependency of this workspace already) and divides it. A quarter, at least 128, is the reserve; the rest bounds connections and exchanges of callers, whose targets need a descriptor each. There are more connections than exchanges, so that a caller beyond the exchanges is told 503 with `Retry-After`. `exchanges`, `connections` and `reserve` override it, and what can't be met is a fault at the start and for `--check`. The server waits until a connection that gives way has closed, and warns once about connections that it had to close. An idle daemon in a cluster of three held up to 36 descriptors (one run). Conclusion: idle clients no longer take the descriptors of targets, operators and files. The default of `exchanges` falls below 2,000 under a limit of 7,114.

--- a/crates/buckthornmast_config/src/daemon.rs
+++ b/crates/buckthornmast_config/src/daemon.rs
@@ -63,8 +63,12 @@
 /// Limits of one instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
-    /// Connections and exchanges of callers in progress.
-    pub exchanges: usize,
+    /// Exchanges of callers in progress; by default as many as the descriptors allow.
+    pub exchanges: Option<usize>,
+    /// Connections of callers at once; by default as many as the descriptors allow.
+    pub connections: Option<usize>,
+    /// File descriptors kept for all but callers and the targets that answer them.
+    pub reserve: Option<usize>,
     /// Largest body of a caller.
     pub body: Bytes,
     /// Deadline of a request that names none.
@@ -120,7 +124,15 @@
     ),
     (
         "limits",
-        &["exchanges", "body", "deadline", "max-deadline", "token-gap"],
+        &[
+            "exchanges",
+            "connections",
+            "reserve",
+            "body",
+            "deadline",
+            "max-deadline",
+            "token-gap",
+        ],
     ),
     ("keys", &["cluster", "platform-token-sha256", "targets"]),
     ("peer", &["domain", "address", "heartbeat", "voter"]),
@@ -234,12 +246,19 @@
     let max_deadline = span("max-deadline", Duration::from_secs(600));
     let token_gap = span("token-gap", Duration::from_secs(2));
     let body = reader.or("limits", "body", "a size such as 1MiB", Bytes::mib(1));
-    let exchanges = reader.or("limits", "exchanges", "a count of 1 or more", 2000_usize);
-    if exchanges == 0 {
-        reader.reject("limits", "exchanges", "0 is not a count of 1 or more");
-    }
+    let mut count = |key| {
+        let count: Option<usize> = reader.optional("limits", key, "a count of 1 or more");
+        if count == Some(0) {
+            reader.reject("limits", key, "0 is not a count of 1 or more");
+        }
+        count
+    };
+    let (exchanges, connections) = (count("exchanges"), count("connections"));
+    let reserve = count("reserve");
     Limits {
         exchanges,
+        connections,
+        reserve,
         body,
         deadline,
         max_deadline,
--- /dev/null
+++ b/crates/buckthornmast_daemon/src/descriptors.rs
@@ -0,0 +1,101 @@
+//! File descriptors of this process and how the ports share them.
+//!
+//! A request in progress takes two, the caller's connection and the target's. Callers are the only ones
+//! who come in any number, so their connections and exchanges are bounded by what the reserve leaves.
+//! The reserve serves peers, operators, reports and orders of targets, and files.
+
+use std::io;
+
+use buckthornmast_config::daemon::Limits;
+use snafu::Snafu;
+
+/// Exchanges of callers where neither the settings nor the descriptors bound them to fewer.
+const MAX_EXCHANGES: usize = 2000;
+
+/// Connections of callers where neither the settings nor the descriptors bound them to fewer.
+const MAX_CONNECTIONS: usize = 8192;
+
+/// Smallest default of the reserve. An idle daemon in a cluster of three with one target held up to 36.
+const MIN_RESERVE: usize = 128;
+
+/// Bounds that follow from the limit of descriptors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shares {
+    /// Exchanges of callers in progress.
+    pub exchanges: usize,
+    /// Connections of callers.
+    pub connections: usize,
+    /// Connections of operators.
+    pub operators: usize,
+    /// Connections of targets that report.
+    pub targets: usize,
+}
+
+/// Reason why the settings can't be met.
+#[derive(Debug, Snafu)]
+pub enum Unmet {
+    /// The limit is not known.
+    #[snafu(display("the limit of file descriptors can't be read: {source}"))]
+    Unknown {
+        /// Cause.
+        source: io::Error,
+    },
+    /// There are too few descriptors.
+    #[snafu(display(
+        "[limits]: {connections} connections and {exchanges} exchanges of callers need {} file descriptors \
+         beside the reserve of {reserve}, and the limit of this process is {limit}",
+        connections.saturating_add(*exchanges)
+    ))]
+    Few {
+        /// Connections of callers.
+        connections: usize,
+        /// Exchanges of callers.
+        exchanges: usize,
+        /// Reserve.
+        reserve: usize,
+        /// Soft limit of the process.
+        limit: usize,
+    },
+}
+
+/// Returns the soft limit of descriptors of this process.
+pub fn limit() -> Result<usize, Unmet> {
+    let read = rlimit::getrlimit(rlimit::Resource::NOFILE);
+    let (soft, _) = read.map_err(|source| Unmet::Unknown { source })?;
+    Ok(usize::try_from(soft).unwrap_or(usize::MAX))
+}
+
+/// Divides the descriptors among the ports.
+pub fn share(limit: usize, limits: &Limits) -> Result<Shares, Unmet> {
+    let reserve = limits.reserve.unwrap_or_else(|| MIN_RESERVE.max(limit / 4));
+    let room = limit.saturating_sub(reserve);
+    let exchanges = limits.exchanges.unwrap_or_else(|| {
+        let most = limits
+            .connections
+            .map_or(room / 8 * 3, |set| room.saturating_sub(set).min(set));
+        most.clamp(1, MAX_EXCHANGES)
+    });
+    // More connections than exchanges, so that a caller beyond the exchanges finds a connection on which
+    // it is told so, and an idle one to take the place of.
+    let connections = limits.connections.unwrap_or_else(|| {
+        let least = exchanges.saturating_add(1);
+        let most = room.saturating_sub(exchanges);
+        most.min(MAX_CONNECTIONS).max(least)
+    });
+    // An exchange has a connection of its own, so more exchanges than connections never happen.
+    let in_use = connections.saturating_add(exchanges.min(connections));
+    if in_use > room {
+        return Err(Unmet::Few {
+            connections,
+            exchanges,
+            reserve,
+            limit,
+        });
+    }
+    Ok(Shares {
+        exchanges,
+        connections,
+        operators: (reserve / 8).clamp(8, 1024),
+        targets: (reserve / 4).clamp(16, 2048),
+    })
+}
--- a/crates/buckthornmast_daemon/src/lib.rs
+++ b/crates/buckthornmast_daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control;
 pub mod current;
 pub mod demand;
+pub mod descriptors;
 pub mod flags;
 pub mod follow;
 pub mod leader;
--- a/crates/buckthornmast_daemon/src/main.rs
+++ b/crates/buckthornmast_daemon/src/main.rs
@@ -3,7 +3,7 @@
 use std::{fs, process::ExitCode};
 
 use buckthornmast_config::daemon::Settings;
-use buckthornmast_daemon::{flags::Daemon, logging, node};
+use buckthornmast_daemon::{descriptors, flags::Daemon, logging, node};
 use signal_hook::{consts, iterator::Signals};
 
 fn read(flags: &Daemon) -> Result<Settings, ExitCode> {
@@ -12,12 +12,18 @@
         eprintln!("{file}: {error}");
         ExitCode::FAILURE
     })?;
-    Settings::parse(&file, &text).map_err(|faults| {
+    let settings = Settings::parse(&file, &text).map_err(|faults| {
         for fault in faults {
             eprintln!("{fault}");
         }
         ExitCode::FAILURE
-    })
+    })?;
+    let shares = descriptors::limit().and_then(|limit| descriptors::share(limit, &settings.limits));
+    shares.map_err(|error| {
+        eprintln!("{file}: {error}");
+        ExitCode::FAILURE
+    })?;
+    Ok(settings)
 }
 
 fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -37,6 +37,7 @@
     control::{Control, Surroundings},
     current::Current,
     demand::Demand,
+    descriptors::{self, Shares},
     follow,
     leader::{self, Leader},
     message::millis,
@@ -111,6 +112,7 @@
 /// Parts that most others need.
 struct Core {
     settings: Settings,
+    shares: Shares,
     clock: System,
     ready: Arc<AtomicBool>,
     current: Current,
@@ -222,7 +224,8 @@
         };
         let config = Config {
             name: "callers".to_owned(),
-            workers: limits.exchanges,
+            workers: self.shares.exchanges,
+            connections: self.shares.connections,
             body_limit: body,
             ..Config::default()
         };
@@ -253,6 +256,7 @@
         let config = Config {
             name: "operators".to_owned(),
             workers: 64,
+            connections: self.shares.operators,
             ..Config::default()
         };
         let listener = listen(settings.listen.operators, "operators")?;
@@ -276,6 +280,7 @@
         let config = Config {
             name: "targets".to_owned(),
             workers: 256,
+            connections: self.shares.targets,
             ..Config::default()
         };
         let listener = listen(self.settings.listen.targets, "targets")?;
@@ -300,6 +305,9 @@
 /// Starts an instance.
 pub fn start(settings: Settings) -> Result<Node, StartError> {
     let clock = System::start();
+    let limit = descriptors::limit().map_err(at("descriptors"))?;
+    let shares = descriptors::share(limit, &settings.limits).map_err(at("descriptors"))?;
+    log::info!(step = "descriptors"; "of {limit} descriptors: {shares:?}");
     let key: Key = settings.keys.cluster.parse().map_err(at("cluster key"))?;
     let (current, ready) = (Current::default(), Arc::new(AtomicBool::new(false)));
     let handler = Arc::new(Handler::default());
@@ -339,6 +347,7 @@
         control: Control::default(),
         confirmed: Confirmed::new(clock),
         views,
+        shares,
         settings,
     };
     assemble(core, &handler, peer_handle, membership)
--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -22,7 +22,7 @@
 use tokio::{
     net::TcpStream,
     runtime::Runtime,
-    sync::{oneshot, watch},
+    sync::{Notify, oneshot, watch},
     task::JoinHandle,
     time::timeout,
 };
@@ -39,6 +39,9 @@
 /// Pause after accept failed, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest wait for a connection that was told to give way; it does so at its next step.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -103,6 +106,8 @@
     config: Config,
     workers: Workers<H>,
     connections: AtomicUsize,
+    /// Told when a connection has ended.
+    room: Notify,
     waiting: Arc<Waiting>,
     pending: AtomicUsize,
     runtime: tokio::runtime::Handle,
@@ -184,6 +189,7 @@
     let shared = Arc::new(Shared {
         workers,
         connections: AtomicUsize::new(0),
+        room: Notify::new(),
         waiting: Arc::default(),
         pending: AtomicUsize::new(0),
         runtime: runtime.handle().clone(),
@@ -216,7 +222,7 @@
     H: Fn(Exchange) + Send + Sync + 'static,
 {
     let mut open = tokio::task::JoinSet::new();
-    let mut failing = false;
+    let (mut failing, mut is_full) = (false, false);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -226,13 +232,16 @@
         match accepted {
             Ok((stream, peer)) => {
                 failing = false;
-                let is_full =
-                    shared.connections.load(Ordering::Relaxed) >= shared.config.connections;
-                if is_full && !shared.waiting.close_oldest() {
-                    log::warn!(step = "accept", peer:% = peer; "too many connections, closed");
+                if !make_room(&shared).await {
+                    if !std::mem::replace(&mut is_full, true) {
+                        log::warn!(step = "accept", peer:% = peer; "too many connections, closed");
+                    }
                     continue;
                 }
-                open.spawn(serve(stream, peer, Arc::clone(&shared), stopping.clone()));
+                is_full = false;
+                shared.connections.fetch_add(1, Ordering::Relaxed);
+                let place = Counted(Arc::clone(&shared));
+                open.spawn(serve(stream, peer, place, stopping.clone()));
             }
             Err(error) => {
                 // Descriptors may have run out; closing an idle connection brings one back.
@@ -248,23 +257,51 @@
     while open.join_next().await.is_some() {}
 }
 
+/// Returns whether one more connection may be served, after the one that has waited longest has given
+/// way if need be. It is waited for, so that the bound on descriptors holds at any moment.
+async fn make_room<H>(shared: &Shared<H>) -> bool {
+    let is_full = || shared.connections.load(Ordering::Relaxed) >= shared.config.connections;
+    if !is_full() {
+        return true;
+    }
+    if !shared.waiting.close_oldest() {
+        return false;
+    }
+    let closed = async {
+        while is_full() {
+            shared.room.notified().await;
+        }
+    };
+    timeout(ROOM_TIMEOUT, closed).await.is_ok()
+}
+
+/// Connection that counts until it is dropped.
+struct Counted<H>(Arc<Shared<H>>);
+
+impl<H> Drop for Counted<H> {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+        self.0.room.notify_one();
+    }
+}
+
 /// Serves one connection to its end.
 async fn serve<H>(
     stream: TcpStream,
     peer: SocketAddr,
-    shared: Arc<Shared<H>>,
+    counted: Counted<H>,
     mut stopping: watch::Receiver<bool>,
 ) where
     H: Fn(Exchange) + Send + Sync + 'static,
 {
-    shared.connections.fetch_add(1, Ordering::Relaxed);
+    let shared = &counted.0;
     set_options(&stream);
     let closed = Arc::new(AtomicBool::new(false));
     let place = shared.waiting.join();
     let calls = Arc::new(AtomicU64::new(0));
     let service = service_fn(|request| {
         calls.fetch_add(1, Ordering::Relaxed);
-        answer(&shared, peer, &place, Arc::clone(&closed), request)
+        answer(shared, peer, &place, Arc::clone(&closed), request)
     });
     let screen = Screen::new(stream, Arc::clone(&calls));
     let mut connection = http1::Builder::new()
@@ -291,7 +328,6 @@
     } else if let Ok(Err(error)) = ended {
         log::debug!(step = "connection", peer:% = peer; "{error}");
     }
-    shared.connections.fetch_sub(1, Ordering::Relaxed);
 }
 
 /// Notices clients that vanished without closing: acknowledgements that stay out end the connection.
--- a/crates/buckthornmast_trial/src/cluster.rs
+++ b/crates/buckthornmast_trial/src/cluster.rs
@@ -216,6 +216,22 @@
         Ok(())
     }
 
+    /// Starts an instance that is down under a limit of file descriptors.
+    ///
+    /// The shell sets the limit, so that the daemon has it from its first instruction on.
+    pub fn launch_limited(&mut self, index: usize, most: u64) -> io::Result<()> {
+        let args = [
+            "-c".to_owned(),
+            format!("ulimit -n {most}; exec \"$0\" \"$@\""),
+            self.daemon.display().to_string(),
+            "--config".to_owned(),
+            self.settings_file(index).display().to_string(),
+        ];
+        let process = Process::start(Path::new("/bin/sh"), &args, &self.log_file(index))?;
+        self.instances[index].process = Some(process);
+        Ok(())
+    }
+
     /// Kills an instance.
     pub fn kill(&mut self, index: usize) {
         self.instances[index].process = None;
@@ -229,15 +245,18 @@
         }
     }
 
-    /// Sets how many file descriptors an instance may have.
+    /// Sets how many file descriptors an instance may open from now on.
     pub fn limit_descriptors(&self, index: usize, most: u64) -> io::Result<()> {
         let process = self.instances[index].process.as_ref();
         let id = process
             .map(Process::id)
             .and_then(|id| i32::try_from(id).ok());
         let id = id.ok_or_else(|| io::Error::other("the instance is down"))?;
-        let limit = (most, most);
-        rlimit::prlimit(id, rlimit::Resource::NOFILE, Some(limit), None)
+        // The hard limit stays, so that a test can raise the soft one again.
+        let (mut soft, mut hard) = (0, 0);
+        let nofile = rlimit::Resource::NOFILE;
+        rlimit::prlimit(id, nofile, None, Some((&mut soft, &mut hard)))?;
+        rlimit::prlimit(id, nofile, Some((most, hard)), None)
     }
 
     /// Deletes the data folder of an instance that is down.
