Let idle connections give way after a streamed answer

Cause: a connection began to wait again only after a whole answer. One that was idle after a stream counted as busy until its 10 s were over, so with few connections such clients shut new ones out. Change: the connection waits again when the body of its stream ends. A connection that ends with a held back answer gives way as well. Conclusion: each idle connection gives way to a new client.

--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -297,7 +297,7 @@
     let shared = &counted.0;
     set_options(&stream);
     let closed = Arc::new(AtomicBool::new(false));
-    let place = shared.waiting.join();
+    let place = Arc::new(shared.waiting.join());
     let calls = Arc::new(AtomicU64::new(0));
     let service = service_fn(|request| {
         calls.fetch_add(1, Ordering::Relaxed);
@@ -322,7 +322,10 @@
     closed.store(true, Ordering::Relaxed);
     let is_refused = result.as_ref().is_err_and(hyper::Error::is_parse);
     let ended = connection.into_parts().io.end(is_refused);
-    let ended = timeout(shared.config.write_timeout, ended).await;
+    let ended = tokio::select! {
+        ended = timeout(shared.config.write_timeout, ended) => ended,
+        () = place.closed() => Ok(Ok(())),
+    };
     if let Err(error) = result {
         log::debug!(step = "connection", peer:% = peer; "{error}");
     } else if let Ok(Err(error)) = ended {
@@ -353,7 +356,7 @@
 async fn answer<H>(
     shared: &Shared<H>,
     peer: SocketAddr,
-    place: &Place,
+    place: &Arc<Place>,
     closed: Arc<AtomicBool>,
     request: Request<Incoming>,
 ) -> Result<Answer, io::Error>
@@ -382,23 +385,39 @@
     }
     let answer = answered.await;
     std::mem::forget(watch);
-    if answer
-        .as_ref()
-        .is_ok_and(|answer| answer.body().size_hint().exact().is_some())
-    {
-        place.wait();
-    }
     // A handler that gave no answer has panicked or dropped the exchange.
-    Ok(answer.unwrap_or_else(|_| {
+    let answer = answer.unwrap_or_else(|_| {
         let problem = Problem::new(500, "internal error", "handler");
         whole(
             problem
                 .run(buckthornmast_types::outcome::Run::Unknown)
                 .into(),
         )
+    });
+    if answer.body().size_hint().exact().is_some() {
+        place.wait();
+        return Ok(answer);
+    }
+    // A stream is in progress until its body has ended; the connection waits again from then on.
+    let end = StreamEnd(Arc::clone(place));
+    Ok(answer.map(|body| {
+        body.map_frame(move |frame| {
+            let _ = &end;
+            frame
+        })
+        .boxed()
     }))
 }
 
+/// Lets the connection wait for a request when it is dropped together with the body of a stream.
+struct StreamEnd(Arc<Place>);
+
+impl Drop for StreamEnd {
+    fn drop(&mut self) {
+        self.0.wait();
+    }
+}
+
 /// Reads a request whole, within all bounds.
 async fn read<H>(
     shared: &Shared<H>,
--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -314,3 +314,38 @@
         server.join().unwrap();
     }
 }
+
+/// Guards against connections that are idle after a streamed answer and shut new clients out.
+#[test]
+fn serve_idle_after_stream() {
+    let config = Config {
+        connections: 3,
+        head_timeout: Duration::from_secs(60),
+        ..Config::default()
+    };
+    let server = serve(config, |exchange| {
+        let mut stream = exchange.stream(200, &[]).unwrap();
+        stream.event("token").unwrap();
+        stream.finish().unwrap();
+    });
+    let mut idle = Vec::new();
+    for round in 0..6 {
+        let mut client = TcpStream::connect(server.address()).unwrap();
+        client
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        client
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .unwrap();
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"0\r\n\r\n") {
+            let mut byte = [0];
+            let read = client.read(&mut byte).unwrap_or(0);
+            assert!(read > 0, "{round}: {:?}", String::from_utf8_lossy(&answer));
+            answer.push(byte[0]);
+        }
+        idle.push(client);
+    }
+    drop(idle);
+    server.stop();
+}
