--- a/crates/buckthornmast_trial/examples/hostile_callers.rs
+++ b/crates/buckthornmast_trial/examples/hostile_callers.rs
@@ -1,5 +1,5 @@
-//! Measures good callers of a whole daemon beside 1,000 half-open and 1,000 slow ones, and after its
-//! descriptors ran out.
+//! Measures good callers of a whole daemon beside 1,000 half-open and 1,000 slow ones, with as many
+//! descriptors as it wants and with fewer than they would take.
 
 use std::{
     io::{self, ErrorKind, Write},
@@ -151,7 +151,9 @@
     measure("alone", &cluster)?;
     under_attack("with bad clients", &cluster)?;
     thread::sleep(Duration::from_secs(1));
-    cluster.limit_descriptors(0, FEW)?;
+    cluster.kill(0);
+    cluster.launch_limited(0, FEW)?;
+    cluster.wait_for_model(0, MODEL);
     under_attack("with few descriptors", &cluster)?;
     thread::sleep(Duration::from_secs(1));
     measure("afterwards", &cluster)?;
