Let connections give way after a refusal for lack of workers

Cause: a connection that was told 503 because all workers were busy did not count as waiting, so idle ones shut new clients out for 10 s. Change: it waits again after the refusal.

--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -380,6 +380,7 @@
     if let Err(exchange) = shared.workers.run(exchange) {
         drop(exchange);
         std::mem::forget(watch);
+        place.wait();
         let problem = Problem::new(503, "too many requests in progress", "accept");
         return Ok(whole(problem.retry_after(shared.config.retry_after).into()));
     }
--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -349,3 +349,44 @@
     drop(idle);
     server.stop();
 }
+
+/// Guards against connections that are idle after a refusal and shut new clients out.
+#[test]
+fn serve_idle_after_refusal() {
+    let config = Config {
+        connections: 3,
+        workers: 1,
+        head_timeout: Duration::from_secs(60),
+        ..Config::default()
+    };
+    let (enter, entered) = flume::unbounded();
+    let (leave, left) = flume::bounded::<()>(0);
+    let server = serve(config, move |exchange| {
+        enter.send(()).unwrap();
+        let _ = left.recv();
+        ok(exchange);
+    });
+    // Dropped before the server, which would otherwise wait for the handler if the test fails.
+    let leave = leave;
+    let address = server.address();
+    let busy = thread::spawn(move || get(address).unwrap().status);
+    entered.recv().unwrap();
+    let mut idle = Vec::new();
+    for round in 0..6 {
+        let mut client = TcpStream::connect(address).unwrap();
+        client
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        client
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .unwrap();
+        let mut answer = [0; 1024];
+        let read = client.read(&mut answer).unwrap_or(0);
+        let answer = String::from_utf8_lossy(&answer[..read]);
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{round}: {answer:?}");
+        idle.push(client);
+    }
+    drop((idle, leave));
+    assert_eq!(busy.join().unwrap(), 200);
+    server.stop();
+}
