--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener},
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -17,12 +17,12 @@
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::TcpStream,
     runtime::Runtime,
-    sync::{oneshot, watch},
+    sync::{Notify, oneshot, watch},
     task::JoinHandle,
     time::timeout,
 };
@@ -31,6 +31,7 @@
     exchange::{Answer, Exchange, whole},
     problem::Problem,
     runtime,
+    screen::Screen,
     waiting::{Place, Waiting},
     workers::Workers,
 };
@@ -38,6 +39,9 @@
 /// Pause after accept failed, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest wait for a connection that was told to give way; it does so at its next step.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -102,6 +106,8 @@
     config: Config,
     workers: Workers<H>,
     connections: AtomicUsize,
+    /// Told when a connection has ended.
+    room: Notify,
     waiting: Arc<Waiting>,
     pending: AtomicUsize,
     runtime: tokio::runtime::Handle,
@@ -183,6 +189,7 @@
     let shared = Arc::new(Shared {
         workers,
         connections: AtomicUsize::new(0),
+        room: Notify::new(),
         waiting: Arc::default(),
         pending: AtomicUsize::new(0),
         runtime: runtime.handle().clone(),
@@ -215,7 +222,7 @@
     H: Fn(Exchange) + Send + Sync + 'static,
 {
     let mut open = tokio::task::JoinSet::new();
-    let mut failing = false;
+    let (mut failing, mut is_full) = (false, false);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -225,13 +232,16 @@
         match accepted {
             Ok((stream, peer)) => {
                 failing = false;
-                let is_full =
-                    shared.connections.load(Ordering::Relaxed) >= shared.config.connections;
-                if is_full && !shared.waiting.close_oldest() {
-                    log::warn!(step = "accept", peer:% = peer; "too many connections, closed");
+                if !make_room(&shared).await {
+                    if !std::mem::replace(&mut is_full, true) {
+                        log::warn!(step = "accept", peer:% = peer; "too many connections, closed");
+                    }
                     continue;
                 }
-                open.spawn(serve(stream, peer, Arc::clone(&shared), stopping.clone()));
+                is_full = false;
+                shared.connections.fetch_add(1, Ordering::Relaxed);
+                let place = Counted(Arc::clone(&shared));
+                open.spawn(serve(stream, peer, place, stopping.clone()));
             }
             Err(error) => {
                 // Descriptors may have run out; closing an idle connection brings one back.
@@ -247,41 +257,80 @@
     while open.join_next().await.is_some() {}
 }
 
+/// Returns whether one more connection may be served, after the one that has waited longest has given
+/// way if need be. It is waited for, so that the bound on descriptors holds at any moment.
+async fn make_room<H>(shared: &Shared<H>) -> bool {
+    let is_full = || shared.connections.load(Ordering::Relaxed) >= shared.config.connections;
+    if !is_full() {
+        return true;
+    }
+    if !shared.waiting.close_oldest() {
+        return false;
+    }
+    let closed = async {
+        while is_full() {
+            shared.room.notified().await;
+        }
+    };
+    timeout(ROOM_TIMEOUT, closed).await.is_ok()
+}
+
+/// Connection that counts until it is dropped.
+struct Counted<H>(Arc<Shared<H>>);
+
+impl<H> Drop for Counted<H> {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+        self.0.room.notify_one();
+    }
+}
+
 /// Serves one connection to its end.
 async fn serve<H>(
     stream: TcpStream,
     peer: SocketAddr,
-    shared: Arc<Shared<H>>,
+    counted: Counted<H>,
     mut stopping: watch::Receiver<bool>,
 ) where
     H: Fn(Exchange) + Send + Sync + 'static,
 {
-    shared.connections.fetch_add(1, Ordering::Relaxed);
+    let shared = &counted.0;
     set_options(&stream);
     let closed = Arc::new(AtomicBool::new(false));
-    let place = shared.waiting.join();
-    let service = service_fn(|request| answer(&shared, peer, &place, Arc::clone(&closed), request));
-    let connection = http1::Builder::new()
+    let place = Arc::new(shared.waiting.join());
+    let calls = Arc::new(AtomicU64::new(0));
+    let service = service_fn(|request| {
+        calls.fetch_add(1, Ordering::Relaxed);
+        answer(shared, peer, &place, Arc::clone(&closed), request)
+    });
+    let screen = Screen::new(stream, Arc::clone(&calls));
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.config.head_timeout)
         .max_buf_size(shared.config.head_limit.max(8 << 10))
         .max_headers(MAX_HEADERS)
         .keep_alive(true)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+        .serve_connection(screen, service);
     let result = tokio::select! {
-        result = connection.as_mut() => result,
+        result = &mut connection => result,
         () = place.closed() => Ok(()),
         _ = stopping.changed() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     closed.store(true, Ordering::Relaxed);
+    let is_refused = result.as_ref().is_err_and(hyper::Error::is_parse);
+    let ended = connection.into_parts().io.end(is_refused);
+    let ended = tokio::select! {
+        ended = timeout(shared.config.write_timeout, ended) => ended,
+        () = place.closed() => Ok(Ok(())),
+    };
     if let Err(error) = result {
         log::debug!(step = "connection", peer:% = peer; "{error}");
+    } else if let Ok(Err(error)) = ended {
+        log::debug!(step = "connection", peer:% = peer; "{error}");
     }
-    shared.connections.fetch_sub(1, Ordering::Relaxed);
 }
 
 /// Notices clients that vanished without closing: acknowledgements that stay out end the connection.
@@ -307,7 +356,7 @@
 async fn answer<H>(
     shared: &Shared<H>,
     peer: SocketAddr,
-    place: &Place,
+    place: &Arc<Place>,
     closed: Arc<AtomicBool>,
     request: Request<Incoming>,
 ) -> Result<Answer, io::Error>
@@ -331,28 +380,45 @@
     if let Err(exchange) = shared.workers.run(exchange) {
         drop(exchange);
         std::mem::forget(watch);
+        place.wait();
         let problem = Problem::new(503, "too many requests in progress", "accept");
         return Ok(whole(problem.retry_after(shared.config.retry_after).into()));
     }
     let answer = answered.await;
     std::mem::forget(watch);
-    if answer
-        .as_ref()
-        .is_ok_and(|answer| answer.body().size_hint().exact().is_some())
-    {
-        place.wait();
-    }
     // A handler that gave no answer has panicked or dropped the exchange.
-    Ok(answer.unwrap_or_else(|_| {
+    let answer = answer.unwrap_or_else(|_| {
         let problem = Problem::new(500, "internal error", "handler");
         whole(
             problem
                 .run(buckthornmast_types::outcome::Run::Unknown)
                 .into(),
         )
+    });
+    if answer.body().size_hint().exact().is_some() {
+        place.wait();
+        return Ok(answer);
+    }
+    // A stream is in progress until its body has ended; the connection waits again from then on.
+    let end = StreamEnd(Arc::clone(place));
+    Ok(answer.map(|body| {
+        body.map_frame(move |frame| {
+            let _ = &end;
+            frame
+        })
+        .boxed()
     }))
 }
 
+/// Lets the connection wait for a request when it is dropped together with the body of a stream.
+struct StreamEnd(Arc<Place>);
+
+impl Drop for StreamEnd {
+    fn drop(&mut self) {
+        self.0.wait();
+    }
+}
+
 /// Reads a request whole, within all bounds.
 async fn read<H>(
     shared: &Shared<H>,
--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -279,3 +279,114 @@
     assert!(answer.ends_with("\r\n\r\nok"), "{answer:?}");
     server.stop();
 }
+
+/// Guards against a wait for an event that comments, or an event that never ends, prolong for ever.
+#[test]
+fn event_behind_comments() {
+    for piece in [": busy\n\n", "data: a"] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n");
+            for _ in 0..60 {
+                if stream.write_all(piece.as_bytes()).is_err() {
+                    return;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        });
+        let request = client::Request {
+            method: "GET",
+            target: "/",
+            headers: &[],
+            body: b"",
+        };
+        let mut response = client::send(address, &request, &TIMEOUTS).unwrap();
+        response.set_gap(Duration::from_millis(400));
+        let event = response.event();
+        assert!(
+            matches!(event, Err(client::ReadError::Gap { .. })),
+            "{piece:?}: {event:?}"
+        );
+        drop(response);
+        server.join().unwrap();
+    }
+}
+
+/// Guards against connections that are idle after a streamed answer and shut new clients out.
+#[test]
+fn serve_idle_after_stream() {
+    let config = Config {
+        connections: 3,
+        head_timeout: Duration::from_secs(60),
+        ..Config::default()
+    };
+    let server = serve(config, |exchange| {
+        let mut stream = exchange.stream(200, &[]).unwrap();
+        stream.event("token").unwrap();
+        stream.finish().unwrap();
+    });
+    let mut idle = Vec::new();
+    for round in 0..6 {
+        let mut client = TcpStream::connect(server.address()).unwrap();
+        client
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        client
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .unwrap();
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"0\r\n\r\n") {
+            let mut byte = [0];
+            let read = client.read(&mut byte).unwrap_or(0);
+            assert!(read > 0, "{round}: {:?}", String::from_utf8_lossy(&answer));
+            answer.push(byte[0]);
+        }
+        idle.push(client);
+    }
+    drop(idle);
+    server.stop();
+}
+
+/// Guards against connections that are idle after a refusal and shut new clients out.
+#[test]
+fn serve_idle_after_refusal() {
+    let config = Config {
+        connections: 3,
+        workers: 1,
+        head_timeout: Duration::from_secs(60),
+        ..Config::default()
+    };
+    let (enter, entered) = flume::unbounded();
+    let (leave, left) = flume::bounded::<()>(0);
+    let server = serve(config, move |exchange| {
+        enter.send(()).unwrap();
+        let _ = left.recv();
+        ok(exchange);
+    });
+    // Dropped before the server, which would otherwise wait for the handler if the test fails.
+    let leave = leave;
+    let address = server.address();
+    let busy = thread::spawn(move || get(address).unwrap().status);
+    entered.recv().unwrap();
+    let mut idle = Vec::new();
+    for round in 0..6 {
+        let mut client = TcpStream::connect(address).unwrap();
+        client
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        client
+            .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            .unwrap();
+        let mut answer = [0; 1024];
+        let read = client.read(&mut answer).unwrap_or(0);
+        let answer = String::from_utf8_lossy(&answer[..read]);
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{round}: {answer:?}");
+        idle.push(client);
+    }
+    drop((idle, leave));
+    assert_eq!(busy.join().unwrap(), 200);
+    server.stop();
+}
