Define cache events, their mapping, and what the affinity makes of them

Cause: an instance learns where prefixes are cached only from requests that it sent itself, and the prefix was a hash of the first message without the model, so that two models shared an entry. Change: types::cache has events with incarnation and sequence number, target::cache maps them and refuses each malformed event by itself, and work carries the prefix (optional, older instances send none). The affinity moves to a module of its own and keeps several targets per prefix, own requests apart from events. A gap makes only what events told unsure, since own requests are as good as without events.

--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -9,9 +9,10 @@
 
 use buckthornmast_gateway::router::{self, Ask, Need, Pick, Refused, Report, Retry, Tried};
 use buckthornmast_routing::{
+    affinity::{Affinity, prefix_of},
     attempt::{self, Decision, Known},
     budget,
-    choice::{Affinity, Choice, PowerOfTwo, Prefix},
+    choice::{Choice, PowerOfTwo},
     estimate::Estimate,
     limit::{self, Adaptive},
     table::{self, Candidates, Outcome, Slot, Table},
@@ -188,11 +189,13 @@
         state
             .table
             .observe(seen.report.as_ref().clone(), now.since(seen.sent), now);
+        if let Some(slot) = state.table.slot(&seen.report.target) {
+            state.affinity.start(slot, seen.report.incarnation);
+        }
         if let (Some(slot), Some(old)) = (before, old)
             && old != seen.report.incarnation
         {
-            // A restarted engine has an empty cache and another speed.
-            state.affinity.forget_all(slot);
+            // A restarted engine has another speed.
             state.limits.remove(&seen.report.target);
         }
     }
@@ -332,7 +335,8 @@
                 prefix,
             } => {
                 let (artifact, found) = find(state, artifact, *exact, &tried, now);
-                (Some(artifact), found, Some(Prefix(*prefix)))
+                let prefix = prefix_of(*prefix, &artifact);
+                (Some(artifact), found, Some(prefix))
             }
             Need::Service { service, .. } => (
                 None,
@@ -363,9 +367,6 @@
             (None, Need::Artifact { artifact, .. }) => table::Need::Artifact(artifact),
         };
         state.table.started(slot, table_need, now);
-        if let Some(prefix) = prefix {
-            state.affinity.learn(prefix, slot, now);
-        }
         drop(guard);
         Some(Pick {
             endpoint: self.endpoint(&report),
--- a/crates/buckthornmast_gateway/src/generate.rs
+++ b/crates/buckthornmast_gateway/src/generate.rs
@@ -11,7 +11,10 @@
     problem::Problem,
     response::Response,
 };
-use buckthornmast_routing::attempt::{Decision, History};
+use buckthornmast_routing::{
+    affinity,
+    attempt::{Decision, History},
+};
 use buckthornmast_target::{
     engine::{Engine, Tokens},
     error::{Cause, Error},
@@ -215,13 +218,15 @@
 
     fn work(&mut self, pick: &Pick, left: Duration) -> Work {
         let attempt = self.answer.next_attempt();
+        let artifact = pick
+            .artifact
+            .clone()
+            .unwrap_or_else(|| self.model.artifact.clone());
         Work {
             request: self.head.request,
             attempt,
-            artifact: pick
-                .artifact
-                .clone()
-                .unwrap_or_else(|| self.model.artifact.clone()),
+            prefix: Some(affinity::prefix_of(prefix_of(self.request), &artifact)),
+            artifact,
             messages: self.request.messages.clone(),
             max_tokens: self.request.max_tokens,
             priority: self.model.priority,
--- a/crates/buckthornmast_routing/src/lib.rs
+++ b/crates/buckthornmast_routing/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`attempt::decide`] says what comes next, within [`budget::Retry`].
 
 pub mod admission;
+pub mod affinity;
 pub mod attempt;
 pub mod breaker;
 pub mod budget;
--- a/crates/buckthornmast_standin/tests/protocol.rs
+++ b/crates/buckthornmast_standin/tests/protocol.rs
@@ -109,6 +109,7 @@
         priority: 5,
         resume: resume.iter().map(|token| (*token).to_owned()).collect(),
         deadline_ms: 60_000,
+        prefix: None,
     }
 }
 
--- a/crates/buckthornmast_target/src/work.rs
+++ b/crates/buckthornmast_target/src/work.rs
@@ -1,6 +1,6 @@
 //! Work for a model engine and the events of its answer.
 
-use buckthornmast_types::{artifact::Artifact, id};
+use buckthornmast_types::{artifact::Artifact, cache::Prefix, id};
 use serde::{Deserialize, Serialize};
 
 /// Message of a conversation.
@@ -31,6 +31,9 @@
     pub resume: Vec<String>,
     /// Milliseconds that the caller still waits.
     pub deadline_ms: u64,
+    /// Hash that cache events name the start of the prompt by; older instances send none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prefix: Option<Prefix>,
 }
 
 /// Token or end of an answer, as the engine sends it.
--- a/crates/buckthornmast_types/src/lib.rs
+++ b/crates/buckthornmast_types/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! The other crates of the workspace exchange the plain data of this crate: identifiers that are
 //! validated when they are parsed, sizes and rates with their units, the artifacts that a target can
-//! load, the reports that a target publishes, the orders it accepts, and the clock that pure
+//! load, the reports and cache events that a target publishes, the orders it accepts, and the clock that pure
 //! protocol logic is driven by. Nothing here does any I/O.
 
 pub mod artifact;
+pub mod cache;
 pub mod id;
 pub mod order;
 pub mod outcome;
@@ -19,7 +20,7 @@
 pub mod prelude {
     pub use crate::{
         artifact::Artifact,
-        id,
+        cache, id,
         order::{self, Order},
         outcome::Run,
         rate::Rate,
