Give the stand-in engine a prefix cache with limited memory, events, export and import

Cause: the stand-in kept 64 prefixes in the order of their first use and told nobody. Change: the cache has a size in bytes, evicts what was used least recently, and is keyed by the prefix that the work names. A hit on a prompt of one message takes a tenth of its time; before it took all of it. KV caches can be exported and imported as opaque blobs.

--- a/crates/buckthornmast_standin/src/engine.rs
+++ b/crates/buckthornmast_standin/src/engine.rs
@@ -6,10 +6,11 @@
 //! is refused and counted, but a stand-in that was told to be careless executes it and counts it as
 //! an overcommitment.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use buckthornmast_types::{
     artifact::Artifact,
+    cache::Prefix,
     id,
     order::{Action, Order, Reply},
     report::{Copy, Load, Phase},
@@ -18,8 +19,11 @@
 };
 use serde::Serialize;
 
-/// Prompt prefixes that the cache remembers.
-const CACHED_PREFIXES: usize = 64;
+use crate::cache::Cache;
+
+/// Part of the time of a message that a prompt takes whose only message is cached: the engine still
+/// processes the last block to get the first token.
+const CACHED_SHARE: u32 = 10;
 
 /// Time after which a target that is leaving must get no new work.
 const LEAVING_BOUND: Duration = Duration::from_secs(3);
@@ -35,6 +39,10 @@
     pub token_gap: Duration,
     /// Time to process one message of a prompt that is not cached.
     pub prompt_time: Duration,
+    /// Memory of the prefix cache.
+    pub cache_memory: Bytes,
+    /// Memory that the KV cache of one message takes.
+    pub message_memory: Bytes,
     /// Bytes a second that the weight store delivers.
     pub load_rate: Bytes,
     /// Whether orders with an old fencing token are refused.
@@ -52,6 +60,10 @@
     pub overcommitted: u64,
     /// Generations started.
     pub generations: u64,
+    /// Prompts whose prefix was cached.
+    pub prefix_hits: u64,
+    /// Prompts whose prefix was not cached.
+    pub prefix_misses: u64,
     /// Tokens sent.
     pub tokens: u64,
     /// Generations started while the engine was leaving.
@@ -91,7 +103,7 @@
     running: u32,
     waiting: u32,
     leaving: Option<Point>,
-    prefixes: VecDeque<u64>,
+    cache: Cache,
     counters: Counters,
 }
 
@@ -99,13 +111,13 @@
     /// Starts with empty memory.
     pub fn new(config: Config) -> Self {
         Self {
+            cache: Cache::new(config.cache_memory),
             config,
             residents: Vec::new(),
             token: id::Token(0),
             running: 0,
             waiting: 0,
             leaving: None,
-            prefixes: VecDeque::new(),
             counters: Counters::default(),
         }
     }
@@ -241,16 +253,22 @@
     }
 
     /// Returns the time for a prompt and remembers its prefix.
-    pub fn prompt_time(&mut self, prefix: u64, messages: u32) -> Duration {
-        let cached = self.prefixes.iter().any(|known| *known == prefix);
-        if !cached {
-            self.prefixes.push_back(prefix);
-            if self.prefixes.len() > CACHED_PREFIXES {
-                self.prefixes.pop_front();
-            }
+    pub fn prompt_time(&mut self, now: Point, prefix: Prefix, messages: u32) -> Duration {
+        let messages = messages.max(1);
+        let bytes = self.config.message_memory.0.saturating_mul(messages.into());
+        let is_cached = self.cache.lookup(now, prefix, Bytes(bytes));
+        self.counters.prefix_hits += u64::from(is_cached);
+        self.counters.prefix_misses += u64::from(!is_cached);
+        match (is_cached, messages) {
+            (true, 1) => self.config.prompt_time / CACHED_SHARE,
+            (true, _) => self.config.prompt_time,
+            (false, _) => self.config.prompt_time * messages,
         }
-        let uncached = if cached { 1 } else { messages.max(1) };
-        self.config.prompt_time * uncached
+    }
+
+    /// Returns the prefix cache.
+    pub fn cache(&mut self) -> &mut Cache {
+        &mut self.cache
     }
 
     /// Says that the engine is leaving.
--- a/crates/buckthornmast_standin/src/flags.rs
+++ b/crates/buckthornmast_standin/src/flags.rs
@@ -42,6 +42,14 @@
         optional --token-gap span: Span
         /// Time to process one message of a prompt that is not cached.
         optional --prompt-time span: Span
+        /// Memory of the prefix cache.
+        optional --cache-memory size: Bytes
+        /// Memory that the KV cache of one message takes.
+        optional --message-memory size: Bytes
+        /// Time from a change of the prefix cache until its event is published.
+        optional --cache-event-delay span: Span
+        /// Share of cache events that get lost, from 0 to 1; at 1 none is published.
+        optional --lose-cache-events share: f64
         /// Weights that the store delivers in a second.
         optional --load-rate size: Bytes
         /// Ignores fencing tokens.
--- a/crates/buckthornmast_standin/src/serve.rs
+++ b/crates/buckthornmast_standin/src/serve.rs
@@ -14,8 +14,12 @@
     response::Response,
     server::{self, Config, Handle},
 };
-use buckthornmast_target::work::{Chunk, Event, Finish, Work};
+use buckthornmast_target::{
+    cache::{EXPORT_PATH, Export, Exported, IMPORT_PATH},
+    work::{Chunk, Event, Finish, Work},
+};
 use buckthornmast_types::{
+    cache::Prefix,
     id,
     order::{Order, Reply},
     report::{Load, Report},
@@ -28,9 +32,11 @@
 
 use crate::{
     announce::{self, Announcer},
+    cache::ImportError,
     engine::{self, Engine},
     flags::{Standin as Flags, span},
     plain::Plain,
+    publish::{self, Publisher},
 };
 
 /// Largest body of a request.
@@ -53,7 +59,7 @@
         /// Cause.
         source: server::StartError,
     },
-    /// The reporting thread did not start.
+    /// A reporting thread did not start.
     #[snafu(display("report: {source}"))]
     Announce {
         /// Cause.
@@ -79,6 +85,7 @@
     shared: Arc<Shared>,
     server: Handle,
     announcer: Announcer,
+    publisher: Publisher,
 }
 
 /// Locks a mutex; the data of a stand-in stays usable after a panic of another thread.
@@ -102,6 +109,7 @@
     pub fn stop(mut self) {
         self.server.stop();
         self.announcer.stop();
+        self.publisher.stop();
     }
 }
 
@@ -128,11 +136,36 @@
         move |sequence| report(&shared, address, sequence)
     })
     .context(AnnounceSnafu)?;
+    let publisher = publish_events(&shared).context(AnnounceSnafu)?;
     Ok(Standin {
         address,
         shared,
         server,
         announcer,
+        publisher,
+    })
+}
+
+fn publish_events(shared: &Arc<Shared>) -> std::io::Result<Publisher> {
+    let flags = &shared.flags;
+    let config = publish::Config {
+        target: flags.name.clone(),
+        incarnation: shared.started,
+        instances: flags.report_to.clone(),
+        lost: flags.lose_cache_events.unwrap_or(0.0),
+        // Orders have a sequence of losses of their own.
+        seed: flags.seed.unwrap_or(1).wrapping_add(1),
+    };
+    let delay = span(flags.cache_event_delay, Duration::ZERO);
+    let shared = Arc::clone(shared);
+    publish::start(config, move |most| {
+        let now = shared.clock.now();
+        if now.since(Point::ZERO) < delay {
+            return Vec::new();
+        }
+        lock(&shared.engine)
+            .cache()
+            .take_events(now - delay, now, most)
     })
 }
 
@@ -142,6 +175,8 @@
         slots: flags.slots.unwrap_or(32),
         token_gap: span(flags.token_gap, Duration::from_millis(20)),
         prompt_time: span(flags.prompt_time, Duration::from_millis(20)),
+        cache_memory: flags.cache_memory.unwrap_or(Bytes::gib(4)),
+        message_memory: flags.message_memory.unwrap_or(Bytes::mib(64)),
         load_rate: flags.load_rate.unwrap_or(Bytes::gib(20)),
         fencing: !flags.ignore_fencing,
     });
@@ -225,6 +260,8 @@
         ("POST", "/v1/orders") => order(shared, exchange),
         ("POST", "/v1/generate") => generate(shared, exchange),
         ("POST", "/v1/cancel") => cancel(shared, exchange),
+        ("POST", EXPORT_PATH) => export(shared, exchange),
+        ("POST", IMPORT_PATH) => import(shared, exchange),
         _ => respond(exchange, Problem::new(404, "no such path", "route")),
     }
 }
@@ -316,6 +353,39 @@
     respond(exchange, Response::json(200, "{}"));
 }
 
+fn export(shared: &Shared, exchange: Exchange) {
+    let Some((export, exchange)) = read::<Export>(exchange) else {
+        return;
+    };
+    let exported = lock(&shared.engine).cache().export(export.prefix);
+    match exported {
+        Some(exported) => {
+            let body = serde_json::to_vec(&exported).unwrap_or_default();
+            respond(exchange, Response::json(200, body));
+        }
+        None => respond(exchange, Problem::new(404, "not cached", "export")),
+    }
+}
+
+fn import(shared: &Shared, exchange: Exchange) {
+    let Some((exported, exchange)) = read::<Exported>(exchange) else {
+        return;
+    };
+    let now = shared.clock.now();
+    let imported = lock(&shared.engine).cache().import(now, &exported);
+    match imported {
+        Ok(()) => respond(exchange, Response::json(200, "{}")),
+        Err(error) => {
+            let status = match error {
+                ImportError::Damaged => 400,
+                ImportError::TooLarge { .. } => 413,
+            };
+            let problem = Problem::new(status, "not imported", "import");
+            respond(exchange, problem.detail(error.to_string()));
+        }
+    }
+}
+
 fn generate(shared: &Shared, exchange: Exchange) {
     let Some((work, exchange)) = read::<Work>(exchange) else {
         return;
@@ -332,14 +402,18 @@
     lock(&shared.engine).end();
 }
 
-fn prefix_of(work: &Work) -> u64 {
+/// Returns the prefix of the work, or a private one if the instance is too old to name it.
+fn prefix_of(work: &Work) -> Prefix {
+    if let Some(prefix) = work.prefix {
+        return prefix;
+    }
     let mut hasher = DefaultHasher::new();
     work.artifact.hash(&mut hasher);
     work.messages
         .first()
         .map(|message| &message.content)
         .hash(&mut hasher);
-    hasher.finish()
+    Prefix(hasher.finish())
 }
 
 /// Returns the token at a position; it depends on the prompt only, so that a resumed answer can be checked.
@@ -355,7 +429,8 @@
 
 fn send_tokens(shared: &Shared, work: &Work, mut stream: Stream) {
     let messages = u32::try_from(work.messages.len()).unwrap_or(u32::MAX);
-    let prompt_time = lock(&shared.engine).prompt_time(prefix_of(work), messages);
+    let prompt_time =
+        lock(&shared.engine).prompt_time(shared.clock.now(), prefix_of(work), messages);
     thread::sleep(prompt_time);
     let first = u32::try_from(work.resume.len()).unwrap_or(u32::MAX);
     let chunk = |index, event| {
