Take cache events into the routers of a failure domain

Cause: the first request of an instance with a prompt went to any engine, also when another instance had just warmed an engine up for it. Change: engines post events to two instances (POST /v1/cache-events). A publication with malformed events gets 400 that names them, and its other events are taken. The router counts what it takes (buckthornmast_cache_events_total).

--- a/crates/buckthornmast_daemon/src/lib.rs
+++ b/crates/buckthornmast_daemon/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod access;
 pub mod admit;
+pub mod cache;
 pub mod claims;
 pub mod confirm;
 pub mod control;
--- a/crates/buckthornmast_daemon/src/message.rs
+++ b/crates/buckthornmast_daemon/src/message.rs
@@ -59,6 +59,8 @@
     Demand(Vec<crate::demand::Row>),
     /// Intents that the quorum has, so that journals may forget them.
     Forget(Vec<id::Order>),
+    /// Cache events of engines.
+    Cache(Vec<crate::cache::Passed>),
 }
 
 /// Why a proposal has no answer.
--- a/crates/buckthornmast_daemon/src/node.rs
+++ b/crates/buckthornmast_daemon/src/node.rs
@@ -133,6 +133,15 @@
             .collect()
     }
 
+    /// Returns the other instances of the failure domain.
+    fn domain_others(&self) -> Vec<id::Instance> {
+        let candidates = self.settings.candidates(&self.settings.domain);
+        candidates
+            .filter(|peer| peer.instance != self.settings.instance)
+            .map(|peer| peer.instance.clone())
+            .collect()
+    }
+
     fn own_summary(&self) -> Own {
         let (current, ready) = (self.current.clone(), Arc::clone(&self.ready));
         let (control, replica) = (self.control.clone(), self.replica.clone());
@@ -389,6 +398,7 @@
         core.demand.clone(),
         core.peers.clone(),
         core.others(),
+        core.domain_others(),
     )
     .map_err(at("relay"))?;
     core.start_control(leader, notebook)?;
--- a/crates/buckthornmast_daemon/src/receive.rs
+++ b/crates/buckthornmast_daemon/src/receive.rs
@@ -116,6 +116,7 @@
             Notice::Wanted(targets) => self.targets.want(targets),
             Notice::Demand(rows) => self.demand.accept(from, rows),
             Notice::Forget(orders) => self.notebook().forget(&orders),
+            Notice::Cache(passed) => self.targets.cache().accept_passed(from, &passed),
         }
     }
 }
--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -23,12 +23,14 @@
     id,
     time::{Clock, System},
 };
-use flume::{Receiver, RecvTimeoutError, Sender};
+use flume::{Receiver, RecvError, Selector, Sender, select::SelectError};
+use metrics::counter;
 use rand::{SeedableRng, rngs::SmallRng};
 use smallvec::SmallVec;
 
 use crate::{
     admit::{Admission, Permit},
+    cache::Arrived,
     current::{Current, Snapshot},
     demand::Demand,
     targets::{Seen, Targets},
@@ -98,8 +100,9 @@
 pub fn update(router: std::sync::Arc<Router>) -> std::io::Result<Updates> {
     let (listener, seen) = flume::bounded(MAX_REPORTS);
     router.targets.listen(listener);
+    let events = router.targets.cache().listen();
     let (stop, stopped) = flume::bounded(1);
-    let run = move || router.run(&seen, &stopped);
+    let run = move || router.run(&seen, &events, &stopped);
     let thread = thread::Builder::new()
         .name("router".to_owned())
         .spawn(run)?;
@@ -158,16 +161,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn run(&self, seen: &Receiver<Seen>, stopped: &Receiver<()>) {
+    fn run(&self, seen: &Receiver<Seen>, events: &Receiver<Arrived>, stopped: &Receiver<()>) {
         let mut round = 0_u32;
         loop {
             let next = self.clock.now() + PERIOD;
             loop {
                 let left = next.since(self.clock.now());
-                match seen.recv_timeout(left) {
-                    Ok(seen) => self.observe(&seen),
-                    Err(RecvTimeoutError::Timeout) => break,
-                    Err(RecvTimeoutError::Disconnected) => return,
+                let taken = Selector::new()
+                    .recv(seen, |seen| seen.map(|seen| self.observe(&seen)))
+                    .recv(events, |arrived| {
+                        arrived.map(|arrived| self.take_events(&arrived))
+                    })
+                    .wait_timeout(left);
+                match taken {
+                    Ok(Ok(())) => {}
+                    Ok(Err(RecvError::Disconnected)) => return,
+                    Err(SelectError::Timeout) => break,
                 }
             }
             match stopped.try_recv() {
@@ -192,14 +201,26 @@
         if let Some(slot) = state.table.slot(&seen.report.target) {
             state.affinity.start(slot, seen.report.incarnation);
         }
-        if let (Some(slot), Some(old)) = (before, old)
-            && old != seen.report.incarnation
-        {
+        if old.is_some_and(|old| old != seen.report.incarnation) {
             // A restarted engine has another speed.
             state.limits.remove(&seen.report.target);
         }
     }
 
+    fn take_events(&self, arrived: &Arrived) {
+        let batch = &arrived.batch;
+        let mut state = self.lock();
+        // Events of a target without a report are a gap in the numbers for later.
+        if let Some(slot) = state.table.slot(&batch.target) {
+            for event in &batch.events {
+                let affinity = &mut state.affinity;
+                if affinity.apply(slot, batch.incarnation, event, arrived.at) {
+                    counter!("buckthornmast_cache_events_total").increment(1);
+                }
+            }
+        }
+    }
+
     /// Takes drains and capacities from the settings and the reports.
     fn refresh(&self, look_for_slow: bool) {
         let now = self.clock.now();
--- a/crates/buckthornmast_daemon/src/targets.rs
+++ b/crates/buckthornmast_daemon/src/targets.rs
@@ -8,6 +8,7 @@
 };
 
 use buckthornmast_http::{exchange::Exchange, problem::Problem, response::Response};
+use buckthornmast_target::cache::EVENTS_PATH;
 use buckthornmast_types::{
     id,
     report::Report,
@@ -16,6 +17,7 @@
 use flume::{Receiver, RecvTimeoutError, Sender};
 
 use crate::{
+    cache::Feed,
     demand::Demand,
     message::{Notice, Relayed},
     peers::Peers,
@@ -80,6 +82,7 @@
 #[derive(Clone)]
 pub struct Targets {
     table: Arc<Mutex<Table>>,
+    cache: Feed,
     clock: System,
 }
 
@@ -88,10 +91,16 @@
     pub fn new(clock: System) -> Self {
         Self {
             table: Arc::default(),
+            cache: Feed::new(clock),
             clock,
         }
     }
 
+    /// Returns the intake of cache events.
+    pub fn cache(&self) -> &Feed {
+        &self.cache
+    }
+
     fn lock(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -198,6 +207,7 @@
     /// Ends all listeners.
     pub fn end_listeners(&self) {
         self.lock().listeners.clear();
+        self.cache.end_listeners();
     }
 
     /// Returns the newest report of each target.
@@ -222,8 +232,19 @@
 
     /// Serves the port of the targets.
     pub fn serve(&self, mut exchange: Exchange) {
-        if (exchange.method(), exchange.path()) != ("POST", "/v1/report") {
-            return respond(exchange, Problem::new(404, "no such path", "route").into());
+        let is_backup = exchange.query() == Some("backup=yes");
+        let origin = if is_backup {
+            Origin::Backup
+        } else {
+            Origin::Target
+        };
+        match (exchange.method(), exchange.path()) {
+            ("POST", "/v1/report") => {}
+            ("POST", EVENTS_PATH) => {
+                let answer = self.cache.serve(&mut exchange, origin);
+                return respond(exchange, answer.unwrap_or_else(Into::into));
+            }
+            _ => return respond(exchange, Problem::new(404, "no such path", "route").into()),
         }
         let report = exchange
             .text(MAX_REPORT_BYTES)
@@ -235,12 +256,6 @@
             });
         match report {
             Ok(report) => {
-                let is_backup = exchange.query() == Some("backup=yes");
-                let origin = if is_backup {
-                    Origin::Backup
-                } else {
-                    Origin::Target
-                };
                 self.accept(report, Duration::ZERO, origin);
                 respond(exchange, Response::json(200, "{}"));
             }
@@ -271,15 +286,17 @@
     }
 }
 
-/// Starts to relay the reports that targets sent to this instance.
+/// Starts to relay the reports that targets sent to this instance, and cache events to the other
+/// instances of the failure domain.
 pub fn relay(
     targets: Targets,
     demand: Demand,
     peers: Peers,
     others: Vec<id::Instance>,
+    domain: Vec<id::Instance>,
 ) -> std::io::Result<Relay> {
     let (stop, stopped) = flume::bounded(1);
-    let run = move || relay_until(&stopped, &targets, &demand, &peers, &others);
+    let run = move || relay_until(&stopped, &targets, &demand, &peers, &others, &domain);
     let thread = thread::Builder::new().name("relay".to_owned()).spawn(run)?;
     Ok(Relay {
         stop: Some(stop),
@@ -293,6 +310,7 @@
     demand: &Demand,
     peers: &Peers,
     others: &[id::Instance],
+    domain: &[id::Instance],
 ) {
     let mut round = 0_u32;
     while stopped.recv_timeout(RELAY_PERIOD) == Err(RecvTimeoutError::Timeout) {
@@ -302,6 +320,12 @@
                 peers.notify(other, Notice::Reports(batch.to_vec()));
             }
         }
+        let passed = targets.cache.take_relay(domain.len());
+        if !passed.is_empty() {
+            for other in domain {
+                peers.notify(other, Notice::Cache(passed.clone()));
+            }
+        }
         if round.is_multiple_of(DEMAND_ROUNDS) {
             let rows = demand.own();
             for other in others {
--- a/crates/buckthornmast_daemon/tests/support/press.rs
+++ b/crates/buckthornmast_daemon/tests/support/press.rs
@@ -5,6 +5,7 @@
 use buckthornmast_trial::prelude::*;
 
 /// Three voters in two failure domains.
+#[allow(dead_code, reason = "not every test file starts this cluster")]
 pub(crate) const THREE: [Plan; 3] = [
     Plan {
         name: "north-1",
--- a/crates/buckthornmast_routing/src/affinity.rs
+++ b/crates/buckthornmast_routing/src/affinity.rs
@@ -100,14 +100,21 @@
         self.bound();
     }
 
-    /// Takes a cache event of a target that arrived now.
-    pub fn apply(&mut self, slot: Slot, incarnation: id::Incarnation, event: &Event, now: Point) {
+    /// Takes a cache event of a target that arrived now, and returns whether its number is the highest
+    /// so far.
+    pub fn apply(
+        &mut self,
+        slot: Slot,
+        incarnation: id::Incarnation,
+        event: &Event,
+        now: Point,
+    ) -> bool {
         self.start(slot, incarnation);
         let Some(stream) = self.streams.get_mut(&slot) else {
-            return;
+            return false;
         };
         if incarnation < stream.incarnation {
-            return;
+            return false;
         }
         let sequence = event.sequence;
         let is_new = sequence >= stream.next;
@@ -127,6 +134,7 @@
             Change::Stored(_) => {}
             Change::Evicted(prefix) => self.evict(prefix, slot, sequence, at),
         }
+        is_new
     }
 
     /// Notes the incarnation of a target. A newer one than before has an empty cache.
--- a/crates/buckthornmast_target/src/cache.rs
+++ b/crates/buckthornmast_target/src/cache.rs
@@ -33,6 +33,9 @@
 /// Largest publication in bytes; an event takes about 60.
 pub const MAX_PUBLICATION_BYTES: usize = 64 << 10;
 
+/// Highest number of an event; many JSON readers round larger ones.
+pub const MAX_SEQUENCE: u64 = 1 << 53;
+
 /// Refused events that an error names; the rest is only counted.
 const MAX_NAMED: usize = 4;
 
@@ -88,8 +91,8 @@
         return Err("both stored and evicted".to_owned());
     }
     let event = Event::deserialize(value).map_err(|error| error.to_string())?;
-    if event.sequence == 0 {
-        return Err("sequence 0; numbers begin with 1".to_owned());
+    if !(1..=MAX_SEQUENCE).contains(&event.sequence) {
+        return Err(format!("sequence {}, not 1 to 2^53", event.sequence));
     }
     Ok(event)
 }
--- a/crates/buckthornmast_target/tests/cache.rs
+++ b/crates/buckthornmast_target/tests/cache.rs
@@ -64,6 +64,10 @@
             "sequence 0",
             json!({ "sequence": 0, "age_ms": 1, "stored": "b" }),
         ),
+        (
+            "sequence too large",
+            json!({ "sequence": (1_u64 << 53) + 1, "age_ms": 1, "stored": "b" }),
+        ),
         (
             "negative sequence",
             json!({ "sequence": -2, "age_ms": 1, "stored": "b" }),
