--- a/crates/buckthornmast_daemon/src/receive.rs
+++ b/crates/buckthornmast_daemon/src/receive.rs
@@ -121,6 +121,7 @@
             }
             Notice::DemandWanted => self.demand.want(from),
             Notice::Forget(orders) => self.notebook().forget(&orders),
+            Notice::Cache(passed) => self.targets.cache().accept_passed(from, &passed),
         }
     }
 }
--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -9,9 +9,10 @@
 
 use buckthornmast_gateway::router::{self, Ask, Need, Pick, Refused, Report, Retry, Tried};
 use buckthornmast_routing::{
+    affinity::{Affinity, prefix_of},
     attempt::{self, Decision, Known},
     budget,
-    choice::{Affinity, Choice, PowerOfTwo, Prefix},
+    choice::{Choice, PowerOfTwo},
     estimate::Estimate,
     limit::{self, Adaptive},
     table::{self, Candidates, Outcome, Slot, Table},
@@ -22,12 +23,14 @@
     report::{Copy, Phase},
     time::{Clock, Point, System},
 };
-use flume::{Receiver, RecvTimeoutError, Sender};
+use flume::{Receiver, RecvError, Selector, Sender, select::SelectError};
+use metrics::counter;
 use rand::{SeedableRng, rngs::SmallRng};
 use smallvec::SmallVec;
 
 use crate::{
     admit::{Admission, Permit},
+    cache::Arrived,
     current::{Current, Snapshot},
     demand::Demand,
     targets::{Seen, Targets},
@@ -103,8 +106,9 @@
 pub fn update(router: std::sync::Arc<Router>) -> std::io::Result<Updates> {
     let (listener, seen) = flume::bounded(MAX_REPORTS);
     router.targets.listen(listener);
+    let events = router.targets.cache().listen();
     let (stop, stopped) = flume::bounded(1);
-    let run = move || router.run(&seen, &stopped);
+    let run = move || router.run(&seen, &events, &stopped);
     let thread = thread::Builder::new()
         .name("router".to_owned())
         .spawn(run)?;
@@ -166,21 +170,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn run(&self, seen: &Receiver<Seen>, stopped: &Receiver<()>) {
+    fn run(&self, seen: &Receiver<Seen>, events: &Receiver<Arrived>, stopped: &Receiver<()>) {
         let mut round = 0_u32;
         loop {
             let next = self.clock.now() + PERIOD;
             loop {
                 let left = next.since(self.clock.now());
-                match seen.recv_timeout(left) {
-                    Ok(seen) => {
-                        if self.observe(&seen) {
-                            // Requests may be waiting for the copy.
-                            self.refresh(false);
-                        }
-                    }
-                    Err(RecvTimeoutError::Timeout) => break,
-                    Err(RecvTimeoutError::Disconnected) => return,
+                let taken = Selector::new()
+                    .recv(seen, |seen| seen.map(|seen| self.take_report(&seen)))
+                    .recv(events, |arrived| {
+                        arrived.map(|arrived| self.take_events(&arrived))
+                    })
+                    .wait_timeout(left);
+                match taken {
+                    Ok(Ok(())) => {}
+                    Ok(Err(RecvError::Disconnected)) => return,
+                    Err(SelectError::Timeout) => break,
                 }
             }
             match stopped.try_recv() {
@@ -192,6 +197,13 @@
         }
     }
 
+    fn take_report(&self, seen: &Seen) {
+        if self.observe(seen) {
+            // Requests may be waiting for the copy.
+            self.refresh(false);
+        }
+    }
+
     /// Takes a report, and returns whether a copy that was being loaded is ready.
     fn observe(&self, seen: &Seen) -> bool {
         let now = self.clock.now();
@@ -207,16 +219,30 @@
         state
             .table
             .observe(seen.report.as_ref().clone(), now.since(seen.sent), now);
-        if let (Some(slot), Some(old)) = (before, incarnation)
-            && old != seen.report.incarnation
-        {
-            // A restarted engine has an empty cache and another speed.
-            state.affinity.forget_all(slot);
+        if let Some(slot) = state.table.slot(&seen.report.target) {
+            state.affinity.start(slot, seen.report.incarnation);
+        }
+        if incarnation.is_some_and(|old| old != seen.report.incarnation) {
+            // A restarted engine has another speed.
             state.limits.remove(&seen.report.target);
         }
         is_any_ready
     }
 
+    fn take_events(&self, arrived: &Arrived) {
+        let batch = &arrived.batch;
+        let mut state = self.lock();
+        // Events of a target without a report are a gap in the numbers for later.
+        if let Some(slot) = state.table.slot(&batch.target) {
+            for event in &batch.events {
+                let affinity = &mut state.affinity;
+                if affinity.apply(slot, batch.incarnation, event, arrived.at) {
+                    counter!("buckthornmast_cache_events_total").increment(1);
+                }
+            }
+        }
+    }
+
     /// Takes drains and capacities from the settings and the reports.
     fn refresh(&self, look_for_slow: bool) {
         let now = self.clock.now();
@@ -295,7 +321,8 @@
                 prefix,
             } => {
                 let (artifact, found) = find::find(state, artifact, *exact, &tried, now);
-                (Some(artifact), found, Some(Prefix(*prefix)))
+                let prefix = prefix_of(*prefix, &artifact);
+                (Some(artifact), found, Some(prefix))
             }
             Need::Service { service, .. } => (
                 None,
@@ -326,9 +353,6 @@
             (None, Need::Artifact { artifact, .. }) => table::Need::Artifact(artifact),
         };
         state.table.started(slot, table_need, now);
-        if let Some(prefix) = prefix {
-            state.affinity.learn(prefix, slot, now);
-        }
         drop(guard);
         Some(Pick {
             endpoint: self.endpoint(&report),
