Move the assembly of routing decisions from the daemon to the routing crate

dispatcher::Dispatcher now holds the table, the prefix memory, the limits, the retry budget and the choice. The daemon keeps locks, clocks, settings and services. Behaviour is unchanged.

--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -9,16 +9,13 @@
 
 use buckthornmast_gateway::router::{self, Ask, Need, Pick, Refused, Report, Retry, Tried};
 use buckthornmast_routing::{
-    attempt::{self, Decision, Known},
-    budget,
-    choice::{Affinity, Choice, PowerOfTwo, Prefix},
-    estimate::Estimate,
-    limit::{self, Adaptive},
-    table::{self, Candidates, Outcome, Slot, Table},
+    attempt::Decision,
+    choice::Prefix,
+    dispatcher::{self, Dispatcher, Ended, Wanted},
+    table::{self, Slot},
 };
 use buckthornmast_target::{engine::Endpoint, error::Cause};
 use buckthornmast_types::{
-    artifact::Artifact,
     id,
     time::{Clock, System},
 };
@@ -45,30 +42,19 @@
 /// Age of a report beyond which a target costs no time per choice.
 const PRUNE_AFTER: Duration = Duration::from_secs(60);
 
-/// Dispatches of one request at the most.
-const MAX_DISPATCHES: u32 = 4;
-
-/// Assumed time of a dispatch before the first sample.
-const ASSUMED: Duration = Duration::from_millis(200);
-
 /// Reports that wait to be taken into the table.
 const MAX_REPORTS: usize = 4096;
 
 struct State {
-    table: Table,
+    dispatcher: Dispatcher,
     /// Revision of the settings that the drains of the table come from.
     drains_of: id::Revision,
-    affinity: Affinity,
-    limits: BTreeMap<id::Target, Adaptive>,
-    budget: budget::Retry,
-    first: Estimate,
     rng: SmallRng,
 }
 
 /// Router.
 pub struct Router {
     state: Mutex<State>,
-    choice: PowerOfTwo,
     admission: Admission,
     targets: Targets,
     current: Current,
@@ -117,7 +103,7 @@
             return;
         }
         let drained = snapshot.declarations.platform.drained.iter().cloned();
-        self.table.set_drains(drained.collect());
+        self.dispatcher.table.set_drains(drained.collect());
         self.drains_of = snapshot.revision;
     }
 }
@@ -133,17 +119,12 @@
         clock: System,
     ) -> Self {
         let state = State {
-            table: Table::new(table::Config::default(), domain),
+            dispatcher: Dispatcher::new(dispatcher::Config::default(), domain, clock.now()),
             drains_of: id::Revision(0),
-            affinity: Affinity::default(),
-            limits: BTreeMap::new(),
-            budget: budget::Retry::new(budget::Config::default(), clock.now()),
-            first: Estimate::new(ASSUMED),
             rng: SmallRng::from_os_rng(),
         };
         Self {
             state: Mutex::new(state),
-            choice: PowerOfTwo::default(),
             admission: Admission::new(clock),
             targets,
             current,
@@ -181,20 +162,8 @@
     fn observe(&self, seen: &Seen) {
         let now = self.clock.now();
         let mut state = self.lock();
-        let before = state.table.slot(&seen.report.target);
-        let old = before
-            .and_then(|slot| state.table.report(slot))
-            .map(|old| old.incarnation);
-        state
-            .table
-            .observe(seen.report.as_ref().clone(), now.since(seen.sent), now);
-        if let (Some(slot), Some(old)) = (before, old)
-            && old != seen.report.incarnation
-        {
-            // A restarted engine has an empty cache and another speed.
-            state.affinity.forget_all(slot);
-            state.limits.remove(&seen.report.target);
-        }
+        let report = seen.report.as_ref().clone();
+        state.dispatcher.observe(report, now.since(seen.sent), now);
     }
 
     /// Takes drains and capacities from the settings and the reports.
@@ -204,8 +173,8 @@
         let mut state = self.lock();
         state.take_drains(&snapshot);
         if look_for_slow {
-            state.table.eject_slow(now);
-            state.table.prune(PRUNE_AFTER, now);
+            state.dispatcher.table.eject_slow(now);
+            state.dispatcher.table.prune(PRUNE_AFTER, now);
         }
         let capacities = capacities(&state, &snapshot, now);
         drop(state);
@@ -236,17 +205,12 @@
 ) -> BTreeMap<id::Model, u32> {
     let mut capacities = BTreeMap::new();
     for (name, model) in &snapshot.catalog.models {
-        let candidates = find(state, &model.artifact, false, &[], now);
-        let sum = candidates
-            .1
-            .iter()
-            .map(|candidate| state.limit(candidate.slot))
-            .sum();
+        let sum = state.dispatcher.capacity(&model.artifact, now);
         capacities.extend(name.parse().ok().map(|name| (name, sum)));
     }
     for (name, plain) in &snapshot.catalog.services {
         let need = table::Need::Service(&plain.service);
-        let count = state.table.candidates(need, &[], now).len();
+        let count = state.dispatcher.table.candidates(need, &[], now).len();
         let sum = u32::try_from(count)
             .unwrap_or(u32::MAX)
             .saturating_mul(plain.concurrency);
@@ -255,54 +219,6 @@
     capacities
 }
 
-impl State {
-    fn limit(&self, slot: Slot) -> u32 {
-        let Some(report) = self.table.report(slot) else {
-            return 0;
-        };
-        let limit = self.limits.get(&report.target);
-        limit.map_or_else(|| start_limit(report.load.slots), Adaptive::get)
-    }
-}
-
-/// Limit of a target before the first sample: its slots, half of them over again for the queue.
-fn start_limit(slots: u32) -> u32 {
-    slots.max(2).saturating_mul(3) / 2
-}
-
-/// Returns the artifact to use and the targets that have it ready, base model included.
-fn find(
-    state: &State,
-    wanted: &Artifact,
-    exact: bool,
-    tried: &[Slot],
-    now: buckthornmast_types::time::Point,
-) -> (Artifact, Candidates) {
-    let candidates = |artifact: &Artifact| {
-        let mut found = state
-            .table
-            .candidates(table::Need::Artifact(artifact), tried, now);
-        let base = artifact.base();
-        found.retain(|candidate| {
-            let report = state.table.report(candidate.slot);
-            report.is_some_and(|report| report.is_ready(&base))
-        });
-        found
-    };
-    let found = candidates(wanted);
-    if !found.is_empty() || exact {
-        return (wanted.clone(), found);
-    }
-    // While a version is rolled out, the one before still answers.
-    for older in state.table.versions(wanted) {
-        let found = candidates(&older);
-        if !found.is_empty() {
-            return (older, found);
-        }
-    }
-    (wanted.clone(), Candidates::new())
-}
-
 impl router::Router for Router {
     type Permit = Permit;
 
@@ -311,7 +227,7 @@
             self.demand.count(ask.name, ask.tokens);
         }
         let permit = self.admission.admit(ask)?;
-        self.lock().budget.request();
+        self.lock().dispatcher.request();
         Ok(permit)
     }
 
@@ -323,53 +239,26 @@
         state.take_drains(&snapshot);
         let tried: SmallVec<[Slot; 4]> = tried
             .iter()
-            .filter_map(|target| state.table.slot(target))
+            .filter_map(|target| state.dispatcher.table.slot(target))
             .collect();
-        let (artifact, candidates, prefix) = match need {
+        let wanted = match need {
             Need::Artifact {
                 artifact,
                 exact,
                 prefix,
-            } => {
-                let (artifact, found) = find(state, artifact, *exact, &tried, now);
-                (Some(artifact), found, Some(Prefix(*prefix)))
-            }
-            Need::Service { service, .. } => (
-                None,
-                state
-                    .table
-                    .candidates(table::Need::Service(service), &tried, now),
-                None,
-            ),
-        };
-        let below: Candidates = candidates
-            .iter()
-            .filter(|c| c.own < state.limit(c.slot))
-            .copied()
-            .collect();
-        // Admission has let the request in, so a target beyond its limit is better than none.
-        let candidates = if below.is_empty() { candidates } else { below };
-        let slot = self.choice.choose(
-            &candidates,
-            prefix,
-            &mut state.affinity,
-            now,
-            &mut state.rng,
-        )?;
-        let report = state.table.report(slot)?.clone();
-        let table_need = match (&artifact, need) {
-            (Some(artifact), _) => table::Need::Artifact(artifact),
-            (None, Need::Service { service, .. }) => table::Need::Service(service),
-            (None, Need::Artifact { artifact, .. }) => table::Need::Artifact(artifact),
+            } => Wanted::Artifact {
+                artifact,
+                exact: *exact,
+                prefix: Some(Prefix(*prefix)),
+            },
+            Need::Service { service, .. } => Wanted::Service(service),
         };
-        state.table.started(slot, table_need, now);
-        if let Some(prefix) = prefix {
-            state.affinity.learn(prefix, slot, now);
-        }
+        let pick = state.dispatcher.pick(wanted, &tried, now, &mut state.rng)?;
+        let report = state.dispatcher.table.report(pick.slot)?.clone();
         drop(guard);
         Some(Pick {
             endpoint: self.endpoint(&report),
-            artifact,
+            artifact: pick.artifact,
         })
     }
 
@@ -382,57 +271,29 @@
         let now = self.clock.now();
         let mut guard = self.lock();
         let state = &mut *guard;
-        let target = &pick.endpoint.target;
-        let Some(slot) = state.table.slot(target) else {
-            return;
-        };
-        let Some(known) = state.table.report(slot) else {
+        let Some(slot) = state.dispatcher.table.slot(&pick.endpoint.target) else {
             return;
         };
-        let (service, slots) = (known.service.clone(), known.load.slots);
-        let limit = state.limits.entry(target.clone()).or_insert_with(|| {
-            let start = start_limit(slots);
-            Adaptive::new(limit::Config {
-                start,
-                most: start.max(16) * 2,
-                ..limit::Config::default()
-            })
-        });
-        let outcome = match report {
-            Report::Answered { first, .. } => {
-                limit.answered(*first, state.table.own(slot));
-                state.first.add(*first);
-                Outcome::Answered(*first)
-            }
+        let ended = match report {
+            Report::Answered { first, .. } => Ended::Answered(*first),
             Report::Failed { error } => match error.cause {
-                Cause::NotSent { .. } => Outcome::Unreachable,
-                Cause::Refused { .. } => {
-                    limit.dropped();
-                    Outcome::Failed
-                }
-                _ => Outcome::Failed,
+                Cause::NotSent { .. } => Ended::Unreachable,
+                Cause::Refused { .. } => Ended::Refused,
+                _ => Ended::Failed,
             },
-            Report::Abandoned => Outcome::Abandoned,
-        };
-        let need = match &pick.artifact {
-            Some(artifact) => table::Need::Artifact(artifact),
-            None => table::Need::Service(&service),
+            Report::Abandoned => Ended::Abandoned,
         };
-        state.table.finished(slot, need, outcome, now);
+        let artifact = pick.artifact.clone();
+        let pick = dispatcher::Pick { slot, artifact };
+        state.dispatcher.done(&pick, ended, now);
     }
 
     fn decide(&self, retry: &Retry<'_>) -> Decision {
         let now = self.clock.now();
         let mut state = self.lock();
-        let known = Known {
-            repeatable: retry.repeatable,
-            resumable: true,
-            // Whether one is left is seen when the next one is picked.
-            target_left: true,
-            most: MAX_DISPATCHES,
-            expected: state.first.mean(),
-            deadline: retry.deadline,
-        };
-        attempt::decide(retry.history, &known, now, || state.budget.take(now))
+        let (repeatable, deadline) = (retry.repeatable, retry.deadline);
+        state
+            .dispatcher
+            .decide(retry.history, repeatable, deadline, now)
     }
 }
--- a/crates/buckthornmast_routing/src/choice.rs
+++ b/crates/buckthornmast_routing/src/choice.rs
@@ -73,7 +73,7 @@
 }
 
 /// Picks the less loaded of two random candidates, or the one that has the prompt's prefix cached.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PowerOfTwo {
     /// Load that a cached prefix outweighs; 0 turns affinity off.
     pub slack: f64,
--- a/crates/buckthornmast_routing/src/lib.rs
+++ b/crates/buckthornmast_routing/src/lib.rs
@@ -5,13 +5,15 @@
 //!
 //! A request passes [`admission::Gate`], is placed by a [`choice::Choice`] among the candidates of
 //! [`table::Table`] within the [`limit::Adaptive`] of a target, and after a failed attempt
-//! [`attempt::decide`] says what comes next, within [`budget::Retry`].
+//! [`attempt::decide`] says what comes next, within [`budget::Retry`]. [`dispatcher::Dispatcher`] assembles
+//! all of them but the gate.
 
 pub mod admission;
 pub mod attempt;
 pub mod breaker;
 pub mod budget;
 pub mod choice;
+pub mod dispatcher;
 pub mod estimate;
 pub mod limit;
 pub mod outlier;
@@ -24,6 +26,7 @@
         attempt::{self, Decision, Dispatch},
         budget,
         choice::{self, Choice, LeastLoaded, PowerOfTwo, Random},
+        dispatcher::{self, Dispatcher},
         limit,
         table::{self, Candidate, Need, Slot, Table},
     };
