Run the daemon's request path in the replay harness, and add scenarios

The harness compared placement under its own simple routing rules only. It now plays calls through a Path: admission, queues, choice, limits, retries with budget and ejection by the functions of the routing crate (path::Daemon), or a simple rule without admission (path::Simple). Engines can be slow, reports can lag, prompts can be short and noisy, and clients can try again. The example rules prints attainment, refusals, wasted slot time, dispatches and the time until goodput is back, with standard errors, for overload, slow, dead, lag, jitter and store.

--- /dev/null
+++ b/crates/buckthornmast_replay/examples/rules.rs
@@ -0,0 +1,179 @@
+//! Compares the rules of the request path under load and faults.
+//!
+//! `cargo run --release -p buckthornmast_replay --example rules -- [SCENARIO or all] [RULE or all] [SEEDS] [FIRST]`
+
+use std::{io::Write, process::ExitCode, thread};
+
+use buckthornmast_placement::{declared::Declared, marginal::Marginal, named::Named};
+use buckthornmast_replay::{
+    deployment::{Deployment, KUEHLWERK, PEACH_GROOVE},
+    path::{Daemon, Hedge, Simple},
+    routing::{LeastLoaded, PowerOfTwo, Random},
+    score::Score,
+    trace::{FAULT_AT, OVERLOAD_END, SCENARIOS, Scenario, Trace},
+    world,
+};
+use buckthornmast_routing::{budget, dispatcher};
+
+/// Rules in the order of the table.
+const RULES: [&str; 10] = [
+    "random",
+    "least-loaded",
+    "power-of-two",
+    "daemon",
+    "no-adaptive-limit",
+    "no-retry-budget",
+    "hedge-2",
+    "hedge-5",
+    "hedge-10",
+    "hedge-5-late",
+];
+
+/// Seconds after the start from which requests count; reports and estimates have settled by then.
+const WARM: usize = 20;
+/// Seconds over which goodput is looked at after an overload.
+const SPAN: usize = 5;
+/// Share of the usual goodput that counts as back.
+const BACK: f64 = 0.95;
+
+fn play(deployment: &Deployment, scenario: Scenario, rule: &str, seed: u64) -> Score {
+    let specs = deployment.specs(seed);
+    let trace = Trace::scenario(deployment, &specs, scenario, seed);
+    let policy = match scenario {
+        Scenario::Store => Named::Marginal(Marginal::default()),
+        _ => Named::Static(Declared),
+    };
+    let usual = dispatcher::Config::default();
+    let hedge = |share, factor| Some(Hedge { share, factor });
+    let (config, hedge) = match rule {
+        "random" => return simple(deployment, &specs, &trace, policy, &Random, seed),
+        "least-loaded" => return simple(deployment, &specs, &trace, policy, &LeastLoaded, seed),
+        "power-of-two" => return simple(deployment, &specs, &trace, policy, &PowerOfTwo, seed),
+        "no-adaptive-limit" => (
+            dispatcher::Config {
+                adapt: false,
+                ..usual
+            },
+            None,
+        ),
+        "no-retry-budget" => (
+            dispatcher::Config {
+                budget: budget::Config {
+                    share: 4.0,
+                    most: f64::INFINITY,
+                    ..usual.budget
+                },
+                ..usual
+            },
+            None,
+        ),
+        "hedge-2" => (usual, hedge(0.02, 1.0)),
+        "hedge-5" => (usual, hedge(0.05, 1.0)),
+        "hedge-10" => (usual, hedge(0.1, 1.0)),
+        "hedge-5-late" => (usual, hedge(0.05, 2.0)),
+        _ => (usual, None),
+    };
+    let path = |instance| Daemon::new(config, hedge, deployment, instance);
+    world::play(deployment, &specs, &trace, &[policy; 2], path, seed)
+}
+
+fn simple<R: buckthornmast_replay::routing::Rule>(
+    deployment: &Deployment,
+    specs: &[buckthornmast_replay::deployment::Spec],
+    trace: &Trace,
+    policy: Named,
+    rule: &R,
+    seed: u64,
+) -> Score {
+    let path = |_| Simple::new(rule, false, deployment);
+    world::play(deployment, specs, trace, &[policy; 2], path, seed)
+}
+
+/// Returns the seconds after the end of the overload from which the share of requests answered in time
+/// is back, or the rest of the run if it never is.
+fn back(score: &Score) -> f64 {
+    let usual = score.attained(WARM..FAULT_AT as usize);
+    let end = OVERLOAD_END as usize;
+    let last = score.seconds.len().saturating_sub(SPAN);
+    let back = (end..last).find(|at| score.attained(*at..at + SPAN) >= BACK * usual);
+    (back.unwrap_or(last) - end) as f64
+}
+
+/// Returns the mean and the standard error of the mean.
+fn mean(values: &[f64]) -> (f64, f64) {
+    let count = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / count.max(1.0);
+    let squares: f64 = values.iter().map(|value| (value - mean).powi(2)).sum();
+    let deviation = (squares / (count - 1.0).max(1.0)).sqrt();
+    (mean, deviation / count.max(1.0).sqrt())
+}
+
+fn row(deployment: &Deployment, scenario: Scenario, rule: &str, scores: &[Score]) -> String {
+    let of = |measure: &dyn Fn(&Score) -> f64| {
+        let values: Vec<f64> = scores.iter().map(measure).collect();
+        let (mean, error) = mean(&values);
+        format!("{mean:.2} ± {error:.2}")
+    };
+    let share = |count: u64, score: &Score| 100.0 * count as f64 / score.requests.max(1) as f64;
+    let fault = FAULT_AT as usize;
+    let cells = [
+        of(&|score| 100.0 * score.attainment()),
+        of(&|score| 100.0 * score.attained(fault..fault + 60)),
+        of(&|score| share(score.refused, score)),
+        of(&|score| share(score.errors, score)),
+        of(&|score| 100.0 * score.wasted_share()),
+        of(&|score| share(score.dispatches, score)),
+        of(&|score| share(score.hedges, score)),
+        of(&Score::p95_first_token),
+        match scenario {
+            Scenario::Overload => of(&back),
+            _ => String::new(),
+        },
+    ];
+    let (name, scenario) = (deployment.name, scenario.name());
+    format!("| {name} | {scenario} | {rule} | {} |", cells.join(" | "))
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let text = |at: usize| arguments.get(at).map_or("all", String::as_str);
+    let number = |at: usize, usual: u64| {
+        arguments
+            .get(at)
+            .and_then(|own| own.parse().ok())
+            .unwrap_or(usual)
+    };
+    let (seeds, first) = (number(2, 8), number(3, 1));
+    let mut out = std::io::stdout().lock();
+    let head = "| deployment | scenario | rules | in time % | in time % in the 60 s from the fault | refused % | errors per 100 requests | wasted slot time % | dispatches per 100 requests | second dispatches per 100 requests | p95 first token s | goodput back s |";
+    let line = format!("|{}", " --- |".repeat(12));
+    if writeln!(out, "{head}\n{line}").is_err() {
+        return ExitCode::FAILURE;
+    }
+    for deployment in [KUEHLWERK, PEACH_GROOVE] {
+        for scenario in SCENARIOS {
+            for rule in RULES {
+                let wanted = |text: &str, name: &str| {
+                    text == "all" || text.split(',').any(|own| own == name)
+                };
+                if !wanted(text(0), scenario.name()) || !wanted(text(1), rule) {
+                    continue;
+                }
+                let scores: Option<Vec<Score>> = thread::scope(|scope| {
+                    let runs: Vec<_> = (first..first + seeds)
+                        .map(|seed| scope.spawn(move || play(&deployment, scenario, rule, seed)))
+                        .collect();
+                    runs.into_iter().map(|run| run.join().ok()).collect()
+                });
+                let Some(scores) = scores else {
+                    eprintln!("error: a run panicked");
+                    return ExitCode::FAILURE;
+                };
+                if writeln!(out, "{}", row(&deployment, scenario, rule, &scores)).is_err() {
+                    return ExitCode::FAILURE;
+                }
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/buckthornmast_replay/src/engine.rs
+++ b/crates/buckthornmast_replay/src/engine.rs
@@ -12,7 +12,7 @@
 /// Time that each further request of the batch adds to it, in seconds.
 const STEP_PER_REQUEST: f64 = 0.0008;
 /// Time to process a prompt in an idle engine, in seconds.
-const PREFILL: f64 = 0.12;
+pub const PREFILL: f64 = 0.12;
 /// Requests that may wait, as a multiple of the slots.
 const QUEUE: usize = 1;
 
@@ -34,6 +34,8 @@
     pub deadline: f64,
     /// Tokens of the answer.
     pub tokens: f64,
+    /// Dispatch that brought it.
+    pub dispatch: usize,
 }
 
 /// Request that has been started.
@@ -43,6 +45,8 @@
     pub first: f64,
     /// Time of the last token, or of the cancellation, in seconds.
     pub end: f64,
+    /// Time of the last token if nothing cancels it, in seconds.
+    pub whole: f64,
     /// Whether the whole answer is in time.
     pub in_time: bool,
 }
@@ -83,6 +87,8 @@
     pub waiting: VecDeque<Request>,
     /// Time of the last death or partition in seconds, and the artifacts that were ready then.
     pub lost: Option<(f64, Vec<usize>)>,
+    /// Multiple of the usual time that each step takes.
+    pub factor: f64,
     executed: HashSet<u64>,
 }
 
@@ -99,6 +105,7 @@
             running: 0,
             waiting: VecDeque::new(),
             lost: None,
+            factor: 1.0,
             executed: HashSet::new(),
         }
     }
@@ -151,16 +158,17 @@
         self.running < self.slots || self.waiting.len() < self.slots as usize * QUEUE
     }
 
-    /// Starts a request now.
-    pub fn start(&mut self, now: f64, request: Request) -> Started {
+    /// Starts a request now whose prompt takes this many seconds in an idle engine.
+    pub fn start(&mut self, now: f64, request: Request, prompt: f64) -> Started {
         self.running += 1;
         let batch = self.running;
-        let prefill = PREFILL * (1.0 + f64::from(batch) / f64::from(self.slots));
-        let first = now + prefill;
-        let end = first + request.tokens * step(batch);
+        let prefill = prompt * (1.0 + f64::from(batch) / f64::from(self.slots));
+        let first = now + prefill * self.factor;
+        let end = first + request.tokens * step(batch) * self.factor;
         Started {
             first,
             end: end.min(request.deadline),
+            whole: end,
             in_time: end <= request.deadline,
         }
     }
--- a/crates/buckthornmast_replay/src/lib.rs
+++ b/crates/buckthornmast_replay/src/lib.rs
@@ -5,9 +5,11 @@
 //! lets [`controller::Controller`] decide every second on reports that lag, and returns the
 //! [`score::Score`]. Seeds fix everything that is random.
 
+mod calls;
 pub mod controller;
 pub mod deployment;
 pub mod engine;
+pub mod path;
 pub mod routing;
 pub mod score;
 pub mod store;
--- /dev/null
+++ b/crates/buckthornmast_replay/src/path.rs
@@ -0,0 +1,439 @@
+//! Request path of one entry instance: the daemon's rules, or a simple rule without admission.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use buckthornmast_routing::{
+    admission::{self, Ask, Gate, Next, Priority, Refusal, Verdict},
+    attempt::{Decision, Dispatch, History, Reason},
+    budget,
+    dispatcher::{self, Dispatcher, Ended, Wanted},
+    estimate::Estimate,
+    table::Slot,
+};
+use buckthornmast_types::{
+    artifact::Artifact,
+    id,
+    outcome::Run,
+    report::{self, Phase},
+    time::Point,
+};
+use rand::rngs::SmallRng;
+
+use crate::{
+    controller::{MAX_REPORT_AGE, Report},
+    deployment::{Deployment, Spec, label},
+    engine::Engine,
+    routing::{Candidate, Rule},
+};
+
+/// Time between two updates of capacities in seconds, as in the daemon.
+pub const REFRESH: f64 = 0.2;
+/// Updates between two looks for slow targets, as in the daemon.
+const SLOW_ROUNDS: u64 = 5;
+/// Targets that a request is sent to at most under a simple rule.
+const ATTEMPTS: u32 = 2;
+
+/// Chosen target and the artifact that answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pick {
+    /// Target.
+    pub target: usize,
+    /// Artifact.
+    pub item: usize,
+}
+
+/// Calls that leave a queue, and whether they run.
+pub type Turns = Vec<(usize, bool)>;
+
+/// Decisions on the requests of one entry instance.
+pub trait Path {
+    /// Takes a further artifact; one that it replaces is answered with it from now on.
+    fn declare(&mut self, spec: &Spec, replaces: Option<usize>);
+
+    /// Takes a report.
+    fn observe(&mut self, target: usize, report: &Report, now: f64);
+
+    /// Updates capacities and expires waiting calls.
+    fn refresh(&mut self, now: f64) -> Turns;
+
+    /// Offers a call for admission.
+    fn offer(&mut self, call: usize, item: usize, deadline: f64, now: f64) -> Verdict;
+
+    /// Notes that a call was admitted.
+    fn admitted(&mut self);
+
+    /// Chooses a target.
+    fn pick(
+        &mut self,
+        item: usize,
+        exact: bool,
+        tried: &[usize],
+        now: f64,
+        random: &mut SmallRng,
+    ) -> Option<Pick>;
+
+    /// Ends a choice.
+    fn ended(&mut self, pick: &Pick, ended: Ended, now: f64);
+
+    /// Decides what comes after a failed attempt.
+    fn decide(&mut self, history: &History, deadline: f64, now: f64) -> Decision;
+
+    /// Ends an admitted call that was in progress for some seconds.
+    fn release(&mut self, item: usize, held: f64, now: f64) -> Turns;
+
+    /// Returns when a second dispatch is due if the first token is not there by then.
+    fn hedge_at(&self, _sent: f64, _deadline: f64) -> Option<f64> {
+        None
+    }
+
+    /// Takes a second dispatch out of its budget.
+    fn take_hedge(&mut self, _now: f64) -> bool {
+        false
+    }
+}
+
+/// Simple rule on reported load: no admission, no limits, no ejection.
+#[derive(Debug)]
+pub struct Simple<'a, R> {
+    rule: &'a R,
+    /// Whether requests sent since a report are added to it.
+    own: bool,
+    reports: Vec<Report>,
+    sent: Vec<u32>,
+    replaced: Vec<Option<usize>>,
+}
+
+impl<'a, R: Rule> Simple<'a, R> {
+    /// Returns a path without reports.
+    pub fn new(rule: &'a R, own: bool, deployment: &Deployment) -> Self {
+        Self {
+            rule,
+            own,
+            reports: vec![Report::default(); deployment.engines],
+            sent: vec![0; deployment.engines],
+            replaced: Vec::new(),
+        }
+    }
+
+    fn candidates(&self, now: f64, item: usize) -> Vec<Candidate> {
+        let new = self.replaced[item];
+        let wanted = |copy: &crate::engine::Copy| {
+            copy.phase == Phase::Ready && (copy.item == item || Some(copy.item) == new)
+        };
+        let fresh = self.reports.iter().enumerate().filter(|(_, report)| {
+            now - report.at < MAX_REPORT_AGE && report.copies.iter().any(wanted)
+        });
+        let candidate = |(target, report): (usize, &Report)| Candidate {
+            target,
+            reported: report.load.running + report.load.waiting,
+            sent: if self.own { self.sent[target] } else { 0 },
+            slots: report.load.slots,
+        };
+        fresh.map(candidate).collect()
+    }
+}
+
+impl<R: Rule> Path for Simple<'_, R> {
+    fn declare(&mut self, _spec: &Spec, replaces: Option<usize>) {
+        if let Some(old) = replaces {
+            self.replaced[old] = Some(self.replaced.len());
+        }
+        self.replaced.push(None);
+    }
+
+    fn observe(&mut self, target: usize, report: &Report, _now: f64) {
+        self.reports[target] = report.clone();
+        self.sent[target] = 0;
+    }
+
+    fn refresh(&mut self, _now: f64) -> Turns {
+        Turns::new()
+    }
+
+    fn offer(&mut self, _call: usize, _item: usize, _deadline: f64, _now: f64) -> Verdict {
+        Verdict::Run
+    }
+
+    fn admitted(&mut self) {}
+
+    fn pick(
+        &mut self,
+        item: usize,
+        _exact: bool,
+        tried: &[usize],
+        now: f64,
+        random: &mut SmallRng,
+    ) -> Option<Pick> {
+        let mut candidates = self.candidates(now, item);
+        for tried in tried {
+            if let Some(at) = candidates.iter().position(|own| own.target == *tried) {
+                candidates.swap_remove(at);
+            }
+        }
+        if candidates.is_empty() {
+            return None;
+        }
+        let target = candidates[self.rule.choose(&candidates, random)].target;
+        self.sent[target] += 1;
+        Some(Pick { target, item })
+    }
+
+    fn ended(&mut self, pick: &Pick, ended: Ended, _now: f64) {
+        // What was refused at once is not at the target.
+        if matches!(ended, Ended::Refused | Ended::Unreachable) {
+            self.sent[pick.target] = self.sent[pick.target].saturating_sub(1);
+        }
+    }
+
+    fn decide(&mut self, history: &History, _deadline: f64, _now: f64) -> Decision {
+        let (run, reason) = (history.run(), Reason::Attempts);
+        match run == Run::No && history.attempts() < ATTEMPTS {
+            true => Decision::Retry,
+            false => Decision::End { run, reason },
+        }
+    }
+
+    fn release(&mut self, _item: usize, _held: f64, _now: f64) -> Turns {
+        Turns::new()
+    }
+}
+
+/// Second dispatch of a request whose first token is late.
+#[derive(Debug, Clone, Copy)]
+pub struct Hedge {
+    /// Second dispatches per request at the most.
+    pub share: f64,
+    /// Multiple of the usual high first-token time after which one is due.
+    pub factor: f64,
+}
+
+/// The daemon's rules.
+#[derive(Debug)]
+pub struct Daemon {
+    dispatcher: Dispatcher,
+    gate: Gate<usize>,
+    /// Artifact that each name is answered with.
+    wanted: Vec<usize>,
+    artifacts: Vec<Artifact>,
+    names: Vec<id::Model>,
+    teams: Vec<id::Team>,
+    team_of: Vec<usize>,
+    items: HashMap<Artifact, usize>,
+    targets: Vec<id::Target>,
+    domains: usize,
+    sequences: Vec<u64>,
+    rounds: u64,
+    hedge: Option<(Hedge, budget::Retry, Estimate)>,
+}
+
+fn point(time: f64) -> Point {
+    Point::ZERO + Duration::from_secs_f64(time.max(0.0))
+}
+
+impl Daemon {
+    /// Returns the rules of an instance without reports.
+    pub fn new(
+        config: dispatcher::Config,
+        hedge: Option<Hedge>,
+        deployment: &Deployment,
+        instance: usize,
+    ) -> Self {
+        let home = label(&format!("d{}", instance % deployment.domains));
+        let hedge = hedge.map(|hedge| {
+            let budget = budget::Config {
+                share: hedge.share,
+                ..budget::Config::default()
+            };
+            let usual = Estimate::new(config.assumed);
+            (hedge, budget::Retry::new(budget, Point::ZERO), usual)
+        });
+        let teams = deployment.teams().into_iter().map(|team| team.id);
+        let targets = (0..deployment.engines).map(|engine| label(&format!("e{engine:03}")));
+        Self {
+            dispatcher: Dispatcher::new(config, home, Point::ZERO),
+            gate: Gate::new(admission::Config::default()),
+            wanted: Vec::new(),
+            artifacts: Vec::new(),
+            names: Vec::new(),
+            teams: teams.collect(),
+            team_of: Vec::new(),
+            items: HashMap::new(),
+            targets: targets.collect(),
+            domains: deployment.domains,
+            sequences: vec![0; deployment.engines],
+            rounds: 0,
+            hedge,
+        }
+    }
+
+    fn slot(&self, target: usize) -> Option<Slot> {
+        self.dispatcher.table.slot(&self.targets[target])
+    }
+
+    fn wake(&mut self, item: usize, now: Point, turns: &mut Turns) {
+        while let Some(next) = self.gate.next(&self.names[item], now) {
+            turns.push(match next {
+                Next::Run(call) => (call, true),
+                Next::Expired(call) => (call, false),
+            });
+        }
+    }
+}
+
+impl Path for Daemon {
+    fn declare(&mut self, spec: &Spec, replaces: Option<usize>) {
+        let item = self.artifacts.len();
+        if let Some(old) = replaces {
+            self.wanted[old] = item;
+        }
+        self.wanted.push(item);
+        self.artifacts.push(spec.artifact.clone());
+        self.names.push(label(&format!("i{item}")));
+        self.team_of.push(spec.team);
+        self.items.insert(spec.artifact.clone(), item);
+    }
+
+    fn observe(&mut self, target: usize, report: &Report, now: f64) {
+        self.sequences[target] += 1;
+        let copies = report.copies.iter().map(|copy| report::Copy {
+            artifact: self.artifacts[copy.item].clone(),
+            phase: copy.phase,
+            bytes: copy.bytes,
+        });
+        let full = report::Report {
+            target: self.targets[target].clone(),
+            domain: label(&format!("d{}", target % self.domains)),
+            kind: label("engine"),
+            service: label("s"),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            incarnation: id::Incarnation(report.incarnation),
+            sequence: self.sequences[target],
+            leaving: false,
+            accelerators: 1,
+            memory: buckthornmast_types::size::Bytes::ZERO,
+            copies: copies.collect(),
+            token: id::Token(0),
+            load: report.load,
+        };
+        let age = Duration::from_secs_f64((now - report.at).max(0.0));
+        self.dispatcher.observe(full, age, point(now));
+    }
+
+    fn refresh(&mut self, now: f64) -> Turns {
+        let now = point(now);
+        if self.rounds.is_multiple_of(SLOW_ROUNDS) {
+            self.dispatcher.table.eject_slow(now);
+        }
+        self.rounds += 1;
+        let mut turns = Turns::new();
+        for item in 0..self.names.len() {
+            let artifact = &self.artifacts[self.wanted[item]];
+            let capacity = self.dispatcher.capacity(artifact, now);
+            self.gate.set_capacity(&self.names[item], capacity);
+            self.wake(item, now, &mut turns);
+        }
+        let expired = self.gate.expire(now);
+        turns.extend(expired.into_iter().map(|call| (call, false)));
+        turns
+    }
+
+    fn offer(&mut self, call: usize, item: usize, deadline: f64, now: f64) -> Verdict {
+        let Some(name) = self.names.get(item) else {
+            return Verdict::Refused {
+                reason: Refusal::Capacity,
+                retry_after: Duration::from_secs(1),
+            };
+        };
+        let ask = Ask {
+            key: call,
+            team: self.teams[self.team_of[item]].clone(),
+            priority: Priority::Interactive,
+            deadline: point(deadline),
+        };
+        self.gate.offer(name, ask, point(now))
+    }
+
+    fn admitted(&mut self) {
+        self.dispatcher.request();
+        if let Some((_, budget, _)) = &mut self.hedge {
+            budget.request();
+        }
+    }
+
+    fn pick(
+        &mut self,
+        item: usize,
+        exact: bool,
+        tried: &[usize],
+        now: f64,
+        random: &mut SmallRng,
+    ) -> Option<Pick> {
+        let tried: Vec<Slot> = tried.iter().filter_map(|own| self.slot(*own)).collect();
+        let wanted = Wanted::Artifact {
+            artifact: &self.artifacts[self.wanted[item]],
+            exact,
+            prefix: None,
+        };
+        let pick = self.dispatcher.pick(wanted, &tried, point(now), random)?;
+        let target = &self.dispatcher.table.report(pick.slot)?.target;
+        let target = self.targets.iter().position(|own| own == target)?;
+        let item = *self.items.get(pick.artifact.as_ref()?)?;
+        Some(Pick { target, item })
+    }
+
+    fn ended(&mut self, pick: &Pick, ended: Ended, now: f64) {
+        let Some(slot) = self.slot(pick.target) else {
+            return;
+        };
+        if let (Ended::Answered(first), Some((_, _, usual))) = (ended, &mut self.hedge) {
+            usual.add(first);
+        }
+        let artifact = Some(self.artifacts[pick.item].clone());
+        let pick = dispatcher::Pick { slot, artifact };
+        self.dispatcher.done(&pick, ended, point(now));
+    }
+
+    fn decide(&mut self, history: &History, deadline: f64, now: f64) -> Decision {
+        self.dispatcher
+            .decide(history, true, point(deadline), point(now))
+    }
+
+    fn release(&mut self, item: usize, held: f64, now: f64) -> Turns {
+        let held = Duration::from_secs_f64(held.max(0.0));
+        self.gate.finished(&self.names[item], Some(held));
+        let mut turns = Turns::new();
+        self.wake(item, point(now), &mut turns);
+        turns
+    }
+
+    fn hedge_at(&self, sent: f64, deadline: f64) -> Option<f64> {
+        let (hedge, _, usual) = self.hedge.as_ref()?;
+        let at = budget::hedge_at(point(sent), usual, true, point(deadline))?;
+        let after = at.since(point(sent)).as_secs_f64() * hedge.factor;
+        Some(sent + after)
+    }
+
+    fn take_hedge(&mut self, now: f64) -> bool {
+        let hedge = self.hedge.as_mut();
+        hedge.is_some_and(|(_, budget, _)| budget.take_hedge(true, point(now)))
+    }
+}
+
+/// Returns how far an attempt got that an engine's death ended.
+pub fn cut_off(first: f64, tokens: f64, now: f64) -> Dispatch {
+    match now >= first {
+        true => Dispatch::Streaming {
+            next: tokens.max(0.0) as u64,
+        },
+        false => Dispatch::Sent,
+    }
+}
+
+/// Returns whether an engine takes a request for an artifact or its replacement now.
+pub fn refusal(engine: &Engine, item: usize, new: Option<usize>) -> Option<(Ended, Dispatch)> {
+    if !engine.is_up() {
+        return Some((Ended::Unreachable, Dispatch::NotSent));
+    }
+    let ready = engine.is_ready(item) || new.is_some_and(|new| engine.is_ready(new));
+    (!ready || !engine.has_room()).then_some((Ended::Refused, Dispatch::Refused))
+}
--- a/crates/buckthornmast_replay/src/score.rs
+++ b/crates/buckthornmast_replay/src/score.rs
@@ -1,5 +1,16 @@
 //! What a run is judged by.
 
+/// Counts of one second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Second {
+    /// Requests that arrived, further tries not counted.
+    pub arrived: u32,
+    /// How many of these were answered in time, by one of their tries.
+    pub in_time: u32,
+    /// Answers in time that ended in this second.
+    pub answered: u32,
+}
+
 /// Result of a run.
 #[derive(Debug, Clone, Default)]
 pub struct Score {
@@ -7,8 +18,27 @@
     pub requests: u64,
     /// Requests that were answered in full within their deadline.
     pub in_time: u64,
-    /// Requests that were refused: no copy, or every copy's queue was full.
+    /// Requests that were refused for good: no copy, or every copy's queue was full, or admission
+    /// saw no chance.
     pub refused: u64,
+    /// Requests given up for good after an engine that may have run them was lost.
+    pub lost: u64,
+    /// Tries of clients.
+    pub tries: u64,
+    /// Tries that ended with an error.
+    pub errors: u64,
+    /// Tries whose deadline passed.
+    pub late: u64,
+    /// Dispatches to engines, further attempts and second ones included.
+    pub dispatches: u64,
+    /// Second dispatches beside one whose first token was late.
+    pub hedges: u64,
+    /// Slot-seconds of engines that went into answers in time.
+    pub useful: f64,
+    /// Slot-seconds of engines that went into answers that were late, lost or cancelled.
+    pub wasted: f64,
+    /// Counts for each second.
+    pub seconds: Vec<Second>,
     /// Granted loads, shifts and unloads.
     pub moves: u64,
     /// Granted loads and shifts.
@@ -30,6 +60,28 @@
 }
 
 impl Score {
+    /// Returns the counts of the second of a time.
+    pub(crate) fn second(&mut self, time: f64) -> &mut Second {
+        let at = time.max(0.0) as usize;
+        if self.seconds.len() <= at {
+            self.seconds.resize(at + 1, Second::default());
+        }
+        &mut self.seconds[at]
+    }
+
+    /// Returns the share of slot-seconds that did not end in an answer in time.
+    pub fn wasted_share(&self) -> f64 {
+        self.wasted / (self.useful + self.wasted).max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the share of requests that arrived in a span of seconds and were answered in time.
+    pub fn attained(&self, seconds: std::ops::Range<usize>) -> f64 {
+        let span = self.seconds.get(seconds).unwrap_or_default();
+        let arrived: u32 = span.iter().map(|second| second.arrived).sum();
+        let in_time: u32 = span.iter().map(|second| second.in_time).sum();
+        f64::from(in_time) / f64::from(arrived.max(1))
+    }
+
     /// Returns the share of requests answered in time.
     pub fn attainment(&self) -> f64 {
         self.in_time as f64 / self.requests.max(1) as f64
--- a/crates/buckthornmast_replay/src/trace.rs
+++ b/crates/buckthornmast_replay/src/trace.rs
@@ -2,7 +2,10 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
-use crate::deployment::{Deployment, Spec};
+use crate::{
+    deployment::{Deployment, Spec},
+    engine::PREFILL,
+};
 
 /// Kind of trace.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +71,58 @@
     Speed(f64),
     /// New versions are declared.
     Rollout,
+    /// An engine takes this multiple of its usual time for each step.
+    Slow(usize, f64),
+}
+
+/// Fault that the request path is measured under.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Demand of 3 times the capacity for 30 s, from clients that try up to three times.
+    Overload,
+    /// An engine becomes 10 times slower.
+    Slow,
+    /// An engine dies and comes back empty.
+    Dead,
+    /// Load is reported 2 s late.
+    Lag,
+    /// Prompts take 1 to 5 ms, with a jitter of half of it either way.
+    Jitter,
+    /// The weight store is slow while demand shifts.
+    Store,
+}
+
+/// All scenarios in the order of the table.
+pub const SCENARIOS: [Scenario; 6] = [
+    Scenario::Overload,
+    Scenario::Slow,
+    Scenario::Dead,
+    Scenario::Lag,
+    Scenario::Jitter,
+    Scenario::Store,
+];
+
+/// Second in which the fault of a scenario begins.
+pub const FAULT_AT: f64 = 80.0;
+/// Second in which an overload ends.
+pub const OVERLOAD_END: f64 = 110.0;
+/// Length of a scenario in seconds.
+const SCENARIO_SECONDS: f64 = 200.0;
+/// Capacity is asked for this many times in an overload.
+const OVERLOAD: f64 = 3.0;
+
+impl Scenario {
+    /// Returns the name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Overload => "overload",
+            Self::Slow => "slow",
+            Self::Dead => "dead",
+            Self::Lag => "lag",
+            Self::Jitter => "jitter",
+            Self::Store => "store",
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -94,6 +149,14 @@
     pub late: f64,
     /// Models that get a new version.
     pub rollouts: Vec<usize>,
+    /// Time that a prompt takes in an idle engine in seconds, from and to.
+    pub prompt: (f64, f64),
+    /// Age of what a report says, in seconds.
+    pub lag: f64,
+    /// Tries of a client.
+    pub tries: u32,
+    /// Multiple of all demand, from and to a time in seconds.
+    surge: Option<(f64, f64, f64)>,
     base: Vec<f64>,
     drift: Vec<f64>,
     early: Vec<bool>,
@@ -137,6 +200,10 @@
             lost: 0.0,
             late: 0.0,
             rollouts: Vec::new(),
+            prompt: (PREFILL, PREFILL),
+            lag: 0.0,
+            tries: 1,
+            surge: None,
             drift: drift.collect(),
             early: base.iter().map(|_| random.random_bool(0.5)).collect(),
             bursts: Vec::new(),
@@ -146,6 +213,45 @@
         trace
     }
 
+    /// Generates the trace of a scenario.
+    pub fn scenario(
+        deployment: &Deployment,
+        specs: &[Spec],
+        scenario: Scenario,
+        seed: u64,
+    ) -> Self {
+        if scenario == Scenario::Store {
+            return Self::new(deployment, specs, Kind::Store, seed, 3.0 * SCENARIO_SECONDS);
+        }
+        let mut random = SmallRng::seed_from_u64(seed ^ 0x5ce0);
+        let mut trace = Self::new(deployment, specs, Kind::Morning, seed, SCENARIO_SECONDS);
+        // Demand is what the placement was declared for, so that only the fault tells rules apart.
+        trace.start = 10.0 * 3600.0;
+        trace.drift.fill(1.0);
+        let engine = random.random_range(0..deployment.engines);
+        match scenario {
+            Scenario::Overload => {
+                let factor = OVERLOAD / deployment.utilisation;
+                trace.surge = Some((FAULT_AT, OVERLOAD_END, factor));
+                trace.tries = 3;
+            }
+            Scenario::Slow => trace.faults = vec![(FAULT_AT, Fault::Slow(engine, 10.0))],
+            Scenario::Dead => {
+                trace.faults = vec![
+                    (FAULT_AT, Fault::Die(engine)),
+                    (FAULT_AT + 60.0, Fault::Restart(engine)),
+                ];
+            }
+            Scenario::Lag => trace.lag = 2.0,
+            Scenario::Jitter => {
+                let (shortest, longest) = (0.001, 0.005);
+                trace.prompt = (shortest * 0.5, longest * 1.5);
+            }
+            Scenario::Store => {}
+        }
+        trace
+    }
+
     fn add_kind(
         &mut self,
         deployment: &Deployment,
@@ -242,6 +348,11 @@
     pub fn rate(&self, item: usize, time: f64) -> f64 {
         let hour = (self.start + time) / 3600.0 % 24.0;
         let mut rate = self.base[item] * self.drift[item] * shape(hour, self.early[item]);
+        if let Some((from, to, factor)) = self.surge
+            && (from..to).contains(&time)
+        {
+            rate *= factor;
+        }
         for burst in self.bursts.iter().filter(|burst| burst.item == item) {
             if time >= burst.start && time < burst.end {
                 let part = ((time - burst.start) / burst.rise).min(1.0);
--- a/crates/buckthornmast_replay/src/world.rs
+++ b/crates/buckthornmast_replay/src/world.rs
@@ -7,10 +7,12 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
+    calls::{Call, Dispatched, Event, What},
     controller::{Controller, MAX_REPORT_AGE, Order, Report},
     deployment::{Deployment, Spec, artifact},
-    engine::{Copy, Engine, Request},
-    routing::{Candidate, Rule},
+    engine::{Copy, Engine},
+    path::{Path, Simple},
+    routing::Rule,
     score::Score,
     store::Store,
     trace::{Fault, Trace},
@@ -21,58 +23,32 @@
 /// Steps between reports and between decisions.
 const PERIOD: u64 = 4;
 /// Entry instances; each knows only its own requests and the reports.
-const INSTANCES: usize = 6;
+pub const INSTANCES: usize = 6;
 /// Time until the memory of an unloaded copy is free, in seconds.
 const UNLOAD: f64 = 1.0;
-/// Targets that a request is sent to at most.
-const ATTEMPTS: usize = 2;
-
-/// Completion of a request; ordered by time.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Done {
-    at: f64,
-    engine: usize,
-    incarnation: u64,
-    in_time: bool,
-}
-
-impl Eq for Done {}
-
-impl PartialOrd for Done {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Done {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.at
-            .total_cmp(&other.at)
-            .then(self.engine.cmp(&other.engine))
-    }
-}
-
-struct World<'a, R> {
-    trace: &'a Trace,
-    specs: Vec<Spec>,
-    rule: &'a R,
-    random: SmallRng,
-    engines: Vec<Engine>,
+pub(crate) struct World<'a, P> {
+    pub(crate) trace: &'a Trace,
+    pub(crate) specs: Vec<Spec>,
+    pub(crate) paths: Vec<P>,
+    pub(crate) random: SmallRng,
+    pub(crate) engines: Vec<Engine>,
     domains: usize,
     store: Store,
-    controller: Controller,
-    done: BinaryHeap<Reverse<Done>>,
+    pub(crate) controller: Controller,
+    pub(crate) events: BinaryHeap<Reverse<Event>>,
+    pub(crate) order: u64,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) dispatches: Vec<Dispatched>,
     orders: Vec<(f64, Order)>,
     reports: Vec<(usize, Report)>,
-    sent: Vec<Vec<u32>>,
-    arrived: Vec<(f64, f64)>,
+    pub(crate) arrived: Vec<(f64, f64)>,
     demand: Vec<(f64, f64)>,
     store_rate: f64,
-    score: Score,
+    pub(crate) score: Score,
     occupied: (f64, f64),
 }
 
-/// Plays a trace; `policies` has one entry for each team.
+/// Plays a trace under a simple routing rule; `policies` has one entry for each team.
 pub fn run<R: Rule>(
     deployment: &Deployment,
     specs: &[Spec],
@@ -81,7 +57,21 @@
     rule: &R,
     seed: u64,
 ) -> Score {
-    let mut world = World::new(deployment, specs, trace, policies, rule, seed);
+    let path = |_| Simple::new(rule, true, deployment);
+    play(deployment, specs, trace, policies, path, seed)
+}
+
+/// Plays a trace with one request path for each entry instance.
+pub fn play<P: Path>(
+    deployment: &Deployment,
+    specs: &[Spec],
+    trace: &Trace,
+    policies: &[Named],
+    path: impl FnMut(usize) -> P,
+    seed: u64,
+) -> Score {
+    let paths = (0..INSTANCES).map(path).collect();
+    let mut world = World::new(deployment, specs, trace, policies, paths, seed);
     let steps = (trace.seconds / STEP) as u64;
     let mut faults = trace.faults.iter().peekable();
     for step in 0..steps {
@@ -99,7 +89,7 @@
         }
         match step % PERIOD {
             0 => world.sample(now),
-            1 => world.report(),
+            1 => world.report(now),
             2 => world.decide(now),
             _ => {}
         }
@@ -108,13 +98,13 @@
     world.finish()
 }
 
-impl<'a, R: Rule> World<'a, R> {
+impl<'a, P: Path> World<'a, P> {
     fn new(
         deployment: &Deployment,
         specs: &[Spec],
         trace: &'a Trace,
         policies: &[Named],
-        rule: &'a R,
+        mut paths: Vec<P>,
         seed: u64,
     ) -> Self {
         let mut controller = Controller::new(deployment, policies);
@@ -122,6 +112,9 @@
         let mut engines: Vec<_> = (0..deployment.engines).map(|_| engine()).collect();
         for (item, targets) in deployment.declared(specs).iter().enumerate() {
             controller.declare(&specs[item], targets, trace.day(item));
+            for path in &mut paths {
+                path.declare(&specs[item], None);
+            }
             for target in targets {
                 engines[*target].copies.push(Copy {
                     item,
@@ -132,10 +125,10 @@
                 });
             }
         }
-        Self {
+        let mut world = Self {
             trace,
             specs: specs.to_vec(),
-            rule,
+            paths,
             random: SmallRng::seed_from_u64(seed ^ 0x3017),
             domains: deployment.domains,
             store: Store {
@@ -144,10 +137,12 @@
                 factor: 1.0,
             },
             controller,
-            done: BinaryHeap::new(),
+            events: BinaryHeap::new(),
+            order: 0,
+            calls: Vec::new(),
+            dispatches: Vec::new(),
             orders: Vec::new(),
             reports: Vec::new(),
-            sent: vec![vec![0; engines.len()]; INSTANCES],
             arrived: vec![(0.0, 0.0); specs.len()],
             demand: vec![(0.0, 0.0); specs.len()],
             store_rate: deployment.store_rate,
@@ -157,12 +152,20 @@
             },
             occupied: (0.0, 0.0),
             engines,
+        };
+        for instance in 0..INSTANCES {
+            world.at(0.0, What::Refresh { instance });
         }
+        world
     }
 
     fn fault(&mut self, now: f64, fault: Fault) {
         match fault {
-            Fault::Die(engine) => self.engines[engine].die(now),
+            Fault::Die(engine) => {
+                self.engines[engine].die(now);
+                self.lose(now, engine);
+            }
+            Fault::Slow(engine, factor) => self.engines[engine].factor = factor,
             Fault::Restart(engine) => self.engines[engine].restart(),
             Fault::Cut(domain) | Fault::Heal(domain) => {
                 let cut = matches!(fault, Fault::Cut(_));
@@ -193,6 +196,9 @@
                 };
                 self.controller.declare(&spec, &[], self.trace.day(old));
                 self.controller.replace(old, self.specs.len());
+                for path in &mut self.paths {
+                    path.declare(&spec, Some(old));
+                }
                 self.specs.push(spec);
             }
         }
@@ -268,9 +274,8 @@
             .iter()
             .enumerate()
             .filter(|(_, engine)| engine.is_up());
-        self.reports = up
-            .map(|(at, engine)| (at, Report::sample(engine, now)))
-            .collect();
+        self.reports
+            .extend(up.map(|(at, engine)| (at, Report::sample(engine, now))));
         let full = self
             .engines
             .iter()
@@ -296,12 +301,18 @@
         self.score.unreachable += lost.count() as f64;
     }
 
-    fn report(&mut self) {
-        for (target, report) in std::mem::take(&mut self.reports) {
-            self.controller.observe(target, report);
-            for instance in &mut self.sent {
-                instance[target] = 0;
+    fn report(&mut self, now: f64) {
+        let lag = self.trace.lag;
+        let due = self
+            .reports
+            .extract_if(.., |(_, report)| report.at + lag <= now);
+        for (target, mut report) in due.collect::<Vec<_>>() {
+            // The content lags; the report itself is as fresh as ever.
+            report.at += lag;
+            for path in &mut self.paths {
+                path.observe(target, &report, now);
             }
+            self.controller.observe(target, report);
         }
     }
 
@@ -343,119 +354,28 @@
         }
         arrivals.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (at, item) in arrivals {
-            self.complete(at);
+            self.advance(at);
             self.arrive(at, item);
         }
-        self.complete(now + STEP);
-    }
-
-    fn complete(&mut self, until: f64) {
-        while self.done.peek().is_some_and(|next| next.0.at <= until) {
-            let Some(Reverse(done)) = self.done.pop() else {
-                return;
-            };
-            let engine = &mut self.engines[done.engine];
-            if !engine.alive || engine.incarnation != done.incarnation {
-                continue;
-            }
-            engine.running -= 1;
-            self.score.in_time += u64::from(done.in_time && !engine.cut);
-            while let Some(request) = engine.waiting.pop_front() {
-                if request.deadline > done.at {
-                    self.start(done.at, done.engine, request);
-                    break;
-                }
-            }
-        }
+        self.advance(now + STEP);
     }
 
-    fn start(&mut self, now: f64, target: usize, request: Request) {
-        let engine = &mut self.engines[target];
-        let started = engine.start(now, request);
-        if started.first < request.deadline {
-            self.score
-                .first_tokens
-                .push((started.first - request.at) as f32);
-        }
-        self.done.push(Reverse(Done {
-            at: started.end,
-            engine: target,
-            incarnation: engine.incarnation,
-            in_time: started.in_time,
-        }));
-    }
-
-    fn arrive(&mut self, now: f64, item: usize) {
-        let spec = &self.specs[item];
-        let spread = self.random.random_range(0.5..1.5);
-        let request = Request {
-            at: now,
-            deadline: now + spec.deadline.as_secs_f64(),
-            tokens: spec.tokens * spread,
+    /// Returns the newest version of an artifact that a target has ready.
+    pub(crate) fn newest(&self, now: f64, item: usize) -> usize {
+        let Some(new) = self.controller.replacement(item) else {
+            return item;
         };
-        let instance = self.random.random_range(0..INSTANCES);
-        let (mut candidates, newest) = self.candidates(now, item, instance);
-        self.score.requests += 1;
-        self.arrived[newest].0 += 1.0;
-        self.arrived[newest].1 += request.tokens;
-        for _ in 0..ATTEMPTS {
-            if candidates.is_empty() {
-                break;
-            }
-            let chosen = self.rule.choose(&candidates, &mut self.random);
-            let Candidate { target, .. } = candidates.swap_remove(chosen);
-            let engine = &mut self.engines[target];
-            let ready = |item: usize| engine.is_ready(item);
-            let new = self.controller.replacement(item);
-            if !engine.is_up() || !(ready(item) || new.is_some_and(ready)) || !engine.has_room() {
-                continue;
-            }
-            self.sent[instance][target] += 1;
-            if engine.running < engine.slots {
-                self.start(now, target, request);
-            } else {
-                engine.waiting.push_back(request);
-            }
-            return;
-        }
-        self.score.refused += 1;
-    }
-
-    /// Returns the targets of an artifact and of its replacement, and the newest version that has one.
-    fn candidates(&self, now: f64, item: usize, instance: usize) -> (Vec<Candidate>, usize) {
-        let new = self.controller.replacement(item);
-        let mut newest = item;
-        let mut candidates = Vec::new();
-        for target in 0..self.engines.len() {
-            let Some(report) = self.controller.fresh(target, now) else {
-                continue;
-            };
-            let ready = report
-                .copies
-                .iter()
-                .filter(|copy| copy.phase == Phase::Ready);
-            let mut any = false;
-            for copy in ready {
-                any |= copy.item == item || Some(copy.item) == new;
-                if Some(copy.item) == new {
-                    newest = copy.item;
-                }
-            }
-            if any {
-                candidates.push(Candidate {
-                    target,
-                    reported: report.load.running + report.load.waiting,
-                    sent: self.sent[instance][target],
-                    slots: report.load.slots,
-                });
-            }
+        let has = |copy: &Copy| copy.item == new && copy.phase == Phase::Ready;
+        let mut fresh = (0..self.engines.len()).filter_map(|own| self.controller.fresh(own, now));
+        match fresh.any(|report| report.copies.iter().any(has)) {
+            true => new,
+            false => item,
         }
-        (candidates, newest)
     }
 
     fn finish(mut self) -> Score {
         // Requests that are still running count as they will end.
-        self.complete(f64::INFINITY);
+        self.advance(f64::INFINITY);
         self.score.occupied = self.occupied.0 / f64::max(self.occupied.1, 1.0);
         (self.score.moves, self.score.loads) = self.controller.granted;
         let copies = self.engines.iter().flat_map(|engine| &engine.copies);
