--- a/crates/buckthornmast_replay/src/path.rs
+++ b/crates/buckthornmast_replay/src/path.rs
@@ -224,6 +224,8 @@
     sequences: Vec<u64>,
     rounds: u64,
     hedge: Option<(Hedge, budget::Retry, Estimate)>,
+    /// Whether the latency of answers that their deadline cut off is noted.
+    pub late: bool,
 }
 
 fn point(time: f64) -> Point {
@@ -263,6 +265,7 @@
             sequences: vec![0; deployment.engines],
             rounds: 0,
             hedge,
+            late: true,
         }
     }
 
@@ -385,6 +388,10 @@
         let Some(slot) = self.slot(pick.target) else {
             return;
         };
+        let ended = match ended {
+            Ended::Late(_) if !self.late => Ended::Abandoned,
+            ended => ended,
+        };
         if let (Ended::Answered(first), Some((_, _, usual))) = (ended, &mut self.hedge) {
             usual.add(first);
         }
