--- a/crates/buckthornmast_replay/src/calls.rs
+++ b/crates/buckthornmast_replay/src/calls.rs
@@ -412,10 +412,9 @@
         self.calls[call].active.retain(|own| *own != dispatch);
         let instance = self.calls[call].instance;
         // An answer that the deadline cuts off has told its first token all the same.
-        let latency = std::time::Duration::from_secs_f64(first.min(now) - sent);
         let ended = match in_time {
-            true => Ended::Answered(latency),
-            false => Ended::Late(latency),
+            true => Ended::Answered(std::time::Duration::from_secs_f64(first - sent)),
+            false => Ended::Abandoned,
         };
         self.paths[instance].ended(&pick, ended, now);
         if in_time {
@@ -462,10 +461,9 @@
         for dispatch in std::mem::take(&mut self.calls[call].active) {
             let own = &mut self.dispatches[dispatch];
             own.over = true;
-            let (pick, sent) = (own.pick.clone(), own.sent);
+            let pick = own.pick.clone();
             let instance = self.calls[call].instance;
-            let waited = std::time::Duration::from_secs_f64(now - sent);
-            self.paths[instance].ended(&pick, Ended::Late(waited), now);
+            self.paths[instance].ended(&pick, Ended::Abandoned, now);
         }
         self.release(now, call);
         self.late(now, call);
--- a/crates/buckthornmast_replay/src/path.rs
+++ b/crates/buckthornmast_replay/src/path.rs
@@ -224,8 +224,6 @@
     sequences: Vec<u64>,
     rounds: u64,
     hedge: Option<(Hedge, budget::Retry, Estimate)>,
-    /// Whether the latency of answers that their deadline cut off is noted.
-    pub late: bool,
 }
 
 fn point(time: f64) -> Point {
@@ -265,7 +263,6 @@
             sequences: vec![0; deployment.engines],
             rounds: 0,
             hedge,
-            late: true,
         }
     }
 
@@ -388,10 +385,6 @@
         let Some(slot) = self.slot(pick.target) else {
             return;
         };
-        let ended = match ended {
-            Ended::Late(_) if !self.late => Ended::Abandoned,
-            ended => ended,
-        };
         if let (Ended::Answered(first), Some((_, _, usual))) = (ended, &mut self.hedge) {
             usual.add(first);
         }
--- a/crates/buckthornmast_routing/src/outlier.rs
+++ b/crates/buckthornmast_routing/src/outlier.rs
@@ -91,11 +91,6 @@
         }
     }
 
-    /// Notes the latency of an answer that its deadline cut off, which is no success.
-    pub fn late(&mut self, latency: Duration) {
-        self.latency.add(latency);
-    }
-
     /// Notes an error and returns whether the target should be ejected.
     pub fn failed(&mut self, config: &Config) -> bool {
         self.errors = self.errors.saturating_add(1);
--- a/crates/buckthornmast_routing/src/table.rs
+++ b/crates/buckthornmast_routing/src/table.rs
@@ -79,8 +79,6 @@
 pub enum Outcome {
     /// It was answered; the latency compares between targets.
     Answered(Duration),
-    /// Its deadline cut it off; the latency up to its first token, or up to then, compares all the same.
-    Late(Duration),
     /// It failed at the target.
     Failed,
     /// The target could not be connected to.
@@ -374,7 +372,7 @@
                 (Outcome::Answered(_), Some(_)) => {
                     entry.breakers.remove(artifact);
                 }
-                (Outcome::Abandoned | Outcome::Late(_), Some(breaker)) => breaker.abandoned(),
+                (Outcome::Abandoned, Some(breaker)) => breaker.abandoned(),
                 (Outcome::Failed | Outcome::Unreachable, _) => {
                     let breaker = entry.breakers.entry(artifact.clone()).or_default();
                     breaker.failed(&config.breaker, now);
@@ -387,10 +385,6 @@
                 entry.health.succeeded(latency, &config.outlier, now);
                 false
             }
-            Outcome::Late(latency) => {
-                entry.health.late(latency);
-                false
-            }
             Outcome::Failed => entry.health.failed(&config.outlier),
             // A refused connection means a dead process, which its last report can't say.
             Outcome::Unreachable => true,
