--- a/crates/buckthornmast_replay/examples/rules.rs
+++ b/crates/buckthornmast_replay/examples/rules.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p buckthornmast_replay --example rules -- [SCENARIO or all] [RULE or all] [SEEDS] [FIRST]`
 
-use std::{io::Write, process::ExitCode, thread};
+use std::{io::Write, ops::Range, process::ExitCode, thread};
 
 use buckthornmast_placement::{declared::Declared, marginal::Marginal, named::Named};
 use buckthornmast_replay::{
@@ -91,11 +91,11 @@
 
 /// Returns the seconds after the end of the overload from which the share of requests answered in time
 /// is back, or the rest of the run if it never is.
-fn back(score: &Score) -> f64 {
-    let usual = score.attained(WARM..FAULT_AT as usize);
+fn back(attained: impl Fn(Range<usize>) -> f64, score: &Score) -> f64 {
+    let usual = attained(WARM..FAULT_AT as usize);
     let end = OVERLOAD_END as usize;
     let last = score.seconds.len().saturating_sub(SPAN);
-    let back = (end..last).find(|at| score.attained(*at..at + SPAN) >= BACK * usual);
+    let back = (end..last).find(|at| attained(*at..at + SPAN) >= BACK * usual);
     (back.unwrap_or(last) - end) as f64
 }
 
@@ -126,8 +126,12 @@
         of(&|score| share(score.hedges, score)),
         of(&Score::p95_first_token),
         match scenario {
-            Scenario::Overload => of(&back),
-            _ => String::new(),
+            Scenario::Overload | Scenario::Classes => [
+                of(&|score| back(|span| score.attained(span), score)),
+                of(&|score| back(|span| score.attained_urgent(span), score)),
+            ]
+            .join(" | "),
+            _ => " | ".to_owned(),
         },
     ];
     let (name, scenario) = (deployment.name, scenario.name());
@@ -145,8 +149,8 @@
     };
     let (seeds, first) = (number(2, 8), number(3, 1));
     let mut out = std::io::stdout().lock();
-    let head = "| deployment | scenario | rules | in time % | in time % in the 60 s from the fault | refused % | errors per 100 requests | wasted slot time % | dispatches per 100 requests | second dispatches per 100 requests | p95 first token s | goodput back s |";
-    let line = format!("|{}", " --- |".repeat(12));
+    let head = "| deployment | scenario | rules | in time % | in time % in the 60 s from the fault | refused % | errors per 100 requests | wasted slot time % | dispatches per 100 requests | second dispatches per 100 requests | p95 first token s | goodput back s | goodput of requests with 8 s back s |";
+    let line = format!("|{}", " --- |".repeat(13));
     if writeln!(out, "{head}\n{line}").is_err() {
         return ExitCode::FAILURE;
     }
--- a/crates/buckthornmast_replay/src/calls.rs
+++ b/crates/buckthornmast_replay/src/calls.rs
@@ -20,6 +20,8 @@
 const COME_BACK: f64 = 1.0;
 /// Longest pause in seconds before a client whose answer was late tries again.
 const PAUSE: f64 = 0.1;
+/// Deadline from which nobody waits for an answer.
+const LONG: std::time::Duration = std::time::Duration::from_secs(30);
 
 /// Call of a client; each try is one.
 #[derive(Debug, Clone)]
@@ -148,10 +150,14 @@
             deadline: now + spec.deadline.as_secs_f64(),
             tokens: spec.tokens * spread,
             dispatch: 0,
+            urgent: !self.trace.classes || spec.deadline < LONG,
         };
+        let urgent = u32::from(spec.deadline < LONG);
         let instance = self.random.random_range(0..INSTANCES);
         self.score.requests += 1;
-        self.score.second(now).arrived += 1;
+        let second = self.score.second(now);
+        second.arrived += 1;
+        second.urgent += urgent;
         self.offer(
             now,
             Call {
@@ -195,9 +201,10 @@
         self.arrived[newest].1 += call.request.tokens;
         self.score.tries += 1;
         let id = self.calls.len();
-        let (instance, item, deadline) = (call.instance, call.item, call.request.deadline);
+        let (instance, item, request) = (call.instance, call.item, call.request);
+        let deadline = request.deadline;
         self.calls.push(call);
-        match self.paths[instance].offer(id, item, deadline, now) {
+        match self.paths[instance].offer(id, item, &request, now) {
             Verdict::Run => {
                 self.at(deadline, What::Deadline { call: id });
                 self.turn(now, id, true);
@@ -389,7 +396,7 @@
     fn free(&mut self, now: f64, target: usize) {
         let engine = &mut self.engines[target];
         engine.running -= 1;
-        while let Some(request) = self.engines[target].waiting.pop_front() {
+        while let Some(request) = self.engines[target].next() {
             if request.deadline > now {
                 self.start(now, target, request);
                 break;
@@ -421,8 +428,11 @@
             self.score.useful += now - since;
             if !std::mem::replace(&mut self.calls[call].over, true) {
                 self.score.in_time += 1;
-                let born = self.calls[call].born;
-                self.score.second(born).in_time += 1;
+                let Call { born, item, .. } = self.calls[call];
+                let urgent = u32::from(self.specs[item].deadline < LONG);
+                let second = self.score.second(born);
+                second.in_time += 1;
+                second.urgent_in_time += urgent;
                 self.score.second(now).answered += 1;
             }
         } else {
--- a/crates/buckthornmast_replay/src/engine.rs
+++ b/crates/buckthornmast_replay/src/engine.rs
@@ -36,6 +36,8 @@
     pub tokens: f64,
     /// Dispatch that brought it.
     pub dispatch: usize,
+    /// Whether it goes before the ones that are not.
+    pub urgent: bool,
 }
 
 /// Request that has been started.
@@ -158,6 +160,12 @@
         self.running < self.slots || self.waiting.len() < self.slots as usize * QUEUE
     }
 
+    /// Takes the next waiting request: the first urgent one, or the first of all.
+    pub fn next(&mut self) -> Option<Request> {
+        let urgent = self.waiting.iter().position(|request| request.urgent);
+        self.waiting.remove(urgent.unwrap_or(0))
+    }
+
     /// Starts a request now whose prompt takes this many seconds in an idle engine.
     pub fn start(&mut self, now: f64, request: Request, prompt: f64) -> Started {
         self.running += 1;
--- a/crates/buckthornmast_replay/src/path.rs
+++ b/crates/buckthornmast_replay/src/path.rs
@@ -22,7 +22,7 @@
 use crate::{
     controller::{MAX_REPORT_AGE, Report},
     deployment::{Deployment, Spec, label},
-    engine::Engine,
+    engine::{Engine, Request},
     routing::{Candidate, Rule},
 };
 
@@ -57,7 +57,7 @@
     fn refresh(&mut self, now: f64) -> Turns;
 
     /// Offers a call for admission.
-    fn offer(&mut self, call: usize, item: usize, deadline: f64, now: f64) -> Verdict;
+    fn offer(&mut self, call: usize, item: usize, request: &Request, now: f64) -> Verdict;
 
     /// Notes that a call was admitted.
     fn admitted(&mut self);
@@ -150,7 +150,7 @@
         Turns::new()
     }
 
-    fn offer(&mut self, _call: usize, _item: usize, _deadline: f64, _now: f64) -> Verdict {
+    fn offer(&mut self, _call: usize, _item: usize, _request: &Request, _now: f64) -> Verdict {
         Verdict::Run
     }
 
@@ -337,7 +337,7 @@
         turns
     }
 
-    fn offer(&mut self, call: usize, item: usize, deadline: f64, now: f64) -> Verdict {
+    fn offer(&mut self, call: usize, item: usize, request: &Request, now: f64) -> Verdict {
         let Some(name) = self.names.get(item) else {
             return Verdict::Refused {
                 reason: Refusal::Capacity,
@@ -347,8 +347,11 @@
         let ask = Ask {
             key: call,
             team: self.teams[self.team_of[item]].clone(),
-            priority: Priority::Interactive,
-            deadline: point(deadline),
+            priority: match request.urgent {
+                true => Priority::Interactive,
+                false => Priority::Batch,
+            },
+            deadline: point(request.deadline),
         };
         self.gate.offer(name, ask, point(now))
     }
--- a/crates/buckthornmast_replay/src/score.rs
+++ b/crates/buckthornmast_replay/src/score.rs
@@ -7,6 +7,10 @@
     pub arrived: u32,
     /// How many of these were answered in time, by one of their tries.
     pub in_time: u32,
+    /// Requests that arrived and that somebody waits for.
+    pub urgent: u32,
+    /// Urgent requests that were answered in time.
+    pub urgent_in_time: u32,
     /// Answers in time that ended in this second.
     pub answered: u32,
 }
@@ -74,6 +78,14 @@
         self.wasted / (self.useful + self.wasted).max(f64::MIN_POSITIVE)
     }
 
+    /// Returns the share of urgent requests that arrived in a span of seconds and were answered in time.
+    pub fn attained_urgent(&self, seconds: std::ops::Range<usize>) -> f64 {
+        let span = self.seconds.get(seconds).unwrap_or_default();
+        let arrived: u32 = span.iter().map(|second| second.urgent).sum();
+        let in_time: u32 = span.iter().map(|second| second.urgent_in_time).sum();
+        f64::from(in_time) / f64::from(arrived.max(1))
+    }
+
     /// Returns the share of requests that arrived in a span of seconds and were answered in time.
     pub fn attained(&self, seconds: std::ops::Range<usize>) -> f64 {
         let span = self.seconds.get(seconds).unwrap_or_default();
--- a/crates/buckthornmast_replay/src/trace.rs
+++ b/crates/buckthornmast_replay/src/trace.rs
@@ -80,6 +80,8 @@
 pub enum Scenario {
     /// Demand of 3 times the capacity for 30 s, from clients that try up to three times.
     Overload,
+    /// The same, with long answers in the class of batch work, which engines serve last.
+    Classes,
     /// An engine becomes 10 times slower.
     Slow,
     /// An engine dies and comes back empty.
@@ -93,8 +95,9 @@
 }
 
 /// All scenarios in the order of the table.
-pub const SCENARIOS: [Scenario; 6] = [
+pub const SCENARIOS: [Scenario; 7] = [
     Scenario::Overload,
+    Scenario::Classes,
     Scenario::Slow,
     Scenario::Dead,
     Scenario::Lag,
@@ -116,6 +119,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Overload => "overload",
+            Self::Classes => "classes",
             Self::Slow => "slow",
             Self::Dead => "dead",
             Self::Lag => "lag",
@@ -155,6 +159,8 @@
     pub lag: f64,
     /// Tries of a client.
     pub tries: u32,
+    /// Whether long answers are in a class of their own, behind the others.
+    pub classes: bool,
     /// Multiple of all demand, from and to a time in seconds.
     surge: Option<(f64, f64, f64)>,
     base: Vec<f64>,
@@ -203,6 +209,7 @@
             prompt: (PREFILL, PREFILL),
             lag: 0.0,
             tries: 1,
+            classes: false,
             surge: None,
             drift: drift.collect(),
             early: base.iter().map(|_| random.random_bool(0.5)).collect(),
@@ -230,7 +237,8 @@
         trace.drift.fill(1.0);
         let engine = random.random_range(0..deployment.engines);
         match scenario {
-            Scenario::Overload => {
+            Scenario::Overload | Scenario::Classes => {
+                trace.classes = scenario == Scenario::Classes;
                 let factor = OVERLOAD / deployment.utilisation;
                 trace.surge = Some((FAULT_AT, OVERLOAD_END, factor));
                 trace.tries = 3;
