--- a/crates/buckthornmast_replay/examples/rules.rs
+++ b/crates/buckthornmast_replay/examples/rules.rs
@@ -16,15 +16,11 @@
 use buckthornmast_routing::{budget, dispatcher};
 
 /// Rules in the order of the table.
-const RULES: [&str; 14] = [
+const RULES: [&str; 10] = [
     "random",
     "least-loaded",
     "power-of-two",
     "daemon",
-    "room-per-model",
-    "share-0",
-    "share-8",
-    "share-8-no-adaptive",
     "no-adaptive-limit",
     "no-retry-budget",
     "hedge-2",
@@ -71,39 +67,13 @@
             },
             None,
         ),
-        "share-0" => (
-            dispatcher::Config {
-                beyond: Some(0.03),
-                ..usual
-            },
-            None,
-        ),
-        "share-8" => (
-            dispatcher::Config {
-                beyond: Some(0.125),
-                ..usual
-            },
-            None,
-        ),
-        "share-8-no-adaptive" => (
-            dispatcher::Config {
-                beyond: Some(0.125),
-                adapt: false,
-                ..usual
-            },
-            None,
-        ),
         "hedge-2" => (usual, hedge(0.02, 1.0)),
         "hedge-5" => (usual, hedge(0.05, 1.0)),
         "hedge-10" => (usual, hedge(0.1, 1.0)),
         "hedge-5-late" => (usual, hedge(0.05, 2.0)),
         _ => (usual, None),
     };
-    let path = |instance| {
-        let mut path = Daemon::new(config, hedge, deployment, instance);
-        path.room = rule != "room-per-model";
-        path
-    };
+    let path = |instance| Daemon::new(config, hedge, deployment, instance);
     world::play(deployment, &specs, &trace, &[policy; 2], path, seed)
 }
 
--- a/crates/buckthornmast_replay/src/path.rs
+++ b/crates/buckthornmast_replay/src/path.rs
@@ -224,8 +224,6 @@
     sequences: Vec<u64>,
     rounds: u64,
     hedge: Option<(Hedge, budget::Retry, Estimate)>,
-    /// Whether capacities are what is left at the targets.
-    pub room: bool,
 }
 
 fn point(time: f64) -> Point {
@@ -265,7 +263,6 @@
             sequences: vec![0; deployment.engines],
             rounds: 0,
             hedge,
-            room: true,
         }
     }
 
@@ -331,13 +328,8 @@
         let mut turns = Turns::new();
         for item in 0..self.names.len() {
             let artifact = &self.artifacts[self.wanted[item]];
-            if self.room {
-                let room = self.dispatcher.room(artifact, now);
-                self.gate.set_room(&self.names[item], room);
-            } else {
-                let capacity = self.dispatcher.capacity(artifact, now);
-                self.gate.set_capacity(&self.names[item], capacity);
-            }
+            let capacity = self.dispatcher.capacity(artifact, now);
+            self.gate.set_capacity(&self.names[item], capacity);
             self.wake(item, now, &mut turns);
         }
         let expired = self.gate.expire(now);
--- a/crates/buckthornmast_routing/src/admission.rs
+++ b/crates/buckthornmast_routing/src/admission.rs
@@ -228,14 +228,6 @@
         self.models.insert(model.clone(), new);
     }
 
-    /// Sets how many more requests of a model may be dispatched now, or that it has no target.
-    pub fn set_room(&mut self, model: &id::Model, room: Option<u32>) {
-        let running = self.models.get(model).map_or(0, |model| model.running);
-        // One at least, or a model whose targets are taken by others would not even wait for its turn.
-        let capacity = room.map_or(0, |room| running.saturating_add(room).max(1));
-        self.set_capacity(model, capacity);
-    }
-
     /// Asks for admission.
     pub fn offer(&mut self, model: &id::Model, ask: Ask<K>, now: Point) -> Verdict {
         let (queue, come_back) = (self.config.queue, self.config.come_back);
--- a/crates/buckthornmast_routing/src/dispatcher.rs
+++ b/crates/buckthornmast_routing/src/dispatcher.rs
@@ -13,7 +13,7 @@
     choice::{Affinity, Choice, PowerOfTwo, Prefix},
     estimate::Estimate,
     limit::{self, Adaptive},
-    table::{self, Candidate, Candidates, Need, Outcome, Slot, Table},
+    table::{self, Candidates, Need, Outcome, Slot, Table},
 };
 
 /// Bounds of the decisions.
@@ -27,9 +27,6 @@
     pub limit: limit::Config,
     /// Whether limits follow the latency. Off, they stay at their start, which shows what they bring.
     pub adapt: bool,
-    /// Requests beyond this instance's share of a full target that may be in progress there, as a
-    /// share of the slots; `None` leaves the limit to the latency alone.
-    pub beyond: Option<f64>,
     /// Choice of a target.
     pub choice: PowerOfTwo,
     /// Dispatches of one request at the most.
@@ -45,7 +42,6 @@
             budget: budget::Config::default(),
             limit: limit::Config::default(),
             adapt: true,
-            beyond: None,
             choice: PowerOfTwo::default(),
             most: 4,
             assumed: Duration::from_millis(200),
@@ -98,25 +94,6 @@
     slots.max(2).saturating_mul(3) / 2
 }
 
-/// Returns what a report leaves to an instance that had some requests there: the free slots, or its part
-/// of a full target, and a little more, so that a slot that gets free is taken before the next report.
-fn share(load: &report::Load, own: u32, beyond: f64) -> u32 {
-    let busy = load.running.saturating_add(load.waiting);
-    let part = if busy < load.slots {
-        own + load.slots - busy
-    } else {
-        let part = u64::from(own) * u64::from(load.slots) / u64::from(busy.max(1));
-        u32::try_from(part).unwrap_or(u32::MAX)
-    };
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a part of a u32"
-    )]
-    let more = (f64::from(load.slots) * beyond).ceil() as u32;
-    part.saturating_add(more)
-}
-
 /// Requests of this instance that are certain to have room at a target where nothing waits: those that it
 /// had there, and the free slots.
 fn floor(load: &report::Load, own: u32) -> u32 {
@@ -183,15 +160,8 @@
         let Some(report) = self.table.report(slot) else {
             return 0;
         };
-        let load = report.load;
         let limit = self.limits.get(&report.target);
-        let limit = limit.map_or_else(|| start_limit(load.slots), Adaptive::get);
-        match self.config.beyond {
-            Some(beyond) if load.slots > 0 => {
-                limit.min(share(&load, self.table.own_at_report(slot), beyond))
-            }
-            _ => limit,
-        }
+        limit.map_or_else(|| start_limit(report.load.slots), Adaptive::get)
     }
 
     /// Returns how many requests for an artifact this instance may have in progress.
@@ -200,15 +170,6 @@
         candidates.iter().map(|own| self.limit(own.slot)).sum()
     }
 
-    /// Returns how many more requests for an artifact may be sent now, or `None` without a target.
-    ///
-    /// Artifacts share their targets, so what is in progress for the others takes from the limits too.
-    pub fn room(&self, wanted: &Artifact, now: Point) -> Option<u32> {
-        let (_, candidates) = self.find(wanted, false, &[], now);
-        let free = |own: &Candidate| self.limit(own.slot).saturating_sub(own.own);
-        (!candidates.is_empty()).then(|| candidates.iter().map(free).sum())
-    }
-
     /// Returns the artifact to use and the targets that have it ready, base model included.
     fn find(
         &self,
