--- a/crates/buckthornmast_replay/src/calls.rs
+++ b/crates/buckthornmast_replay/src/calls.rs
@@ -396,7 +396,7 @@
     fn free(&mut self, now: f64, target: usize) {
         let engine = &mut self.engines[target];
         engine.running -= 1;
-        while let Some(request) = self.engines[target].next() {
+        while let Some(request) = self.engines[target].take_waiting() {
             if request.deadline > now {
                 self.start(now, target, request);
                 break;
--- a/crates/buckthornmast_replay/src/engine.rs
+++ b/crates/buckthornmast_replay/src/engine.rs
@@ -161,7 +161,7 @@
     }
 
     /// Takes the next waiting request: the first urgent one, or the first of all.
-    pub fn next(&mut self) -> Option<Request> {
+    pub fn take_waiting(&mut self) -> Option<Request> {
         let urgent = self.waiting.iter().position(|request| request.urgent);
         self.waiting.remove(urgent.unwrap_or(0))
     }
