--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -9,18 +9,13 @@
 
 use buckthornmast_gateway::router::{self, Ask, Need, Pick, Refused, Report, Retry, Tried};
 use buckthornmast_routing::{
-    affinity::{Affinity, prefix_of},
-    attempt::{self, Decision, Known},
-    budget,
-    choice::{Choice, PowerOfTwo},
-    estimate::Estimate,
-    limit::{self, Adaptive},
-    table::{self, Candidates, Outcome, Slot, Table},
+    attempt::Decision,
+    dispatcher::{self, Dispatcher, Ended, Wanted},
+    table::{self, Slot},
 };
 use buckthornmast_target::{engine::Endpoint, error::Cause};
 use buckthornmast_types::{
     id,
-    report::{Copy, Phase},
     time::{Clock, Point, System},
 };
 use flume::{Receiver, RecvError, Selector, Sender, select::SelectError};
@@ -29,7 +24,7 @@
 use smallvec::SmallVec;
 
 use crate::{
-    admit::{Admission, Permit},
+    admit::{Admission, Permit, Room},
     cache::Arrived,
     current::{Current, Snapshot},
     demand::Demand,
@@ -37,8 +32,6 @@
     witness::Witness,
 };
 
-mod find;
-
 /// Time between two updates of capacities.
 const PERIOD: Duration = Duration::from_millis(200);
 
@@ -51,32 +44,21 @@
 /// Age of a report beyond which a target costs no time per choice.
 const PRUNE_AFTER: Duration = Duration::from_secs(60);
 
-/// Dispatches of one request at the most.
-const MAX_DISPATCHES: u32 = 4;
-
-/// Assumed time of a dispatch before the first sample.
-const ASSUMED: Duration = Duration::from_millis(200);
-
 /// Reports that wait to be taken into the table.
 const MAX_REPORTS: usize = 4096;
 
 struct State {
-    table: Table,
+    dispatcher: Dispatcher,
     /// Revision of the settings that the drains of the table come from.
     drains_of: id::Revision,
     /// When these settings were last known to be the newest.
     newest: Option<Point>,
-    affinity: Affinity,
-    limits: BTreeMap<id::Target, Adaptive>,
-    budget: budget::Retry,
-    first: Estimate,
     rng: SmallRng,
 }
 
 /// Router.
 pub struct Router {
     state: Mutex<State>,
-    choice: PowerOfTwo,
     admission: Admission,
     targets: Targets,
     current: Current,
@@ -127,7 +109,8 @@
             return;
         }
         let drained = snapshot.declarations.platform.drained.iter().cloned();
-        self.table.set_drains(drained.collect(), self.newest);
+        let newest = self.newest;
+        self.dispatcher.table.set_drains(drained.collect(), newest);
         self.drains_of = snapshot.revision;
     }
 }
@@ -144,18 +127,13 @@
         clock: System,
     ) -> Self {
         let state = State {
-            table: Table::new(table::Config::default(), domain),
+            dispatcher: Dispatcher::new(dispatcher::Config::default(), domain, clock.now()),
             drains_of: id::Revision(0),
             newest: None,
-            affinity: Affinity::default(),
-            limits: BTreeMap::new(),
-            budget: budget::Retry::new(budget::Config::default(), clock.now()),
-            first: Estimate::new(ASSUMED),
             rng: SmallRng::from_os_rng(),
         };
         Self {
             state: Mutex::new(state),
-            choice: PowerOfTwo::default(),
             admission: Admission::new(clock),
             targets,
             current,
@@ -208,34 +186,19 @@
     fn observe(&self, seen: &Seen) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        let before = state.table.slot(&seen.report.target);
-        let old = before.and_then(|slot| state.table.report(slot));
-        let incarnation = old.map(|old| old.incarnation);
-        let was_loading = |copy: &&Copy| {
-            let old = old.and_then(|old| old.copy(&copy.artifact));
-            copy.phase == Phase::Ready && old.is_some_and(|old| old.phase == Phase::Loading)
-        };
-        let is_any_ready = seen.report.copies.iter().any(|copy| was_loading(&copy));
-        state
-            .table
-            .observe(seen.report.as_ref().clone(), now.since(seen.sent), now);
-        if let Some(slot) = state.table.slot(&seen.report.target) {
-            state.affinity.start(slot, seen.report.incarnation);
-        }
-        if incarnation.is_some_and(|old| old != seen.report.incarnation) {
-            // A restarted engine has another speed.
-            state.limits.remove(&seen.report.target);
-        }
-        is_any_ready
+        let report = seen.report.as_ref().clone();
+        let age = now.since(seen.sent);
+        state.dispatcher.observe(report, age, now).has_new_copy
     }
 
     fn take_events(&self, arrived: &Arrived) {
         let batch = &arrived.batch;
         let mut state = self.lock();
+        let dispatcher = &mut state.dispatcher;
         // Events of a target without a report are a gap in the numbers for later.
-        if let Some(slot) = state.table.slot(&batch.target) {
+        if let Some(slot) = dispatcher.table.slot(&batch.target) {
             for event in &batch.events {
-                let affinity = &mut state.affinity;
+                let affinity = &mut dispatcher.affinity;
                 if affinity.apply(slot, batch.incarnation, event, arrived.at) {
                     counter!("buckthornmast_cache_events_total").increment(1);
                 }
@@ -253,10 +216,10 @@
             state.newest = state.newest.max(Some(newest));
         }
         if look_for_slow {
-            state.table.eject_slow(now);
-            state.table.prune(PRUNE_AFTER, now);
+            state.dispatcher.table.eject_slow(now);
+            state.dispatcher.table.prune(PRUNE_AFTER, now);
         }
-        let rooms = find::rooms(&state, &snapshot, now);
+        let rooms = rooms(&state.dispatcher, &snapshot, now);
         drop(state);
         let teams = snapshot.declarations.platform.teams.iter();
         let weights = teams.map(|(team, member)| (team.clone(), member.share.unwrap_or(1.0)));
@@ -277,19 +240,31 @@
     }
 }
 
-impl State {
-    fn limit(&self, slot: Slot) -> u32 {
-        let Some(report) = self.table.report(slot) else {
-            return 0;
+/// Returns the room for requests of each model and service.
+fn rooms(dispatcher: &Dispatcher, snapshot: &Snapshot, now: Point) -> BTreeMap<id::Model, Room> {
+    let mut rooms = BTreeMap::new();
+    for (name, model) in &snapshot.catalog.models {
+        let capacity = dispatcher.capacity(&model.artifact, now);
+        let coming = match capacity {
+            0 => dispatcher.coming(&model.artifact, now),
+            _ => None,
         };
-        let limit = self.limits.get(&report.target);
-        limit.map_or_else(|| start_limit(report.load.slots), Adaptive::get)
+        let room = Room { capacity, coming };
+        rooms.extend(name.parse().ok().map(|name| (name, room)));
     }
-}
-
-/// Limit of a target before the first sample: its slots, half of them over again for the queue.
-fn start_limit(slots: u32) -> u32 {
-    slots.max(2).saturating_mul(3) / 2
+    for (name, plain) in &snapshot.catalog.services {
+        let need = table::Need::Service(&plain.service);
+        let count = dispatcher.table.candidates(need, &[], now).len();
+        let capacity = u32::try_from(count)
+            .unwrap_or(u32::MAX)
+            .saturating_mul(plain.concurrency);
+        let room = Room {
+            capacity,
+            coming: None,
+        };
+        rooms.extend(name.parse().ok().map(|name| (name, room)));
+    }
+    rooms
 }
 
 impl router::Router for Router {
@@ -300,7 +275,7 @@
             self.demand.count(ask.name, ask.tokens);
         }
         let permit = self.admission.admit(ask)?;
-        self.lock().budget.request();
+        self.lock().dispatcher.request();
         Ok(permit)
     }
 
@@ -312,51 +287,26 @@
         state.take_drains(&snapshot);
         let tried: SmallVec<[Slot; 4]> = tried
             .iter()
-            .filter_map(|target| state.table.slot(target))
+            .filter_map(|target| state.dispatcher.table.slot(target))
             .collect();
-        let (artifact, candidates, prefix) = match need {
+        let wanted = match need {
             Need::Artifact {
                 artifact,
                 exact,
                 prefix,
-            } => {
-                let (artifact, found) = find::find(state, artifact, *exact, &tried, now);
-                let prefix = prefix_of(*prefix, &artifact);
-                (Some(artifact), found, Some(prefix))
-            }
-            Need::Service { service, .. } => (
-                None,
-                state
-                    .table
-                    .candidates(table::Need::Service(service), &tried, now),
-                None,
-            ),
-        };
-        let below: Candidates = candidates
-            .iter()
-            .filter(|c| c.own < state.limit(c.slot))
-            .copied()
-            .collect();
-        // Admission has let the request in, so a target beyond its limit is better than none.
-        let candidates = if below.is_empty() { candidates } else { below };
-        let slot = self.choice.choose(
-            &candidates,
-            prefix,
-            &mut state.affinity,
-            now,
-            &mut state.rng,
-        )?;
-        let report = state.table.report(slot)?.clone();
-        let table_need = match (&artifact, need) {
-            (Some(artifact), _) => table::Need::Artifact(artifact),
-            (None, Need::Service { service, .. }) => table::Need::Service(service),
-            (None, Need::Artifact { artifact, .. }) => table::Need::Artifact(artifact),
+            } => Wanted::Artifact {
+                artifact,
+                exact: *exact,
+                first_message: Some(*prefix),
+            },
+            Need::Service { service, .. } => Wanted::Service(service),
         };
-        state.table.started(slot, table_need, now);
+        let pick = state.dispatcher.pick(wanted, &tried, now, &mut state.rng)?;
+        let report = state.dispatcher.table.report(pick.slot)?.clone();
         drop(guard);
         Some(Pick {
             endpoint: self.endpoint(&report),
-            artifact,
+            artifact: pick.artifact,
         })
     }
 
@@ -370,9 +320,9 @@
         permit.give_back();
         let now = self.clock.now();
         let state = self.lock();
-        let (_, found) = find::find(&state, artifact, *exact, &[], now);
+        let (_, found) = state.dispatcher.find(artifact, *exact, &[], now);
         if found.is_empty() {
-            let Some(coming) = find::coming(&state, artifact, now) else {
+            let Some(coming) = state.dispatcher.coming(artifact, now) else {
                 return Err(Refused::no_target());
             };
             // The capacity is from before the last target went.
@@ -391,59 +341,31 @@
         let now = self.clock.now();
         let mut guard = self.lock();
         let state = &mut *guard;
-        let target = &pick.endpoint.target;
-        let Some(slot) = state.table.slot(target) else {
-            return;
-        };
-        let Some(known) = state.table.report(slot) else {
+        let Some(slot) = state.dispatcher.table.slot(&pick.endpoint.target) else {
             return;
         };
-        let (service, slots) = (known.service.clone(), known.load.slots);
-        let limit = state.limits.entry(target.clone()).or_insert_with(|| {
-            let start = start_limit(slots);
-            Adaptive::new(limit::Config {
-                start,
-                most: start.max(16) * 2,
-                ..limit::Config::default()
-            })
-        });
-        let outcome = match report {
-            Report::Answered { first, .. } => {
-                limit.answered(*first, state.table.own(slot));
-                state.first.add(*first);
-                Outcome::Answered(*first)
-            }
+        let ended = match report {
+            Report::Answered { first, .. } => Ended::Answered(*first),
             Report::Failed { error } => match error.cause {
                 // An own lack of resources says nothing about the target.
-                Cause::Local { .. } => Outcome::Abandoned,
-                Cause::NotSent { .. } => Outcome::Unreachable,
-                Cause::Refused { .. } => {
-                    limit.dropped();
-                    Outcome::Failed
-                }
-                _ => Outcome::Failed,
+                Cause::Local { .. } => Ended::Abandoned,
+                Cause::NotSent { .. } => Ended::Unreachable,
+                Cause::Refused { .. } => Ended::Refused,
+                _ => Ended::Failed,
             },
-            Report::Abandoned => Outcome::Abandoned,
+            Report::Abandoned => Ended::Abandoned,
         };
-        let need = match &pick.artifact {
-            Some(artifact) => table::Need::Artifact(artifact),
-            None => table::Need::Service(&service),
-        };
-        state.table.finished(slot, need, outcome, now);
+        let artifact = pick.artifact.clone();
+        let pick = dispatcher::Pick { slot, artifact };
+        state.dispatcher.done(&pick, ended, now);
     }
 
     fn decide(&self, retry: &Retry<'_>) -> Decision {
         let now = self.clock.now();
         let mut state = self.lock();
-        let known = Known {
-            repeatable: retry.repeatable,
-            resumable: true,
-            // Whether one is left is seen when the next one is picked.
-            target_left: true,
-            most: MAX_DISPATCHES,
-            expected: state.first.mean(),
-            deadline: retry.deadline,
-        };
-        attempt::decide(retry.history, &known, now, || state.budget.take(now))
+        let (repeatable, deadline) = (retry.repeatable, retry.deadline);
+        state
+            .dispatcher
+            .decide(retry.history, repeatable, deadline, now)
     }
 }
