Keep the floor of the adaptive limit only while a target has room

Cause: the floor held the limit up at engines whose slots were all taken, where a smaller batch answers more in time. Change: it needs a quarter of the slots free.

It still checks every answer while a quarter is free, also right after the engine was nearly full.

--- a/crates/buckthornmast_routing/src/dispatcher.rs
+++ b/crates/buckthornmast_routing/src/dispatcher.rs
@@ -105,12 +105,14 @@
     slots.max(2).saturating_mul(3) / 2
 }
 
-/// Requests of this instance that are certain to have room at a target where nothing waits: those that it
-/// had there, and the free slots.
+/// Requests of this instance that are certain to have room at a target: those that it had there, and the free
+/// slots. A nearly full target has no such floor, as it answers more in time when the limit may shrink.
 fn floor(load: &report::Load, own: u32) -> u32 {
-    match load.waiting {
-        0 => own.saturating_add(load.slots.saturating_sub(load.running)),
-        _ => 0,
+    let free = load.slots.saturating_sub(load.running);
+    if load.waiting == 0 && free * 4 >= load.slots {
+        own.saturating_add(free)
+    } else {
+        0
     }
 }
 
--- a/crates/buckthornmast_routing/src/limit.rs
+++ b/crates/buckthornmast_routing/src/limit.rs
@@ -51,8 +51,8 @@
 /// Limit that follows the latency: it grows while latency stays near its unloaded value and shrinks
 /// when requests begin to queue at the target.
 ///
-/// Noise and the size of a batch change the latency too. While the target reports that nothing waits,
-/// its slots are a floor: without one, prompts of 1 to 5 ms with a jitter of a half shrank the limit of
+/// Noise and the size of a batch change the latency too. While the target reports that nothing waits and
+/// has room, its slots are a floor: without one, prompts of 1 to 5 ms with a jitter of a half shrank the limit of
 /// engines that had room, and requests were refused.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Adaptive {
