--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -1,4 +1,6 @@
-//! Assembly of the server.
+//! Assembly of the server: accepts connections and serves each to its end.
+
+mod request;
 
 use std::{
     io,
@@ -45,9 +47,6 @@
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
-/// Methods that handlers are asked for.
-const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
-
 /// Bounds of a server.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -370,7 +369,7 @@
     H: Fn(Exchange) + Send + Sync + 'static,
 {
     let (channel, answered) = oneshot::channel();
-    let exchange = match read(shared, peer, place, Arc::clone(&closed), request).await {
+    let exchange = match request::read(shared, peer, place, Arc::clone(&closed), request).await {
         Ok(exchange) => Exchange {
             answer: Some(channel),
             ..exchange
@@ -427,126 +426,3 @@
         self.0.wait();
     }
 }
-
-/// Reads a request whole, within all bounds.
-async fn read<H>(
-    shared: &Shared<H>,
-    peer: SocketAddr,
-    place: &Place,
-    closed: Arc<AtomicBool>,
-    request: Request<Incoming>,
-) -> Result<Exchange, Problem> {
-    let (head, body) = request.into_parts();
-    let bad = |detail: &str| Problem::new(400, "bad request", "head").detail(detail);
-    if !METHODS.contains(&head.method.as_str()) {
-        return Err(Problem::new(405, "method not allowed", "head"));
-    }
-    // Ambiguous requests are refused, so that nothing behind this server can read them differently.
-    if head.headers.get_all("host").iter().count() != 1 {
-        return Err(bad("expected one Host header"));
-    }
-    if head.uri.authority().is_some() {
-        return Err(bad("expected a target that starts with a slash"));
-    }
-    let mut headers = Vec::with_capacity(head.headers.len());
-    for (name, value) in &head.headers {
-        let value = std::str::from_utf8(value.as_bytes())
-            .map_err(|_| bad(&format!("the value of header {name} is not UTF-8")))?;
-        headers.push((name.as_str().to_owned(), value.to_owned()));
-    }
-    let target = head
-        .uri
-        .path_and_query()
-        .map_or("/", |target| target.as_str())
-        .to_owned();
-    let path = decode(head.uri.path()).filter(|path| is_plain(path));
-    let path = path.ok_or_else(|| bad("the path is not plain UTF-8 without dot segments"))?;
-    let body = read_body(shared, body).await?;
-    Ok(Exchange {
-        peer,
-        method: head.method.as_str().to_owned(),
-        path,
-        target,
-        headers,
-        body,
-        write_timeout: shared.config.write_timeout,
-        runtime: shared.runtime.clone(),
-        answer: None,
-        closed,
-        close: place.handle(),
-    })
-}
-
-/// Bytes of bodies that are being received, given back when dropped.
-struct Pending<'a> {
-    total: &'a AtomicUsize,
-    bytes: usize,
-}
-
-impl Drop for Pending<'_> {
-    fn drop(&mut self) {
-        self.total.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-async fn read_body<H>(shared: &Shared<H>, mut body: Incoming) -> Result<Vec<u8>, Problem> {
-    let limit = shared.config.body_limit;
-    let too_large = || {
-        let detail = format!("the body is over the limit of {limit} bytes");
-        Problem::new(413, "body too large", "body").detail(detail)
-    };
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    let mut pending = Pending {
-        total: &shared.pending,
-        bytes: 0,
-    };
-    let read = async {
-        let mut bytes = Vec::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| {
-                Problem::new(400, "body was cut", "body").detail(error.to_string())
-            })?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if bytes.len() + data.len() > limit {
-                return Err(too_large());
-            }
-            pending.bytes += data.len();
-            let total = shared.pending.fetch_add(data.len(), Ordering::Relaxed) + data.len();
-            if total > shared.config.pending_limit {
-                let problem = Problem::new(503, "too many bodies in progress", "body");
-                return Err(problem.retry_after(shared.config.retry_after));
-            }
-            bytes.extend_from_slice(&data);
-        }
-        Ok(bytes)
-    };
-    timeout(shared.config.body_timeout, read)
-        .await
-        .unwrap_or_else(|_| Err(Problem::new(408, "body took too long", "body")))
-}
-
-/// Returns whether a decoded path has neither control characters nor dot segments.
-fn is_plain(path: &str) -> bool {
-    !path.contains(char::is_control) && !path.split('/').any(|part| part == "." || part == "..")
-}
-
-/// Decodes percent-encoding; `None` if an escape is broken or the result is not UTF-8.
-fn decode(path: &str) -> Option<String> {
-    let mut decoded = Vec::with_capacity(path.len());
-    let mut rest = path.as_bytes();
-    while let Some((byte, after)) = rest.split_first() {
-        rest = after;
-        if *byte == b'%' {
-            let (hex, after) = rest.split_at_checked(2)?;
-            decoded.push(u8::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?);
-            rest = after;
-        } else {
-            decoded.push(*byte);
-        }
-    }
-    String::from_utf8(decoded).ok()
-}
