--- a/crates/buckthornmast_config/src/daemon.rs
+++ b/crates/buckthornmast_config/src/daemon.rs
@@ -18,7 +18,7 @@
     source::{Reader, Source},
 };
 
-/// Duration in the form `250ms` or `2s`.
+/// Duration in the form `250ms`, `2s` or `0.5s`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Span(pub Duration);
 
@@ -26,10 +26,20 @@
     type Err = humantime::DurationError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        humantime::parse_duration(text).map(Self)
+        humantime::parse_duration(text).map(Self).or_else(|error| {
+            let seconds = decimal(text, "ms", 1e-3).or_else(|| decimal(text, "s", 1.0));
+            let span = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+            span.map(Self).ok_or(error)
+        })
     }
 }
 
+/// Reads a decimal number with a unit, as seconds.
+fn decimal(text: &str, unit: &str, seconds: f64) -> Option<f64> {
+    let number: f64 = text.strip_suffix(unit)?.parse().ok()?;
+    Some(number * seconds)
+}
+
 /// Addresses that an instance listens on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listen {
--- a/crates/buckthornmast_consensus/src/core.rs
+++ b/crates/buckthornmast_consensus/src/core.rs
@@ -10,6 +10,7 @@
 mod install;
 mod leader;
 mod model;
+pub mod pool;
 mod receive;
 mod replication;
 mod sync;
@@ -21,7 +22,7 @@
 use smallvec::SmallVec;
 
 use crate::{
-    core::leader::Leading,
+    core::{leader::Leading, pool::Pool},
     log::Log,
     machine::LogTime,
     message::{Body, Entry, Member, Message, Payload, Position},
@@ -129,6 +130,8 @@
         /// Hard state.
         hard: Hard,
     },
+    /// The instances that may hold a copy of the log have changed.
+    Meet(Pool),
     /// The replica can't do the work of a leader; another one has to be elected.
     Resign,
     /// A write failed: nothing may be promised any more.
@@ -194,8 +197,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Core<C> {
     pub(crate) me: Member,
-    // All instances that the settings list as voters, without this one.
+    // All instances that may hold a copy of the log, without this one.
     pub(crate) peers: SmallVec<[id::Instance; 6]>,
+    // The other instances that found the log together with this one.
+    pub(crate) founders: SmallVec<[id::Instance; 6]>,
+    // Whether this replica may take part in founding the log at all.
+    pub(crate) may_found: bool,
+    pub(crate) pool: Option<Pool>,
     pub(crate) timing: Timing,
     pub(crate) hard: Hard,
     pub(crate) log: Log<C>,
@@ -229,8 +237,12 @@
         now: Point,
     ) -> Self {
         let others = peers.iter().filter(|peer| **peer != me.instance);
+        let peers: SmallVec<[id::Instance; 6]> = others.cloned().collect();
         let mut core = Self {
-            peers: others.cloned().collect(),
+            founders: peers.clone(),
+            may_found: true,
+            pool: None,
+            peers,
             me,
             timing,
             durable: durable.log.last().index,
@@ -296,6 +308,7 @@
             Input::Tick => self.tick(now, out),
             Input::Resign if matches!(self.state, State::Leader(_)) => self.follow(None, now),
             Input::Resign => {}
+            Input::Meet(pool) => self.meet(pool, now),
             Input::Receive { from, message } => self.receive(now, &from, message, out),
             Input::Synced { last, hard } => self.note_synced(last, hard, out),
             Input::Compact {
@@ -306,6 +319,11 @@
         }
     }
 
+    /// Forbids this replica to take part in founding a log, since its disk may have held one before.
+    pub fn forbid_founding(&mut self) {
+        self.may_found = false;
+    }
+
     fn stop(&mut self) {
         self.state = State::Stopped;
         self.leader = None;
--- a/crates/buckthornmast_consensus/src/core/found.rs
+++ b/crates/buckthornmast_consensus/src/core/found.rs
@@ -16,20 +16,23 @@
 impl<C: Clone> Core<C> {
     /// Returns whether the folder is empty and was never bootstrapped.
     pub(crate) fn is_fresh(&self) -> bool {
-        !self.bootstrapped && self.snapshot.is_none() && self.log.last().index == id::Index(0)
+        self.may_found
+            && !self.bootstrapped
+            && self.snapshot.is_none()
+            && self.log.last().index == id::Index(0)
     }
 
     /// Asks the other listed voters whether their folders are empty, if it is up to this replica.
     pub(crate) fn probe(&mut self, now: Point, out: &mut Effects<C>) {
         self.state = State::Follower;
-        let is_first = self.peers.iter().all(|peer| self.me.instance < *peer);
+        let is_first = self.founders.iter().all(|peer| self.me.instance < *peer);
         if !is_first || !self.is_fresh() {
             return;
         }
         self.state = State::Probing {
             fresh: vec![self.me.clone()],
         };
-        for peer in &self.peers {
+        for peer in &self.founders {
             self.send(peer, Body::Probe, out);
         }
         self.count_probes(now, out);
@@ -60,7 +63,7 @@
             return;
         };
         fresh.retain(|member| member.instance != sender.instance);
-        if is_fresh && self.peers.contains(&sender.instance) {
+        if is_fresh && self.founders.contains(&sender.instance) {
             fresh.push(sender);
         }
         self.count_probes(now, out);
@@ -70,7 +73,7 @@
         let State::Probing { fresh } = &self.state else {
             return;
         };
-        if fresh.len() > self.peers.len() {
+        if fresh.len() > self.founders.len() {
             let mut founding = fresh.clone();
             founding.sort();
             self.ask_votes(false, founding, now, out);
--- a/crates/buckthornmast_consensus/src/core/leader.rs
+++ b/crates/buckthornmast_consensus/src/core/leader.rs
@@ -26,6 +26,23 @@
     pub(crate) heard: Point,
 }
 
+impl Progress {
+    /// Starts with nothing known but that entries from `next` on may be missing.
+    pub(crate) fn new(instance: id::Instance, next: id::Index, now: Point) -> Self {
+        Self {
+            instance,
+            disk: None,
+            since: now,
+            matched: id::Index(0),
+            next,
+            probing: true,
+            transfer: None,
+            acked: None,
+            heard: now,
+        }
+    }
+}
+
 /// State of a leader.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Leading {
@@ -38,17 +55,10 @@
     /// Becomes leader; `founding` is the first voter set or empty.
     pub(crate) fn lead(&mut self, founding: Vec<Member>, now: Point, out: &mut Effects<C>) {
         let first = self.log.last().index.next();
-        let progress = self.peers.iter().map(|peer| Progress {
-            instance: peer.clone(),
-            disk: None,
-            since: now,
-            matched: id::Index(0),
-            next: first,
-            probing: true,
-            transfer: None,
-            acked: None,
-            heard: now,
-        });
+        let progress = self
+            .peers
+            .iter()
+            .map(|peer| Progress::new(peer.clone(), first, now));
         let leading = Leading {
             first,
             beat: now,
@@ -96,6 +106,7 @@
             return;
         }
         leading.beat = now + self.timing.heartbeat;
+        self.rebalance(now, out);
         for peer in 0..self.peers.len() {
             self.send_heartbeat(peer, now, out);
         }
@@ -191,6 +202,11 @@
             return;
         };
         old.disk = disk;
+        self.append_voters(members, now, out);
+    }
+
+    /// Appends a voter set, which is in effect from now on.
+    pub(crate) fn append_voters(&mut self, members: Vec<Member>, now: Point, out: &mut Effects<C>) {
         let index = self.log.last().index.next();
         self.push_entry(LogTime(0), 0, Payload::Voters(members));
         out.push(Effect::Append(index));
--- /dev/null
+++ b/crates/buckthornmast_consensus/src/core/pool.rs
@@ -0,0 +1,127 @@
+//! Voter sets that follow the instances: growth to the wanted size, replacement of lost voters.
+//!
+//! The log is founded by a few instances that know each other from the start. Every other instance with a
+//! disk joins as a learner. The leader takes a learner that is up to date into the set while the set is
+//! smaller than wanted, or in the place of a voter that has been silent for long. Each change needs majorities
+//! of the old and of the new set, as [`Voters`](crate::voters::Voters) says, and the next one waits until the last
+//! one is committed.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use buckthornmast_types::{id, time::Point};
+use smallvec::SmallVec;
+
+use crate::{
+    core::{
+        Core, Effects, State,
+        leader::{Leading, Progress},
+    },
+    message::Member,
+};
+
+/// Instances that may hold a copy of the log, and what the voter set should look like.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Pool {
+    /// Instances with a disk and their failure domains, this one included.
+    pub instances: BTreeMap<id::Instance, id::Domain>,
+    /// Number of voters that is aimed for.
+    pub size: usize,
+    /// Silence after which a voter is replaced by a learner.
+    pub patience: Duration,
+}
+
+impl<C: Clone> Core<C> {
+    /// Takes over the instances that may hold a copy. Voters stay known, also if they are not among them.
+    pub(crate) fn meet(&mut self, pool: Pool, now: Point) {
+        let mut peers: SmallVec<[id::Instance; 6]> = pool.instances.keys().cloned().collect();
+        let voters = self.voters.members();
+        peers.extend(voters.iter().map(|member| member.instance.clone()));
+        peers.extend(self.founders.iter().cloned());
+        peers.sort();
+        peers.dedup();
+        peers.retain(|peer| *peer != self.me.instance);
+        self.pool = Some(pool);
+        if peers == self.peers {
+            return;
+        }
+        self.peers = peers;
+        let next = self.log.last().index.next();
+        if let State::Leader(leading) = &mut self.state {
+            let mut known = std::mem::take(&mut leading.progress);
+            let progress = self.peers.iter().map(|peer| {
+                let known = known.extract_if(.., |progress| progress.instance == *peer);
+                known
+                    .last()
+                    .unwrap_or_else(|| Progress::new(peer.clone(), next, now))
+            });
+            leading.progress = progress.collect();
+        }
+    }
+
+    /// Enlarges the voter set or replaces a lost voter, one change at a time.
+    pub(crate) fn rebalance(&mut self, now: Point, out: &mut Effects<C>) {
+        let State::Leader(leading) = &self.state else {
+            return;
+        };
+        let (Some(pool), Some(set)) = (&self.pool, self.voters.current()) else {
+            return;
+        };
+        if self.voters.is_joint() || self.commit < leading.first {
+            return;
+        }
+        let lost = set.members.iter().position(|member| {
+            *member != self.me && silence(leading, &member.instance, now) >= pool.patience
+        });
+        let mut members = set.members.clone();
+        match lost {
+            Some(lost) => drop(members.remove(lost)),
+            None if members.len() < pool.size => {}
+            None => return,
+        }
+        if let Some(learner) = self.best_learner(leading, pool, &members, now) {
+            members.push(learner);
+            members.sort();
+            self.append_voters(members, now, out);
+        }
+    }
+
+    /// Returns the caught-up learner whose failure domain has the fewest of these members.
+    fn best_learner(
+        &self,
+        leading: &Leading,
+        pool: &Pool,
+        members: &[Member],
+        now: Point,
+    ) -> Option<Member> {
+        let in_domain = |domain: Option<&id::Domain>| {
+            let domains = members
+                .iter()
+                .map(|member| pool.instances.get(&member.instance));
+            domains.filter(|other| *other == domain).count()
+        };
+        let learners = leading.progress.iter().filter_map(|progress| {
+            let fits = pool.instances.contains_key(&progress.instance)
+                && progress.matched >= self.commit
+                && now < progress.heard + self.timing.election_min
+                && members
+                    .iter()
+                    .all(|member| member.instance != progress.instance);
+            let disk = progress.disk.filter(|_| fits)?;
+            Some(Member {
+                instance: progress.instance.clone(),
+                disk,
+            })
+        });
+        learners.min_by_key(|learner| {
+            let domain = pool.instances.get(&learner.instance);
+            (in_domain(domain), learner.instance.clone())
+        })
+    }
+}
+
+/// Returns for how long an instance has not answered.
+fn silence(leading: &Leading, instance: &id::Instance, now: Point) -> Duration {
+    let mut progress = leading.progress.iter();
+    let progress = progress.find(|progress| progress.instance == *instance);
+    progress.map_or(Duration::ZERO, |progress| now.since(progress.heard))
+}
--- a/crates/buckthornmast_consensus/src/driver.rs
+++ b/crates/buckthornmast_consensus/src/driver.rs
@@ -34,7 +34,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::{
-    core::{MAX_COMMAND_BYTES, Timing},
+    core::{MAX_COMMAND_BYTES, Timing, pool::Pool},
     driver::replica::Replica,
     machine::{Machine, RestoreError},
     message::Message,
@@ -67,6 +67,8 @@
     pub max_leader_write: Duration,
     /// Seed of the election timeouts; must differ between instances.
     pub seed: u64,
+    /// Whether this replica may found the log with the other voters that the settings list.
+    pub may_found: bool,
 }
 
 impl Config {
@@ -80,6 +82,7 @@
             timing: Timing::default(),
             snapshot_entries: SNAPSHOT_ENTRIES,
             max_leader_write: MAX_LEADER_WRITE,
+            may_found: true,
         }
     }
 }
@@ -165,6 +168,7 @@
 enum Event<M: Machine> {
     Message(id::Instance, Message<M::Command>),
     Propose(Proposal<M>),
+    Meet(Pool),
     Written(Result<(), WriteError>),
     Stop,
 }
@@ -261,6 +265,11 @@
         let _ = self.inbox.try_send(Event::Message(from, message));
     }
 
+    /// Takes over the instances that may hold a copy of the log; dropped if the inbox is full.
+    pub fn meet(&self, pool: Pool) {
+        let _ = self.inbox.try_send(Event::Meet(pool));
+    }
+
     /// Returns the status.
     pub fn status(&self) -> Status {
         let status = self.shared.status.lock();
--- a/crates/buckthornmast_consensus/src/driver/replica.rs
+++ b/crates/buckthornmast_consensus/src/driver/replica.rs
@@ -81,7 +81,10 @@
         let report = move |result| inbox.send(Event::Written(result)).is_ok();
         let writer = Writer::start(store, report).context(ThreadSnafu)?;
         let now = clock.now();
-        let core = Core::new(me, &config.voters, config.timing, durable, config.seed, now);
+        let mut core = Core::new(me, &config.voters, config.timing, durable, config.seed, now);
+        if !config.may_found {
+            core.forbid_founding();
+        }
         let mut replica = Self {
             applied: core.commit(),
             core,
@@ -138,6 +141,7 @@
                     let input = Input::Receive { from, message };
                     self.core.step(now, input, &mut effects);
                 }
+                Event::Meet(pool) => self.core.step(now, Input::Meet(pool), &mut effects),
                 Event::Propose(proposal) if proposal.take() => proposals.push(proposal),
                 Event::Propose(_) => {}
                 Event::Written(result) => self.written(result, &mut effects),
--- a/crates/buckthornmast_consensus/src/lib.rs
+++ b/crates/buckthornmast_consensus/src/lib.rs
@@ -17,7 +17,7 @@
 /// Names that most users of this crate import together.
 pub mod prelude {
     pub use crate::{
-        core::{Core, Effect, Input, Timing},
+        core::{Core, Effect, Input, Timing, pool::Pool},
         driver::{Config, Handle, ProposeError, StartError, Transport, start},
         machine::{LogTime, Machine, RestoreError},
         message::{Body, Member, Message},
--- a/crates/buckthornmast_daemon/src/lib.rs
+++ b/crates/buckthornmast_daemon/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod flags;
 pub mod follow;
 pub mod leader;
-pub mod logging;
 pub mod message;
 pub mod node;
 pub mod observe;
--- a/crates/buckthornmast_daemon/src/main.rs
+++ b/crates/buckthornmast_daemon/src/main.rs
@@ -3,7 +3,8 @@
 use std::{fs, process::ExitCode};
 
 use buckthornmast_config::daemon::Settings;
-use buckthornmast_daemon::{descriptors, flags::Daemon, logging, node};
+use buckthornmast_daemon::{descriptors, flags::Daemon, node};
+use buckthornmast_logging as logging;
 use signal_hook::{consts, iterator::Signals};
 
 fn read(flags: &Daemon) -> Result<Settings, ExitCode> {
--- /dev/null
+++ b/crates/buckthornmast_forward/src/board.rs
@@ -0,0 +1,179 @@
+//! What this instance knows of each target's load and health.
+//!
+//! The load of a target is the sum of the requests that this instance has there, which it knows, and those of other
+//! instances, which it infers from the load that the target reported with its last answer.
+
+use std::{collections::HashMap, time::Duration};
+
+use buckthornmast_routing::{
+    estimate::Estimate,
+    outlier::{Config, Health},
+};
+use buckthornmast_types::{id, time::Point};
+
+use crate::mapping::Load;
+
+/// Time for which a reported load is taken at its word.
+const FRESH: Duration = Duration::from_millis(500);
+
+/// Time after which a reported load says nothing any more.
+const OLD: Duration = Duration::from_secs(3);
+
+/// Weight of one outcome in the share of failures: about the last ten count.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// Time over which the share of failures halves without an outcome, so that a target that gets no requests for its
+/// failures is tried again.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Assumed time from the start of a request to its end, before there is a sample.
+const ASSUMED_SERVICE: Duration = Duration::from_millis(500);
+
+/// Load and health of one target.
+#[derive(Debug)]
+pub struct Lane {
+    /// Requests of this instance in progress.
+    own: u32,
+    // Requests of other instances when the load was reported.
+    others: u32,
+    reported: Option<Point>,
+    health: Health,
+    failures: f64,
+    failures_at: Point,
+    service: Estimate,
+}
+
+impl Default for Lane {
+    fn default() -> Self {
+        Self {
+            own: 0,
+            others: 0,
+            reported: None,
+            health: Health::default(),
+            failures: 0.0,
+            failures_at: Point::ZERO,
+            service: Estimate::new(ASSUMED_SERVICE),
+        }
+    }
+}
+
+impl Lane {
+    /// Returns the requests that are expected to be at the target.
+    pub fn load(&self, now: Point) -> f64 {
+        let Some(at) = self.reported else {
+            return f64::from(self.own);
+        };
+        let age = now.since(at).as_secs_f64();
+        let (fresh, old) = (FRESH.as_secs_f64(), OLD.as_secs_f64());
+        let trust = ((old - age) / (old - fresh)).clamp(0.0, 1.0);
+        f64::from(self.own) + f64::from(self.others) * trust
+    }
+
+    /// Returns the requests of this instance in progress.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Returns the share of requests that fail, from 0 to 1.
+    pub fn failures(&self, now: Point) -> f64 {
+        let halvings = now.since(self.failures_at).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
+        self.failures * 0.5_f64.powf(halvings)
+    }
+
+    /// Returns whether the target gets no requests for now.
+    pub fn is_ejected(&self, now: Point) -> bool {
+        self.health.is_ejected(now)
+    }
+
+    /// Returns how long a request takes from its dispatch to its end.
+    pub fn service_time(&self) -> Duration {
+        self.service.mean()
+    }
+
+    fn note_outcome(&mut self, failure: f64, now: Point) {
+        let before = self.failures(now);
+        self.failures = before + (failure - before) * FAILURE_WEIGHT;
+        self.failures_at = now;
+    }
+}
+
+/// How a dispatch ended, as far as it says something about the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Answered in full.
+    Answered {
+        /// Time to the whole answer or to the first event.
+        first: Duration,
+        /// Time to the end.
+        whole: Duration,
+    },
+    /// The target refused it for lack of room.
+    Refused,
+    /// It failed at the target.
+    Failed,
+    /// No connection could be made.
+    Unreachable,
+    /// It ended for a reason that says nothing about the target.
+    Abandoned,
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct Board {
+    lanes: HashMap<(id::Target, id::Incarnation), Lane>,
+    config: Config,
+}
+
+impl Board {
+    /// Returns a target's load and health; a target without any is idle and healthy.
+    pub fn lane(&self, target: &id::Target, born: id::Incarnation) -> Option<&Lane> {
+        self.lanes.get(&(target.clone(), born))
+    }
+
+    fn lane_mut(&mut self, target: &id::Target, born: id::Incarnation) -> &mut Lane {
+        self.lanes.entry((target.clone(), born)).or_default()
+    }
+
+    /// Notes a dispatch.
+    pub fn started(&mut self, target: &id::Target, born: id::Incarnation) {
+        self.lane_mut(target, born).own += 1;
+    }
+
+    /// Notes the end of a dispatch.
+    pub fn ended(&mut self, target: &id::Target, born: id::Incarnation, ended: Ended, now: Point) {
+        let config = self.config;
+        let lane = self.lane_mut(target, born);
+        lane.own = lane.own.saturating_sub(1);
+        match ended {
+            Ended::Answered { first, whole } => {
+                lane.health.succeeded(first, &config, now);
+                lane.note_outcome(0.0, now);
+                lane.service.add(whole);
+            }
+            Ended::Failed => {
+                lane.note_outcome(1.0, now);
+                if lane.health.failed(&config) {
+                    lane.health.eject(&config, now);
+                }
+            }
+            Ended::Unreachable => {
+                lane.note_outcome(1.0, now);
+                lane.health.eject(&config, now);
+            }
+            Ended::Refused | Ended::Abandoned => {}
+        }
+    }
+
+    /// Takes a load that a target reported with an answer.
+    pub fn reported(&mut self, target: &id::Target, born: id::Incarnation, load: Load, now: Point) {
+        let lane = self.lane_mut(target, born);
+        lane.others = (load.running + load.waiting).saturating_sub(lane.own);
+        lane.reported = Some(now);
+    }
+
+    /// Forgets targets that are gone.
+    pub fn retain(&mut self, is_known: impl Fn(&id::Target, id::Incarnation) -> bool) {
+        self.lanes
+            .retain(|(target, born), lane| lane.own > 0 || is_known(target, *born));
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_forward/src/body.rs
@@ -0,0 +1,69 @@
+//! Body of an answer to a caller.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use snafu::Snafu;
+use tokio::sync::mpsc;
+
+/// Reason why an answer ends early. The connection is closed then, so that the answer doesn't look complete.
+#[derive(Debug, Clone, Copy, Snafu)]
+#[snafu(display("the stream broke and could not go on elsewhere"))]
+pub struct Broken;
+
+/// Body.
+#[derive(Debug)]
+pub enum Body {
+    /// Whole body.
+    Whole(Option<Bytes>),
+    /// Events as they come.
+    Events(mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+impl Body {
+    /// Returns a whole body.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()).filter(|bytes: &Bytes| !bytes.is_empty()))
+    }
+}
+
+impl From<Infallible> for Broken {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Events(events) => events
+                .poll_recv(context)
+                .map(|event| event.map(|event| event.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Events(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -0,0 +1,493 @@
+//! One attempt at one target.
+//!
+//! What a failure says about the request is decided here: whether a byte of it was sent, whether the target stated
+//! that it did not run it, or whether nothing is known.
+
+use std::{rc::Rc, time::Duration};
+
+use buckthornmast_routing::attempt::Dispatch;
+use buckthornmast_types::{
+    id,
+    time::{Clock, Point},
+};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode, header, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    board::Ended,
+    caller::Forwarder,
+    choice::Candidate,
+    events::Splitter,
+    mapping::{Answer, Mapping, Sending},
+    pool::{self, Connection},
+    state::Member,
+    supply::Supply,
+    work::Work,
+};
+
+/// Largest body of an answer that is not a stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [header::HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes the headers that concern one connection only, those that it names itself included.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
+
+/// Failed attempt.
+#[derive(Debug)]
+pub struct Failure {
+    /// How far it got.
+    pub dispatch: Dispatch,
+    /// What happened, for the log.
+    pub cause: &'static str,
+    /// The target's own answer, if it failed with one.
+    pub answer: Option<Whole>,
+}
+
+/// Whole answer of a target.
+#[derive(Debug)]
+pub struct Whole {
+    /// Head, without the headers of its connection.
+    pub head: response::Parts,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Answer that has begun.
+#[derive(Debug)]
+pub enum Reply {
+    /// Whole answer.
+    Whole(Whole),
+    /// Stream of events.
+    Stream(Box<Flow>),
+}
+
+/// Stream of events that a target has begun.
+#[derive(Debug)]
+pub struct Flow {
+    /// Head, without the headers of its connection.
+    pub head: response::Parts,
+    /// Events so far.
+    pub begun: Option<Bytes>,
+    /// Cuts the rest into events.
+    pub splitter: Splitter,
+    /// Rest, unless the stream has ended.
+    pub rest: Option<Exchange>,
+}
+
+/// Exchange in progress. Dropping it closes the connection, which ends the work at the target.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Body that is being received.
+    pub body: Incoming,
+    /// Connection.
+    pub connection: Connection,
+    /// Idle time that the target allows the connection.
+    pub idle: Option<Duration>,
+    /// Place at the target.
+    pub running: Running,
+}
+
+/// Place at a target, given back when dropped.
+#[derive(Debug)]
+pub struct Running {
+    state: Rc<std::cell::RefCell<crate::state::State>>,
+    clock: buckthornmast_types::time::System,
+    /// Target.
+    pub target: id::Target,
+    /// Its start.
+    pub born: id::Incarnation,
+    started: Point,
+    first: Option<Duration>,
+    is_over: bool,
+}
+
+impl Running {
+    fn start<M, S>(forwarder: &Forwarder<M, S>, member: &Member) -> Self {
+        let now = forwarder.clock.now();
+        let mut state = forwarder.state.borrow_mut();
+        state.board.started(&member.target, member.born);
+        Self {
+            state: Rc::clone(&forwarder.state),
+            clock: forwarder.clock,
+            target: member.target.clone(),
+            born: member.born,
+            started: now,
+            first: None,
+            is_over: false,
+        }
+    }
+
+    /// Notes the first event, or the whole answer.
+    pub fn began(&mut self) {
+        let now = self.clock.now();
+        self.first.get_or_insert(now.since(self.started));
+    }
+
+    /// Notes the end of the exchange and keeps its connection for the next one; returns the time that it took.
+    pub fn answered(mut self, connection: Connection, idle: Option<Duration>) -> Duration {
+        let now = self.clock.now();
+        let whole = now.since(self.started);
+        let first = self.first.unwrap_or(whole);
+        self.end(Ended::Answered { first, whole });
+        let mut state = self.state.borrow_mut();
+        state
+            .pool
+            .put(&self.target, self.born, connection, idle, now);
+        whole
+    }
+
+    /// Notes how the exchange ended.
+    pub fn end(&mut self, ended: Ended) {
+        if !std::mem::replace(&mut self.is_over, true) {
+            let now = self.clock.now();
+            let mut state = self.state.borrow_mut();
+            state.board.ended(&self.target, self.born, ended, now);
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.end(Ended::Abandoned);
+    }
+}
+
+fn failure(dispatch: Dispatch, cause: &'static str) -> Failure {
+    Failure {
+        dispatch,
+        cause,
+        answer: None,
+    }
+}
+
+impl<M: Mapping, S: Supply> Forwarder<M, S> {
+    /// Sends a request to a target and waits until its answer has begun: the whole of it, or the first events of
+    /// a stream that has nothing behind `after`.
+    pub async fn attempt(
+        &self,
+        work: &Work,
+        member: &Member,
+        rank: Option<u8>,
+        after: Option<u64>,
+        patience: Option<Duration>,
+    ) -> Result<Reply, Failure> {
+        let mut running = Running::start(self, member);
+        let now = self.clock.now();
+        let left = work.left(now);
+        let first = patience.unwrap_or(left).min(left);
+        let result = timeout(first, self.begin(work, member, rank, after, &mut running)).await;
+        match result {
+            Ok(Ok(begun)) => self.finish(work, begun, running),
+            Ok(Err((failure, ended))) => {
+                running.end(ended);
+                Err(failure)
+            }
+            Err(_) => {
+                running.end(Ended::Failed);
+                Err(failure(Dispatch::Sent, "no answer in time"))
+            }
+        }
+    }
+
+    fn finish(&self, work: &Work, begun: Begun, mut running: Running) -> Result<Reply, Failure> {
+        running.began();
+        match begun {
+            Begun::Whole {
+                whole,
+                connection,
+                idle,
+            } => {
+                let is_error = whole.head.status.is_server_error();
+                if is_error {
+                    running.end(Ended::Failed);
+                }
+                let took = running.answered(connection, idle);
+                self.note_end(work, took);
+                if is_error {
+                    return Err(Failure {
+                        dispatch: Dispatch::Sent,
+                        cause: "the target answered with an error",
+                        answer: Some(whole),
+                    });
+                }
+                Ok(Reply::Whole(whole))
+            }
+            Begun::Stream {
+                head,
+                begun,
+                splitter,
+                body,
+                connection,
+                idle,
+                is_over,
+            } => {
+                let rest = if is_over {
+                    let took = running.answered(connection, idle);
+                    self.note_end(work, took);
+                    None
+                } else {
+                    Some(Exchange {
+                        body,
+                        connection,
+                        idle,
+                        running,
+                    })
+                };
+                Ok(Reply::Stream(Box::new(Flow {
+                    head,
+                    begun,
+                    splitter,
+                    rest,
+                })))
+            }
+        }
+    }
+
+    async fn begin(
+        &self,
+        work: &Work,
+        member: &Member,
+        rank: Option<u8>,
+        after: Option<u64>,
+        running: &mut Running,
+    ) -> Result<Begun, (Failure, Ended)> {
+        let (mut connection, response) = self.send(work, member, rank, after).await?;
+        let (mut head, mut body) = response.into_parts();
+        let answer = self.mapping.answer(&head);
+        self.note_load(member, &answer);
+        check(&work.head.request.0, &head, &answer)?;
+        strip_hop_headers(&mut head.headers);
+        let idle = answer.idle;
+        let is_stream = work.route.kind.is_stream() && head.status.is_success();
+        if !is_stream {
+            let body = collect(&mut body).await?;
+            let whole = Whole { head, body };
+            connection.is_used = true;
+            return Ok(Begun::Whole {
+                whole,
+                connection,
+                idle,
+            });
+        }
+        let mut splitter = Splitter::new(after);
+        let (begun, is_over) = first_events(&mut body, &mut splitter).await?;
+        running.began();
+        Ok(Begun::Stream {
+            head,
+            begun,
+            splitter,
+            body,
+            connection,
+            idle,
+            is_over,
+        })
+    }
+
+    /// Sends a request on a kept connection, or on a new one if none is usable.
+    async fn send(
+        &self,
+        work: &Work,
+        member: &Member,
+        rank: Option<u8>,
+        after: Option<u64>,
+    ) -> Result<(Connection, http::Response<Incoming>), (Failure, Ended)> {
+        loop {
+            let now = self.clock.now();
+            let kept = self
+                .state
+                .borrow_mut()
+                .pool
+                .take(&member.target, member.born, now);
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => pool::connect(member.address).await.map_err(|error| {
+                    log::info!(step = "connect", request:% = work.head.request, target:% = member.target; "target can't be reached: {error}");
+                    (failure(Dispatch::NotSent, "the target can't be reached"), Ended::Unreachable)
+                })?,
+            };
+            if connection.sender.ready().await.is_err() {
+                if connection.is_used {
+                    continue;
+                }
+                let failure = failure(Dispatch::NotSent, "the target closed a new connection");
+                return Err((failure, Ended::Unreachable));
+            }
+            let request = self.request(work, member, rank, after);
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((connection, response)),
+                Err(error) if error.message().is_some() && connection.is_used => {}
+                Err(error) => {
+                    let dispatch = if error.message().is_some() {
+                        Dispatch::NotSent
+                    } else {
+                        Dispatch::Sent
+                    };
+                    let cause = "the connection to the target broke before an answer";
+                    return Err((failure(dispatch, cause), Ended::Failed));
+                }
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        work: &Work,
+        member: &Member,
+        rank: Option<u8>,
+        after: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = work.parts.headers.clone();
+        strip_hop_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        let sending = Sending {
+            target: &member.target,
+            left: work.left(self.clock.now()),
+            rank,
+            last_event: after,
+        };
+        self.mapping.encode(&mut headers, &sending);
+        let mut request = Request::new(Full::new(work.body.clone()));
+        *request.method_mut() = work.parts.method.clone();
+        *request.uri_mut() = work.parts.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Tells the supplier how long a request took in its slot.
+    pub(crate) fn note_end(&self, work: &Work, took: Duration) {
+        if let Some(want) = work.want() {
+            self.supply.ended(&want, took);
+        }
+    }
+
+    fn note_load(&self, member: &Member, answer: &Answer) {
+        if let Some(load) = answer.load {
+            let now = self.clock.now();
+            let mut state = self.state.borrow_mut();
+            state.board.reported(&member.target, member.born, load, now);
+        }
+    }
+}
+
+enum Begun {
+    Whole {
+        whole: Whole,
+        connection: Connection,
+        idle: Option<Duration>,
+    },
+    Stream {
+        head: response::Parts,
+        begun: Option<Bytes>,
+        splitter: Splitter,
+        body: Incoming,
+        connection: Connection,
+        idle: Option<Duration>,
+        is_over: bool,
+    },
+}
+
+/// Returns whether the head belongs to the request and to an answer that may be passed on.
+fn check(request: &str, head: &response::Parts, answer: &Answer) -> Result<(), (Failure, Ended)> {
+    let is_own = answer
+        .request
+        .as_deref()
+        .is_none_or(|answered| answered == request);
+    if !is_own {
+        let failure = failure(Dispatch::Sent, "the answer belongs to another request");
+        return Err((failure, Ended::Failed));
+    }
+    if answer.is_misdirected {
+        let failure = failure(Dispatch::Refused, "the target lacks what the request needs");
+        return Err((failure, Ended::Abandoned));
+    }
+    if answer.is_refusal {
+        let failure = failure(Dispatch::Refused, "the target refused the request");
+        return Err((failure, Ended::Refused));
+    }
+    if head.status.is_success() && (!answer.is_stamped || answer.is_transformed) {
+        let failure = failure(Dispatch::Sent, "the answer is not the target's own");
+        return Err((failure, Ended::Failed));
+    }
+    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+        let failure = failure(Dispatch::Sent, "the target changed the protocol");
+        return Err((failure, Ended::Failed));
+    }
+    Ok(())
+}
+
+async fn collect(body: &mut Incoming) -> Result<Bytes, (Failure, Ended)> {
+    let broken = |cause| (failure(Dispatch::Sent, cause), Ended::Failed);
+    let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
+    match limited.collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) => {
+            log::debug!(step = "receive"; "answer of a target broke: {error}");
+            Err(broken("the answer broke"))
+        }
+    }
+}
+
+/// Reads up to the first whole event; also returns whether the stream has ended.
+async fn first_events(
+    body: &mut Incoming,
+    splitter: &mut Splitter,
+) -> Result<(Option<Bytes>, bool), (Failure, Ended)> {
+    let broken = |cause| (failure(Dispatch::Sent, cause), Ended::Failed);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| broken("the stream broke before its first event"))?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        let events = splitter.push(bytes);
+        let events = events.map_err(|_| broken("the stream has no proper events"))?;
+        if events.is_some() {
+            return Ok((events, false));
+        }
+    }
+    if splitter.is_partial() {
+        return Err(broken("the stream ended in the middle of an event"));
+    }
+    Ok((None, true))
+}
+
+impl Member {
+    /// Returns what the choice of a target needs to know.
+    pub fn candidate(&self, home: &id::Domain) -> Candidate {
+        Candidate {
+            target: self.target.clone(),
+            born: self.born,
+            slots: self.slots,
+            is_near: self.domain == *home,
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_forward/src/pool.rs
@@ -0,0 +1,155 @@
+//! Kept connections to targets.
+//!
+//! A connection is used for one exchange at a time. The one that has been idle for longest is taken first: bytes that
+//! a target sends after its answer arrive while the connection is idle, which shows that they belong to no request.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use buckthornmast_types::{id, time::Point};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use socket2::SockRef;
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+/// Time for a connection to be established. One lost packet delays it by a second, so another target is tried first.
+pub const CONNECT: Duration = Duration::from_millis(400);
+
+/// Time after which unacknowledged bytes end a connection, so that one that fell silent is noticed.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Idle time of a connection whose target states none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+
+/// Share of the stated idle time after which a connection isn't used any more, in percent, since the target may be
+/// closing it.
+const IDLE_PERCENT: u32 = 60;
+
+/// Connection to a target.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends requests.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Whether it has carried an exchange before.
+    pub is_used: bool,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Reason why there is no connection.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The target can't be reached.
+    #[snafu(display("connecting to {peer}: {source}"))]
+    Connect {
+        /// Address.
+        peer: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The target doesn't answer.
+    #[snafu(display("connecting to {peer}: no answer in time"))]
+    Timeout {
+        /// Address.
+        peer: SocketAddr,
+    },
+    /// The connection can't be set up.
+    #[snafu(display("setting up the connection to {peer}: {source}"))]
+    Setup {
+        /// Address.
+        peer: SocketAddr,
+        /// Cause.
+        source: hyper::Error,
+    },
+}
+
+/// Opens a connection.
+pub async fn connect(peer: SocketAddr) -> Result<Connection, Error> {
+    let stream = timeout(CONNECT, TcpStream::connect(peer)).await;
+    let stream = stream
+        .map_err(|_| Error::Timeout { peer })?
+        .map_err(|source| Error::Connect { peer, source })?;
+    let options = stream
+        .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT)));
+    if let Err(error) = options {
+        log::warn!(step = "connect", peer:% = peer; "options of a connection can't be set: {error}");
+    }
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|source| Error::Setup { peer, source })?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(step = "exchange", peer:% = peer; "connection to a target ended: {error}");
+        }
+    });
+    metrics::counter!("buckthornmast_target_connections_total").increment(1);
+    Ok(Connection {
+        sender,
+        is_used: false,
+        task,
+    })
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    until: Point,
+}
+
+/// Idle connections of all targets.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: HashMap<(id::Target, id::Incarnation), VecDeque<Idle>>,
+}
+
+impl Pool {
+    /// Takes the connection that has been idle for longest.
+    pub fn take(
+        &mut self,
+        target: &id::Target,
+        born: id::Incarnation,
+        now: Point,
+    ) -> Option<Connection> {
+        let idle = self.idle.get_mut(&(target.clone(), born))?;
+        while let Some(first) = idle.pop_front() {
+            if now < first.until && first.connection.sender.is_ready() {
+                return Some(first.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection after a whole exchange.
+    pub fn put(
+        &mut self,
+        target: &id::Target,
+        born: id::Incarnation,
+        mut connection: Connection,
+        idle: Option<Duration>,
+        now: Point,
+    ) {
+        connection.is_used = true;
+        let until = now + idle.unwrap_or(DEFAULT_IDLE) * IDLE_PERCENT / 100;
+        let kept = self.idle.entry((target.clone(), born)).or_default();
+        kept.push_back(Idle { connection, until });
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn prune(&mut self, now: Point) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_forward/src/server.rs
@@ -0,0 +1,167 @@
+//! Connections of callers.
+
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::Response;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::sleep,
+};
+
+use crate::{body::Body, caller::Forwarder, mapping::Mapping, supply::Supply};
+
+/// Pause after accept failed, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time after which bytes that a caller's machine doesn't acknowledge end its connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Bytes that are buffered for a connection at the most; heads must fit.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Connections at once; further ones are closed unread.
+    pub connections: usize,
+    /// Time for a request head, and for the wait between two requests.
+    pub idle: Duration,
+}
+
+/// Phase of a server's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Serves.
+    Open,
+    /// Still serves, but each answer ends its connection.
+    Closing,
+    /// Idle connections are closed, the others end with their answer.
+    Closed,
+}
+
+/// Server of callers.
+pub struct Server {
+    phase: watch::Sender<Phase>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Server {
+    /// Starts accepting.
+    pub fn start<M: Mapping, S: Supply>(
+        listener: TcpListener,
+        bounds: Bounds,
+        forwarder: Rc<Forwarder<M, S>>,
+    ) -> Self {
+        let (phase, watched) = watch::channel(Phase::Open);
+        let open = Rc::new(Cell::new(0));
+        tokio::task::spawn_local(accept(
+            listener,
+            bounds,
+            forwarder,
+            watched,
+            Rc::clone(&open),
+        ));
+        Self { phase, open }
+    }
+
+    /// Changes the phase.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.open.get()
+    }
+}
+
+async fn accept<M: Mapping, S: Supply>(
+    listener: TcpListener,
+    bounds: Bounds,
+    forwarder: Rc<Forwarder<M, S>>,
+    mut phase: watch::Receiver<Phase>,
+    open: Rc<Cell<usize>>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            closed = phase.wait_for(|phase| *phase == Phase::Closed) => {
+                // The sender lives as long as the server.
+                let _ = closed;
+                return;
+            }
+        };
+        match accepted {
+            Ok((stream, peer)) if open.get() >= bounds.connections => {
+                log::warn!(step = "accept", peer:% = peer, connections = open.get(); "connection refused, too many are open");
+                drop(stream);
+            }
+            Ok((stream, peer)) => {
+                open.set(open.get() + 1);
+                let connection = serve(stream, peer, bounds, Rc::clone(&forwarder), phase.clone());
+                let open = Rc::clone(&open);
+                tokio::task::spawn_local(async move {
+                    connection.await;
+                    open.set(open.get() - 1);
+                });
+            }
+            Err(error) => {
+                log::warn!(step = "accept"; "connection can't be accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve<M: Mapping, S: Supply>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    bounds: Bounds,
+    forwarder: Rc<Forwarder<M, S>>,
+    mut phase: watch::Receiver<Phase>,
+) {
+    let options = stream
+        .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT)));
+    if let Err(error) = options {
+        log::debug!(step = "accept", peer:% = peer; "options of a connection can't be set: {error}");
+    }
+    let watched = phase.clone();
+    let service = service_fn(move |request| {
+        let forwarder = Rc::clone(&forwarder);
+        let watched = watched.clone();
+        async move {
+            let mut response: Response<Body> = forwarder.serve(request).await;
+            if *watched.borrow() != Phase::Open {
+                let close = http::HeaderValue::from_static("close");
+                response
+                    .headers_mut()
+                    .insert(http::header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let mut connection = std::pin::pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(bounds.idle)
+            .max_buf_size(BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        closed = phase.wait_for(|phase| *phase == Phase::Closed) => {
+            // The sender lives as long as the server.
+            drop(closed);
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!(step = "serve", peer:% = peer; "connection of a caller ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -0,0 +1,229 @@
+//! What an entry instance believes: routes in force, targets, what they hold, their load.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use buckthornmast_fleet::prelude::*;
+use buckthornmast_routes::{
+    document::{Document, Service},
+    register::Revision,
+    table::Table,
+};
+use buckthornmast_routing::budget::{self, Retry};
+use buckthornmast_types::{id, rate::Rate, time::Point};
+use tokio::sync::Notify;
+
+use crate::{board::Board, mapping::Generation, pool::Pool};
+
+/// Share of the allowed extra attempts that this instance uses, so that the sum over all instances stays within the
+/// bound while they disagree on their number.
+const BUDGET_SHARE: f64 = 0.7;
+
+/// Routes in force.
+#[derive(Debug)]
+pub struct Routes {
+    /// Document.
+    pub document: Document,
+    /// Its routes by host and path.
+    pub table: Table,
+}
+
+/// What the controller knows to be ready on a target, which the target's own announcements tell later.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placed {
+    /// Start of the target.
+    pub born: id::Incarnation,
+    /// Models and adapters that are ready.
+    pub held: Vec<Held>,
+}
+
+/// Target of a service that takes new work.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Target.
+    pub target: id::Target,
+    /// Its start.
+    pub born: id::Incarnation,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: id::Domain,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    held: Vec<Held>,
+}
+
+impl Member {
+    /// Returns whether the target has what a request needs.
+    pub fn serves(&self, generation: Option<&Generation>) -> bool {
+        let Some(generation) = generation else {
+            return true;
+        };
+        let held = self.held.iter().find(|held| held.model == generation.model);
+        held.is_some_and(|held| {
+            let adapter = generation.adapter.as_ref();
+            adapter.is_none_or(|adapter| held.adapters.contains(adapter))
+        })
+    }
+}
+
+/// Bounds on extra attempts, over all instances together.
+#[derive(Debug, Clone, Copy)]
+pub struct Extra {
+    /// Extra attempts per request.
+    pub ratio: f64,
+    /// Extra attempts beyond that in one window.
+    pub burst: f64,
+}
+
+/// State of an entry instance.
+#[derive(Debug)]
+pub struct State {
+    /// Load and health of targets.
+    pub board: Board,
+    /// Kept connections to targets.
+    pub pool: Pool,
+    /// Told whenever routes or targets have changed.
+    pub changed: Rc<Notify>,
+    routes: Option<Rc<Routes>>,
+    registry: Registry,
+    placed: BTreeMap<id::Target, Placed>,
+    members: HashMap<id::Service, Rc<Vec<Member>>>,
+    budgets: HashMap<id::Service, Retry>,
+    extra: Extra,
+    instances: u32,
+}
+
+impl State {
+    /// Knows nothing yet.
+    pub fn new(extra: Extra) -> Self {
+        Self {
+            board: Board::default(),
+            pool: Pool::default(),
+            changed: Rc::default(),
+            routes: None,
+            registry: Registry::default(),
+            placed: BTreeMap::new(),
+            members: HashMap::new(),
+            budgets: HashMap::new(),
+            extra,
+            instances: 1,
+        }
+    }
+
+    /// Takes routes into force, unless newer ones are; returns whether they are new.
+    pub fn set_routes(&mut self, document: Document) -> bool {
+        let current = self.version();
+        if current.is_some_and(|current| current >= document.version) {
+            return false;
+        }
+        let table = Table::new(&document);
+        self.routes = Some(Rc::new(Routes { document, table }));
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// Returns the version of the routes in force.
+    pub fn version(&self) -> Option<Revision> {
+        self.routes.as_ref().map(|routes| routes.document.version)
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> Option<Rc<Routes>> {
+        self.routes.clone()
+    }
+
+    /// Returns a service of the routes in force.
+    pub fn service(&self, service: &id::Service) -> Option<&Service> {
+        self.routes.as_ref()?.document.services.get(service)
+    }
+
+    /// Returns the targets that are known.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Changes what is known of targets; the result tells whether anything was news.
+    pub fn change_targets(&mut self, change: impl FnOnce(&mut Registry) -> bool) -> bool {
+        let is_news = change(&mut self.registry);
+        if is_news {
+            self.rebuild();
+        }
+        is_news
+    }
+
+    /// Takes what the controller knows to be on a target.
+    pub fn set_placed(&mut self, target: id::Target, placed: Placed) {
+        if self.placed.get(&target) != Some(&placed) {
+            self.placed.insert(target, placed);
+            self.rebuild();
+        }
+    }
+
+    /// Takes the number of entry instances, which share the budget of extra attempts.
+    pub fn set_instances(&mut self, instances: u32) {
+        if self.instances != instances.max(1) {
+            self.instances = instances.max(1);
+            self.budgets.clear();
+        }
+    }
+
+    fn rebuild(&mut self) {
+        let registry = &self.registry;
+        self.placed
+            .retain(|target, _| registry.get(target).is_some());
+        let mut members: HashMap<id::Service, Vec<Member>> = HashMap::new();
+        let ready = registry
+            .entries()
+            .filter(|entry| entry.is_ready() && !registry.is_replaced(entry));
+        for Entry { announcement, .. } in ready {
+            let placed = self.placed.get(&announcement.target);
+            let placed = placed.filter(|placed| placed.born == announcement.born);
+            let held = placed.map_or(&announcement.held, |placed| &placed.held);
+            let of_service = members.entry(announcement.service.clone()).or_default();
+            of_service.push(Member {
+                target: announcement.target.clone(),
+                born: announcement.born,
+                address: announcement.address,
+                domain: announcement.domain.clone(),
+                slots: announcement.slots,
+                held: held.clone(),
+            });
+        }
+        let members = members.into_iter();
+        self.members = members
+            .map(|(service, members)| (service, Rc::new(members)))
+            .collect();
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the targets of a service that take new work.
+    pub fn members(&self, service: &id::Service) -> Rc<Vec<Member>> {
+        self.members.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns the budget of extra attempts of a service.
+    pub fn budget(&mut self, service: &id::Service, now: Point) -> &mut Retry {
+        let config = budget::Config {
+            share: self.extra.ratio * BUDGET_SHARE,
+            most: (self.extra.burst * BUDGET_SHARE / f64::from(self.instances)).max(1.0),
+            trickle: Rate::default(),
+        };
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| Retry::new(config, now))
+    }
+
+    /// Closes and forgets what is not needed any more.
+    pub fn prune(&mut self, now: Point) {
+        self.registry.prune(now);
+        self.pool.prune(now);
+        let registry = &self.registry;
+        self.board.retain(|target, born| {
+            let entry = registry.get(target);
+            entry.is_some_and(|entry| entry.announcement.born == born)
+        });
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_forward/src/work.rs
@@ -0,0 +1,175 @@
+//! A caller's request on its way, and the log lines about it.
+
+use std::{sync::Arc, time::Duration};
+
+use buckthornmast_routes::{document::Route, register::Revision};
+use buckthornmast_routing::attempt::History;
+use buckthornmast_types::{id, time::Point};
+use bytes::Bytes;
+use http::request;
+use smallvec::SmallVec;
+
+use crate::{mapping::Head, patience, supply::Want};
+
+/// Request with all that was decided about it.
+#[derive(Debug)]
+pub struct Work {
+    /// Decoded head.
+    pub head: Head,
+    /// Head as it was received.
+    pub parts: request::Parts,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Version of the routes that it was taken from.
+    pub version: Revision,
+    /// Service.
+    pub service: id::Service,
+    /// When the head had arrived.
+    pub received: Point,
+    /// When the final answer is due.
+    pub until: Point,
+    /// Failed attempts.
+    pub history: History,
+    /// Attempts that didn't run the request for certain.
+    pub not_run: u32,
+    /// Targets that have had it.
+    pub tried: SmallVec<[id::Target; 2]>,
+    /// Time that was spent without a target.
+    pub waited: Duration,
+}
+
+impl Work {
+    /// Returns the model or adapter that the request needs.
+    pub fn want(&self) -> Option<Want> {
+        let generation = self.head.generation.as_ref()?;
+        Some(Want {
+            service: self.service.clone(),
+            model: generation.model.clone(),
+            adapter: generation.adapter.clone(),
+        })
+    }
+
+    /// Returns the time left until the final answer is due.
+    pub fn left(&self, now: Point) -> Duration {
+        self.until.since(now)
+    }
+
+    /// Returns until when the caller waits for the answer to begin.
+    pub fn first_until(&self) -> Point {
+        let patience = patience::of_caller(&self.route);
+        patience.map_or(self.until, |patience| {
+            self.until.min(self.received + patience)
+        })
+    }
+
+    /// Returns whether an answer that begins at this time is on time.
+    pub fn is_on_time(&self, at: Point) -> bool {
+        at <= self.received + self.route.objective
+    }
+}
+
+/// How a request ended, for the log and the metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The target's answer was passed on in full.
+    Answered,
+    /// It was refused and has not run.
+    Refused,
+    /// It failed and may have run.
+    Failed,
+    /// The caller left.
+    Left,
+}
+
+impl End {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// Reporter of a request's end. Dropped without a word, the caller has left.
+#[derive(Debug)]
+pub struct Outcome {
+    request: Box<str>,
+    route: Arc<Route>,
+    version: Revision,
+    received: std::time::Instant,
+    first: Option<Duration>,
+    target: Option<id::Target>,
+    attempts: u32,
+    is_told: bool,
+}
+
+impl Outcome {
+    /// Starts with the request's arrival.
+    pub fn new(work: &Work) -> Self {
+        Self {
+            request: work.head.request.0.clone(),
+            route: Arc::clone(&work.route),
+            version: work.version,
+            received: std::time::Instant::now(),
+            first: None,
+            target: None,
+            attempts: 0,
+            is_told: false,
+        }
+    }
+
+    /// Notes a dispatch.
+    pub fn dispatched(&mut self, target: &id::Target) {
+        self.target = Some(target.clone());
+        self.attempts += 1;
+    }
+
+    /// Notes the first event, or the whole answer.
+    pub fn began(&mut self) {
+        self.first.get_or_insert(self.received.elapsed());
+    }
+
+    /// Reports the end.
+    pub fn end(&mut self, end: End, status: u16, cause: &str) {
+        if std::mem::replace(&mut self.is_told, true) {
+            return;
+        }
+        let took = self.received.elapsed();
+        let first = self.first.unwrap_or(took);
+        let route = self.route.name.clone();
+        metrics::counter!("buckthornmast_forwarded_total", "route" => route.clone(), "end" => end.as_str())
+            .increment(1);
+        metrics::histogram!("buckthornmast_forward_first_seconds", "route" => route)
+            .record(first.as_secs_f64());
+        log::info!(
+            step = "forward",
+            request:% = self.request,
+            route:% = self.route.name,
+            version = self.version.0,
+            target:% = self.target.as_ref().map_or("", |target| target.as_str()),
+            attempts = self.attempts,
+            end:% = end.as_str(),
+            status = status,
+            cause:% = cause,
+            first_ms = millis(first),
+            took_ms = millis(took);
+            "request ended"
+        );
+    }
+}
+
+impl Drop for Outcome {
+    fn drop(&mut self) {
+        self.end(End::Left, 0, "the caller left");
+    }
+}
+
+/// Returns whole milliseconds, for logs.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/buckthornmast_link/src/lib.rs
@@ -0,0 +1,248 @@
+//! Connections between instances that carry frames both ways.
+//!
+//! A frame is a length followed by a message in postcard. An instance that waits for changes is sent them as
+//! they come, which a call and its answer don't give; jsonrpsee's subscriptions would, at several times the bytes
+//! and the processor time per message, on instances with a quarter of a core.
+//!
+//! Each connection has one task that reads and one that writes. Both end with the connection. An empty frame is a
+//! sign of life: a connection on which nothing has arrived for [`Timing::silence`] is given up, since something
+//! between the ends may have lost track of it while new connections work.
+
+pub mod error;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use serde::{Serialize, de::DeserializeOwned};
+use snafu::ResultExt;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    task::JoinHandle,
+    time::timeout,
+};
+use tokio_util::codec::{Encoder, FramedRead, LengthDelimitedCodec};
+
+use crate::error::{ConnectSnafu, Error, SocketSnafu};
+
+/// Largest frame in bytes: a document of routes with room to spare.
+pub const MAX_FRAME_BYTES: usize = 8 << 20;
+
+/// Frames that wait for the connection at the most; an end that falls further behind is given up and starts over.
+pub const MAX_WAITING: usize = 4096;
+
+/// Bytes that are gathered for one write.
+const WRITE_BYTES: usize = 64 << 10;
+
+/// Intervals of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// Time for the connection to be established.
+    pub connect: Duration,
+    /// Time without a frame after which a sign of life is sent.
+    pub beat: Duration,
+    /// Time without a frame after which the connection is given up.
+    pub silence: Duration,
+}
+
+impl Default for Timing {
+    /// Two signs of life may be lost or late before a connection is given up.
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            beat: Duration::from_millis(400),
+            silence: Duration::from_millis(1500),
+        }
+    }
+}
+
+/// Sending end. Clones send on the same connection.
+#[derive(Debug)]
+pub struct Outbox<M> {
+    frames: flume::Sender<M>,
+}
+
+impl<M> Clone for Outbox<M> {
+    fn clone(&self) -> Self {
+        Self {
+            frames: self.frames.clone(),
+        }
+    }
+}
+
+impl<M> Outbox<M> {
+    /// Sends without blocking; returns false if the connection has ended or is too far behind.
+    pub fn send(&self, message: M) -> bool {
+        self.frames.try_send(message).is_ok()
+    }
+}
+
+/// Open connection. Dropping it closes the connection and ends its tasks.
+#[derive(Debug)]
+pub struct Link<In, Out> {
+    /// Received frames; it ends with the connection.
+    pub inbox: flume::Receiver<In>,
+    /// Sending end.
+    pub outbox: Outbox<Out>,
+    /// Other end.
+    pub peer: SocketAddr,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl<In, Out> Drop for Link<In, Out> {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl<In, Out> Link<In, Out>
+where
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    /// Opens a connection.
+    pub async fn connect(address: SocketAddr, timing: Timing) -> Result<Self, Error> {
+        let stream = timeout(timing.connect, TcpStream::connect(address)).await;
+        let stream = stream
+            .map_err(|_| Error::Timeout { peer: address })?
+            .context(ConnectSnafu { peer: address })?;
+        Self::start(stream, address, timing)
+    }
+
+    /// Takes over an accepted or established connection.
+    pub fn start(stream: TcpStream, peer: SocketAddr, timing: Timing) -> Result<Self, Error> {
+        configure(&stream, timing).context(SocketSnafu { peer })?;
+        let (read, write) = stream.into_split();
+        let (received, inbox) = flume::bounded(MAX_WAITING);
+        let (frames, waiting) = flume::bounded(MAX_WAITING);
+        let reader = tokio::spawn(read_frames::<In>(read, peer, received, timing));
+        let writer = tokio::spawn(write_frames::<Out>(write, peer, waiting, timing));
+        Ok(Self {
+            inbox,
+            outbox: Outbox { frames },
+            peer,
+            tasks: [reader, writer],
+        })
+    }
+}
+
+/// Sets the options of a connection between instances.
+fn configure(stream: &TcpStream, timing: Timing) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(timing.silence))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(timing.silence))
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
+
+async fn read_frames<In: DeserializeOwned>(
+    read: OwnedReadHalf,
+    peer: SocketAddr,
+    received: flume::Sender<In>,
+    timing: Timing,
+) {
+    let mut frames = FramedRead::new(read, codec());
+    loop {
+        let frame = match timeout(timing.silence, frames.next()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => {
+                log::debug!(step = "read", peer:% = peer; "connection between instances broke: {error}");
+                return;
+            }
+            Ok(None) => return,
+            Err(_) => {
+                log::info!(step = "read", peer:% = peer; "connection between instances fell silent");
+                return;
+            }
+        };
+        if frame.is_empty() {
+            continue;
+        }
+        match postcard::from_bytes(&frame) {
+            Ok(message) => {
+                if received.send_async(message).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::warn!(step = "decode", peer:% = peer; "frame can't be decoded, connection is closed: {error}");
+                return;
+            }
+        }
+    }
+}
+
+async fn write_frames<Out: Serialize>(
+    mut write: OwnedWriteHalf,
+    peer: SocketAddr,
+    waiting: flume::Receiver<Out>,
+    timing: Timing,
+) {
+    let mut codec = codec();
+    let mut buffer = BytesMut::new();
+    loop {
+        let message = match timeout(timing.beat, waiting.recv_async()).await {
+            Ok(Ok(message)) => Some(message),
+            Ok(Err(_)) => return,
+            Err(_) => None,
+        };
+        buffer.clear();
+        let is_encoded = match message {
+            Some(message) => {
+                let mut is_encoded = encode(&mut codec, &message, &mut buffer, peer);
+                while is_encoded && buffer.len() < WRITE_BYTES {
+                    let Ok(next) = waiting.try_recv() else { break };
+                    is_encoded = encode(&mut codec, &next, &mut buffer, peer);
+                }
+                is_encoded
+            }
+            None => codec.encode(Bytes::new(), &mut buffer).is_ok(),
+        };
+        if !is_encoded {
+            return;
+        }
+        match timeout(timing.silence, write.write_all(&buffer)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
+                log::debug!(step = "write", peer:% = peer; "connection between instances broke: {error}");
+                return;
+            }
+            Err(_) => {
+                log::info!(step = "write", peer:% = peer; "connection between instances takes no more bytes");
+                return;
+            }
+        }
+    }
+}
+
+fn encode<M: Serialize>(
+    codec: &mut LengthDelimitedCodec,
+    message: &M,
+    buffer: &mut BytesMut,
+    peer: SocketAddr,
+) -> bool {
+    let frame = match postcard::to_stdvec(message) {
+        Ok(frame) => frame,
+        Err(error) => {
+            log::error!(step = "encode", peer:% = peer; "message can't be encoded: {error}");
+            return false;
+        }
+    };
+    match codec.encode(Bytes::from(frame), buffer) {
+        Ok(()) => true,
+        Err(error) => {
+            log::error!(step = "encode", peer:% = peer; "message is too large: {error}");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_logging/src/lib.rs
@@ -0,0 +1,31 @@
+//! Start of logging.
+//!
+//! [`start`] writes each line to standard error at once, for programs that log little. [`start_queued`] hands
+//! lines to a thread and never blocks the caller, for programs that log each request.
+
+mod line;
+pub mod queue;
+
+use env_logger::{Builder, Env, Target};
+
+use crate::queue::{Bounds, Queue};
+
+fn builder() -> Builder {
+    let env = Env::default().default_filter_or("info");
+    let mut builder = Builder::from_env(env);
+    builder.format(line::write);
+    builder
+}
+
+/// Starts logging to standard error. The filter is read from `RUST_LOG` and is `info` by default.
+pub fn start() {
+    // A second start, as in tests, keeps the first logger.
+    let _ = builder().try_init();
+}
+
+/// Starts logging to standard output through a bounded queue.
+pub fn start_queued(bounds: Bounds) -> std::io::Result<queue::Handle> {
+    let (queue, handle) = Queue::start(bounds, std::io::stdout())?;
+    let _ = builder().target(Target::Pipe(Box::new(queue))).try_init();
+    Ok(handle)
+}
--- a/crates/buckthornmast_daemon/src/logging.rs
+++ b/crates/buckthornmast_logging/src/line.rs
@@ -1,11 +1,11 @@
 //! Log lines as JSON objects.
 //!
 //! Each line has `ts`, `level`, `module` and `message`, followed by the fields of the call site, usually
-//! `step`, `peer`, `request` and `term`. The filter is read from `RUST_LOG` and is `info` by default.
+//! `step`, `peer`, `request` and `term`.
 
 use std::io::Write;
 
-use env_logger::{Builder, Env, fmt::Formatter};
+use env_logger::fmt::Formatter;
 use log::{
     Record,
     kv::{Error, Key, Value, VisitSource},
@@ -23,7 +23,8 @@
     }
 }
 
-fn write_line(out: &mut Formatter, record: &Record<'_>) -> std::io::Result<()> {
+/// Writes a record as one line.
+pub(crate) fn write(out: &mut Formatter, record: &Record<'_>) -> std::io::Result<()> {
     let mut line = Map::new();
     line.insert(
         "ts".to_owned(),
@@ -36,10 +37,3 @@
     let _ = record.key_values().visit(&mut Fields(&mut line));
     writeln!(out, "{}", serde_json::Value::Object(line))
 }
-
-/// Starts logging to standard error.
-pub fn start() {
-    let env = Env::default().default_filter_or("info");
-    // A second start, as in tests, keeps the first logger.
-    let _ = Builder::from_env(env).format(write_line).try_init();
-}
--- /dev/null
+++ b/crates/buckthornmast_node/src/control.rs
@@ -0,0 +1,150 @@
+//! Calls of targets and operators.
+
+use std::rc::Rc;
+
+use buckthornmast_consensus::prelude::ProposeError;
+use buckthornmast_fleet::{
+    announcement::{Announcement, State},
+    registry::Update,
+};
+use buckthornmast_routes::{
+    document::Document,
+    register::{Answer, Command, Text},
+};
+use buckthornmast_types::id;
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+
+use crate::{
+    core::Core,
+    http::{Handler, status},
+    platform::{Call, Platform},
+};
+
+/// Handler of the calls.
+pub struct Control<P>(pub Rc<Core<P>>);
+
+fn json(body: impl Into<Bytes>) -> Response<Bytes> {
+    let mut response = Response::new(body.into());
+    let value = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
+
+fn refused(code: StatusCode, reason: &str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(format!("{reason}\n")));
+    *response.status_mut() = code;
+    response
+}
+
+impl<P: Platform> Handler for Control<P> {
+    async fn answer(&self, request: Request<Bytes>) -> Response<Bytes> {
+        let path = request.uri().path().to_owned();
+        let (parts, body) = request.into_parts();
+        match self.0.platform.call(&parts.method, &path, &body) {
+            Call::Announce(announcement) => self.announce(*announcement).await,
+            Call::Withdraw(target) => self.withdraw(&target).await,
+            Call::Publish(document) => self.publish(&document, &body, &path).await,
+            Call::Read => self.read(&path).await,
+            Call::Malformed(reason) => {
+                metrics::counter!("buckthornmast_malformed_calls_total").increment(1);
+                log::warn!(step = "control", path:% = path; "call refused: {reason}");
+                refused(StatusCode::BAD_REQUEST, &reason)
+            }
+            Call::Unknown => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl<P: Platform> Control<P> {
+    async fn announce(&self, announcement: Announcement) -> Response<Bytes> {
+        if !self.0.has_service(&announcement.service) {
+            log::warn!(step = "target", target:% = announcement.target, service:% = announcement.service; "announcement refused: the service is unknown");
+            return refused(StatusCode::BAD_REQUEST, "the service is unknown");
+        }
+        let leaves = announcement.state != State::Ready;
+        let update = Update {
+            announcement,
+            withdrawn: false,
+        };
+        let merge = self.0.merge(update.clone(), true);
+        if leaves && merge == buckthornmast_fleet::registry::Merge::News {
+            return self.spread(update).await;
+        }
+        json("{}")
+    }
+
+    async fn withdraw(&self, target: &id::Target) -> Response<Bytes> {
+        match self.0.withdraw(target) {
+            Some(update) => self.spread(update).await,
+            // Nobody can have sent it work that was never announced here or elsewhere.
+            None => json("{}"),
+        }
+    }
+
+    async fn spread(&self, update: Update) -> Response<Bytes> {
+        let target = update.announcement.target.clone();
+        if self.0.spread(update).await {
+            return json("{}");
+        }
+        log::warn!(step = "target", target:% = target; "no other instance noted that the target leaves");
+        refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not noted by another instance yet",
+        )
+    }
+
+    async fn publish(&self, document: &Document, body: &Bytes, path: &str) -> Response<Bytes> {
+        let now = buckthornmast_types::time::Clock::now(&self.0.clock);
+        if self.0.replica.leads(now).is_none() {
+            return self.redirect(path);
+        }
+        let text = Text {
+            version: document.version,
+            body: body.as_ref().into(),
+        };
+        let version = document.version;
+        let answer = self.0.replica.propose(Command::Publish(text)).await;
+        log::info!(step = "publish", version = version.0, outcome:? = answer; "routes published");
+        match answer {
+            Ok(Answer::Accepted { .. }) => {
+                self.0.tell_routes();
+                json("{}")
+            }
+            Ok(Answer::Conflict) => refused(
+                StatusCode::CONFLICT,
+                "the version in force has other content",
+            ),
+            Err(ProposeError::NotLeader { .. }) => self.redirect(path),
+            Err(error) => refused(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+        }
+    }
+
+    async fn read(&self, path: &str) -> Response<Bytes> {
+        let now = buckthornmast_types::time::Clock::now(&self.0.clock);
+        if self.0.replica.leads(now).is_none() {
+            return self.redirect(path);
+        }
+        // Only an entry of its own term proves that this instance still leads.
+        let answer = self.0.replica.propose(Command::Confirm).await;
+        match (answer, self.0.replica.newest(None)) {
+            (Ok(Answer::Accepted { .. }), Some(text)) => json(Bytes::copy_from_slice(&text.body)),
+            (Ok(_), _) => refused(StatusCode::SERVICE_UNAVAILABLE, "no routes yet"),
+            (Err(ProposeError::NotLeader { .. }), _) => self.redirect(path),
+            (Err(error), _) => refused(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+        }
+    }
+
+    /// Sends the caller to the leader.
+    fn redirect(&self, path: &str) -> Response<Bytes> {
+        let Some(leader) = self.0.leader() else {
+            return refused(StatusCode::SERVICE_UNAVAILABLE, "no leader is known");
+        };
+        let mut response = status(StatusCode::TEMPORARY_REDIRECT);
+        let location = format!("http://{leader}{path}");
+        if let Ok(location) = HeaderValue::from_str(&location) {
+            response.headers_mut().insert(header::LOCATION, location);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_node/src/http.rs
@@ -0,0 +1,97 @@
+//! Small HTTP servers: readiness, metrics, and calls of targets and operators.
+
+use std::{convert::Infallible, future::Future, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+
+/// Time for a head, and for the wait between two requests.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Time for a body.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// Largest body: a document of a few thousand routes.
+pub const MAX_BODY: usize = 8 << 20;
+
+/// Pause after accept failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers whole requests.
+pub trait Handler: 'static {
+    /// Answers a request.
+    fn answer(&self, request: Request<Bytes>) -> impl Future<Output = Response<Bytes>>;
+}
+
+/// Running server. Dropping it stops accepting.
+#[derive(Debug)]
+pub struct Server(JoinHandle<()>);
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Returns an answer without a body.
+pub fn status(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status;
+    response
+}
+
+/// Starts a server.
+pub fn start<H: Handler>(listener: TcpListener, handler: Rc<H>) -> Server {
+    Server(tokio::task::spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    tokio::task::spawn_local(serve(TokioIo::new(stream), Rc::clone(&handler)));
+                }
+                Err(error) => {
+                    log::warn!(step = "accept"; "connection can't be accepted: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }))
+}
+
+async fn serve<H: Handler>(stream: TokioIo<tokio::net::TcpStream>, handler: Rc<H>) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let handler = Rc::clone(&handler);
+        async move {
+            let response = match whole(request).await {
+                Ok(request) => handler.answer(request).await,
+                Err(refused) => status(refused),
+            };
+            Ok::<_, Infallible>(response.map(Full::new))
+        }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .serve_connection(stream, service)
+        .await;
+    if let Err(error) = served {
+        log::debug!(step = "serve"; "connection ended: {error}");
+    }
+}
+
+async fn whole(request: Request<Incoming>) -> Result<Request<Bytes>, StatusCode> {
+    let (parts, body) = request.into_parts();
+    let collected = tokio::time::timeout(BODY_TIME, Limited::new(body, MAX_BODY).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(Request::from_parts(parts, body.to_bytes())),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -0,0 +1,178 @@
+//! How an entry instance asks the leader for models and adapters, and reports demand.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use buckthornmast_forward::supply::{Supply, Want, Wanted};
+use buckthornmast_link::Outbox;
+use buckthornmast_supply::demand::{Item, Row};
+use buckthornmast_types::id;
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{Instant, timeout, timeout_at},
+};
+
+use crate::message::{Granted, Up};
+
+/// Time for the answer of the leader.
+const ANSWER: Duration = Duration::from_millis(1000);
+
+/// Time for a leader to appear, if none is known.
+const LEADER: Duration = Duration::from_millis(400);
+
+struct Core {
+    outbox: Outbox<Up>,
+    leads: Option<id::Term>,
+}
+
+/// Connections to the core, as far as models are concerned.
+#[derive(Default)]
+pub struct Supplier {
+    cores: RefCell<HashMap<SocketAddr, Core>>,
+    open: RefCell<HashMap<u64, oneshot::Sender<Granted>>>,
+    next: Cell<u64>,
+    rows: RefCell<HashMap<Item, Row>>,
+    changed: Notify,
+}
+
+fn item_of(want: &Want) -> Item {
+    Item {
+        service: want.service.clone(),
+        model: want.model.clone(),
+        adapter: want.adapter.clone(),
+    }
+}
+
+impl Supplier {
+    /// Notes a connection.
+    pub fn opened(&self, peer: SocketAddr, outbox: Outbox<Up>) {
+        let core = Core {
+            outbox,
+            leads: None,
+        };
+        self.cores.borrow_mut().insert(peer, core);
+    }
+
+    /// Notes the end of a connection.
+    pub fn closed(&self, peer: SocketAddr) {
+        self.cores.borrow_mut().remove(&peer);
+    }
+
+    /// Returns the number of connections.
+    pub fn connections(&self) -> usize {
+        self.cores.borrow().len()
+    }
+
+    /// Notes whether an instance leads.
+    pub fn set_leads(&self, peer: SocketAddr, leads: Option<id::Term>) {
+        if let Some(core) = self.cores.borrow_mut().get_mut(&peer) {
+            core.leads = leads;
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns whether an instance leads, as far as is known: the one with the highest term.
+    pub fn is_leader(&self, peer: SocketAddr) -> bool {
+        let cores = self.cores.borrow();
+        let highest = cores.values().filter_map(|core| core.leads).max();
+        let leads = cores.get(&peer).and_then(|core| core.leads);
+        leads.is_some() && leads == highest
+    }
+
+    /// Takes an answer of the leader.
+    pub fn granted(&self, number: u64, granted: Granted) {
+        if let Some(answer) = self.open.borrow_mut().remove(&number) {
+            // Whoever asked may have given up.
+            let _ = answer.send(granted);
+        }
+    }
+
+    fn leader(&self) -> Option<Outbox<Up>> {
+        let cores = self.cores.borrow();
+        let leaders = cores.values().filter(|core| core.leads.is_some());
+        let leader = leaders.max_by_key(|core| core.leads)?;
+        Some(leader.outbox.clone())
+    }
+
+    /// Reports the demand since the last report.
+    pub fn report(&self) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let rows: Vec<Row> = self.rows.borrow_mut().drain().map(|(_, row)| row).collect();
+        if !rows.is_empty() {
+            // Demand that is lost shows in the next report.
+            let _ = leader.send(Up::Demand(rows));
+        }
+    }
+
+    fn change_row(&self, item: Item, change: impl FnOnce(&mut Row)) {
+        let mut rows = self.rows.borrow_mut();
+        let row = rows.entry(item.clone()).or_insert_with(|| Row {
+            item,
+            requests: 0,
+            ended: 0,
+            slot_time: Duration::ZERO,
+        });
+        change(row);
+    }
+
+    async fn wait_for_leader(&self) -> Option<Outbox<Up>> {
+        let until = Instant::now() + LEADER;
+        loop {
+            let changed = self.changed.notified();
+            if let Some(leader) = self.leader() {
+                return Some(leader);
+            }
+            timeout_at(until, changed).await.ok()?;
+        }
+    }
+
+    async fn ask(&self, want: &Want) -> Wanted {
+        let Some(leader) = self.wait_for_leader().await else {
+            return Wanted::No;
+        };
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (sender, answer) = oneshot::channel();
+        self.open.borrow_mut().insert(number, sender);
+        let item = item_of(want);
+        let answer = if leader.send(Up::Want { number, item }) {
+            timeout(ANSWER, answer).await
+        } else {
+            Ok(Ok(Granted::No))
+        };
+        self.open.borrow_mut().remove(&number);
+        match answer {
+            Ok(Ok(Granted::Ready(target))) => Wanted::Ready(target),
+            Ok(Ok(Granted::Later(later))) => Wanted::Later(later),
+            Ok(Ok(Granted::No) | Err(_)) | Err(_) => Wanted::No,
+        }
+    }
+}
+
+/// Supplier that is shared with the connections to the core.
+#[derive(Clone, Default)]
+pub struct Shared(pub Rc<Supplier>);
+
+impl Supply for Shared {
+    async fn want(&self, want: Want) -> Wanted {
+        self.0.ask(&want).await
+    }
+
+    fn note(&self, want: &Want) {
+        self.0.change_row(item_of(want), |row| row.requests += 1);
+    }
+
+    fn ended(&self, want: &Want, took: Duration) {
+        self.0.change_row(item_of(want), |row| {
+            row.ended += 1;
+            row.slot_time += took;
+        });
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_routes/src/document.rs
@@ -0,0 +1,219 @@
+//! A document of routes and the check that it must pass before it is accepted.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use buckthornmast_types::{id, rate::Rate, size::Bytes};
+use snafu::Snafu;
+
+use crate::register::Revision;
+
+/// What may be repeated when the outcome of an attempt is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// May run any number of times.
+    Idempotent,
+    /// May run once at most.
+    Once,
+    /// Answers with a stream of numbered events; may run once, unless the stream may be resumed.
+    Stream {
+        /// Whether another target may go on behind the last event that was passed on.
+        resumable: bool,
+        /// Longest pause between two events that still counts as on time.
+        gap: Duration,
+    },
+}
+
+impl Kind {
+    /// Returns whether a request may run again when it is not known whether it has run.
+    pub fn is_repeatable(self) -> bool {
+        match self {
+            Self::Idempotent => true,
+            Self::Once => false,
+            Self::Stream { resumable, .. } => resumable,
+        }
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// Rule for the requests of a host below a path.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Name, for logs.
+    pub name: String,
+    /// Host in lower case.
+    pub host: String,
+    /// Start of the path, with a slash at both ends.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Services and their weights; requests are split in proportion.
+    pub services: Vec<(id::Service, u32)>,
+    /// Longest time until the final answer.
+    pub timeout: Duration,
+    /// Time within which the answer is wanted: the whole one, or the first event of a stream.
+    pub objective: Duration,
+    /// Most targets that one request is sent to.
+    pub attempts: u32,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Whether requests with a common start of the prompt should meet at the same target.
+    pub affinity: bool,
+}
+
+/// Model that the targets of a service may load.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Model {
+    /// Name.
+    pub name: id::Model,
+    /// Size of its weights.
+    pub weights: Bytes,
+    /// Time of a load from the weight store.
+    pub load: Duration,
+    /// Time of a load from a copy in the target's main memory.
+    pub memory_load: Duration,
+    /// Time of a load from a copy on the target's disk.
+    pub disk_load: Duration,
+    /// Size of each adapter.
+    pub adapter: Bytes,
+}
+
+/// Model engines of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pool {
+    /// Requests that run at once on a target.
+    pub slots: u32,
+    /// Accelerator memory of a target for weights and adapters.
+    pub memory: Bytes,
+    /// Adapters that a target holds at most.
+    pub adapters: u32,
+    /// Loads from the weight store over all targets.
+    pub loads: Rate,
+    /// Tokens that fit into a target's cache.
+    pub cache_tokens: u64,
+    /// Models.
+    pub models: BTreeMap<id::Model, Model>,
+}
+
+/// Service that requests are routed to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: id::Service,
+    /// Connections that a target accepts from all instances together.
+    pub connections: u32,
+    /// Model engines, if the service has them.
+    pub pool: Option<Pool>,
+}
+
+/// Bounds on what callers send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a request head.
+    pub head: usize,
+    /// Bytes of a request body.
+    pub body: usize,
+    /// Time for a request head.
+    pub head_time: Duration,
+    /// Time that a connection may be idle.
+    pub idle: Duration,
+}
+
+/// Routes, services and limits as of one version.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Document {
+    /// Version.
+    pub version: Revision,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: BTreeMap<id::Service, Service>,
+    /// Limits.
+    pub limits: Limits,
+}
+
+/// Reason why a document is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum Fault {
+    /// A route names a service that the document lacks.
+    #[snafu(display("route {route:?} names the unknown service {service}"))]
+    Service {
+        /// Route.
+        route: String,
+        /// Service.
+        service: id::Service,
+    },
+    /// Two routes match the same requests.
+    #[snafu(display("two routes have the host {host:?} and the prefix {prefix:?}"))]
+    Duplicate {
+        /// Host.
+        host: String,
+        /// Prefix.
+        prefix: String,
+    },
+    /// No request could be split over the services.
+    #[snafu(display("the weights of route {route:?} add up to 0"))]
+    Weight {
+        /// Route.
+        route: String,
+    },
+    /// Every request would be late.
+    #[snafu(display("the timeout of route {route:?} is 0"))]
+    Timeout {
+        /// Route.
+        route: String,
+    },
+    /// A path could match by accident.
+    #[snafu(display("the prefix {prefix:?} of route {route:?} lacks a slash at its start or end"))]
+    Prefix {
+        /// Route.
+        route: String,
+        /// Prefix.
+        prefix: String,
+    },
+}
+
+impl Document {
+    /// Returns the first fault.
+    pub fn check(&self) -> Result<(), Fault> {
+        let mut places = BTreeSet::new();
+        for route in &self.routes {
+            let name = || route.name.clone();
+            let unknown = route
+                .services
+                .iter()
+                .find(|(service, _)| !self.services.contains_key(service));
+            if let Some((service, _)) = unknown {
+                return Err(Fault::Service {
+                    route: name(),
+                    service: service.clone(),
+                });
+            }
+            if route.services.iter().all(|(_, weight)| *weight == 0) {
+                return Err(Fault::Weight { route: name() });
+            }
+            if route.timeout.is_zero() {
+                return Err(Fault::Timeout { route: name() });
+            }
+            if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+                return Err(Fault::Prefix {
+                    route: name(),
+                    prefix: route.prefix.clone(),
+                });
+            }
+            if !places.insert((&route.host, &route.prefix)) {
+                return Err(Fault::Duplicate {
+                    host: route.host.clone(),
+                    prefix: route.prefix.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -0,0 +1,104 @@
+//! Places of adapters.
+//!
+//! An adapter is loaded when it is first asked for, on the target with the model that has the least demand for its
+//! adapters. When all places are taken, the adapter that was asked for longest ago makes room.
+
+use buckthornmast_routes::document::Pool;
+use buckthornmast_types::{id, time::Point};
+
+use crate::{
+    demand::{Demand, Item},
+    ledger::{Ledger, Shelf},
+    order::Action,
+};
+
+/// Where an adapter may go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Place {
+    /// A target has it.
+    Held(id::Target),
+    /// A target is loading it.
+    Coming(id::Target),
+    /// A target can be ordered to make room or to load it.
+    Order(id::Target, Action),
+    /// All targets with the model are busy with another order.
+    Busy,
+    /// No target has the model.
+    NoModel,
+    /// No target with the model has room.
+    Full,
+}
+
+/// Finds the place of an adapter.
+pub fn place(ledger: &Ledger, pool: &Pool, demand: &Demand, item: &Item, now: Point) -> Place {
+    let Some(adapter) = &item.adapter else {
+        return Place::NoModel;
+    };
+    let mut with_model = ledger.shelves.iter().filter(|(_, shelf)| {
+        shelf.is_ready && shelf.service == item.service && shelf.is_usable(&item.model)
+    });
+    let mut best: Option<(&id::Target, &Shelf, (bool, u64))> = None;
+    let mut has_busy = false;
+    for (target, shelf) in with_model.by_ref() {
+        if shelf.held[&item.model].contains(adapter) {
+            return Place::Held(target.clone());
+        }
+        let wanted = Action::LoadAdapter(item.model.clone(), adapter.clone());
+        if shelf
+            .pending
+            .as_ref()
+            .is_some_and(|pending| pending.action == wanted)
+        {
+            return Place::Coming(target.clone());
+        }
+        if !shelf.is_free() {
+            has_busy = true;
+            continue;
+        }
+        let is_full = shelf.adapters() >= pool.adapters as usize;
+        let key = (is_full, load_of(shelf, demand, now));
+        if best.as_ref().is_none_or(|(_, _, other)| key < *other) {
+            best = Some((target, shelf, key));
+        }
+    }
+    let Some((target, shelf, (is_full, _))) = best else {
+        return if has_busy {
+            Place::Busy
+        } else {
+            Place::NoModel
+        };
+    };
+    let needed = pool.models.get(&item.model).map(|model| model.adapter);
+    let fits = needed.is_some_and(|needed| shelf.free(pool) >= needed);
+    if !is_full && fits {
+        let action = Action::LoadAdapter(item.model.clone(), adapter.clone());
+        return Place::Order(target.clone(), action);
+    }
+    match least_wanted(shelf, demand) {
+        Some(action) => Place::Order(target.clone(), action),
+        None => Place::Full,
+    }
+}
+
+/// Returns the demand for the adapters of a target, in thousandths of a request a second.
+fn load_of(shelf: &Shelf, demand: &Demand, now: Point) -> u64 {
+    let items = items(shelf);
+    let rate: f64 = items.map(|item| demand.rate(&item, now)).sum();
+    (rate * 1000.0) as u64
+}
+
+fn items(shelf: &Shelf) -> impl Iterator<Item = Item> {
+    shelf.held.iter().flat_map(|(model, adapters)| {
+        adapters.iter().map(|adapter| Item {
+            service: shelf.service.clone(),
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        })
+    })
+}
+
+/// Returns the order that removes the adapter that was asked for longest ago.
+fn least_wanted(shelf: &Shelf, demand: &Demand) -> Option<Action> {
+    let oldest = items(shelf).min_by_key(|item| demand.last(item))?;
+    Some(Action::UnloadAdapter(oldest.model, oldest.adapter?))
+}
--- /dev/null
+++ b/crates/buckthornmast_supply/src/demand.rs
@@ -0,0 +1,115 @@
+//! Demand for models and adapters, as entry instances report it.
+
+use std::{collections::HashMap, time::Duration};
+
+use buckthornmast_types::{id, time::Point};
+use serde::{Deserialize, Serialize};
+
+/// Time over which demand is averaged. Short, since demand moves within seconds.
+const SPAN: Duration = Duration::from_millis(1500);
+
+/// Assumed time of a request in a slot before there is a sample.
+const ASSUMED_SLOT_TIME: f64 = 1.0;
+
+/// Model, alone or with an adapter.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Item {
+    /// Service.
+    pub service: id::Service,
+    /// Model.
+    pub model: id::Model,
+    /// Adapter.
+    pub adapter: Option<id::Adapter>,
+}
+
+/// Requests for an item since the last report of an instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Model or adapter.
+    pub item: Item,
+    /// Requests, those that were refused included.
+    pub requests: u32,
+    /// Requests that ended.
+    pub ended: u32,
+    /// Time that these took in their slots.
+    pub slot_time: Duration,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Mean {
+    rate: f64,
+    at: Point,
+    last: Point,
+    ended: f64,
+    slot_time: f64,
+}
+
+impl Mean {
+    fn decay(&mut self, now: Point) {
+        let factor = (-now.since(self.at).as_secs_f64() / SPAN.as_secs_f64()).exp();
+        self.rate *= factor;
+        self.at = self.at.max(now);
+    }
+}
+
+/// Demand of all instances together.
+#[derive(Debug, Clone, Default)]
+pub struct Demand {
+    items: HashMap<Item, Mean>,
+}
+
+impl Demand {
+    /// Adds what an instance reports.
+    pub fn add(&mut self, rows: &[Row], now: Point) {
+        for row in rows {
+            let mean = self.items.entry(row.item.clone()).or_default();
+            mean.decay(now);
+            mean.rate += f64::from(row.requests) / SPAN.as_secs_f64();
+            if row.requests > 0 {
+                mean.last = now;
+            }
+            // Older samples fade as newer ones come.
+            mean.ended = mean.ended * 0.9 + f64::from(row.ended);
+            mean.slot_time = mean.slot_time * 0.9 + row.slot_time.as_secs_f64();
+        }
+    }
+
+    /// Returns the requests a second for an item.
+    pub fn rate(&self, item: &Item, now: Point) -> f64 {
+        self.items.get(item).map_or(0.0, |mean| {
+            let mut mean = *mean;
+            mean.decay(now);
+            mean.rate
+        })
+    }
+
+    /// Returns when an item was last asked for.
+    pub fn last(&self, item: &Item) -> Option<Point> {
+        let mean = self.items.get(item)?;
+        (mean.last > Point::ZERO).then_some(mean.last)
+    }
+
+    /// Returns the requests a second for a model and its adapters, and the slots that they take.
+    pub fn of_model(&self, service: &id::Service, model: &id::Model, now: Point) -> (f64, f64) {
+        let of_model = self
+            .items
+            .iter()
+            .filter(|(item, _)| item.model == *model && item.service == *service);
+        of_model.fold((0.0, 0.0), |(rate, slots), (_, mean)| {
+            let mut mean = *mean;
+            mean.decay(now);
+            let time = if mean.ended >= 1.0 {
+                mean.slot_time / mean.ended
+            } else {
+                ASSUMED_SLOT_TIME
+            };
+            (rate + mean.rate, slots + mean.rate * time)
+        })
+    }
+
+    /// Forgets items that nobody has asked for in a long time.
+    pub fn prune(&mut self, now: Point) {
+        let old = SPAN * 200;
+        self.items.retain(|_, mean| now.since(mean.at) < old);
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -0,0 +1,348 @@
+//! What each target holds, or may come to hold.
+//!
+//! Memory and adapter places are accounted for the worst case: a load counts from the moment its order is sent
+//! until the target is known not to hold it. An order without an answer counts until a later order with the same
+//! expected number was accepted, since the target then refuses the earlier one.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use buckthornmast_fleet::prelude::*;
+use buckthornmast_routes::document::Pool;
+use buckthornmast_types::{id, size::Bytes, time::Point};
+
+use crate::order::{Action, Order, Outcome, Report};
+
+/// Time after an accepted order for which announcements may still show the state before it.
+const ANNOUNCEMENT_LAG: Duration = Duration::from_millis(3000);
+
+/// Age that the state in a report may have.
+const REPORT_LAG: Duration = Duration::from_millis(700);
+
+/// Pause between two questions for the state of a target.
+const REPORT_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Time after which an order without an answer is not carried out any more. The platform speaks of up to 12 s.
+const DOUBT: Duration = Duration::from_secs(20);
+
+/// Time beyond the expected one after which a load counts as lost.
+const LOAD_SLACK: Duration = Duration::from_secs(6);
+
+/// Order that a target is carrying out, or may be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pending {
+    /// Order.
+    pub action: Action,
+    /// When it was sent.
+    pub sent: Point,
+    /// Whether the target has accepted it.
+    pub accepted: bool,
+    /// When it is expected to be done.
+    pub due: Point,
+}
+
+/// Target and its models.
+#[derive(Debug, Clone)]
+pub struct Shelf {
+    /// Start of the target.
+    pub born: id::Incarnation,
+    /// Service.
+    pub service: id::Service,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: id::Domain,
+    /// Whether it takes new work.
+    pub is_ready: bool,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Models and adapters that are ready.
+    pub held: BTreeMap<id::Model, BTreeSet<id::Adapter>>,
+    /// Copies that load without the weight store.
+    pub copies: BTreeSet<id::Model>,
+    /// Orders that the target has accepted; unknown until it was asked.
+    pub accepted: Option<u64>,
+    /// Order in progress.
+    pub pending: Option<Pending>,
+    /// Loads that may still take effect although nothing was heard of them, with the time of their sending.
+    pub doubtful: Vec<(Action, Point)>,
+    changed: Point,
+    asked: Option<Point>,
+}
+
+impl Shelf {
+    fn new(announcement: &Announcement) -> Self {
+        let mut shelf = Self {
+            born: announcement.born,
+            service: announcement.service.clone(),
+            address: announcement.address,
+            domain: announcement.domain.clone(),
+            is_ready: true,
+            slots: announcement.slots,
+            held: BTreeMap::new(),
+            copies: BTreeSet::new(),
+            accepted: None,
+            pending: None,
+            doubtful: Vec::new(),
+            changed: Point::ZERO,
+            asked: None,
+        };
+        shelf.set_held(&announcement.held);
+        shelf
+    }
+
+    fn set_held(&mut self, held: &[Held]) {
+        let held = held.iter().map(|held| {
+            let adapters = held.adapters.iter().cloned().collect();
+            (held.model.clone(), adapters)
+        });
+        self.held = held.collect();
+    }
+
+    /// Returns the loads that count although they are not ready.
+    fn coming(&self) -> impl Iterator<Item = &Action> {
+        let pending = self.pending.iter().map(|pending| &pending.action);
+        let loads = pending.chain(self.doubtful.iter().map(|(action, _)| action));
+        loads.filter(|action| matches!(action, Action::Load(_) | Action::LoadAdapter(..)))
+    }
+
+    /// Returns the model that is being loaded.
+    pub fn loading(&self) -> Option<(&id::Model, Point)> {
+        let pending = self.pending.as_ref()?;
+        match &pending.action {
+            Action::Load(model) => Some((model, pending.due)),
+            _ => None,
+        }
+    }
+
+    /// Returns the adapters that are present or may come to be.
+    pub fn adapters(&self) -> usize {
+        let held: usize = self.held.values().map(BTreeSet::len).sum();
+        let coming = self
+            .coming()
+            .filter(|action| matches!(action, Action::LoadAdapter(..)));
+        held + coming.count()
+    }
+
+    /// Returns the memory that is free in the worst case.
+    pub fn free(&self, pool: &Pool) -> Bytes {
+        let held = self.held.iter().map(|(model, adapters)| {
+            let spec = pool.models.get(model);
+            spec.map_or(pool.memory.0, |spec| {
+                spec.weights.0 + spec.adapter.0 * adapters.len() as u64
+            })
+        });
+        let coming = self.coming().map(|action| {
+            let spec = pool.models.get(action.model());
+            match action {
+                Action::LoadAdapter(..) => spec.map_or(0, |spec| spec.adapter.0),
+                _ => spec.map_or(0, |spec| spec.weights.0),
+            }
+        });
+        let used: u64 = held.chain(coming).sum();
+        Bytes(pool.memory.0.saturating_sub(used))
+    }
+
+    /// Returns whether an order may be given.
+    pub fn is_free(&self) -> bool {
+        self.is_ready && self.pending.is_none() && self.accepted.is_some()
+    }
+
+    /// Returns what requests may use, as entry instances are told.
+    pub fn usable(&self) -> Vec<Held> {
+        let pending = self.pending.as_ref().map(|pending| &pending.action);
+        let is_leaving = |action: Action| pending == Some(&action);
+        let held = self.held.iter();
+        let usable = held.filter(|(model, _)| !is_leaving(Action::Unload((*model).clone())));
+        usable
+            .map(|(model, adapters)| {
+                let adapters = adapters.iter().filter(|adapter| {
+                    !is_leaving(Action::UnloadAdapter(model.clone(), (*adapter).clone()))
+                });
+                Held {
+                    model: model.clone(),
+                    adapters: adapters.cloned().collect(),
+                }
+            })
+            .collect()
+    }
+
+    /// Returns whether requests may use a model.
+    pub fn is_usable(&self, model: &id::Model) -> bool {
+        let pending = self.pending.as_ref().map(|pending| &pending.action);
+        let leaves = matches!(pending, Some(Action::Unload(leaving)) if leaving == model);
+        self.held.contains_key(model) && !leaves
+    }
+
+    /// Returns whether the target should be asked for its state, and notes that it is.
+    pub fn wants_report(&mut self, now: Point) -> bool {
+        let is_due =
+            |since: Option<Point>, pause| since.is_none_or(|since| now.since(since) >= pause);
+        let changed = (self.changed > Point::ZERO).then_some(self.changed);
+        let wants = self.is_ready
+            && self.accepted.is_none()
+            && self.pending.is_none()
+            && is_due(self.asked, REPORT_PAUSE)
+            && is_due(changed, REPORT_LAG);
+        if wants {
+            self.asked = Some(now);
+        }
+        wants
+    }
+}
+
+/// All targets that hold models.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    /// Targets.
+    pub shelves: BTreeMap<id::Target, Shelf>,
+}
+
+impl Ledger {
+    /// Takes over what is announced.
+    pub fn observe(&mut self, registry: &Registry, now: Point) {
+        self.shelves.retain(|target, shelf| {
+            let entry = registry.get(target);
+            entry.is_some_and(|entry| {
+                entry.announcement.born == shelf.born && !registry.is_replaced(entry)
+            })
+        });
+        for entry in registry.entries() {
+            let announcement = &entry.announcement;
+            if registry.is_replaced(entry) {
+                continue;
+            }
+            let known = self.shelves.entry(announcement.target.clone());
+            let shelf = known.or_insert_with(|| Shelf::new(announcement));
+            shelf.address = announcement.address;
+            shelf.is_ready = entry.is_ready();
+            shelf.copies = announcement
+                .in_memory
+                .iter()
+                .chain(&announcement.on_disk)
+                .cloned()
+                .collect();
+            shelf.reconcile(announcement, now);
+        }
+    }
+
+    /// Notes that an order is being sent.
+    pub fn sent(&mut self, order: &Order, due: Point, now: Point) {
+        if let Some(shelf) = self.shelf(order) {
+            shelf.pending = Some(Pending {
+                action: order.action.clone(),
+                sent: now,
+                accepted: false,
+                due,
+            });
+        }
+    }
+
+    fn shelf(&mut self, order: &Order) -> Option<&mut Shelf> {
+        let shelf = self.shelves.get_mut(&order.target)?;
+        (shelf.born == order.born).then_some(shelf)
+    }
+
+    /// Notes what became of an order. An accepted load of an adapter counts as ready from now on.
+    pub fn answered(&mut self, order: &Order, outcome: Outcome, now: Point) {
+        let Some(shelf) = self.shelf(order) else {
+            return;
+        };
+        let Some(pending) = shelf.pending.as_mut() else {
+            return;
+        };
+        match outcome {
+            Outcome::Accepted => {
+                shelf.changed = now;
+                shelf.accepted = Some(order.expected + 1);
+                shelf.doubtful.clear();
+                match &order.action {
+                    // The target announces the end.
+                    Action::Load(_) | Action::Unload(_) => pending.accepted = true,
+                    Action::LoadAdapter(..) | Action::UnloadAdapter(..) => shelf.settle(),
+                }
+            }
+            Outcome::Holds => {
+                shelf.changed = now;
+                // Unloading an adapter is done by the time of the answer and counts as an order.
+                let counts = matches!(order.action, Action::UnloadAdapter(..));
+                shelf.accepted = Some(order.expected + u64::from(counts));
+                shelf.settle();
+            }
+            Outcome::Unknown => {
+                shelf.changed = now;
+                let action = pending.action.clone();
+                shelf.doubtful.push((action, pending.sent));
+                shelf.pending = None;
+                shelf.accepted = None;
+            }
+            Outcome::Conflict | Outcome::Fenced | Outcome::Refused | Outcome::Misdirected => {
+                shelf.pending = None;
+                shelf.accepted = None;
+            }
+        }
+    }
+
+    /// Takes what a target says when it is asked.
+    pub fn reported(&mut self, target: &id::Target, born: id::Incarnation, report: &Report) {
+        let Some(shelf) = self.shelves.get_mut(target) else {
+            return;
+        };
+        let is_other = report.born.is_some_and(|started| started != born);
+        if shelf.born != born || is_other || report.is_busy || shelf.pending.is_some() {
+            return;
+        }
+        shelf.accepted = Some(report.accepted);
+        shelf.set_held(&report.held);
+    }
+}
+
+impl Shelf {
+    /// Takes the order in progress as carried out.
+    fn settle(&mut self) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        match pending.action {
+            Action::Load(model) => drop(self.held.entry(model).or_default()),
+            Action::LoadAdapter(model, adapter) => {
+                self.held.entry(model).or_default().insert(adapter);
+            }
+            Action::Unload(model) => drop(self.held.remove(&model)),
+            Action::UnloadAdapter(model, adapter) => {
+                if let Some(adapters) = self.held.get_mut(&model) {
+                    adapters.remove(&adapter);
+                }
+            }
+        }
+    }
+
+    /// Compares what is known with what the target announces.
+    fn reconcile(&mut self, announcement: &Announcement, now: Point) {
+        let announces = |model: &id::Model| announcement.holds(model, None);
+        if let Some(pending) = &self.pending {
+            let is_done = match &pending.action {
+                Action::Load(model) => announces(model),
+                Action::Unload(model) => !announces(model),
+                Action::LoadAdapter(..) | Action::UnloadAdapter(..) => false,
+            };
+            if is_done && pending.accepted {
+                self.changed = now;
+                self.settle();
+            } else if now >= pending.due + LOAD_SLACK {
+                let action = pending.action.clone();
+                self.pending = None;
+                self.accepted = None;
+                self.doubtful.push((action, now));
+            }
+            return;
+        }
+        self.doubtful.retain(|(_, sent)| now.since(*sent) < DOUBT);
+        if now.since(self.changed) >= ANNOUNCEMENT_LAG {
+            self.set_held(&announcement.held);
+        }
+    }
+}
