Account for models by orders and reports only, and spread demand before planning

An adapter in use is unloaded later (202), but its place counted as free at once; and announcements, which may be older than the last order, replaced the ledger. Ruled out: loads carried out late, which the expected number refuses. Change: the ledger changes by orders and fresh reports only; announcements that differ lead to a question. Planning spreads the demand over copies and updates the situation with each step.

--- a/crates/buckthornmast_forward/src/caller.rs
+++ b/crates/buckthornmast_forward/src/caller.rs
@@ -271,12 +271,12 @@
             let attempt = self.attempt(&work, &chosen.member, chosen.rank, after, patience);
             let failure = match attempt.await {
                 Ok(Reply::Whole(whole)) => {
-                    outcome.began();
+                    outcome.passed();
                     outcome.end(End::Answered, whole.head.status.as_u16(), "");
                     return passed_on(whole);
                 }
                 Ok(Reply::Stream(flow)) => {
-                    outcome.began();
+                    outcome.passed();
                     return self.stream(work, *flow, outcome);
                 }
                 Err(failure) => failure,
@@ -415,7 +415,7 @@
         };
         Ok(Chosen {
             member: serving[pick.index].clone(),
-            rank: generation.map(|_| rank),
+            rank: generation.and(None),
         })
     }
 
--- a/crates/buckthornmast_forward/src/choice.rs
+++ b/crates/buckthornmast_forward/src/choice.rs
@@ -12,8 +12,10 @@
 
 use crate::board::Board;
 
-/// Share of its slots up to which a target is chosen for the start of a prompt.
-const AFFINITY_LOAD: f64 = 0.75;
+/// Requests that a target may have more than the least loaded one and still be chosen for the start of a prompt.
+/// Reading a prompt holds up the other requests of the target, so a start that saves a fraction of it is not worth
+/// a crowd.
+const AFFINITY_SLACK: f64 = 2.0;
 
 /// Load, as a share of the slots, that a share of failures of 1 is as bad as.
 const FAILURE_COST: f64 = 3.0;
@@ -59,7 +61,7 @@
 
 struct Scored {
     index: usize,
-    load: f64,
+    requests: f64,
     failures: f64,
     score: f64,
 }
@@ -89,11 +91,16 @@
         .iter()
         .map(|scored| scored.failures)
         .fold(f64::INFINITY, f64::min);
+    let least = scored
+        .iter()
+        .map(|scored| scored.requests)
+        .fold(f64::INFINITY, f64::min);
     let chosen = ask
         .prefix
         .and_then(|prefix| {
             let with_room = scored.iter().filter(|scored| {
-                scored.load < AFFINITY_LOAD && scored.failures <= fewest + FAILURE_SLACK
+                scored.requests <= least + AFFINITY_SLACK
+                    && scored.failures <= fewest + FAILURE_SLACK
             });
             with_room.max_by_key(|scored| rank(prefix, &candidates[scored.index].target))
         })
@@ -108,16 +115,16 @@
 fn score(index: usize, candidate: &Candidate, draw: u64, board: &Board, now: Point) -> Scored {
     let lane = board.lane(&candidate.target, candidate.born);
     let slots = f64::from(candidate.slots.max(1));
-    let load = lane.map_or(0.0, |lane| lane.load(now)) / slots;
+    let requests = lane.map_or(0.0, |lane| lane.load(now));
     let failures = lane.map_or(0.0, |lane| lane.failures(now));
     let far = if candidate.is_near { 0.0 } else { FAR_COST };
     // Instances that see the same loads would all choose the same target without this.
     let noise = (rank(draw, &candidate.target) >> 11) as f64 / (1u64 << 53) as f64 / slots;
     Scored {
         index,
-        load,
+        requests,
         failures,
-        score: load + failures * FAILURE_COST + far + noise,
+        score: requests / slots + failures * FAILURE_COST + far + noise,
     }
 }
 
--- a/crates/buckthornmast_forward/src/patience.rs
+++ b/crates/buckthornmast_forward/src/patience.rs
@@ -18,8 +18,10 @@
 /// Share of the objective that a first event may take before another target is tried, in percent.
 const FIRST_PERCENT: u32 = 80;
 
-/// Silence in the middle of a stream after which it goes on at another target, in pauses that are on time.
-const GAP_MULTIPLE: u32 = 4;
+/// Silence in the middle of a stream after which it goes on at another target, as a share of the silence that its
+/// caller bears, in percent. Early enough for the caller to stay, late enough not to move a stream that merely
+/// waits for the prompts of others to be read.
+const GAP_PERCENT: u32 = 60;
 
 /// Returns the longest silence on a stream that its caller bears; other answers are awaited until the deadline.
 pub fn of_caller(route: &Route) -> Option<Duration> {
@@ -37,8 +39,5 @@
 
 /// Returns the silence in the middle of a stream after which its target is given up for another one.
 pub fn for_next(route: &Route) -> Option<Duration> {
-    match route.kind {
-        Kind::Stream { gap, .. } => Some(gap * GAP_MULTIPLE),
-        Kind::Idempotent | Kind::Once => None,
-    }
+    of_caller(route).map(|patience| patience * GAP_PERCENT / 100)
 }
--- a/crates/buckthornmast_forward/src/supply.rs
+++ b/crates/buckthornmast_forward/src/supply.rs
@@ -1,6 +1,6 @@
 //! Boundary to whoever decides which target holds which model.
 
-use std::{future::Future, time::Duration};
+use std::{fmt, future::Future, time::Duration};
 
 use buckthornmast_types::id;
 
@@ -15,6 +15,15 @@
     pub adapter: Option<id::Adapter>,
 }
 
+impl fmt::Display for Want {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(f, "{}/{adapter}", self.model),
+            None => self.model.fmt(f),
+        }
+    }
+}
+
 /// Answer to a want.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Wanted {
--- a/crates/buckthornmast_forward/src/work.rs
+++ b/crates/buckthornmast_forward/src/work.rs
@@ -103,6 +103,9 @@
     version: Revision,
     received: std::time::Instant,
     first: Option<Duration>,
+    last: Option<std::time::Instant>,
+    gap: Duration,
+    model: String,
     target: Option<id::Target>,
     attempts: u32,
     is_told: bool,
@@ -117,6 +120,9 @@
             version: work.version,
             received: std::time::Instant::now(),
             first: None,
+            last: None,
+            gap: Duration::ZERO,
+            model: work.want().map(|want| want.to_string()).unwrap_or_default(),
             target: None,
             attempts: 0,
             is_told: false,
@@ -129,9 +135,14 @@
         self.attempts += 1;
     }
 
-    /// Notes the first event, or the whole answer.
-    pub fn began(&mut self) {
-        self.first.get_or_insert(self.received.elapsed());
+    /// Notes an event, or the whole answer.
+    pub fn passed(&mut self) {
+        let now = std::time::Instant::now();
+        self.first
+            .get_or_insert_with(|| now.duration_since(self.received));
+        if let Some(last) = self.last.replace(now) {
+            self.gap = self.gap.max(now.duration_since(last));
+        }
     }
 
     /// Reports the end.
@@ -151,12 +162,14 @@
             request:% = self.request,
             route:% = self.route.name,
             version = self.version.0,
+            model:% = self.model,
             target:% = self.target.as_ref().map_or("", |target| target.as_str()),
             attempts = self.attempts,
             end:% = end.as_str(),
             status = status,
             cause:% = cause,
             first_ms = millis(first),
+            gap_ms = millis(self.gap),
             took_ms = millis(took);
             "request ended"
         );
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -114,7 +114,14 @@
             return;
         }
         state.demand.prune(now);
-        state.ledger.observe(registry, now);
+        let Some(document) = state.document.clone() else {
+            return;
+        };
+        let has_models = |service: &id::Service| {
+            let service = document.services.get(service);
+            service.is_some_and(|service| service.pool.is_some())
+        };
+        state.ledger.observe(registry, has_models, now);
         let mut questions = Vec::new();
         for (target, shelf) in &mut state.ledger.shelves {
             if shelf.wants_report(now) {
@@ -320,7 +327,7 @@
             Place::Held(target) => Next::Done(Granted::Ready(target)),
             Place::Coming(_) | Place::Busy => Next::Wait,
             Place::Order(target, action) => Next::Order(target, action),
-            Place::NoModel | Place::Full => Next::Done(Granted::No),
+            Place::NoModel | Place::Full => Next::Wait,
         }
     }
 }
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -57,6 +57,9 @@
 /// Silence after which a voter is replaced, longer than a usual restart.
 const VOTER_PATIENCE: Duration = Duration::from_millis(2500);
 
+/// Time after the first start in which targets announce themselves, so that what they hold isn't taken as missing.
+const SETTLE: Duration = Duration::from_secs(3);
+
 /// Term in which the first leader of all is elected; nobody has given orders before it.
 const FIRST_TERM: id::Term = id::Term(1);
 
@@ -271,11 +274,7 @@
         log::info!(step = "lead", term = leads.map_or(0, |term| term.0), leads = leads.is_some(); "leadership changed");
         let lead = leads.map(|term| {
             let turn = self.settings.borrow().bounds.turn;
-            let pause = if term == FIRST_TERM {
-                Duration::ZERO
-            } else {
-                turn
-            };
+            let pause = if term == FIRST_TERM { SETTLE } else { turn };
             Lead {
                 fence: Fence {
                     holder: self.me.instance.clone(),
--- a/crates/buckthornmast_routing/src/budget.rs
+++ b/crates/buckthornmast_routing/src/budget.rs
@@ -53,12 +53,17 @@
         self.tokens = (self.tokens + tokens).min(self.config.most);
     }
 
-    /// Takes an extra attempt out of the budget, if there is one.
-    pub fn take(&mut self, now: Point) -> bool {
+    /// Returns whether there is an extra attempt in the budget.
+    pub fn has(&mut self, now: Point) -> bool {
         let earned = now.since(self.at).as_secs_f64() * self.config.trickle.get();
         self.at = self.at.max(now);
         self.earn(earned);
-        let enough = self.tokens >= 1.0;
+        self.tokens >= 1.0
+    }
+
+    /// Takes an extra attempt out of the budget, if there is one.
+    pub fn take(&mut self, now: Point) -> bool {
+        let enough = self.has(now);
         if enough {
             self.tokens -= 1.0;
         }
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -3,6 +3,8 @@
 //! An adapter is loaded when it is first asked for, on the target with the model that has the least demand for its
 //! adapters. When all places are taken, the adapter that was asked for longest ago makes room.
 
+use std::time::Duration;
+
 use buckthornmast_routes::document::Pool;
 use buckthornmast_types::{id, time::Point};
 
@@ -12,6 +14,9 @@
     order::Action,
 };
 
+/// Time after its last request for which an adapter counts as in use. Most answers take less.
+const IN_USE: Duration = Duration::from_millis(2500);
+
 /// Where an adapter may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Place {
@@ -74,7 +79,7 @@
         let action = Action::LoadAdapter(item.model.clone(), adapter.clone());
         return Place::Order(target.clone(), action);
     }
-    match least_wanted(shelf, demand) {
+    match least_wanted(shelf, demand, now) {
         Some(action) => Place::Order(target.clone(), action),
         None => Place::Full,
     }
@@ -97,8 +102,14 @@
     })
 }
 
-/// Returns the order that removes the adapter that was asked for longest ago.
-fn least_wanted(shelf: &Shelf, demand: &Demand) -> Option<Action> {
+/// Returns the order that removes the adapter that was asked for longest ago, unless it is in use.
+fn least_wanted(shelf: &Shelf, demand: &Demand, now: Point) -> Option<Action> {
     let oldest = items(shelf).min_by_key(|item| demand.last(item))?;
+    if demand
+        .last(&oldest)
+        .is_some_and(|last| now.since(last) < IN_USE)
+    {
+        return None;
+    }
     Some(Action::UnloadAdapter(oldest.model, oldest.adapter?))
 }
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -28,8 +28,14 @@
 /// Time after which an order without an answer is not carried out any more. The platform speaks of up to 12 s.
 const DOUBT: Duration = Duration::from_secs(20);
 
-/// Time beyond the expected one after which a load counts as lost.
-const LOAD_SLACK: Duration = Duration::from_secs(6);
+/// Time beyond the expected one after which a target is asked whether an order is carried out.
+const OVERDUE: Duration = Duration::from_millis(500);
+
+/// Pause between two questions because of announcements that differ from the ledger.
+const MISMATCH_PAUSE: Duration = Duration::from_secs(3);
+
+/// Time in which an adapter that is still in use is expected to be unloaded.
+const ADAPTER_UNLOAD: Duration = Duration::from_millis(500);
 
 /// Order that a target is carrying out, or may be.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +48,8 @@
     pub accepted: bool,
     /// When it is expected to be done.
     pub due: Point,
+    // Whether the target announced the model when the order was sent.
+    was_listed: bool,
 }
 
 /// Target and its models.
@@ -69,6 +77,7 @@
     pub pending: Option<Pending>,
     /// Loads that may still take effect although nothing was heard of them, with the time of their sending.
     pub doubtful: Vec<(Action, Point)>,
+    listed: BTreeSet<id::Model>,
     changed: Point,
     asked: Option<Point>,
 }
@@ -87,6 +96,7 @@
             accepted: None,
             pending: None,
             doubtful: Vec::new(),
+            listed: BTreeSet::new(),
             changed: Point::ZERO,
             asked: None,
         };
@@ -182,9 +192,12 @@
         let is_due =
             |since: Option<Point>, pause| since.is_none_or(|since| now.since(since) >= pause);
         let changed = (self.changed > Point::ZERO).then_some(self.changed);
+        let needs = match &self.pending {
+            None => self.accepted.is_none(),
+            Some(pending) => pending.accepted && now >= pending.due + OVERDUE,
+        };
         let wants = self.is_ready
-            && self.accepted.is_none()
-            && self.pending.is_none()
+            && needs
             && is_due(self.asked, REPORT_PAUSE)
             && is_due(changed, REPORT_LAG);
         if wants {
@@ -202,8 +215,13 @@
 }
 
 impl Ledger {
-    /// Takes over what is announced.
-    pub fn observe(&mut self, registry: &Registry, now: Point) {
+    /// Takes over what the targets of services with models announce.
+    pub fn observe(
+        &mut self,
+        registry: &Registry,
+        has_models: impl Fn(&id::Service) -> bool,
+        now: Point,
+    ) {
         self.shelves.retain(|target, shelf| {
             let entry = registry.get(target);
             entry.is_some_and(|entry| {
@@ -212,7 +230,7 @@
         });
         for entry in registry.entries() {
             let announcement = &entry.announcement;
-            if registry.is_replaced(entry) {
+            if registry.is_replaced(entry) || !has_models(&announcement.service) {
                 continue;
             }
             let known = self.shelves.entry(announcement.target.clone());
@@ -226,6 +244,11 @@
                 .cloned()
                 .collect();
             shelf.reconcile(announcement, now);
+            shelf.listed = announcement
+                .held
+                .iter()
+                .map(|held| held.model.clone())
+                .collect();
         }
     }
 
@@ -237,6 +260,7 @@
                 sent: now,
                 accepted: false,
                 due,
+                was_listed: shelf.listed.contains(order.action.model()),
             });
         }
     }
@@ -262,7 +286,12 @@
                 match &order.action {
                     // The target announces the end.
                     Action::Load(_) | Action::Unload(_) => pending.accepted = true,
-                    Action::LoadAdapter(..) | Action::UnloadAdapter(..) => shelf.settle(),
+                    // It is in use and goes when its requests have ended.
+                    Action::UnloadAdapter(..) => {
+                        pending.accepted = true;
+                        pending.due = now + ADAPTER_UNLOAD;
+                    }
+                    Action::LoadAdapter(..) => shelf.settle(),
                 }
             }
             Outcome::Holds => {
@@ -292,9 +321,24 @@
             return;
         };
         let is_other = report.born.is_some_and(|started| started != born);
-        if shelf.born != born || is_other || report.is_busy || shelf.pending.is_some() {
+        let is_in_flight = shelf
+            .pending
+            .as_ref()
+            .is_some_and(|pending| !pending.accepted);
+        if shelf.born != born || is_other || report.is_busy || is_in_flight {
             return;
         }
+        if let Some(Pending {
+            action: Action::UnloadAdapter(model, adapter),
+            ..
+        }) = &shelf.pending
+        {
+            let mut held = report.held.iter().filter(|held| held.model == *model);
+            if held.any(|held| held.adapters.contains(adapter)) {
+                return;
+            }
+        }
+        shelf.pending = None;
         shelf.accepted = Some(report.accepted);
         shelf.set_held(&report.held);
     }
@@ -321,28 +365,40 @@
     }
 
     /// Compares what is known with what the target announces.
+    ///
+    /// An announcement may be older than the last order, so it only ends an order that it shows to be carried out.
+    /// Where it says something else than the ledger, the target is asked.
     fn reconcile(&mut self, announcement: &Announcement, now: Point) {
-        let announces = |model: &id::Model| announcement.holds(model, None);
+        let listed = |model: &id::Model| announcement.holds(model, None);
         if let Some(pending) = &self.pending {
             let is_done = match &pending.action {
-                Action::Load(model) => announces(model),
-                Action::Unload(model) => !announces(model),
+                Action::Load(model) => !pending.was_listed && listed(model),
+                Action::Unload(model) => pending.was_listed && !listed(model),
                 Action::LoadAdapter(..) | Action::UnloadAdapter(..) => false,
             };
             if is_done && pending.accepted {
                 self.changed = now;
                 self.settle();
-            } else if now >= pending.due + LOAD_SLACK {
-                let action = pending.action.clone();
-                self.pending = None;
-                self.accepted = None;
-                self.doubtful.push((action, now));
             }
             return;
         }
         self.doubtful.retain(|(_, sent)| now.since(*sent) < DOUBT);
-        if now.since(self.changed) >= ANNOUNCEMENT_LAG {
-            self.set_held(&announcement.held);
+        let is_settled = now.since(self.changed) >= ANNOUNCEMENT_LAG;
+        let is_asked = self
+            .asked
+            .is_some_and(|asked| now.since(asked) < MISMATCH_PAUSE);
+        if is_settled && !is_asked && !self.agrees(&announcement.held) {
+            self.accepted = None;
         }
     }
+
+    fn agrees(&self, held: &[Held]) -> bool {
+        held.len() == self.held.len()
+            && held.iter().all(|held| {
+                self.held.get(&held.model).is_some_and(|known| {
+                    known.len() == held.adapters.len()
+                        && held.adapters.iter().all(|adapter| known.contains(adapter))
+                })
+            })
+    }
 }
--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -1,9 +1,10 @@
 //! Places of models.
 //!
-//! Each decision looks at the slots that the demand for each model takes, spread over the targets that have it. A
-//! model that no target has is loaded first. Then a model whose targets are all crowded gets another copy on the
-//! target with the most slots to spare. A copy makes room for it only if its own model is asked for
-//! little enough that the other copies carry it.
+//! The load that is answered here: the demand for models moves within seconds, and a target is fast only while few
+//! requests are read and answered there at once. Each decision spreads the demand for each model over the targets that
+//! have it, as routing does, and looks at the level that results. A model that no target has is loaded first. Then
+//! a model whose targets are all crowded gets another copy on the target with the most room. A copy makes room for
+//! it only if its own model is asked for little enough that the other copies carry it.
 
 use std::collections::BTreeMap;
 
@@ -12,16 +13,26 @@
 
 use crate::{demand::Demand, ledger::Ledger, order::Action};
 
-/// Share of a target's slots in use beyond which its models want another copy elsewhere.
-const CROWDED: f64 = 0.6;
+/// Requests at once up to which a target answers fast, whatever its slots: reading a prompt takes some tens of
+/// milliseconds during which the answers of all others pause.
+const COMFORT: f64 = 20.0;
 
-/// Share of slots that a target must have less in use than the crowded one to get a copy.
-const MARGIN: f64 = 0.25;
+/// Share of the comfortable requests beyond which a model wants another copy elsewhere.
+const CROWDED: f64 = 0.35;
 
-/// Slots below which a model counts as not asked for.
+/// Share of the comfortable requests that a target must have less than the crowded ones to get a copy.
+const MARGIN: f64 = 0.15;
+
+/// Share of the comfortable requests up to which a model's other copies may be filled by the loss of one.
+const SPARE: f64 = 0.25;
+
+/// Requests at once below which a model counts as not asked for.
 const IDLE: f64 = 0.3;
 
-/// Model that is to be loaded, and copies that make room for it.
+/// Rounds in which the demand is spread; the levels hardly move after that.
+const ROUNDS: usize = 4;
+
+/// Next order to a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Step {
     /// Target.
@@ -35,23 +46,29 @@
 }
 
 struct Weighed<'a> {
+    name: &'a id::Model,
     model: &'a Model,
-    // Slots that the demand takes, over all copies.
-    slots: f64,
+    // Requests at once, over all copies.
+    demand: f64,
     rate: f64,
-    // Ready and coming copies.
-    copies: usize,
+    // Indices of the targets that have or load it.
+    copies: Vec<usize>,
     ready: usize,
 }
 
+struct Place<'a> {
+    target: &'a id::Target,
+    comfort: f64,
+    level: f64,
+    is_taken: bool,
+}
+
 /// Situation of one service.
 pub struct Situation<'a> {
     ledger: &'a Ledger,
     pool: &'a Pool,
-    models: BTreeMap<&'a id::Model, Weighed<'a>>,
-    // Slots in use on each target, as far as its models' demand is spread evenly.
-    used: BTreeMap<&'a id::Target, f64>,
-    service: &'a id::Service,
+    models: Vec<Weighed<'a>>,
+    places: Vec<Place<'a>>,
 }
 
 impl<'a> Situation<'a> {
@@ -63,207 +80,223 @@
         demand: &Demand,
         now: Point,
     ) -> Self {
-        let mut models: BTreeMap<&id::Model, Weighed<'_>> = BTreeMap::new();
-        for (name, model) in &pool.models {
+        let shelves = ledger
+            .shelves
+            .iter()
+            .filter(|(_, shelf)| shelf.is_ready && shelf.service == *service);
+        let places: Vec<Place<'_>> = shelves
+            .map(|(target, shelf)| Place {
+                target,
+                comfort: f64::from(shelf.slots).clamp(1.0, COMFORT),
+                level: 0.0,
+                is_taken: !shelf.is_free(),
+            })
+            .collect();
+        let models = pool.models.iter().map(|(name, model)| {
             let (rate, slots) = demand.of_model(service, name, now);
-            models.insert(
+            let mut weighed = Weighed {
                 name,
-                Weighed {
-                    model,
-                    slots,
-                    rate,
-                    copies: 0,
-                    ready: 0,
-                },
-            );
-        }
-        let shelves = || {
-            let all = ledger.shelves.iter();
-            all.filter(|(_, shelf)| shelf.is_ready && shelf.service == *service)
-        };
-        for (_, shelf) in shelves() {
-            for model in shelf.held.keys() {
-                if let Some(weighed) = models.get_mut(model) {
-                    weighed.copies += 1;
-                    weighed.ready += 1;
+                model,
+                demand: slots,
+                rate,
+                copies: Vec::new(),
+                ready: 0,
+            };
+            for (index, place) in places.iter().enumerate() {
+                let shelf = &ledger.shelves[place.target];
+                let loads = shelf.loading().is_some_and(|(loading, _)| loading == name);
+                let holds = shelf.is_usable(name);
+                if holds || loads {
+                    weighed.copies.push(index);
+                    weighed.ready += usize::from(holds);
                 }
             }
-            if let Some((model, _)) = shelf.loading()
-                && let Some(weighed) = models.get_mut(model)
-            {
-                weighed.copies += 1;
-            }
-        }
-        let used = shelves().map(|(target, shelf)| {
-            let coming = shelf.loading().map(|(model, _)| model);
-            let held = shelf.held.keys().chain(coming);
-            let used = held.filter_map(|model| {
-                let weighed = models.get(model)?;
-                Some(weighed.slots / weighed.copies.max(1) as f64)
-            });
-            (target, used.sum())
+            weighed
         });
-        let used = used.collect();
-        Self {
+        let mut situation = Self {
             ledger,
             pool,
-            models,
-            used,
-            service,
+            models: models.collect(),
+            places,
+        };
+        situation.spread();
+        situation
+    }
+
+    /// Spreads the demand for each model over its copies, so that the fullest target is as little full as possible.
+    fn spread(&mut self) {
+        let mut flows: Vec<Vec<f64>> = Vec::new();
+        let mut levels = vec![0.0; self.places.len()];
+        for weighed in &self.models {
+            let share = weighed.demand / weighed.copies.len().max(1) as f64;
+            weighed.copies.iter().for_each(|at| levels[*at] += share);
+            flows.push(vec![share; weighed.copies.len()]);
+        }
+        for _ in 0..ROUNDS {
+            for (weighed, flows) in self.models.iter().zip(&mut flows) {
+                for (at, flow) in weighed.copies.iter().zip(flows.iter()) {
+                    levels[*at] -= flow;
+                }
+                let others: Vec<f64> = weighed.copies.iter().map(|at| levels[*at]).collect();
+                *flows = fill(&others, weighed.demand);
+                for (at, flow) in weighed.copies.iter().zip(flows.iter()) {
+                    levels[*at] += flow;
+                }
+            }
+        }
+        for (place, level) in self.places.iter_mut().zip(levels) {
+            place.level = level;
         }
     }
 
     /// Returns the next orders, at most one a target and at most `loads` from the weight store.
-    pub fn steps(&self, loads: usize) -> Vec<Step> {
+    pub fn steps(mut self, mut loads: usize) -> Vec<Step> {
         let mut steps = Vec::new();
-        let mut loads = loads;
-        let mut missing: Vec<_> = self
-            .models
-            .iter()
-            .filter(|(_, weighed)| weighed.copies == 0)
+        let mut missing: Vec<usize> = (0..self.models.len())
+            .filter(|index| self.models[*index].copies.is_empty())
             .collect();
-        missing.sort_by(|(_, one), (_, other)| other.rate.total_cmp(&one.rate));
-        for (name, weighed) in missing {
-            self.push(
-                name,
-                weighed,
-                None,
-                "no target has the model",
-                &mut loads,
-                &mut steps,
-            );
+        missing.sort_by(|one, other| self.models[*other].rate.total_cmp(&self.models[*one].rate));
+        for index in missing {
+            let reason = "no target has the model";
+            steps.extend(self.next_step(index, f64::INFINITY, reason, &mut loads));
         }
-        let mut crowded: Vec<_> = self
-            .models
-            .iter()
-            .filter_map(|(name, weighed)| Some((name, weighed, self.pressure(name, weighed)?)))
-            .filter(|(_, _, pressure)| *pressure > CROWDED)
-            .collect();
-        crowded.sort_by(|(_, _, one), (_, _, other)| other.total_cmp(one));
-        for (name, weighed, pressure) in crowded {
-            let most = Some(pressure - MARGIN);
-            self.push(
-                name,
-                weighed,
-                most,
-                "its targets are crowded",
-                &mut loads,
-                &mut steps,
-            );
+        // Each copy changes the levels, so the most crowded model is looked for anew.
+        let mut settled: Vec<usize> = Vec::new();
+        while let Some((index, level)) = self.most_crowded(&settled) {
+            settled.push(index);
+            let reason = "its targets are crowded";
+            steps.extend(self.next_step(index, level - MARGIN * COMFORT, reason, &mut loads));
         }
         steps
     }
 
-    /// Returns the share of slots in use on the least crowded target with a model that is asked for.
-    fn pressure(&self, name: &id::Model, weighed: &Weighed<'_>) -> Option<f64> {
-        if weighed.slots < IDLE || weighed.copies == 0 {
-            return None;
-        }
-        let with = self.ledger.shelves.iter().filter(|(_, shelf)| {
-            let loads = shelf.loading().is_some_and(|(model, _)| model == name);
-            shelf.held.contains_key(name) || loads
-        });
-        let shares = with.filter_map(|(target, shelf)| {
-            Some(self.used.get(target)? / f64::from(shelf.slots.max(1)))
-        });
-        shares.min_by(f64::total_cmp)
+    /// Returns the model whose least crowded target is the most crowded of all, and its level.
+    fn most_crowded(&self, settled: &[usize]) -> Option<(usize, f64)> {
+        let crowded = self
+            .models
+            .iter()
+            .enumerate()
+            .filter_map(|(index, weighed)| {
+                if settled.contains(&index) || weighed.demand < IDLE {
+                    return None;
+                }
+                let places = weighed.copies.iter().map(|at| &self.places[*at]);
+                let least = places.min_by(|one, other| one.level.total_cmp(&other.level))?;
+                (least.level > CROWDED * least.comfort).then_some((index, least.level))
+            });
+        crowded.max_by(|(_, one), (_, other)| one.total_cmp(other))
     }
 
-    /// Adds the order that brings a copy of a model closer, if there is a place for it. `most` is the share of
-    /// slots that may be in use there.
-    fn push(
-        &self,
-        name: &id::Model,
-        weighed: &Weighed<'_>,
-        most: Option<f64>,
+    /// Returns the order that brings a copy of a model closer, on a target whose level is at most `most`.
+    fn next_step(
+        &mut self,
+        index: usize,
+        most: f64,
         reason: &'static str,
         loads: &mut usize,
-        steps: &mut Vec<Step>,
-    ) {
-        let mut best: Option<(Step, (usize, bool, f64))> = None;
-        for (target, shelf) in &self.ledger.shelves {
-            let is_usable = shelf.service == *self.service
-                && shelf.is_free()
-                && !shelf.held.contains_key(name)
-                && steps.iter().all(|step| step.target != *target);
-            if !is_usable {
+    ) -> Option<Step> {
+        let weighed = &self.models[index];
+        let mut best: Option<(usize, Action, (bool, usize, f64))> = None;
+        for (at, place) in self.places.iter().enumerate() {
+            let shelf = &self.ledger.shelves[place.target];
+            let has_it = shelf.held.contains_key(weighed.name);
+            if place.is_taken || has_it || place.level > most {
                 continue;
             }
-            let share =
-                self.used.get(target).copied().unwrap_or(0.0) / f64::from(shelf.slots.max(1));
-            if most.is_some_and(|most| share > most) {
+            let is_rationed = !shelf.copies.contains(weighed.name);
+            if is_rationed && *loads == 0 {
                 continue;
             }
-            let is_rationed = !shelf.copies.contains(name);
             let free = shelf.free(self.pool);
             let (action, evicted) = if free >= weighed.model.weights {
-                (Action::Load(name.clone()), 0)
+                (Action::Load(weighed.name.clone()), 0)
+            } else if let Some((first, evicted)) = self.make_room(at, free, weighed) {
+                (Action::Unload(first), evicted)
             } else {
-                match self.make_room(target, free, weighed) {
-                    Some((model, evicted)) => (Action::Unload(model), evicted),
-                    None => continue,
-                }
-            };
-            if is_rationed && *loads == 0 {
                 continue;
-            }
-            let key = (evicted, is_rationed, share);
-            if best.as_ref().is_none_or(|(_, other)| key < *other) {
-                best = Some((
-                    Step {
-                        target: target.clone(),
-                        action,
-                        is_rationed,
-                        reason,
-                    },
-                    key,
-                ));
+            };
+            let key = (is_rationed, evicted, place.level / place.comfort);
+            if best.as_ref().is_none_or(|(_, _, other)| key < *other) {
+                best = Some((at, action, key));
             }
         }
-        if let Some((step, _)) = best {
-            if step.is_rationed {
-                *loads = loads.saturating_sub(1);
-            }
-            steps.push(step);
+        let (at, action, (is_rationed, _, _)) = best?;
+        if is_rationed {
+            *loads -= 1;
+        }
+        self.places[at].is_taken = true;
+        if let Action::Unload(model) = &action
+            && let Some(leaving) = self.models.iter_mut().find(|other| other.name == model)
+        {
+            leaving.copies.retain(|copy| *copy != at);
+            leaving.ready = leaving.ready.saturating_sub(1);
         }
+        self.models[index].copies.push(at);
+        self.spread();
+        Some(Step {
+            target: self.places[at].target.clone(),
+            action,
+            is_rationed,
+            reason,
+        })
     }
 
-    /// Returns the first copy to unload for a model of this size, and how many have to go.
+    /// Returns the first copy to unload for a model, and how many have to go.
     fn make_room(
         &self,
-        target: &id::Target,
+        at: usize,
         free: Bytes,
         wanted: &Weighed<'_>,
     ) -> Option<(id::Model, usize)> {
-        let shelf = self.ledger.shelves.get(target)?;
-        let mut spare: Vec<_> = shelf
-            .held
-            .keys()
-            .filter_map(|name| Some((name, self.models.get(name)?)))
-            .filter(|(_, weighed)| self.is_spare(weighed, wanted))
+        let mut spare: Vec<&Weighed<'_>> = self
+            .models
+            .iter()
+            .filter(|weighed| {
+                let shelf = &self.ledger.shelves[self.places[at].target];
+                shelf.held.contains_key(weighed.name) && self.is_spare(weighed, wanted, at)
+            })
             .collect();
-        spare.sort_by(|(_, one), (_, other)| one.slots.total_cmp(&other.slots));
+        spare.sort_by(|one, other| one.demand.total_cmp(&other.demand));
+        let first = spare.first()?.name.clone();
         let mut free = free.0;
-        for (count, (name, weighed)) in spare.iter().enumerate() {
+        for (count, weighed) in spare.iter().enumerate() {
             free += weighed.model.weights.0;
             if free >= wanted.model.weights.0 {
-                return Some((
-                    (*spare.first().map(|(name, _)| name).unwrap_or(name)).clone(),
-                    count + 1,
-                ));
+                return Some((first, count + 1));
             }
         }
         None
     }
 
-    /// Returns whether one copy of a model may make room for another model.
-    fn is_spare(&self, weighed: &Weighed<'_>, wanted: &Weighed<'_>) -> bool {
+    /// Returns whether the copy of a model at a place may make room for another model.
+    fn is_spare(&self, weighed: &Weighed<'_>, wanted: &Weighed<'_>, at: usize) -> bool {
         if weighed.ready >= 2 {
-            let slots = f64::from(self.pool.slots.max(1));
-            let left = weighed.slots / (weighed.ready - 1) as f64;
-            return left < slots * CROWDED / 2.0 && weighed.slots < wanted.slots.max(IDLE);
+            let others = weighed.copies.iter().filter(|copy| **copy != at);
+            let left = others.count().max(1) as f64;
+            return weighed.demand / left < SPARE * COMFORT
+                && (weighed.demand < IDLE || weighed.demand < wanted.demand / 2.0);
         }
         // The last copy goes only for a model that is asked for while this one is not.
-        wanted.copies == 0 && wanted.rate > 0.0 && weighed.rate == 0.0
+        wanted.copies.is_empty() && wanted.rate > 0.0 && weighed.rate < IDLE / COMFORT
+    }
+}
+
+/// Pours an amount over places with these levels so that they end as level as possible.
+fn fill(levels: &[f64], amount: f64) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..levels.len()).collect();
+    order.sort_by(|one, other| levels[*one].total_cmp(&levels[*other]));
+    let mut surface = 0.0;
+    let mut below = 0.0;
+    for (count, index) in order.iter().enumerate() {
+        below += levels[*index];
+        surface = (amount + below) / (count + 1) as f64;
+        let next = order.get(count + 1).map(|next| levels[*next]);
+        if next.is_none_or(|next| surface <= next) {
+            break;
+        }
     }
+    levels
+        .iter()
+        .map(|level| (surface - level).max(0.0))
+        .collect()
 }
