Place copies by level and adapters away from models without another copy

Ruled out: the ration of the weight store (unused), unanswered orders. Change: a copy makes room by the level that its loss would bring; the last copy goes for a model that is asked for four times as much; copies follow the number of adapters in demand; demand is averaged over 1 s instead of 1.5 s.

--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -327,7 +327,8 @@
             Place::Held(target) => Next::Done(Granted::Ready(target)),
             Place::Coming(_) | Place::Busy => Next::Wait,
             Place::Order(target, action) => Next::Order(target, action),
-            Place::NoModel | Place::Full => Next::Wait,
+            Place::NoModel => Next::Wait,
+            Place::Full => Next::Done(Granted::No),
         }
     }
 }
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time after its last request for which an adapter counts as in use. Most answers take less.
-const IN_USE: Duration = Duration::from_millis(2500);
+const IN_USE: Duration = Duration::from_millis(4000);
 
 /// Where an adapter may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,7 +42,7 @@
     let mut with_model = ledger.shelves.iter().filter(|(_, shelf)| {
         shelf.is_ready && shelf.service == item.service && shelf.is_usable(&item.model)
     });
-    let mut best: Option<(&id::Target, &Shelf, (bool, u64))> = None;
+    let mut best: Option<(&id::Target, &Shelf, (bool, usize, u64))> = None;
     let mut has_busy = false;
     for (target, shelf) in with_model.by_ref() {
         if shelf.held[&item.model].contains(adapter) {
@@ -61,12 +61,16 @@
             continue;
         }
         let is_full = shelf.adapters() >= pool.adapters as usize;
-        let key = (is_full, load_of(shelf, demand, now));
+        let key = (
+            is_full,
+            sole_models(ledger, item, shelf),
+            load_of(shelf, demand, now),
+        );
         if best.as_ref().is_none_or(|(_, _, other)| key < *other) {
             best = Some((target, shelf, key));
         }
     }
-    let Some((target, shelf, (is_full, _))) = best else {
+    let Some((target, shelf, (is_full, ..))) = best else {
         return if has_busy {
             Place::Busy
         } else {
@@ -85,6 +89,18 @@
     }
 }
 
+/// Returns the number of other models that no other target has; their adapters have no other place.
+fn sole_models(ledger: &Ledger, item: &Item, shelf: &Shelf) -> usize {
+    let others = shelf.held.keys().filter(|model| **model != item.model);
+    let is_sole = |model: &&id::Model| {
+        let mut holders = ledger.shelves.values().filter(|other| {
+            other.is_ready && other.service == item.service && other.is_usable(model)
+        });
+        holders.nth(1).is_none()
+    };
+    others.filter(is_sole).count()
+}
+
 /// Returns the demand for the adapters of a target, in thousandths of a request a second.
 fn load_of(shelf: &Shelf, demand: &Demand, now: Point) -> u64 {
     let items = items(shelf);
--- a/crates/buckthornmast_supply/src/demand.rs
+++ b/crates/buckthornmast_supply/src/demand.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Time over which demand is averaged. Short, since demand moves within seconds.
-const SPAN: Duration = Duration::from_millis(1500);
+const SPAN: Duration = Duration::from_millis(1000);
 
 /// Assumed time of a request in a slot before there is a sample.
 const ASSUMED_SLOT_TIME: f64 = 1.0;
@@ -107,6 +107,25 @@
         })
     }
 
+    /// Returns the number of a model's adapters that are asked for at least this often.
+    pub fn adapters_of(
+        &self,
+        service: &id::Service,
+        model: &id::Model,
+        least: f64,
+        now: Point,
+    ) -> usize {
+        let adapters = self.items.iter().filter(|(item, mean)| {
+            let mut mean = **mean;
+            mean.decay(now);
+            item.adapter.is_some()
+                && item.model == *model
+                && item.service == *service
+                && mean.rate >= least
+        });
+        adapters.count()
+    }
+
     /// Forgets items that nobody has asked for in a long time.
     pub fn prune(&mut self, now: Point) {
         let old = SPAN * 200;
--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -18,10 +18,10 @@
 const COMFORT: f64 = 20.0;
 
 /// Share of the comfortable requests beyond which a model wants another copy elsewhere.
-const CROWDED: f64 = 0.35;
+const CROWDED: f64 = 0.5;
 
 /// Share of the comfortable requests that a target must have less than the crowded ones to get a copy.
-const MARGIN: f64 = 0.15;
+const MARGIN: f64 = 0.25;
 
 /// Share of the comfortable requests up to which a model's other copies may be filled by the loss of one.
 const SPARE: f64 = 0.25;
@@ -29,6 +29,12 @@
 /// Requests at once below which a model counts as not asked for.
 const IDLE: f64 = 0.3;
 
+/// How much more a model without a copy must be asked for than the one whose last copy makes room for it.
+const LAST_COPY: f64 = 4.0;
+
+/// Requests a second from which an adapter counts as in demand.
+const ADAPTER_RATE: f64 = 0.2;
+
 /// Rounds in which the demand is spread; the levels hardly move after that.
 const ROUNDS: usize = 4;
 
@@ -51,6 +57,8 @@
     // Requests at once, over all copies.
     demand: f64,
     rate: f64,
+    // Adapters in demand.
+    adapters: usize,
     // Indices of the targets that have or load it.
     copies: Vec<usize>,
     ready: usize,
@@ -99,6 +107,7 @@
                 model,
                 demand: slots,
                 rate,
+                adapters: demand.adapters_of(service, name, ADAPTER_RATE, now),
                 copies: Vec::new(),
                 ready: 0,
             };
@@ -182,7 +191,15 @@
                 }
                 let places = weighed.copies.iter().map(|at| &self.places[*at]);
                 let least = places.min_by(|one, other| one.level.total_cmp(&other.level))?;
-                (least.level > CROWDED * least.comfort).then_some((index, least.level))
+                let is_crowded = least.level > CROWDED * least.comfort;
+                let places = weighed.copies.len() * self.pool.adapters as usize;
+                let lacks_places = weighed.adapters > places;
+                let level = if lacks_places {
+                    least.level.max((CROWDED + MARGIN) * least.comfort)
+                } else {
+                    least.level
+                };
+                (is_crowded || lacks_places).then_some((index, level))
             });
         crowded.max_by(|(_, one), (_, other)| one.total_cmp(other))
     }
@@ -272,12 +289,13 @@
     fn is_spare(&self, weighed: &Weighed<'_>, wanted: &Weighed<'_>, at: usize) -> bool {
         if weighed.ready >= 2 {
             let others = weighed.copies.iter().filter(|copy| **copy != at);
-            let left = others.count().max(1) as f64;
-            return weighed.demand / left < SPARE * COMFORT
-                && (weighed.demand < IDLE || weighed.demand < wanted.demand / 2.0);
+            let left = weighed.demand / others.count().max(1) as f64;
+            let has = wanted.demand / wanted.copies.len().max(1) as f64;
+            let is_little = weighed.demand < IDLE || left < has / 2.0;
+            return is_little && (left < SPARE * COMFORT || wanted.copies.is_empty());
         }
-        // The last copy goes only for a model that is asked for while this one is not.
-        wanted.copies.is_empty() && wanted.rate > 0.0 && weighed.rate < IDLE / COMFORT
+        // The last copy goes only for a model that has none and is asked for far more.
+        wanted.copies.is_empty() && weighed.rate * LAST_COPY < wanted.rate
     }
 }
 
