Recover faster after all processes are lost: remembered targets, shorter elections, requests wait for routes

Ruled out: start-up time of the processes (under 0.1 s). Change: the core keeps the known targets in a file, elections take 0.3 to 0.5 s, an entry without routes lets requests wait up to 1.5 s, models are moved only 3 s after an election, copies go where they relieve most demand.

--- a/crates/buckthornmast_fleet/src/registry.rs
+++ b/crates/buckthornmast_fleet/src/registry.rs
@@ -44,6 +44,8 @@
     pub heard: Point,
     /// When it was first known to be leaving.
     pub leaving: Option<Point>,
+    // Known from before a restart, and not heard of since.
+    is_remembered: bool,
 }
 
 impl Entry {
@@ -98,6 +100,7 @@
                 withdrawn,
                 heard,
                 leaving: leaves.then_some(now),
+                is_remembered: false,
                 announcement,
             };
             self.entries
@@ -117,6 +120,7 @@
         if !is_newer && withdrawn == entry.withdrawn {
             if order.is_eq() {
                 entry.heard = entry.heard.max(heard);
+                entry.is_remembered = false;
                 return Merge::Alive;
             }
             return Merge::Stale;
@@ -124,6 +128,7 @@
         let is_news = withdrawn != entry.withdrawn || !announcement.says_the_same(known);
         entry.heard = entry.heard.max(heard);
         entry.withdrawn = withdrawn;
+        entry.is_remembered = entry.is_remembered && !is_newer;
         if is_newer {
             entry.announcement = announcement;
         }
@@ -135,6 +140,38 @@
         if is_news { Merge::News } else { Merge::Alive }
     }
 
+    /// Takes over what was known of a target before a restart. Its next announcement counts whatever its number.
+    pub fn remember(&mut self, update: Update, now: Point) {
+        let Update {
+            mut announcement,
+            withdrawn,
+        } = update;
+        announcement.sequence = 0;
+        let entry = Entry {
+            withdrawn,
+            heard: now,
+            leaving: None,
+            is_remembered: true,
+            announcement,
+        };
+        let target = entry.announcement.target.clone();
+        self.entries.entry(target).or_insert(entry);
+    }
+
+    /// Withdraws the targets that were remembered and not heard of since; returns what others are told.
+    pub fn forget_unheard(&mut self) -> Vec<Update> {
+        let unheard = self
+            .entries
+            .values_mut()
+            .filter(|entry| entry.is_remembered);
+        let told = unheard.map(|entry| {
+            entry.is_remembered = false;
+            entry.withdrawn = true;
+            entry.update()
+        });
+        told.collect()
+    }
+
     /// Notes that a target has withdrawn; `None` if it isn't known.
     pub fn withdraw(&mut self, target: &id::Target, now: Point) -> Option<Update> {
         let entry = self.entries.get_mut(target)?;
@@ -149,6 +186,7 @@
             && entry.announcement.born == born
         {
             entry.heard = entry.heard.max(heard);
+            entry.is_remembered = false;
         }
     }
 
--- a/crates/buckthornmast_forward/src/board.rs
+++ b/crates/buckthornmast_forward/src/board.rs
@@ -69,6 +69,11 @@
         f64::from(self.own) + f64::from(self.others) * trust
     }
 
+    /// Returns the age of the load that the target reported last.
+    pub fn load_age(&self, now: Point) -> Option<Duration> {
+        self.reported.map(|at| now.since(at))
+    }
+
     /// Returns the requests of this instance in progress.
     pub fn own(&self) -> u32 {
         self.own
--- a/crates/buckthornmast_forward/src/caller.rs
+++ b/crates/buckthornmast_forward/src/caller.rs
@@ -31,8 +31,11 @@
 /// Most dispatches of one request, those that reached no target included.
 const MAX_DISPATCHES: u32 = 5;
 
+/// Wait for routes after a start. An election and the answers of targets take about a second.
+const ROUTES_WAIT: Duration = Duration::from_millis(1500);
+
 /// Wait for a target of a service that has none at the moment.
-const NO_TARGET_WAIT: Duration = Duration::from_millis(250);
+const NO_TARGET_WAIT: Duration = Duration::from_millis(1000);
 
 /// `Retry-After` of a request for which there is no target.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
@@ -77,6 +80,21 @@
     pub member: Member,
     /// Rank among the target's requests.
     pub rank: Option<u8>,
+    /// What the choice was based on.
+    pub basis: Basis,
+}
+
+/// What a choice was based on, for the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Basis {
+    /// Requests that were expected to be at the target.
+    pub load: f64,
+    /// Age of the load that the target had reported.
+    pub load_age: Option<Duration>,
+    /// Expected wait for a slot.
+    pub wait: Duration,
+    /// Targets to choose from.
+    pub candidates: usize,
 }
 
 /// Reason why a request is refused without having run.
@@ -178,6 +196,7 @@
     pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let received = self.clock.now();
         let (parts, incoming) = request.into_parts();
+        self.wait_for_routes().await;
         let mut work = match self.admit(parts, received) {
             Ok(work) => work,
             Err(response) => return response,
@@ -189,6 +208,29 @@
         self.run(work, outcome).await
     }
 
+    /// Waits a moment for routes if none are known, as after a start. A caller that is told to come back would lose
+    /// more time.
+    async fn wait_for_routes(&self) {
+        let changed = {
+            let state = self.state.borrow();
+            if state.version().is_some() {
+                return;
+            }
+            Rc::clone(&state.changed)
+        };
+        let known = async {
+            loop {
+                let notified = changed.notified();
+                if self.state.borrow().version().is_some() {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        // Whether there are routes is looked at by the caller.
+        let _ = timeout(ROUTES_WAIT, known).await;
+    }
+
     /// Finds the route of a request.
     fn admit(&self, parts: request::Parts, received: Point) -> Result<Work, Response<Body>> {
         let Some(routes) = self.state.borrow().routes() else {
@@ -265,7 +307,7 @@
                 Ok(chosen) => chosen,
                 Err(refusal) => return self.refuse(&work, &mut outcome, refusal),
             };
-            outcome.dispatched(&chosen.member.target);
+            outcome.dispatched(&chosen);
             let patience = self.first_patience(&work);
             let after = work.head.last_event;
             let attempt = self.attempt(&work, &chosen.member, chosen.rank, after, patience);
@@ -414,6 +456,12 @@
             u8::try_from(work.route.priority.min(LAST_RANK)).unwrap_or(LATE_RANK)
         };
         Ok(Chosen {
+            basis: Basis {
+                load,
+                load_age: lane.and_then(|lane| lane.load_age(now)),
+                wait: pick.wait,
+                candidates: candidates.len(),
+            },
             member: serving[pick.index].clone(),
             rank: generation.and(None),
         })
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -243,7 +243,7 @@
                 () = self.sender.closed() => return None,
                 chosen = place => chosen.ok()?,
             };
-            self.outcome.dispatched(&chosen.member.target);
+            self.outcome.dispatched(&chosen);
             let attempt =
                 self.forwarder
                     .attempt(&self.work, &chosen.member, chosen.rank, last, self.gap());
--- a/crates/buckthornmast_forward/src/work.rs
+++ b/crates/buckthornmast_forward/src/work.rs
@@ -9,7 +9,12 @@
 use http::request;
 use smallvec::SmallVec;
 
-use crate::{mapping::Head, patience, supply::Want};
+use crate::{
+    caller::{Basis, Chosen},
+    mapping::Head,
+    patience,
+    supply::Want,
+};
 
 /// Request with all that was decided about it.
 #[derive(Debug)]
@@ -107,6 +112,7 @@
     gap: Duration,
     model: String,
     target: Option<id::Target>,
+    basis: Basis,
     attempts: u32,
     is_told: bool,
 }
@@ -124,14 +130,16 @@
             gap: Duration::ZERO,
             model: work.want().map(|want| want.to_string()).unwrap_or_default(),
             target: None,
+            basis: Basis::default(),
             attempts: 0,
             is_told: false,
         }
     }
 
     /// Notes a dispatch.
-    pub fn dispatched(&mut self, target: &id::Target) {
-        self.target = Some(target.clone());
+    pub fn dispatched(&mut self, chosen: &Chosen) {
+        self.target = Some(chosen.member.target.clone());
+        self.basis = chosen.basis;
         self.attempts += 1;
     }
 
@@ -164,6 +172,10 @@
             version = self.version.0,
             model:% = self.model,
             target:% = self.target.as_ref().map_or("", |target| target.as_str()),
+            load:% = format!("{:.1}", self.basis.load),
+            load_age_ms = self.basis.load_age.map_or(0, millis),
+            wait_ms = millis(self.basis.wait),
+            candidates = self.basis.candidates,
             attempts = self.attempts,
             end:% = end.as_str(),
             status = status,
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -52,6 +52,8 @@
     pub fence: Fence,
     /// When the first order may be given.
     pub from: Point,
+    /// When copies of models may be moved.
+    pub plans_from: Point,
 }
 
 #[derive(Default)]
@@ -149,8 +151,11 @@
         {
             let mut state = self.state.borrow_mut();
             let state = &mut *state;
-            let may_order = state.lead.as_ref().is_some_and(|lead| now >= lead.from);
-            let Some(document) = state.document.clone().filter(|_| may_order) else {
+            let may_plan = state
+                .lead
+                .as_ref()
+                .is_some_and(|lead| now >= lead.plans_from);
+            let Some(document) = state.document.clone().filter(|_| may_plan) else {
                 return;
             };
             for (service, pool) in pools(&document) {
@@ -327,8 +332,7 @@
             Place::Held(target) => Next::Done(Granted::Ready(target)),
             Place::Coming(_) | Place::Busy => Next::Wait,
             Place::Order(target, action) => Next::Order(target, action),
-            Place::NoModel => Next::Wait,
-            Place::Full => Next::Done(Granted::No),
+            Place::NoModel | Place::Full => Next::Wait,
         }
     }
 }
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -30,6 +30,7 @@
 use crate::{
     controller::{Controller, Lead},
     dial::{Dialer, Dials},
+    memory::{self, Memory},
     message::{Alive, Down, Up},
     platform::{Fence, Platform},
     replica::{self, Replica, Wires},
@@ -42,6 +43,9 @@
 /// Ticks between two reports of the targets that were heard of.
 const ALIVE_TICKS: u64 = 10;
 
+/// Ticks after the start within which every live target has announced itself.
+const FORGET_TICKS: u64 = 40;
+
 /// Ticks between two rounds of orders.
 const PLAN_TICKS: u64 = 2;
 
@@ -57,7 +61,8 @@
 /// Silence after which a voter is replaced, longer than a usual restart.
 const VOTER_PATIENCE: Duration = Duration::from_millis(2500);
 
-/// Time after the first start in which targets announce themselves, so that what they hold isn't taken as missing.
+/// Time after an election in which targets announce themselves and demand is reported, so that what isn't known yet
+/// isn't taken as missing.
 const SETTLE: Duration = Duration::from_secs(3);
 
 /// Term in which the first leader of all is elected; nobody has given orders before it.
@@ -147,6 +152,7 @@
     subscribers: Rc<Subscribers>,
     controller: Rc<Controller<P>>,
     dials: Dials,
+    memory: Memory,
     state: RefCell<State>,
 }
 
@@ -173,6 +179,8 @@
         };
         let founders = settings.seeds.iter().copied();
         let founders = founders.filter_map(Settings::member_name);
+        let memory = Memory::new(data.join(memory::FILE));
+        let registry = memory.load(Point::ZERO);
         let config = replica::Config {
             member,
             founders: founders.filter(|_| is_first_start).collect(),
@@ -192,7 +200,11 @@
             wires,
             subscribers,
             dials: Dials::default(),
-            state: RefCell::default(),
+            memory,
+            state: RefCell::new(State {
+                registry,
+                ..State::default()
+            }),
             settings: RefCell::new(settings),
         }))
     }
@@ -215,12 +227,23 @@
         self.tick_roster(tick, now);
         if tick % MEND_TICKS == MEND_TICKS - 1 {
             self.replica.mend();
+            self.memory.save(&self.state.borrow().registry);
         }
         self.tick_leader(now);
         self.tell_routes();
         if tick % ALIVE_TICKS == 0 {
             self.tell_alive(now);
-            self.state.borrow_mut().registry.prune(now);
+            let mut state = self.state.borrow_mut();
+            state.registry.prune(now);
+            if tick == FORGET_TICKS {
+                // Targets that were remembered from before the start and have not spoken since are gone.
+                let forgotten = state.registry.forget_unheard();
+                drop(state);
+                if !forgotten.is_empty() {
+                    log::info!(step = "target", targets = forgotten.len(); "remembered targets are gone");
+                    self.subscribers.send(&Down::Targets(forgotten));
+                }
+            }
         }
         if tick % PLAN_TICKS == 0 {
             self.controller.tick(&self.state.borrow().registry);
@@ -274,13 +297,22 @@
         log::info!(step = "lead", term = leads.map_or(0, |term| term.0), leads = leads.is_some(); "leadership changed");
         let lead = leads.map(|term| {
             let turn = self.settings.borrow().bounds.turn;
-            let pause = if term == FIRST_TERM { SETTLE } else { turn };
+            let pause = if term == FIRST_TERM {
+                SETTLE
+            } else if now < Point::ZERO + turn {
+                // Instances that have just started take no turns: whoever ordered before was stopped with them, or
+                // is refused for its older term.
+                Duration::ZERO
+            } else {
+                turn
+            };
             Lead {
                 fence: Fence {
                     holder: self.me.instance.clone(),
                     term,
                 },
                 from: now + pause,
+                plans_from: now + pause.max(SETTLE),
             }
         });
         self.controller.set_lead(lead);
--- a/crates/buckthornmast_node/src/dial.rs
+++ b/crates/buckthornmast_node/src/dial.rs
@@ -14,10 +14,10 @@
 use crate::message::{Down, Up};
 
 /// Pause before a connection is opened again.
-const PAUSE: Duration = Duration::from_millis(150);
+const PAUSE: Duration = Duration::from_millis(60);
 
 /// Longest pause, for an instance that has not answered several times.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+const LONGEST_PAUSE: Duration = Duration::from_millis(300);
 
 /// What is done with a connection.
 pub trait Dialer: 'static {
--- a/crates/buckthornmast_node/src/lib.rs
+++ b/crates/buckthornmast_node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dial;
 pub mod entry;
 pub mod http;
+pub mod memory;
 pub mod message;
 pub mod observe;
 pub mod orders;
--- a/crates/buckthornmast_node/src/replica.rs
+++ b/crates/buckthornmast_node/src/replica.rs
@@ -25,6 +25,13 @@
 /// Pause before a replica that failed is opened again.
 pub const REOPEN: Duration = Duration::from_millis(700);
 
+/// Intervals of the log. Instances are half a millisecond apart, and one lost packet delays a heartbeat by some 200 ms.
+const TIMING: Timing = Timing {
+    heartbeat: Duration::from_millis(75),
+    election_min: Duration::from_millis(320),
+    election_max: Duration::from_millis(520),
+};
+
 /// Time for a command. Operators wait a second and try again elsewhere.
 const COMMAND: Duration = Duration::from_millis(900);
 
@@ -113,6 +120,7 @@
         let mut config =
             buckthornmast_consensus::driver::Config::new(self.config.member.clone(), voters);
         config.may_found = founds;
+        config.timing = TIMING;
         let data = self.config.data.clone();
         let started = start(
             config,
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time after its last request for which an adapter counts as in use. Most answers take less.
-const IN_USE: Duration = Duration::from_millis(4000);
+const IN_USE: Duration = Duration::from_millis(2000);
 
 /// Where an adapter may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -29,6 +29,10 @@
 /// Requests at once below which a model counts as not asked for.
 const IDLE: f64 = 0.3;
 
+/// Requests at once below which a model gets no copy beyond its first, since a load takes seconds and moving a model
+/// that is asked for more relieves its targets as well.
+const SMALL: f64 = 2.0;
+
 /// How much more a model without a copy must be asked for than the one whose last copy makes room for it.
 const LAST_COPY: f64 = 4.0;
 
@@ -186,12 +190,12 @@
             .iter()
             .enumerate()
             .filter_map(|(index, weighed)| {
-                if settled.contains(&index) || weighed.demand < IDLE {
+                if settled.contains(&index) || weighed.copies.is_empty() {
                     return None;
                 }
                 let places = weighed.copies.iter().map(|at| &self.places[*at]);
                 let least = places.min_by(|one, other| one.level.total_cmp(&other.level))?;
-                let is_crowded = least.level > CROWDED * least.comfort;
+                let is_crowded = weighed.demand >= SMALL && least.level > CROWDED * least.comfort;
                 let places = weighed.copies.len() * self.pool.adapters as usize;
                 let lacks_places = weighed.adapters > places;
                 let level = if lacks_places {
@@ -199,9 +203,12 @@
                 } else {
                     least.level
                 };
-                (is_crowded || lacks_places).then_some((index, level))
+                // What a copy is worth grows with the demand that it relieves.
+                let weight = (level - CROWDED * least.comfort).max(0.1) * weighed.demand;
+                (is_crowded || lacks_places).then_some((index, level, weight))
             });
-        crowded.max_by(|(_, one), (_, other)| one.total_cmp(other))
+        let most = crowded.max_by(|(_, _, one), (_, _, other)| one.total_cmp(other));
+        most.map(|(index, level, _)| (index, level))
     }
 
     /// Returns the order that brings a copy of a model closer, on a target whose level is at most `most`.
