Let adapters in use go without holding up other orders, and rank only late requests

Change: such an adapter keeps its place until a report shows that it is gone, and no order waits for it; only requests that will be late carry a rank, the lowest.

--- a/crates/buckthornmast_forward/src/caller.rs
+++ b/crates/buckthornmast_forward/src/caller.rs
@@ -463,7 +463,7 @@
                 candidates: candidates.len(),
             },
             member: serving[pick.index].clone(),
-            rank: generation.and(None),
+            rank: generation.filter(|_| is_late).map(|_| rank),
         })
     }
 
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -45,7 +45,8 @@
     let mut best: Option<(&id::Target, &Shelf, (bool, usize, u64))> = None;
     let mut has_busy = false;
     for (target, shelf) in with_model.by_ref() {
-        if shelf.held[&item.model].contains(adapter) {
+        let goes = shelf.going.contains(&(item.model.clone(), adapter.clone()));
+        if shelf.held[&item.model].contains(adapter) && !goes {
             return Place::Held(target.clone());
         }
         let wanted = Action::LoadAdapter(item.model.clone(), adapter.clone());
@@ -120,7 +121,14 @@
 
 /// Returns the order that removes the adapter that was asked for longest ago, unless it is in use.
 fn least_wanted(shelf: &Shelf, demand: &Demand, now: Point) -> Option<Action> {
-    let oldest = items(shelf).min_by_key(|item| demand.last(item))?;
+    let staying = items(shelf).filter(|item| {
+        let place = item
+            .adapter
+            .clone()
+            .map(|adapter| (item.model.clone(), adapter));
+        place.is_some_and(|place| !shelf.going.contains(&place))
+    });
+    let oldest = staying.min_by_key(|item| demand.last(item))?;
     if demand
         .last(&oldest)
         .is_some_and(|last| now.since(last) < IN_USE)
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -34,9 +34,6 @@
 /// Pause between two questions because of announcements that differ from the ledger.
 const MISMATCH_PAUSE: Duration = Duration::from_secs(3);
 
-/// Time in which an adapter that is still in use is expected to be unloaded.
-const ADAPTER_UNLOAD: Duration = Duration::from_millis(500);
-
 /// Order that a target is carrying out, or may be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Pending {
@@ -75,6 +72,8 @@
     pub accepted: Option<u64>,
     /// Order in progress.
     pub pending: Option<Pending>,
+    /// Adapters that go when their requests have ended. They take their places until then.
+    pub going: BTreeSet<(id::Model, id::Adapter)>,
     /// Loads that may still take effect although nothing was heard of them, with the time of their sending.
     pub doubtful: Vec<(Action, Point)>,
     listed: BTreeSet<id::Model>,
@@ -95,6 +94,7 @@
             copies: BTreeSet::new(),
             accepted: None,
             pending: None,
+            going: BTreeSet::new(),
             doubtful: Vec::new(),
             listed: BTreeSet::new(),
             changed: Point::ZERO,
@@ -170,7 +170,9 @@
         usable
             .map(|(model, adapters)| {
                 let adapters = adapters.iter().filter(|adapter| {
-                    !is_leaving(Action::UnloadAdapter(model.clone(), (*adapter).clone()))
+                    let place = (model.clone(), (*adapter).clone());
+                    !self.going.contains(&place)
+                        && !is_leaving(Action::UnloadAdapter(place.0, place.1))
                 });
                 Held {
                     model: model.clone(),
@@ -193,7 +195,7 @@
             |since: Option<Point>, pause| since.is_none_or(|since| now.since(since) >= pause);
         let changed = (self.changed > Point::ZERO).then_some(self.changed);
         let needs = match &self.pending {
-            None => self.accepted.is_none(),
+            None => self.accepted.is_none() || !self.going.is_empty(),
             Some(pending) => pending.accepted && now >= pending.due + OVERDUE,
         };
         let wants = self.is_ready
@@ -286,10 +288,10 @@
                 match &order.action {
                     // The target announces the end.
                     Action::Load(_) | Action::Unload(_) => pending.accepted = true,
-                    // It is in use and goes when its requests have ended.
-                    Action::UnloadAdapter(..) => {
-                        pending.accepted = true;
-                        pending.due = now + ADAPTER_UNLOAD;
+                    // It is in use and goes when its requests have ended; other orders may be given meanwhile.
+                    Action::UnloadAdapter(model, adapter) => {
+                        shelf.going.insert((model.clone(), adapter.clone()));
+                        shelf.pending = None;
                     }
                     Action::LoadAdapter(..) => shelf.settle(),
                 }
@@ -328,19 +330,14 @@
         if shelf.born != born || is_other || report.is_busy || is_in_flight {
             return;
         }
-        if let Some(Pending {
-            action: Action::UnloadAdapter(model, adapter),
-            ..
-        }) = &shelf.pending
-        {
-            let mut held = report.held.iter().filter(|held| held.model == *model);
-            if held.any(|held| held.adapters.contains(adapter)) {
-                return;
-            }
-        }
         shelf.pending = None;
         shelf.accepted = Some(report.accepted);
         shelf.set_held(&report.held);
+        let held = &shelf.held;
+        shelf.going.retain(|(model, adapter)| {
+            held.get(model)
+                .is_some_and(|adapters| adapters.contains(adapter))
+        });
     }
 }
 
--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -6,8 +6,6 @@
 //! a model whose targets are all crowded gets another copy on the target with the most room. A copy makes room for
 //! it only if its own model is asked for little enough that the other copies carry it.
 
-use std::collections::BTreeMap;
-
 use buckthornmast_routes::document::{Model, Pool};
 use buckthornmast_types::{id, size::Bytes, time::Point};
 
