Give up on a slow or silent target only if another would take the request; adapters take turns

Ruled out: preemption (none in these runs). Change: before giving up, the choice is tried with the other targets; an adapter has its place for 6 s if others want one.

--- a/crates/buckthornmast_forward/src/caller.rs
+++ b/crates/buckthornmast_forward/src/caller.rs
@@ -308,7 +308,9 @@
                 Err(refusal) => return self.refuse(&work, &mut outcome, refusal),
             };
             outcome.dispatched(&chosen);
-            let patience = self.first_patience(&work);
+            let patience = self
+                .first_patience(&work)
+                .map(|patience| patience + chosen.basis.wait);
             let after = work.head.last_event;
             let attempt = self.attempt(&work, &chosen.member, chosen.rank, after, patience);
             let failure = match attempt.await {
@@ -421,6 +423,23 @@
         let _ = timeout(wait, served).await;
     }
 
+    /// Returns whether another target would take a request now. A target's silence alone is no reason to give up on it
+    /// while nobody else can go on.
+    pub(crate) fn may_move(&self, work: &Work, target: &id::Target) -> bool {
+        let now = self.clock.now();
+        let has_budget = {
+            let mut state = self.state.borrow_mut();
+            state.budget(&work.service, now).has(now)
+        };
+        let members = self.state.borrow().members(&work.service);
+        let generation = work.head.generation.as_ref();
+        let serving: SmallVec<[&Member; 16]> = members
+            .iter()
+            .filter(|member| member.serves(generation) && member.target != *target)
+            .collect();
+        has_budget && self.choose(work, &serving, now).is_ok()
+    }
+
     /// Chooses among targets that have what the request needs, or refuses it if they are full.
     fn choose(&self, work: &Work, serving: &[&Member], now: Point) -> Result<Chosen, Refusal> {
         let candidates: SmallVec<[choice::Candidate; 16]> = serving
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -201,17 +201,27 @@
         patience: Option<Duration>,
     ) -> Result<Reply, Failure> {
         let mut running = Running::start(self, member);
-        let now = self.clock.now();
-        let left = work.left(now);
-        let first = patience.unwrap_or(left).min(left);
-        let result = timeout(first, self.begin(work, member, rank, after, &mut running)).await;
+        let until = self.clock.now() + work.left(self.clock.now());
+        let result = {
+            let mut begin = std::pin::pin!(self.begin(work, member, rank, after, &mut running));
+            loop {
+                let left = until.since(self.clock.now());
+                let wait = patience.unwrap_or(left).min(left);
+                match timeout(wait, begin.as_mut()).await {
+                    Ok(result) => break Some(result),
+                    // A target that is slow is better than none.
+                    Err(_) if wait < left && !self.may_move(work, &member.target) => {}
+                    Err(_) => break None,
+                }
+            }
+        };
         match result {
-            Ok(Ok(begun)) => self.finish(work, begun, running),
-            Ok(Err((failure, ended))) => {
+            Some(Ok(begun)) => self.finish(work, begun, running),
+            Some(Err((failure, ended))) => {
                 running.end(ended);
                 Err(failure)
             }
-            Err(_) => {
+            None => {
                 running.end(Ended::Failed);
                 Err(failure(Dispatch::Sent, "no answer in time"))
             }
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -122,12 +122,10 @@
             cause,
             last: splitter.last(),
         };
-        let mut is_patient = false;
         loop {
             let now = self.forwarder.clock.now();
             let left = self.work.left(now);
-            let gap = self.gap().filter(|_| !is_patient);
-            let gap = gap.unwrap_or(left).min(left);
+            let gap = self.gap().unwrap_or(left).min(left);
             if left.is_zero() {
                 return broken("the deadline has passed", splitter);
             }
@@ -157,8 +155,11 @@
                     self.forwarder.note_end(&self.work, took);
                     return Over::Complete;
                 }
-                Err(_) if !self.may_move(&exchange.running.target) => {
-                    is_patient = true;
+                Err(_)
+                    if !self
+                        .forwarder
+                        .may_move(&self.work, &exchange.running.target) =>
+                {
                     continue;
                 }
                 Err(_) => {
@@ -185,22 +186,6 @@
         }
     }
 
-    /// Returns whether another target could go on with the stream now.
-    fn may_move(&self, target: &id::Target) -> bool {
-        let forwarder = &self.forwarder;
-        let mut state = forwarder.state.borrow_mut();
-        let generation = self.work.head.generation.as_ref();
-        let members = state.members(&self.work.service);
-        let others = members.iter().filter(|member| {
-            member.serves(generation)
-                && member.target != *target
-                && !self.work.tried.contains(&member.target)
-        });
-        let now = forwarder.clock.now();
-        let is_left = others.count() > 0;
-        is_left && state.budget(&self.work.service, now).has(now)
-    }
-
     /// Returns the silence that the stream bears, if it could go on elsewhere.
     fn gap(&self) -> Option<Duration> {
         let used =
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -17,6 +17,9 @@
 /// Time after its last request for which an adapter counts as in use. Most answers take less.
 const IN_USE: Duration = Duration::from_millis(2000);
 
+/// Time for which an adapter keeps its place while others that are asked for have none.
+const TURN: Duration = Duration::from_millis(6000);
+
 /// Where an adapter may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Place {
@@ -119,21 +122,24 @@
     })
 }
 
-/// Returns the order that removes the adapter that was asked for longest ago, unless it is in use.
+/// Returns the order that makes room: the adapter that was asked for longest ago goes, or, if all are in use, the one
+/// that has had its place for longest. So every adapter has its turn when more are asked for than there are places.
 fn least_wanted(shelf: &Shelf, demand: &Demand, now: Point) -> Option<Action> {
-    let staying = items(shelf).filter(|item| {
-        let place = item
-            .adapter
-            .clone()
-            .map(|adapter| (item.model.clone(), adapter));
-        place.is_some_and(|place| !shelf.going.contains(&place))
+    let staying = items(shelf).filter_map(|item| {
+        let place = (item.model.clone(), item.adapter.clone()?);
+        (!shelf.going.contains(&place)).then_some((item, place))
     });
-    let oldest = staying.min_by_key(|item| demand.last(item))?;
-    if demand
-        .last(&oldest)
-        .is_some_and(|last| now.since(last) < IN_USE)
-    {
+    let staying: Vec<_> = staying.collect();
+    let last = |item: &Item| demand.last(item);
+    let (oldest, place) = staying.iter().min_by_key(|(item, _)| last(item))?;
+    if last(oldest).is_none_or(|last| now.since(last) >= IN_USE) {
+        return Some(Action::UnloadAdapter(place.0.clone(), place.1.clone()));
+    }
+    if !shelf.going.is_empty() {
         return None;
     }
-    Some(Action::UnloadAdapter(oldest.model, oldest.adapter?))
+    let since = |place: &(id::Model, id::Adapter)| shelf.loaded.get(place).copied();
+    let (_, place) = staying.iter().min_by_key(|(_, place)| since(place))?;
+    let has_had_its_turn = since(place).is_none_or(|loaded| now.since(loaded) >= TURN);
+    has_had_its_turn.then(|| Action::UnloadAdapter(place.0.clone(), place.1.clone()))
 }
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -23,7 +23,7 @@
 const REPORT_LAG: Duration = Duration::from_millis(700);
 
 /// Pause between two questions for the state of a target.
-const REPORT_PAUSE: Duration = Duration::from_millis(1000);
+const REPORT_PAUSE: Duration = Duration::from_millis(600);
 
 /// Time after which an order without an answer is not carried out any more. The platform speaks of up to 12 s.
 const DOUBT: Duration = Duration::from_secs(20);
@@ -74,6 +74,8 @@
     pub pending: Option<Pending>,
     /// Adapters that go when their requests have ended. They take their places until then.
     pub going: BTreeSet<(id::Model, id::Adapter)>,
+    /// When adapters were loaded.
+    pub loaded: BTreeMap<(id::Model, id::Adapter), Point>,
     /// Loads that may still take effect although nothing was heard of them, with the time of their sending.
     pub doubtful: Vec<(Action, Point)>,
     listed: BTreeSet<id::Model>,
@@ -95,6 +97,7 @@
             accepted: None,
             pending: None,
             going: BTreeSet::new(),
+            loaded: BTreeMap::new(),
             doubtful: Vec::new(),
             listed: BTreeSet::new(),
             changed: Point::ZERO,
@@ -293,7 +296,10 @@
                         shelf.going.insert((model.clone(), adapter.clone()));
                         shelf.pending = None;
                     }
-                    Action::LoadAdapter(..) => shelf.settle(),
+                    Action::LoadAdapter(model, adapter) => {
+                        shelf.loaded.insert((model.clone(), adapter.clone()), now);
+                        shelf.settle();
+                    }
                 }
             }
             Outcome::Holds => {
@@ -334,10 +340,12 @@
         shelf.accepted = Some(report.accepted);
         shelf.set_held(&report.held);
         let held = &shelf.held;
-        shelf.going.retain(|(model, adapter)| {
+        let is_held = |(model, adapter): &(id::Model, id::Adapter)| {
             held.get(model)
                 .is_some_and(|adapters| adapters.contains(adapter))
-        });
+        };
+        shelf.going.retain(is_held);
+        shelf.loaded.retain(|place, _| is_held(place));
     }
 }
 
