--- a/crates/buckthornmast_consensus/tests/schedules.rs
+++ b/crates/buckthornmast_consensus/tests/schedules.rs
@@ -68,3 +68,32 @@
         run(replicas, seed, true);
     }
 }
+
+/// Runs schedules of a group whose voters follow the instances.
+fn run_pool(replicas: usize, pool: (usize, usize), is_slow: bool) {
+    let wanted = std::env::var("SCHEDULES").ok();
+    let count = wanted.and_then(|text| text.parse().ok()).unwrap_or(COUNT);
+    let mut replaced = 0;
+    for seed in 0..count {
+        println!("replicas {replicas} pool {pool:?} seed {seed} slow {is_slow}");
+        let mut sim = Sim::with_pool(replicas, pool, seed, is_slow);
+        sim.run();
+        replaced += sim.replaced;
+    }
+    println!("{count} schedules of {replicas} replicas, pool {pool:?}, {replaced} disks lost");
+}
+
+/// Guards against two logs, lost entries and a stuck group while lost voters are replaced by an instance that
+/// did not found the log.
+#[test]
+fn schedule_pool_of_four() {
+    run_pool(4, (3, 3), false);
+    run_pool(4, (3, 3), true);
+}
+
+/// The same while the set grows from its three founders to five voters out of eight instances.
+#[test]
+fn schedule_pool_of_eight() {
+    run_pool(8, (3, 5), false);
+    run_pool(8, (3, 5), true);
+}
--- a/crates/buckthornmast_forward/src/caller.rs
+++ b/crates/buckthornmast_forward/src/caller.rs
@@ -245,7 +245,7 @@
             log::info!(step = "route", host:% = host, path:% = parts.uri.path(), version = version.0; "no route matches");
             return Err(plain(StatusCode::NOT_FOUND));
         };
-        let head = self.mapping.decode(&parts).map_err(|error| {
+        let mut head = self.mapping.decode(&parts).map_err(|error| {
             log::info!(step = "decode", route:% = route.name; "request refused: {error}");
             plain(StatusCode::BAD_REQUEST)
         })?;
@@ -253,6 +253,11 @@
         let Some(service) = table::pick_service(route, draw) else {
             return Err(refused(NO_TARGET_RETRY));
         };
+        let of_service = routes.document.services.get(service);
+        if of_service.is_none_or(|service| service.pool.is_none()) {
+            // A plain service holds no models, whatever its callers name.
+            head.generation = None;
+        }
         let timeout = head.deadline.unwrap_or(route.timeout).min(route.timeout);
         Ok(Work {
             route: Arc::clone(route),
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -183,7 +183,8 @@
         let registry = memory.load(Point::ZERO);
         let config = replica::Config {
             member,
-            founders: founders.filter(|_| is_first_start).collect(),
+            founders: founders.collect(),
+            is_first_start,
             data,
         };
         let clock = System::start();
--- a/crates/buckthornmast_node/src/replica.rs
+++ b/crates/buckthornmast_node/src/replica.rs
@@ -32,6 +32,9 @@
     election_max: Duration::from_millis(520),
 };
 
+/// File that marks a disk that was there at the first start of the whole system.
+const FOUNDER: &str = "founder";
+
 /// Time for a command. Operators wait a second and try again elsewhere.
 const COMMAND: Duration = Duration::from_millis(900);
 
@@ -83,8 +86,10 @@
 pub struct Config {
     /// Name in the voter set.
     pub member: id::Instance,
-    /// Instances that found the log, if this is the first start of the whole system.
+    /// Instances that found the log.
     pub founders: Vec<id::Instance>,
+    /// Whether this is the first start of the whole system.
+    pub is_first_start: bool,
     /// Folder.
     pub data: PathBuf,
 }
@@ -110,8 +115,25 @@
         replica
     }
 
+    /// Returns whether this disk may take part in founding the log: it was there at the first start of the whole
+    /// system, which a mark on it tells after a restart. A disk that replaced another one has no mark.
+    fn may_found(&self) -> bool {
+        let mark = self.config.data.join(FOUNDER);
+        if !self.config.is_first_start {
+            return mark.exists();
+        }
+        let marked = std::fs::create_dir_all(&self.config.data)
+            .and_then(|()| std::fs::File::create(&mark))
+            .and_then(|file| file.sync_all())
+            .and_then(|()| std::fs::File::open(&self.config.data)?.sync_all());
+        if let Err(error) = marked {
+            log::warn!(step = "open"; "the mark of the first start can't be written: {error}");
+        }
+        true
+    }
+
     fn open(&self) {
-        let founds = self.config.founders.contains(&self.config.member);
+        let founds = self.config.founders.contains(&self.config.member) && self.may_found();
         let voters = if founds {
             self.config.founders.clone()
         } else {
