--- /dev/null
+++ b/crates/buckthornmast_discovery/tests/roster.rs
@@ -0,0 +1,59 @@
+//! Roster of the core.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::time::Duration;
+
+use buckthornmast_discovery::roster::{Card, FORGET, Roster, Told};
+use buckthornmast_types::time::Point;
+
+const NOW: Point = Point::from_millis(1_000_000);
+
+fn card(number: u8) -> Card {
+    Card {
+        instance: format!("core-{number}").parse().unwrap(),
+        domain: "d1".parse().unwrap(),
+        peers: format!("10.0.0.{number}:7380").parse().unwrap(),
+        control: format!("10.0.0.{number}:8144").parse().unwrap(),
+    }
+}
+
+/// Guards against a process that knows only its seeds.
+#[test]
+fn take_learns_others() {
+    let mut roster = Roster::default();
+    roster.set_seeds([card(1).peers]);
+    assert_eq!(roster.addresses().len(), 1);
+    let told = Told {
+        card: card(4),
+        age: Duration::from_secs(1),
+    };
+    assert!(roster.take(std::slice::from_ref(&told), NOW));
+    assert!(!roster.take(&[told], NOW));
+    assert!(roster.addresses().contains(&card(4).peers));
+    roster.set_seeds([card(2).peers]);
+    assert!(!roster.addresses().contains(&card(1).peers));
+}
+
+/// Guards against instances that are gone and are told on for ever.
+#[test]
+fn prune_forgets() {
+    let mut roster = Roster::default();
+    roster.note(&card(1), NOW);
+    let later = NOW + FORGET;
+    let told = roster.told(later);
+    assert!(roster.prune(later));
+    assert!(!roster.take(&told, later), "an old word is no news");
+    assert_eq!(roster.cards().count(), 0);
+}
+
+/// Guards against an address that an older word brings back.
+#[test]
+fn note_newest_address() {
+    let mut roster = Roster::default();
+    roster.note(&card(1), NOW);
+    let mut moved = card(1);
+    moved.peers = card(9).peers;
+    assert!(roster.note(&moved, NOW + Duration::from_secs(1)));
+    roster.note(&card(1), NOW);
+    assert_eq!(roster.get(&card(1).instance).unwrap().peers, card(9).peers);
+}
--- /dev/null
+++ b/crates/buckthornmast_fleet/tests/merge.rs
@@ -0,0 +1,158 @@
+//! Merge of announcements in any order.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::time::Duration;
+
+use arbtest::arbtest;
+use buckthornmast_fleet::prelude::*;
+use buckthornmast_types::{id, time::Point};
+
+const NOW: Point = Point::from_millis(60_000);
+
+fn announcement(target: &str, born: u64, sequence: u64, state: State) -> Announcement {
+    Announcement {
+        target: target.parse().unwrap(),
+        born: id::Incarnation(born),
+        sequence,
+        service: "plain".parse().unwrap(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        domain: "d1".parse().unwrap(),
+        slots: 4,
+        state,
+        cold: Duration::ZERO,
+        held: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn update(born: u64, sequence: u64, state: State, withdrawn: bool) -> Update {
+    Update {
+        announcement: announcement("t1", born, sequence, state),
+        withdrawn,
+    }
+}
+
+const LEAVING: State = State::Leaving { within: None };
+
+fn merge(registry: &mut Registry, update: &Update) -> Merge {
+    registry.merge(update.clone(), Duration::ZERO, NOW)
+}
+
+fn target() -> id::Target {
+    "t1".parse().unwrap()
+}
+
+/// Guards against instances that disagree about a target because they heard of it in another order.
+#[test]
+fn merge_any_order() {
+    arbtest(|u| {
+        let mut updates = Vec::new();
+        for _ in 0..u.int_in_range(1..=6)? {
+            let state = if u.arbitrary()? {
+                LEAVING
+            } else {
+                State::Ready
+            };
+            // A withdrawal ends a start, so it carries the highest number.
+            let withdrawn: bool = u.ratio(1, 4)?;
+            let sequence = if withdrawn { 9 } else { u.int_in_range(1..=4)? };
+            let born = u.int_in_range(1..=3)?;
+            // One number of one start always says the same.
+            let state = if sequence % 2 == 0 { LEAVING } else { state };
+            updates.push(update(
+                born,
+                sequence,
+                if withdrawn { LEAVING } else { state },
+                withdrawn,
+            ));
+        }
+        updates.dedup_by_key(|update| (update.announcement.born, update.announcement.sequence));
+        let mut seen = std::collections::BTreeSet::new();
+        updates
+            .retain(|update| seen.insert((update.announcement.born, update.announcement.sequence)));
+        let (mut one, mut other) = (Registry::default(), Registry::default());
+        for update in &updates {
+            merge(&mut one, update);
+        }
+        for update in updates.iter().rev() {
+            merge(&mut other, update);
+        }
+        let (one, other) = (one.updates(), other.updates());
+        assert_eq!(one[0].announcement.born, other[0].announcement.born);
+        assert_eq!(one[0].withdrawn, other[0].withdrawn);
+        assert_eq!(one[0].announcement.state, other[0].announcement.state);
+        Ok(())
+    })
+    .seed(0x0123_4567_0000_0400)
+    .run();
+}
+
+/// Guards against a late announcement that brings a target back that has withdrawn, and against a restarted
+/// one that stays away.
+#[test]
+fn merge_after_withdrawal() {
+    let mut registry = Registry::default();
+    merge(&mut registry, &update(5, 1, State::Ready, false));
+    registry.withdraw(&target(), NOW);
+    merge(&mut registry, &update(5, 8, State::Ready, false));
+    assert!(!registry.get(&target()).unwrap().is_ready());
+    merge(&mut registry, &update(6, 1, State::Ready, false));
+    assert!(registry.get(&target()).unwrap().is_ready());
+    assert_eq!(
+        merge(&mut registry, &update(5, 9, State::Ready, false)),
+        Merge::Stale
+    );
+}
+
+/// Guards against an entry of another writer that moves a target or takes its start away.
+#[test]
+fn merge_foreign() {
+    let mut registry = Registry::default();
+    merge(&mut registry, &update(5, 1, State::Ready, false));
+    let mut foreign = update(5, 2, State::Ready, false);
+    foreign.announcement.service = "other".parse().unwrap();
+    assert_eq!(merge(&mut registry, &foreign), Merge::Stale);
+    assert_eq!(
+        merge(&mut registry, &update(0, 9, LEAVING, false)),
+        Merge::Stale
+    );
+    assert!(registry.get(&target()).unwrap().is_ready());
+}
+
+/// Guards against requests for a target whose address another one has now.
+#[test]
+fn address_used_again() {
+    let mut registry = Registry::default();
+    merge(&mut registry, &update(5, 1, State::Ready, false));
+    let newer = Update {
+        announcement: announcement("t2", 7, 1, State::Ready),
+        withdrawn: false,
+    };
+    merge(&mut registry, &newer);
+    // Held up on its way, from before the address changed hands.
+    merge(&mut registry, &update(5, 3, State::Ready, false));
+    assert!(registry.is_replaced(registry.get(&target()).unwrap()));
+    assert!(!registry.is_replaced(registry.get(&"t2".parse().unwrap()).unwrap()));
+}
+
+/// Guards against remembered targets that are withdrawn although another instance hears of them, and against
+/// gone ones that stay.
+#[test]
+fn remembered_until_heard() {
+    let mut registry = Registry::default();
+    registry.remember(update(5, 40, State::Ready, false), NOW);
+    let mut gone = update(5, 40, State::Ready, false);
+    gone.announcement.target = "t2".parse().unwrap();
+    registry.remember(gone, NOW);
+    registry.note_alive(&target(), id::Incarnation(5), NOW);
+    let forgotten = registry.forget_unheard();
+    assert_eq!(forgotten.len(), 1);
+    assert_eq!(forgotten[0].announcement.target.as_str(), "t2");
+    assert!(registry.get(&target()).unwrap().is_ready());
+    // Numbers go on from what the target says, not from what was remembered.
+    assert_eq!(
+        merge(&mut registry, &update(5, 2, LEAVING, false)),
+        Merge::News
+    );
+}
--- /dev/null
+++ b/crates/buckthornmast_forward/tests/events.rs
@@ -0,0 +1,61 @@
+//! Events cut out of bytes.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use arbtest::arbtest;
+use buckthornmast_forward::events::{Fault, Splitter};
+use bytes::Bytes;
+
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: word\n\n")
+}
+
+fn push(splitter: &mut Splitter, text: &str) -> Result<Option<Bytes>, Fault> {
+    splitter.push(Bytes::copy_from_slice(text.as_bytes()))
+}
+
+/// Guards against bytes that are altered or lost by where the network cuts them.
+#[test]
+fn push_any_cut() {
+    arbtest(|u| {
+        let count = u.int_in_range(1..=8)?;
+        let whole: String = (1..=count).map(event).collect();
+        let mut splitter = Splitter::new(None);
+        let mut passed = String::new();
+        let mut rest = whole.as_str();
+        while !rest.is_empty() {
+            let (piece, after) = rest.split_at(u.int_in_range(1..=rest.len())?);
+            if let Some(events) = push(&mut splitter, piece).unwrap() {
+                passed.push_str(std::str::from_utf8(&events).unwrap());
+            }
+            rest = after;
+        }
+        assert_eq!(passed, whole);
+        assert!(!splitter.is_partial());
+        assert_eq!(splitter.last(), Some(count));
+        Ok(())
+    })
+    .seed(0x0123_4567_0000_0400)
+    .run();
+}
+
+/// Guards against half an event that reaches the caller before the stream goes on elsewhere.
+#[test]
+fn push_partial() {
+    let mut splitter = Splitter::new(None);
+    let events = push(&mut splitter, &format!("{}id: 2\nda", event(1))).unwrap();
+    assert_eq!(events.as_deref(), Some(event(1).as_bytes()));
+    assert!(splitter.is_partial());
+    splitter.forget_partial();
+    let events = push(&mut splitter, &event(2)).unwrap();
+    assert_eq!(events.as_deref(), Some(event(2).as_bytes()));
+}
+
+/// Guards against an event that the caller gets twice, or never.
+#[test]
+fn push_behind_the_last() {
+    let mut splitter = Splitter::new(Some(3));
+    let events = push(&mut splitter, &format!("{}{}", event(3), event(4))).unwrap();
+    assert_eq!(events.as_deref(), Some(event(4).as_bytes()));
+    let gap = push(&mut splitter, &event(6));
+    assert_eq!(gap, Err(Fault::Gap { last: 4, found: 6 }));
+}
--- /dev/null
+++ b/crates/buckthornmast_logging/tests/queue.rs
@@ -0,0 +1,50 @@
+//! Queue of log lines in front of an output that stands still.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex},
+};
+
+use buckthornmast_logging::queue::{Bounds, Queue};
+
+#[derive(Clone, Default)]
+struct Output {
+    gate: Arc<Mutex<()>>,
+    text: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _open = self.gate.lock().unwrap();
+        self.text.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a caller that waits for the output, and against lines that are dropped without a word.
+#[test]
+fn write_while_output_stands_still() {
+    let output = Output::default();
+    let bounds = Bounds {
+        per_second: 0,
+        burst: 10,
+    };
+    let held = output.gate.lock().unwrap();
+    let (mut queue, handle) = Queue::start(bounds, output.clone()).unwrap();
+    for number in 0..100 {
+        // Returns although nothing can be written.
+        writeln!(queue, "line {number}").unwrap();
+    }
+    drop(held);
+    drop(queue);
+    drop(handle);
+    let text = String::from_utf8(output.text.lock().unwrap().clone()).unwrap();
+    assert!(text.contains("line 0"));
+    assert!(!text.contains("line 50"));
+    assert!(text.contains("log lines were dropped"));
+}
--- /dev/null
+++ b/crates/buckthornmast_node/tests/settings.rs
@@ -0,0 +1,44 @@
+//! Settings of a process.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::time::Duration;
+
+use buckthornmast_node::settings::{Service, Settings};
+
+const ENTRY: &str = "[instance]\nname = front-1\ndomain = d1\nrole = entry\n\n[listen]\ncallers = 10.0.0.1:80\n\
+                     ready = 10.0.0.1:81\nmetrics = 10.0.0.1:82\n\n[seeds]\ncontrol = 10.0.0.2:8144,10.0.0.3:8144\n\
+                     port = 7380\n\n[bounds]\ngrace = 8s\nturn = 0.5s\nextra-ratio = 0.2\nextra-burst = 52\n\
+                     descriptors = 4200\n";
+
+/// Guards against settings that are read wrongly.
+#[test]
+fn parse_entry() {
+    let settings = Settings::parse("entry.ini", ENTRY).unwrap();
+    assert!(matches!(settings.service, Service::Entry { .. }));
+    assert_eq!(settings.bounds.turn, Duration::from_millis(500));
+    let peers: Vec<String> = settings.seed_peers().map(|seed| seed.to_string()).collect();
+    assert_eq!(peers, ["10.0.0.2:7380", "10.0.0.3:7380"]);
+    let member = Settings::member_name("10.0.0.2:8144".parse().unwrap()).unwrap();
+    assert_eq!(member.as_str(), "10.0.0.2-8144");
+}
+
+/// Guards against a process that starts on settings it can't use, and against faults without their place.
+#[test]
+fn parse_faults() {
+    for (good, bad, place) in [
+        ("role = entry", "role = front", "role"),
+        ("callers = 10.0.0.1:80", "callers = here", "callers"),
+        ("grace = 8s", "grace = soon", "grace"),
+        ("10.0.0.3:8144", "nowhere", "control"),
+        ("port = 7380", "", "port"),
+    ] {
+        let faults = Settings::parse("entry.ini", &ENTRY.replace(good, bad)).unwrap_err();
+        let text: String = faults.iter().map(ToString::to_string).collect();
+        assert!(text.contains(place), "{bad}: {text}");
+    }
+    let more = format!("{ENTRY}\n[later]\nkey = 1\n");
+    assert!(
+        Settings::parse("entry.ini", &more).is_ok(),
+        "unknown keys are left alone"
+    );
+}
--- /dev/null
+++ b/crates/buckthornmast_routes/tests/document.rs
@@ -0,0 +1,104 @@
+//! Check of documents and match of requests.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use buckthornmast_routes::{
+    document::{Document, Fault, Kind, Limits, Route, Service},
+    register::Revision,
+    table::{Table, pick_service},
+};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        services: vec![("plain".parse().unwrap(), 1)],
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        attempts: 2,
+        priority: 0,
+        affinity: false,
+    }
+}
+
+fn document(routes: Vec<Route>) -> Document {
+    let service = Service {
+        name: "plain".parse().unwrap(),
+        connections: 10,
+        pool: None,
+    };
+    Document {
+        version: Revision(1),
+        routes,
+        services: BTreeMap::from([(service.name.clone(), service)]),
+        limits: Limits {
+            head: 16_384,
+            body: 1 << 20,
+            head_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        },
+    }
+}
+
+/// Guards against faults that would be in force once accepted.
+#[test]
+fn check_faults() {
+    assert_eq!(document(vec![route("a", "/a/")]).check(), Ok(()));
+    let twice = document(vec![route("a", "/a/"), route("b", "/a/")]);
+    assert!(matches!(twice.check(), Err(Fault::Duplicate { .. })));
+    let mut unknown = route("a", "/a/");
+    unknown.services = vec![("other".parse().unwrap(), 1)];
+    assert!(matches!(
+        document(vec![unknown]).check(),
+        Err(Fault::Service { .. })
+    ));
+    let mut weightless = route("a", "/a/");
+    weightless.services[0].1 = 0;
+    assert!(matches!(
+        document(vec![weightless]).check(),
+        Err(Fault::Weight { .. })
+    ));
+    let mut timeless = route("a", "/a/");
+    timeless.timeout = Duration::ZERO;
+    assert!(matches!(
+        document(vec![timeless]).check(),
+        Err(Fault::Timeout { .. })
+    ));
+    let open = document(vec![route("a", "/a")]);
+    assert!(matches!(open.check(), Err(Fault::Prefix { .. })));
+}
+
+/// Guards against a shorter prefix that hides a longer one, and against other hosts.
+#[test]
+fn find_longest_prefix() {
+    let routes = vec![
+        route("short", "/a/"),
+        route("long", "/a/b/"),
+        route("root", "/c/"),
+    ];
+    let table = Table::new(&document(routes));
+    let find = |host: &str, path: &str| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(find("shop.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(find("Shop.Example:8149", "/a/x").as_deref(), Some("short"));
+    assert_eq!(find("shop.example", "/a"), None);
+    assert_eq!(find("other.example", "/a/x"), None);
+}
+
+/// Guards against a split that favours a service beyond its weight.
+#[test]
+fn pick_service_by_weight() {
+    let mut split = route("a", "/a/");
+    split.services = vec![
+        ("one".parse().unwrap(), 90),
+        ("none".parse().unwrap(), 0),
+        ("two".parse().unwrap(), 10),
+    ];
+    let picked = (0..1000).filter_map(|draw| pick_service(&split, draw));
+    let ones = picked.filter(|service| service.as_str() == "one").count();
+    assert_eq!(ones, 900);
+    split.services.clear();
+    assert_eq!(pick_service(&split, 5), None);
+}
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -47,6 +47,7 @@
     });
     let mut best: Option<(&id::Target, &Shelf, (bool, usize, u64))> = None;
     let mut has_busy = false;
+    let mut is_resting = false;
     for (target, shelf) in with_model.by_ref() {
         let goes = shelf.going.contains(&(item.model.clone(), adapter.clone()));
         if shelf.held[&item.model].contains(adapter) && !goes {
@@ -64,6 +65,11 @@
             has_busy = true;
             continue;
         }
+        let place = (item.model.clone(), adapter.clone());
+        if shelf.resting.get(&place).is_some_and(|until| now < *until) {
+            is_resting = true;
+            continue;
+        }
         let is_full = shelf.adapters() >= pool.adapters as usize;
         let key = (
             is_full,
@@ -75,10 +81,10 @@
         }
     }
     let Some((target, shelf, (is_full, ..))) = best else {
-        return if has_busy {
-            Place::Busy
-        } else {
-            Place::NoModel
+        return match (has_busy, is_resting) {
+            (true, _) => Place::Busy,
+            (false, true) => Place::Full,
+            (false, false) => Place::NoModel,
         };
     };
     let needed = pool.models.get(&item.model).map(|model| model.adapter);
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -25,6 +25,9 @@
 /// Pause between two questions for the state of a target.
 const REPORT_PAUSE: Duration = Duration::from_millis(600);
 
+/// Time for which an adapter that made room while in use leaves the place to others.
+const REST: Duration = Duration::from_millis(8000);
+
 /// Time after which an order without an answer is not carried out any more. The platform speaks of up to 12 s.
 const DOUBT: Duration = Duration::from_secs(20);
 
@@ -74,6 +77,8 @@
     pub pending: Option<Pending>,
     /// Adapters that go when their requests have ended. They take their places until then.
     pub going: BTreeSet<(id::Model, id::Adapter)>,
+    /// Adapters that had their turn, and until when they leave their place to others.
+    pub resting: BTreeMap<(id::Model, id::Adapter), Point>,
     /// When adapters were loaded.
     pub loaded: BTreeMap<(id::Model, id::Adapter), Point>,
     /// Loads that may still take effect although nothing was heard of them, with the time of their sending.
@@ -97,6 +102,7 @@
             accepted: None,
             pending: None,
             going: BTreeSet::new(),
+            resting: BTreeMap::new(),
             loaded: BTreeMap::new(),
             doubtful: Vec::new(),
             listed: BTreeSet::new(),
@@ -293,7 +299,9 @@
                     Action::Load(_) | Action::Unload(_) => pending.accepted = true,
                     // It is in use and goes when its requests have ended; other orders may be given meanwhile.
                     Action::UnloadAdapter(model, adapter) => {
-                        shelf.going.insert((model.clone(), adapter.clone()));
+                        let place = (model.clone(), adapter.clone());
+                        shelf.resting.insert(place.clone(), now + REST);
+                        shelf.going.insert(place);
                         shelf.pending = None;
                     }
                     Action::LoadAdapter(model, adapter) => {
--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -278,7 +278,12 @@
                 shelf.held.contains_key(weighed.name) && self.is_spare(weighed, wanted, at)
             })
             .collect();
-        spare.sort_by(|one, other| one.demand.total_cmp(&other.demand));
+        // A model with other copies goes before one that would be left with none.
+        spare.sort_by(|one, other| {
+            let is_last = |weighed: &Weighed<'_>| weighed.ready < 2;
+            let by_demand = one.demand.total_cmp(&other.demand);
+            is_last(one).cmp(&is_last(other)).then(by_demand)
+        });
         let first = spare.first()?.name.clone();
         let mut free = free.0;
         for (count, weighed) in spare.iter().enumerate() {
