--- a/crates/buckthornmast_discovery/src/roster.rs
+++ b/crates/buckthornmast_discovery/src/roster.rs
@@ -78,10 +78,11 @@
 
     /// Takes what another instance told; returns whether anything is new.
     pub fn take(&mut self, told: &[Told], now: Point) -> bool {
-        let fresh = told.iter().filter(|told| told.age < FORGET);
-        fresh.fold(false, |is_news, told| {
-            self.note(&told.card, now - told.age) || is_news
-        })
+        let mut is_news = false;
+        for told in told.iter().filter(|told| told.age < FORGET) {
+            is_news |= self.note(&told.card, now - told.age);
+        }
+        is_news
     }
 
     /// Forgets instances that nobody has heard of for [`FORGET`]; returns whether there were any.
--- a/crates/buckthornmast_forward/src/caller.rs
+++ b/crates/buckthornmast_forward/src/caller.rs
@@ -199,7 +199,7 @@
         self.wait_for_routes().await;
         let mut work = match self.admit(parts, received) {
             Ok(work) => work,
-            Err(response) => return response,
+            Err(response) => return *response,
         };
         let mut outcome = Outcome::new(&work);
         if let Err(response) = self.read_body(&mut work, incoming, &mut outcome).await {
@@ -232,26 +232,26 @@
     }
 
     /// Finds the route of a request.
-    fn admit(&self, parts: request::Parts, received: Point) -> Result<Work, Response<Body>> {
+    fn admit(&self, parts: request::Parts, received: Point) -> Result<Work, Box<Response<Body>>> {
         let Some(routes) = self.state.borrow().routes() else {
             let refusal = Refusal::NoRoutes;
             log::info!(step = "route", cause:% = refusal.as_str(); "request refused");
-            return Err(refused(refusal.retry_after()));
+            return Err(Box::new(refused(refusal.retry_after())));
         };
         let host = parts.headers.get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
         let version = routes.document.version;
         let Some(route) = routes.table.find(host, parts.uri.path()) else {
             log::info!(step = "route", host:% = host, path:% = parts.uri.path(), version = version.0; "no route matches");
-            return Err(plain(StatusCode::NOT_FOUND));
+            return Err(Box::new(plain(StatusCode::NOT_FOUND)));
         };
         let mut head = self.mapping.decode(&parts).map_err(|error| {
             log::info!(step = "decode", route:% = route.name; "request refused: {error}");
-            plain(StatusCode::BAD_REQUEST)
+            Box::new(plain(StatusCode::BAD_REQUEST))
         })?;
         let draw = draw_of(&head.request.0);
         let Some(service) = table::pick_service(route, draw) else {
-            return Err(refused(NO_TARGET_RETRY));
+            return Err(Box::new(refused(NO_TARGET_RETRY)));
         };
         let of_service = routes.document.services.get(service);
         if of_service.is_none_or(|service| service.pool.is_none()) {
@@ -518,7 +518,7 @@
             (Decision::Retry | Decision::Resume { .. }, _) => Next::Again,
             (Decision::End { .. }, Some(answer)) => {
                 outcome.end(End::Answered, answer.head.status.as_u16(), cause);
-                Next::Give(passed_on(answer))
+                Next::Give(passed_on(*answer))
             }
             (Decision::End { run: Run::No, .. }, None) => {
                 Next::Give(self.refuse(work, outcome, Refusal::Refused))
--- a/crates/buckthornmast_forward/src/events.rs
+++ b/crates/buckthornmast_forward/src/events.rs
@@ -116,7 +116,7 @@
 
 /// Returns the number of an event.
 fn number_of(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|byte| *byte == b'\n');
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).last()?;
+    let mut lines = event.rsplit(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -69,7 +69,7 @@
     /// What happened, for the log.
     pub cause: &'static str,
     /// The target's own answer, if it failed with one.
-    pub answer: Option<Whole>,
+    pub answer: Option<Box<Whole>>,
 }
 
 /// Whole answer of a target.
@@ -246,7 +246,7 @@
                     return Err(Failure {
                         dispatch: Dispatch::Sent,
                         cause: "the target answered with an error",
-                        answer: Some(whole),
+                        answer: Some(Box::new(whole)),
                     });
                 }
                 Ok(Reply::Whole(whole))
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -232,7 +232,7 @@
         }
         self.tick_leader(now);
         self.tell_routes();
-        if tick % ALIVE_TICKS == 0 {
+        if tick.is_multiple_of(ALIVE_TICKS) {
             self.tell_alive(now);
             let mut state = self.state.borrow_mut();
             state.registry.prune(now);
@@ -246,7 +246,7 @@
                 }
             }
         }
-        if tick % PLAN_TICKS == 0 {
+        if tick.is_multiple_of(PLAN_TICKS) {
             self.controller.tick(&self.state.borrow().registry);
         }
     }
@@ -261,7 +261,7 @@
         let mut addresses = state.roster.addresses();
         addresses.remove(&self.me.peers);
         let entries = self.subscribers.entries();
-        if !state.is_roster_told || tick % ALIVE_TICKS == 0 {
+        if !state.is_roster_told || tick.is_multiple_of(ALIVE_TICKS) {
             state.is_roster_told = true;
             let told = Down::Roster(state.roster.told(now));
             self.subscribers.send(&told);
--- a/crates/buckthornmast_supply/tests/plan.rs
+++ b/crates/buckthornmast_supply/tests/plan.rs
@@ -41,11 +41,11 @@
 fn known(targets: &[&[(usize, &[usize])]]) -> Ledger {
     let mut ledger = Ledger::default();
     observe(&mut ledger, targets, 1, at(0));
-    for number in 0..targets.len() {
+    for (number, models) in targets.iter().enumerate() {
         let report = Report {
             accepted: 0,
             is_busy: false,
-            held: pool::held(targets[number]),
+            held: pool::held(models),
             born: None,
         };
         ledger.reported(&target(number), BORN, &report);
@@ -247,7 +247,7 @@
             }
         }
         self.announce(now);
-        let mut room = vec![SLOTS / 5; TARGETS];
+        let mut room = [SLOTS / 5; TARGETS];
         let mut asked = [0u32; 10];
         for _ in 0..14 {
             let wanted = if self.random.random_bool(0.7) {
--- a/tools/buckthornmast_ci/src/main.rs
+++ b/tools/buckthornmast_ci/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs every check of CI.
 //!
 //! The checks are the formatter, the linter and the documentation build with warnings as errors, the
-//! README's test command, and the quick start. Tests that `KNOWN-RED.txt` lists are passed over by
+//! README's test command, the quick start, and that only the adapter knows the platform's names. Tests that `KNOWN-RED.txt` lists are passed over by
 //! name and printed, so that nobody mistakes them for passing.
 
 use std::{
@@ -12,11 +12,17 @@
 
 const KNOWN_RED: &str = "KNOWN-RED.txt";
 
+/// Names of the platform's wire, one a line.
+const WIRE_NAMES: &str = include_str!("../wire-names.txt");
+
+/// Folders that may know them.
+const WIRE_FOLDERS: [&str; 4] = ["platform", "deploy", "tools", "target"];
+
 mod flags {
     xflags::xflags! {
         /// Runs every check of CI.
         cmd ci {
-            /// Runs only this check: format, clippy, doc, test or quickstart.
+            /// Runs only this check: format, clippy, doc, test, quickstart or wire.
             optional --only name: String
         }
     }
@@ -78,6 +84,40 @@
     checks
 }
 
+/// Returns the source files below a folder that name the platform's wire, with the names.
+fn wire_leaks(folder: &Path, leaks: &mut Vec<String>) -> std::io::Result<()> {
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy();
+        let is_exempt = folder == Path::new(".") && WIRE_FOLDERS.contains(&&*name);
+        if name.starts_with('.') || is_exempt {
+            continue;
+        }
+        if path.is_dir() {
+            wire_leaks(&path, leaks)?;
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let text = std::fs::read_to_string(&path)?.to_lowercase();
+            let names = WIRE_NAMES.lines().filter(|name| text.contains(name));
+            leaks.extend(names.map(|name| format!("{}: {name}", path.display())));
+        }
+    }
+    Ok(())
+}
+
+/// Checks that only the adapter knows the names of the platform's wire.
+fn check_wire() -> bool {
+    println!("== wire: names of the platform outside platform/ and deploy/");
+    let mut leaks = Vec::new();
+    let read = wire_leaks(Path::new("."), &mut leaks);
+    if let Err(error) = &read {
+        println!("sources can't be read: {error}");
+    }
+    for leak in &leaks {
+        println!("{leak}");
+    }
+    read.is_ok() && leaks.is_empty()
+}
+
 fn run(check: &Check) -> bool {
     println!(
         "== {}: {} {}",
@@ -114,6 +154,9 @@
             failed.push(check.name);
         }
     }
+    if flags.only.as_deref().is_none_or(|only| only == "wire") && !check_wire() {
+        failed.push("wire");
+    }
     if failed.is_empty() {
         println!("all checks passed");
         return ExitCode::SUCCESS;
