--- a/crates/buckthornmast_forward/src/caller.rs
+++ b/crates/buckthornmast_forward/src/caller.rs
@@ -43,6 +43,9 @@
 /// Shortest `Retry-After`.
 const MIN_RETRY: Duration = Duration::from_millis(200);
 
+/// `Retry-After` of a request that a target refused. It has just been full, or is carrying out an order.
+const REFUSED_RETRY: Duration = Duration::from_millis(800);
+
 /// Longest `Retry-After` of a crowded service. The load of bursty models changes within seconds.
 const MAX_CROWDED_RETRY: Duration = Duration::from_secs(2);
 
@@ -52,6 +55,10 @@
 /// Requests that wait at a target beyond which all are refused, as a share of its slots.
 const FULL_QUEUE: f64 = 1.0;
 
+/// How much longer the queue of a plain service may be: its requests take tens of milliseconds, so that even a long
+/// queue is over within a second.
+const PLAIN_QUEUE: f64 = 3.0;
+
 /// Rank of a request that will be late: it takes slots that no other request wants.
 const LATE_RANK: u8 = 8;
 
@@ -143,7 +150,7 @@
             Self::NoPlace => MAX_CROWDED_RETRY,
             Self::Loading { left } => left.max(MIN_RETRY),
             Self::Crowded { wait } => wait.clamp(MIN_RETRY, MAX_CROWDED_RETRY),
-            Self::Refused => MIN_RETRY,
+            Self::Refused => REFUSED_RETRY,
         }
     }
 }
@@ -470,7 +477,12 @@
         let slots = f64::from(candidate.slots.max(1));
         let queue = ((load + 1.0 - slots) / slots).max(0.0);
         let is_late = !work.is_on_time(now + pick.wait);
-        let is_full = queue > FULL_QUEUE || (is_late && queue > LATE_QUEUE);
+        let scale = if generation.is_some() {
+            1.0
+        } else {
+            PLAIN_QUEUE
+        };
+        let is_full = queue > FULL_QUEUE * scale || (is_late && queue > LATE_QUEUE * scale);
         if is_full {
             return Err(Refusal::Crowded { wait: pick.wait });
         }
