Forget remembered targets after 12 s, and write a notice before it is acknowledged

Change: 12 s; so that a target that leaves isn't remembered as one that stays, its notice is written first.

--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -43,8 +43,9 @@
 /// Ticks between two reports of the targets that were heard of.
 const ALIVE_TICKS: u64 = 10;
 
-/// Ticks after the start within which every live target has announced itself.
-const FORGET_TICKS: u64 = 40;
+/// Ticks after the start within which every live target has announced itself, also one that tries an instance after the
+/// other with growing pauses.
+const FORGET_TICKS: u64 = 120;
 
 /// Ticks between two rounds of orders.
 const PLAN_TICKS: u64 = 2;
@@ -55,6 +56,9 @@
 /// Time for an introduction.
 const HELLO: Duration = Duration::from_secs(2);
 
+/// Time for the file of targets to be written.
+const SAVE: Duration = Duration::from_millis(150);
+
 /// Time for another instance to note that a target leaves. The target waits a second for the acknowledgement.
 const NOTED: Duration = Duration::from_millis(500);
 
@@ -443,6 +447,11 @@
         });
         let is_alone = !self.subscribers.has_core();
         self.subscribers.send(&Down::Targets(vec![update]));
+        let saving = self.memory.save_before(&self.state.borrow().registry);
+        // A disk that hangs must not keep the notice from being acknowledged by what another instance noted.
+        if timeout(SAVE, saving).await.is_err() {
+            log::warn!(step = "persist"; "targets are not written yet");
+        }
         if is_alone {
             // The roster may hold instances that can't be reached.
             return self.state.borrow().roster.cards().count() <= 1;
--- a/crates/buckthornmast_node/src/memory.rs
+++ b/crates/buckthornmast_node/src/memory.rs
@@ -1,13 +1,14 @@
 //! Targets as they were known before a restart.
 //!
 //! After a restart of everything, targets announce themselves again within seconds, and until then no request could
-//! be forwarded. So an instance of the core keeps what it knows in a file. The file is a hint: it is not synced, a
-//! damaged one is left alone, and what it says counts only until the targets have had time to speak.
+//! be forwarded. So an instance of the core keeps what it knows in a file. The file is a hint: a damaged one is left alone,
+//! and what it says counts only until the targets have had time to speak.
 
-use std::{cell::RefCell, fs, path::PathBuf, rc::Rc, time::Duration};
+use std::{cell::RefCell, fs, future::Future, io::Write, path::PathBuf, rc::Rc, time::Duration};
 
 use buckthornmast_fleet::registry::{Registry, Update};
 use buckthornmast_types::time::Point;
+use tokio::task::JoinHandle;
 
 /// Name of the file in the data folder.
 pub const FILE: &str = "targets";
@@ -50,6 +51,24 @@
 
     /// Writes the targets that take new work, if they have changed.
     pub fn save(&self, registry: &Registry) {
+        // Nobody waits for it: what is lost is announced again.
+        drop(self.write(registry));
+    }
+
+    /// Writes the targets that take new work before a notice is acknowledged: a target that leaves must not be
+    /// remembered as one that stays.
+    pub fn save_before(&self, registry: &Registry) -> impl Future<Output = ()> + use<> {
+        let writing = self.write(registry);
+        async move {
+            if let Some(writing) = writing
+                && let Err(error) = writing.await
+            {
+                log::error!(step = "persist"; "the writing task ended: {error}");
+            }
+        }
+    }
+
+    fn write(&self, registry: &Registry) -> Option<JoinHandle<()>> {
         let ready = registry.entries().filter(|entry| entry.is_ready());
         let updates: Vec<Update> = ready
             .map(|entry| {
@@ -62,20 +81,22 @@
                 }
             })
             .collect();
-        let Some(bytes) = encode(&updates) else {
-            return;
-        };
+        let bytes = encode(&updates)?;
         if *self.written.borrow() == bytes {
-            return;
+            return None;
         }
         self.written.replace(bytes.clone());
         let path = self.path.clone();
         // A disk that hangs holds up only this thread of the runtime's pool.
-        tokio::task::spawn_blocking(move || {
-            if let Err(error) = fs::write(&path, bytes) {
+        Some(tokio::task::spawn_blocking(move || {
+            let written = fs::File::create(&path).and_then(|mut file| {
+                file.write_all(&bytes)?;
+                file.sync_data()
+            });
+            if let Err(error) = written {
                 log::warn!(step = "persist"; "targets can't be written: {error}");
             }
-        });
+        }))
     }
 }
 
