--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -31,9 +31,6 @@
 /// that is asked for more relieves its targets as well.
 const SMALL: f64 = 2.0;
 
-/// Loads of the ration that are kept for models that are asked for.
-const RESERVED_LOADS: usize = 2;
-
 /// How much more a model without a copy must be asked for than the one whose last copy makes room for it.
 const LAST_COPY: f64 = 4.0;
 
@@ -181,30 +178,9 @@
             let reason = "its targets are crowded";
             steps.extend(self.next_step(index, level - MARGIN * COMFORT, reason, &mut loads));
         }
-        if steps.is_empty() {
-            steps.extend(self.second_copy(&mut loads));
-        }
         steps
     }
 
-    /// Returns the order that gives a model with one copy another one, in place of spare copies of models that nobody
-    /// asks for. Which model is asked for next is not known, and a second copy is there before its load would end.
-    fn second_copy(&mut self, loads: &mut usize) -> Option<Step> {
-        // The ration is left for models that are asked for.
-        let mut spare_loads = loads.saturating_sub(RESERVED_LOADS);
-        let mut single: Vec<usize> = (0..self.models.len())
-            .filter(|index| self.models[*index].copies.len() == 1)
-            .collect();
-        single.sort_by(|one, other| self.models[*other].rate.total_cmp(&self.models[*one].rate));
-        let reason = "it has one copy only";
-        let most = CROWDED * COMFORT;
-        let step = single
-            .into_iter()
-            .find_map(|index| self.next_step(index, most, reason, &mut spare_loads))?;
-        *loads -= usize::from(step.is_rationed);
-        Some(step)
-    }
-
     /// Returns the model whose least crowded target is the most crowded of all, and its level.
     fn most_crowded(&self, settled: &[usize]) -> Option<(usize, f64)> {
         let crowded = self
@@ -321,9 +297,6 @@
 
     /// Returns whether the copy of a model at a place may make room for another model.
     fn is_spare(&self, weighed: &Weighed<'_>, wanted: &Weighed<'_>, at: usize) -> bool {
-        if !wanted.copies.is_empty() && wanted.demand < SMALL {
-            return weighed.ready > 2 && weighed.demand < IDLE;
-        }
         if weighed.ready >= 2 {
             let others = weighed.copies.iter().filter(|copy| **copy != at);
             let left = weighed.demand / others.count().max(1) as f64;
