--- /dev/null
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -0,0 +1,95 @@
+//! Answers that this instance gives itself, and when callers should come back.
+//!
+//! A refusal is a promise that the request has not run. Its `Retry-After` is the time after which a further try is expected
+//! to be served: the rest of a load, the wait for a slot, or a moment for what is unknown.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Response, StatusCode, header};
+
+use crate::{body::Body, exchange::Whole};
+
+/// `Retry-After` of a request for which there is no target.
+pub const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+
+/// Shortest `Retry-After`.
+const MIN_RETRY: Duration = Duration::from_millis(200);
+
+/// `Retry-After` of a request that a target refused. It has just been full, or is carrying out an order.
+const REFUSED_RETRY: Duration = Duration::from_millis(800);
+
+/// Longest `Retry-After` of a crowded service. The load of bursty models changes within seconds.
+const MAX_CROWDED_RETRY: Duration = Duration::from_secs(2);
+
+/// Reason why a request is refused without having run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// No routes are known yet.
+    NoRoutes,
+    /// No target of the service is known, or all have been tried.
+    NoTarget,
+    /// The model is being loaded.
+    Loading {
+        /// Time until it is ready.
+        left: Duration,
+    },
+    /// The model can't be loaded.
+    NoPlace,
+    /// The targets are full.
+    Crowded {
+        /// Expected wait for a slot.
+        wait: Duration,
+    },
+    /// The time for the answer has passed.
+    Deadline,
+    /// A target refused it, and no further attempt is allowed.
+    Refused,
+}
+
+impl Refusal {
+    /// Returns the reason for the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoRoutes => "no routes are known yet",
+            Self::NoTarget => "no target is left",
+            Self::Loading { .. } => "the model is being loaded",
+            Self::NoPlace => "the model can't be loaded",
+            Self::Crowded { .. } => "the targets are full",
+            Self::Deadline => "the deadline has passed",
+            Self::Refused => "the target refused the request",
+        }
+    }
+
+    /// Returns when a further try of the caller makes sense.
+    pub fn retry_after(self) -> Duration {
+        match self {
+            Self::NoRoutes | Self::NoTarget | Self::Deadline => NO_TARGET_RETRY,
+            Self::NoPlace => MAX_CROWDED_RETRY,
+            Self::Loading { left } => left.max(MIN_RETRY),
+            Self::Crowded { wait } => wait.clamp(MIN_RETRY, MAX_CROWDED_RETRY),
+            Self::Refused => REFUSED_RETRY,
+        }
+    }
+}
+
+/// Returns an answer without a body.
+pub fn plain(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::Whole(None));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns a refusal that says when to come back.
+pub fn refused(after: Duration) -> Response<Body> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = format!("{:.2}", after.as_secs_f64());
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Returns the answer of a target.
+pub fn passed_on(whole: Whole) -> Response<Body> {
+    Response::from_parts(whole.head, Body::whole(whole.body))
+}
--- a/crates/buckthornmast_forward/src/work.rs
+++ b/crates/buckthornmast_forward/src/work.rs
@@ -10,9 +10,9 @@
 use smallvec::SmallVec;
 
 use crate::{
-    caller::{Basis, Chosen},
     mapping::Head,
     patience,
+    place::{Basis, Chosen},
     supply::Want,
 };
 
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -27,10 +27,10 @@
 };
 
 use crate::{
-    core::Subscribers,
     message::{Down, Granted, Placement},
     orders::Orders,
     platform::{Fence, Platform},
+    subscribers::Subscribers,
 };
 
 /// Time from the acceptance of an adapter's order until requests for it are sent. Loading takes up to 10 ms.
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,5 +1,7 @@
 //! An instance of the core: keeps routes and targets, and leads or follows in ordering models.
 
+mod dialing;
+
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
@@ -11,10 +13,7 @@
 
 use buckthornmast_consensus::prelude::{Pool, Role};
 use buckthornmast_discovery::roster::{Card, Roster};
-use buckthornmast_fleet::{
-    announcement,
-    registry::{Merge, Registry, Update},
-};
+use buckthornmast_fleet::registry::{Merge, Registry, Update};
 use buckthornmast_link::{Link, Outbox, Timing};
 use buckthornmast_routes::register::{Revision, Text};
 use buckthornmast_types::{
@@ -29,12 +28,13 @@
 
 use crate::{
     controller::{Controller, Lead},
-    dial::{Dialer, Dials},
+    dial::Dials,
     memory::{self, Memory},
     message::{Alive, Down, Up},
     platform::{Fence, Platform},
     replica::{self, Replica, Wires},
     settings::{Service, Settings},
+    subscribers::{Subscriber, Subscribers},
 };
 
 /// Time between two looks at what has changed.
@@ -72,58 +72,6 @@
 /// Term in which the first leader of all is elected; nobody has given orders before it.
 const FIRST_TERM: id::Term = id::Term(1);
 
-/// Instance that is sent what changes.
-#[derive(Debug)]
-struct Subscriber {
-    outbox: Outbox<Down>,
-    core: Option<id::Instance>,
-}
-
-/// All instances that are sent what changes.
-#[derive(Debug, Default)]
-pub struct Subscribers {
-    next: std::cell::Cell<u64>,
-    list: RefCell<BTreeMap<u64, Subscriber>>,
-}
-
-impl Subscribers {
-    fn add(&self, subscriber: Subscriber) -> u64 {
-        let number = self.next.get();
-        self.next.set(number + 1);
-        self.list.borrow_mut().insert(number, subscriber);
-        number
-    }
-
-    fn remove(&self, number: u64) {
-        self.list.borrow_mut().remove(&number);
-    }
-
-    /// Sends to all. One that is too far behind notices the end of its connection and starts over.
-    pub fn send(&self, message: &Down) {
-        self.list
-            .borrow_mut()
-            .retain(|_, subscriber| subscriber.outbox.send(message.clone()));
-    }
-
-    /// Sends to entry instances.
-    pub fn send_entries(&self, message: &Down) {
-        self.list.borrow_mut().retain(|_, subscriber| {
-            subscriber.core.is_some() || subscriber.outbox.send(message.clone())
-        });
-    }
-
-    fn entries(&self) -> u32 {
-        let list = self.list.borrow();
-        let entries = list.values().filter(|subscriber| subscriber.core.is_none());
-        u32::try_from(entries.count()).unwrap_or(u32::MAX)
-    }
-
-    fn has_core(&self) -> bool {
-        let list = self.list.borrow();
-        list.values().any(|subscriber| subscriber.core.is_some())
-    }
-}
-
 struct Waiter {
     target: id::Target,
     born: id::Incarnation,
@@ -563,74 +511,4 @@
             Up::Entry(_) => {}
         }
     }
-
-    /// Returns the instance behind an address.
-    fn instance_at(&self, peer: SocketAddr) -> Option<id::Instance> {
-        let state = self.state.borrow();
-        let known = state.roster.cards().find(|card| card.peers == peer);
-        if let Some(card) = known {
-            return Some(card.instance.clone());
-        }
-        let settings = self.settings.borrow();
-        let mut seeds = settings.seeds.iter();
-        let seed = seeds.find(|seed| SocketAddr::new(seed.ip(), settings.peer_port) == peer)?;
-        Settings::member_name(*seed)
-    }
-}
-
-impl<P: Platform> Dialer for Core<P> {
-    fn hello(&self) -> Up {
-        Up::Core(self.me.clone())
-    }
-
-    fn opened(&self, peer: SocketAddr, outbox: Outbox<Up>) {
-        if let Some(instance) = self.instance_at(peer) {
-            self.wires.set(instance, Some(outbox));
-        }
-    }
-
-    fn receive(&self, peer: SocketAddr, message: Down) {
-        match message {
-            Down::Roster(told) => {
-                let now = self.clock.now();
-                let mut state = self.state.borrow_mut();
-                if state.roster.take(&told, now) {
-                    state.is_roster_told = false;
-                }
-            }
-            Down::Targets(updates) => {
-                for update in updates {
-                    let leaves =
-                        update.withdrawn || update.announcement.state != announcement::State::Ready;
-                    let noted = Up::Noted {
-                        target: update.announcement.target.clone(),
-                        born: update.announcement.born,
-                    };
-                    self.merge(update, false);
-                    if leaves && let Some(instance) = self.instance_at(peer) {
-                        self.wires.tell(&instance, noted);
-                    }
-                }
-            }
-            Down::Alive(alive) => {
-                let now = self.clock.now();
-                let mut state = self.state.borrow_mut();
-                for Alive { target, born, age } in alive {
-                    state.registry.note_alive(&target, born, now - age);
-                }
-            }
-            // The log brings the routes, and only entry instances need the rest.
-            Down::Routes(_)
-            | Down::Entries(_)
-            | Down::Placed(_)
-            | Down::Leads(_)
-            | Down::Granted { .. } => {}
-        }
-    }
-
-    fn closed(&self, peer: SocketAddr) {
-        if let Some(instance) = self.instance_at(peer) {
-            self.wires.set(instance, None);
-        }
-    }
 }
--- a/crates/buckthornmast_node/src/lib.rs
+++ b/crates/buckthornmast_node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod process;
 pub mod replica;
 pub mod settings;
+pub mod subscribers;
 pub mod supplier;
 
 /// Names that most users of this crate import together.
