Decide on admission in code of its own, and refuse late requests earlier

Change: that queue is a tenth of the slots; a request that waited for its adapter is not late for that.

--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -7,6 +7,7 @@
 //! A caller that leaves drops the task of its request. This drops the connection to the target, which ends the
 //! work there.
 
+pub mod admission;
 pub mod board;
 pub mod body;
 pub mod caller;
--- a/crates/buckthornmast_forward/src/place.rs
+++ b/crates/buckthornmast_forward/src/place.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
+    admission::{self, Verdict},
     caller::Forwarder,
     choice::{self, Ask},
     mapping::{Generation, Mapping},
@@ -28,22 +29,6 @@
 /// Wait for a target of a service that has none at the moment.
 const NO_TARGET_WAIT: Duration = Duration::from_millis(1000);
 
-/// Requests that wait at a target beyond which those that would be late are refused, as a share of its slots.
-const LATE_QUEUE: f64 = 0.5;
-
-/// Requests that wait at a target beyond which all are refused, as a share of its slots.
-const FULL_QUEUE: f64 = 1.0;
-
-/// How much longer the queue of a plain service may be: its requests take tens of milliseconds, so that even a long
-/// queue is over within a second.
-const PLAIN_QUEUE: f64 = 3.0;
-
-/// Rank of a request that will be late: it takes slots that no other request wants.
-const LATE_RANK: u8 = 8;
-
-/// Lowest rank of a request that can be on time.
-const LAST_RANK: u32 = 7;
-
 /// Target that a request goes to.
 #[derive(Debug)]
 pub struct Chosen {
@@ -214,22 +199,16 @@
         let candidate = &candidates[pick.index];
         let lane = state.board.lane(&candidate.target, candidate.born);
         let load = lane.map_or(0.0, |lane| lane.load(now));
-        let slots = f64::from(candidate.slots.max(1));
-        let queue = ((load + 1.0 - slots) / slots).max(0.0);
-        let is_late = !work.is_on_time(now + pick.wait);
-        let scale = if generation.is_some() {
-            1.0
-        } else {
-            PLAIN_QUEUE
-        };
-        let is_full = queue > FULL_QUEUE * scale || (is_late && queue > LATE_QUEUE * scale);
-        if is_full {
-            return Err(Refusal::Crowded { wait: pick.wait });
-        }
-        let rank = if is_late {
-            LATE_RANK
-        } else {
-            u8::try_from(work.route.priority.min(LAST_RANK)).unwrap_or(LATE_RANK)
+        let verdict = admission::decide(&admission::Ask {
+            load,
+            slots: candidate.slots,
+            // Whoever has waited for an adapter is not turned away for that.
+            is_late: !work.is_on_time(now + pick.wait - work.waited),
+            is_plain: generation.is_none(),
+        });
+        let rank = match verdict {
+            Verdict::Refuse => return Err(Refusal::Crowded { wait: pick.wait }),
+            Verdict::Send { rank } => rank,
         };
         Ok(Chosen {
             basis: Basis {
@@ -239,7 +218,7 @@
                 candidates: candidates.len(),
             },
             member: serving[pick.index].clone(),
-            rank: generation.filter(|_| is_late).map(|_| rank),
+            rank: rank.filter(|_| generation.is_some()),
         })
     }
 }
