--- a/crates/buckthornmast_forward/src/admission.rs
+++ b/crates/buckthornmast_forward/src/admission.rs
@@ -6,7 +6,7 @@
 //! would outlive its cause.
 
 /// Requests that wait at a target beyond which those that would be late are refused, as a share of its slots.
-const LATE_QUEUE: f64 = 0.1;
+const LATE_QUEUE: f64 = 0.25;
 
 /// Requests that wait at a target beyond which all are refused, as a share of its slots.
 const FULL_QUEUE: f64 = 1.0;
--- a/crates/buckthornmast_forward/src/place.rs
+++ b/crates/buckthornmast_forward/src/place.rs
@@ -202,8 +202,7 @@
         let verdict = admission::decide(&admission::Ask {
             load,
             slots: candidate.slots,
-            // Whoever has waited for an adapter is not turned away for that.
-            is_late: !work.is_on_time(now + pick.wait - work.waited),
+            is_late: !work.is_on_time(now + pick.wait),
             is_plain: generation.is_none(),
         });
         let rank = match verdict {
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -16,6 +16,10 @@
 
 use crate::order::{Action, Order, Outcome, Report};
 
+/// Time without a word after which a target counts as gone, though it did not say so. Several announcements are due in
+/// it, and most partitions are shorter.
+const SILENCE: Duration = Duration::from_millis(6000);
+
 /// Time after an accepted order for which announcements may still show the state before it.
 const ANNOUNCEMENT_LAG: Duration = Duration::from_millis(3000);
 
@@ -247,7 +251,7 @@
             let known = self.shelves.entry(announcement.target.clone());
             let shelf = known.or_insert_with(|| Shelf::new(announcement));
             shelf.address = announcement.address;
-            shelf.is_ready = entry.is_ready();
+            shelf.is_ready = entry.is_ready() && now.since(entry.heard) < SILENCE;
             shelf.copies = announcement
                 .in_memory
                 .iter()
--- a/crates/buckthornmast_supply/tests/plan.rs
+++ b/crates/buckthornmast_supply/tests/plan.rs
@@ -72,6 +72,26 @@
     assert_eq!(given, [Action::Load(model(2)), Action::Load(model(3))]);
 }
 
+/// Guards against models that count as held by a target that crashed and says nothing any more.
+#[test]
+fn plan_after_silent_crash() {
+    let mut pool = pool();
+    pool.models.retain(|name, _| name.as_str() < "m2");
+    let targets: &[&[(usize, &[usize])]] = &[&[(0, &[])], &[(1, &[])]];
+    let mut ledger = known(targets);
+    let mut heard = registry(targets, 2, at(0));
+    let now = at(7000);
+    heard.note_alive(&target(1), BORN, now);
+    ledger.observe(&heard, |_| true, now);
+    let demand = Demand::default();
+    let engines = service();
+    let situation = Situation::new(&ledger, &engines, &pool, &demand, now);
+    let steps = situation.steps(3);
+    assert_eq!(steps.len(), 1, "{steps:?}");
+    assert_eq!(steps[0].target, target(1));
+    assert_eq!(steps[0].action, Action::Load(model(0)));
+}
+
 /// Guards against copies of models that are asked for making room for one that nobody asks for.
 #[test]
 fn plan_keeps_hot_copies() {
