Let no target of an unknown service take the address of another

Change: entry instances drop targets of services that the routes in force lack, whenever either changes.

--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -122,7 +122,7 @@
         }
         let table = Table::new(&document);
         self.routes = Some(Rc::new(Routes { document, table }));
-        self.changed.notify_waiters();
+        self.rebuild();
         true
     }
 
@@ -172,6 +172,12 @@
     }
 
     fn rebuild(&mut self) {
+        // A target of a service that doesn't exist must not take the address of one that does.
+        if let Some(routes) = &self.routes {
+            let services = &routes.document.services;
+            self.registry
+                .retain_services(|service| services.contains_key(service));
+        }
         let registry = &self.registry;
         self.placed
             .retain(|target, _| registry.get(target).is_some());
