Carry out orders for adapters to their end

The order ran inside of the wait of whoever wanted the adapter, 0.9 s at most. When that passed while the target had not answered yet, the order's outcome was never noted, and the target counted as busy until the next election. Change: an order runs as a task of its own. Test: adapters_after_slow_orders fails on the old code (60 s without the second adapter).

--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -306,10 +306,16 @@
             };
             match next {
                 Next::Done(granted) => return granted,
-                Next::Order(target, action) => match self.start(&target, action, ADAPTER_LOAD) {
-                    Some(order) => self.carry_out(order).await,
-                    None => notified.await,
-                },
+                Next::Order(target, action) => {
+                    // The order is carried out to its end even if whoever wants the adapter has given up by then.
+                    if let Some(order) = self.start(&target, action, ADAPTER_LOAD) {
+                        let controller = Rc::clone(self);
+                        tokio::task::spawn_local(async move {
+                            controller.carry_out(order).await;
+                        });
+                    }
+                    notified.await;
+                }
                 Next::Wait => notified.await,
             }
         }
