Expect the trend of demand to go on for three seconds

Cause: demand for a model rises over 5 to 6 s, a load takes as long; the second copy was ordered when the first was crowded. Change: the demand for a model is the average of the last second and what has changed against the last 2.5 s beyond chance, carried on for 3 s.

--- a/crates/buckthornmast_supply/src/demand.rs
+++ b/crates/buckthornmast_supply/src/demand.rs
@@ -8,6 +8,12 @@
 /// Time over which demand is averaged. Short, since demand moves within seconds.
 const SPAN: Duration = Duration::from_millis(1000);
 
+/// Time over which the earlier demand is averaged that the trend is seen against.
+const TREND_SPAN: Duration = Duration::from_millis(2500);
+
+/// Time that the trend is expected to last. Loads take longer, but few moves of demand do.
+const TREND_AHEAD: Duration = Duration::from_millis(3000);
+
 /// Time over which the demand for items that are hardly asked for is averaged.
 const LONG_SPAN: Duration = Duration::from_secs(8);
 
@@ -44,6 +50,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Mean {
     rate: f64,
+    trend_rate: f64,
     long_rate: f64,
     at: Point,
     last: Point,
@@ -55,17 +62,27 @@
     fn decay(&mut self, now: Point) {
         let passed = now.since(self.at).as_secs_f64();
         self.rate *= (-passed / SPAN.as_secs_f64()).exp();
+        self.trend_rate *= (-passed / TREND_SPAN.as_secs_f64()).exp();
         self.long_rate *= (-passed / LONG_SPAN.as_secs_f64()).exp();
         self.at = self.at.max(now);
     }
 
-    fn rate_at(mut self, now: Point) -> f64 {
-        self.decay(now);
+    /// Returns the change of the rate that is beyond chance, per second.
+    fn trend(&self) -> f64 {
+        let change = self.rate - self.trend_rate;
+        // Deviation of the difference of the two averages when the demand is steady.
+        let chance = (self.trend_rate.max(self.rate) / 3.0).sqrt();
+        let spans = TREND_SPAN.as_secs_f64() - SPAN.as_secs_f64();
+        (change.abs() - chance).max(0.0).copysign(change) / spans
+    }
+
+    /// Returns the rate that is expected, from the last second and the trend.
+    fn expected(&self) -> f64 {
         if self.rate.max(self.long_rate) < RARE {
-            self.long_rate
-        } else {
-            self.rate
+            return self.long_rate;
         }
+        let ahead = SPAN + TREND_AHEAD;
+        (self.rate + self.trend() * ahead.as_secs_f64()).max(0.0)
     }
 
     fn slot_time(&self) -> f64 {
@@ -103,6 +120,7 @@
             let mean = self.items.entry(row.item.clone()).or_default();
             mean.decay(now);
             mean.rate += f64::from(row.requests) / SPAN.as_secs_f64();
+            mean.trend_rate += f64::from(row.requests) / TREND_SPAN.as_secs_f64();
             mean.long_rate += f64::from(row.requests) / LONG_SPAN.as_secs_f64();
             if row.requests > 0 {
                 mean.last = now;
@@ -128,20 +146,31 @@
         (mean.last > Point::ZERO).then_some(mean.last)
     }
 
-    /// Returns the demand for a model and its adapters.
+    /// Returns the demand that is expected for a model and its adapters.
     pub fn of_model(&self, service: &id::Service, model: &id::Model, now: Point) -> Asked {
-        let of_model = self
-            .items
-            .iter()
-            .filter(|(item, _)| item.model == *model && item.service == *service);
-        of_model.fold(Asked::default(), |asked, (item, mean)| {
-            let rate = mean.rate_at(now);
-            Asked {
-                rate: asked.rate + rate,
-                adapter_rate: asked.adapter_rate + if item.adapter.is_some() { rate } else { 0.0 },
-                slots: asked.slots + rate * mean.slot_time(),
+        let mut sum = Mean::default();
+        let (mut slots, mut adapters) = (0.0, 0.0);
+        for (item, mean) in &self.items {
+            if item.model != *model || item.service != *service {
+                continue;
             }
-        })
+            let mut mean = *mean;
+            mean.decay(now);
+            sum.rate += mean.rate;
+            sum.trend_rate += mean.trend_rate;
+            sum.long_rate += mean.long_rate;
+            slots += mean.trend_rate * mean.slot_time();
+            if item.adapter.is_some() {
+                adapters += mean.trend_rate;
+            }
+        }
+        let rate = sum.expected();
+        let share = |part: f64| rate * part / sum.trend_rate.max(f64::MIN_POSITIVE);
+        Asked {
+            rate,
+            adapter_rate: share(adapters),
+            slots: share(slots),
+        }
     }
 
     /// Notes whether any target has a model, as far as it is asked for.
