Charge a copy for the time that its load keeps the target busy

Change: a copy costs a request for each second of its load, in place of one request whatever it takes, so copies from memory and disk are preferred and rare models wait for them.

--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -32,8 +32,8 @@
 /// Seconds of waiting after which a model that nobody holds counts twice.
 const AGING: f64 = 4.0;
 
-/// Requests that are worth neither a load nor the loss of a copy.
-const FEW: f64 = 1.0;
+/// Requests that each second of a load costs, since the target takes no other order meanwhile, for adapters neither.
+const BUSY: f64 = 1.0;
 
 /// How much more a copy must save than what makes room for it.
 const GAIN: f64 = 1.2;
@@ -337,7 +337,8 @@
             self.gain(weighed, at, base) * (HORIZON - ready).max(0.0)
         };
         let is_free = weighed.copies.is_empty() && leaving.is_empty();
-        let saves = gained - GAIN * lost - if is_free { 0.0 } else { FEW };
+        let busy = if is_free { 0.0 } else { BUSY * ready };
+        let saves = gained - GAIN * lost - busy;
         (saves > 0.0).then_some(Offer {
             model: index,
             place: at,
