Give prompts their turns at the targets

A target reads a prompt in some 20 ms during which all its answers pause, and six entry instances that don't know of each other send theirs at the same moment: at a third of its reading time, a window of 150 ms holds too much in one of 28 cases, and an answer has ten such windows. Ruled out: slots (64 a target, about 20 taken), processor time of entries (0.03 of a core), the routing by load (it counts requests at once, and the load of others is known from answers only). Change: the leader, which knows where models are, gives each prompt its turn: a target reads for 0.55 of its time, 40 ms of prompts at once, urgent ones first. Who can't be on time waits behind all that can, or is refused at once when nothing is spare. The time that a prompt takes is learned from the pauses between events. Without a leader, or without its answer within 40 ms, entries choose alone as before.

--- a/crates/buckthornmast_forward/src/board.rs
+++ b/crates/buckthornmast_forward/src/board.rs
@@ -19,6 +19,9 @@
 /// Time after which a reported load says nothing any more.
 const OLD: Duration = Duration::from_secs(3);
 
+/// Share of failures from which a target counts as bad.
+const MANY_FAILURES: f64 = 0.2;
+
 /// Weight of one outcome in the share of failures: about the last ten count.
 const FAILURE_WEIGHT: f64 = 0.1;
 
@@ -90,6 +93,11 @@
         self.health.is_ejected(now)
     }
 
+    /// Returns whether the target should get no request while others can take it.
+    pub fn is_bad(&self, now: Point) -> bool {
+        self.is_ejected(now) || self.failures(now) > MANY_FAILURES
+    }
+
     /// Returns how long a request takes from its dispatch to its end.
     pub fn service_time(&self) -> Duration {
         self.service.mean()
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -24,7 +24,7 @@
     mapping::{Answer, Mapping, Sending},
     pool::{self, Connection},
     state::Member,
-    supply::Supply,
+    supply::{Spent, Supply},
     work::Work,
 };
 
@@ -152,8 +152,14 @@
         self.first.get_or_insert(now.since(self.started));
     }
 
-    /// Notes the end of the exchange and keeps its connection for the next one; returns the time that it took.
-    pub fn answered(mut self, connection: Connection, idle: Option<Duration>) -> Duration {
+    /// Notes the end of the exchange and keeps its connection for the next one; returns what it took, with this many
+    /// events behind the first one.
+    pub fn answered(
+        mut self,
+        connection: Connection,
+        idle: Option<Duration>,
+        events: u32,
+    ) -> Spent {
         let now = self.clock.now();
         let whole = now.since(self.started);
         let first = self.first.unwrap_or(whole);
@@ -162,7 +168,11 @@
         state
             .pool
             .put(&self.target, self.born, connection, idle, now);
-        whole
+        Spent {
+            whole,
+            events,
+            event_time: whole.saturating_sub(first),
+        }
     }
 
     /// Notes how the exchange ended.
@@ -240,8 +250,8 @@
                 if is_error {
                     running.end(Ended::Failed);
                 }
-                let took = running.answered(connection, idle);
-                self.note_end(work, took);
+                let spent = running.answered(connection, idle, 0);
+                self.note_end(work, spent);
                 if is_error {
                     return Err(Failure {
                         dispatch: Dispatch::Sent,
@@ -261,8 +271,8 @@
                 is_over,
             } => {
                 let rest = if is_over {
-                    let took = running.answered(connection, idle);
-                    self.note_end(work, took);
+                    let spent = running.answered(connection, idle, 0);
+                    self.note_end(work, spent);
                     None
                 } else {
                     Some(Exchange {
@@ -393,10 +403,10 @@
         request
     }
 
-    /// Tells the supplier how long a request took in its slot.
-    pub(crate) fn note_end(&self, work: &Work, took: Duration) {
+    /// Tells the supplier what a request took in its slot.
+    pub(crate) fn note_end(&self, work: &Work, spent: Spent) {
         if let Some(want) = work.want() {
-            self.supply.ended(&want, took);
+            self.supply.ended(&want, spent);
         }
     }
 
--- a/crates/buckthornmast_forward/src/place.rs
+++ b/crates/buckthornmast_forward/src/place.rs
@@ -1,7 +1,8 @@
 //! Place of a request: which target takes it, or why none does.
 //!
-//! The load that is answered here: bursts and retries that fill the targets of a model. A request that can be on time is
-//! sent to the least loaded target. One that will be late takes only slots that no other request wants, and beyond a
+//! The load that is answered here: bursts and retries that fill the targets of a model. A generation asks for its turn
+//! first, which whoever knows the requests of all instances gives. Without that, and for all other requests, this
+//! instance decides alone: a request that can be on time is sent to the least loaded target. One that will be late takes only slots that no other request wants, and beyond a
 //! bounded queue it is refused at once, with the time after which it is worth coming back.
 
 use std::{rc::Rc, time::Duration};
@@ -22,7 +23,7 @@
     patience,
     refusal::Refusal,
     state::Member,
-    supply::{Supply, Want, Wanted},
+    supply::{Prompt, Supply, Turn, Want, Wanted},
     work::Work,
 };
 
@@ -49,10 +50,20 @@
     pub load_age: Option<Duration>,
     /// Expected wait for a slot.
     pub wait: Duration,
+    /// Time that passed until the turn was given, if there was one.
+    pub turn: Duration,
     /// Targets to choose from.
     pub candidates: usize,
 }
 
+/// Where a request goes after it has asked for its turn.
+enum Given {
+    /// To the target whose turn it was given.
+    Target(id::Target),
+    /// To the target that this instance chooses alone.
+    Alone,
+}
+
 /// Returns a number that is spread evenly over requests and the same on every instance.
 pub(crate) fn draw_of(request: &str) -> u64 {
     xxh3_64(request.as_bytes())
@@ -88,6 +99,7 @@
         }
         let started = self.clock.now();
         let mut asked = false;
+        let mut turn: Option<Given> = None;
         loop {
             let now = self.clock.now();
             work.waited = now.since(started);
@@ -104,6 +116,19 @@
                 .iter()
                 .any(|member| !work.tried.contains(&member.target))
             {
+                match turn {
+                    // What is known may have changed while the request waited.
+                    None => {
+                        turn = Some(self.turn(work, &serving, want.as_ref()).await?);
+                        continue;
+                    }
+                    Some(Given::Target(target)) => {
+                        if let Some(chosen) = self.given(work, &serving, &target) {
+                            return Ok(chosen);
+                        }
+                    }
+                    Some(Given::Alone) => {}
+                }
                 return self.choose(work, &serving, now);
             }
             if !serving.is_empty() {
@@ -133,6 +158,77 @@
         }
     }
 
+    /// Waits for the turn of a generation.
+    async fn turn(
+        &self,
+        work: &Work,
+        serving: &[&Member],
+        want: Option<&Want>,
+    ) -> Result<Given, Refusal> {
+        let now = self.clock.now();
+        let generation = work.head.generation.as_ref();
+        let Some((generation, want)) = generation.zip(want) else {
+            return Ok(Given::Alone);
+        };
+        if !work.tried.is_empty() {
+            // A target was given up on because this instance found another one that takes the request.
+            return Ok(Given::Alone);
+        }
+        let avoid = self.avoided(work, serving, now);
+        if avoid.len() >= serving.len() {
+            return Ok(Given::Alone);
+        }
+        let shared = Some(generation).filter(|_| work.route.affinity);
+        let prompt = Prompt {
+            want: want.clone(),
+            tokens: generation.prompt_tokens,
+            prefix: shared.and_then(prefix_of),
+            objective: (work.received + work.route.objective).since(now),
+            patience: work.first_until().since(now),
+            avoid,
+        };
+        let patience = prompt.patience;
+        match timeout(patience, self.supply.turn(prompt)).await {
+            Ok(Turn::Go(target)) => Ok(Given::Target(target)),
+            Ok(Turn::Refuse(wait)) => Err(Refusal::Crowded { wait }),
+            Ok(Turn::Unknown) => Ok(Given::Alone),
+            Err(_) => Err(Refusal::Deadline),
+        }
+    }
+
+    /// Returns the targets that have had a request, or fail.
+    fn avoided(&self, work: &Work, serving: &[&Member], now: Point) -> SmallVec<[id::Target; 2]> {
+        let mut avoid = work.tried.clone();
+        let state = self.state.borrow();
+        for member in serving {
+            let lane = state.board.lane(&member.target, member.born);
+            let is_bad = lane.is_some_and(|lane| lane.is_bad(now));
+            if is_bad && !avoid.contains(&member.target) {
+                avoid.push(member.target.clone());
+            }
+        }
+        avoid
+    }
+
+    /// Returns the target whose turn was given, if it still serves the request.
+    fn given(&self, work: &Work, serving: &[&Member], target: &id::Target) -> Option<Chosen> {
+        let member = serving.iter().find(|member| member.target == *target)?;
+        let state = self.state.borrow();
+        let lane = state.board.lane(&member.target, member.born);
+        let now = self.clock.now();
+        Some(Chosen {
+            basis: Basis {
+                load: lane.map_or(0.0, |lane| lane.load(now)),
+                load_age: lane.and_then(|lane| lane.load_age(now)),
+                wait: Duration::ZERO,
+                turn: work.waited,
+                candidates: serving.len(),
+            },
+            member: (*member).clone(),
+            rank: None,
+        })
+    }
+
     /// Waits until a target serves a want, for a time at the most.
     async fn wait_for_change(&self, wait: Duration, want: Option<&Want>, service: &id::Service) {
         let changed = Rc::clone(&self.state.borrow().changed);
@@ -214,6 +310,7 @@
                 load,
                 load_age: lane.and_then(|lane| lane.load_age(now)),
                 wait: pick.wait,
+                turn: Duration::ZERO,
                 candidates: candidates.len(),
             },
             member: serving[pick.index].clone(),
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -24,6 +24,9 @@
 /// Events that wait for a slow caller before the target is read no further.
 const MAX_WAITING: usize = 64;
 
+/// Events behind the first one from which an answer tells how fast a model is.
+const LONG_ANSWER: u32 = 8;
+
 type Sender = mpsc::Sender<Result<Bytes, Broken>>;
 
 /// How the events of one target ended.
@@ -151,8 +154,9 @@
                         running,
                         ..
                     } = exchange;
-                    let took = running.answered(connection, idle);
-                    self.forwarder.note_end(&self.work, took);
+                    let events = self.events(splitter);
+                    let spent = running.answered(connection, idle, events);
+                    self.forwarder.note_end(&self.work, spent);
                     return Over::Complete;
                 }
                 Err(_)
@@ -186,6 +190,15 @@
         }
     }
 
+    /// Returns the events behind the first one, if the answer is long enough to tell how fast it came and one target
+    /// has made all of it.
+    fn events(&self, splitter: &Splitter) -> u32 {
+        let is_whole = self.work.tried.is_empty() && self.work.head.last_event.is_none();
+        let last = splitter.last().filter(|_| is_whole).unwrap_or(0);
+        let behind = u32::try_from(last.saturating_sub(1)).unwrap_or(u32::MAX);
+        if behind < LONG_ANSWER { 0 } else { behind }
+    }
+
     /// Returns the silence that the stream bears, if it could go on elsewhere.
     fn gap(&self) -> Option<Duration> {
         let used =
--- a/crates/buckthornmast_forward/src/work.rs
+++ b/crates/buckthornmast_forward/src/work.rs
@@ -175,6 +175,7 @@
             load:% = format!("{:.1}", self.basis.load),
             load_age_ms = self.basis.load_age.map_or(0, millis),
             wait_ms = millis(self.basis.wait),
+            turn_ms = millis(self.basis.turn),
             candidates = self.basis.candidates,
             attempts = self.attempts,
             end:% = end.as_str(),
--- /dev/null
+++ b/crates/buckthornmast_forward/tests/place.rs
@@ -0,0 +1,212 @@
+//! Place of a request, with turns that another instance gives.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+
+use buckthornmast_fleet::prelude::*;
+use buckthornmast_forward::{
+    caller::Forwarder,
+    mapping::{Answer, Generation, Head, Malformed, Mapping, Request, Sending},
+    place::Chosen,
+    refusal::Refusal,
+    state::{Extra, State},
+    supply::{Prompt, Spent, Supply, Turn, Want, Wanted},
+    work::Work,
+};
+use buckthornmast_routes::{
+    document::{Kind, Route},
+    register::Revision,
+};
+use buckthornmast_routing::attempt::History;
+use buckthornmast_types::{
+    id,
+    time::{Clock, System},
+};
+use bytes::Bytes;
+use http::{HeaderMap, request, response};
+use smallvec::SmallVec;
+
+struct Headers;
+
+impl Mapping for Headers {
+    fn decode(&self, _: &request::Parts) -> Result<Head, Malformed> {
+        Err(Malformed {
+            header: "none",
+            reason: "requests are not decoded here",
+        })
+    }
+
+    fn encode(&self, _: &mut HeaderMap, _: &Sending<'_>) {}
+
+    fn answer(&self, _: &response::Parts) -> Answer {
+        Answer::default()
+    }
+}
+
+/// Gives the same turn to everybody, and notes who asked.
+struct Same {
+    turn: Turn,
+    asked: RefCell<Vec<Prompt>>,
+}
+
+impl Supply for Same {
+    async fn want(&self, _: Want) -> Wanted {
+        Wanted::No
+    }
+
+    fn note(&self, _: &Want) {}
+
+    async fn turn(&self, prompt: Prompt) -> Turn {
+        self.asked.borrow_mut().push(prompt);
+        self.turn.clone()
+    }
+
+    fn ended(&self, _: &Want, _: Spent) {}
+}
+
+fn target(number: usize) -> id::Target {
+    format!("t{number}").parse().unwrap()
+}
+
+fn forwarder(turn: Turn) -> Forwarder<Headers, Same> {
+    let clock = System::start();
+    let extra = Extra {
+        ratio: 0.2,
+        burst: 10.0,
+    };
+    let mut state = State::new(extra);
+    state.change_targets(|registry| {
+        for number in 0..2 {
+            let announcement = Announcement {
+                target: target(number),
+                born: id::Incarnation(1),
+                sequence: 1,
+                service: "engines".parse().unwrap(),
+                address: format!("10.0.0.{number}:80").parse().unwrap(),
+                domain: "d1".parse().unwrap(),
+                slots: 8,
+                state: buckthornmast_fleet::announcement::State::Ready,
+                cold: Duration::ZERO,
+                held: vec![Held {
+                    model: "m1".parse().unwrap(),
+                    adapters: Vec::new(),
+                }],
+                in_memory: Vec::new(),
+                on_disk: Vec::new(),
+            };
+            let update = Update {
+                announcement,
+                withdrawn: false,
+            };
+            registry.merge(update, Duration::ZERO, clock.now());
+        }
+        true
+    });
+    Forwarder {
+        mapping: Headers,
+        supply: Same {
+            turn,
+            asked: RefCell::default(),
+        },
+        clock,
+        home: "d1".parse().unwrap(),
+        state: Rc::new(RefCell::new(state)),
+    }
+}
+
+fn work(forwarder: &Forwarder<Headers, Same>) -> Work {
+    let now = forwarder.clock.now();
+    let (parts, ()) = http::Request::new(()).into_parts();
+    let route = Route {
+        name: "chat".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Stream {
+            resumable: true,
+            gap: Duration::from_millis(150),
+        },
+        services: Vec::new(),
+        timeout: Duration::from_secs(10),
+        objective: Duration::from_millis(300),
+        attempts: 2,
+        priority: 1,
+        affinity: true,
+    };
+    Work {
+        head: Head {
+            request: Request("r1".into()),
+            deadline: None,
+            last_event: None,
+            generation: Some(Generation {
+                model: "m1".parse().unwrap(),
+                adapter: None,
+                prompt_tokens: 500,
+                answer_tokens: 100,
+                parts: SmallVec::new(),
+            }),
+        },
+        parts,
+        body: Bytes::new(),
+        route: Arc::new(route),
+        version: Revision(1),
+        service: "engines".parse().unwrap(),
+        received: now,
+        until: now + Duration::from_secs(10),
+        history: History::default(),
+        not_run: 0,
+        tried: SmallVec::new(),
+        waited: Duration::ZERO,
+    }
+}
+
+fn place(forwarder: &Forwarder<Headers, Same>, work: &mut Work) -> Result<Chosen, Refusal> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .unwrap();
+    runtime.block_on(forwarder.place(work))
+}
+
+/// Guards against a request at another target than the one whose turn it was given.
+#[test]
+fn place_by_turn() {
+    for number in 0..2 {
+        let forwarder = forwarder(Turn::Go(target(number)));
+        let mut work = work(&forwarder);
+        let chosen = place(&forwarder, &mut work).unwrap();
+        assert_eq!(chosen.member.target, target(number));
+        assert_eq!(forwarder.supply.asked.borrow()[0].tokens, 500);
+    }
+}
+
+/// Guards against requests that nobody serves while nobody gives turns, or gives them for a target that is gone.
+#[test]
+fn place_alone() {
+    for turn in [Turn::Unknown, Turn::Go(target(7))] {
+        let forwarder = forwarder(turn);
+        let mut work = work(&forwarder);
+        assert!(place(&forwarder, &mut work).is_ok());
+    }
+}
+
+/// Guards against a refused request that is sent all the same.
+#[test]
+fn place_refused() {
+    let wait = Duration::from_millis(700);
+    let forwarder = forwarder(Turn::Refuse(wait));
+    let mut work = work(&forwarder);
+    let refusal = place(&forwarder, &mut work).unwrap_err();
+    assert_eq!(refusal, Refusal::Crowded { wait });
+}
+
+/// Guards against a stream that was taken from a silent target because another one would go on with it, and is then
+/// refused: its caller would have had the rest of the answer.
+#[test]
+fn place_rest_without_turn() {
+    let forwarder = forwarder(Turn::Refuse(Duration::from_secs(1)));
+    let mut work = work(&forwarder);
+    work.tried.push(target(0));
+    let chosen = place(&forwarder, &mut work).unwrap();
+    assert_eq!(chosen.member.target, target(1));
+    assert!(forwarder.supply.asked.borrow().is_empty());
+}
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -1,4 +1,6 @@
-//! The leader of the core orders models and adapters.
+//! The leader of the core orders models and adapters, and gives requests their turns at the targets.
+
+pub mod turns;
 
 use std::{
     cell::RefCell,
@@ -16,6 +18,7 @@
     order::{Action, Order, Outcome},
     plan::Situation,
     ration::Ration,
+    turns::{Ticket, Turns},
 };
 use buckthornmast_types::{
     id,
@@ -26,6 +29,7 @@
     time::{sleep, timeout},
 };
 
+use self::turns::Asker;
 use crate::{
     message::{Down, Granted, Placement},
     orders::Orders,
@@ -64,6 +68,8 @@
     lead: Option<Lead>,
     document: Option<Rc<Document>>,
     told: BTreeMap<id::Target, Placement>,
+    turns: Turns,
+    askers: HashMap<Ticket, Asker>,
 }
 
 /// Controller of the targets' models.
@@ -93,6 +99,8 @@
         state.ledger = Ledger::default();
         state.rations.clear();
         state.told.clear();
+        state.turns.clear();
+        state.askers.clear();
         state.lead = lead;
     }
 
@@ -115,6 +123,10 @@
         if state.lead.is_none() {
             return;
         }
+        {
+            let State { turns, ledger, .. } = &mut *state;
+            turns.retain(ledger);
+        }
         state.demand.prune(now);
         let Some(document) = state.document.clone() else {
             return;
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    controller::{Controller, Lead},
+    controller::{Controller, Lead, turns::Asker},
     dial::Dials,
     memory::{self, Memory},
     message::{Alive, Down, Up},
@@ -458,8 +458,9 @@
         });
         self.greet(&link.outbox, card);
         while let Ok(message) = link.inbox.recv_async().await {
-            self.receive(core.as_ref(), message, &link.outbox);
+            self.receive(core.as_ref(), message, number, &link.outbox);
         }
+        self.controller.left(number);
         self.subscribers.remove(number);
     }
 
@@ -487,7 +488,13 @@
         }
     }
 
-    fn receive(self: &Rc<Self>, from: Option<&id::Instance>, message: Up, outbox: &Outbox<Down>) {
+    fn receive(
+        self: &Rc<Self>,
+        from: Option<&id::Instance>,
+        message: Up,
+        subscriber: u64,
+        outbox: &Outbox<Down>,
+    ) {
         match message {
             Up::Log(message) => {
                 if let Some(from) = from {
@@ -504,6 +511,15 @@
                     let _ = outbox.send(Down::Granted { number, granted });
                 });
             }
+            Up::Turn { number, ask } => {
+                let asker = Asker {
+                    subscriber,
+                    number,
+                    outbox: outbox.clone(),
+                };
+                self.controller.ask_turn(asker, ask);
+            }
+            Up::Leave { number } => self.controller.leave_turn(subscriber, number),
             Up::Core(card) => {
                 let now = self.clock.now();
                 self.state.borrow_mut().roster.note(&card, now);
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -75,7 +75,8 @@
             | Down::Entries(_)
             | Down::Placed(_)
             | Down::Leads(_)
-            | Down::Granted { .. } => {}
+            | Down::Granted { .. }
+            | Down::Turn { .. } => {}
         }
     }
 
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -171,6 +171,7 @@
             }
             Down::Leads(leads) => self.supplier.0.set_leads(peer, leads),
             Down::Granted { number, granted } => self.supplier.0.granted(number, granted),
+            Down::Turn { number, turn } => self.supplier.0.given(number, turn),
         }
     }
 
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -9,7 +9,10 @@
 use buckthornmast_discovery::roster::{Card, Told};
 use buckthornmast_fleet::{announcement::Held, registry::Update};
 use buckthornmast_routes::register::{Command, Text};
-use buckthornmast_supply::demand::{Item, Row};
+use buckthornmast_supply::{
+    demand::{Item, Row},
+    turns::{Ask, Turn},
+};
 use buckthornmast_types::id;
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +41,18 @@
         /// What is wanted.
         item: Item,
     },
+    /// Asks the leader for a turn at a target.
+    Turn {
+        /// Number of the question.
+        number: u64,
+        /// What is asked.
+        ask: Ask,
+    },
+    /// Whoever asked for a turn does not wait any more.
+    Leave {
+        /// Number of the question.
+        number: u64,
+    },
 }
 
 /// Target with what requests may use on it.
@@ -97,4 +112,11 @@
         /// Answer.
         granted: Granted,
     },
+    /// Answers the question for a turn; more than once if it has to wait.
+    Turn {
+        /// Number of the question.
+        number: u64,
+        /// Answer.
+        turn: Turn,
+    },
 }
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -8,9 +8,12 @@
     time::Duration,
 };
 
-use buckthornmast_forward::supply::{Supply, Want, Wanted};
+use buckthornmast_forward::supply::{self, Prompt, Spent, Supply, Want, Wanted};
 use buckthornmast_link::Outbox;
-use buckthornmast_supply::demand::{Item, Row};
+use buckthornmast_supply::{
+    demand::{Item, Row},
+    turns::{Ask, Turn},
+};
 use buckthornmast_types::id;
 use tokio::{
     sync::{Notify, oneshot},
@@ -22,6 +25,15 @@
 /// Time for the answer of the leader.
 const ANSWER: Duration = Duration::from_millis(1000);
 
+/// Time for the first answer to the question for a turn, some times the way to the leader and back.
+const TURN_ANSWER: Duration = Duration::from_millis(40);
+
+/// Time beyond the expected wait for a turn after which this instance decides alone.
+const TURN_SLACK: Duration = Duration::from_millis(150);
+
+/// Time for which a leader that did not answer in time is not asked for turns.
+const TURN_REST: Duration = Duration::from_millis(500);
+
 /// Time for a leader to appear, if none is known.
 const LEADER: Duration = Duration::from_millis(400);
 
@@ -37,9 +49,32 @@
     open: RefCell<HashMap<u64, oneshot::Sender<Granted>>>,
     next: Cell<u64>,
     rows: RefCell<HashMap<Item, Row>>,
+    turns: RefCell<HashMap<u64, flume::Sender<Turn>>>,
+    // Until when no turns are asked for.
+    resting: Cell<Option<Instant>>,
     changed: Notify,
 }
 
+/// Question for a turn. Dropped without an answer, it tells the leader that nobody waits any more.
+struct Question<'a> {
+    supplier: &'a Supplier,
+    leader: Outbox<Up>,
+    number: u64,
+    is_answered: bool,
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        self.supplier.turns.borrow_mut().remove(&self.number);
+        if !self.is_answered {
+            // A leader that can't be reached forgets its questions with the connection.
+            let _ = self.leader.send(Up::Leave {
+                number: self.number,
+            });
+        }
+    }
+}
+
 fn item_of(want: &Want) -> Item {
     Item {
         service: want.service.clone(),
@@ -118,10 +153,69 @@
             requests: 0,
             ended: 0,
             slot_time: Duration::ZERO,
+            events: 0,
+            event_time: Duration::ZERO,
         });
         change(row);
     }
 
+    /// Takes an answer to the question for a turn.
+    pub fn given(&self, number: u64, turn: Turn) {
+        if let Some(answers) = self.turns.borrow().get(&number) {
+            // Whoever asked may have given up.
+            let _ = answers.send(turn);
+        }
+    }
+
+    async fn ask_turn(&self, prompt: Prompt) -> supply::Turn {
+        let resting = self.resting.get();
+        let is_resting = resting.is_some_and(|until| Instant::now() < until);
+        let Some(leader) = self.leader().filter(|_| !is_resting) else {
+            return supply::Turn::Unknown;
+        };
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let ask = Ask {
+            item: item_of(&prompt.want),
+            prompt: prompt.tokens,
+            prefix: prompt.prefix,
+            objective: prompt.objective,
+            patience: prompt.patience,
+            avoid: prompt.avoid,
+        };
+        let (sender, answers) = flume::unbounded();
+        self.turns.borrow_mut().insert(number, sender);
+        let mut question = Question {
+            supplier: self,
+            leader: leader.clone(),
+            number,
+            is_answered: false,
+        };
+        if !leader.send(Up::Turn { number, ask }) {
+            return supply::Turn::Unknown;
+        }
+        let mut wait = TURN_ANSWER;
+        loop {
+            match timeout(wait, answers.recv_async()).await {
+                Ok(Ok(Turn::Wait(expected))) => wait = expected * 2 + TURN_SLACK,
+                Ok(Ok(turn)) => {
+                    question.is_answered = true;
+                    return match turn {
+                        Turn::Go(target) => supply::Turn::Go(target),
+                        Turn::Refuse(wait) => supply::Turn::Refuse(wait),
+                        Turn::Wait(_) | Turn::Unknown => supply::Turn::Unknown,
+                    };
+                }
+                Ok(Err(_)) => return supply::Turn::Unknown,
+                Err(_) => {
+                    log::info!(step = "turn", number = number, waited_ms = wait.as_millis() as u64; "the leader gave no turn in time");
+                    self.resting.set(Some(Instant::now() + TURN_REST));
+                    return supply::Turn::Unknown;
+                }
+            }
+        }
+    }
+
     async fn wait_for_leader(&self) -> Option<Outbox<Up>> {
         let until = Instant::now() + LEADER;
         loop {
@@ -169,10 +263,18 @@
         self.0.change_row(item_of(want), |row| row.requests += 1);
     }
 
-    fn ended(&self, want: &Want, took: Duration) {
+    async fn turn(&self, prompt: Prompt) -> supply::Turn {
+        self.0.ask_turn(prompt).await
+    }
+
+    fn ended(&self, want: &Want, spent: Spent) {
         self.0.change_row(item_of(want), |row| {
             row.ended += 1;
-            row.slot_time += took;
+            row.slot_time += spent.whole;
+            if spent.events > 0 {
+                row.events += spent.events;
+                row.event_time += spent.event_time;
+            }
         });
     }
 }
--- a/crates/buckthornmast_supply/src/demand.rs
+++ b/crates/buckthornmast_supply/src/demand.rs
@@ -23,6 +23,13 @@
 /// Assumed time of a request in a slot before there is a sample.
 const ASSUMED_SLOT_TIME: f64 = 1.0;
 
+/// Assumed time between two events of an answer before there is a sample.
+const ASSUMED_PAUSE: Duration = Duration::from_millis(30);
+
+/// Weight of a sample that is longer than the time known between two events; a shorter one counts at once, since
+/// everything else at a target only makes it longer.
+const SLOWER_WEIGHT: f64 = 0.02;
+
 /// Model, alone or with an adapter.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Item {
@@ -45,6 +52,10 @@
     pub ended: u32,
     /// Time that these took in their slots.
     pub slot_time: Duration,
+    /// Events of streams that ended, but the first of each.
+    pub events: u32,
+    /// Time in which they came.
+    pub event_time: Duration,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -58,6 +69,15 @@
     slot_time: f64,
 }
 
+/// How fast a model answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// Time of a request in its slot.
+    pub slot: Duration,
+    /// Time between two events of an answer at a target with little else to do.
+    pub event: Duration,
+}
+
 impl Mean {
     fn decay(&mut self, now: Point) {
         let passed = now.since(self.at).as_secs_f64();
@@ -109,6 +129,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
     items: HashMap<Item, Mean>,
+    // Time between two events of an answer.
+    pauses: HashMap<(id::Service, id::Model), f64>,
     // Since when callers have been waiting for models that no target has.
     unserved: HashMap<(id::Service, id::Model), Point>,
 }
@@ -128,6 +150,28 @@
             // Older samples fade as newer ones come.
             mean.ended = mean.ended * 0.9 + f64::from(row.ended);
             mean.slot_time = mean.slot_time * 0.9 + row.slot_time.as_secs_f64();
+            if row.events > 0 {
+                let sample = row.event_time.as_secs_f64() / f64::from(row.events);
+                let key = (row.item.service.clone(), row.item.model.clone());
+                let pause = self.pauses.entry(key).or_insert(sample);
+                let weight = if sample < *pause { 1.0 } else { SLOWER_WEIGHT };
+                *pause += (sample - *pause) * weight;
+            }
+        }
+    }
+
+    /// Returns how fast a model answers.
+    pub fn pace(&self, item: &Item) -> Pace {
+        let key = (item.service.clone(), item.model.clone());
+        let event = self.pauses.get(&key).copied();
+        let event = event.unwrap_or(ASSUMED_PAUSE.as_secs_f64());
+        let slot = self
+            .items
+            .get(item)
+            .map_or(ASSUMED_SLOT_TIME, Mean::slot_time);
+        Pace {
+            slot: Duration::from_secs_f64(slot),
+            event: Duration::from_secs_f64(event),
         }
     }
 
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -14,7 +14,10 @@
 use buckthornmast_routes::document::{Model, Pool};
 use buckthornmast_types::{id, size::Bytes, time::Point};
 
-use crate::order::{Action, Order, Outcome, Report};
+use crate::{
+    demand::Item,
+    order::{Action, Order, Outcome, Report},
+};
 
 /// Time without a word after which a target counts as gone, though it did not say so. Several announcements are due in
 /// it, and most partitions are shorter.
@@ -302,6 +305,23 @@
         }
     }
 
+    /// Returns the targets on which requests may use a model or an adapter.
+    pub fn holders(&self, item: &Item) -> impl Iterator<Item = (&id::Target, &Shelf)> {
+        self.shelves.iter().filter(|(_, shelf)| {
+            let has_adapter = || {
+                let Some(adapter) = &item.adapter else {
+                    return true;
+                };
+                let place = (item.model.clone(), adapter.clone());
+                shelf.held[&item.model].contains(adapter) && !shelf.going.contains(&place)
+            };
+            shelf.is_ready
+                && shelf.service == item.service
+                && shelf.is_usable(&item.model)
+                && has_adapter()
+        })
+    }
+
     /// Returns whether any target that takes new work has a model.
     pub fn has_usable(&self, service: &id::Service, model: &id::Model) -> bool {
         self.shelves
--- a/crates/buckthornmast_supply/src/lib.rs
+++ b/crates/buckthornmast_supply/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod order;
 pub mod plan;
 pub mod ration;
+pub mod turns;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- a/crates/buckthornmast_supply/tests/support/play.rs
+++ b/crates/buckthornmast_supply/tests/support/play.rs
@@ -44,6 +44,8 @@
         requests,
         ended: requests,
         slot_time: Duration::from_secs(requests.into()),
+        events: 0,
+        event_time: Duration::ZERO,
     }
 }
 
