Wait for turns while the leader is there, and read more while prompts wait

The pauses from which reading times are learned drifted from 31 to 60 ms with the load within seconds. Change: an entry waits as long as its caller and gives up only if the first answer takes 40 ms or the leader is gone; then all that wait are placed without turns. A longer pause is believed over 20 s. While prompts wait, targets read for 0.75 of their time in place of 0.55.

--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -28,9 +28,6 @@
 /// Time for the first answer to the question for a turn, some times the way to the leader and back.
 const TURN_ANSWER: Duration = Duration::from_millis(40);
 
-/// Time beyond the expected wait for a turn after which this instance decides alone.
-const TURN_SLACK: Duration = Duration::from_millis(150);
-
 /// Time for which a leader that did not answer in time is not asked for turns.
 const TURN_REST: Duration = Duration::from_millis(500);
 
@@ -95,6 +92,9 @@
 
     /// Notes the end of a connection.
     pub fn closed(&self, peer: SocketAddr) {
+        if self.is_leader(peer) {
+            self.forget_turns();
+        }
         self.cores.borrow_mut().remove(&peer);
     }
 
@@ -105,6 +105,7 @@
 
     /// Notes whether an instance leads.
     pub fn set_leads(&self, peer: SocketAddr, leads: Option<id::Term>) {
+        self.forget_turns();
         if let Some(core) = self.cores.borrow_mut().get_mut(&peer) {
             core.leads = leads;
         }
@@ -197,7 +198,8 @@
         let mut wait = TURN_ANSWER;
         loop {
             match timeout(wait, answers.recv_async()).await {
-                Ok(Ok(Turn::Wait(expected))) => wait = expected * 2 + TURN_SLACK,
+                // Its caller's patience bounds the wait, and the leader's silence ends it.
+                Ok(Ok(Turn::Wait(_))) => wait = prompt.patience,
                 Ok(Ok(turn)) => {
                     question.is_answered = true;
                     return match turn {
@@ -208,14 +210,20 @@
                 }
                 Ok(Err(_)) => return supply::Turn::Unknown,
                 Err(_) => {
-                    log::info!(step = "turn", number = number, waited_ms = wait.as_millis() as u64; "the leader gave no turn in time");
+                    log::info!(step = "turn", number = number; "the leader did not answer in time; choosing alone for a while");
                     self.resting.set(Some(Instant::now() + TURN_REST));
+                    self.forget_turns();
                     return supply::Turn::Unknown;
                 }
             }
         }
     }
 
+    /// Lets all requests that wait for a turn be placed without one.
+    fn forget_turns(&self) {
+        self.turns.borrow_mut().clear();
+    }
+
     async fn wait_for_leader(&self) -> Option<Outbox<Up>> {
         let until = Instant::now() + LEADER;
         loop {
--- a/crates/buckthornmast_supply/src/demand.rs
+++ b/crates/buckthornmast_supply/src/demand.rs
@@ -26,9 +26,9 @@
 /// Assumed time between two events of an answer before there is a sample.
 const ASSUMED_PAUSE: Duration = Duration::from_millis(30);
 
-/// Weight of a sample that is longer than the time known between two events; a shorter one counts at once, since
-/// everything else at a target only makes it longer.
-const SLOWER_WEIGHT: f64 = 0.02;
+/// Time over which a longer time between two events is believed; a shorter one counts at once, since everything else at a
+/// target only makes it longer.
+const SLOWER_SPAN: Duration = Duration::from_secs(20);
 
 /// Model, alone or with an adapter.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -130,7 +130,7 @@
 pub struct Demand {
     items: HashMap<Item, Mean>,
     // Time between two events of an answer.
-    pauses: HashMap<(id::Service, id::Model), f64>,
+    pauses: HashMap<(id::Service, id::Model), (f64, Point)>,
     // Since when callers have been waiting for models that no target has.
     unserved: HashMap<(id::Service, id::Model), Point>,
 }
@@ -153,9 +153,15 @@
             if row.events > 0 {
                 let sample = row.event_time.as_secs_f64() / f64::from(row.events);
                 let key = (row.item.service.clone(), row.item.model.clone());
-                let pause = self.pauses.entry(key).or_insert(sample);
-                let weight = if sample < *pause { 1.0 } else { SLOWER_WEIGHT };
+                let (pause, at) = self.pauses.entry(key).or_insert((sample, now));
+                let passed = now.since(*at).as_secs_f64() / SLOWER_SPAN.as_secs_f64();
+                let weight = if sample < *pause {
+                    1.0
+                } else {
+                    passed.min(1.0)
+                };
                 *pause += (sample - *pause) * weight;
+                *at = now;
             }
         }
     }
@@ -163,7 +169,7 @@
     /// Returns how fast a model answers.
     pub fn pace(&self, item: &Item) -> Pace {
         let key = (item.service.clone(), item.model.clone());
-        let event = self.pauses.get(&key).copied();
+        let event = self.pauses.get(&key).map(|(event, _)| *event);
         let event = event.unwrap_or(ASSUMED_PAUSE.as_secs_f64());
         let slot = self
             .items
--- a/crates/buckthornmast_supply/src/turns.rs
+++ b/crates/buckthornmast_supply/src/turns.rs
@@ -22,6 +22,12 @@
 /// Share of a target's time in which it reads prompts; the rest is for the answers of its running requests.
 const READING: f64 = 0.55;
 
+/// The same while prompts wait: some answers are late then, but fewer callers than would be refused.
+const PRESSED_READING: f64 = 0.75;
+
+/// Reading time of the prompts that wait for each target from which it is pressed.
+const PRESSED: Duration = Duration::from_millis(60);
+
 /// Time that may be spent on reading at once. Answers pause for this long and are still on time.
 const BURST: Duration = Duration::from_millis(40);
 
@@ -103,9 +109,9 @@
         self.busy * (-passed / BUSY_SPAN.as_secs_f64()).exp()
     }
 
-    fn give(&mut self, cost: Duration, time: f64, now: Point) {
+    fn give(&mut self, cost: Duration, time: f64, reading: f64, now: Point) {
         self.running = self.running(now) + 1.0;
-        let given = cost.as_secs_f64() / READING / BUSY_SPAN.as_secs_f64();
+        let given = cost.as_secs_f64() / PRESSED_READING / BUSY_SPAN.as_secs_f64();
         self.busy = self.busy(now) + given;
         self.at = now;
         // Recent requests count more.
@@ -114,7 +120,7 @@
         } else {
             time
         };
-        self.read = self.read.max(now) + cost.div_f64(READING);
+        self.read = self.read.max(now) + cost.div_f64(reading);
     }
 }
 
@@ -194,7 +200,7 @@
         if competing.is_empty()
             && let Some(target) = self.open(&found, &waiting.ask)
         {
-            self.give(&target, &waiting, now);
+            self.give(&target, &waiting, READING, now);
             return (ticket, Turn::Go(target));
         }
         let due = waiting.due;
@@ -202,6 +208,7 @@
         let on_time = competing.iter().filter(first);
         let mut wait = expected(&found, on_time, &waiting);
         if now + wait > waiting.due {
+            waiting.until = now + waiting.ask.patience.mul_f64(LATE_WAIT);
             // Those who can be on time go first, also those who come later.
             waiting.is_late = true;
             let spare = found.iter().map(|found| 1.0 - found.busy);
@@ -225,6 +232,11 @@
     pub fn poll(&mut self, ledger: &Ledger, now: Point) -> Vec<(Ticket, Turn)> {
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_key(|waiting| waiting.order(now));
+        let mut ahead: HashMap<(id::Service, id::Model), Duration> = HashMap::new();
+        for one in &waiting {
+            let of_model = (one.ask.item.service.clone(), one.ask.item.model.clone());
+            *ahead.entry(of_model).or_default() += one.cost;
+        }
         let mut turns = Vec::new();
         for one in waiting {
             if now >= one.until {
@@ -235,7 +247,11 @@
             if found.is_empty() {
                 turns.push((one.ticket, Turn::Unknown));
             } else if let Some(target) = self.open(&found, &one.ask) {
-                self.give(&target, &one, now);
+                let of_model = (one.ask.item.service.clone(), one.ask.item.model.clone());
+                let ahead = ahead.get(&of_model).copied().unwrap_or_default();
+                let is_pressed = ahead > PRESSED * u32::try_from(found.len()).unwrap_or(1);
+                let reading = if is_pressed { PRESSED_READING } else { READING };
+                self.give(&target, &one, reading, now);
                 turns.push((one.ticket, Turn::Go(target)));
             } else {
                 self.waiting.push(one);
@@ -301,9 +317,9 @@
         Some(chosen.unwrap_or(best).target.clone())
     }
 
-    fn give(&mut self, target: &id::Target, waiting: &Waiting, now: Point) {
+    fn give(&mut self, target: &id::Target, waiting: &Waiting, reading: f64, now: Point) {
         let lane = self.lanes.entry(target.clone()).or_default();
-        lane.give(waiting.cost, waiting.time, now);
+        lane.give(waiting.cost, waiting.time, reading, now);
     }
 }
 
@@ -318,7 +334,7 @@
         (count + 1.0, ahead + other.cost)
     });
     let wait = found.iter().map(|found| found.wait).min();
-    let reading = wait.unwrap_or_default() + ahead.div_f64(READING * lanes);
+    let reading = wait.unwrap_or_default() + ahead.div_f64(PRESSED_READING * lanes);
     let slots: f64 = found.iter().map(|found| found.slots).sum();
     let running: f64 = found.iter().map(|found| found.running).sum();
     let over = (running + count + 1.0 - slots).max(0.0);
