Weigh the time that a copy takes to go by its requests in progress

Change: the time is estimated by the usual time of a request and the logarithm of those in progress.

--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -26,8 +26,12 @@
 /// Seconds for which demand is expected to stay as it is.
 const HORIZON: f64 = 10.0;
 
-/// Seconds that a copy takes to go: entry instances are told, and requests in progress end.
-const UNLOAD: f64 = 0.6;
+/// Seconds that an idle copy takes to go, since entry instances are told first.
+const UNLOAD: f64 = 0.2;
+
+/// How much longer than the usual request the longest of a copy's requests takes, times the logarithm of their
+/// number. A copy goes when the last of them has ended.
+const LONGEST: f64 = 1.2;
 
 /// Seconds of waiting after which a model that nobody holds counts twice.
 const AGING: f64 = 4.0;
@@ -314,6 +318,13 @@
         shelf.load_time(weighed.model).as_secs_f64()
     }
 
+    /// Returns the seconds that a copy takes to go once its requests have ended.
+    fn unload_time(&self, index: usize, at: usize) -> f64 {
+        let weighed = &self.models[index];
+        let request = weighed.demand / weighed.rate.max(f64::MIN_POSITIVE);
+        UNLOAD + LONGEST * request.min(HORIZON) * weighed.flow_at(at).ln_1p()
+    }
+
     /// Weighs a copy of a model at a place.
     fn offer(&self, index: usize, at: usize, loads: usize) -> Option<Offer> {
         let weighed = &self.models[index];
@@ -324,7 +335,8 @@
             return None;
         }
         let (leaving, lost) = self.make_room(index, at)?;
-        let unload = if leaving.is_empty() { 0.0 } else { UNLOAD };
+        let unloads = leaving.iter().map(|other| self.unload_time(*other, at));
+        let unload: f64 = unloads.sum();
         let ready = self.load_time(index, at) + unload;
         let left: f64 = leaving
             .iter()
