Count with more requests at once at a target, now that prompts take turns

Cause: the harm of crowds was weighed as it was before prompts took turns: a quarter of the answers late at 20 requests at once. Change: 32 requests at once are comfortable, 15 % of them late.

--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -21,7 +21,7 @@
 
 /// Requests at once up to which a target answers fast, whatever its slots: reading a prompt takes some tens of
 /// milliseconds during which the answers of all others pause.
-const COMFORT: f64 = 20.0;
+const COMFORT: f64 = 32.0;
 
 /// Seconds for which demand is expected to stay as it is.
 const HORIZON: f64 = 10.0;
--- a/crates/buckthornmast_supply/src/plan/level.rs
+++ b/crates/buckthornmast_supply/src/plan/level.rs
@@ -4,7 +4,7 @@
 
 /// Share of the requests that are hurt at a target with as many at once as are comfortable: their events come late when
 /// several prompts are read at once.
-const HARM_AT_COMFORT: f64 = 0.25;
+const HARM_AT_COMFORT: f64 = 0.15;
 
 /// Returns the share of a target's requests that are late or find no room, with this many of them at once.
 pub(super) fn harm(level: f64, comfort: f64) -> f64 {
