Take a target as down when nothing listens at its address

Change: an entry that is refused a connection tells the leader, which looks itself and then counts the target as gone until it announces itself again. Test: plan_after_crash (does not compile against the old code, which has no such notice).

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -351,6 +351,9 @@
                 Some(connection) => connection,
                 None => pool::connect(member.address).await.map_err(|error| {
                     log::info!(step = "connect", request:% = work.head.request, target:% = member.target; "target can't be reached: {error}");
+                    if error.is_refused() && work.head.generation.is_some() {
+                        self.supply.down(&member.target, member.born);
+                    }
                     (failure(Dispatch::NotSent, "the target can't be reached"), Ended::Unreachable)
                 })?,
             };
--- a/crates/buckthornmast_forward/src/pool.rs
+++ b/crates/buckthornmast_forward/src/pool.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    io,
     net::SocketAddr,
     time::Duration,
 };
@@ -74,6 +75,13 @@
     },
 }
 
+impl Error {
+    /// Returns whether nothing listens at the address, so that the target is down.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Opens a connection.
 pub async fn connect(peer: SocketAddr) -> Result<Connection, Error> {
     let stream = timeout(CONNECT, TcpStream::connect(peer)).await;
--- a/crates/buckthornmast_forward/src/supply.rs
+++ b/crates/buckthornmast_forward/src/supply.rs
@@ -81,6 +81,8 @@
     fn want(&self, want: Want) -> impl Future<Output = Wanted>;
     /// Notes a request for a model or an adapter, whether or not it can be served.
     fn note(&self, want: &Want);
+    /// Notes that a target which holds models is down.
+    fn down(&self, target: &id::Target, born: id::Incarnation);
     /// Asks for a turn and waits for it.
     fn turn(&self, prompt: Prompt) -> impl Future<Output = Turn>;
     /// Notes that a request was answered, and what it took at its target.
--- a/crates/buckthornmast_forward/tests/place.rs
+++ b/crates/buckthornmast_forward/tests/place.rs
@@ -61,6 +61,8 @@
         self.turn.clone()
     }
 
+    fn down(&self, _: &id::Target, _: id::Incarnation) {}
+
     fn ended(&self, _: &Want, _: Spent) {}
 }
 
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -182,6 +182,29 @@
         self.changed.notify_waiters();
     }
 
+    /// Looks whether a target is down that an entry instance could not reach.
+    pub fn check(self: &Rc<Self>, target: id::Target, born: id::Incarnation) {
+        let address = {
+            let state = self.state.borrow();
+            let shelf = state.ledger.shelves.get(&target);
+            let shelf = shelf.filter(|shelf| shelf.born == born && shelf.is_ready);
+            shelf.filter(|_| state.lead.is_some()).map(|shelf| shelf.address)
+        };
+        let Some(address) = address else {
+            return;
+        };
+        let controller = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            // The report itself may be older than the last order, so it only shows that the target answers.
+            if controller.orders.ask(&target, born, address).await.is_none() {
+                let now = controller.clock.now();
+                log::warn!(step = "check", target:% = target, born = born.0; "target is down");
+                controller.state.borrow_mut().ledger.lose(&target, born, now);
+                controller.changed.notify_waiters();
+            }
+        });
+    }
+
     fn plan(self: &Rc<Self>, now: Point) {
         let mut wanted = Vec::new();
         {
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -532,6 +532,7 @@
                 };
                 self.controller.ask_turn(asker, ask);
             }
+            Up::Down { target, born } => self.controller.check(target, born),
             Up::Leave { number } => self.controller.leave_turn(subscriber, number),
             Up::Core(card) => {
                 let now = self.clock.now();
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -48,6 +48,13 @@
         /// What is asked.
         ask: Ask,
     },
+    /// Nothing listens at the address of a target with models.
+    Down {
+        /// Target.
+        target: id::Target,
+        /// Start.
+        born: id::Incarnation,
+    },
     /// Whoever asked for a turn does not wait any more.
     Leave {
         /// Number of the question.
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -25,6 +25,9 @@
 /// Time for the answer of the leader.
 const ANSWER: Duration = Duration::from_millis(1000);
 
+/// Pause between two reports that the same target is down.
+const DOWN_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time for the first answer to the question for a turn, some times the way to the leader and back.
 const TURN_ANSWER: Duration = Duration::from_millis(40);
 
@@ -47,6 +50,8 @@
     next: Cell<u64>,
     rows: RefCell<HashMap<Item, Row>>,
     turns: RefCell<HashMap<u64, flume::Sender<Turn>>>,
+    // When targets were last reported to be down.
+    down: RefCell<HashMap<id::Target, Instant>>,
     // Until when no turns are asked for.
     resting: Cell<Option<Instant>>,
     changed: Notify,
@@ -160,6 +165,20 @@
         change(row);
     }
 
+    /// Tells the leader that a target is down, unless it has just been told.
+    fn report_down(&self, target: &id::Target, born: id::Incarnation) {
+        let now = Instant::now();
+        let mut down = self.down.borrow_mut();
+        down.retain(|_, at| now.duration_since(*at) < DOWN_PAUSE);
+        let Some(leader) = self.leader().filter(|_| !down.contains_key(target)) else {
+            return;
+        };
+        down.insert(target.clone(), now);
+        let target = target.clone();
+        // A leader that can't be reached notices the target's silence later.
+        let _ = leader.send(Up::Down { target, born });
+    }
+
     /// Takes an answer to the question for a turn.
     pub fn given(&self, number: u64, turn: Turn) {
         if let Some(answers) = self.turns.borrow().get(&number) {
@@ -271,6 +290,10 @@
         self.0.change_row(item_of(want), |row| row.requests += 1);
     }
 
+    fn down(&self, target: &id::Target, born: id::Incarnation) {
+        self.0.report_down(target, born);
+    }
+
     async fn turn(&self, prompt: Prompt) -> supply::Turn {
         self.0.ask_turn(prompt).await
     }
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -96,6 +96,8 @@
     pub loaded: BTreeMap<(id::Model, id::Adapter), Point>,
     /// Loads that may still take effect although nothing was heard of them, with the time of their sending.
     pub doubtful: Vec<(Action, Point)>,
+    // Since when it is known to be down, unless it has announced itself since.
+    down: Option<Point>,
     // Whether another holder has ordered it too recently.
     is_barred: bool,
     // Since when models have been ready.
@@ -125,6 +127,7 @@
             resting: BTreeMap::new(),
             loaded: BTreeMap::new(),
             doubtful: Vec::new(),
+            down: None,
             is_barred: false,
             ready: BTreeMap::new(),
             reserved: None,
@@ -297,7 +300,9 @@
             let known = self.shelves.entry(announcement.target.clone());
             let shelf = known.or_insert_with(|| Shelf::new(announcement));
             shelf.address = announcement.address;
-            shelf.is_ready = entry.is_ready() && now.since(entry.heard) < SILENCE;
+            shelf.down = shelf.down.filter(|since| entry.heard <= *since);
+            let is_heard = now.since(entry.heard) < SILENCE && shelf.down.is_none();
+            shelf.is_ready = entry.is_ready() && is_heard;
             shelf.in_memory = announcement.in_memory.iter().cloned().collect();
             shelf.on_disk = announcement.on_disk.iter().cloned().collect();
             shelf.reconcile(announcement, now);
@@ -309,6 +314,17 @@
         }
     }
 
+    /// Notes that a target is down. It counts as gone until it announces itself again.
+    pub fn lose(&mut self, target: &id::Target, born: id::Incarnation, now: Point) {
+        let shelf = self.shelves.get_mut(target);
+        if let Some(shelf) = shelf.filter(|shelf| shelf.born == born) {
+            shelf.down = Some(now);
+            shelf.is_ready = false;
+            // Whether it took the last orders is asked when it is back.
+            shelf.accepted = None;
+        }
+    }
+
     /// Takes over which targets other holders have ordered too recently.
     pub fn bar(&mut self, handover: &Handover, now: Point) {
         for (target, shelf) in &mut self.shelves {
--- a/crates/buckthornmast_supply/tests/plan.rs
+++ b/crates/buckthornmast_supply/tests/plan.rs
@@ -207,3 +207,26 @@
         }
     }
 }
+
+/// Guards against a model whose only target is known to be down and that is loaded nowhere else until the target has
+/// been silent for long; and against a target that stays lost after it has announced itself again.
+#[test]
+fn plan_after_crash() {
+    let mut pool = pool();
+    pool.models.retain(|name, _| name.as_str() < "m2");
+    let targets: &[&[(usize, &[usize])]] = &[&[(0, &[])], &[(1, &[])]];
+    let mut ledger = known(targets);
+    ledger.lose(&target(0), BORN, at(100));
+    let heard = registry(targets, 2, at(0));
+    ledger.observe(&heard, |_| true, at(200));
+    let demand = Demand::default();
+    let service = service();
+    let situation = Situation::new(&ledger, &service, &pool, &demand, at(200));
+    let steps = situation.steps(3);
+    assert_eq!(steps.len(), 1, "{steps:?}");
+    assert_eq!(steps[0].target, target(1));
+    assert_eq!(steps[0].action, Action::Load(model(0)));
+    let heard = registry(targets, 3, at(1200));
+    ledger.observe(&heard, |_| true, at(1300));
+    assert!(ledger.has_usable(&service, &model(0)));
+}
