Keep connections whose request has arrived when idle ones press

A connection counted as waiting only once its task had run; connections that were accepted in one go before that left nobody to give way, so the newcomer was closed with its request unread. And a connection that was told to give way closed without a look at what had arrived. Ruled out: lack of descriptors (no such error in the logs), the reserve, workers. Change: a connection waits from its acceptance on; one that is told to give way is looked at first, and if its request is there, it stays and the next one goes.

--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -44,6 +44,10 @@
 /// Longest wait for a connection that was told to give way; it does so at its next step.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time in which a connection that was told to give way before anything was read from it is looked at: the runtime tells
+/// of arrived bytes only after it has looked at all sockets.
+const FIRST_LOOK: Duration = Duration::from_millis(2);
+
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
@@ -239,8 +243,10 @@
                 }
                 is_full = false;
                 shared.connections.fetch_add(1, Ordering::Relaxed);
-                let place = Counted(Arc::clone(&shared));
-                open.spawn(serve(stream, peer, place, stopping.clone()));
+                let counted = Counted(Arc::clone(&shared));
+                // It waits from now on, not only once its task runs: many may be accepted before that.
+                let place = Arc::new(shared.waiting.join());
+                open.spawn(serve(stream, peer, counted, place, stopping.clone()));
             }
             Err(error) => {
                 // Descriptors may have run out; closing an idle connection brings one back.
@@ -289,6 +295,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     counted: Counted<H>,
+    place: Arc<Place>,
     mut stopping: watch::Receiver<bool>,
 ) where
     H: Fn(Exchange) + Send + Sync + 'static,
@@ -296,7 +303,6 @@
     let shared = &counted.0;
     set_options(&stream);
     let closed = Arc::new(AtomicBool::new(false));
-    let place = Arc::new(shared.waiting.join());
     let calls = Arc::new(AtomicU64::new(0));
     let service = service_fn(|request| {
         calls.fetch_add(1, Ordering::Relaxed);
@@ -310,18 +316,30 @@
         .max_headers(MAX_HEADERS)
         .keep_alive(true)
         .serve_connection(screen, service);
-    let result = tokio::select! {
-        result = &mut connection => result,
-        () = place.closed() => {
-            // An answer may still be on its way to the client.
-            let has_answered = calls.load(Ordering::Relaxed) > 0;
-            std::pin::Pin::new(&mut connection).graceful_shutdown();
-            let time = if has_answered { ROOM_TIMEOUT } else { Duration::ZERO };
-            timeout(time, &mut connection).await.unwrap_or(Ok(()))
-        }
-        _ = stopping.changed() => {
-            std::pin::Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+    let result = loop {
+        // The connection comes first, since a request may have arrived before it was told to give way.
+        tokio::select! {
+            biased;
+            result = &mut connection => break result,
+            () = place.closed() => {
+                let has_answered = calls.load(Ordering::Relaxed) > 0;
+                if !has_answered
+                    && let Ok(result) = timeout(FIRST_LOOK, &mut connection).await
+                {
+                    break result;
+                }
+                if !place.gives_way() {
+                    continue;
+                }
+                // An answer may still be on its way to the client.
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
+                let time = if has_answered { ROOM_TIMEOUT } else { Duration::ZERO };
+                break timeout(time, &mut connection).await.unwrap_or(Ok(()));
+            }
+            _ = stopping.changed() => {
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
+                break (&mut connection).await;
+            }
         }
     };
     closed.store(true, Ordering::Relaxed);
--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -453,3 +453,31 @@
     assert_eq!(busy.join().unwrap(), 200);
     server.stop();
 }
+
+/// Guards against a request that has arrived but is not read yet, on a connection that gives way to idle ones.
+#[test]
+fn request_beside_idle_connections() {
+    let config = Config {
+        workers: 4,
+        connections: 4,
+        ..Config::default()
+    };
+    let server = serve(config, ok);
+    let mut lost = Vec::new();
+    for round in 0..300 {
+        let mut stream = TcpStream::connect(server.address()).unwrap();
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            .unwrap();
+        let idle: Vec<_> = (0..12)
+            .map(|_| TcpStream::connect(server.address()))
+            .collect();
+        let mut answer = String::new();
+        let read = stream.read_to_string(&mut answer);
+        if read.is_err() || !answer.starts_with("HTTP/1.1 200") {
+            lost.push((round, read, answer));
+        }
+        drop(idle);
+    }
+    assert!(lost.is_empty(), "{} lost: {:?}", lost.len(), lost.first());
+}
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -188,7 +188,9 @@
             let state = self.state.borrow();
             let shelf = state.ledger.shelves.get(&target);
             let shelf = shelf.filter(|shelf| shelf.born == born && shelf.is_ready);
-            shelf.filter(|_| state.lead.is_some()).map(|shelf| shelf.address)
+            shelf
+                .filter(|_| state.lead.is_some())
+                .map(|shelf| shelf.address)
         };
         let Some(address) = address else {
             return;
@@ -196,10 +198,19 @@
         let controller = Rc::clone(self);
         tokio::task::spawn_local(async move {
             // The report itself may be older than the last order, so it only shows that the target answers.
-            if controller.orders.ask(&target, born, address).await.is_none() {
+            if controller
+                .orders
+                .ask(&target, born, address)
+                .await
+                .is_none()
+            {
                 let now = controller.clock.now();
                 log::warn!(step = "check", target:% = target, born = born.0; "target is down");
-                controller.state.borrow_mut().ledger.lose(&target, born, now);
+                controller
+                    .state
+                    .borrow_mut()
+                    .ledger
+                    .lose(&target, born, now);
                 controller.changed.notify_waiters();
             }
         });
