--- a/crates/buckthornmast_forward/src/caller.rs
+++ b/crates/buckthornmast_forward/src/caller.rs
@@ -230,7 +230,12 @@
                 Next::Give(passed_on(*answer))
             }
             (Decision::End { run: Run::No, .. }, None) => {
-                Next::Give(self.refuse(work, outcome, Refusal::Refused))
+                let refusal = if dispatch == Dispatch::NotSent {
+                    Refusal::Unreachable
+                } else {
+                    Refusal::Refused
+                };
+                Next::Give(self.refuse(work, outcome, refusal))
             }
             (Decision::End { .. }, None) => Next::Give(self.fail(work, outcome, cause)),
         }
--- a/crates/buckthornmast_forward/src/place.rs
+++ b/crates/buckthornmast_forward/src/place.rs
@@ -24,7 +24,7 @@
     refusal::Refusal,
     state::Member,
     supply::{Prompt, Supply, Turn, Want, Wanted},
-    work::Work,
+    work::{Work, millis},
 };
 
 /// Wait for a target of a service that has none at the moment.
@@ -190,7 +190,18 @@
         let patience = prompt.patience;
         match timeout(patience, self.supply.turn(prompt)).await {
             Ok(Turn::Go(target)) => Ok(Given::Target(target)),
-            Ok(Turn::Refuse(wait)) => Err(Refusal::Crowded { wait }),
+            Ok(Turn::Refuse(wait)) => {
+                log::info!(
+                    step = "turn",
+                    request:% = work.head.request,
+                    model:% = want,
+                    wait_ms = millis(wait),
+                    objective_ms = millis(work.route.objective),
+                    candidates = serving.len();
+                    "no turn in time"
+                );
+                Err(Refusal::Crowded { wait })
+            }
             Ok(Turn::Unknown) => Ok(Given::Alone),
             Err(_) => Err(Refusal::Deadline),
         }
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -44,6 +44,8 @@
     Deadline,
     /// A target refused it, and no further attempt is allowed.
     Refused,
+    /// No target could be reached, and no further attempt is allowed.
+    Unreachable,
 }
 
 impl Refusal {
@@ -57,6 +59,7 @@
             Self::Crowded { .. } => "the targets are full",
             Self::Deadline => "the deadline has passed",
             Self::Refused => "the target refused the request",
+            Self::Unreachable => "the target can't be reached",
         }
     }
 
@@ -67,7 +70,7 @@
             Self::NoPlace => MAX_CROWDED_RETRY,
             Self::Loading { left } => left.max(MIN_RETRY),
             Self::Crowded { wait } => wait.clamp(MIN_RETRY, MAX_CROWDED_RETRY),
-            Self::Refused => REFUSED_RETRY,
+            Self::Refused | Self::Unreachable => REFUSED_RETRY,
         }
     }
 }
