--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -15,10 +15,10 @@
 };
 
 /// Time after its last request for which an adapter counts as in use. Most answers take less.
-const IN_USE: Duration = Duration::from_millis(1000);
+const IN_USE: Duration = Duration::from_millis(2000);
 
 /// Time for which an adapter keeps its place while others that are asked for have none.
-const TURN: Duration = Duration::from_millis(2500);
+const TURN: Duration = Duration::from_millis(6000);
 
 /// Where an adapter may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -37,7 +37,7 @@
 const RESERVED: Duration = Duration::from_secs(5);
 
 /// Time for which an adapter that made room while in use leaves the place to others.
-const REST: Duration = Duration::from_millis(3000);
+const REST: Duration = Duration::from_millis(8000);
 
 /// Time after which an order without an answer is not carried out any more. The platform speaks of up to 12 s.
 const DOUBT: Duration = Duration::from_secs(20);
