--- a/crates/buckthornmast_supply/src/turns.rs
+++ b/crates/buckthornmast_supply/src/turns.rs
@@ -91,7 +91,7 @@
     read: Point,
     // Requests that are expected to run.
     running: f64,
-    // How long they run.
+    // Seconds for which one of them runs.
     time: f64,
     // Share of its reading time that was given in the last second.
     busy: f64,
@@ -127,7 +127,9 @@
 struct Waiting {
     ticket: Ticket,
     ask: Ask,
+    // Time in which its prompt is read.
     cost: Duration,
+    // Seconds for which it runs.
     time: f64,
     // When its turn has to come for its first event to be on time.
     due: Point,
@@ -151,6 +153,7 @@
     next: u64,
 }
 
+/// Target that has what a request needs, as it is now.
 struct Found {
     target: id::Target,
     wait: Duration,
@@ -208,12 +211,12 @@
         let on_time = competing.iter().filter(first);
         let mut wait = expected(&found, on_time, &waiting);
         if now + wait > waiting.due {
-            waiting.until = now + waiting.ask.patience.mul_f64(LATE_WAIT);
-            // Those who can be on time go first, also those who come later.
-            waiting.is_late = true;
+            // Those who can be on time go first, also those who come later, so only spare time counts.
+            let most = waiting.ask.patience.mul_f64(LATE_WAIT);
             let spare = found.iter().map(|found| 1.0 - found.busy);
             let spare = spare.fold(0.0, f64::max);
-            let most = waiting.ask.patience.mul_f64(LATE_WAIT);
+            waiting.is_late = true;
+            waiting.until = now + most;
             wait = expected(&found, competing.iter(), &waiting);
             if wait > most.mul_f64(spare) {
                 return (ticket, Turn::Refuse(wait));
