Refuse whoever has no target yet before a stop ends

Ruled out: the turn (no target had the model, so none was asked for); the wait is as old as the path itself. Change: while an instance stops, a request waits for a target until 2 s before the end of the grace at most, and is refused then, or at once if the load takes longer. Test: place_while_stopping (the old code answers with another refusal, after its whole wait).

--- a/crates/buckthornmast_forward/src/place.rs
+++ b/crates/buckthornmast_forward/src/place.rs
@@ -103,7 +103,8 @@
         loop {
             let now = self.clock.now();
             work.waited = now.since(started);
-            if now >= work.until {
+            let until = self.until(work);
+            if now >= until {
                 return Err(Refusal::Deadline);
             }
             let members = self.state.borrow().members(&work.service);
@@ -134,7 +135,7 @@
             if !serving.is_empty() {
                 return Err(Refusal::NoTarget);
             }
-            let left = work.first_until().since(now);
+            let left = until.since(now);
             let wait = match &want {
                 Some(want) if !asked => {
                     asked = true;
@@ -158,6 +159,13 @@
         }
     }
 
+    /// Returns until when a request may wait for a target: its caller leaves, or this instance ends.
+    fn until(&self, work: &Work) -> Point {
+        let until = work.first_until();
+        let end = self.state.borrow().end;
+        end.map_or(until, |end| until.min(end))
+    }
+
     /// Waits for the turn of a generation.
     async fn turn(
         &self,
@@ -184,7 +192,7 @@
             tokens: generation.prompt_tokens,
             prefix: shared.and_then(prefix_of),
             objective: (work.received + work.route.objective).since(now),
-            patience: work.first_until().since(now),
+            patience: self.until(work).since(now),
             avoid,
         };
         let patience = prompt.patience;
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -88,6 +88,8 @@
     pub pool: Pool,
     /// Told whenever routes or targets have changed.
     pub changed: Rc<Notify>,
+    /// When this instance ends, if it is stopping. Whoever waits for a target is refused by then.
+    pub end: Option<Point>,
     routes: Option<Rc<Routes>>,
     registry: Registry,
     placed: BTreeMap<id::Target, Placed>,
@@ -104,6 +106,7 @@
             board: Board::default(),
             pool: Pool::default(),
             changed: Rc::default(),
+            end: None,
             routes: None,
             registry: Registry::default(),
             placed: BTreeMap::new(),
--- a/crates/buckthornmast_forward/tests/place.rs
+++ b/crates/buckthornmast_forward/tests/place.rs
@@ -46,12 +46,13 @@
 /// Gives the same turn to everybody, and notes who asked.
 struct Same {
     turn: Turn,
+    wanted: Wanted,
     asked: RefCell<Vec<Prompt>>,
 }
 
 impl Supply for Same {
     async fn want(&self, _: Want) -> Wanted {
-        Wanted::No
+        self.wanted.clone()
     }
 
     fn note(&self, _: &Want) {}
@@ -108,6 +109,7 @@
         mapping: Headers,
         supply: Same {
             turn,
+            wanted: Wanted::No,
             asked: RefCell::default(),
         },
         clock,
@@ -212,3 +214,22 @@
     assert_eq!(chosen.member.target, target(1));
     assert!(forwarder.supply.asked.borrow().is_empty());
 }
+
+/// Guards against a request that waits for a model while this instance stops, and is cut off without an answer.
+#[test]
+fn place_while_stopping() {
+    let later = Duration::from_secs(1);
+    let soon = Duration::from_millis(100);
+    for (load, refusal) in [
+        (later, Refusal::Loading { left: later }),
+        (soon, Refusal::Deadline),
+    ] {
+        let mut forwarder = forwarder(Turn::Unknown);
+        forwarder.supply.wanted = Wanted::Later(load);
+        let mut work = work(&forwarder);
+        work.head.generation.as_mut().unwrap().model = "missing".parse().unwrap();
+        let end = forwarder.clock.now() + Duration::from_millis(300);
+        forwarder.state.borrow_mut().end = Some(end);
+        assert_eq!(place(&forwarder, &mut work).unwrap_err(), refusal);
+    }
+}
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -34,6 +34,10 @@
 /// Time between two looks at what has changed.
 const TICK: Duration = Duration::from_millis(400);
 
+/// Time before the end of the grace of a stop at which whoever still waits for a target is refused, so that the answer
+/// arrives before this instance ends.
+const LAST_ANSWERS: Duration = Duration::from_millis(2000);
+
 /// Entry instance.
 pub struct Entry<P: Platform> {
     /// Path of requests.
@@ -82,6 +86,9 @@
     /// Reports not to be ready any more.
     pub fn begin_stop(&self) {
         self.is_stopping.set(true);
+        let grace = self.settings.borrow().bounds.grace;
+        let end = self.forwarder.clock.now() + grace.saturating_sub(LAST_ANSWERS);
+        self.forwarder.state.borrow_mut().end = Some(end);
     }
 
     /// Returns whether callers' requests can be forwarded.
