Obey what targets say of themselves in answers: they leave, or want no request

Cause: the adapter read that a target leaves from announcements only, and read no Retry-After of a target at all. So this instance went on sending requests to a target that had already said in an answer that it leaves, until an announcement arrived, and sent requests at full rate to one that had just asked for a pause.

Ruled out: the announcement path; it works as before and ends the same way for all instances.

Change: forward::notice records by target and incarnation that a target leaves or is paused. A leaving target is no member of its service any more until a newer incarnation is known; a paused one is no candidate of choices, permits, retries and resumes until the pause ends. Both are checked again directly before a request is written, since answers arrive while connections are opened. When only paused targets are left, a request waits if the answer can still be on time, and is refused at once with the rest of the pause otherwise. An entry reports a leaving target to the leader, which queries it and takes the header of that answer as well.

The daemon's own target protocol has neither header; it is unchanged.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -317,7 +317,7 @@
         let (mut connection, response) = self.send(context, member, rank, after).await?;
         let (mut head, mut body) = response.into_parts();
         let answer = self.mapping.decode_answer(&head);
-        self.record_load(member, &answer);
+        self.record_answer(context, member, &answer);
         check(&context.head.request.0, &head, &answer)?;
         strip_hop_headers(&mut head.headers);
         let idle = answer.idle;
@@ -355,6 +355,7 @@
         after: Option<u64>,
     ) -> Result<(Connection, http::Response<Incoming>), (Failure, Ended)> {
         loop {
+            self.check_accepts(member)?;
             let now = self.clock.now();
             let pooled = self
                 .state
@@ -378,6 +379,8 @@
                 let failure = failure(Dispatch::NotSent, "the target closed a new connection");
                 return Err((failure, Ended::Unreachable));
             }
+            // Other answers of the target may have arrived while the connection was being opened.
+            self.check_accepts(member)?;
             let request = self.request(context, member, rank, after);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((connection, response)),
@@ -427,15 +430,28 @@
         }
     }
 
-    fn record_load(&self, member: &Member, answer: &Answer) {
-        if let Some(load) = answer.load {
-            let now = self.clock.now();
-            let mut state = self.state.borrow_mut();
-            state
-                .stats
-                .record_load(&member.target, member.incarnation, load, now);
+    /// Records what a target states about itself with an answer. An answer to another request than this one is as much
+    /// its own.
+    fn record_answer(&self, context: &Context, member: &Member, answer: &Answer) {
+        let now = self.clock.now();
+        let is_newly_leaving = self.state.borrow_mut().record_answer(member, answer, now);
+        if is_newly_leaving && context.head.generation.is_some() {
+            // The leader queries the target, and loads its models elsewhere.
+            self.supply.report_down(&member.target, member.incarnation);
         }
     }
+
+    /// Returns an error if the target has stated, since it was chosen, that it wants no request.
+    fn check_accepts(&self, member: &Member) -> Result<(), (Failure, Ended)> {
+        if self.state.borrow().accepts(member, self.clock.now()) {
+            return Ok(());
+        }
+        let failure = failure(
+            Dispatch::NotSent,
+            "the target leaves or wants no request for some time",
+        );
+        Err((failure, Ended::Abandoned))
+    }
 }
 
 /// Answer whose start, or all of it, has been received, with the connection that carries it.
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -243,10 +243,10 @@
                 },
                 None,
             ) => {
-                let refusal = if dispatch == Dispatch::NotSent {
-                    Refusal::Unreachable
-                } else {
-                    Refusal::TargetRefused
+                let refusal = match self.shortest_pause(context, &[]) {
+                    Some(remaining) => Refusal::Paused { remaining },
+                    None if dispatch == Dispatch::NotSent => Refusal::Unreachable,
+                    None => Refusal::TargetRefused,
                 };
                 Next::Respond(self.refuse(context, reporter, refusal))
             }
@@ -268,9 +268,10 @@
             context.not_run += 1;
         }
         let members = self.state.borrow().members(&context.service);
-        let generation = context.head.generation.as_ref();
-        let mut serving = members.iter().filter(|member| member.serves(generation));
-        let has_untried_target = serving.any(|member| !context.tried.contains(&member.target));
+        let serving = self.serving(&members, context, now);
+        let has_untried_target = serving
+            .iter()
+            .any(|member| !context.tried.contains(&member.target));
         let conditions = Conditions {
             is_repeatable: context.route.kind.is_repeatable(),
             is_resumable: matches!(
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod exchange;
 pub mod forwarder;
 pub mod mapping;
+pub mod notice;
 pub mod pool;
 pub mod refusal;
 pub mod selection;
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -96,6 +96,10 @@
     pub load: Option<Load>,
     /// Idle timeout after which the target closes the connection.
     pub idle: Option<Duration>,
+    /// Whether the target states that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the target wants no request from this instance.
+    pub pause: Option<Duration>,
 }
 
 /// Error when decoding a request head.
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -42,6 +42,11 @@
         /// Expected wait for a slot.
         wait: Duration,
     },
+    /// All targets that could run the request want no request for some time.
+    Paused {
+        /// Time until the first of them accepts requests again.
+        remaining: Duration,
+    },
     /// The deadline of the answer has passed.
     Deadline,
     /// A target refused the request, and no further attempt is allowed.
@@ -59,6 +64,7 @@
             Self::Loading { .. } => "the model is being loaded",
             Self::CannotLoad => "the model can't be loaded",
             Self::TargetsFull { .. } => "the targets are full",
+            Self::Paused { .. } => "the targets want no request for some time",
             Self::Deadline => "the deadline has passed",
             Self::TargetRefused => "the target refused the request",
             Self::Unreachable => "the target can't be reached",
@@ -70,7 +76,9 @@
         match self {
             Self::NoRoutes | Self::NoTarget | Self::Deadline => NO_TARGET_RETRY_AFTER,
             Self::CannotLoad => MAX_FULL_RETRY_AFTER,
-            Self::Loading { remaining } => remaining.max(MIN_RETRY_AFTER),
+            Self::Loading { remaining } | Self::Paused { remaining } => {
+                remaining.max(MIN_RETRY_AFTER)
+            }
             Self::TargetsFull { wait } => wait.clamp(MIN_RETRY_AFTER, MAX_FULL_RETRY_AFTER),
             Self::TargetRefused | Self::Unreachable => REFUSED_RETRY_AFTER,
         }
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -88,10 +88,9 @@
         let attempts =
             context.history.attempts() + 1 - context.not_run.min(context.history.attempts());
         let may_repeat = context.route.kind.is_repeatable() && attempts < context.route.attempts;
-        let others = self.state.borrow().members(&context.service);
-        let generation = context.head.generation.as_ref();
-        let others = others.iter().filter(|member| member.serves(generation));
-        let has_other = others.count() > context.tried.len() + 1;
+        let members = self.state.borrow().members(&context.service);
+        let serving = self.serving(&members, context, self.clock.now());
+        let has_other = serving.len() > context.tried.len() + 1;
         (may_repeat && has_other).then(|| wait_limit::for_first_event(&context.route))
     }
 
@@ -112,11 +111,7 @@
                 return Err(Refusal::Deadline);
             }
             let members = self.state.borrow().members(&context.service);
-            let generation = context.head.generation.as_ref();
-            let serving: SmallVec<[&Member; 16]> = members
-                .iter()
-                .filter(|member| member.serves(generation))
-                .collect();
+            let serving = self.serving(&members, context, now);
             if serving
                 .iter()
                 .any(|member| !context.tried.contains(&member.target))
@@ -139,6 +134,16 @@
                 }
                 return self.select_locally(context, &serving, now);
             }
+            if let Some(remaining) = self.shortest_pause(context, &context.tried) {
+                // A wait for the end of the pause is only useful if the answer can still be on time.
+                if !context.is_on_time(now + remaining) || now + remaining >= deadline {
+                    return Err(Refusal::Paused { remaining });
+                }
+                let changed = Rc::clone(&self.state.borrow().changed);
+                // Another target may become available before the end of the pause.
+                let _ = timeout(remaining, changed.notified()).await;
+                continue;
+            }
             if !serving.is_empty() {
                 return Err(Refusal::NoTarget);
             }
@@ -166,6 +171,40 @@
         }
     }
 
+    /// Returns the targets that can run a request now: they have its model and adapter, and accept requests.
+    pub(crate) fn serving<'a>(
+        &self,
+        members: &'a [Member],
+        context: &Context,
+        now: Point,
+    ) -> SmallVec<[&'a Member; 16]> {
+        let generation = context.head.generation.as_ref();
+        let state = self.state.borrow();
+        let serving = members
+            .iter()
+            .filter(|member| member.serves(generation) && state.accepts(member, now));
+        serving.collect()
+    }
+
+    /// Returns the time until the first of the paused targets that could run a request accepts requests again, if there
+    /// is one. The targets in `ignored` are left out.
+    pub(crate) fn shortest_pause(
+        &self,
+        context: &Context,
+        ignored: &[id::Target],
+    ) -> Option<Duration> {
+        let now = self.clock.now();
+        let generation = context.head.generation.as_ref();
+        let state = self.state.borrow();
+        let members = state.members(&context.service);
+        let serving = members
+            .iter()
+            .filter(|member| member.serves(generation) && !ignored.contains(&member.target));
+        let pauses = serving
+            .filter_map(|member| state.notices.pause(&member.target, member.incarnation, now));
+        pauses.min()
+    }
+
     /// Returns until when a request may wait for a target: until its caller disconnects or this instance stops.
     fn wait_deadline(&self, context: &Context) -> Point {
         let deadline = context.first_event_deadline();
@@ -302,11 +341,8 @@
             state.budget(&context.service, now).has_attempt(now)
         };
         let members = self.state.borrow().members(&context.service);
-        let generation = context.head.generation.as_ref();
-        let serving: SmallVec<[&Member; 16]> = members
-            .iter()
-            .filter(|member| member.serves(generation) && member.target != *target)
-            .collect();
+        let mut serving = self.serving(&members, context, now);
+        serving.retain(|member| member.target != *target);
         has_budget && self.select_locally(context, &serving, now).is_ok()
     }
 
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -16,7 +16,13 @@
 use buckthornmast_types::{id, rate::Rate, time::Point};
 use tokio::sync::Notify;
 
-use crate::{mapping::Generation, pool::Pool, stats::StatsTable};
+use crate::{
+    context::millis,
+    mapping::{Answer, Generation},
+    notice::Board,
+    pool::Pool,
+    stats::StatsTable,
+};
 
 /// Share of the allowed extra attempts that this instance uses, so that the sum over all instances stays within the
 /// bound while they disagree on the number of instances.
@@ -90,6 +96,8 @@
     pub stats: StatsTable,
     /// Idle connections to targets.
     pub pool: Pool,
+    /// What targets stated about themselves in their answers.
+    pub notices: Board,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
     /// When this instance ends, if it is stopping. Requests that still wait for a target at that time are refused.
@@ -109,6 +117,7 @@
         Self {
             stats: StatsTable::default(),
             pool: Pool::default(),
+            notices: Board::default(),
             changed: Rc::default(),
             stop_deadline: None,
             routes: None,
@@ -186,12 +195,16 @@
                 .retain_services(|service| services.contains_key(service));
         }
         let registry = &self.registry;
+        let notices = &self.notices;
         self.inventories
             .retain(|target, _| registry.get(target).is_some());
         let mut members: HashMap<id::Service, Vec<Member>> = HashMap::new();
         let ready = registry
             .entries()
-            .filter(|entry| entry.is_ready() && !registry.is_replaced(entry));
+            .filter(|entry| entry.is_ready() && !registry.is_replaced(entry))
+            .filter(|Entry { announcement, .. }| {
+                !notices.is_leaving(&announcement.target, announcement.incarnation)
+            });
         for Entry { announcement, .. } in ready {
             let inventory = self.inventories.get(&announcement.target);
             let inventory =
@@ -215,6 +228,32 @@
         self.changed.notify_waiters();
     }
 
+    /// Records what a target states about itself with an answer. Returns whether it states for the first time that it
+    /// leaves.
+    pub fn record_answer(&mut self, member: &Member, answer: &Answer, now: Point) -> bool {
+        let (target, incarnation) = (&member.target, member.incarnation);
+        if let Some(load) = answer.load {
+            self.stats.record_load(target, incarnation, load, now);
+        }
+        if let Some(pause) = answer.pause
+            && self.notices.record_pause(target, incarnation, pause, now)
+        {
+            log::info!(step = "notice", target:% = target, born = incarnation.0, pause_ms = millis(pause); "target wants no request for some time");
+        }
+        let is_new = answer.is_leaving && self.notices.record_leaving(target, incarnation, now);
+        if is_new {
+            log::info!(step = "notice", target:% = target, born = incarnation.0; "target states that it leaves; it gets no further request");
+            self.rebuild();
+        }
+        is_new
+    }
+
+    /// Returns whether a target may be sent a request now, as far as its answers say.
+    pub fn accepts(&self, member: &Member, now: Point) -> bool {
+        self.notices
+            .accepts(&member.target, member.incarnation, now)
+    }
+
     /// Returns the targets of a service that accept new requests.
     pub fn members(&self, service: &id::Service) -> Rc<Vec<Member>> {
         self.members.get(service).cloned().unwrap_or_default()
@@ -236,6 +275,8 @@
         self.registry.prune(now);
         self.pool.prune(now);
         let registry = &self.registry;
+        let known = |target: &id::Target| Some(registry.get(target)?.announcement.incarnation);
+        self.notices.prune(known, now);
         self.stats.retain(|target, incarnation| {
             let entry = registry.get(target);
             entry.is_some_and(|entry| entry.announcement.incarnation == incarnation)
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -209,14 +209,16 @@
         };
         let controller = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            // The report may be older than the last order, so it only shows that the target responds.
-            if controller
-                .orders
-                .query(&target, incarnation, address)
-                .await
-                .is_none()
-            {
-                let now = controller.clock.now();
+            let report = controller.orders.query(&target, incarnation, address).await;
+            let now = controller.clock.now();
+            if let Some(report) = report {
+                // The report may be older than the last order, so it only shows whether the target stays.
+                if report.is_leaving {
+                    log::info!(step = "check", target:% = target, born = incarnation.0; "target reports that it leaves");
+                    let mut state = controller.state.borrow_mut();
+                    state.ledger.mark_leaving(&target, incarnation);
+                }
+            } else {
                 log::warn!(step = "check", target:% = target, born = incarnation.0; "target counts as down after a failed query of its state");
                 controller
                     .state
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -100,6 +100,8 @@
     pub unanswered: Vec<(Action, Point)>,
     // Time since which the target is known to be down, unless it has announced itself since.
     down_since: Option<Point>,
+    // Whether the target has stated in a report that it leaves.
+    is_leaving: bool,
     // Whether another leader has ordered the target within the exclusion period.
     is_blocked: bool,
     // Times since which models have been ready.
@@ -133,6 +135,7 @@
             loaded_at: BTreeMap::new(),
             unanswered: Vec::new(),
             down_since: None,
+            is_leaving: false,
             is_blocked: false,
             ready_at: BTreeMap::new(),
             reserved: None,
@@ -311,7 +314,7 @@
                 .filter(|since| entry.last_heard <= *since);
             let is_alive = now.since(entry.last_heard) < ANNOUNCEMENT_TIMEOUT
                 && inventory.down_since.is_none();
-            inventory.is_ready = entry.is_ready() && is_alive;
+            inventory.is_ready = entry.is_ready() && is_alive && !inventory.is_leaving;
             inventory.in_memory = announcement.in_memory.iter().cloned().collect();
             inventory.on_disk = announcement.on_disk.iter().cloned().collect();
             inventory.reconcile(announcement, now);
@@ -335,6 +338,16 @@
         }
     }
 
+    /// Marks a target as leaving. This incarnation of it takes no new work and no orders any more.
+    pub fn mark_leaving(&mut self, target: &id::Target, incarnation: id::Incarnation) {
+        let inventory = self.inventories.get_mut(target);
+        if let Some(inventory) = inventory.filter(|inventory| inventory.incarnation == incarnation)
+        {
+            inventory.is_leaving = true;
+            inventory.is_ready = false;
+        }
+    }
+
     /// Blocks the targets that other leaders have ordered within the exclusion period.
     pub fn block_ordered(&mut self, handover: &Handover, now: Point) {
         for (target, inventory) in &mut self.inventories {
@@ -463,15 +476,20 @@
         let is_other_incarnation = report
             .incarnation
             .is_some_and(|reported| reported != incarnation);
+        if inventory.incarnation != incarnation || is_other_incarnation {
+            return;
+        }
+        if report.is_leaving {
+            self.mark_leaving(target, incarnation);
+        }
+        let Some(inventory) = self.inventories.get_mut(target) else {
+            return;
+        };
         let is_in_flight = inventory
             .pending
             .as_ref()
             .is_some_and(|pending| !pending.is_accepted);
-        if inventory.incarnation != incarnation
-            || is_other_incarnation
-            || report.is_busy
-            || is_in_flight
-        {
+        if report.is_busy || is_in_flight {
             return;
         }
         inventory.pending = None;
--- a/crates/buckthornmast_supply/src/order.rs
+++ b/crates/buckthornmast_supply/src/order.rs
@@ -52,6 +52,8 @@
     pub resident: Vec<buckthornmast_fleet::announcement::Resident>,
     /// Incarnation, if the target reports it.
     pub incarnation: Option<id::Incarnation>,
+    /// Whether the target states that it leaves.
+    pub is_leaving: bool,
 }
 
 /// Outcome of an order.
--- a/crates/buckthornmast_supply/tests/handover.rs
+++ b/crates/buckthornmast_supply/tests/handover.rs
@@ -43,6 +43,7 @@
             is_busy: false,
             resident: resident_models(models),
             incarnation: None,
+            is_leaving: false,
         };
         ledger.apply_report(&target(number), INCARNATION, &report);
     }
--- a/crates/buckthornmast_supply/tests/ledger.rs
+++ b/crates/buckthornmast_supply/tests/ledger.rs
@@ -37,6 +37,7 @@
         is_busy: false,
         resident: resident_models(models),
         incarnation: None,
+        is_leaving: false,
     }
 }
 
@@ -148,6 +149,7 @@
     assert!(inventory.begin_query(at(20)));
     let other = Report {
         incarnation: Some(id::Incarnation(99)),
+        is_leaving: false,
         ..report(0, &[])
     };
     ledger.apply_report(&target(0), INCARNATION, &other);
--- a/crates/buckthornmast_supply/tests/plan.rs
+++ b/crates/buckthornmast_supply/tests/plan.rs
@@ -31,6 +31,7 @@
             is_busy: false,
             resident: pool::resident_models(models),
             incarnation: None,
+            is_leaving: false,
         };
         ledger.apply_report(&target(number), INCARNATION, &report);
     }
@@ -157,6 +158,7 @@
                 is_busy: false,
                 resident,
                 incarnation: None,
+                is_leaving: false,
             };
             ledger.apply_report(&target(0), INCARNATION, &report);
         }
--- a/crates/buckthornmast_supply/tests/support/simulation.rs
+++ b/crates/buckthornmast_supply/tests/support/simulation.rs
@@ -108,6 +108,7 @@
                 is_busy: false,
                 resident: simulation.announced(number),
                 incarnation: None,
+                is_leaving: false,
             };
             simulation
                 .ledger
