End the log thread without a log line

Cause: the thread that writes the log waits for a line, and the handle woke it with a log line of its own. With RUST_LOG=warn the filter drops that line, and the process did not end after SIGTERM; an exhausted rate limit does the same. Ruled out: the signal handler and the grace period; the process had left its main loop. Change: the handle has a sender of its own and wakes the thread past filter and limit.

--- a/crates/buckthornmast_logging/src/queue.rs
+++ b/crates/buckthornmast_logging/src/queue.rs
@@ -52,6 +52,8 @@
 #[derive(Debug)]
 pub struct Handle {
     stop: Arc<AtomicBool>,
+    // Wakes the thread, which the log filter and the rate limit could keep a log line from doing.
+    wake: flume::Sender<Vec<u8>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -73,6 +75,7 @@
         let thread = thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || writer.run())?;
+        let wake = lines.clone();
         let queue = Self {
             lines,
             dropped,
@@ -82,6 +85,7 @@
         };
         let handle = Handle {
             stop,
+            wake,
             thread: Some(thread),
         };
         Ok((queue, handle))
@@ -155,8 +159,8 @@
 impl Drop for Handle {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Release);
-        // This line wakes the thread if it waits for one, unless the log filter or the rate limit drops the line.
-        log::info!(step = "stop"; "stopping the log thread");
+        // If the queue is full, the thread is not waiting for a line.
+        let _ = self.wake.try_send(Vec::new());
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
--- a/crates/buckthornmast_logging/tests/queue.rs
+++ b/crates/buckthornmast_logging/tests/queue.rs
@@ -48,3 +48,19 @@
     assert!(!text.contains("line 50"));
     assert!(text.contains("log lines were dropped"));
 }
+
+/// Guards against a process that doesn't end because nothing is logged any more.
+#[test]
+fn drop_handle_without_lines() {
+    let (queue, handle) = Queue::start(RateLimit::default(), io::sink()).unwrap();
+    let (ended, has_ended) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        drop(handle);
+        ended.send(()).unwrap();
+    });
+    // Long enough that only a hang exceeds it.
+    has_ended
+        .recv_timeout(std::time::Duration::from_secs(60))
+        .unwrap();
+    drop(queue);
+}
