Drop orders whose leadership has ended before they were sent

Cause: between planning an unload and sending it, the leader waits 80 ms for requests on their way. It then took the fencing token of whatever leadership it had by then. An instance that lost the lead and won it again in that time sent the old order under the new token: an order that the new ledger doesn't know, before the wait for the old leader was over. Ruled out: orders whose leadership ended without a new one; they were dropped before, too. Change: an order carries the fence under which it was planned, and is dropped, with a log line, if that is not the current one.

--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -76,6 +76,20 @@
     requesters: HashMap<Ticket, Requester>,
 }
 
+impl State {
+    /// Returns whether this instance leads, and its orders have this fence.
+    fn leads_under(&self, fence: &Fence) -> bool {
+        let leadership = self.leadership.as_ref();
+        leadership.is_some_and(|leadership| leadership.fence == *fence)
+    }
+}
+
+/// Order with the fence of the leadership that planned it.
+struct Fenced {
+    order: Order,
+    fence: Fence,
+}
+
 /// Controller of the models and adapters at the targets.
 pub struct Controller<P> {
     orders: Orders<P>,
@@ -298,7 +312,7 @@
         target: &id::Target,
         action: Action,
         load_time: Duration,
-    ) -> Option<Order> {
+    ) -> Option<Fenced> {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let leadership = state.leadership.as_ref()?;
@@ -309,6 +323,7 @@
         if !inventory.is_free() {
             return None;
         }
+        let fence = leadership.fence.clone();
         let order = Order {
             target: target.clone(),
             incarnation: inventory.incarnation,
@@ -318,24 +333,26 @@
         state.ledger.record_order(&order, now + load_time, now);
         self.subscribers
             .send_cores(&Downstream::Ordered(target.clone()));
-        Some(order)
+        Some(Fenced { order, fence })
     }
 
-    async fn execute(&self, order: Order) {
+    /// Sends an order, unless this instance no longer leads in the term in which it was planned. An order of an earlier
+    /// term is unknown to the current ledger, and must not be sent under the current fencing token.
+    async fn execute(&self, fenced: Fenced) {
+        let Fenced { order, fence } = fenced;
         if matches!(order.action, Action::Unload(_)) {
             self.publish_placements();
             sleep(UNLOAD_DELAY).await;
         }
-        let context = {
+        let address = {
             let state = self.state.borrow();
-            let fence = state
-                .leadership
-                .as_ref()
-                .map(|leadership| leadership.fence.clone());
             let inventory = state.ledger.inventories.get(&order.target);
-            fence.zip(inventory.map(|inventory| inventory.address))
+            inventory
+                .filter(|_| state.leads_under(&fence))
+                .map(|inventory| inventory.address)
         };
-        let Some((fence, address)) = context else {
+        let Some(address) = address else {
+            log::info!(step = "order", target:% = order.target, action:? = order.action, term = fence.term.0; "order dropped: the leadership that planned it has ended, or the target is gone");
             return;
         };
         let outcome = self.orders.send(&order, address, &fence).await;
@@ -344,12 +361,7 @@
         }
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if state
-            .leadership
-            .as_ref()
-            .map(|leadership| &leadership.fence)
-            == Some(&fence)
-        {
+        if state.leads_under(&fence) {
             state.ledger.record_outcome(&order, outcome, now);
         }
         drop(state);
