Answer requests that have arrived when a stopping server closes

Cause: when the server closes, 2.5 s after a stop began, it dropped its listener with the connections that were established but not accepted, and closed connections that had read nothing or were idle, although a request was waiting in their buffers. Those callers saw a reset. Both happen under load, when the process is behind. Ruled out: requests in progress; they were answered before, too. Change: the connections that wait to be accepted are accepted and served, and a connection without a request in progress stays open for 300 ms before it is closed. Every response of that time closes its connection, as before.

--- a/crates/buckthornmast_forward/src/server.rs
+++ b/crates/buckthornmast_forward/src/server.rs
@@ -9,7 +9,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{body::Body, forwarder::Forwarder, mapping::Mapping, supply::Supply};
@@ -20,6 +20,10 @@
 /// Time after which unacknowledged bytes end a caller's connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after the close for which a connection without a request in progress stays open, so that a request that is on its
+/// way, or has arrived but not been read, is answered.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum size of the buffer of a connection. Request heads must fit into it.
 const BUFFER_BYTES: usize = 64 << 10;
 
@@ -39,7 +43,8 @@
     Open,
     /// The server still accepts requests, but each response closes its connection.
     Closing,
-    /// Idle connections are closed, the others after their response.
+    /// No connections are accepted beyond those that have been established already. Each connection is closed after its
+    /// response, or if no request arrives within a short time.
     Closed,
 }
 
@@ -92,29 +97,43 @@
             closed = phase.wait_for(|phase| *phase == Phase::Closed) => {
                 // An error means that the server was dropped.
                 let _ = closed;
-                return;
+                break;
             }
         };
         match accepted {
-            Ok((stream, peer)) if open.get() >= bounds.connections => {
-                log::warn!(step = "accept", peer:% = peer, connections = open.get(); "connection of a caller closed: too many connections are open");
-                drop(stream);
-            }
-            Ok((stream, peer)) => {
-                open.set(open.get() + 1);
-                let connection = serve(stream, peer, bounds, Rc::clone(&forwarder), phase.clone());
-                let open = Rc::clone(&open);
-                tokio::task::spawn_local(async move {
-                    connection.await;
-                    open.set(open.get() - 1);
-                });
-            }
+            Ok((stream, peer)) => start(stream, peer, bounds, &forwarder, &phase, &open),
             Err(error) => {
                 log::warn!(step = "accept"; "accepting a connection of a caller failed, retrying: {error}");
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    // Callers whose connections wait to be accepted may have sent requests on them.
+    while let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await {
+        start(stream, peer, bounds, &forwarder, &phase, &open);
+    }
+}
+
+/// Starts to serve an accepted connection, unless too many are open.
+fn start<M: Mapping, S: Supply>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    bounds: Bounds,
+    forwarder: &Rc<Forwarder<M, S>>,
+    phase: &watch::Receiver<Phase>,
+    open: &Rc<Cell<usize>>,
+) {
+    if open.get() >= bounds.connections {
+        log::warn!(step = "accept", peer:% = peer, connections = open.get(); "connection of a caller closed: too many connections are open");
+        return;
+    }
+    open.set(open.get() + 1);
+    let connection = serve(stream, peer, bounds, Rc::clone(forwarder), phase.clone());
+    let open = Rc::clone(open);
+    tokio::task::spawn_local(async move {
+        connection.await;
+        open.set(open.get() - 1);
+    });
 }
 
 async fn serve<M: Mapping, S: Supply>(
@@ -157,8 +176,12 @@
         closed = phase.wait_for(|phase| *phase == Phase::Closed) => {
             // An error means that the server was dropped.
             drop(closed);
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            if let Ok(result) = timeout(LAST_REQUEST_TIME, connection.as_mut()).await {
+                result
+            } else {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
     if let Err(error) = result {
