--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -75,7 +75,7 @@
             .remove(&self.number);
         if !self.is_answered {
             // A leader that can't be reached cancels the requests when it loses the connection.
-            let _ = self.leader.send(Upstream::CancelPermit {
+            let _ = self.leader.send(&Upstream::CancelPermit {
                 number: self.number,
             });
         }
@@ -158,7 +158,7 @@
             .collect();
         if !rows.is_empty() {
             // If this report is lost, later demand shows in the next one.
-            let _ = leader.send(Upstream::Demand(rows));
+            let _ = leader.send(&Upstream::Demand(rows));
         }
     }
 
@@ -186,7 +186,7 @@
         unreachable.insert(target.clone(), now);
         let target = target.clone();
         // If the leader can't be reached, it detects the unresponsive target itself later.
-        let _ = leader.send(Upstream::Unreachable {
+        let _ = leader.send(&Upstream::Unreachable {
             target,
             incarnation,
         });
@@ -224,14 +224,18 @@
             number,
             is_answered: false,
         };
-        if !leader.send(Upstream::PermitRequest { number, request }) {
+        if !leader.send(&Upstream::PermitRequest { number, request }) {
             return supply::Permit::Unknown;
         }
         let mut wait = PERMIT_ANSWER_TIMEOUT;
+        let mut has_answered = false;
         loop {
             match timeout(wait, answers.recv_async()).await {
                 // The caller's wait limit bounds the wait, and a lost connection to the leader ends it.
-                Ok(Ok(Permit::Wait(_))) => wait = permit_request.max_wait,
+                Ok(Ok(Permit::Wait(_))) => {
+                    wait = permit_request.max_wait;
+                    has_answered = true;
+                }
                 Ok(Ok(permit)) => {
                     pending.is_answered = true;
                     return match permit {
@@ -241,6 +245,8 @@
                     };
                 }
                 Ok(Err(_)) => return supply::Permit::Unknown,
+                // The caller's own wait is over, which says nothing about the leader.
+                Err(_) if has_answered => return supply::Permit::Unknown,
                 Err(_) => {
                     log::info!(step = "turn", number = number; "the leader did not answer in time; choosing targets without permits for a while");
                     self.backoff_until
@@ -277,7 +283,7 @@
         let (sender, answer) = oneshot::channel();
         self.copy_requests.borrow_mut().insert(number, sender);
         let item = item_of(item);
-        let answer = if leader.send(Upstream::CopyRequest { number, item }) {
+        let answer = if leader.send(&Upstream::CopyRequest { number, item }) {
             timeout(COPY_ANSWER_TIMEOUT, answer).await
         } else {
             Ok(Ok(Grant::No))
