Publish updates about targets encoded once, in batches, and relayed by one instance of the core

Cause: at 300 entry instances the core spent its processors on copies. Each update was cloned and encoded for every subscriber, one message each, and every core instance that learned it from another one sent it to all entries again. A subscriber that was removed because its queue was full kept its connection and was never sent the full state.

Ruled out: processor time of permits and the planner (other core instances than the leader were at 96 % too).

Change: link encodes a message once into a frame whose bytes all subscribers share; a message that can't be encoded is dropped alone. Updates wait for the next tick (100 ms) and go out as one message; those about targets that leave go at once and are passed on by everyone, as before. What was learned from another core instance is passed on by one relay for each receiver, which all agree on by rendezvous hashing. Entries get no copies outside accelerator memory. Subscribers that fall behind are disconnected. Roster and liveness go to entries every 20 s. Targets' idle connections are closed after 8 s instead of 30 s. Routes that can't be decoded are neither logged as in force nor published, and a new leader waits for the exclusion period also after its own start where targets check no fencing tokens. Permits look up the targets of a model in a table that is built every 20 ms, and not among all targets each time.

--- a/crates/buckthornmast_forward/src/notice.rs
+++ b/crates/buckthornmast_forward/src/notice.rs
@@ -66,6 +66,9 @@
 
     /// Returns whether a target has stated that it leaves.
     pub fn is_leaving(&self, target: &id::Target, incarnation: id::Incarnation) -> bool {
+        if self.notices.is_empty() {
+            return false;
+        }
         let notice = self.notices.get(&(target.clone(), incarnation));
         notice.is_some_and(|notice| notice.is_leaving)
     }
--- a/crates/buckthornmast_link/src/lib.rs
+++ b/crates/buckthornmast_link/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub mod error;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{marker::PhantomData, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -62,10 +62,37 @@
     }
 }
 
+/// Encoded message. A message to many peers is encoded once, and its bytes are shared.
+#[derive(Debug, Clone)]
+pub struct Frame<M> {
+    bytes: Bytes,
+    message: PhantomData<fn() -> M>,
+}
+
+impl<M: Serialize> Frame<M> {
+    /// Encodes a message. Returns `None` if it can't be encoded or exceeds [`MAX_FRAME_BYTES`], which is logged.
+    pub fn encode(message: &M) -> Option<Self> {
+        match postcard::to_stdvec(message) {
+            Ok(bytes) if bytes.len() <= MAX_FRAME_BYTES => Some(Self {
+                bytes: Bytes::from(bytes),
+                message: PhantomData,
+            }),
+            Ok(bytes) => {
+                log::error!(step = "encode", bytes = bytes.len(); "message exceeds the largest frame size, not sending it");
+                None
+            }
+            Err(error) => {
+                log::error!(step = "encode"; "encoding a message failed, not sending it: {error}");
+                None
+            }
+        }
+    }
+}
+
 /// Sending end of a connection. Clones send on the same connection.
 #[derive(Debug)]
 pub struct Outbox<M> {
-    frames: flume::Sender<M>,
+    frames: flume::Sender<Frame<M>>,
 }
 
 impl<M> Clone for Outbox<M> {
@@ -77,9 +104,17 @@
 }
 
 impl<M> Outbox<M> {
-    /// Sends a message without blocking. Returns false if the connection has ended or its queue is full.
-    pub fn send(&self, message: M) -> bool {
-        self.frames.try_send(message).is_ok()
+    /// Sends an encoded message without blocking. Returns false if the connection has ended or its queue is full.
+    pub fn send_frame(&self, frame: Frame<M>) -> bool {
+        self.frames.try_send(frame).is_ok()
+    }
+}
+
+impl<M: Serialize> Outbox<M> {
+    /// Sends a message without blocking. Returns false if the connection has ended, its queue is full, or the message
+    /// can't be encoded.
+    pub fn send(&self, message: &M) -> bool {
+        Frame::encode(message).is_some_and(|frame| self.send_frame(frame))
     }
 }
 
@@ -104,7 +139,7 @@
 impl<In, Out> Link<In, Out>
 where
     In: DeserializeOwned + Send + 'static,
-    Out: Serialize + Send + 'static,
+    Out: 'static,
 {
     /// Opens a connection, for at most the time of [`Timing::connect`].
     pub async fn connect(address: SocketAddr, timing: Timing) -> Result<Self, Error> {
@@ -183,34 +218,31 @@
     }
 }
 
-async fn write_frames<Out: Serialize>(
+async fn write_frames<Out>(
     mut write: OwnedWriteHalf,
     peer: SocketAddr,
-    queued: flume::Receiver<Out>,
+    queued: flume::Receiver<Frame<Out>>,
     timing: Timing,
 ) {
     let mut codec = codec();
     let mut buffer = BytesMut::new();
     loop {
-        let message = match timeout(timing.heartbeat, queued.recv_async()).await {
-            Ok(Ok(message)) => Some(message),
+        let frame = match timeout(timing.heartbeat, queued.recv_async()).await {
+            Ok(Ok(frame)) => frame.bytes,
             Ok(Err(_)) => return,
-            Err(_) => None,
+            // An empty frame is a heartbeat.
+            Err(_) => Bytes::new(),
         };
         buffer.clear();
-        let is_encoded = match message {
-            Some(message) => {
-                let mut is_encoded = encode(&mut codec, &message, &mut buffer, peer);
-                while is_encoded && buffer.len() < WRITE_BATCH_BYTES {
-                    let Ok(next) = queued.try_recv() else { break };
-                    is_encoded = encode(&mut codec, &next, &mut buffer, peer);
-                }
-                is_encoded
+        let more = queued.try_iter().map(|frame| frame.bytes);
+        for frame in std::iter::once(frame).chain(more) {
+            if let Err(error) = codec.encode(frame, &mut buffer) {
+                log::error!(step = "encode", peer:% = peer; "framing a message failed, closing the connection: {error}");
+                return;
+            }
+            if buffer.len() >= WRITE_BATCH_BYTES {
+                break;
             }
-            None => codec.encode(Bytes::new(), &mut buffer).is_ok(),
-        };
-        if !is_encoded {
-            return;
         }
         match timeout(timing.idle_timeout, write.write_all(&buffer)).await {
             Ok(Ok(())) => {}
@@ -225,25 +257,3 @@
         }
     }
 }
-
-fn encode<M: Serialize>(
-    codec: &mut LengthDelimitedCodec,
-    message: &M,
-    buffer: &mut BytesMut,
-    peer: SocketAddr,
-) -> bool {
-    let frame = match postcard::to_stdvec(message) {
-        Ok(frame) => frame,
-        Err(error) => {
-            log::error!(step = "encode", peer:% = peer; "encoding a message failed, closing the connection: {error}");
-            return false;
-        }
-    };
-    match codec.encode(Bytes::from(frame), buffer) {
-        Ok(()) => true,
-        Err(error) => {
-            log::error!(step = "encode", peer:% = peer; "message exceeds the largest frame size, closing the connection: {error}");
-            false
-        }
-    }
-}
--- a/crates/buckthornmast_node/src/controller/permits.rs
+++ b/crates/buckthornmast_node/src/controller/permits.rs
@@ -28,7 +28,7 @@
     fn answer(&self, permit: Permit) {
         metrics::counter!("buckthornmast_turns_total", "turn" => label(&permit)).increment(1);
         // An entry instance that has disconnected needs no answer.
-        let _ = self.outbox.send(Downstream::Permit {
+        let _ = self.outbox.send(&Downstream::Permit {
             number: self.number,
             permit,
         });
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -13,7 +13,10 @@
 
 use buckthornmast_consensus::prelude::{Pool, Role};
 use buckthornmast_discovery::roster::{Member, Roster};
-use buckthornmast_fleet::registry::{Merge, Registry, Update};
+use buckthornmast_fleet::{
+    announcement,
+    registry::{Merge, Registry, Update},
+};
 use buckthornmast_link::{Link, Outbox, Timing};
 use buckthornmast_routes::register::{Revision, Text};
 use buckthornmast_types::{
@@ -22,7 +25,7 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::oneshot,
+    sync::{Notify, oneshot},
     time::{sleep, timeout},
 };
 
@@ -32,6 +35,7 @@
     memory::{self, Store},
     message::{Downstream, Liveness, Upstream},
     platform::{Fence, Platform},
+    relay,
     replica::{self, Outboxes, Replica},
     settings::{Bounds, Service, Settings},
     subscribers::{Subscriber, Subscribers},
@@ -45,7 +49,7 @@
 
 /// Ticks between two such reports, and two of the roster, to entry instances. They need them only to forget targets and
 /// instances that are gone, which takes a minute or longer.
-const ENTRY_REPORT_INTERVAL_TICKS: u64 = 50;
+const ENTRY_REPORT_INTERVAL_TICKS: u64 = 200;
 
 /// Ticks after the start after which restored targets that have not announced themselves are removed. By then every
 /// live target has announced itself, also one that tries one instance after the other with growing pauses.
@@ -88,6 +92,17 @@
     acknowledged: oneshot::Sender<()>,
 }
 
+/// Update about a target that waits for the next tick, and the instances that it is sent to.
+struct Unsent {
+    update: Update,
+    // All entry instances.
+    to_entries: bool,
+    // The entry instances that this instance is the relay of.
+    to_relayed_entries: bool,
+    // The instances of the core that this instance is the relay of.
+    to_relayed_cores: bool,
+}
+
 #[derive(Default)]
 struct State {
     roster: Roster,
@@ -100,6 +115,16 @@
     leading_term: Option<id::Term>,
     entry_count: u32,
     is_roster_published: bool,
+    // Updates that are sent to other instances at the next tick.
+    unsent: BTreeMap<id::Target, Unsent>,
+}
+
+/// Returns an update without the copies outside accelerator memory, which entry instances don't use.
+fn for_entry(update: &Update) -> Update {
+    let mut update = update.clone();
+    update.announcement.in_memory.clear();
+    update.announcement.on_disk.clear();
+    update
 }
 
 /// Instance of the core.
@@ -197,6 +222,7 @@
     fn tick(self: &Rc<Self>, tick: u64) {
         let now = self.clock.now();
         self.tick_roster(tick, now);
+        self.send_unsent();
         if tick % REPLICA_CHECK_INTERVAL_TICKS == REPLICA_CHECK_INTERVAL_TICKS - 1 {
             self.replica.reopen_if_failed();
             self.store.save(&self.state.borrow().registry);
@@ -289,12 +315,9 @@
             } else if is_fenced {
                 // Only the targets to which the last leader has just sent an order have to wait.
                 Duration::ZERO
-            } else if now < Point::ZERO + handover_interval {
-                // This instance has just started, so the previous leader is assumed to have been stopped too, and no
-                // orders alternate between two leaders. If it still runs, its orders have an older term, but these
-                // targets are not known to refuse them.
-                Duration::ZERO
             } else {
+                // Also after a start of this instance: the previous leader may not have been restarted with it, and
+                // these targets don't refuse its orders.
                 handover_interval
             };
             Leadership {
@@ -340,7 +363,9 @@
                 self.controller.set_document(Rc::new(document));
             }
             Err(error) => {
-                log::error!(step = "routes", version = text.version.0; "accepted routes can't be decoded, the controller keeps the previous ones: {error}");
+                // Entry instances couldn't decode them either.
+                log::error!(step = "routes", version = text.version.0; "accepted routes can't be decoded, the previous ones stay in force: {error}");
+                return;
             }
         }
         log::info!(step = "routes", version = text.version.0; "routes are in force");
@@ -416,26 +441,87 @@
                 is_first_hand = is_first_hand;
                 "target changed"
             );
-            let message = Downstream::Targets(vec![update]);
-            self.subscribers.send_cores(&message);
-            // Adapters change many times a second, and there are far more entry instances than instances of the core.
-            if merge == Merge::Changed {
-                self.subscribers.send_entries(&message);
-            }
+            self.pass_on(update, merge, is_first_hand);
         }
         merge
     }
 
-    /// Marks a target as withdrawn, and returns the update for the other instances.
+    /// Passes a change on to other instances: at once if the target leaves, and together with others at the next tick
+    /// otherwise. The leader needs what targets send here without delay.
+    fn pass_on(&self, update: Update, merge: Merge, is_first_hand: bool) {
+        let target = update.announcement.target.clone();
+        if update.withdrawn || update.announcement.state != announcement::State::Ready {
+            self.state.borrow_mut().unsent.remove(&target);
+            return self.subscribers.send(&Downstream::Targets(vec![update]));
+        }
+        if is_first_hand {
+            self.subscribers
+                .send_cores(&Downstream::Targets(vec![update.clone()]));
+        }
+        // Adapters change many times a second, and there are far more entry instances than instances of the core.
+        let is_route = merge == Merge::Changed;
+        let mut state = self.state.borrow_mut();
+        let unsent = state.unsent.entry(target).or_insert_with(|| Unsent {
+            update: update.clone(),
+            to_entries: false,
+            to_relayed_entries: false,
+            to_relayed_cores: false,
+        });
+        unsent.update = update;
+        unsent.to_entries |= is_route && is_first_hand;
+        unsent.to_relayed_entries |= is_route && !is_first_hand;
+        unsent.to_relayed_cores |= !is_first_hand;
+    }
+
+    /// Sends the updates that wait for this tick.
+    fn send_unsent(&self) {
+        let mut state = self.state.borrow_mut();
+        let unsent = std::mem::take(&mut state.unsent);
+        let members: Vec<id::Instance> = state
+            .roster
+            .members()
+            .map(|member| member.instance.clone())
+            .collect();
+        drop(state);
+        let own = &self.own_member.instance;
+        let is_relayed =
+            |subscriber: &Subscriber| relay::is_relay(own, &members, &subscriber.instance);
+        let for_entries = |is_included: fn(&Unsent) -> bool| -> Vec<Update> {
+            let included = unsent.values().filter(|unsent| is_included(unsent));
+            included.map(|unsent| for_entry(&unsent.update)).collect()
+        };
+        let first_hand = for_entries(|unsent| unsent.to_entries);
+        self.send_targets(first_hand, |subscriber| !subscriber.is_core);
+        let relayed = for_entries(|unsent| unsent.to_relayed_entries && !unsent.to_entries);
+        self.send_targets(relayed, |subscriber| {
+            !subscriber.is_core && is_relayed(subscriber)
+        });
+        let for_cores = unsent.values().filter(|unsent| unsent.to_relayed_cores);
+        let for_cores = for_cores.map(|unsent| unsent.update.clone()).collect();
+        self.send_targets(for_cores, |subscriber| {
+            subscriber.is_core && is_relayed(subscriber)
+        });
+    }
+
+    fn send_targets(&self, updates: Vec<Update>, is_selected: impl Fn(&Subscriber) -> bool) {
+        if !updates.is_empty() {
+            self.subscribers
+                .send_where(&Downstream::Targets(updates), is_selected);
+        }
+    }
+
+    /// Marks a target as withdrawn, tells the entry instances, and returns the update for the rest of the core.
     pub(crate) fn withdraw(&self, target: &id::Target) -> Option<Update> {
         let now = self.clock.now();
         let update = self.state.borrow_mut().registry.withdraw(target, now)?;
         log::info!(step = "target", target:% = target, born = update.announcement.incarnation.0; "target withdrew");
+        self.subscribers
+            .send_entries(&Downstream::Targets(vec![update.clone()]));
         Some(update)
     }
 
-    /// Replicates an update about a target that leaves, and waits until another instance has acknowledged it, so that
-    /// the update survives the loss of this instance.
+    /// Replicates an update about a target that leaves to the rest of the core, and waits until another instance has
+    /// acknowledged it, so that the update survives the loss of this instance.
     pub(crate) async fn replicate(&self, update: Update) -> bool {
         let (acknowledged, acknowledgement) = oneshot::channel();
         self.state.borrow_mut().waiters.push(AcknowledgementWaiter {
@@ -444,7 +530,8 @@
             acknowledged,
         });
         let is_alone = !self.subscribers.has_core();
-        self.subscribers.send(&Downstream::Targets(vec![update]));
+        self.subscribers
+            .send_cores(&Downstream::Targets(vec![update]));
         let saving = self.store.save_and_wait(&self.state.borrow().registry);
         // A disk that hangs must not delay the answer for long: the acknowledgement of another instance is sufficient.
         if timeout(SAVE_TIMEOUT, saving).await.is_err() {
@@ -500,24 +587,33 @@
     }
 
     async fn serve(self: Rc<Self>, link: Link<Upstream, Downstream>) {
-        let member = match timeout(HELLO_TIMEOUT, link.inbox.recv_async()).await {
+        let (instance, member) = match timeout(HELLO_TIMEOUT, link.inbox.recv_async()).await {
             Ok(Ok(Upstream::Entry(instance))) => {
                 log::info!(step = "hello", peer:% = instance; "entry instance connected");
-                None
+                (instance, None)
             }
             Ok(Ok(Upstream::Core(member))) => {
                 log::info!(step = "hello", peer:% = member.instance; "instance of the core connected");
-                Some(member)
+                (member.instance.clone(), Some(member))
             }
             _ => return,
         };
         let core = member.as_ref().map(|member| member.instance.clone());
+        let removed = Rc::new(Notify::new());
         let number = self.subscribers.add(Subscriber {
             outbox: link.outbox.clone(),
-            core: core.clone(),
+            instance,
+            is_core: core.is_some(),
+            removed: Rc::clone(&removed),
         });
         self.send_state(&link.outbox, member);
-        while let Ok(message) = link.inbox.recv_async().await {
+        loop {
+            let message = tokio::select! {
+                biased;
+                () = removed.notified() => break,
+                message = link.inbox.recv_async() => message,
+            };
+            let Ok(message) = message else { break };
             self.receive(core.as_ref(), message, number, &link.outbox);
         }
         self.controller.cancel_permits(number);
@@ -527,16 +623,21 @@
     /// Sends the full state to a new subscriber.
     fn send_state(&self, outbox: &Outbox<Downstream>, member: Option<Member>) {
         let now = self.clock.now();
+        let is_entry = member.is_none();
         let mut state = self.state.borrow_mut();
         if let Some(member) = member
             && state.roster.record(&member, now)
         {
             state.is_roster_published = false;
         }
+        let mut updates = state.registry.updates();
+        if is_entry {
+            updates = updates.iter().map(for_entry).collect();
+        }
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
             Downstream::EntryCount(state.entry_count),
-            Downstream::Targets(state.registry.updates()),
+            Downstream::Targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
         ];
@@ -544,7 +645,7 @@
         messages.extend(self.confirmed(None).map(Downstream::Routes));
         for message in messages {
             // The reader of the connection detects its end.
-            let _ = outbox.send(message);
+            let _ = outbox.send(&message);
         }
     }
 
@@ -571,7 +672,7 @@
                 let outbox = outbox.clone();
                 tokio::task::spawn_local(async move {
                     let grant = controller.request_copy(&item).await;
-                    let _ = outbox.send(Downstream::CopyGrant { number, grant });
+                    let _ = outbox.send(&Downstream::CopyGrant { number, grant });
                 });
             }
             Upstream::PermitRequest { number, request } => {
--- a/crates/buckthornmast_node/src/dial.rs
+++ b/crates/buckthornmast_node/src/dial.rs
@@ -84,7 +84,7 @@
 }
 
 async fn serve<D: Dialer>(link: &Link<Downstream, Upstream>, address: SocketAddr, dialer: &D) {
-    if !link.outbox.send(dialer.hello()) {
+    if !link.outbox.send(&dialer.hello()) {
         return;
     }
     dialer.opened(address, link.outbox.clone());
--- a/crates/buckthornmast_node/src/http.rs
+++ b/crates/buckthornmast_node/src/http.rs
@@ -9,8 +9,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
 
-/// Time limit for the arrival of the head of a request, including the idle time since the previous one.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit for the arrival of the head of a request, including the idle time since the previous one. Targets announce
+/// themselves every second or two, and thousands of connections that they no longer use would fill the memory.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Time limit for the arrival of the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/buckthornmast_node/src/lib.rs
+++ b/crates/buckthornmast_node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod orders;
 pub mod platform;
 pub mod process;
+pub mod relay;
 pub mod replica;
 pub mod settings;
 pub mod subscribers;
--- a/crates/buckthornmast_node/src/replica.rs
+++ b/crates/buckthornmast_node/src/replica.rs
@@ -64,7 +64,7 @@
         let outboxes = outboxes.unwrap_or_else(PoisonError::into_inner);
         if let Some(outbox) = outboxes.get(instance) {
             // If the connection has ended, it is opened again, and the peer sends its full state first.
-            let _ = outbox.send(message);
+            let _ = outbox.send(&message);
         }
     }
 }
@@ -77,7 +77,7 @@
         let outboxes = outboxes.unwrap_or_else(PoisonError::into_inner);
         if let Some(outbox) = outboxes.get(to) {
             // The protocol repeats lost messages.
-            let _ = outbox.send(Upstream::Log(Box::new(message)));
+            let _ = outbox.send(&Upstream::Log(Box::new(message)));
         }
     }
 }
--- a/crates/buckthornmast_node/src/subscribers.rs
+++ b/crates/buckthornmast_node/src/subscribers.rs
@@ -3,10 +3,12 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    rc::Rc,
 };
 
-use buckthornmast_link::Outbox;
+use buckthornmast_link::{Frame, Outbox};
 use buckthornmast_types::id;
+use tokio::sync::Notify;
 
 use crate::message::Downstream;
 
@@ -15,8 +17,12 @@
 pub struct Subscriber {
     /// Connection.
     pub outbox: Outbox<Downstream>,
-    /// Name of the instance, if it belongs to the core.
-    pub core: Option<id::Instance>,
+    /// Name of the instance.
+    pub instance: id::Instance,
+    /// Whether the instance belongs to the core.
+    pub is_core: bool,
+    /// Notified when the subscriber is removed because it falls behind, so that its connection is closed.
+    pub removed: Rc<Notify>,
 }
 
 /// All instances that receive updates.
@@ -40,26 +46,39 @@
         self.by_number.borrow_mut().remove(&number);
     }
 
-    /// Sends a message to all subscribers, and removes those whose connection has ended or whose queue is full. An
-    /// instance that connects again gets the full state first.
+    /// Sends a message to the subscribers that are selected. One whose connection has ended or whose queue is full is
+    /// removed, and its connection is closed: it has missed a message, and gets the full state once it connects again.
+    pub fn send_where(&self, message: &Downstream, is_selected: impl Fn(&Subscriber) -> bool) {
+        let mut subscribers = self.by_number.borrow_mut();
+        if !subscribers.values().any(&is_selected) {
+            return;
+        }
+        let Some(frame) = Frame::encode(message) else {
+            return;
+        };
+        subscribers.retain(|_, subscriber| {
+            let is_kept = !is_selected(subscriber) || subscriber.outbox.send_frame(frame.clone());
+            if !is_kept {
+                log::warn!(step = "publish", peer:% = subscriber.instance; "subscriber has fallen behind or is gone; closing its connection");
+                subscriber.removed.notify_one();
+            }
+            is_kept
+        });
+    }
+
+    /// Sends a message to all subscribers.
     pub fn send(&self, message: &Downstream) {
-        self.by_number
-            .borrow_mut()
-            .retain(|_, subscriber| subscriber.outbox.send(message.clone()));
+        self.send_where(message, |_| true);
     }
 
     /// Sends a message to the entry instances.
     pub fn send_entries(&self, message: &Downstream) {
-        self.by_number.borrow_mut().retain(|_, subscriber| {
-            subscriber.core.is_some() || subscriber.outbox.send(message.clone())
-        });
+        self.send_where(message, |subscriber| !subscriber.is_core);
     }
 
     /// Sends a message to the other instances of the core.
     pub fn send_cores(&self, message: &Downstream) {
-        self.by_number.borrow_mut().retain(|_, subscriber| {
-            subscriber.core.is_none() || subscriber.outbox.send(message.clone())
-        });
+        self.send_where(message, |subscriber| subscriber.is_core);
     }
 
     /// Returns the number of entry instances.
@@ -67,15 +86,13 @@
         let subscribers = self.by_number.borrow();
         let entries = subscribers
             .values()
-            .filter(|subscriber| subscriber.core.is_none());
+            .filter(|subscriber| !subscriber.is_core);
         u32::try_from(entries.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns whether an instance of the core is connected.
     pub fn has_core(&self) -> bool {
         let subscribers = self.by_number.borrow();
-        subscribers
-            .values()
-            .any(|subscriber| subscriber.core.is_some())
+        subscribers.values().any(|subscriber| subscriber.is_core)
     }
 }
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -259,6 +259,21 @@
         self.resident.contains_key(model) && !is_leaving
     }
 
+    /// Returns whether the target takes new work and requests may use a model or an adapter there.
+    pub fn serves(&self, item: &Item) -> bool {
+        let has_adapter = || {
+            let Some(adapter) = &item.adapter else {
+                return true;
+            };
+            let place = (item.model.clone(), adapter.clone());
+            self.resident[&item.model].contains(adapter) && !self.draining.contains(&place)
+        };
+        self.is_ready
+            && self.service == item.service
+            && self.is_usable(&item.model)
+            && has_adapter()
+    }
+
     /// Returns whether the target should be queried for its state now, and if so records the query.
     pub fn begin_query(&mut self, now: Point) -> bool {
         let is_due =
@@ -357,20 +372,8 @@
 
     /// Returns the targets at which requests may use a model or an adapter.
     pub fn usable_targets(&self, item: &Item) -> impl Iterator<Item = (&id::Target, &Inventory)> {
-        self.inventories.iter().filter(|(_, inventory)| {
-            let has_adapter = || {
-                let Some(adapter) = &item.adapter else {
-                    return true;
-                };
-                let place = (item.model.clone(), adapter.clone());
-                inventory.resident[&item.model].contains(adapter)
-                    && !inventory.draining.contains(&place)
-            };
-            inventory.is_ready
-                && inventory.service == item.service
-                && inventory.is_usable(&item.model)
-                && has_adapter()
-        })
+        let inventories = self.inventories.iter();
+        inventories.filter(|(_, inventory)| inventory.serves(item))
     }
 
     /// Returns whether any target that takes new work has a model.
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     demand::{Demand, Item},
-    ledger::Ledger,
+    ledger::{Inventory, Ledger},
 };
 
 /// Share of a target's time in which it reads prompts. The rest is for the answers of its running requests.
@@ -56,6 +56,9 @@
 /// Difference in running requests up to which targets count as equal.
 const RUNNING_REQUESTS_TOLERANCE: f64 = 3.0;
 
+/// Time for which the table of the targets of each model is used before it is built again.
+const HOLDERS_LIFETIME: Duration = Duration::from_millis(20);
+
 /// Request for a permit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Request {
@@ -166,6 +169,47 @@
     loads: HashMap<id::Target, TargetLoad>,
     waiting: Vec<Waiting>,
     next_ticket: u64,
+    holders: Holders,
+}
+
+/// Targets that had a model when the table was built. A search of all targets for each request would take most of the
+/// leader's time when there are hundreds of targets and waiting requests.
+#[derive(Default)]
+struct Holders {
+    by_model: HashMap<(id::Service, id::Model), Vec<id::Target>>,
+    built_at: Option<Point>,
+}
+
+impl Holders {
+    fn refresh(&mut self, ledger: &Ledger, now: Point) {
+        let is_current = |built_at: Point| now.since(built_at) < HOLDERS_LIFETIME;
+        if self.built_at.is_some_and(is_current) {
+            return;
+        }
+        self.built_at = Some(now);
+        self.by_model.clear();
+        for (target, inventory) in &ledger.inventories {
+            for model in inventory.resident.keys() {
+                let key = (inventory.service.clone(), model.clone());
+                self.by_model.entry(key).or_default().push(target.clone());
+            }
+        }
+    }
+
+    /// Returns the targets that can run an item now.
+    fn find<'a>(&self, item: &Item, ledger: &'a Ledger) -> Vec<(&'a id::Target, &'a Inventory)> {
+        let key = (item.service.clone(), item.model.clone());
+        let listed = self.by_model.get(&key).into_iter().flatten();
+        let known = listed.filter_map(|target| ledger.inventories.get_key_value(target));
+        let serving: Vec<_> = known
+            .filter(|(_, inventory)| inventory.serves(item))
+            .collect();
+        if serving.is_empty() {
+            // The model may have become ready since the table was built.
+            return ledger.usable_targets(item).collect();
+        }
+        serving
+    }
 }
 
 /// Target that has the model and adapter of a request, with its current load.
@@ -182,6 +226,7 @@
     pub fn clear(&mut self) {
         self.loads.clear();
         self.waiting.clear();
+        self.holders = Holders::default();
     }
 
     /// Returns the number of waiting requests.
@@ -201,6 +246,7 @@
     ) -> (Ticket, Permit) {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
+        self.holders.refresh(ledger, now);
         let holders = self.find_holders(&request, ledger, now);
         if holders.is_empty() {
             return (ticket, Permit::Unknown);
@@ -257,6 +303,7 @@
 
     /// Returns the answers to the requests that get a permit now, and to those whose wait ended without one.
     pub fn poll(&mut self, ledger: &Ledger, now: Point) -> Vec<(Ticket, Permit)> {
+        self.holders.refresh(ledger, now);
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_key(|waiting| waiting.sort_key(now));
         let mut backlogs: HashMap<(id::Service, id::Model), Duration> = HashMap::new();
@@ -318,7 +365,7 @@
         ledger: &Ledger,
         now: Point,
     ) -> SmallVec<[Holder; 8]> {
-        let with_item = ledger.usable_targets(&request.item);
+        let with_item = self.holders.find(&request.item, ledger);
         let mut holders: SmallVec<[Holder; 8]> = SmallVec::new();
         for (target, inventory) in with_item {
             if request.avoid.contains(target) {
--- a/crates/buckthornmast_supply/tests/permits.rs
+++ b/crates/buckthornmast_supply/tests/permits.rs
@@ -429,3 +429,33 @@
     );
     assert_eq!(ended.len(), waiting.len() - 1);
 }
+
+/// Guards against permits for targets that no longer have the model, and against none for one that has just got it.
+#[test]
+fn request_after_placement_changes() {
+    let demand = Demand::default();
+    let mut permits = Queue::default();
+    let mut ledger = Ledger::default();
+    let with_model: &[(usize, &[usize])] = &[(0, &[])];
+    let without_model: &[(usize, &[usize])] = &[(1, &[])];
+    let mut play = |targets: &[&[(usize, &[usize])]], sequence, now| {
+        ledger = Ledger::default();
+        observe(&mut ledger, targets, sequence, now);
+        permits
+            .request(request(10), EVENT_TOKENS, &ledger, &demand, now)
+            .1
+    };
+    assert_eq!(
+        play(&[with_model, without_model], 1, at(0)),
+        Permit::Go(target(0))
+    );
+    // The next plays are within the lifetime of what is known from this one.
+    assert_eq!(
+        play(&[without_model, without_model], 2, at(1)),
+        Permit::Unknown
+    );
+    assert_eq!(
+        play(&[without_model, with_model], 3, at(2)),
+        Permit::Go(target(1))
+    );
+}
