Plan placements without scanning all models and targets

Cause: the leader plans on the thread that grants permits. Each plan asked all items for the demand of each model, all targets for each model's copies, and all models for what is resident at each target. At 204 targets, 353 models and 991 adapters one plan took 52 ms of a whole core, which is 170 ms on a core instance with 0.3 of one, five times a second.

Change: demand is kept by model, the planner has an index of the models by name and a sum of the rates of sole copies by target, and goes through what is resident at a target. The decisions are the same. Entries wait 80 ms for the first answer. The idle time of callers' connections follows the limits of the routes document, which were not read.

--- a/crates/buckthornmast_forward/src/server.rs
+++ b/crates/buckthornmast_forward/src/server.rs
@@ -32,7 +32,8 @@
 pub struct Bounds {
     /// Maximum number of open connections. Further ones are closed unread.
     pub connections: usize,
-    /// Maximum time to receive a request head, and maximum idle time between two requests.
+    /// Maximum idle time between two requests, with the time to receive the head of the second one, until the limits of
+    /// the routes document are known.
     pub idle: Duration,
 }
 
@@ -150,6 +151,11 @@
         log::debug!(step = "accept", peer:% = peer; "setting the options of a caller's connection failed, serving it anyway: {error}");
     }
     let watched = phase.clone();
+    let limits = forwarder.state.borrow().routes();
+    let idle = limits.map_or(bounds.idle, |routes| {
+        // Callers may use a connection again up to this time, and then take the time of a head to do it.
+        routes.document.limits.idle + routes.document.limits.head_time
+    });
     let service = service_fn(move |request| {
         let forwarder = Rc::clone(&forwarder);
         let watched = watched.clone();
@@ -167,7 +173,7 @@
     let mut connection = std::pin::pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(bounds.idle)
+            .header_read_timeout(idle)
             .max_buf_size(BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service)
     );
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -257,8 +257,9 @@
                 return;
             };
             for (service, pool) in pools(&document) {
+                let usable = state.ledger.usable_models(&service.name);
                 for model in pool.models.keys() {
-                    let has_any = state.ledger.has_usable(&service.name, model);
+                    let has_any = usable.contains(model);
                     state
                         .demand
                         .record_copies(&service.name, model, has_any, now);
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -28,8 +28,9 @@
 /// Minimum time between two reports that the same target is unreachable.
 const UNREACHABLE_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time limit for the first answer to a permit request, several round trips to the leader.
-const PERMIT_ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time limit for the first answer to a permit request: several round trips to the leader, and the time in which it plans
+/// the placement of a large fleet.
+const PERMIT_ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Time for which no permits are requested after the leader did not answer in time.
 const PERMIT_BACKOFF: Duration = Duration::from_millis(500);
--- a/crates/buckthornmast_supply/src/demand.rs
+++ b/crates/buckthornmast_supply/src/demand.rs
@@ -134,7 +134,8 @@
 /// Combined demand of all instances.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
-    items: HashMap<Item, Averages>,
+    // By model, since most questions are about one model and its adapters.
+    models: HashMap<(id::Service, id::Model), HashMap<Option<id::Adapter>, Averages>>,
     // Seconds between two events of an answer, and the time of the last sample.
     event_intervals: HashMap<(id::Service, id::Model), (f64, Point)>,
     // Times since which callers have been waiting for models that no target has.
@@ -145,7 +146,9 @@
     /// Adds the report of an instance.
     pub fn add(&mut self, rows: &[Row], now: Point) {
         for row in rows {
-            let averages = self.items.entry(row.item.clone()).or_default();
+            let key = (row.item.service.clone(), row.item.model.clone());
+            let of_model = self.models.entry(key.clone()).or_default();
+            let averages = of_model.entry(row.item.adapter.clone()).or_default();
             averages.decay(now);
             averages.rate += f64::from(row.requests) / RATE_SPAN.as_secs_f64();
             averages.trend_rate += f64::from(row.requests) / TREND_SPAN.as_secs_f64();
@@ -158,7 +161,6 @@
             averages.slot_seconds = averages.slot_seconds * 0.9 + row.slot_time.as_secs_f64();
             if row.events > 0 {
                 let sample = row.event_time.as_secs_f64() / f64::from(row.events);
-                let key = (row.item.service.clone(), row.item.model.clone());
                 let (interval, at) = self.event_intervals.entry(key).or_insert((sample, now));
                 let passed = now.since(*at).as_secs_f64() / SLOWDOWN_SPAN.as_secs_f64();
                 let weight = if sample < *interval {
@@ -172,14 +174,30 @@
         }
     }
 
+    /// Returns the averages of a model and its adapters.
+    fn of_model(
+        &self,
+        service: &id::Service,
+        model: &id::Model,
+    ) -> impl Iterator<Item = (&Option<id::Adapter>, &Averages)> {
+        let of_model = self.models.get(&(service.clone(), model.clone()));
+        of_model.into_iter().flatten()
+    }
+
+    fn averages(&self, item: &Item) -> Option<&Averages> {
+        let of_model = self
+            .models
+            .get(&(item.service.clone(), item.model.clone()))?;
+        of_model.get(&item.adapter)
+    }
+
     /// Returns the speed at which a model answers.
     pub fn timing(&self, item: &Item) -> Timing {
         let key = (item.service.clone(), item.model.clone());
         let event = self.event_intervals.get(&key).map(|(event, _)| *event);
         let event = event.unwrap_or(DEFAULT_EVENT_INTERVAL.as_secs_f64());
         let slot = self
-            .items
-            .get(item)
+            .averages(item)
             .map_or(DEFAULT_SLOT_SECONDS, Averages::mean_slot_seconds);
         Timing {
             slot_time: Duration::from_secs_f64(slot),
@@ -189,7 +207,7 @@
 
     /// Returns the rate of requests for an item, per second.
     pub fn rate(&self, item: &Item, now: Point) -> f64 {
-        self.items.get(item).map_or(0.0, |averages| {
+        self.averages(item).map_or(0.0, |averages| {
             let mut averages = *averages;
             averages.decay(now);
             averages.rate
@@ -198,7 +216,7 @@
 
     /// Returns the time of the last request for an item.
     pub fn last_request(&self, item: &Item) -> Option<Point> {
-        let averages = self.items.get(item)?;
+        let averages = self.averages(item)?;
         (averages.last_request > Point::ZERO).then_some(averages.last_request)
     }
 
@@ -206,17 +224,14 @@
     pub fn forecast(&self, service: &id::Service, model: &id::Model, now: Point) -> Forecast {
         let mut sum = Averages::default();
         let (mut slots, mut adapters) = (0.0, 0.0);
-        for (item, averages) in &self.items {
-            if item.model != *model || item.service != *service {
-                continue;
-            }
+        for (adapter, averages) in self.of_model(service, model) {
             let mut averages = *averages;
             averages.decay(now);
             sum.rate += averages.rate;
             sum.trend_rate += averages.trend_rate;
             sum.long_rate += averages.long_rate;
             slots += averages.trend_rate * averages.mean_slot_seconds();
-            if item.adapter.is_some() {
+            if adapter.is_some() {
                 adapters += averages.trend_rate;
             }
         }
@@ -242,12 +257,9 @@
             self.unserved_since.remove(&key);
             return;
         }
-        let mut averages_of_model = self
-            .items
-            .iter()
-            .filter(|(item, _)| item.model == *model && item.service == *service);
-        let is_requested =
-            averages_of_model.any(|(_, averages)| now.since(averages.last_request) < RATE_SPAN);
+        let is_requested = self
+            .of_model(service, model)
+            .any(|(_, averages)| now.since(averages.last_request) < RATE_SPAN);
         if is_requested {
             self.unserved_since.entry(key).or_insert(now);
         }
@@ -267,13 +279,10 @@
         min_rate: f64,
         now: Point,
     ) -> usize {
-        let adapters = self.items.iter().filter(|(item, averages)| {
+        let adapters = self.of_model(service, model).filter(|(adapter, averages)| {
             let mut averages = **averages;
             averages.decay(now);
-            item.adapter.is_some()
-                && item.model == *model
-                && item.service == *service
-                && averages.rate >= min_rate
+            adapter.is_some() && averages.rate >= min_rate
         });
         adapters.count()
     }
@@ -282,8 +291,10 @@
     /// began longer ago than that.
     pub fn prune(&mut self, now: Point) {
         let retention = RATE_SPAN * 200;
-        self.items
-            .retain(|_, averages| now.since(averages.updated_at) < retention);
+        for of_model in self.models.values_mut() {
+            of_model.retain(|_, averages| now.since(averages.updated_at) < retention);
+        }
+        self.models.retain(|_, of_model| !of_model.is_empty());
         self.unserved_since
             .retain(|_, since| now.since(*since) < retention);
     }
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -5,7 +5,7 @@
 //! expected number has been accepted, since the target then refuses the earlier one.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
 };
@@ -383,6 +383,19 @@
         })
     }
 
+    /// Returns the models of a service that requests may use at some target that takes new work.
+    pub fn usable_models(&self, service: &id::Service) -> HashSet<id::Model> {
+        let ready = self
+            .inventories
+            .values()
+            .filter(|inventory| inventory.is_ready && inventory.service == *service);
+        let usable = ready.flat_map(|inventory| {
+            let resident = inventory.resident.keys();
+            resident.filter(|model| inventory.is_usable(model))
+        });
+        usable.cloned().collect()
+    }
+
     /// Reserves the memory that an order frees for a model.
     pub fn reserve(&mut self, target: &id::Target, model: id::Model, now: Point) {
         if let Some(inventory) = self.inventories.get_mut(target) {
--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -11,7 +11,7 @@
 
 mod level;
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use buckthornmast_routes::document::{Model, Pool};
 use buckthornmast_types::{id, time::Point};
@@ -129,7 +129,11 @@
     ledger: &'a Ledger,
     pool: &'a Pool,
     models: Vec<ModelState<'a>>,
+    // Indices of the models by name.
+    indices: HashMap<&'a id::Model, usize>,
     targets: Vec<TargetState<'a>>,
+    // Requests per second for the models whose only copy is at a target, by target.
+    sole_rates: Vec<f64>,
     now: Point,
 }
 
@@ -180,6 +184,8 @@
             ledger,
             pool,
             models: models.collect(),
+            indices: pool.models.keys().zip(0..).collect(),
+            sole_rates: vec![0.0; targets.len()],
             targets,
             now,
         };
@@ -189,20 +195,31 @@
     }
 
     fn find_copies(&mut self) {
-        for (model_index, state) in self.models.iter_mut().enumerate() {
-            for (target_index, target) in self.targets.iter_mut().enumerate() {
-                let inventory = &self.ledger.inventories[target.name];
-                let is_loading = inventory
-                    .loading()
-                    .is_some_and(|(loading, _)| loading == state.name);
-                let is_reserved = inventory.reserved(self.now) == Some(state.name);
-                let is_usable = inventory.is_usable(state.name);
-                if is_reserved && !is_usable {
-                    target.reserved = Some(model_index);
-                }
-                if is_usable || is_loading || is_reserved {
+        for (target_index, target) in self.targets.iter_mut().enumerate() {
+            let inventory = &self.ledger.inventories[target.name];
+            let loading = inventory.loading().map(|(loading, _)| loading);
+            let reserved = inventory.reserved(self.now);
+            let resident = inventory.resident.keys();
+            let usable: SmallVec<[&id::Model; 8]> = resident
+                .filter(|model| inventory.is_usable(model))
+                .collect();
+            for model in &usable {
+                if let Some(model_index) = self.indices.get(model) {
+                    let state = &mut self.models[*model_index];
                     state.copies.push(target_index);
-                    state.ready_copies += usize::from(is_usable);
+                    state.ready_copies += 1;
+                }
+            }
+            if let Some(reserved) = reserved.filter(|reserved| !usable.contains(reserved)) {
+                target.reserved = self.indices.get(reserved).copied();
+            }
+            let expected = loading
+                .into_iter()
+                .chain(reserved.filter(|reserved| loading != Some(reserved)))
+                .filter(|expected| !usable.contains(expected));
+            for model in expected {
+                if let Some(model_index) = self.indices.get(model) {
+                    self.models[*model_index].copies.push(target_index);
                 }
             }
         }
@@ -238,6 +255,12 @@
         for (target, level) in self.targets.iter_mut().zip(levels) {
             target.level = level.max(0.0);
         }
+        self.sole_rates.fill(0.0);
+        for state in &self.models {
+            if let [target_index] = state.copies[..] {
+                self.sole_rates[target_index] += state.rate;
+            }
+        }
     }
 
     /// Returns the next orders, at most one per target and at most `loads` from the weight store.
@@ -418,11 +441,7 @@
         let new_level = base_level + distribution.shares.last().copied().unwrap_or_default();
         let impaired_more = impaired_share(new_level, target.soft_limit)
             - impaired_share(base_level, target.soft_limit);
-        let sole_copies = self
-            .models
-            .iter()
-            .filter(|other| other.copies == [target_index]);
-        let impaired: f64 = sole_copies.map(|other| other.rate * impaired_more).sum();
+        let impaired = self.sole_rates[target_index] * impaired_more;
         let adapters = self.adapter_rate_without_place(state, 0.0)
             - self.adapter_rate_without_place(state, 1.0);
         state.rate * (before - after).max(0.0) + adapters - impaired.max(0.0)
@@ -442,11 +461,10 @@
         if free >= needed {
             return Some((SmallVec::new(), 0.0));
         }
-        let resident: SmallVec<[(usize, f64); 8]> = (0..self.models.len())
-            .filter(|other| {
-                let other = &self.models[*other];
-                inventory.resident.contains_key(other.name) && other.copies.contains(&target_index)
-            })
+        let resident = inventory.resident.keys();
+        let resident: SmallVec<[(usize, f64); 8]> = resident
+            .filter_map(|other| self.indices.get(other).copied())
+            .filter(|other| self.models[*other].copies.contains(&target_index))
             .filter_map(|other| Some((other, self.loss(other, target_index)?)))
             .collect();
         let mut best: Option<(u32, f64)> = None;
