Check line breaks in settings and team file names, and let no class starve between two others

Cause 1: values of a write are checked as INI text, so a value with a line break passed as a value and further keys. Cause 2: faults in the names of team files were collected and then forgotten, so that team's settings were skipped silently. Cause 3: every eighth pick went to the lowest class that waits; while interactive and batch requests wait, standard ones were never picked. Change: line breaks are a fault of the value, name faults are returned, and the eighth pick goes to the lower classes in turns.

--- a/crates/buckthornmast_config/src/folder.rs
+++ b/crates/buckthornmast_config/src/folder.rs
@@ -44,6 +44,7 @@
                 Err(error) => name_faults.push(file_fault(&path, error.to_string())),
             }
         }
+        faults.extend(name_faults);
         if faults.is_empty() {
             Ok(folder)
         } else {
@@ -200,6 +201,26 @@
 
 /// Checks values that were not read from a file, for example those of a write.
 pub fn check_values(scope: &Scope, values: &Values) -> Vec<Fault> {
+    // As text, a line break would end the value and begin further keys.
+    let breaks_line = |text: &str| text.contains(['\n', '\r']);
+    let broken = values
+        .iter()
+        .filter(|(path, value)| breaks_line(path) || breaks_line(value));
+    let faults: Vec<Fault> = broken
+        .map(|(path, _)| {
+            let (section, key) = split_path(path);
+            Fault {
+                file: String::new(),
+                section,
+                key: key.unwrap_or_default().to_owned(),
+                line: None,
+                message: "the path or the value contains a line break".to_owned(),
+            }
+        })
+        .collect();
+    if !faults.is_empty() {
+        return faults;
+    }
     let text = to_text(values);
     parse(scope, "", &text).err().unwrap_or_default()
 }
--- a/crates/buckthornmast_config/tests/declarations.rs
+++ b/crates/buckthornmast_config/tests/declarations.rs
@@ -162,3 +162,34 @@
         Vec::new()
     );
 }
+
+/// Guards against a value that is taken for further keys, since settings are checked as text.
+#[test]
+fn check_values_line_break() {
+    let scope = Scope::Team("press".parse().unwrap());
+    let check = |value: &str| {
+        let values = BTreeMap::from([("policy/name".to_owned(), value.to_owned())]);
+        folder::check_values(&scope, &values)
+    };
+    assert_eq!(check("greedy"), []);
+    for value in ["greedy\nburst = 2", "greedy\rburst = 2", "greedy\n"] {
+        let faults = check(value);
+        assert_eq!(faults.len(), 1, "{value:?}: {faults:?}");
+        assert_eq!(
+            (faults[0].section.as_str(), faults[0].key.as_str()),
+            ("policy", "name")
+        );
+    }
+}
+
+/// Guards against a team whose settings are skipped silently because its file has no valid name.
+#[test]
+fn read_invalid_team_name() {
+    let folder = tempfile::TempDir::new().unwrap();
+    fs::write(folder.path().join("platform.ini"), PLATFORM).unwrap();
+    fs::create_dir(folder.path().join("teams")).unwrap();
+    fs::write(folder.path().join("teams/no team.ini"), TEAM).unwrap();
+    let faults = Folder::read(folder.path()).unwrap_err();
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    assert!(faults[0].file.ends_with("no team.ini"), "{faults:?}");
+}
--- a/crates/buckthornmast_report/tests/policies.rs
+++ b/crates/buckthornmast_report/tests/policies.rs
@@ -168,8 +168,10 @@
 /// serialisation.
 #[test]
 fn merge_in_any_order() {
-    // The seed is one case, and its low 32 bits are the number of random bytes.
-    arbtest::arbtest(|u| {
+    /// Merges the sources of one case in two orders.
+    fn merge_shuffled(
+        u: &mut arbtest::arbitrary::Unstructured<'_>,
+    ) -> arbtest::arbitrary::Result<()> {
         let mut sources = Vec::new();
         for number in 0..u.int_in_range(1..=5)? {
             let mut collector = Collector::new(START_MS - u.int_in_range(0..=100)? * MINUTE_MS);
@@ -197,6 +199,9 @@
         }
         assert_eq!(Fleet::merge(START_MS, sources), expected);
         Ok(())
-    })
-    .seed(0x5eed_0000_0400);
+    }
+    // The low 32 bits of a seed are the number of random bytes of its case.
+    for number in 1..=200 {
+        arbtest::arbtest(merge_shuffled).seed(number << 32 | 1024);
+    }
 }
--- a/crates/buckthornmast_routing/src/admission.rs
+++ b/crates/buckthornmast_routing/src/admission.rs
@@ -9,11 +9,12 @@
 };
 
 use buckthornmast_types::prelude::*;
+use smallvec::SmallVec;
 
 use crate::estimate::Estimate;
 
 /// Class of a request. Requests of a lower class wait for those of the higher classes, except that every eighth
-/// pick goes to the lowest class that waits.
+/// pick goes to a lower class that waits, in turns if there are two.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Priority {
     /// A user is waiting for the answer.
@@ -25,8 +26,8 @@
 }
 
 const CLASS_COUNT: usize = 3;
-/// Number of picks of which one goes to the lowest waiting class, so that it doesn't starve.
-const LOWEST_CLASS_INTERVAL_PICKS: u64 = 8;
+/// Number of picks of which one goes to a lower waiting class, so that none of them starves.
+const LOWER_CLASS_INTERVAL_PICKS: u64 = 8;
 
 /// Configuration of a gate.
 #[derive(Debug, Clone, PartialEq)]
@@ -196,16 +197,10 @@
         });
     }
 
-    /// Removes the next request: of the highest waiting class, or of the lowest one at every eighth pick, and within
-    /// the class of the team with the least weighted service.
+    /// Removes the next request: of the highest waiting class, or of a lower one at every eighth pick, and within the
+    /// class of the team with the least weighted service.
     fn pop(&mut self) -> Option<(id::Team, Waiter<K>)> {
-        let mut classes = (0..CLASS_COUNT).filter(|class| self.waiting[*class] > 0);
-        let class =
-            if self.pick_count % LOWEST_CLASS_INTERVAL_PICKS == LOWEST_CLASS_INTERVAL_PICKS - 1 {
-                classes.next_back()?
-            } else {
-                classes.next()?
-            };
+        let class = self.next_class()?;
         let weighted_service =
             |team: &id::Team| self.weighted_service.get(team).copied().unwrap_or(0.0);
         let teams = self.classes[class].keys();
@@ -220,6 +215,18 @@
         self.waiting[class] -= 1;
         Some((team, waiter))
     }
+
+    fn next_class(&self) -> Option<usize> {
+        let mut classes = (0..CLASS_COUNT).filter(|class| self.waiting[*class] > 0);
+        let highest = classes.next()?;
+        if self.pick_count % LOWER_CLASS_INTERVAL_PICKS < LOWER_CLASS_INTERVAL_PICKS - 1 {
+            return Some(highest);
+        }
+        let lower: SmallVec<[usize; CLASS_COUNT]> = classes.rev().collect();
+        let turn = usize::try_from(self.pick_count / LOWER_CLASS_INTERVAL_PICKS).unwrap_or(0);
+        let class = lower.get(turn % lower.len().max(1));
+        Some(class.copied().unwrap_or(highest))
+    }
 }
 
 /// Admission gate of one instance, with the capacity and the waiting requests of each model.
--- a/crates/buckthornmast_routing/tests/admission.rs
+++ b/crates/buckthornmast_routing/tests/admission.rs
@@ -203,3 +203,32 @@
     assert_eq!(gate.take_unservable(), (4..66).collect::<Vec<_>>());
     assert_eq!(gate.waiting(&model), 0);
 }
+
+/// Guards against a class that starves between a higher and a lower one.
+#[test]
+fn next_serves_all_classes() {
+    let (mut gate, model) = gate(1);
+    let now = Point::ZERO;
+    // Far in the future, but small enough for a time in microseconds.
+    let far = u64::MAX / 2000;
+    gate.offer(&model, request(0, "a", Priority::Interactive, far), now);
+    let classes = [Priority::Interactive, Priority::Standard, Priority::Batch];
+    for number in 0..20 {
+        for (class, priority) in (1u32..).zip(classes) {
+            gate.offer(
+                &model,
+                request(class * 1000 + number, "a", priority, far),
+                now,
+            );
+        }
+    }
+    let mut counts = BTreeMap::<u32, u32>::new();
+    for _ in 0..16 {
+        gate.finished(&model, Some(Duration::from_millis(100)));
+        match gate.next(&model, now) {
+            Some(Next::Run(key)) => *counts.entry(key / 1000).or_default() += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(counts, BTreeMap::from([(1, 14), (2, 1), (3, 1)]));
+}
