Skip waiting requests whose item had no open target in the same poll

Cause: every 5 ms the leader looked up the targets of every waiting request. Change: once a request without avoided targets found none that is open, later requests for the same item are not looked at in this poll, in which targets only fill up. The answers are the same.

--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -7,7 +7,10 @@
 //! in the order of the deadlines of the first events. Requests that can no longer meet their deadline wait behind all
 //! that can, in a bounded queue. Beyond its bound, requests are refused at once, with the expected wait.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use buckthornmast_types::{id, time::Point};
 use serde::{Deserialize, Serialize};
@@ -315,11 +318,17 @@
             *backlogs.entry(of_model).or_default() += one.prefill_time;
         }
         let mut permits = Vec::new();
+        // Targets only fill up while permits are granted, so what was refused one request is refused the later ones.
+        let mut full_items: HashSet<Item> = HashSet::new();
         for one in waiting {
             if now >= one.wait_until {
                 permits.push((one.ticket, Permit::Refuse(one.request.objective)));
                 continue;
             }
+            if one.request.avoid.is_empty() && full_items.contains(&one.request.item) {
+                self.waiting.push(one);
+                continue;
+            }
             let holders = self.find_holders(&one.request, ledger, now);
             if holders.is_empty() {
                 permits.push((one.ticket, Permit::Unknown));
@@ -339,6 +348,9 @@
                 self.grant(&target, &one, prefill_share, now);
                 permits.push((one.ticket, Permit::Go(target)));
             } else {
+                if one.request.avoid.is_empty() {
+                    full_items.insert(one.request.item.clone());
+                }
                 self.waiting.push(one);
             }
         }
