--- a/crates/buckthornmast_forward/src/notice.rs
+++ b/crates/buckthornmast_forward/src/advisory.rs
@@ -11,26 +11,26 @@
 /// Longest pause that a target can ask for. A longer one is shortened to this.
 pub const MAX_PAUSE: Duration = Duration::from_secs(60);
 
-/// Time for which the notice of a target that nobody announces is retained. Announcements are delayed by seconds at
+/// Time for which the advisory of a target that nobody announces is retained. Announcements are delayed by seconds at
 /// most.
 const RETENTION: Duration = Duration::from_secs(300);
 
 #[derive(Debug, Clone, Copy, Default)]
-struct Notice {
+struct Advisory {
     is_leaving: bool,
     paused_until: Option<Point>,
     recorded_at: Point,
 }
 
-/// Notices of all targets.
+/// Advisories of all targets.
 #[derive(Debug, Default)]
 pub struct Board {
-    notices: HashMap<(id::Target, id::Incarnation), Notice>,
+    advisories: HashMap<(id::Target, id::Incarnation), Advisory>,
 }
 
 impl Board {
-    fn notice(&mut self, target: &id::Target, incarnation: id::Incarnation) -> &mut Notice {
-        self.notices
+    fn advisory(&mut self, target: &id::Target, incarnation: id::Incarnation) -> &mut Advisory {
+        self.advisories
             .entry((target.clone(), incarnation))
             .or_default()
     }
@@ -42,9 +42,9 @@
         incarnation: id::Incarnation,
         now: Point,
     ) -> bool {
-        let notice = self.notice(target, incarnation);
-        notice.recorded_at = now;
-        !std::mem::replace(&mut notice.is_leaving, true)
+        let advisory = self.advisory(target, incarnation);
+        advisory.recorded_at = now;
+        !std::mem::replace(&mut advisory.is_leaving, true)
     }
 
     /// Records that a target wants no request for some time. A pause in progress is not shortened. Returns whether the
@@ -56,21 +56,21 @@
         pause: Duration,
         now: Point,
     ) -> bool {
-        let notice = self.notice(target, incarnation);
-        let was_paused = notice.paused_until.is_some_and(|until| now < until);
+        let advisory = self.advisory(target, incarnation);
+        let was_paused = advisory.paused_until.is_some_and(|until| now < until);
         let until = now + pause.min(MAX_PAUSE);
-        notice.paused_until = notice.paused_until.max(Some(until));
-        notice.recorded_at = now;
+        advisory.paused_until = advisory.paused_until.max(Some(until));
+        advisory.recorded_at = now;
         !was_paused
     }
 
     /// Returns whether a target has stated that it leaves.
     pub fn is_leaving(&self, target: &id::Target, incarnation: id::Incarnation) -> bool {
-        if self.notices.is_empty() {
+        if self.advisories.is_empty() {
             return false;
         }
-        let notice = self.notices.get(&(target.clone(), incarnation));
-        notice.is_some_and(|notice| notice.is_leaving)
+        let advisory = self.advisories.get(&(target.clone(), incarnation));
+        advisory.is_some_and(|advisory| advisory.is_leaving)
     }
 
     /// Returns the remaining time for which a target wants no request, if it is paused.
@@ -80,11 +80,11 @@
         incarnation: id::Incarnation,
         now: Point,
     ) -> Option<Duration> {
-        if self.notices.is_empty() {
+        if self.advisories.is_empty() {
             return None;
         }
-        let notice = self.notices.get(&(target.clone(), incarnation))?;
-        let until = notice.paused_until.filter(|until| now < *until)?;
+        let advisory = self.advisories.get(&(target.clone(), incarnation))?;
+        let until = advisory.paused_until.filter(|until| now < *until)?;
         Some(until.since(now))
     }
 
@@ -93,16 +93,16 @@
         !self.is_leaving(target, incarnation) && self.pause(target, incarnation, now).is_none()
     }
 
-    /// Removes the notices of earlier incarnations, ended pauses, and notices of targets that have been unknown for
+    /// Removes the advisories of earlier incarnations, ended pauses, and advisories of targets that have been unknown for
     /// long. `known` returns the known incarnation of a target.
     pub fn prune(&mut self, known: impl Fn(&id::Target) -> Option<id::Incarnation>, now: Point) {
-        self.notices.retain(|(target, incarnation), notice| {
-            let is_paused = notice.paused_until.is_some_and(|until| now < until);
+        self.advisories.retain(|(target, incarnation), advisory| {
+            let is_paused = advisory.paused_until.is_some_and(|until| now < until);
             let is_retained = match known(target) {
                 Some(known) => known <= *incarnation,
-                None => now.since(notice.recorded_at) < RETENTION,
+                None => now.since(advisory.recorded_at) < RETENTION,
             };
-            is_retained && (notice.is_leaving || is_paused)
+            is_retained && (advisory.is_leaving || is_paused)
         });
     }
 }
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -8,6 +8,7 @@
 //! cancels the request there.
 
 pub mod admission;
+pub mod advisory;
 pub mod body;
 pub mod choice;
 pub mod context;
@@ -15,7 +16,7 @@
 pub mod exchange;
 pub mod forwarder;
 pub mod mapping;
-pub mod notice;
+
 pub mod pool;
 pub mod refusal;
 pub mod selection;
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -200,8 +200,11 @@
         let serving = members
             .iter()
             .filter(|member| member.serves(generation) && !ignored.contains(&member.target));
-        let pauses = serving
-            .filter_map(|member| state.notices.pause(&member.target, member.incarnation, now));
+        let pauses = serving.filter_map(|member| {
+            state
+                .advisories
+                .pause(&member.target, member.incarnation, now)
+        });
         pauses.min()
     }
 
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -17,9 +17,9 @@
 use tokio::sync::Notify;
 
 use crate::{
+    advisory::Board,
     context::millis,
     mapping::{Answer, Generation},
-    notice::Board,
     pool::Pool,
     stats::StatsTable,
 };
@@ -97,7 +97,7 @@
     /// Idle connections to targets.
     pub pool: Pool,
     /// What targets stated about themselves in their answers.
-    pub notices: Board,
+    pub advisories: Board,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
     /// When this instance ends, if it is stopping. Requests that still wait for a target at that time are refused.
@@ -117,7 +117,7 @@
         Self {
             stats: StatsTable::default(),
             pool: Pool::default(),
-            notices: Board::default(),
+            advisories: Board::default(),
             changed: Rc::default(),
             stop_deadline: None,
             routes: None,
@@ -204,7 +204,7 @@
                 .retain_services(|service| services.contains_key(service));
         }
         let registry = &self.registry;
-        let notices = &self.notices;
+        let advisories = &self.advisories;
         self.inventories
             .retain(|target, _| registry.get(target).is_some());
         let mut members: HashMap<id::Service, Vec<Member>> = HashMap::new();
@@ -213,7 +213,7 @@
             .into_iter()
             .filter(|entry| entry.is_ready())
             .filter(|Entry { announcement, .. }| {
-                !notices.is_leaving(&announcement.target, announcement.incarnation)
+                !advisories.is_leaving(&announcement.target, announcement.incarnation)
             });
         for Entry { announcement, .. } in ready {
             let inventory = self.inventories.get(&announcement.target);
@@ -246,13 +246,15 @@
             self.stats.record_load(target, incarnation, load, now);
         }
         if let Some(pause) = answer.pause
-            && self.notices.record_pause(target, incarnation, pause, now)
+            && self
+                .advisories
+                .record_pause(target, incarnation, pause, now)
         {
-            log::info!(step = "notice", target:% = target, born = incarnation.0, pause_ms = millis(pause); "target wants no request for some time");
+            log::info!(step = "advisory", target:% = target, born = incarnation.0, pause_ms = millis(pause); "target wants no request for some time");
         }
-        let is_new = answer.is_leaving && self.notices.record_leaving(target, incarnation, now);
+        let is_new = answer.is_leaving && self.advisories.record_leaving(target, incarnation, now);
         if is_new {
-            log::info!(step = "notice", target:% = target, born = incarnation.0; "target states that it leaves; it gets no further request");
+            log::info!(step = "advisory", target:% = target, born = incarnation.0; "target states that it leaves; it gets no further request");
             self.rebuild();
         }
         is_new
@@ -260,7 +262,7 @@
 
     /// Returns whether a target may be sent a request now, as far as its answers say.
     pub fn accepts(&self, member: &Member, now: Point) -> bool {
-        self.notices
+        self.advisories
             .accepts(&member.target, member.incarnation, now)
     }
 
@@ -286,7 +288,7 @@
         self.pool.prune(now);
         let registry = &self.registry;
         let known = |target: &id::Target| Some(registry.get(target)?.announcement.incarnation);
-        self.notices.prune(known, now);
+        self.advisories.prune(known, now);
         self.stats.retain(|target, incarnation| {
             let entry = registry.get(target);
             entry.is_some_and(|entry| entry.announcement.incarnation == incarnation)
--- a/crates/buckthornmast_forward/tests/notice.rs
+++ b/crates/buckthornmast_forward/tests/advisory.rs
@@ -1,9 +1,9 @@
-//! Notices of targets, over the order of events.
+//! Advisories of targets, over the order of events.
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
 use std::time::Duration;
 
-use buckthornmast_forward::notice::{Board, MAX_PAUSE};
+use buckthornmast_forward::advisory::{Board, MAX_PAUSE};
 use buckthornmast_types::{id, time::Point};
 
 const PAUSE: Duration = Duration::from_millis(300);
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,6 +1,7 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
 mod dialing;
+mod updates;
 
 use std::{
     cell::RefCell,
@@ -13,10 +14,7 @@
 
 use buckthornmast_consensus::prelude::{Pool, Role};
 use buckthornmast_discovery::roster::{Member, Roster};
-use buckthornmast_fleet::{
-    announcement,
-    registry::{Merge, Registry, Update},
-};
+use buckthornmast_fleet::registry::{Merge, Registry, Update};
 use buckthornmast_link::{Link, Outbox, Timing};
 use buckthornmast_routes::register::{Revision, Text};
 use buckthornmast_types::{
@@ -29,13 +27,13 @@
     time::{sleep, timeout},
 };
 
+use self::updates::{Unsent, for_entry};
 use crate::{
     controller::{Controller, Leadership, permits::Requester},
     dial::Connections,
     memory::{self, Store},
     message::{Downstream, Liveness, Upstream},
     platform::{Fence, Platform},
-    relay,
     replica::{self, Outboxes, Replica},
     settings::{Bounds, Service, Settings},
     subscribers::{Subscriber, Subscribers},
@@ -92,17 +90,6 @@
     acknowledged: oneshot::Sender<()>,
 }
 
-/// Update about a target that waits for the next tick, and the instances that it is sent to.
-struct Unsent {
-    update: Update,
-    // All entry instances.
-    to_entries: bool,
-    // The entry instances that this instance is the relay of.
-    to_relayed_entries: bool,
-    // The instances of the core that this instance is the relay of.
-    to_relayed_cores: bool,
-}
-
 #[derive(Default)]
 struct State {
     roster: Roster,
@@ -119,14 +106,6 @@
     unsent: BTreeMap<id::Target, Unsent>,
 }
 
-/// Returns an update without the copies outside accelerator memory, which entry instances don't use.
-fn for_entry(update: &Update) -> Update {
-    let mut update = update.clone();
-    update.announcement.in_memory.clear();
-    update.announcement.on_disk.clear();
-    update
-}
-
 /// Instance of the core.
 pub struct Core<P> {
     pub(crate) platform: P,
@@ -446,70 +425,6 @@
         merge
     }
 
-    /// Passes a change on to other instances: at once if the target leaves, and together with others at the next tick
-    /// otherwise. The leader needs what targets send here without delay.
-    fn pass_on(&self, update: Update, merge: Merge, is_first_hand: bool) {
-        let target = update.announcement.target.clone();
-        if update.withdrawn || update.announcement.state != announcement::State::Ready {
-            self.state.borrow_mut().unsent.remove(&target);
-            return self.subscribers.send(&Downstream::Targets(vec![update]));
-        }
-        if is_first_hand {
-            self.subscribers
-                .send_cores(&Downstream::Targets(vec![update.clone()]));
-        }
-        // Adapters change many times a second, and there are far more entry instances than instances of the core.
-        let is_route = merge == Merge::Changed;
-        let mut state = self.state.borrow_mut();
-        let unsent = state.unsent.entry(target).or_insert_with(|| Unsent {
-            update: update.clone(),
-            to_entries: false,
-            to_relayed_entries: false,
-            to_relayed_cores: false,
-        });
-        unsent.update = update;
-        unsent.to_entries |= is_route && is_first_hand;
-        unsent.to_relayed_entries |= is_route && !is_first_hand;
-        unsent.to_relayed_cores |= !is_first_hand;
-    }
-
-    /// Sends the updates that wait for this tick.
-    fn send_unsent(&self) {
-        let mut state = self.state.borrow_mut();
-        let unsent = std::mem::take(&mut state.unsent);
-        let members: Vec<id::Instance> = state
-            .roster
-            .members()
-            .map(|member| member.instance.clone())
-            .collect();
-        drop(state);
-        let own = &self.own_member.instance;
-        let is_relayed =
-            |subscriber: &Subscriber| relay::is_relay(own, &members, &subscriber.instance);
-        let for_entries = |is_included: fn(&Unsent) -> bool| -> Vec<Update> {
-            let included = unsent.values().filter(|unsent| is_included(unsent));
-            included.map(|unsent| for_entry(&unsent.update)).collect()
-        };
-        let first_hand = for_entries(|unsent| unsent.to_entries);
-        self.send_targets(first_hand, |subscriber| !subscriber.is_core);
-        let relayed = for_entries(|unsent| unsent.to_relayed_entries && !unsent.to_entries);
-        self.send_targets(relayed, |subscriber| {
-            !subscriber.is_core && is_relayed(subscriber)
-        });
-        let for_cores = unsent.values().filter(|unsent| unsent.to_relayed_cores);
-        let for_cores = for_cores.map(|unsent| unsent.update.clone()).collect();
-        self.send_targets(for_cores, |subscriber| {
-            subscriber.is_core && is_relayed(subscriber)
-        });
-    }
-
-    fn send_targets(&self, updates: Vec<Update>, is_selected: impl Fn(&Subscriber) -> bool) {
-        if !updates.is_empty() {
-            self.subscribers
-                .send_where(&Downstream::Targets(updates), is_selected);
-        }
-    }
-
     /// Marks a target as withdrawn, tells the entry instances, and returns the update for the rest of the core.
     pub(crate) fn withdraw(&self, target: &id::Target) -> Option<Update> {
         let now = self.clock.now();
