--- a/crates/buckthornmast_node/src/controller/permits.rs
+++ b/crates/buckthornmast_node/src/controller/permits.rs
@@ -55,21 +55,13 @@
             demand,
             leadership,
             requesters,
-            document,
             ..
         } = &mut *state;
         if leadership.is_none() {
             return requester.answer(Permit::Unknown);
         }
-        let service = document
-            .as_ref()
-            .and_then(|document| document.services.get(&request.item.service));
-        let Some(pool) = service.and_then(|service| service.pool.as_ref()) else {
-            return requester.answer(Permit::Unknown);
-        };
-        let event_tokens = pool.event_tokens;
         let was_idle = permits.waiting() == 0;
-        let (ticket, permit) = permits.request(request, event_tokens, ledger, demand, now);
+        let (ticket, permit) = permits.request(request, ledger, demand, now);
         requester.answer(permit.clone());
         if matches!(permit, Permit::Wait(_)) {
             requesters.insert(ticket, requester);
--- a/crates/buckthornmast_routes/src/document.rs
+++ b/crates/buckthornmast_routes/src/document.rs
@@ -97,8 +97,6 @@
     pub loads: Rate,
     /// Tokens that fit into a target's cache.
     pub cache_tokens: u64,
-    /// Tokens in one event of an answer.
-    pub event_tokens: u32,
     /// Models.
     pub models: BTreeMap<id::Model, Model>,
 }
--- a/crates/buckthornmast_supply/examples/plan_time.rs
+++ b/crates/buckthornmast_supply/examples/plan_time.rs
@@ -47,7 +47,6 @@
         adapters: 8,
         loads: Rate::per_second(30.0).unwrap(),
         cache_tokens: 35_000,
-        event_tokens: 14,
         models: models.collect(),
     }
 }
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -48,9 +48,9 @@
 /// Time over which the utilisation of a target is averaged.
 const UTILISATION_SPAN: Duration = Duration::from_millis(1000);
 
-/// Prompt tokens that are read in the time in which one token of an answer is generated. The users' data sheets give
-/// 38.4 tokens per millisecond at 5.23 ms per token, which is 201, and 20.4 at 10.1 ms, which is 206.
-const PREFILL_TOKENS_PER_STEP: f64 = 200.0;
+/// Prompt tokens that are read in the time between two events of an answer. The users' data sheets give a reading speed
+/// of 38.4 tokens per millisecond, and events of 6 tokens at 5.23 ms per token.
+const PREFILL_TOKENS_PER_EVENT: f64 = 1200.0;
 
 /// Difference in expected waits up to which targets count as equal, so that prompts with a common prefix can be sent
 /// to the same target.
@@ -237,12 +237,10 @@
         self.waiting.len()
     }
 
-    /// Answers a request. One that has to wait is answered again by [`Self::poll`] under its ticket. `event_tokens` is the
-    /// number of tokens in one event of an answer of the service.
+    /// Answers a request. One that has to wait is answered again by [`Self::poll`] under its ticket.
     pub fn request(
         &mut self,
         request: Request,
-        event_tokens: u32,
         ledger: &Ledger,
         demand: &Demand,
         now: Point,
@@ -255,10 +253,9 @@
             return (ticket, Permit::Unknown);
         }
         let timing = demand.timing(&request.item);
-        let tokens_per_event = PREFILL_TOKENS_PER_STEP * f64::from(event_tokens.max(1));
         let prefill_time = timing
             .event_interval
-            .mul_f64(f64::from(request.prompt_tokens) / tokens_per_event);
+            .mul_f64(f64::from(request.prompt_tokens) / PREFILL_TOKENS_PER_EVENT);
         let mut waiting = Waiting {
             ticket,
             prefill_time,
--- a/crates/buckthornmast_supply/tests/permits.rs
+++ b/crates/buckthornmast_supply/tests/permits.rs
@@ -9,7 +9,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use buckthornmast_supply::{
-    demand::{Demand, Item, Row},
+    demand::{Demand, Item},
     ledger::Ledger,
     permits::{Permit, Queue, Request, Ticket},
 };
@@ -18,40 +18,14 @@
 use smallvec::{SmallVec, smallvec};
 
 use crate::{
-    engine::{Answer, Engine, Hardware},
-    pool::{EVENT_TOKENS, at, model, observe, service, target},
+    engine::{Answer, Engine},
+    pool::{at, model, observe, service, target},
 };
 
 const OBJECTIVE_MS: u64 = 300;
 const MAX_WAIT_MS: u64 = 2000;
 const MAX_EVENT_GAP_MS: f64 = 150.0;
 
-/// Engines, and what their callers expect.
-#[derive(Debug, Clone, Copy)]
-struct Sheet {
-    hardware: Hardware,
-    slots: usize,
-    /// Mean length of the prompts, in tokens.
-    prompt: f64,
-    /// Longest answer, in events.
-    events: u32,
-    objective_ms: u64,
-    max_event_gap_ms: f64,
-}
-
-impl Default for Sheet {
-    fn default() -> Self {
-        Self {
-            hardware: Hardware::default(),
-            slots: 64,
-            prompt: 600.0,
-            events: 80,
-            objective_ms: OBJECTIVE_MS,
-            max_event_gap_ms: MAX_EVENT_GAP_MS,
-        }
-    }
-}
-
 fn ledger(targets: usize) -> Ledger {
     let mut ledger = Ledger::default();
     let models: &[(usize, &[usize])] = &[(0, &[1])];
@@ -93,20 +67,14 @@
 struct Simulation {
     engines: Vec<Engine>,
     random: SmallRng,
-    sheet: Sheet,
     rate: f64,
     outcomes: Outcomes,
 }
 
 impl Simulation {
     fn new(seed: u64, engines: usize, rate: f64) -> Self {
-        Self::on(Sheet::default(), seed, engines, rate)
-    }
-
-    fn on(sheet: Sheet, seed: u64, engines: usize, rate: f64) -> Self {
         Self {
-            engines: vec![Engine::new(sheet.slots, sheet.hardware); engines],
-            sheet,
+            engines: vec![Engine::new(64); engines],
             random: SmallRng::seed_from_u64(seed),
             rate,
             outcomes: Outcomes::default(),
@@ -120,10 +88,8 @@
             if self.random.random_bool(self.rate / 3000.0) {
                 let draw: f64 = self.random.random();
                 // Prompt lengths in tokens are exponentially distributed between bounds.
-                let mean = self.sheet.prompt;
-                let prompt = (-(1.0 - draw).ln() * mean).clamp(mean / 6.0, mean * 4.0);
-                let longest = self.sheet.events;
-                let events = self.random.random_range(longest / 4..longest);
+                let prompt = (-(1.0 - draw).ln() * 600.0).clamp(100.0, 2300.0);
+                let events = self.random.random_range(20..80);
                 arrivals.push(Answer::new(now, prompt, events));
                 self.outcomes.arrived += 1;
             }
@@ -136,9 +102,7 @@
             engine.run_until(until + 20_000.0);
             for answer in &engine.done {
                 let first = answer.first - answer.arrived;
-                if first <= self.sheet.objective_ms as f64
-                    && answer.longest_gap <= self.sheet.max_event_gap_ms
-                {
+                if first <= OBJECTIVE_MS as f64 && answer.longest_gap <= MAX_EVENT_GAP_MS {
                     self.outcomes.on_time += 1;
                 } else {
                     self.outcomes.late += 1;
@@ -164,31 +128,16 @@
     }
 
     /// Sends each request when it gets a permit.
-    fn with_permits(self, millis: u64) -> Outcomes {
-        self.with_demand(&Demand::default(), EVENT_TOKENS, millis)
-    }
-
-    /// Sends each request when it gets a permit. Permits know the speed of the engines from a sample, and take events to
-    /// have this number of tokens.
-    fn with_event_tokens(self, event_tokens: u32, millis: u64) -> Outcomes {
-        let mut demand = Demand::default();
-        demand.add(&[self.sample()], at(0));
-        self.with_demand(&demand, event_tokens, millis)
-    }
-
-    fn with_demand(mut self, demand: &Demand, event_tokens: u32, millis: u64) -> Outcomes {
+    fn with_permits(mut self, millis: u64) -> Outcomes {
         let ledger = ledger(self.engines.len());
+        let demand = Demand::default();
         let mut permits = Queue::default();
         let mut waiting: HashMap<Ticket, Answer> = HashMap::new();
         for now in 0..millis {
             let point = at(now);
             for answer in self.arrivals(now as f64) {
-                let request = Request {
-                    objective: Duration::from_millis(self.sheet.objective_ms),
-                    ..request(answer_prompt(&answer))
-                };
                 let (ticket, permit) =
-                    permits.request(request, event_tokens, &ledger, demand, point);
+                    permits.request(request(answer_prompt(&answer)), &ledger, &demand, point);
                 waiting.insert(ticket, answer);
                 self.apply_permit(&mut waiting, ticket, permit);
             }
@@ -204,26 +153,6 @@
         self.end(millis as f64)
     }
 
-    /// Returns the speed of an idle engine, as entry instances report it.
-    fn sample(&self) -> Row {
-        let Hardware {
-            step_ms,
-            steps_per_event,
-            ..
-        } = self.sheet.hardware;
-        let event_ms = step_ms * f64::from(steps_per_event);
-        let events = self.sheet.events / 2;
-        let time = Duration::from_secs_f64(f64::from(events) * event_ms / 1000.0);
-        Row {
-            item: request(0).item,
-            requests: 0,
-            ended: 1,
-            slot_time: time,
-            events,
-            event_time: time,
-        }
-    }
-
     fn apply_permit(
         &mut self,
         waiting: &mut HashMap<Ticket, Answer>,
@@ -288,53 +217,6 @@
     }
 }
 
-/// Guards against prompts that are let in faster, or far slower, than engines of other hardware read them. The first two
-/// are those of the users' further and large deployments. Each engine gets prompts for 0.4 of its time.
-#[test]
-fn simulation_other_hardware() {
-    let hardware = |step_ms, prefill_tokens_per_ms, steps_per_event| Hardware {
-        step_ms,
-        prefill_tokens_per_ms,
-        steps_per_event,
-    };
-    let sheet = |hardware, slots, prompt, events, objective_ms, max_event_gap_ms| Sheet {
-        hardware,
-        slots,
-        prompt,
-        events,
-        objective_ms,
-        max_event_gap_ms,
-    };
-    let cases = [
-        (
-            sheet(hardware(10.1, 20.4, 3), 32, 1460.0, 57, 600, 300.0),
-            5.6,
-        ),
-        (
-            sheet(hardware(5.23, 38.4, 14), 12, 715.0, 20, 400, 250.0),
-            7.0,
-        ),
-        (
-            sheet(hardware(20.0, 10.0, 1), 32, 600.0, 80, 900, 300.0),
-            6.7,
-        ),
-    ];
-    for (sheet, rate) in cases {
-        for seed in 0..3 {
-            let play = |event_tokens| {
-                Simulation::on(sheet, seed, 4, rate * 4.0).with_event_tokens(event_tokens, 30_000)
-            };
-            let own = play(sheet.hardware.steps_per_event);
-            let assumed = play(EVENT_TOKENS);
-            println!(
-                "{sheet:?} seed {seed}: {own:?}; with {EVENT_TOKENS} tokens an event {assumed:?}"
-            );
-            assert!(own.on_time_share() > 0.85, "{sheet:?} seed {seed}: {own:?}");
-            assert!(own.on_time >= assumed.on_time, "{sheet:?} seed {seed}");
-        }
-    }
-}
-
 /// Guards against an urgent request that waits behind others with later deadlines.
 #[test]
 fn poll_urgent_first() {
@@ -346,9 +228,8 @@
         max_wait: Duration::from_millis(16_000),
         ..request(2000)
     };
-    let send = |permits: &mut Queue, request: Request| {
-        permits.request(request, EVENT_TOKENS, &ledger, &demand, at(0))
-    };
+    let send =
+        |permits: &mut Queue, request: Request| permits.request(request, &ledger, &demand, at(0));
     let mut order = Vec::new();
     let mut relaxed_answers = Vec::new();
     for _ in 0..4 {
@@ -375,22 +256,19 @@
             avoid: smallvec![target(0)],
             ..request(10)
         };
-        let (_, permit) =
-            permits.request(request, EVENT_TOKENS, &ledger, &demand, at(number * 100));
+        let (_, permit) = permits.request(request, &ledger, &demand, at(number * 100));
         assert_eq!(permit, Permit::Go(target(1)));
     }
     let all_avoided = Request {
         avoid: smallvec![target(0), target(1)],
         ..request(10)
     };
-    let (_, permit) = permits.request(all_avoided, EVENT_TOKENS, &ledger, &demand, at(900));
+    let (_, permit) = permits.request(all_avoided, &ledger, &demand, at(900));
     assert_eq!(permit, Permit::Unknown);
     let mut missing = request(10);
     missing.item.model = model(3);
     assert_eq!(
-        permits
-            .request(missing, EVENT_TOKENS, &ledger, &demand, at(900))
-            .1,
+        permits.request(missing, &ledger, &demand, at(900)).1,
         Permit::Unknown
     );
 }
@@ -404,13 +282,8 @@
     let mut permits = Queue::default();
     let mut waiting = Vec::new();
     for _ in 0..8 {
-        let (ticket, permit) = permits.request(
-            request(2000),
-            EVENT_TOKENS,
-            &ledger,
-            &demand,
-            Point::from_millis(5),
-        );
+        let (ticket, permit) =
+            permits.request(request(2000), &ledger, &demand, Point::from_millis(5));
         if matches!(permit, Permit::Wait(_)) {
             waiting.push(ticket);
         }
@@ -441,9 +314,7 @@
     let mut play = |targets: &[&[(usize, &[usize])]], sequence, now| {
         ledger = Ledger::default();
         observe(&mut ledger, targets, sequence, now);
-        permits
-            .request(request(10), EVENT_TOKENS, &ledger, &demand, now)
-            .1
+        permits.request(request(10), &ledger, &demand, now).1
     };
     assert_eq!(
         play(&[with_model, without_model], 1, at(0)),
--- a/crates/buckthornmast_supply/tests/support/engine.rs
+++ b/crates/buckthornmast_supply/tests/support/engine.rs
@@ -4,29 +4,17 @@
 
 use std::collections::VecDeque;
 
+/// Time of a step without prompts, in milliseconds.
+pub(crate) const STEP_MS: f64 = 5.0;
+
+/// Prompt tokens that are read per millisecond.
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 40.0;
+
 /// Maximum number of prompt tokens that are read in a step.
 const MAX_STEP_TOKENS: f64 = 2048.0;
 
-/// Speed of an engine.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Hardware {
-    /// Time of a step without prompts, in milliseconds.
-    pub(crate) step_ms: f64,
-    /// Prompt tokens that are read per millisecond.
-    pub(crate) prefill_tokens_per_ms: f64,
-    /// Steps, and so tokens, per event of an answer.
-    pub(crate) steps_per_event: u32,
-}
-
-impl Default for Hardware {
-    fn default() -> Self {
-        Self {
-            step_ms: 5.0,
-            prefill_tokens_per_ms: 40.0,
-            steps_per_event: 6,
-        }
-    }
-}
+/// Steps per event of an answer.
+pub(crate) const STEPS_PER_EVENT: u32 = 6;
 
 /// Answer in progress or complete. All times are in milliseconds.
 #[derive(Debug, Clone, Copy)]
@@ -66,15 +54,13 @@
     queue: VecDeque<Answer>,
     running: Vec<Answer>,
     pub(crate) done: Vec<Answer>,
-    hardware: Hardware,
     now: f64,
 }
 
 impl Engine {
-    pub(crate) fn new(slots: usize, hardware: Hardware) -> Self {
+    pub(crate) fn new(slots: usize) -> Self {
         Self {
             slots,
-            hardware,
             ..Self::default()
         }
     }
@@ -106,22 +92,21 @@
                     self.running.push(answer);
                 }
             }
-            self.now += self.hardware.step_ms + read / self.hardware.prefill_tokens_per_ms;
+            self.now += STEP_MS + read / PREFILL_TOKENS_PER_MS;
             for answer in &mut self.running {
                 answer.steps += 1;
                 if answer.first == 0.0 {
                     answer.first = self.now;
                     answer.last = self.now;
-                } else if answer.steps.is_multiple_of(self.hardware.steps_per_event) {
+                } else if answer.steps.is_multiple_of(STEPS_PER_EVENT) {
                     answer.longest_gap = answer.longest_gap.max(self.now - answer.last);
                     answer.last = self.now;
                 }
             }
             let now = self.now;
-            let steps_per_event = self.hardware.steps_per_event;
             let done = &mut self.done;
             self.running.retain_mut(|answer| {
-                let is_done = answer.steps >= answer.events * steps_per_event;
+                let is_done = answer.steps >= answer.events * STEPS_PER_EVENT;
                 if is_done {
                     answer.done = now;
                     done.push(*answer);
--- a/crates/buckthornmast_supply/tests/support/pool.rs
+++ b/crates/buckthornmast_supply/tests/support/pool.rs
@@ -14,7 +14,6 @@
 
 pub(crate) const INCARNATION: id::Incarnation = id::Incarnation(5);
 pub(crate) const SLOTS: u32 = 24;
-pub(crate) const EVENT_TOKENS: u32 = 6;
 
 pub(crate) fn at(millis: u64) -> Point {
     Point::from_millis(1_000_000 + millis)
@@ -55,7 +54,6 @@
         adapters: 2,
         loads: Rate::per_second(3.0).unwrap(),
         cache_tokens: 80_000,
-        event_tokens: EVENT_TOKENS,
         models: models.collect::<BTreeMap<_, _>>(),
     }
 }
