Keep the leader's placements of targets that are not known yet

Cause: updates about targets now wait up to 100 ms, so the leader's placement of a new target can arrive before the core's update about it. The entry dropped placements of unknown targets, and since inventories no longer come with updates, it then took the models of the announcement for good. Ruled out: the leader's ledger (its queries and orders were right), advisories (none in the play), the new plans. Change: placements of unknown targets are kept, up to a bound.

--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -28,6 +28,9 @@
 /// bound while they disagree on the number of instances.
 const BUDGET_SHARE: f64 = 0.7;
 
+/// Number of inventories of unknown targets that are kept.
+const MAX_UNKNOWN_INVENTORIES: usize = 1000;
+
 /// Routes in force.
 #[derive(Debug)]
 pub struct Routes {
@@ -205,8 +208,6 @@
         }
         let registry = &self.registry;
         let advisories = &self.advisories;
-        self.inventories
-            .retain(|target, _| registry.get(target).is_some());
         let mut members: HashMap<id::Service, Vec<Member>> = HashMap::new();
         let ready = registry
             .owners()
@@ -289,6 +290,11 @@
         let registry = &self.registry;
         let known = |target: &id::Target| Some(registry.get(target)?.announcement.incarnation);
         self.advisories.prune(known, now);
+        // The leader's placements may arrive before the core's updates about new targets, and are not sent again.
+        if self.inventories.len() > MAX_UNKNOWN_INVENTORIES + registry.entries().count() {
+            self.inventories
+                .retain(|target, _| registry.get(target).is_some());
+        }
         self.stats.retain(|target, incarnation| {
             let entry = registry.get(target);
             entry.is_some_and(|entry| entry.announcement.incarnation == incarnation)
