Report to entry instances each second again which targets were heard

Cause: on sites whose targets don't announce an incarnation, the target that was heard last owns an address. The full state on a new connection dates all targets from now, so two targets at one address tie until the next report of who was heard. No test of its own: it is an interval; the state that a new connection brings should carry the ages, which is open.

--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -45,9 +45,10 @@
 /// Ticks between two reports to the other instances of the core of the targets that have contacted this instance.
 const LIVENESS_INTERVAL_TICKS: u64 = 10;
 
-/// Ticks between two such reports, and two of the roster, to entry instances. They need them only to forget targets and
-/// instances that are gone, which takes a minute or longer.
-const ENTRY_REPORT_INTERVAL_TICKS: u64 = 200;
+/// Ticks between two such reports, and two of the roster, to entry instances. Where targets don't announce their
+/// incarnation, the one that was heard last owns an address, and the full state that a new connection brings doesn't say
+/// which one that is.
+const ENTRY_REPORT_INTERVAL_TICKS: u64 = 10;
 
 /// Ticks after the start after which restored targets that have not announced themselves are removed. By then every
 /// live target has announced itself, also one that tries one instance after the other with growing pauses.
