Log why a failed stream is not resumed, and whether its target ended the connection

The logs could not distinguish its hypotheses: a resume that select_target refused left no line with the refusal, and a connection that the target ended looked like one that this instance ended. No logic is changed.

--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -11,11 +11,12 @@
 
 use crate::{
     body::{self, Body},
-    context::{Context, End, Reporter},
+    context::{Context, End, Reporter, millis},
     events::Splitter,
     exchange::{EventStream, Exchange, Failure, Reply},
     forwarder::Forwarder,
     mapping::Mapping,
+    refusal::Refusal,
     stats::Ended,
     supply::Supply,
     wait_limit,
@@ -153,7 +154,8 @@
             };
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => {
+                Ok(Some(Err(error))) => {
+                    log::info!(step = "stream", request:% = self.context.head.request, target:% = exchange.in_flight.target; "the target ended the connection of a stream: {error}");
                     exchange.in_flight.end(Ended::Failed);
                     return broken("the connection to the target failed", splitter);
                 }
@@ -258,7 +260,14 @@
             let selection = self.forwarder.select_target(&mut self.context);
             let chosen = tokio::select! {
                 () = self.sender.closed() => return None,
-                chosen = selection => chosen.ok()?,
+                chosen = selection => chosen,
+            };
+            let chosen = match chosen {
+                Ok(chosen) => chosen,
+                Err(refusal) => {
+                    self.log_refused_resume(&target, refusal);
+                    return None;
+                }
             };
             self.reporter.record_dispatch(&chosen);
             let attempt = self.forwarder.attempt(
@@ -285,6 +294,22 @@
         }
     }
 
+    fn log_refused_resume(&self, target: &id::Target, refusal: Refusal) {
+        let now = self.forwarder.clock.now();
+        let routes_version = self.forwarder.state.borrow().version();
+        log::info!(
+            step = "resume",
+            request:% = self.context.head.request,
+            target:% = target,
+            refusal:% = refusal.as_str(),
+            age_ms = millis(now.since(self.context.received)),
+            left_ms = millis(self.context.time_left(now)),
+            version = self.context.version.0,
+            version_in_force = routes_version.map_or(0, |version| version.0);
+            "no target can resume the failed stream; closing the caller's connection"
+        );
+    }
+
     fn decide(&mut self, target: &id::Target, failure: &Failure) -> Decision {
         let forwarder = Rc::clone(&self.forwarder);
         forwarder.decide(&mut self.context, target, failure)
