--- /dev/null
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -0,0 +1,331 @@
+//! A forwarder with a server for callers, before scripted targets on loopback.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use buckthornmast_fleet::prelude::*;
+use buckthornmast_forward::{
+    forwarder::Forwarder,
+    mapping::{Answer, Generation, Head, Malformed, Mapping, PromptPart, RequestId, TargetHeaders},
+    server::{Bounds, Server},
+    state::{RetryBounds, State},
+    supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
+};
+use buckthornmast_routes::{
+    document::{Document, Kind, Limits, Pool, Route, Service},
+    register::Revision,
+};
+use buckthornmast_types::{id, rate::Rate, size::Bytes as Size, time::Clock, time::System};
+use http::{HeaderMap, request, response};
+use smallvec::SmallVec;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::LocalSet,
+    time::sleep,
+};
+
+/// Header with the parts of a prompt, as numbers that are separated by commas.
+const PARTS: &str = "x-parts";
+
+/// Step of a target while it answers one request.
+#[derive(Debug, Clone)]
+pub(crate) enum Step {
+    /// Sends bytes.
+    Send(String),
+    /// Does nothing for some time.
+    Pause(Duration),
+    /// Sends nothing more until the caller closes the connection.
+    Hang,
+    /// Closes the connection, and all others of this target, and stops to listen.
+    Crash,
+}
+
+/// Returns the head of a stream that ends with its connection.
+pub(crate) fn stream_head() -> Step {
+    Step::Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n".to_owned())
+}
+
+/// Returns an event.
+pub(crate) fn event(number: u64) -> Step {
+    Step::Send(format!("id: {number}\ndata: e{number}\n\n"))
+}
+
+/// What the targets do and saw.
+#[derive(Debug, Default)]
+pub(crate) struct Play {
+    /// Steps for the next requests in the order of their arrival, at whichever target they arrive.
+    pub(crate) scripts: RefCell<VecDeque<Vec<Step>>>,
+    /// Heads of the requests that arrived.
+    pub(crate) requests: RefCell<Vec<String>>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Headers;
+
+impl Mapping for Headers {
+    fn decode(&self, head: &request::Parts) -> Result<Head, Malformed> {
+        let header = |name| head.headers.get(name)?.to_str().ok();
+        let parts = header(PARTS).map(|parts| {
+            let parts = parts.split(',').map(|id| PromptPart {
+                id: id.parse().unwrap(),
+                tokens: 10,
+            });
+            parts.collect::<SmallVec<[PromptPart; 4]>>()
+        });
+        Ok(Head {
+            request: RequestId("r1".into()),
+            deadline: None,
+            last_event: None,
+            generation: parts.map(|parts| Generation {
+                model: "m1".parse().unwrap(),
+                adapter: None,
+                prompt_tokens: 10,
+                answer_tokens: 10,
+                parts,
+            }),
+        })
+    }
+
+    fn encode(&self, headers: &mut HeaderMap, target_headers: &TargetHeaders<'_>) {
+        if let Some(last) = target_headers.last_event {
+            headers.insert("x-after", last.into());
+        }
+    }
+
+    fn decode_answer(&self, _: &response::Parts) -> Answer {
+        Answer {
+            is_stamped: true,
+            ..Answer::default()
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct NoPermits;
+
+impl Supply for NoPermits {
+    async fn request_copy(&self, _: Item) -> Availability {
+        Availability::No
+    }
+
+    fn record_demand(&self, _: &Item) {}
+
+    fn report_down(&self, _: &id::Target, _: id::Incarnation) {}
+
+    async fn request_permit(&self, _: PermitRequest) -> Permit {
+        Permit::Unknown
+    }
+
+    fn report_usage(&self, _: &Item, _: Usage) {}
+}
+
+/// Route of the tests: a resumable stream whose callers wait 2.4 s for each event.
+pub(crate) fn route() -> Route {
+    Route {
+        name: "chat".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        kind: Kind::Stream {
+            resumable: true,
+            gap: Duration::from_millis(300),
+        },
+        services: vec![("engines".parse().unwrap(), 1)],
+        timeout: Duration::from_secs(12),
+        objective: Duration::from_millis(300),
+        attempts: 3,
+        priority: 1,
+        affinity: false,
+    }
+}
+
+fn document(route: Route) -> Document {
+    let pool = Pool {
+        slots: 8,
+        memory: Size(1000),
+        adapters: 4,
+        loads: Rate::per_second(1.0).unwrap(),
+        cache_tokens: 1000,
+        models: BTreeMap::new(),
+    };
+    let service = Service {
+        name: "engines".parse().unwrap(),
+        connections: 100,
+        pool: Some(pool),
+    };
+    Document {
+        version: Revision(1),
+        routes: vec![route],
+        services: BTreeMap::from([(service.name.clone(), service)]),
+        limits: Limits {
+            head: 16 << 10,
+            body: 1 << 20,
+            head_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        },
+    }
+}
+
+/// Forwarder with its server and targets.
+pub(crate) struct Fleet {
+    /// Forwarder.
+    pub(crate) forwarder: Rc<Forwarder<Headers, NoPermits>>,
+    /// What the targets do and saw.
+    pub(crate) play: Rc<Play>,
+    /// Address for callers.
+    pub(crate) address: SocketAddr,
+    _server: Server,
+}
+
+impl Fleet {
+    /// Starts a fleet of `targets` targets.
+    pub(crate) async fn start(route: Route, targets: u64) -> Self {
+        let play = Rc::new(Play::default());
+        let clock = System::start();
+        let mut state = State::new(RetryBounds {
+            ratio: 0.2,
+            burst: 50.0,
+        });
+        assert!(state.set_routes(document(route)));
+        for number in 0..targets {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            tokio::task::spawn_local(serve_target(listener, Rc::clone(&play)));
+            let update = Update {
+                announcement: announcement(number, address),
+                withdrawn: false,
+            };
+            state.change_targets(|registry| {
+                registry.merge(update, Duration::ZERO, clock.now());
+                true
+            });
+        }
+        let forwarder = Rc::new(Forwarder {
+            mapping: Headers,
+            supply: NoPermits,
+            clock,
+            domain: "d1".parse().unwrap(),
+            state: Rc::new(RefCell::new(state)),
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let bounds = Bounds {
+            connections: 100,
+            idle: Duration::from_secs(60),
+        };
+        let server = Server::start(listener, bounds, Rc::clone(&forwarder));
+        Self {
+            forwarder,
+            play,
+            address,
+            _server: server,
+        }
+    }
+
+    /// Adds the steps for the next request that arrives at a target.
+    pub(crate) fn script(&self, steps: impl IntoIterator<Item = Step>) {
+        let steps = steps.into_iter().collect();
+        self.play.scripts.borrow_mut().push_back(steps);
+    }
+
+    /// Sends a request and returns all bytes of the answer.
+    pub(crate) async fn call(&self, parts: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let request =
+            format!("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{PARTS}: {parts}\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        // A reset connection leaves the answer as it is.
+        let _ = stream.read_to_end(&mut answer).await;
+        String::from_utf8(answer).unwrap()
+    }
+
+    /// Returns the number of requests that arrived at targets.
+    pub(crate) fn arrived(&self) -> usize {
+        self.play.requests.borrow().len()
+    }
+}
+
+fn announcement(number: u64, address: SocketAddr) -> Announcement {
+    Announcement {
+        target: format!("t{number}").parse().unwrap(),
+        incarnation: id::Incarnation(1),
+        sequence: 1,
+        service: "engines".parse().unwrap(),
+        address,
+        domain: "d1".parse().unwrap(),
+        slots: 8,
+        state: buckthornmast_fleet::announcement::State::Ready,
+        cold: Duration::ZERO,
+        resident: vec![Resident {
+            model: "m1".parse().unwrap(),
+            adapters: Vec::new(),
+        }],
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+/// Serves a target until it crashes.
+async fn serve_target(listener: TcpListener, play: Rc<Play>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            Ok((stream, _)) = listener.accept() => {
+                connections.spawn_local(serve_connection(stream, Rc::clone(&play)));
+            }
+            Some(Ok(true)) = connections.join_next() => return,
+        }
+    }
+}
+
+/// Serves a connection. Returns whether the target crashes.
+async fn serve_connection(mut stream: TcpStream, play: Rc<Play>) -> bool {
+    // A crash resets connections. Without a reset, the end of a connection is the regular end of an answer.
+    SockRef::from(&stream)
+        .set_linger(Some(Duration::ZERO))
+        .unwrap();
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(char::from(byte)),
+            Err(_) => return false,
+        }
+    }
+    play.requests.borrow_mut().push(head);
+    let script = play.scripts.borrow_mut().pop_front();
+    for step in script.expect("there is a script for each request") {
+        match step {
+            Step::Send(bytes) => {
+                if stream.write_all(bytes.as_bytes()).await.is_err() {
+                    return false;
+                }
+            }
+            Step::Pause(pause) => sleep(pause).await,
+            Step::Hang => {
+                let _ = stream.read_u8().await;
+                return false;
+            }
+            Step::Crash => return true,
+        }
+    }
+    // The end of the connection ends the answer.
+    let _ = stream.shutdown().await;
+    let _ = stream.read_u8().await;
+    false
+}
+
+/// Runs a test on one thread.
+pub(crate) fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.unwrap().block_on(LocalSet::new().run_until(test));
+}
