Resume streams as long as their callers wait, not only until a first event would be late

What callers saw: an answer that had begun was broken off, with other targets free (LOST beside a change of the routes).

Cause: select_target gave up when the caller would have stopped waiting for the first event, counted from receipt (2 s there). This limit is for requests that have not begun. A begun stream that had to move after that was refused at once, and its connection closed; 1.2 s of silence of a sound target were enough. The bound of a stop, from which waiting requests are refused, was applied to begun streams in the same way, and so was the objective, which gave them the place of late requests in the queue.

Change: the limits of a begun stream count from its last event, and a stop no longer ends it before the process ends.

Ruled out as the cause: an empty retry budget leaves decision End with reason Budget, and a silent target is only left while the budget has an attempt; a change of the routes changes neither the context nor the service of a stream in progress.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -43,6 +43,8 @@
     pub tried: SmallVec<[id::Target; 2]>,
     /// Time that the request waited for a target.
     pub waited: Duration,
+    /// When the caller was sent the last events, once its stream has begun.
+    pub last_event_at: Option<Point>,
 }
 
 impl Context {
@@ -61,17 +63,22 @@
         self.deadline.since(now)
     }
 
-    /// Returns the time until which the caller waits for the answer to begin.
-    pub fn first_event_deadline(&self) -> Point {
+    /// Returns the time until which the caller waits for the answer to begin or, once its stream has begun, to go on.
+    pub fn next_event_deadline(&self) -> Point {
+        let waits_from = self.last_event_at.unwrap_or(self.received);
         let wait_limit = wait_limit::for_caller(&self.route);
         wait_limit.map_or(self.deadline, |wait_limit| {
-            self.deadline.min(self.received + wait_limit)
+            self.deadline.min(waits_from + wait_limit)
         })
     }
 
-    /// Returns whether an answer that begins at this time meets the objective.
+    /// Returns whether an answer that begins at this time meets the objective. A stream that has begun is on time as
+    /// long as its caller waits, since nothing but its continuation is of use any more.
     pub fn is_on_time(&self, at: Point) -> bool {
-        at <= self.received + self.route.objective
+        match self.last_event_at {
+            None => at <= self.received + self.route.objective,
+            Some(_) => at <= self.next_event_deadline(),
+        }
     }
 }
 
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -136,6 +136,7 @@
             not_run: 0,
             tried: SmallVec::new(),
             waited: Duration::ZERO,
+            last_event_at: None,
             body: Bytes::new(),
             parts,
             head,
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -208,9 +208,13 @@
         pauses.min()
     }
 
-    /// Returns until when a request may wait for a target: until its caller disconnects or this instance stops.
+    /// Returns until when a request may wait for a target: until its caller disconnects or this instance stops. A stream
+    /// that has begun can't be refused any more, so it is not given up before this instance ends.
     fn wait_deadline(&self, context: &Context) -> Point {
-        let deadline = context.first_event_deadline();
+        let deadline = context.next_event_deadline();
+        if context.last_event_at.is_some() {
+            return deadline;
+        }
         let stop_deadline = self.state.borrow().stop_deadline;
         stop_deadline.map_or(deadline, |stop_deadline| deadline.min(stop_deadline))
     }
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -88,6 +88,7 @@
             {
                 return;
             }
+            self.context.last_event_at = Some(self.forwarder.clock.now());
             let Some(exchange) = rest else {
                 return self.reporter.end(End::Answered, self.status, "");
             };
@@ -197,6 +198,7 @@
                 if self.sender.send(Ok(events)).await.is_err() {
                     return StreamEnd::Disconnected;
                 }
+                self.context.last_event_at = Some(self.forwarder.clock.now());
                 // Comments and unnumbered events between numbered ones don't show that the target makes progress.
                 if splitter.last().is_none() || splitter.last() != before {
                     last_progress = self.forwarder.clock.now();
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -160,6 +160,7 @@
         not_run: 0,
         tried: SmallVec::new(),
         waited: Duration::ZERO,
+        last_event_at: None,
     }
 }
 
