Log the shared prompt parts of requests whose attempt failed

The logs could not tell whether targets ended under new requests or under retries, nor which part the requests had in common. No logic is changed.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use crate::{
-    mapping::Head,
+    mapping::{Generation, Head},
     selection::{Chosen, Inputs},
     supply::Item,
     wait_limit,
@@ -58,6 +58,14 @@
         })
     }
 
+    /// Returns the ids of the parts of the prompt that other requests may share, for the log.
+    pub fn shared_part_names(&self) -> String {
+        let generation = self.head.generation.as_ref();
+        let parts = generation.map_or(&[][..], Generation::shared_parts);
+        let names: SmallVec<[String; 4]> = parts.iter().map(ToString::to_string).collect();
+        names.join(",")
+    }
+
     /// Returns the time left until the final answer is due.
     pub fn time_left(&self, now: Point) -> Duration {
         self.deadline.since(now)
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -228,6 +228,7 @@
             target:% = member.target,
             dispatch:? = dispatch,
             cause:% = cause,
+            parts:% = context.shared_part_names(),
             decision:? = decision;
             "attempt at a target failed"
         );
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -20,7 +20,7 @@
     }
 }
 
-/// Part of a prompt that other requests may share.
+/// Part of a prompt that other requests may share. It is displayed as the hexadecimal id.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PromptPart {
     /// Identity.
@@ -29,6 +29,12 @@
     pub tokens: u32,
 }
 
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.id)
+    }
+}
+
 /// Generation that a request requires of a model engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Generation {
@@ -44,6 +50,13 @@
     pub parts: SmallVec<[PromptPart; 4]>,
 }
 
+impl Generation {
+    /// Returns the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// Decoded request head.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Head {
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -73,11 +73,10 @@
 
 /// Returns the hash of the model, the adapter and the first part of the prompt, if other requests may share that part.
 fn prefix_hash(generation: &Generation) -> Option<u64> {
-    let (_, shared) = generation.parts.split_last()?;
     let adapter = generation.adapter.as_ref().map_or("", |id| id.as_str());
     let mut hash = xxh3_64(generation.model.as_str().as_bytes());
     hash = xxh3_64_with_seed(adapter.as_bytes(), hash);
-    let first = shared.first()?;
+    let first = generation.shared_parts().first()?;
     Some(xxh3_64_with_seed(&first.id.to_le_bytes(), hash))
 }
 
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -103,6 +103,7 @@
                 request:% = self.context.head.request,
                 target:% = target,
                 last = last.unwrap_or(0),
+                parts:% = self.context.shared_part_names(),
                 cause:% = cause;
                 "stream from a target failed"
             );
