--- /dev/null
+++ b/crates/buckthornmast_forward/tests/crash.rs
@@ -0,0 +1,58 @@
+//! Requests that crash the targets which answer them.
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "helpers of tests may panic"
+)]
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, Step, block_on, event, route, stream_head};
+
+/// Answers a request, or crashes if it has the part 7.
+fn crash_on_part(head: &str) -> Vec<Step> {
+    let parts = head.lines().find_map(|line| line.strip_prefix("x-parts: "));
+    let is_deadly = parts.unwrap().split(',').any(|part| part == "7");
+    let mut steps = vec![stream_head()];
+    if is_deadly {
+        steps.push(Step::Crash);
+    } else {
+        steps.extend((1..=8).map(event));
+    }
+    steps
+}
+
+/// Starts targets that crash on the part 7, and have answered on the part 1.
+async fn start(targets: u64) -> Fleet {
+    let fleet = Fleet::start(route(), targets).await;
+    fleet.play.answer.set(Some(crash_on_part));
+    assert!(fleet.call("1,100").await.contains("data: e8"));
+    fleet.play.requests.borrow_mut().clear();
+    fleet
+}
+
+/// Guards against requests with one prompt part that crash one target after the other.
+#[test]
+fn crash_by_part() {
+    block_on(async {
+        let fleet = start(8).await;
+        for own in 200..210 {
+            fleet.call(&format!("1,7,{own}")).await;
+        }
+        assert!(fleet.arrived() <= 2, "{} targets ended", fleet.arrived());
+        assert!(fleet.call("1,300").await.contains("data: e8"));
+    });
+}
+
+/// Guards against one request that is sent to one target after the other and crashes each.
+#[test]
+fn crash_by_retries() {
+    block_on(async {
+        let fleet = start(4).await;
+        let answer = fleet.call("1,7,200").await;
+        // The target may have run the request.
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer:?}");
+        assert_eq!(fleet.arrived(), 1);
+    });
+}
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -1,7 +1,8 @@
 //! A forwarder with a server for callers, before scripted targets on loopback.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
     future::Future,
     net::SocketAddr,
@@ -48,6 +49,9 @@
     Crash,
 }
 
+/// Returns the steps for a request with this head.
+pub(crate) type Script = fn(&str) -> Vec<Step>;
+
 /// Returns the head of a stream that ends with its connection.
 pub(crate) fn stream_head() -> Step {
     Step::Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n".to_owned())
@@ -63,6 +67,8 @@
 pub(crate) struct Play {
     /// Steps for the next requests in the order of their arrival, at whichever target they arrive.
     pub(crate) scripts: RefCell<VecDeque<Vec<Step>>>,
+    /// Steps for requests without a script of their own, by their heads.
+    pub(crate) answer: Cell<Option<Script>>,
     /// Heads of the requests that arrived.
     pub(crate) requests: RefCell<Vec<String>>,
 }
@@ -299,8 +305,9 @@
             Err(_) => return false,
         }
     }
-    play.requests.borrow_mut().push(head);
     let script = play.scripts.borrow_mut().pop_front();
+    let script = script.or_else(|| play.answer.get().map(|answer| answer(&head)));
+    play.requests.borrow_mut().push(head);
     for step in script.expect("there is a script for each request") {
         match step {
             Step::Send(bytes) => {
