Quarantine prompt parts on which targets crash, and don't send suspects to another target

Cause: failures caused by requests were counted against targets only. Nothing recorded which request a target was beginning to answer when it ended, so each new request with the part, and each retry of one, ended another target.

Change: a new crate, buckthornmast_quarantine, pure. When a target ends (a connection to it is refused as well), the requests that it was beginning to answer are suspects, with the parts that no target has answered. Entry instances report them to every instance of the core, which quarantines what the suspects of two crashes have in common and tells the entry instances; requests with all of these parts are refused at once, truthfully as not run. A target that goes on answering clears the parts, from any instance. The leader permits one trial after 10 s, and after four times as long each time it fails. A suspect is not sent to another target. If several parts stay, only requests with all of them are refused, so that sound requests of the same caller are served.

Messages between instances have new variants at their ends: a process of an older build closes a connection on which it is sent one.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use buckthornmast_quarantine::part;
 use buckthornmast_routes::{document::Route, register::Revision};
 use buckthornmast_routing::attempt::History;
 use buckthornmast_types::{id, time::Point};
@@ -39,6 +40,10 @@
     pub history: History,
     /// Number of attempts that certainly didn't run the request.
     pub not_run: u32,
+    /// Parts of the prompt that other requests may share, which may be quarantined.
+    pub shared_parts: part::Set,
+    /// Whether the request may be sent although its parts are quarantined.
+    pub is_trial: bool,
     /// Targets that the request has been dispatched to.
     pub tried: SmallVec<[id::Target; 2]>,
     /// Time that the request waited for a target.
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -70,6 +70,8 @@
     pub cause: &'static str,
     /// Error response of the target, if there is one.
     pub answer: Option<Box<FullAnswer>>,
+    /// Whether the connection failed while the target was beginning to answer.
+    pub is_connection_lost: bool,
 }
 
 /// Answer of a target that was received in full.
@@ -203,9 +205,18 @@
         dispatch,
         cause,
         answer: None,
+        is_connection_lost: false,
     }
 }
 
+fn connection_lost(cause: &'static str) -> (Failure, Ended) {
+    let failure = Failure {
+        is_connection_lost: true,
+        ..failure(Dispatch::Sent, cause)
+    };
+    (failure, Ended::Failed)
+}
+
 impl<M: Mapping, S: Supply> Forwarder<M, S> {
     /// Sends a request to a target and waits until the answer has begun: for the whole answer, or for the first events
     /// of a stream. Events up to `after` are skipped. After `wait_limit`, the target is abandoned if another one would
@@ -266,11 +277,15 @@
                 }
                 let usage = in_flight.complete(connection, idle, 0);
                 self.report_usage(context, usage);
+                if answer.head.status.is_success() {
+                    self.record_progress(context);
+                }
                 if is_error {
                     return Err(Failure {
                         dispatch: Dispatch::Sent,
                         cause: "the target answered with an error",
                         answer: Some(Box::new(answer)),
+                        is_connection_lost: false,
                     });
                 }
                 Ok(Reply::Full(answer))
@@ -379,20 +394,25 @@
                 let failure = failure(Dispatch::NotSent, "the target closed a new connection");
                 return Err((failure, Ended::Unreachable));
             }
-            // Other answers of the target may have arrived while the connection was being opened.
+            // Other answers of the target, or quarantines, may have arrived while the connection was being opened.
             self.check_accepts(member)?;
+            if self.is_quarantined(context) {
+                let failure = failure(
+                    Dispatch::NotSent,
+                    "the prompt has parts on which targets crash",
+                );
+                return Err((failure, Ended::Abandoned));
+            }
             let request = self.request(context, member, rank, after);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(error) if error.message().is_some() && connection.is_used => {}
                 Err(error) => {
-                    let dispatch = if error.message().is_some() {
-                        Dispatch::NotSent
-                    } else {
-                        Dispatch::Sent
-                    };
                     let cause = "the connection to the target failed before an answer";
-                    return Err((failure(dispatch, cause), Ended::Failed));
+                    if error.message().is_some() {
+                        return Err((failure(Dispatch::NotSent, cause), Ended::Failed));
+                    }
+                    return Err(connection_lost(cause));
                 }
             }
         }
@@ -526,7 +546,8 @@
 ) -> Result<(Option<Bytes>, bool), (Failure, Ended)> {
     let broken = |cause| (failure(Dispatch::Sent, cause), Ended::Failed);
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| broken("the stream failed before its first event"))?;
+        let frame =
+            frame.map_err(|_| connection_lost("the stream failed before its first event"))?;
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
@@ -539,7 +560,9 @@
         }
     }
     if splitter.is_partial() {
-        return Err(broken("the stream ended in the middle of an event"));
+        return Err(connection_lost(
+            "the stream ended in the middle of an event",
+        ));
     }
     Ok((None, true))
 }
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -125,6 +125,10 @@
             // A plain service runs no models, even if the caller names one.
             head.generation = None;
         }
+        let generation = head.generation.as_ref();
+        let shared_parts = generation.map_or_else(Default::default, |generation| {
+            generation.quarantine_parts(service)
+        });
         let timeout = head.deadline.unwrap_or(route.timeout).min(route.timeout);
         Ok(Context {
             route: Arc::clone(route),
@@ -137,6 +141,8 @@
             tried: SmallVec::new(),
             waited: Duration::ZERO,
             last_event_at: None,
+            shared_parts,
+            is_trial: false,
             body: Bytes::new(),
             parts,
             head,
@@ -201,7 +207,8 @@
                 }
                 Err(failure) => failure,
             };
-            match self.after_failure(&mut context, &mut reporter, &chosen.member, failure) {
+            let next = self.after_failure(&mut context, &mut reporter, &chosen.member, failure);
+            match next.await {
                 Next::Retry => {}
                 Next::Respond(response) => return response,
             }
@@ -209,18 +216,21 @@
     }
 
     /// Decides on the next step after a failed attempt.
-    fn after_failure(
+    async fn after_failure(
         &self,
         context: &mut Context,
         reporter: &mut Reporter,
         member: &Member,
         failure: Failure,
     ) -> Next {
-        let decision = self.decide(context, &member.target, &failure);
+        let decision = self
+            .decide(context, &member.target, member.incarnation, &failure)
+            .await;
         let Failure {
             dispatch,
             cause,
             answer,
+            ..
         } = failure;
         log::info!(
             step = "attempt",
@@ -257,12 +267,15 @@
     }
 
     /// Adds a failed attempt to the history and decides whether another one follows.
-    pub fn decide(
+    pub async fn decide(
         &self,
         context: &mut Context,
         target: &id::Target,
+        incarnation: id::Incarnation,
         failure: &Failure,
     ) -> Decision {
+        let may_end_targets =
+            failure.is_connection_lost && self.is_suspect(context, target, incarnation).await;
         let now = self.clock.now();
         context.history.add(failure.dispatch);
         context.tried.push(target.clone());
@@ -283,6 +296,7 @@
                     ..
                 }
             ),
+            may_end_targets,
             has_untried_target,
             max_attempts: (context.route.attempts + context.not_run).min(MAX_ATTEMPTS),
             expected_time: Duration::ZERO,
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod mapping;
 
 pub mod pool;
+pub mod quarantine;
 pub mod refusal;
 pub mod selection;
 pub mod server;
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -5,6 +5,7 @@
 
 use std::{fmt, time::Duration};
 
+use buckthornmast_quarantine::part::{Part, Set};
 use buckthornmast_types::id;
 use http::{HeaderMap, request, response};
 use smallvec::SmallVec;
@@ -55,6 +56,12 @@
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
+
+    /// Returns these parts as they are quarantined at the targets of a service.
+    pub fn quarantine_parts(&self, service: &id::Service) -> Set {
+        let parts = self.shared_parts().iter();
+        parts.map(|part| Part::new(service, part.id)).collect()
+    }
 }
 
 /// Decoded request head.
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -47,6 +47,11 @@
         /// Time until the first of them accepts requests again.
         remaining: Duration,
     },
+    /// The prompt has parts on which targets crash.
+    Quarantined {
+        /// Time until a request with these parts is tried again.
+        remaining: Duration,
+    },
     /// The deadline of the answer has passed.
     Deadline,
     /// A target refused the request, and no further attempt is allowed.
@@ -65,6 +70,7 @@
             Self::CannotLoad => "the model can't be loaded",
             Self::TargetsFull { .. } => "the targets are full",
             Self::Paused { .. } => "the targets want no request for some time",
+            Self::Quarantined { .. } => "the prompt has parts on which targets crash",
             Self::Deadline => "the deadline has passed",
             Self::TargetRefused => "the target refused the request",
             Self::Unreachable => "the target can't be reached",
@@ -79,6 +85,7 @@
             Self::Loading { remaining } | Self::Paused { remaining } => {
                 remaining.max(MIN_RETRY_AFTER)
             }
+            Self::Quarantined { remaining } => remaining.max(NO_TARGET_RETRY_AFTER),
             Self::TargetsFull { wait } => wait.clamp(MIN_RETRY_AFTER, MAX_FULL_RETRY_AFTER),
             Self::TargetRefused | Self::Unreachable => REFUSED_RETRY_AFTER,
         }
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -95,6 +95,7 @@
 
     /// Selects a target, and waits for one if an answer is still possible in time.
     pub async fn select_target(&self, context: &mut Context) -> Result<Chosen, Refusal> {
+        self.check_quarantine(context)?;
         let item = context.item();
         if let Some(item) = item.as_ref().filter(|_| context.tried.is_empty()) {
             self.supply.record_demand(item);
@@ -103,6 +104,8 @@
         let mut is_copy_requested = false;
         let mut permit: Option<PermitResult> = None;
         loop {
+            // The parts of the prompt may have been quarantined while the request waited.
+            self.check_quarantine(context)?;
             let now = self.clock.now();
             context.waited = now.since(started);
             let deadline = self.wait_deadline(context);
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -7,6 +7,7 @@
 };
 
 use buckthornmast_fleet::prelude::*;
+use buckthornmast_quarantine::guard::Guard;
 use buckthornmast_routes::{
     document::{Document, Service},
     register::Revision,
@@ -101,6 +102,8 @@
     pub pool: Pool,
     /// What targets stated about themselves in their answers.
     pub advisories: Board,
+    /// Prompt parts on which targets crash.
+    pub guard: Guard,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
     /// When this instance ends, if it is stopping. Requests that still wait for a target at that time are refused.
@@ -121,6 +124,7 @@
             stats: StatsTable::default(),
             pool: Pool::default(),
             advisories: Board::default(),
+            guard: Guard::default(),
             changed: Rc::default(),
             stop_deadline: None,
             routes: None,
@@ -287,6 +291,7 @@
     pub fn prune(&mut self, now: Point) {
         self.registry.prune(now);
         self.pool.prune(now);
+        self.guard.prune(now);
         let registry = &self.registry;
         let known = |target: &id::Target| Some(registry.get(target)?.announcement.incarnation);
         self.advisories.prune(known, now);
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -16,6 +16,7 @@
     exchange::{EventStream, Exchange, Failure, Reply},
     forwarder::Forwarder,
     mapping::Mapping,
+    quarantine::PROGRESS_BATCHES,
     refusal::Refusal,
     stats::Ended,
     supply::Supply,
@@ -40,6 +41,8 @@
     Broken {
         cause: &'static str,
         last: Option<u64>,
+        /// Whether the connection failed while the target was beginning to answer.
+        is_connection_lost: bool,
     },
 }
 
@@ -93,10 +96,18 @@
                 return self.reporter.end(End::Answered, self.status, "");
             };
             let target = exchange.in_flight.target.clone();
-            let (cause, last) = match self.forward_events(exchange, &mut splitter).await {
+            let incarnation = exchange.in_flight.incarnation;
+            let (cause, last, is_connection_lost) = match self
+                .forward_events(exchange, &mut splitter)
+                .await
+            {
                 StreamEnd::Complete => return self.reporter.end(End::Answered, self.status, ""),
                 StreamEnd::Disconnected => return,
-                StreamEnd::Broken { cause, last } => (cause, last),
+                StreamEnd::Broken {
+                    cause,
+                    last,
+                    is_connection_lost,
+                } => (cause, last, is_connection_lost),
             };
             log::info!(
                 step = "stream",
@@ -107,7 +118,15 @@
                 cause:% = cause;
                 "stream from a target failed"
             );
-            match self.resume(&target, last, cause).await {
+            let failure = Failure {
+                dispatch: Dispatch::Streaming {
+                    next: last.map_or(0, |last| last + 1),
+                },
+                cause,
+                answer: None,
+                is_connection_lost,
+            };
+            match self.resume(&target, incarnation, last, failure).await {
                 Some(stream) => {
                     first_events = stream.first_events;
                     splitter = stream.splitter;
@@ -132,8 +151,16 @@
         let broken = |cause, splitter: &Splitter| StreamEnd::Broken {
             cause,
             last: splitter.last(),
+            is_connection_lost: false,
+        };
+        let connection_lost = |cause, splitter: &Splitter, batches| StreamEnd::Broken {
+            cause,
+            last: splitter.last(),
+            is_connection_lost: batches < PROGRESS_BATCHES,
         };
         let mut last_progress = self.forwarder.clock.now();
+        // Batches of events after the first one.
+        let mut batches = 0;
         loop {
             if splitter.fault().is_some() {
                 exchange.in_flight.end(Ended::Failed);
@@ -159,13 +186,19 @@
                 Ok(Some(Err(error))) => {
                     log::info!(step = "stream", request:% = self.context.head.request, target:% = exchange.in_flight.target; "the target ended the connection of a stream: {error}");
                     exchange.in_flight.end(Ended::Failed);
-                    return broken("the connection to the target failed", splitter);
+                    return connection_lost(
+                        "the connection to the target failed",
+                        splitter,
+                        batches,
+                    );
                 }
                 Ok(None) if splitter.is_partial() => {
                     exchange.in_flight.end(Ended::Failed);
-                    return broken("the stream ended in the middle of an event", splitter);
+                    let cause = "the stream ended in the middle of an event";
+                    return connection_lost(cause, splitter, batches);
                 }
                 Ok(None) => {
+                    self.forwarder.record_progress(&self.context);
                     let Exchange {
                         connection,
                         idle,
@@ -196,6 +229,10 @@
             let before = splitter.last();
             if let Some(events) = splitter.push(bytes) {
                 self.reporter.record_event();
+                batches += 1;
+                if batches == PROGRESS_BATCHES {
+                    self.forwarder.record_progress(&self.context);
+                }
                 if self.sender.send(Ok(events)).await.is_err() {
                     return StreamEnd::Disconnected;
                 }
@@ -236,19 +273,13 @@
     async fn resume(
         &mut self,
         target: &id::Target,
+        mut incarnation: id::Incarnation,
         last: Option<u64>,
-        cause: &'static str,
+        mut failure: Failure,
     ) -> Option<EventStream> {
         let mut target = target.clone();
-        let mut failure = Failure {
-            dispatch: Dispatch::Streaming {
-                next: last.map_or(0, |last| last + 1),
-            },
-            cause,
-            answer: None,
-        };
         loop {
-            let decision = self.decide(&target, &failure);
+            let decision = self.decide(&target, incarnation, &failure).await;
             log::info!(
                 step = "resume",
                 request:% = self.context.head.request,
@@ -285,12 +316,14 @@
                 reply = attempt => reply,
             };
             target = chosen.member.target.clone();
+            incarnation = chosen.member.incarnation;
             failure = match reply {
                 Ok(Reply::Stream(stream)) => return Some(*stream),
                 Ok(Reply::Full(_)) => Failure {
                     dispatch: Dispatch::Sent,
                     cause: "the target did not resume the stream",
                     answer: None,
+                    is_connection_lost: false,
                 },
                 Err(failure) => failure,
             };
@@ -313,8 +346,14 @@
         );
     }
 
-    fn decide(&mut self, target: &id::Target, failure: &Failure) -> Decision {
+    async fn decide(
+        &mut self,
+        target: &id::Target,
+        incarnation: id::Incarnation,
+        failure: &Failure,
+    ) -> Decision {
         let forwarder = Rc::clone(&self.forwarder);
-        forwarder.decide(&mut self.context, target, failure)
+        let decision = forwarder.decide(&mut self.context, target, incarnation, failure);
+        decision.await
     }
 }
--- a/crates/buckthornmast_forward/src/supply.rs
+++ b/crates/buckthornmast_forward/src/supply.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, future::Future, time::Duration};
 
+use buckthornmast_quarantine::{ledger::Evidence, part};
 use buckthornmast_types::id;
 use smallvec::SmallVec;
 
@@ -85,6 +86,10 @@
     fn report_down(&self, target: &id::Target, incarnation: id::Incarnation);
     /// Requests a permit and waits for the answer.
     fn request_permit(&self, request: PermitRequest) -> impl Future<Output = Permit>;
+    /// Reports a request that its target was beginning to answer when it ended.
+    fn report_crash(&self, evidence: &Evidence);
+    /// Reports that a target answers on parts that were blamed for crashes.
+    fn report_progress(&self, parts: &part::Set);
     /// Reports that a request was answered, and the time and events that it took at its target.
     fn report_usage(&self, item: &Item, usage: Usage);
 }
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -13,6 +13,7 @@
     state::{RetryBounds, State},
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
+use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_routes::{
     document::{Kind, Route},
     register::Revision,
@@ -64,6 +65,10 @@
 
     fn report_down(&self, _: &id::Target, _: id::Incarnation) {}
 
+    fn report_crash(&self, _: &Evidence) {}
+
+    fn report_progress(&self, _: &Set) {}
+
     fn report_usage(&self, _: &Item, _: Usage) {}
 }
 
@@ -161,6 +166,8 @@
         tried: SmallVec::new(),
         waited: Duration::ZERO,
         last_event_at: None,
+        shared_parts: Set::default(),
+        is_trial: false,
     }
 }
 
--- a/crates/buckthornmast_forward/tests/stop.rs
+++ b/crates/buckthornmast_forward/tests/stop.rs
@@ -17,6 +17,7 @@
     state::{RetryBounds, State},
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
+use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_types::{id, time::System};
 use http::{HeaderMap, request, response};
 use tokio::{net::TcpListener, task::LocalSet, time::sleep};
@@ -53,6 +54,10 @@
         Permit::Unknown
     }
 
+    fn report_crash(&self, _: &Evidence) {}
+
+    fn report_progress(&self, _: &Set) {}
+
     fn report_usage(&self, _: &Item, _: Usage) {}
 }
 
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -18,6 +18,7 @@
     state::{RetryBounds, State},
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
+use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_routes::{
     document::{Document, Kind, Limits, Pool, Route, Service},
     register::Revision,
@@ -130,6 +131,10 @@
         Permit::Unknown
     }
 
+    fn report_crash(&self, _: &Evidence) {}
+
+    fn report_progress(&self, _: &Set) {}
+
     fn report_usage(&self, _: &Item, _: Usage) {}
 }
 
--- a/crates/buckthornmast_gateway/tests/support/fakes.rs
+++ b/crates/buckthornmast_gateway/tests/support/fakes.rs
@@ -254,6 +254,7 @@
         let conditions = Conditions {
             is_repeatable: retry.is_repeatable,
             is_resumable: true,
+            may_end_targets: false,
             has_untried_target: true,
             max_attempts: 3,
             expected_time: Duration::ZERO,
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,6 +1,7 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
 mod dialing;
+mod quarantine;
 mod updates;
 
 use std::{
@@ -16,6 +17,7 @@
 use buckthornmast_discovery::roster::{Member, Roster};
 use buckthornmast_fleet::registry::{Merge, Registry, Update};
 use buckthornmast_link::{Link, Outbox, Timing};
+use buckthornmast_quarantine::ledger::Ledger;
 use buckthornmast_routes::register::{Revision, Text};
 use buckthornmast_types::{
     id,
@@ -105,6 +107,10 @@
     is_roster_published: bool,
     // Updates that are sent to other instances at the next tick.
     unsent: BTreeMap<id::Target, Unsent>,
+    // Crashes of targets with the requests that are suspected, from all entry instances.
+    crashes: Ledger,
+    // Number of trials of quarantined parts that this instance has permitted.
+    trials: usize,
 }
 
 /// Instance of the core.
@@ -209,6 +215,7 @@
         }
         self.tick_leader(now);
         self.publish_routes();
+        self.tick_quarantines(now);
         if tick.is_multiple_of(LIVENESS_INTERVAL_TICKS) {
             self.publish_liveness(tick, now);
             let mut state = self.state.borrow_mut();
@@ -557,6 +564,11 @@
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
         ];
+        let quarantines = state.crashes.notices(now);
+        if is_entry && !quarantines.is_empty() {
+            // Before the routes, without which an entry instance sends no request.
+            messages.push(Downstream::Quarantines(quarantines));
+        }
         drop(state);
         messages.extend(self.confirmed(None).map(Downstream::Routes));
         for message in messages {
@@ -603,6 +615,9 @@
                 target,
                 incarnation,
             } => self.controller.check(target, incarnation),
+            Upstream::Crash(evidence) => self.record_crash(evidence),
+            Upstream::Progress(parts) => self.record_progress(parts),
+            Upstream::Quarantines(notices) => self.merge_quarantines(&notices),
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
                 let now = self.clock.now();
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -82,7 +82,10 @@
             | Downstream::Placements(_)
             | Downstream::Leadership(_)
             | Downstream::CopyGrant { .. }
-            | Downstream::Permit { .. } => {}
+            | Downstream::Permit { .. }
+            | Downstream::Quarantines(_)
+            | Downstream::Progress(_)
+            | Downstream::Trial(_) => {}
         }
     }
 
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -10,6 +10,7 @@
 use buckthornmast_discovery::roster::Roster;
 use buckthornmast_fleet::registry::Merge;
 use buckthornmast_forward::{
+    context::millis,
     forwarder::Forwarder,
     state::{Inventory, RetryBounds, State},
 };
@@ -123,6 +124,9 @@
 
     fn opened(&self, peer: SocketAddr, outbox: Outbox<Upstream>) {
         self.supplier.0.opened(peer, outbox);
+        let now = self.forwarder.clock.now();
+        let notices = self.forwarder.state.borrow().guard.notices(now);
+        self.supplier.0.report_quarantines(peer, notices);
     }
 
     fn receive(&self, peer: SocketAddr, message: Downstream) {
@@ -190,6 +194,22 @@
             }
             Downstream::CopyGrant { number, grant } => self.supplier.0.answer_copy(number, grant),
             Downstream::Permit { number, permit } => self.supplier.0.answer_permit(number, permit),
+            Downstream::Quarantines(notices) => {
+                for notice in &notices {
+                    log::info!(step = "quarantine", parts:% = notice.parts, age_ms = millis(notice.age), remaining_ms = millis(notice.remaining), peer:% = peer; "the core quarantines prompt parts");
+                }
+                let refuted = state.guard.merge(&notices, now);
+                if !refuted.is_empty() {
+                    log::info!(step = "quarantine", parts:% = refuted, peer:% = peer; "targets have answered on quarantined parts; clearing them");
+                    self.supplier.0.report_progress(refuted);
+                }
+            }
+            Downstream::Progress(parts) => {
+                if state.guard.record_progress(&parts, now) {
+                    log::info!(step = "quarantine", parts:% = parts, peer:% = peer; "targets answer on parts elsewhere; clearing them");
+                }
+            }
+            Downstream::Trial(parts) => state.guard.permit_trial(parts, now),
         }
     }
 
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -11,6 +11,10 @@
 use buckthornmast_consensus::message::Message;
 use buckthornmast_discovery::roster::{Member, Sighting};
 use buckthornmast_fleet::{announcement::Resident, registry::Update};
+use buckthornmast_quarantine::{
+    ledger::{Evidence, Notice},
+    part,
+};
 use buckthornmast_routes::register::{Command, Text};
 use buckthornmast_supply::{
     demand::{Item, Row},
@@ -71,6 +75,12 @@
         /// Number of the request.
         number: u64,
     },
+    /// Reports a request that its target was beginning to answer when it ended.
+    Crash(Evidence),
+    /// Reports prompt parts that were blamed for crashes, and on which a target answers.
+    Progress(part::Set),
+    /// Reports the quarantines that an entry instance knows, which an instance of the core may have lost.
+    Quarantines(Vec<Notice>),
 }
 
 /// Models and adapters of a target that requests may use.
@@ -150,4 +160,10 @@
         #[serde(rename = "turn")]
         permit: Permit,
     },
+    /// Quarantines of prompt parts, in addition to those sent before.
+    Quarantines(Vec<Notice>),
+    /// Prompt parts that were blamed for crashes, and on which a target answers.
+    Progress(part::Set),
+    /// Permits one request with quarantined parts as a trial.
+    Trial(part::Set),
 }
--- a/crates/buckthornmast_node/src/subscribers.rs
+++ b/crates/buckthornmast_node/src/subscribers.rs
@@ -81,6 +81,15 @@
         self.send_where(message, |subscriber| subscriber.is_core);
     }
 
+    /// Returns the entry instances.
+    pub fn entries(&self) -> Vec<id::Instance> {
+        let subscribers = self.by_number.borrow();
+        let entries = subscribers
+            .values()
+            .filter(|subscriber| !subscriber.is_core);
+        entries.map(|entry| entry.instance.clone()).collect()
+    }
+
     /// Returns the number of entry instances.
     pub fn entry_count(&self) -> u32 {
         let subscribers = self.by_number.borrow();
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -10,6 +10,10 @@
 
 use buckthornmast_forward::supply::{self, Availability, PermitRequest, Supply, Usage};
 use buckthornmast_link::Outbox;
+use buckthornmast_quarantine::{
+    ledger::{Evidence, Notice},
+    part,
+};
 use buckthornmast_supply::{
     demand::{Item, Row},
     permits::{Permit, Request},
@@ -193,6 +197,31 @@
         });
     }
 
+    /// Sends a message to all instances of the core. Each collects the evidence of crashes by itself, so that it also meets
+    /// without a leader.
+    fn send_cores(&self, message: &Upstream) {
+        for core in self.cores.borrow().values() {
+            // An instance that can't be reached is sent the quarantines when it is connected again.
+            let _ = core.outbox.send(message);
+        }
+    }
+
+    /// Tells an instance of the core the quarantines that this instance knows.
+    pub fn report_quarantines(&self, peer: SocketAddr, notices: Vec<Notice>) {
+        if notices.is_empty() {
+            return;
+        }
+        if let Some(core) = self.cores.borrow().get(&peer) {
+            // If the connection has ended, they are sent on the next one.
+            let _ = core.outbox.send(&Upstream::Quarantines(notices));
+        }
+    }
+
+    /// Tells all instances of the core that targets answer on parts.
+    pub fn report_progress(&self, parts: part::Set) {
+        self.send_cores(&Upstream::Progress(parts));
+    }
+
     /// Passes an answer of the leader to its permit request.
     pub fn answer_permit(&self, number: u64, permit: Permit) {
         if let Some(answers) = self.permit_requests.borrow().get(&number) {
@@ -319,6 +348,14 @@
         self.0.request_permit(permit_request).await
     }
 
+    fn report_crash(&self, evidence: &Evidence) {
+        self.0.send_cores(&Upstream::Crash(evidence.clone()));
+    }
+
+    fn report_progress(&self, parts: &part::Set) {
+        self.0.report_progress(parts.clone());
+    }
+
     fn report_usage(&self, item: &supply::Item, usage: Usage) {
         self.0.change_row(item_of(item), |row| {
             row.ended += 1;
--- /dev/null
+++ b/crates/buckthornmast_quarantine/src/ledger.rs
@@ -0,0 +1,289 @@
+//! Crashes with the requests that are suspected of them, and the quarantines that follow.
+//!
+//! A quarantine names the parts that the suspects of several crashes have in common. If it names more than one, only
+//! requests with all of them are refused: a part that merely comes along with the one that crashes targets is cleared by
+//! the sound requests that have it as well, and a wrong guess costs one more crash instead of these requests.
+
+use std::{collections::VecDeque, time::Duration};
+
+use buckthornmast_types::{id, time::Point};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::part::Set;
+
+/// Crashes after which all parts of one of their suspects are quarantined, if no target has ever answered on them.
+const NEW_THRESHOLD: usize = 2;
+
+/// Crashes after which only a part of the parts of each suspect is quarantined. The others may be to blame as well.
+const AMBIGUOUS_THRESHOLD: usize = 3;
+
+/// Crashes after which parts are quarantined on which targets used to answer.
+const STALE_THRESHOLD: usize = 4;
+
+/// Time for which a crash counts. Much longer than the time between two requests with a part that is in use.
+const EVIDENCE_RETENTION: Duration = Duration::from_secs(300);
+
+/// Number of suspects that are kept. Older ones are dropped.
+const MAX_EVIDENCE: usize = 64;
+
+/// Number of quarantines. Further ones are not imposed, so that memory and messages stay bounded.
+const MAX_QUARANTINES: usize = 64;
+
+/// Time until the first trial.
+const FIRST_QUARANTINE: Duration = Duration::from_secs(10);
+
+/// Factor by which each failed trial lengthens the time until the next one.
+const QUARANTINE_FACTOR: u32 = 4;
+
+/// Longest time until a trial.
+const MAX_QUARANTINE: Duration = Duration::from_secs(3600);
+
+/// Time after which a trial that had no result is repeated at another instance.
+pub const TRIAL_TIME: Duration = Duration::from_secs(10);
+
+/// Time after the last crash or notice after which a quarantine is forgotten, if trials have no result.
+const QUARANTINE_RETENTION: Duration = Duration::from_secs(2 * 3600);
+
+/// End of a target, which happens once in its incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Crash {
+    /// Target.
+    pub target: id::Target,
+    /// Incarnation that ended.
+    pub incarnation: id::Incarnation,
+}
+
+/// Request that a target was beginning to answer when it ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// End of the target.
+    pub crash: Crash,
+    /// Parts of the prompt that are suspected.
+    pub parts: Set,
+    /// Whether targets used to answer on these parts, but haven't for some time.
+    pub is_stale: bool,
+}
+
+/// Quarantine, as one instance tells another of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Parts that a request must have to be refused.
+    pub parts: Set,
+    /// Whether targets used to answer on these parts.
+    pub is_stale: bool,
+    /// Time since the first of its crashes.
+    pub age: Duration,
+    /// Time until the next trial.
+    pub remaining: Duration,
+    /// Time between two trials.
+    pub length: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct Quarantine {
+    parts: Set,
+    is_stale: bool,
+    since: Point,
+    until: Point,
+    length: Duration,
+    touched_at: Point,
+}
+
+impl Quarantine {
+    fn notice(&self, now: Point) -> Notice {
+        Notice {
+            parts: self.parts.clone(),
+            is_stale: self.is_stale,
+            age: now.since(self.since),
+            remaining: self.until.since(now),
+            length: self.length,
+        }
+    }
+
+    fn lengthen(&mut self, now: Point) {
+        self.length = self
+            .length
+            .saturating_mul(QUARANTINE_FACTOR)
+            .min(MAX_QUARANTINE);
+        self.until = now + self.length;
+    }
+}
+
+/// Crashes and quarantines that one instance knows.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    evidence: VecDeque<(Point, Evidence)>,
+    quarantines: Vec<Quarantine>,
+}
+
+impl Ledger {
+    /// Records a suspect. Returns whether the quarantines have changed.
+    pub fn record_crash(&mut self, evidence: Evidence, now: Point) -> bool {
+        if evidence.parts.is_empty() {
+            return false;
+        }
+        let covering = self
+            .quarantines
+            .iter_mut()
+            .find(|quarantine| quarantine.parts.is_subset(&evidence.parts));
+        if let Some(quarantine) = covering {
+            quarantine.touched_at = now;
+            // Before that, the request was sent before the quarantine was in force everywhere.
+            let is_trial = now >= quarantine.until;
+            if is_trial {
+                quarantine.lengthen(now);
+            }
+            return is_trial;
+        }
+        self.evidence
+            .retain(|(at, _)| now.since(*at) < EVIDENCE_RETENTION);
+        if self.evidence.len() >= MAX_EVIDENCE {
+            self.evidence.pop_front();
+        }
+        self.evidence.push_back((now, evidence.clone()));
+        let Some((parts, since)) = self.common_parts(&evidence) else {
+            return false;
+        };
+        if self.quarantines.len() >= MAX_QUARANTINES {
+            return false;
+        }
+        self.quarantines.push(Quarantine {
+            parts,
+            is_stale: evidence.is_stale,
+            since,
+            until: now + FIRST_QUARANTINE,
+            length: FIRST_QUARANTINE,
+            touched_at: now,
+        });
+        true
+    }
+
+    /// Returns the largest set of parts that enough crashes have in common with a suspect, and the time of the first of
+    /// these crashes.
+    fn common_parts(&self, suspect: &Evidence) -> Option<(Set, Point)> {
+        let alike = || {
+            let of_kind = self.evidence.iter();
+            of_kind.filter(|(_, other)| other.is_stale == suspect.is_stale)
+        };
+        let mut best: Option<(Set, Point)> = None;
+        for (_, other) in alike().filter(|(_, other)| other.crash != suspect.crash) {
+            let common = suspect.parts.intersection(&other.parts);
+            let best_len = best.as_ref().map_or(0, |(parts, _)| parts.len());
+            if common.len() <= best_len {
+                continue;
+            }
+            let supporting = alike().filter(|(_, third)| common.is_subset(&third.parts));
+            let mut crashes: SmallVec<[&Crash; 8]> = SmallVec::new();
+            let mut since = None;
+            for (at, third) in supporting {
+                since.get_or_insert(*at);
+                if !crashes.contains(&&third.crash) {
+                    crashes.push(&third.crash);
+                }
+            }
+            let threshold = if suspect.is_stale {
+                STALE_THRESHOLD
+            } else if common == suspect.parts || common == other.parts {
+                NEW_THRESHOLD
+            } else {
+                AMBIGUOUS_THRESHOLD
+            };
+            if crashes.len() >= threshold {
+                best = since.map(|since| (common, since));
+            }
+        }
+        best
+    }
+
+    /// Records that a target has answered on parts. Returns whether the quarantines have changed.
+    pub fn record_progress(&mut self, parts: &Set) -> bool {
+        for (_, evidence) in &mut self.evidence {
+            evidence.parts.remove_all(parts);
+        }
+        self.evidence
+            .retain(|(_, evidence)| !evidence.parts.is_empty());
+        let mut is_changed = false;
+        for quarantine in &mut self.quarantines {
+            is_changed |= quarantine.parts.remove_all(parts);
+        }
+        self.quarantines
+            .retain(|quarantine| !quarantine.parts.is_empty());
+        is_changed
+    }
+
+    /// Adds quarantines that another instance knows. Returns whether the quarantines have changed.
+    pub fn merge(&mut self, notices: &[Notice], now: Point) -> bool {
+        let mut is_changed = false;
+        for notice in notices {
+            let known = self
+                .quarantines
+                .iter_mut()
+                .find(|quarantine| quarantine.parts == notice.parts);
+            let until = now + notice.remaining;
+            if let Some(known) = known {
+                known.touched_at = now;
+                known.length = known.length.max(notice.length);
+                known.until = known.until.max(until);
+            } else if !notice.parts.is_empty() && self.quarantines.len() < MAX_QUARANTINES {
+                is_changed = true;
+                self.quarantines.push(Quarantine {
+                    parts: notice.parts.clone(),
+                    is_stale: notice.is_stale,
+                    since: now - notice.age,
+                    until,
+                    length: notice.length,
+                    touched_at: now,
+                });
+            }
+        }
+        is_changed
+    }
+
+    /// Returns the parts that are quarantined, if a request has all parts of a quarantine, and the time until the next trial.
+    pub fn find(&self, parts: &Set, now: Point) -> Option<(&Set, Duration)> {
+        let mut matching = self.quarantines.iter();
+        let quarantine = matching.find(|quarantine| quarantine.parts.is_subset(parts))?;
+        Some((&quarantine.parts, quarantine.until.since(now)))
+    }
+
+    /// Returns whether parts are suspected or quarantined.
+    pub fn blames(&self, parts: &Set) -> bool {
+        let has_common = |other: &Set| !other.intersection(parts).is_empty();
+        let mut suspected = self.evidence.iter().map(|(_, evidence)| &evidence.parts);
+        let mut quarantined = self.quarantines.iter().map(|quarantine| &quarantine.parts);
+        suspected.any(has_common) || quarantined.any(has_common)
+    }
+
+    /// Returns the parts of a quarantine whose trial is due, and postpones the next trial.
+    pub fn begin_trial(&mut self, now: Point) -> Option<Set> {
+        let mut quarantines = self.quarantines.iter_mut();
+        let quarantine = quarantines.find(|quarantine| {
+            now >= quarantine.until && now >= quarantine.touched_at + TRIAL_TIME
+        })?;
+        // The end of the quarantine stays in the past, by which a failure of the trial is recognized.
+        quarantine.touched_at = now;
+        Some(quarantine.parts.clone())
+    }
+
+    /// Returns whether nothing is quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.quarantines.is_empty()
+    }
+
+    /// Returns the quarantines for another instance.
+    pub fn notices(&self, now: Point) -> Vec<Notice> {
+        let quarantines = self.quarantines.iter();
+        quarantines
+            .map(|quarantine| quarantine.notice(now))
+            .collect()
+    }
+
+    /// Forgets old crashes and quarantines.
+    pub fn prune(&mut self, now: Point) {
+        self.evidence
+            .retain(|(at, _)| now.since(*at) < EVIDENCE_RETENTION);
+        self.quarantines
+            .retain(|quarantine| now.since(quarantine.touched_at) < QUARANTINE_RETENTION);
+    }
+}
--- /dev/null
+++ b/crates/buckthornmast_quarantine/src/lib.rs
@@ -0,0 +1,23 @@
+//! Quarantine of prompt parts on which targets crash.
+//!
+//! A request can be the cause of the failure of its target: one part of its prompt ends each target that begins to answer
+//! it. If only targets are blamed for failures, such requests end one target after the other, and sound targets are ejected.
+//!
+//! When a target ends, each request that it was beginning to answer is a suspect with those parts of its prompt that no
+//! target has answered yet. Parts that the suspects of several crashes have in common are quarantined: a request that has
+//! all of them is refused. A target that goes on answering a request clears its parts. After some time, the leader lets one
+//! instance send one such request as a trial.
+
+pub mod guard;
+pub mod ledger;
+pub mod memory;
+pub mod part;
+
+/// Names that most users of this crate import together.
+pub mod prelude {
+    pub use crate::{
+        guard::{Guard, Verdict},
+        ledger::{Crash, Evidence, Ledger, Notice},
+        part::{Part, Set},
+    };
+}
--- a/crates/buckthornmast_routing/src/attempt.rs
+++ b/crates/buckthornmast_routing/src/attempt.rs
@@ -71,6 +71,8 @@
     pub is_repeatable: bool,
     /// Whether its stream can be resumed at a token.
     pub is_resumable: bool,
+    /// Whether the request may be the cause of the end of its target.
+    pub may_end_targets: bool,
     /// Whether an untried target is left.
     pub has_untried_target: bool,
     /// Maximum number of attempts.
@@ -88,6 +90,8 @@
     NotRepeatable,
     /// Its stream has begun and can't be resumed.
     NotResumable,
+    /// It may end the next target as well.
+    Suspect,
     /// A further attempt would end after the deadline.
     Deadline,
     /// The maximum number of attempts has been made.
@@ -129,6 +133,8 @@
         Some(Reason::NotRepeatable)
     } else if history.has_started && !conditions.is_resumable {
         Some(Reason::NotResumable)
+    } else if conditions.may_end_targets {
+        Some(Reason::Suspect)
     } else if now + conditions.expected_time > conditions.deadline {
         Some(Reason::Deadline)
     } else if history.attempts >= conditions.max_attempts {
--- a/crates/buckthornmast_routing/src/dispatcher.rs
+++ b/crates/buckthornmast_routing/src/dispatcher.rs
@@ -360,6 +360,8 @@
         let conditions = Conditions {
             is_repeatable,
             is_resumable: true,
+            // The dispatcher is not told whether a target ended under a request.
+            may_end_targets: false,
             // The next pick shows whether an untried target is left.
             has_untried_target: true,
             max_attempts: self.config.max_attempts,
