Leave a silent target only if select_target would choose another one

What callers saw: a stream that had moved once was broken off with a third target free, when the second one was silent as well. A request at a slow target got 502 during a stop, or once its caller was expected to leave, although that target was about to answer.

Cause: can_move and select_target judged by different inputs. can_move asked only whether another target has room; select_target then refused because the time to wait for a target was over.

Change: the time to wait for a target limits only waiting, so a stream that has begun goes on at a target that is free. Its caller's connection shows whether the caller still waits. A request that has not begun stays at its target once that time is over.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -58,6 +58,11 @@
         })
     }
 
+    /// Returns whether the caller was sent the start of a stream, so that the request can't be refused any more.
+    pub fn has_begun(&self) -> bool {
+        self.last_event_at.is_some()
+    }
+
     /// Returns the time left until the final answer is due.
     pub fn time_left(&self, now: Point) -> Duration {
         self.deadline.since(now)
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -107,7 +107,9 @@
             let now = self.clock.now();
             context.waited = now.since(started);
             let deadline = self.wait_deadline(context);
-            if now >= deadline {
+            // A stream that has begun may go on for as long as its caller stays connected, if it needn't wait.
+            let may_wait = now < deadline;
+            if !may_wait && (!context.has_begun() || now >= context.deadline) {
                 return Err(Refusal::Deadline);
             }
             let members = self.state.borrow().members(&context.service);
@@ -134,6 +136,9 @@
                 }
                 return self.select_locally(context, &serving, now);
             }
+            if !may_wait {
+                return Err(Refusal::Deadline);
+            }
             if let Some(remaining) = self.shortest_pause(context, &context.tried) {
                 // A wait for the end of the pause is only useful if the answer can still be on time.
                 if !context.is_on_time(now + remaining) || now + remaining >= deadline {
@@ -212,7 +217,7 @@
     /// that has begun can't be refused any more, so it is not given up before this instance ends.
     fn wait_deadline(&self, context: &Context) -> Point {
         let deadline = context.next_event_deadline();
-        if context.last_event_at.is_some() {
+        if context.has_begun() {
             return deadline;
         }
         let stop_deadline = self.state.borrow().stop_deadline;
@@ -350,7 +355,9 @@
         let members = self.state.borrow().members(&context.service);
         let mut serving = self.serving(&members, context, now);
         serving.retain(|member| member.target != *target);
-        has_budget && self.select_locally(context, &serving, now).is_ok()
+        // A request that may not wait any more is not given to another target either.
+        let may_select = context.has_begun() || now < self.wait_deadline(context);
+        has_budget && may_select && self.select_locally(context, &serving, now).is_ok()
     }
 
     /// Chooses among the targets that serve the request, or refuses the request if they are full.
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -35,6 +35,15 @@
     steps
 }
 
+/// Ends the time for which requests may wait for a target, once a request has arrived at one.
+async fn stop(fleet: &Fleet) {
+    while fleet.arrived() == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let now = fleet.forwarder.clock.now();
+    fleet.forwarder.state.borrow_mut().stop_deadline = Some(now);
+}
+
 /// Guards against a stream that is broken off, with other targets free, because it is older than callers wait for a first
 /// event.
 #[test]
@@ -57,14 +66,33 @@
         let fleet = Fleet::start(route(), 2).await;
         fleet.script([stream_head(), event(1), PAUSE, Step::Crash]);
         fleet.script([stream_head(), event(2)]);
-        let stop = async {
-            while fleet.arrived() == 0 {
-                sleep(Duration::from_millis(1)).await;
-            }
-            let now = fleet.forwarder.clock.now();
-            fleet.forwarder.state.borrow_mut().stop_deadline = Some(now);
-        };
-        let (answer, ()) = tokio::join!(fleet.call("1,2"), stop);
+        let (answer, ()) = tokio::join!(fleet.call("1,2"), stop(&fleet));
+        assert_complete(&answer, 2);
+    });
+}
+
+/// Guards against a stream that is broken off, with a third target free, because the second one is silent for longer than
+/// callers are expected to wait.
+#[test]
+fn resume_after_silent_attempt() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 3).await;
+        fleet.script([stream_head(), event(1), Step::Hang]);
+        fleet.script([Step::Hang]);
+        fleet.script([stream_head(), event(2), event(3)]);
+        assert_complete(&fleet.call("1,2").await, 3);
+    });
+}
+
+/// Guards against a slow target that is left for another one while this instance stops, and only then found to be the
+/// last one that the request may be sent to.
+#[test]
+fn keep_slow_target_while_stopping() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        fleet.script([PAUSE, stream_head(), event(1), event(2)]);
+        let (answer, ()) = tokio::join!(fleet.call("1,2"), stop(&fleet));
         assert_complete(&answer, 2);
+        assert_eq!(fleet.arrived(), 1);
     });
 }
