Keep a silent target when a request has used all of its attempts

What callers saw: a stream whose target fell silent for a while was broken off, if four other targets could not be reached or had refused the request before.

Cause: whether a silent target is left depended on the attempts that the route allows, without those that didn't run the request. decide also ends a request after MAX_ATTEMPTS in all. So the target was left, and the next attempt was then refused.

Evidence: keep_silent_target_at_last_attempt ended after event 1 of 2 before this change.

Change: one bound, Context::max_attempts, serves both.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -16,6 +16,9 @@
     wait_limit,
 };
 
+/// Maximum number of attempts of one request, including those that reached no target.
+const MAX_ATTEMPTS: u32 = 5;
+
 /// Request in progress with all decisions about it.
 #[derive(Debug)]
 pub struct Context {
@@ -58,6 +61,16 @@
         })
     }
 
+    /// Returns the maximum number of attempts, including those that certainly didn't run the request.
+    pub fn max_attempts(&self) -> u32 {
+        (self.route.attempts + self.not_run).min(MAX_ATTEMPTS)
+    }
+
+    /// Returns whether another attempt may follow the one in progress, whose outcome would be unknown.
+    pub fn may_try_again(&self) -> bool {
+        self.route.kind.is_repeatable() && self.history.attempts() + 1 < self.max_attempts()
+    }
+
     /// Returns whether the caller was sent the start of a stream, so that the request can't be refused any more.
     pub fn has_begun(&self) -> bool {
         self.last_event_at.is_some()
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -27,9 +27,6 @@
     supply::Supply,
 };
 
-/// Maximum number of attempts of one request, including those that reached no target.
-const MAX_ATTEMPTS: u32 = 5;
-
 /// Maximum wait for routes after a start. An election and the answers of targets take about a second.
 const MAX_ROUTES_WAIT: Duration = Duration::from_millis(1500);
 
@@ -283,7 +280,7 @@
                 }
             ),
             has_untried_target,
-            max_attempts: (context.route.attempts + context.not_run).min(MAX_ATTEMPTS),
+            max_attempts: context.max_attempts(),
             expected_time: Duration::ZERO,
             deadline: context.deadline,
         };
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -85,13 +85,10 @@
     /// Returns the time within which a target must begin its answer before another one is tried, if another one may be
     /// tried.
     pub(crate) fn first_event_limit(&self, context: &Context) -> Option<Duration> {
-        let attempts =
-            context.history.attempts() + 1 - context.not_run.min(context.history.attempts());
-        let may_repeat = context.route.kind.is_repeatable() && attempts < context.route.attempts;
         let members = self.state.borrow().members(&context.service);
         let serving = self.serving(&members, context, self.clock.now());
         let has_other = serving.len() > context.tried.len() + 1;
-        (may_repeat && has_other).then(|| wait_limit::for_first_event(&context.route))
+        (context.may_try_again() && has_other).then(|| wait_limit::for_first_event(&context.route))
     }
 
     /// Selects a target, and waits for one if an answer is still possible in time.
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -223,12 +223,8 @@
 
     /// Returns the pause between events after which the stream is resumed at another target, if it may be resumed.
     fn max_gap(&self) -> Option<Duration> {
-        let attempts = self.context.history.attempts() + 1
-            - self.context.not_run.min(self.context.history.attempts());
-        let may_resume =
-            self.context.route.kind.is_repeatable() && attempts < self.context.route.attempts;
         let gap = wait_limit::for_next_event(&self.context.route);
-        gap.filter(|_| may_resume)
+        gap.filter(|_| self.context.may_try_again())
     }
 
     /// Resumes the stream at another target.
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -10,7 +10,8 @@
 
 use std::time::Duration;
 
-use buckthornmast_types::time::Clock;
+use buckthornmast_forward::mapping::Load;
+use buckthornmast_types::{id, time::Clock};
 use fleet::{Fleet, Step, block_on, event, route, stream_head};
 use tokio::time::sleep;
 
@@ -96,3 +97,35 @@
         assert_eq!(fleet.arrived(), 1);
     });
 }
+
+/// Guards against a silent target that is left although the request has used all of its attempts.
+#[test]
+fn keep_silent_target_at_last_attempt() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 6).await;
+        fleet.script([
+            stream_head(),
+            event(1),
+            Step::Pause(Duration::from_millis(1700)),
+            event(2),
+        ]);
+        let now = fleet.forwarder.clock.now();
+        let load = Load {
+            running: 5,
+            waiting: 0,
+        };
+        // The targets with the least load are tried first.
+        for number in 0..2 {
+            let target = format!("t{number}").parse().unwrap();
+            let mut state = fleet.forwarder.state.borrow_mut();
+            state
+                .stats
+                .record_load(&target, id::Incarnation(1), load, now);
+        }
+        for number in 2..6 {
+            fleet.stop_target(number).await;
+        }
+        assert_complete(&fleet.call("1,2").await, 2);
+        assert_eq!(fleet.arrived(), 1);
+    });
+}
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -28,7 +28,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    task::LocalSet,
+    task::{AbortHandle, LocalSet},
     time::sleep,
 };
 
@@ -181,6 +181,7 @@
     pub(crate) play: Rc<Play>,
     /// Address for callers.
     pub(crate) address: SocketAddr,
+    targets: Vec<AbortHandle>,
     _server: Server,
 }
 
@@ -194,10 +195,12 @@
             burst: 50.0,
         });
         assert!(state.set_routes(document(route)));
+        let mut tasks = Vec::new();
         for number in 0..targets {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
-            tokio::task::spawn_local(serve_target(listener, Rc::clone(&play)));
+            let task = tokio::task::spawn_local(serve_target(listener, Rc::clone(&play)));
+            tasks.push(task.abort_handle());
             let update = Update {
                 announcement: announcement(number, address),
                 withdrawn: false,
@@ -225,10 +228,18 @@
             forwarder,
             play,
             address,
+            targets: tasks,
             _server: server,
         }
     }
 
+    /// Ends a target, which then refuses connections.
+    pub(crate) async fn stop_target(&self, number: usize) {
+        self.targets[number].abort();
+        // The task drops its listener when it runs next.
+        tokio::task::yield_now().await;
+    }
+
     /// Adds the steps for the next request that arrives at a target.
     pub(crate) fn script(&self, steps: impl IntoIterator<Item = Step>) {
         let steps = steps.into_iter().collect();
