Resume streams after the pause of a target

What callers saw: a stream whose target failed was broken off, although another target wanted no request only for a moment.

Cause: decide counted paused targets as if they did not exist. That is right for a request that can be refused with the time after which to come back, but a stream that has begun can't. select_target would have waited for the end of the pause.

Evidence: resume_after_pause ended after event 1 of 3 before this change.

Change: for a stream that has begun, a target counts whose pause ends while its caller waits for the next event.

--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -267,9 +267,13 @@
         }
         let members = self.state.borrow().members(&context.service);
         let serving = self.serving(&members, context, now);
-        let has_untried_target = serving
-            .iter()
-            .any(|member| !context.tried.contains(&member.target));
+        let is_untried = |member: &&Member| !context.tried.contains(&member.target);
+        // A stream that has begun waits for the end of a pause, because its caller can't be told to come back.
+        let pause = self
+            .shortest_pause(context, &context.tried)
+            .filter(|_| context.has_begun());
+        let has_untried_target = serving.iter().any(is_untried)
+            || pause.is_some_and(|pause| now + pause < context.next_event_deadline());
         let conditions = Conditions {
             is_repeatable: context.route.kind.is_repeatable(),
             is_resumable: matches!(
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -45,6 +45,20 @@
     fleet.forwarder.state.borrow_mut().stop_deadline = Some(now);
 }
 
+/// Waits until a request has arrived at one of two targets, and returns the other one.
+async fn other_target(fleet: &Fleet) -> id::Target {
+    while fleet.arrived() == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let state = fleet.forwarder.state.borrow();
+    let targets = ["t0", "t1"].map(|name| name.parse::<id::Target>().unwrap());
+    let is_idle = |target: &id::Target| {
+        let stats = state.stats.get(target, id::Incarnation(1));
+        stats.is_none_or(|stats| stats.own_requests() == 0)
+    };
+    targets.into_iter().find(is_idle).unwrap()
+}
+
 /// Guards against a stream that is broken off, with other targets free, because it is older than callers wait for a first
 /// event.
 #[test]
@@ -98,6 +112,26 @@
     });
 }
 
+/// Guards against a stream that is broken off because the only other target wants no request for a moment.
+#[test]
+fn resume_after_pause() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        fleet.script([stream_head(), event(1), PAUSE, Step::Crash]);
+        fleet.script([stream_head(), event(2), event(3)]);
+        let (answer, ()) = tokio::join!(fleet.call("1,2"), async {
+            let other = other_target(&fleet).await;
+            let now = fleet.forwarder.clock.now();
+            let mut state = fleet.forwarder.state.borrow_mut();
+            let pause = Duration::from_millis(1300);
+            state
+                .advisories
+                .record_pause(&other, id::Incarnation(1), pause, now);
+        });
+        assert_complete(&answer, 3);
+    });
+}
+
 /// Guards against a silent target that is left although the request has used all of its attempts.
 #[test]
 fn keep_silent_target_at_last_attempt() {
