Let a stream that has begun wait for a place at full targets

What callers saw: a stream whose target failed was broken off at once, if the queues of all other targets were too long at that moment.

Cause: the bounds on queues are for requests that can be refused with the time after which to come back. A stream that has begun can't be, and its caller waits for seconds.

Evidence: resume_after_full ended after event 1 of 3 before this change.

Change: select_target looks for a place until the caller is expected to leave, and the queue limit and the rank of late requests do not apply to streams that have begun. A silent target is left only for one whose queue does not outlast the caller's wait.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -91,7 +91,7 @@
     }
 
     /// Returns whether an answer that begins at this time meets the objective. A stream that has begun is on time as
-    /// long as its caller waits, since nothing but its continuation is of use any more.
+    /// long as its caller waits for the next event.
     pub fn is_on_time(&self, at: Point) -> bool {
         match self.last_event_at {
             None => at <= self.received + self.route.objective,
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -13,7 +13,7 @@
     time::{Clock, Point},
 };
 use smallvec::SmallVec;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
@@ -32,6 +32,9 @@
 /// expected to be ready.
 const MAX_TARGET_WAIT: Duration = Duration::from_millis(1000);
 
+/// Interval at which a stream that has begun looks for a place, while its targets are full.
+const FULL_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Target that was selected for a request.
 #[derive(Debug)]
 pub struct Chosen {
@@ -115,7 +118,7 @@
                 .iter()
                 .any(|member| !context.tried.contains(&member.target))
             {
-                match permit {
+                match &permit {
                     // The members may have changed while the request waited for the permit.
                     None => {
                         permit = Some(
@@ -125,13 +128,20 @@
                         continue;
                     }
                     Some(PermitResult::Granted(target)) => {
-                        if let Some(chosen) = self.granted_target(context, &serving, &target) {
+                        if let Some(chosen) = self.granted_target(context, &serving, target) {
                             return Ok(chosen);
                         }
                     }
                     Some(PermitResult::Unavailable) => {}
                 }
-                return self.select_locally(context, &serving, now);
+                match self.select_locally(context, &serving, now) {
+                    // The caller of a stream that has begun can't be told to come back.
+                    Err(Refusal::TargetsFull { .. }) if context.has_begun() && may_wait => {
+                        sleep(FULL_POLL_INTERVAL.min(deadline.since(now))).await;
+                        continue;
+                    }
+                    result => return result,
+                }
             }
             if !may_wait {
                 return Err(Refusal::Deadline);
@@ -354,7 +364,15 @@
         serving.retain(|member| member.target != *target);
         // A request that may not wait any more is not given to another target either.
         let may_select = context.has_begun() || now < self.wait_deadline(context);
-        has_budget && may_select && self.select_locally(context, &serving, now).is_ok()
+        if !has_budget || !may_select {
+            return false;
+        }
+        let chosen = self.select_locally(context, &serving, now);
+        chosen.is_ok_and(|Chosen { basis, .. }| {
+            // A silent target is better than a queue that outlasts the caller's wait.
+            let is_in_time = basis.wait.is_zero() || context.is_on_time(now + basis.wait);
+            !context.has_begun() || is_in_time
+        })
     }
 
     /// Chooses among the targets that serve the request, or refuses the request if they are full.
@@ -387,7 +405,8 @@
         let verdict = admission::decide(&admission::Query {
             load,
             slots: candidate.slots,
-            is_late: !context.is_on_time(now + pick.wait),
+            // Nothing but its continuation is of use to the caller of a stream that has begun.
+            is_late: !context.has_begun() && !context.is_on_time(now + pick.wait),
             is_plain: generation.is_none(),
         });
         let rank = match verdict {
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -132,6 +132,34 @@
     });
 }
 
+/// Guards against a stream that is broken off because all other targets are full for a moment.
+#[test]
+fn resume_after_full() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        fleet.script([
+            stream_head(),
+            event(1),
+            Step::Pause(Duration::from_millis(50)),
+            Step::Crash,
+        ]);
+        fleet.script([stream_head(), event(2), event(3)]);
+        let (answer, ()) = tokio::join!(fleet.call("1,2"), async {
+            let other = other_target(&fleet).await;
+            let now = fleet.forwarder.clock.now();
+            let load = Load {
+                running: 8,
+                waiting: 12,
+            };
+            let mut state = fleet.forwarder.state.borrow_mut();
+            state
+                .stats
+                .record_load(&other, id::Incarnation(1), load, now);
+        });
+        assert_complete(&answer, 3);
+    });
+}
+
 /// Guards against a silent target that is left although the request has used all of its attempts.
 #[test]
 fn keep_silent_target_at_last_attempt() {
