Close the caller's connection if a stream ends without its end

What callers would see: a stream that ends early, and looks complete, if the task that forwards it ends without an error, for example by a panic.

Cause: the body took the end of the channel for the end of the stream, so each early return had to send an error first.

Evidence: end_without_sender failed before this change (the body of a dropped sender was collected without an error).

Change: a stream is complete only after Part::End.

--- a/crates/buckthornmast_forward/src/body.rs
+++ b/crates/buckthornmast_forward/src/body.rs
@@ -21,8 +21,17 @@
 pub enum Body {
     /// Body that is sent at once, or none.
     Full(Option<Bytes>),
-    /// Events of a stream as they arrive.
-    Events(mpsc::Receiver<Result<Bytes, Error>>),
+    /// Stream as it arrives. It fails if its sender is dropped before [`Part::End`].
+    Events(mpsc::Receiver<Part>),
+}
+
+/// Part of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Part {
+    /// Whole events.
+    Events(Bytes),
+    /// The stream is complete.
+    End,
 }
 
 impl Body {
@@ -48,9 +57,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Events(events) => events
-                .poll_recv(context)
-                .map(|event| event.map(|event| event.map(Frame::data))),
+            Self::Events(parts) => parts.poll_recv(context).map(|part| match part {
+                Some(Part::Events(events)) => Some(Ok(Frame::data(events))),
+                Some(Part::End) => None,
+                None => Some(Err(Error)),
+            }),
         }
     }
 
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -10,7 +10,7 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
-    body::{self, Body},
+    body::{Body, Part},
     context::{Context, End, Reporter, millis},
     events::Splitter,
     exchange::{EventStream, Exchange, Failure, Reply},
@@ -28,8 +28,6 @@
 /// Minimum number of events after the first one for an answer to count as a sample of the model's speed.
 const MIN_SAMPLE_EVENTS: u32 = 8;
 
-type Sender = mpsc::Sender<Result<Bytes, body::Error>>;
-
 /// How the stream of one target ended.
 enum StreamEnd {
     /// The stream is complete.
@@ -71,7 +69,7 @@
     forwarder: Rc<Forwarder<M, S>>,
     context: Context,
     reporter: Reporter,
-    sender: Sender,
+    sender: mpsc::Sender<Part>,
     status: u16,
 }
 
@@ -84,17 +82,17 @@
     ) {
         loop {
             if let Some(events) = first_events.take()
-                && self.sender.send(Ok(events)).await.is_err()
+                && self.sender.send(Part::Events(events)).await.is_err()
             {
                 return;
             }
             self.context.last_event_at = Some(self.forwarder.clock.now());
             let Some(exchange) = rest else {
-                return self.reporter.end(End::Answered, self.status, "");
+                return self.complete().await;
             };
             let target = exchange.in_flight.target.clone();
             let (cause, last) = match self.forward_events(exchange, &mut splitter).await {
-                StreamEnd::Complete => return self.reporter.end(End::Answered, self.status, ""),
+                StreamEnd::Complete => return self.complete().await,
                 StreamEnd::Disconnected => return,
                 StreamEnd::Broken { cause, last } => (cause, last),
             };
@@ -112,16 +110,19 @@
                     splitter = stream.splitter;
                     rest = stream.rest;
                 }
-                None => {
-                    self.reporter.end(End::Failed, self.status, cause);
-                    // The caller may have disconnected as well.
-                    let _ = self.sender.send(Err(body::Error)).await;
-                    return;
-                }
+                // Without its end, the stream closes the caller's connection.
+                None => return self.reporter.end(End::Failed, self.status, cause),
             }
         }
     }
 
+    /// Ends a stream that is complete.
+    async fn complete(mut self) {
+        if self.sender.send(Part::End).await.is_ok() {
+            self.reporter.end(End::Answered, self.status, "");
+        }
+    }
+
     /// Forwards the events of one target.
     async fn forward_events(
         &mut self,
@@ -195,7 +196,7 @@
             let before = splitter.last();
             if let Some(events) = splitter.push(bytes) {
                 self.reporter.record_event();
-                if self.sender.send(Ok(events)).await.is_err() {
+                if self.sender.send(Part::Events(events)).await.is_err() {
                     return StreamEnd::Disconnected;
                 }
                 self.context.last_event_at = Some(self.forwarder.clock.now());
