--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -27,9 +27,6 @@
     supply::Supply,
 };
 
-/// Maximum number of attempts of one request, including those that reached no target.
-const MAX_ATTEMPTS: u32 = 5;
-
 /// Maximum wait for routes after a start. An election and the answers of targets take about a second.
 const MAX_ROUTES_WAIT: Duration = Duration::from_millis(1500);
 
@@ -284,9 +281,13 @@
         }
         let members = self.state.borrow().members(&context.service);
         let serving = self.serving(&members, context, now);
-        let has_untried_target = serving
-            .iter()
-            .any(|member| !context.tried.contains(&member.target));
+        let is_untried = |member: &&Member| !context.tried.contains(&member.target);
+        // A stream that has begun waits for the end of a pause, because its caller can't be told to come back.
+        let pause = self
+            .shortest_pause(context, &context.tried)
+            .filter(|_| context.has_begun());
+        let has_untried_target = serving.iter().any(is_untried)
+            || pause.is_some_and(|pause| now + pause < context.next_event_deadline());
         let conditions = Conditions {
             is_repeatable: context.route.kind.is_repeatable(),
             is_resumable: matches!(
@@ -298,7 +299,7 @@
             ),
             may_end_targets,
             has_untried_target,
-            max_attempts: (context.route.attempts + context.not_run).min(MAX_ATTEMPTS),
+            max_attempts: context.max_attempts(),
             expected_time: Duration::ZERO,
             deadline: context.deadline,
         };
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -13,7 +13,7 @@
     time::{Clock, Point},
 };
 use smallvec::SmallVec;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
@@ -32,6 +32,9 @@
 /// expected to be ready.
 const MAX_TARGET_WAIT: Duration = Duration::from_millis(1000);
 
+/// Interval at which a stream that has begun looks for a place, while its targets are full.
+const FULL_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Target that was selected for a request.
 #[derive(Debug)]
 pub struct Chosen {
@@ -84,13 +87,10 @@
     /// Returns the time within which a target must begin its answer before another one is tried, if another one may be
     /// tried.
     pub(crate) fn first_event_limit(&self, context: &Context) -> Option<Duration> {
-        let attempts =
-            context.history.attempts() + 1 - context.not_run.min(context.history.attempts());
-        let may_repeat = context.route.kind.is_repeatable() && attempts < context.route.attempts;
         let members = self.state.borrow().members(&context.service);
         let serving = self.serving(&members, context, self.clock.now());
         let has_other = serving.len() > context.tried.len() + 1;
-        (may_repeat && has_other).then(|| wait_limit::for_first_event(&context.route))
+        (context.may_try_again() && has_other).then(|| wait_limit::for_first_event(&context.route))
     }
 
     /// Selects a target, and waits for one if an answer is still possible in time.
@@ -109,7 +109,9 @@
             let now = self.clock.now();
             context.waited = now.since(started);
             let deadline = self.wait_deadline(context);
-            if now >= deadline {
+            // A stream that has begun may go on for as long as its caller stays connected, if it needn't wait.
+            let may_wait = now < deadline;
+            if !may_wait && (!context.has_begun() || now >= context.deadline) {
                 return Err(Refusal::Deadline);
             }
             let members = self.state.borrow().members(&context.service);
@@ -118,7 +120,7 @@
                 .iter()
                 .any(|member| !context.tried.contains(&member.target))
             {
-                match permit {
+                match &permit {
                     // The members may have changed while the request waited for the permit.
                     None => {
                         permit = Some(
@@ -128,13 +130,23 @@
                         continue;
                     }
                     Some(PermitResult::Granted(target)) => {
-                        if let Some(chosen) = self.granted_target(context, &serving, &target) {
+                        if let Some(chosen) = self.granted_target(context, &serving, target) {
                             return Ok(chosen);
                         }
                     }
                     Some(PermitResult::Unavailable) => {}
                 }
-                return self.select_locally(context, &serving, now);
+                match self.select_locally(context, &serving, now) {
+                    // The caller of a stream that has begun can't be told to come back.
+                    Err(Refusal::TargetsFull { .. }) if context.has_begun() && may_wait => {
+                        sleep(FULL_POLL_INTERVAL.min(deadline.since(now))).await;
+                        continue;
+                    }
+                    result => return result,
+                }
+            }
+            if !may_wait {
+                return Err(Refusal::Deadline);
             }
             if let Some(remaining) = self.shortest_pause(context, &context.tried) {
                 // A wait for the end of the pause is only useful if the answer can still be on time.
@@ -214,7 +226,7 @@
     /// that has begun can't be refused any more, so it is not given up before this instance ends.
     fn wait_deadline(&self, context: &Context) -> Point {
         let deadline = context.next_event_deadline();
-        if context.last_event_at.is_some() {
+        if context.has_begun() {
             return deadline;
         }
         let stop_deadline = self.state.borrow().stop_deadline;
@@ -352,7 +364,17 @@
         let members = self.state.borrow().members(&context.service);
         let mut serving = self.serving(&members, context, now);
         serving.retain(|member| member.target != *target);
-        has_budget && self.select_locally(context, &serving, now).is_ok()
+        // A request that may not wait any more is not given to another target either.
+        let may_select = context.has_begun() || now < self.wait_deadline(context);
+        if !has_budget || !may_select {
+            return false;
+        }
+        let chosen = self.select_locally(context, &serving, now);
+        chosen.is_ok_and(|Chosen { basis, .. }| {
+            // A silent target is better than a queue that outlasts the caller's wait.
+            let is_in_time = basis.wait.is_zero() || context.is_on_time(now + basis.wait);
+            !context.has_begun() || is_in_time
+        })
     }
 
     /// Chooses among the targets that serve the request, or refuses the request if they are full.
@@ -385,7 +407,8 @@
         let verdict = admission::decide(&admission::Query {
             load,
             slots: candidate.slots,
-            is_late: !context.is_on_time(now + pick.wait),
+            // Nothing but its continuation is of use to the caller of a stream that has begun.
+            is_late: !context.has_begun() && !context.is_on_time(now + pick.wait),
             is_plain: generation.is_none(),
         });
         let rank = match verdict {
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -10,7 +10,7 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
-    body::{self, Body},
+    body::{Body, Part},
     context::{Context, End, Reporter, millis},
     events::Splitter,
     exchange::{EventStream, Exchange, Failure, Reply},
@@ -29,8 +29,6 @@
 /// Minimum number of events after the first one for an answer to count as a sample of the model's speed.
 const MIN_SAMPLE_EVENTS: u32 = 8;
 
-type Sender = mpsc::Sender<Result<Bytes, body::Error>>;
-
 /// How the stream of one target ended.
 enum StreamEnd {
     /// The stream is complete.
@@ -74,7 +72,7 @@
     forwarder: Rc<Forwarder<M, S>>,
     context: Context,
     reporter: Reporter,
-    sender: Sender,
+    sender: mpsc::Sender<Part>,
     status: u16,
 }
 
@@ -87,28 +85,26 @@
     ) {
         loop {
             if let Some(events) = first_events.take()
-                && self.sender.send(Ok(events)).await.is_err()
+                && self.sender.send(Part::Events(events)).await.is_err()
             {
                 return;
             }
             self.context.last_event_at = Some(self.forwarder.clock.now());
             let Some(exchange) = rest else {
-                return self.reporter.end(End::Answered, self.status, "");
+                return self.complete().await;
             };
             let target = exchange.in_flight.target.clone();
             let incarnation = exchange.in_flight.incarnation;
-            let (cause, last, is_connection_lost) = match self
-                .forward_events(exchange, &mut splitter)
-                .await
-            {
-                StreamEnd::Complete => return self.reporter.end(End::Answered, self.status, ""),
-                StreamEnd::Disconnected => return,
-                StreamEnd::Broken {
-                    cause,
-                    last,
-                    is_connection_lost,
-                } => (cause, last, is_connection_lost),
-            };
+            let (cause, last, is_connection_lost) =
+                match self.forward_events(exchange, &mut splitter).await {
+                    StreamEnd::Complete => return self.complete().await,
+                    StreamEnd::Disconnected => return,
+                    StreamEnd::Broken {
+                        cause,
+                        last,
+                        is_connection_lost,
+                    } => (cause, last, is_connection_lost),
+                };
             log::info!(
                 step = "stream",
                 request:% = self.context.head.request,
@@ -132,16 +128,19 @@
                     splitter = stream.splitter;
                     rest = stream.rest;
                 }
-                None => {
-                    self.reporter.end(End::Failed, self.status, cause);
-                    // The caller may have disconnected as well.
-                    let _ = self.sender.send(Err(body::Error)).await;
-                    return;
-                }
+                // Without its end, the stream closes the caller's connection.
+                None => return self.reporter.end(End::Failed, self.status, cause),
             }
         }
     }
 
+    /// Ends a stream that is complete.
+    async fn complete(mut self) {
+        if self.sender.send(Part::End).await.is_ok() {
+            self.reporter.end(End::Answered, self.status, "");
+        }
+    }
+
     /// Forwards the events of one target.
     async fn forward_events(
         &mut self,
@@ -233,7 +232,7 @@
                 if batches == PROGRESS_BATCHES {
                     self.forwarder.record_progress(&self.context);
                 }
-                if self.sender.send(Ok(events)).await.is_err() {
+                if self.sender.send(Part::Events(events)).await.is_err() {
                     return StreamEnd::Disconnected;
                 }
                 self.context.last_event_at = Some(self.forwarder.clock.now());
@@ -261,12 +260,8 @@
 
     /// Returns the pause between events after which the stream is resumed at another target, if it may be resumed.
     fn max_gap(&self) -> Option<Duration> {
-        let attempts = self.context.history.attempts() + 1
-            - self.context.not_run.min(self.context.history.attempts());
-        let may_resume =
-            self.context.route.kind.is_repeatable() && attempts < self.context.route.attempts;
         let gap = wait_limit::for_next_event(&self.context.route);
-        gap.filter(|_| may_resume)
+        gap.filter(|_| self.context.may_try_again())
     }
 
     /// Resumes the stream at another target.
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -10,7 +10,8 @@
 
 use std::time::Duration;
 
-use buckthornmast_types::time::Clock;
+use buckthornmast_forward::mapping::Load;
+use buckthornmast_types::{id, time::Clock};
 use fleet::{Fleet, Step, block_on, event, route, stream_head};
 use tokio::time::sleep;
 
@@ -35,6 +36,29 @@
     steps
 }
 
+/// Ends the time for which requests may wait for a target, once a request has arrived at one.
+async fn stop(fleet: &Fleet) {
+    while fleet.arrived() == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let now = fleet.forwarder.clock.now();
+    fleet.forwarder.state.borrow_mut().stop_deadline = Some(now);
+}
+
+/// Waits until a request has arrived at one of two targets, and returns the other one.
+async fn other_target(fleet: &Fleet) -> id::Target {
+    while fleet.arrived() == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let state = fleet.forwarder.state.borrow();
+    let targets = ["t0", "t1"].map(|name| name.parse::<id::Target>().unwrap());
+    let is_idle = |target: &id::Target| {
+        let stats = state.stats.get(target, id::Incarnation(1));
+        stats.is_none_or(|stats| stats.own_requests() == 0)
+    };
+    targets.into_iter().find(is_idle).unwrap()
+}
+
 /// Guards against a stream that is broken off, with other targets free, because it is older than callers wait for a first
 /// event.
 #[test]
@@ -57,14 +81,113 @@
         let fleet = Fleet::start(route(), 2).await;
         fleet.script([stream_head(), event(1), PAUSE, Step::Crash]);
         fleet.script([stream_head(), event(2)]);
-        let stop = async {
-            while fleet.arrived() == 0 {
-                sleep(Duration::from_millis(1)).await;
-            }
+        let (answer, ()) = tokio::join!(fleet.call("2"), stop(&fleet));
+        assert_complete(&answer, 2);
+    });
+}
+
+/// Guards against a stream that is broken off, with a third target free, because the second one is silent for longer than
+/// callers are expected to wait.
+#[test]
+fn resume_after_silent_attempt() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 3).await;
+        fleet.script([stream_head(), event(1), Step::Hang]);
+        fleet.script([Step::Hang]);
+        fleet.script([stream_head(), event(2), event(3)]);
+        assert_complete(&fleet.call("1,2").await, 3);
+    });
+}
+
+/// Guards against a slow target that is left for another one while this instance stops, and only then found to be the
+/// last one that the request may be sent to.
+#[test]
+fn keep_slow_target_while_stopping() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        fleet.script([PAUSE, stream_head(), event(1), event(2)]);
+        let (answer, ()) = tokio::join!(fleet.call("1,2"), stop(&fleet));
+        assert_complete(&answer, 2);
+        assert_eq!(fleet.arrived(), 1);
+    });
+}
+
+/// Guards against a stream that is broken off because the only other target wants no request for a moment.
+#[test]
+fn resume_after_pause() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        fleet.script([stream_head(), event(1), PAUSE, Step::Crash]);
+        fleet.script([stream_head(), event(2), event(3)]);
+        let (answer, ()) = tokio::join!(fleet.call("2"), async {
+            let other = other_target(&fleet).await;
+            let now = fleet.forwarder.clock.now();
+            let mut state = fleet.forwarder.state.borrow_mut();
+            let pause = Duration::from_millis(1300);
+            state
+                .advisories
+                .record_pause(&other, id::Incarnation(1), pause, now);
+        });
+        assert_complete(&answer, 3);
+    });
+}
+
+/// Guards against a stream that is broken off because all other targets are full for a moment.
+#[test]
+fn resume_after_full() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        fleet.script([
+            stream_head(),
+            event(1),
+            Step::Pause(Duration::from_millis(50)),
+            Step::Crash,
+        ]);
+        fleet.script([stream_head(), event(2), event(3)]);
+        let (answer, ()) = tokio::join!(fleet.call("2"), async {
+            let other = other_target(&fleet).await;
             let now = fleet.forwarder.clock.now();
-            fleet.forwarder.state.borrow_mut().stop_deadline = Some(now);
+            let load = Load {
+                running: 8,
+                waiting: 12,
+            };
+            let mut state = fleet.forwarder.state.borrow_mut();
+            state
+                .stats
+                .record_load(&other, id::Incarnation(1), load, now);
+        });
+        assert_complete(&answer, 3);
+    });
+}
+
+/// Guards against a silent target that is left although the request has used all of its attempts.
+#[test]
+fn keep_silent_target_at_last_attempt() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 6).await;
+        fleet.script([
+            stream_head(),
+            event(1),
+            Step::Pause(Duration::from_millis(1700)),
+            event(2),
+        ]);
+        let now = fleet.forwarder.clock.now();
+        let load = Load {
+            running: 5,
+            waiting: 0,
         };
-        let (answer, ()) = tokio::join!(fleet.call("2"), stop);
-        assert_complete(&answer, 2);
+        // The targets with the least load are tried first.
+        for number in 0..2 {
+            let target = format!("t{number}").parse().unwrap();
+            let mut state = fleet.forwarder.state.borrow_mut();
+            state
+                .stats
+                .record_load(&target, id::Incarnation(1), load, now);
+        }
+        for number in 2..6 {
+            fleet.stop_target(number).await;
+        }
+        assert_complete(&fleet.call("1,2").await, 2);
+        assert_eq!(fleet.arrived(), 1);
     });
 }
