Add tests of answers that end early and of bytes without end at the forwarder

Targets in trouble may send bytes that are no answer without end, in a head or a body, until this instance closes the connection, and answers may have neither a length nor chunks and end with their connection. No test played either.

The scripted targets now reset, end early and send without end. All of these were bounded already: heads by hyper's buffer, trailers and extensions by its decoder, bodies by MAX_ANSWER_BYTES, events by MAX_EVENT_BYTES, and all of them in time by the request's deadline.

--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -6,6 +6,7 @@
 )]
 
 #[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "each test uses a part of the fleet")]
 mod fleet;
 
 use std::time::Duration;
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -1,7 +1,7 @@
 //! A forwarder with a server for callers, before scripted targets on loopback.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
     future::Future,
     net::SocketAddr,
@@ -44,6 +44,10 @@
     Pause(Duration),
     /// Sends nothing more until the caller closes the connection.
     Hang,
+    /// Sends bytes over and over, with a pause after each time, until the caller closes the connection.
+    Flood(String, Duration),
+    /// Resets the connection.
+    Reset,
     /// Closes the connection, and all others of this target, and stops to listen.
     Crash,
 }
@@ -53,6 +57,18 @@
     Step::Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n".to_owned())
 }
 
+/// Returns the head of an answer that is not a stream, with the given length or, without one, its connection as its end.
+pub(crate) fn whole_head(status: u16, length: Option<usize>) -> Step {
+    let length = length.map(|length| format!("Content-Length: {length}\r\n"));
+    let length = length.unwrap_or_default();
+    Step::Send(format!("HTTP/1.1 {status} Status\r\n{length}\r\n"))
+}
+
+/// Returns bytes of an answer.
+pub(crate) fn bytes(text: &str) -> Step {
+    Step::Send(text.to_owned())
+}
+
 /// Returns an event.
 pub(crate) fn event(number: u64) -> Step {
     Step::Send(format!("id: {number}\ndata: e{number}\n\n"))
@@ -65,6 +81,8 @@
     pub(crate) scripts: RefCell<VecDeque<Vec<Step>>>,
     /// Heads of the requests that arrived.
     pub(crate) requests: RefCell<Vec<String>>,
+    /// Number of connections that were closed while a target was sending without end, or was to send nothing more.
+    pub(crate) closed: Cell<usize>,
 }
 
 #[derive(Debug)]
@@ -235,18 +253,31 @@
         self.play.scripts.borrow_mut().push_back(steps);
     }
 
-    /// Sends a request and returns all bytes of the answer.
-    pub(crate) async fn call(&self, parts: &str) -> String {
+    /// Sends a request.
+    pub(crate) async fn send(&self, parts: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.address).await.unwrap();
         let request =
             format!("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{PARTS}: {parts}\r\n\r\n");
         stream.write_all(request.as_bytes()).await.unwrap();
+        stream
+    }
+
+    /// Sends a request and returns all bytes of the answer.
+    pub(crate) async fn call(&self, parts: &str) -> String {
+        let mut stream = self.send(parts).await;
         let mut answer = Vec::new();
         // A reset connection leaves the answer as it is.
         let _ = stream.read_to_end(&mut answer).await;
         String::from_utf8(answer).unwrap()
     }
 
+    /// Waits until the connections of this many targets that had more to send, or hung, are closed.
+    pub(crate) async fn wait_closed(&self, connections: usize) {
+        while self.play.closed.get() < connections {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Returns the number of requests that arrived at targets.
     pub(crate) fn arrived(&self) -> usize {
         self.play.requests.borrow().len()
@@ -311,8 +342,19 @@
             Step::Pause(pause) => sleep(pause).await,
             Step::Hang => {
                 let _ = stream.read_u8().await;
+                play.closed.set(play.closed.get() + 1);
+                return false;
+            }
+            Step::Flood(bytes, pause) => {
+                while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                    if !pause.is_zero() {
+                        sleep(pause).await;
+                    }
+                }
+                play.closed.set(play.closed.get() + 1);
                 return false;
             }
+            Step::Reset => return false,
             Step::Crash => return true,
         }
     }
