Send streams in chunks even if their first target gave a length

Cause: the head of the first target was returned with its Content-Length, which only holds for the part of this target. If the resumed stream was shorter, the caller's connection was closed although the stream was complete.

Evidence: stream_partial failed before this change with a first target that gave a length of 40 and closed after 16 bytes, and a second one that sent events 2 and 3: "content-length: 40 ... id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\nda". It passes with the change.

Why it works: without the header the answer is sent in chunks. Whether the part of each target is whole is still checked against its own length by hyper, and the last chunk is sent only after the last part.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -332,6 +332,8 @@
                 idle,
             });
         }
+        // Another target may resume the stream, so the length of this target's part is not that of the answer.
+        head.headers.remove(header::CONTENT_LENGTH);
         let mut splitter = Splitter::new(after);
         let (first_events, is_complete) = read_first_events(&mut body, &mut splitter).await?;
         in_flight.record_first_event();
--- a/crates/buckthornmast_forward/tests/ends.rs
+++ b/crates/buckthornmast_forward/tests/ends.rs
@@ -172,6 +172,74 @@
     });
 }
 
+/// Ends of streams that are not whole, after their first event.
+fn stream_ends() -> Vec<(&'static str, Vec<Step>)> {
+    let chunk = |text: &str| bytes(&format!("{:x}\r\n{text}\r\n", text.len()));
+    let first = "id: 1\ndata: e1\n\n";
+    vec![
+        (
+            "closed in an event",
+            vec![stream_head(), event(1), bytes("id: 2\nda")],
+        ),
+        (
+            "closed between the lines of an event",
+            vec![stream_head(), event(1), bytes("id: 2\ndata: e2\n")],
+        ),
+        ("reset", vec![stream_head(), event(1), Step::Reset]),
+        (
+            "reset in an event",
+            vec![stream_head(), event(1), bytes("id: 2\nda"), Step::Reset],
+        ),
+        (
+            "shorter than its length",
+            vec![whole_head(200, Some(40)), event(1)],
+        ),
+        (
+            "closed without its last chunk",
+            vec![bytes(CHUNKED_STREAM), chunk(first)],
+        ),
+        (
+            "closed in a chunk",
+            vec![bytes(CHUNKED_STREAM), chunk(first), bytes("20\r\nid: 2")],
+        ),
+        (
+            "last chunk in an event",
+            vec![
+                bytes(CHUNKED_STREAM),
+                chunk(first),
+                chunk("id: 2\nda"),
+                bytes("0\r\n\r\n"),
+            ],
+        ),
+    ]
+}
+
+/// Guards against a stream that was broken off and looks complete.
+#[test]
+fn stream_partial() {
+    for (case, steps) in stream_ends() {
+        block_on(async {
+            let fleet = Fleet::start(stream_route(false, AMPLE), 2).await;
+            fleet.script(steps.clone());
+            let answer = fleet.call("1").await;
+            assert!(!is_complete(&answer), "{case}: {answer:?}");
+            assert!(!answer.contains("id: 2"), "{case}: {answer:?}");
+            assert_eq!(fleet.arrived(), 1, "{case}");
+        });
+        block_on(async {
+            let fleet = Fleet::start(stream_route(true, AMPLE), 2).await;
+            fleet.script(steps);
+            fleet.script([stream_head(), event(2), event(3)]);
+            let answer = fleet.call("1").await;
+            assert!(is_complete(&answer), "{case}: {answer:?}");
+            for number in 1..=3 {
+                let event = format!("data: e{number}\n");
+                assert_eq!(answer.matches(&event).count(), 1, "{case}: {answer:?}");
+            }
+        });
+    }
+}
+
 /// Bytes without end that begin an answer, each with the pause after its repeated part.
 fn endless_heads() -> Vec<(&'static str, Vec<Step>)> {
     let mut cases = Vec::new();
