Leave a target that keeps sending fast without a new event

What callers saw: a stream stood still until its deadline, with other targets free, while its target sent old events or comments without end and without a pause.

Cause: the pause after which a stream is resumed elsewhere was waited for with a timeout around the next frame. Once the pause was over this timeout was zero, and tokio's timeout polls the frame first, which a fast target always has ready.

Evidence: stream_endless failed before this change after the whole deadline of 60 s ("old events 0ns", one event and no second attempt), and passes with it. The slow variants passed before.

Why it works: a pause that is over is checked before the next frame is read.

--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -148,23 +148,30 @@
             let gap = self
                 .max_gap()
                 .map_or(left, |gap| (last_progress + gap).since(now).min(left));
+            // A timeout of zero would still return bytes that have arrived, so a target that sends fast would never reach it.
+            let next = async {
+                if gap.is_zero() {
+                    return None;
+                }
+                timeout(gap, exchange.body.frame()).await.ok()
+            };
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return StreamEnd::Disconnected,
-                frame = timeout(gap, exchange.body.frame()) => frame,
+                frame = next => frame,
             };
             let frame = match frame {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => {
+                Some(Some(Ok(frame))) => frame,
+                Some(Some(Err(error))) => {
                     log::info!(step = "stream", request:% = self.context.head.request, target:% = exchange.in_flight.target; "the target ended the connection of a stream: {error}");
                     exchange.in_flight.end(Ended::Failed);
                     return broken("the connection to the target failed", splitter);
                 }
-                Ok(None) if splitter.is_partial() => {
+                Some(None) if splitter.is_partial() => {
                     exchange.in_flight.end(Ended::Failed);
                     return broken("the stream ended in the middle of an event", splitter);
                 }
-                Ok(None) => {
+                Some(None) => {
                     let Exchange {
                         connection,
                         idle,
@@ -176,15 +183,14 @@
                     self.forwarder.report_usage(&self.context, usage);
                     return StreamEnd::Complete;
                 }
-                Err(_)
-                    if !self
-                        .forwarder
-                        .can_move(&self.context, &exchange.in_flight.target) =>
+                None if !self
+                    .forwarder
+                    .can_move(&self.context, &exchange.in_flight.target) =>
                 {
                     last_progress = self.forwarder.clock.now();
                     continue;
                 }
-                Err(_) => {
+                None => {
                     exchange.in_flight.end(Ended::Failed);
                     return broken("the target sent no event in time", splitter);
                 }
--- a/crates/buckthornmast_forward/tests/ends.rs
+++ b/crates/buckthornmast_forward/tests/ends.rs
@@ -374,6 +374,27 @@
     ]
 }
 
+/// Guards against a stream that bytes without end, which are no new event, keep from its next target.
+#[test]
+fn stream_endless() {
+    for pause in [Duration::ZERO, SLOW] {
+        for (case, steps) in endless_streams(pause) {
+            block_on(async {
+                let fleet = Fleet::start(stream_route(true, AMPLE), 2).await;
+                fleet.script(steps);
+                fleet.script([stream_head(), event(2)]);
+                let answer = fleet.call("1").await;
+                let end = answer.len().saturating_sub(200);
+                let end = answer.get(end..);
+                assert!(is_complete(&answer), "{case} {pause:?}: {end:?}");
+                assert_eq!(answer.matches("data: e1\n").count(), 1, "{case}");
+                assert_eq!(answer.matches("data: e2\n").count(), 1, "{case}");
+                fleet.wait_closed(1).await;
+            });
+        }
+    }
+}
+
 /// Guards against bytes without end that hold a stream, which can't be resumed, beyond its deadline.
 #[test]
 fn stream_endless_alone() {
