--- a/crates/buckthornmast_forward/tests/ends.rs
+++ b/crates/buckthornmast_forward/tests/ends.rs
@@ -13,6 +13,8 @@
 
 use buckthornmast_routes::document::{Kind, Route};
 use fleet::{Fleet, Step, block_on, bytes, event, route, stream_head, whole_head};
+use socket2::SockRef;
+use tokio::time::sleep;
 
 /// Head of a chunked stream.
 const CHUNKED_STREAM: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -411,6 +413,28 @@
     }
 }
 
+/// Guards against a stream that holds its target for ever because its caller does not read.
+#[test]
+fn stream_unread() {
+    block_on(async {
+        let fleet = Fleet::start(stream_route(false, SHORT), 1).await;
+        let comment = format!(": {}\n\n", "a".repeat(16 << 10));
+        fleet.script([stream_head(), event(1), flood(&comment, Duration::ZERO)]);
+        let caller = fleet.send("1").await;
+        // Only what the forwarder holds is to fill up.
+        SockRef::from(&caller).set_recv_buffer_size(4096).unwrap();
+        // Far longer than an unread connection is kept.
+        for _ in 0..1000 {
+            sleep(Duration::from_millis(10)).await;
+            if fleet.play.closed.get() == 1 {
+                break;
+            }
+        }
+        assert_eq!(fleet.play.closed.get(), 1);
+        drop(caller);
+    });
+}
+
 /// Guards against bytes without end before the first event of a stream that hold its target for ever.
 #[test]
 fn first_event_endless() {
