Take a stream that ends before its first event as broken off

What callers would see: an empty answer that looks complete, if a target ends between the head and the first event of a stream that has neither a length nor chunks. Cause: only a partial event marked such an end as a failure. It is also how a target can end under a request that crashes it, and such a request was no suspect then.

Evidence: stream_without_event got an empty complete stream before this change. A stream that is resumed after its last event may still end without another one.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -566,6 +566,10 @@
             "the stream ended in the middle of an event",
         ));
     }
+    if splitter.last().is_none() {
+        return Err(connection_lost("the stream ended before its first event"));
+    }
+    // The caller may have received all events before the stream was resumed.
     Ok((None, true))
 }
 
--- a/crates/buckthornmast_forward/tests/ends.rs
+++ b/crates/buckthornmast_forward/tests/ends.rs
@@ -242,6 +242,26 @@
     }
 }
 
+/// Guards against a stream without a single event that looks complete, and against a target that crashes in this way.
+#[test]
+fn stream_without_event() {
+    for end in [None, Some(Step::Crash)] {
+        block_on(async {
+            let fleet = Fleet::start(stream_route(true, AMPLE), 2).await;
+            fleet.script([stream_head()].into_iter().chain(end.clone()));
+            fleet.script([stream_head(), event(1), event(2)]);
+            let answer = fleet.call("1").await;
+            assert!(is_complete(&answer), "{answer:?}");
+            assert!(answer.contains("data: e2\n"), "{answer:?}");
+        });
+        block_on(async {
+            let fleet = Fleet::start(stream_route(false, AMPLE), 2).await;
+            fleet.script([stream_head()].into_iter().chain(end));
+            assert_may_have_run(&fleet.call("1").await, "without an event");
+        });
+    }
+}
+
 /// Bytes without end that begin an answer, each with the pause after its repeated part.
 fn endless_heads() -> Vec<(&'static str, Vec<Step>)> {
     let mut cases = Vec::new();
