Wait for a silent engine of the daemon if no other one can go on

What callers saw: a stream whose engine sent no token for `token-gap` was ended with an error, although the engine was alive, if no other engine had the same version of the model, or no attempt or retry budget was left.

Cause: the gateway ended the dispatch first, and only then found out whether another engine can go on.

Evidence: stream_silent failed with the condition taken out: the only engine was left, and a second dispatch followed. It passes with it.

Change: the router is asked first, without taking anything from the budget. An engine that sends no more reports is left as before.

--- a/crates/buckthornmast_daemon/src/router.rs
+++ b/crates/buckthornmast_daemon/src/router.rs
@@ -116,6 +116,13 @@
         self.dispatcher.table.set_drains(drained.collect(), newest);
         self.drains_revision = snapshot.revision;
     }
+
+    fn slots(&self, targets: &TriedTargets) -> SmallVec<[Slot; 4]> {
+        let slots = targets
+            .iter()
+            .filter_map(|target| self.dispatcher.table.slot(target));
+        slots.collect()
+    }
 }
 
 impl Router {
@@ -285,6 +292,21 @@
     availability
 }
 
+fn resource<'a>(need: &Need<'a>) -> Resource<'a> {
+    match *need {
+        Need::Artifact {
+            artifact,
+            is_exact,
+            first_message_hash,
+        } => Resource::Artifact {
+            artifact,
+            exact: is_exact,
+            first_message: Some(first_message_hash),
+        },
+        Need::Service { service, .. } => Resource::Service(service),
+    }
+}
+
 impl router::Router for Router {
     type Permit = Permit;
 
@@ -303,25 +325,10 @@
         let mut guard = self.lock();
         let state = &mut *guard;
         state.apply_drains(&snapshot);
-        let tried: SmallVec<[Slot; 4]> = tried
-            .iter()
-            .filter_map(|target| state.dispatcher.table.slot(target))
-            .collect();
-        let requested = match need {
-            Need::Artifact {
-                artifact,
-                is_exact,
-                first_message_hash,
-            } => Resource::Artifact {
-                artifact,
-                exact: *is_exact,
-                first_message: Some(*first_message_hash),
-            },
-            Need::Service { service, .. } => Resource::Service(service),
-        };
+        let tried = state.slots(tried);
         let pick = state
             .dispatcher
-            .pick(requested, &tried, now, &mut state.rng)?;
+            .pick(resource(need), &tried, now, &mut state.rng)?;
         let report = state.dispatcher.table.report(pick.slot)?.clone();
         drop(guard);
         Some(Pick {
@@ -362,6 +369,23 @@
         observed.is_some_and(|observed| self.clock.now().since(observed.sent) < MAX_REPORT_AGE)
     }
 
+    fn can_move(&self, need: &Need<'_>, tried: &TriedTargets, retry: &Retry<'_>) -> bool {
+        let now = self.clock.now();
+        let snapshot = self.current.get();
+        let mut state = self.lock();
+        state.apply_drains(&snapshot);
+        let tried = state.slots(tried);
+        let (is_repeatable, deadline) = (retry.is_repeatable, retry.deadline);
+        state.dispatcher.can_move(
+            resource(need),
+            &tried,
+            retry.history,
+            is_repeatable,
+            deadline,
+            now,
+        )
+    }
+
     fn finish_dispatch(&self, pick: &Pick, outcome: &DispatchOutcome<'_>) {
         let now = self.clock.now();
         let mut guard = self.lock();
--- a/crates/buckthornmast_gateway/src/deadline.rs
+++ b/crates/buckthornmast_gateway/src/deadline.rs
@@ -13,7 +13,7 @@
 pub struct Bounds {
     /// Longest deadline that a caller may set; a longer one is answered with 400. A longer default is shortened to it.
     pub max_deadline: Duration,
-    /// Longest wait between two tokens of a target before the stream continues on another one.
+    /// Longest wait between two tokens of a target before the stream continues on another one, if one can go on.
     pub max_token_gap: Duration,
 }
 
--- a/crates/buckthornmast_gateway/src/generate.rs
+++ b/crates/buckthornmast_gateway/src/generate.rs
@@ -182,7 +182,7 @@
                     waited.map_err(|rejection| Failure::Problem(no_target_problem(&rejection)))?;
                 continue;
             };
-            let error = match self.dispatch(&pick, remaining, history.execution()) {
+            let error = match self.dispatch(&pick, remaining, &history) {
                 DispatchResult::Finished(finish) => return Ok(finish),
                 DispatchResult::Aborted(failure) | DispatchResult::NotSent(failure) => {
                     return Err(failure);
@@ -231,17 +231,12 @@
     }
 
     /// Dispatches once and reports the result to the router.
-    fn dispatch(
-        &mut self,
-        pick: &Pick,
-        remaining: Duration,
-        earlier_execution: Execution,
-    ) -> DispatchResult {
+    fn dispatch(&mut self, pick: &Pick, remaining: Duration, history: &History) -> DispatchResult {
         let dispatched = self.gateway.clock.now();
         let tokens_before = self.answer.tokens().len();
         let work = self.build_work(pick, remaining);
         let mut first_token_at = None;
-        let result = self.receive(pick, &work, earlier_execution, &mut first_token_at);
+        let result = self.receive(pick, &work, history, &mut first_token_at);
         let is_sent = !matches!(result, DispatchResult::NotSent(_));
         let result = match result {
             DispatchResult::NotSent(failure) => DispatchResult::Aborted(failure),
@@ -291,15 +286,16 @@
     }
 
     /// Dispatches once, forwards the tokens and stores the time of the first one in `first_token_at`.
-    /// `earlier_execution` is whether an earlier dispatch may have been run.
+    /// The history is that of the earlier dispatches.
     fn receive(
         &mut self,
         pick: &Pick,
         work: &Work,
-        earlier_execution: Execution,
+        history: &History,
         first_token_at: &mut Option<Point>,
     ) -> DispatchResult {
         let gateway = self.gateway;
+        let earlier_execution = history.execution();
         let Some(remaining) = self.remaining() else {
             return DispatchResult::NotSent(Failure::Problem(deadline_problem(earlier_execution)));
         };
@@ -333,6 +329,20 @@
                 Err(error) if is_first && is_timeout(&error) && gateway.router.is_alive(pick) => {
                     continue;
                 }
+                Err(error)
+                    if !is_first
+                        && is_timeout(&error)
+                        && gateway.router.is_alive(pick)
+                        && !self.can_move(pick, work, history, &error) =>
+                {
+                    log::info!(
+                        step = error.step, peer = error.target.as_str(),
+                        request = self.metadata.request.to_string().as_str();
+                        "target is silent after {} tokens, and no other one can go on; waiting for it",
+                        self.answer.tokens().len(),
+                    );
+                    continue;
+                }
                 Err(error) => return self.classify_error(error, earlier_execution),
             };
             first_token_at.get_or_insert_with(|| gateway.clock.now());
@@ -349,6 +359,32 @@
         }
     }
 
+    /// Returns whether another target could go on if this dispatch ended with this error. A silent target is left only
+    /// then.
+    fn can_move(&self, pick: &Pick, work: &Work, history: &History, error: &Error) -> bool {
+        let mut history = *history;
+        let tokens = self.answer.tokens().len();
+        history.add(dispatch_progress(error, tokens));
+        let has_progressed = tokens > work.resume.len();
+        let mut tried = if has_progressed {
+            TriedTargets::new()
+        } else {
+            self.tried.clone()
+        };
+        tried.push(pick.endpoint.target.clone());
+        let need = Need::Artifact {
+            artifact: self.first_artifact.as_ref().unwrap_or(&work.artifact),
+            is_exact: has_progressed || self.first_artifact.is_some(),
+            first_message_hash: first_message_hash(self.request),
+        };
+        let retry = Retry {
+            history: &history,
+            is_repeatable: true,
+            deadline: self.deadline.0,
+        };
+        self.gateway.router.can_move(&need, &tried, &retry)
+    }
+
     /// Returns the result of a dispatch that ended with this error. Waits are bounded by the deadline, so an error
     /// after it is not counted as a failure of the target, which could otherwise be ejected.
     fn classify_error(&self, error: Error, earlier_execution: Execution) -> DispatchResult {
--- a/crates/buckthornmast_gateway/src/router.rs
+++ b/crates/buckthornmast_gateway/src/router.rs
@@ -147,6 +147,10 @@
     /// Returns whether a chosen target still sends reports.
     fn is_alive(&self, pick: &Pick) -> bool;
 
+    /// Returns whether another target could go on if the dispatch in progress failed now. `tried` contains its target, and
+    /// the history is the one that it would leave. Nothing is recorded.
+    fn can_move(&self, need: &Need<'_>, tried: &TriedTargets, retry: &Retry<'_>) -> bool;
+
     /// Ends a dispatch to a chosen target and records how it ended.
     fn finish_dispatch(&self, pick: &Pick, outcome: &DispatchOutcome<'_>);
 
--- a/crates/buckthornmast_gateway/tests/generate.rs
+++ b/crates/buckthornmast_gateway/tests/generate.rs
@@ -73,6 +73,28 @@
     );
 }
 
+/// Guards against a silent target that is left although no other one can go on, and against one that is waited for although
+/// another one can.
+#[test]
+fn stream_silent() {
+    for is_alone in [true, false] {
+        let fake = Fake::default();
+        let silence = Err(Cause::TimedOut {
+            bound: Duration::from_secs(1),
+        });
+        fake.script().is_alone = is_alone;
+        fake.script().streams = [
+            Ok(vec![token("a"), silence, token("b"), end()]),
+            Ok(vec![token("b"), end()]),
+        ]
+        .into();
+        let (events, is_complete) = stream(&fake);
+        assert!(is_complete && events.ends_with("[DONE]"), "{events}");
+        let dispatches = if is_alone { 1 } else { 2 };
+        assert_eq!(fake.script().works.len(), dispatches);
+    }
+}
+
 /// Guards against an answer that begins with one version of a model and continues with another.
 #[test]
 fn stream_resumed_older_version() {
--- a/crates/buckthornmast_gateway/tests/support/fakes.rs
+++ b/crates/buckthornmast_gateway/tests/support/fakes.rs
@@ -44,6 +44,8 @@
     pub(crate) is_full: bool,
     /// Whether the router has no target.
     pub(crate) has_no_target: bool,
+    /// Whether no other target can go on with an answer.
+    pub(crate) is_alone: bool,
     /// Whether the router has a target once a request has waited for one.
     pub(crate) has_target_after_wait: bool,
     /// Time on the manual clock that each dispatch and each failed step of a stream takes.
@@ -244,6 +246,10 @@
         true
     }
 
+    fn can_move(&self, _need: &Need<'_>, _tried: &TriedTargets, _retry: &Retry<'_>) -> bool {
+        !self.script().is_alone
+    }
+
     fn finish_dispatch(&self, _pick: &Pick, outcome: &DispatchOutcome<'_>) {
         if matches!(outcome, DispatchOutcome::Abandoned) {
             self.log_event("abandoned");
--- a/crates/buckthornmast_routing/src/dispatcher.rs
+++ b/crates/buckthornmast_routing/src/dispatcher.rs
@@ -357,7 +357,40 @@
         deadline: Point,
         now: Point,
     ) -> Decision {
+        let conditions = self.conditions(is_repeatable, deadline);
+        attempt::decide(history, &conditions, now, || self.budget.take(now))
+    }
+
+    /// Returns whether [`Dispatcher::decide`] would allow another attempt after this history, and an untried target is
+    /// left. Nothing is recorded.
+    pub fn can_move(
+        &mut self,
+        resource: Resource<'_>,
+        tried: &[Slot],
+        history: &History,
+        is_repeatable: bool,
+        deadline: Point,
+        now: Point,
+    ) -> bool {
+        let has_untried_target = match resource {
+            Resource::Artifact {
+                artifact, exact, ..
+            } => !self.find(artifact, exact, tried, now).1.is_empty(),
+            Resource::Service(service) => {
+                let need = Need::Service(service);
+                !self.table.candidates(need, tried, now).is_empty()
+            }
+        };
         let conditions = Conditions {
+            has_untried_target,
+            ..self.conditions(is_repeatable, deadline)
+        };
+        let decision = attempt::decide(history, &conditions, now, || self.budget.has_attempt(now));
+        !matches!(decision, Decision::End { .. })
+    }
+
+    fn conditions(&self, is_repeatable: bool, deadline: Point) -> Conditions {
+        Conditions {
             is_repeatable,
             is_resumable: true,
             // The next pick shows whether an untried target is left.
@@ -365,7 +398,6 @@
             max_attempts: self.config.max_attempts,
             expected_time: self.latency.mean(),
             deadline,
-        };
-        attempt::decide(history, &conditions, now, || self.budget.take(now))
+        }
     }
 }
--- a/crates/buckthornmast_routing/tests/dispatcher.rs
+++ b/crates/buckthornmast_routing/tests/dispatcher.rs
@@ -174,3 +174,42 @@
     let refused = world.limit();
     assert!(refused < SLOTS, "limit of {refused} after refusals");
 }
+
+/// Guards against a target that is left although no other one can go on, or no attempt is left.
+#[test]
+fn can_move_conditions() {
+    let artifact = artifact();
+    let resource = Resource::Artifact {
+        artifact: &artifact,
+        exact: true,
+        first_message: None,
+    };
+    let mut world = World::new(1);
+    world.report(0, 0);
+    let slot = world.dispatcher.table.slot(&"t".parse().unwrap()).unwrap();
+    let mut history = attempt::History::default();
+    history.add(attempt::Dispatch::Streaming { next: 1 });
+    let now = world.now;
+    let deadline = now + Duration::from_secs(10);
+    let mut can_move = |tried: &[Slot], history: &attempt::History, deadline| {
+        let dispatcher = &mut world.dispatcher;
+        dispatcher.can_move(resource, tried, history, true, deadline, now)
+    };
+    assert!(!can_move(&[slot], &history, deadline));
+    assert!(!can_move(&[], &history, now));
+    // No call takes anything from the budget.
+    assert!((0..100).all(|_| can_move(&[], &history, deadline)));
+    for _ in 0..dispatcher::Config::default().max_attempts {
+        history.add(attempt::Dispatch::Sent);
+    }
+    assert!(!can_move(&[], &history, deadline));
+    while !matches!(
+        world
+            .dispatcher
+            .decide(&attempt::History::default(), true, deadline, now),
+        attempt::Decision::End { .. }
+    ) {}
+    let history = attempt::History::default();
+    let dispatcher = &mut world.dispatcher;
+    assert!(!dispatcher.can_move(resource, &[], &history, true, deadline, now));
+}
