Keep targets that are announced before the routes of their service

What callers saw: requests for a service that a new version of the routes adds found no target at an entry instance for as long as the targets of the service did not change, and its streams nothing to resume at.

Cause: an entry instance dropped targets of services that its routes didn't contain, and the core sends a target only once. A core instance sends the targets before the routes to an instance that connects again, as after a cut during which the routes changed.

Evidence: set_routes_any_order failed before this change when the target was announced first.

Change: only the targets of services that a new version removes are dropped, since nobody announces what becomes of them. Targets of services that are not known yet are kept, and don't take part in the ownership of addresses.

--- a/crates/buckthornmast_fleet/src/registry.rs
+++ b/crates/buckthornmast_fleet/src/registry.rs
@@ -279,8 +279,17 @@
     /// Returns the targets that own their address, including those that have withdrawn. Equivalent to all entries that
     /// are not [replaced](Self::is_replaced), in time that grows linearly with their number.
     pub fn owners(&self) -> Vec<&Entry> {
+        self.owners_of(|_| true)
+    }
+
+    /// Returns the targets that own their address among the targets of the services that exist.
+    pub fn owners_of(&self, exists: impl Fn(&id::Service) -> bool) -> Vec<&Entry> {
+        let entries = || {
+            let entries = self.entries.values();
+            entries.filter(|entry| exists(&entry.announcement.service))
+        };
         let mut newest: HashMap<SocketAddr, &Entry> = HashMap::with_capacity(self.entries.len());
-        for entry in self.entries.values() {
+        for entry in entries() {
             let known = newest.entry(entry.announcement.address).or_insert(entry);
             if entry.ownership() >= known.ownership() {
                 *known = entry;
@@ -290,7 +299,7 @@
             let owner = newest.get(&entry.announcement.address);
             owner.is_some_and(|owner| owner.announcement.target == entry.announcement.target)
         };
-        self.entries.values().filter(is_owner).collect()
+        entries().filter(is_owner).collect()
     }
 
     /// Returns whether another target that started later owns the address of this one.
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -139,6 +139,14 @@
         if current.is_some_and(|current| current >= document.version) {
             return false;
         }
+        if let Some(routes) = &self.routes {
+            let (before, after) = (&routes.document.services, &document.services);
+            // Nobody announces what becomes of the targets of a service that is removed. Those of a service that is not
+            // known yet may have been announced before its routes.
+            self.registry.retain_services(|service| {
+                after.contains_key(service) || !before.contains_key(service)
+            });
+        }
         let table = Table::new(&document);
         self.routes = Some(Rc::new(Routes { document, table }));
         self.rebuild();
@@ -200,17 +208,15 @@
     }
 
     fn rebuild(&mut self) {
-        // A target of an unknown service must not replace a target of a known service at the same address.
-        if let Some(routes) = &self.routes {
-            let services = &routes.document.services;
-            self.registry
-                .retain_services(|service| services.contains_key(service));
-        }
         let registry = &self.registry;
+        // A target of an unknown service must not replace a target of a known service at the same address.
+        let services = self.routes.as_ref().map(|routes| &routes.document.services);
+        let exists =
+            |service: &id::Service| services.is_none_or(|services| services.contains_key(service));
         let advisories = &self.advisories;
         let mut members: HashMap<id::Service, Vec<Member>> = HashMap::new();
         let ready = registry
-            .owners()
+            .owners_of(exists)
             .into_iter()
             .filter(|entry| entry.is_ready())
             .filter(|Entry { announcement, .. }| {
--- a/crates/buckthornmast_forward/tests/state.rs
+++ b/crates/buckthornmast_forward/tests/state.rs
@@ -1,13 +1,17 @@
 //! Targets of an entry instance, over the order in which the core's messages arrive.
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use buckthornmast_fleet::prelude::*;
 use buckthornmast_forward::{
     mapping::Generation,
     state::{Inventory, RetryBounds, State as Entry},
 };
+use buckthornmast_routes::{
+    document::{Document, Limits, Service},
+    register::Revision,
+};
 use buckthornmast_types::{id, time::Point};
 use smallvec::SmallVec;
 
@@ -44,6 +48,30 @@
     });
 }
 
+fn set_routes(entry: &mut Entry, version: u64, services: &[&str]) {
+    let services = services.iter().map(|name| {
+        let name: id::Service = name.parse().unwrap();
+        let service = Service {
+            name: name.clone(),
+            connections: 100,
+            pool: None,
+        };
+        (name, service)
+    });
+    let document = Document {
+        version: Revision(version),
+        routes: Vec::new(),
+        services: BTreeMap::from_iter(services),
+        limits: Limits {
+            head: 16 << 10,
+            body: 1 << 20,
+            head_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        },
+    };
+    assert!(entry.set_routes(document));
+}
+
 fn place(entry: &mut Entry, model: &str) {
     let inventory = Inventory {
         incarnation: INCARNATION,
@@ -88,3 +116,28 @@
         assert!(!serves(&entry, "m1"), "{is_placed_first}");
     }
 }
+
+/// Guards against a new service without targets for good, because they were announced before the routes came into force, and
+/// against targets of a service that has been removed, whose departure nobody announces.
+#[test]
+fn set_routes_any_order() {
+    for is_announced_first in [true, false] {
+        let mut entry = Entry::new(RetryBounds {
+            ratio: 0.2,
+            burst: 10.0,
+        });
+        set_routes(&mut entry, 1, &["other"]);
+        if is_announced_first {
+            announce(&mut entry, "m1");
+            assert!(!serves(&entry, "m1"));
+            set_routes(&mut entry, 2, &["engines"]);
+        } else {
+            set_routes(&mut entry, 2, &["engines"]);
+            announce(&mut entry, "m1");
+        }
+        assert!(serves(&entry, "m1"), "{is_announced_first}");
+        set_routes(&mut entry, 3, &["other"]);
+        set_routes(&mut entry, 4, &["engines"]);
+        assert!(!serves(&entry, "m1"), "{is_announced_first}");
+    }
+}
