Bound the heads of answers to 32 KiB

What callers saw: nothing by itself; each target that sent a head without end made the instance hold up to 408 KiB for its request, so 400 of them would have taken an instance's 160 MB.

Cause: the connections to targets used hyper's default buffer, which holds a head of up to 417,792 bytes. The orders and queries of the core use the same connections.

Why it works: a head that does not fit into the buffer ends the connection. Platforms bound heads to 16 KiB.

--- a/crates/buckthornmast_forward/src/pool.rs
+++ b/crates/buckthornmast_forward/src/pool.rs
@@ -33,6 +33,9 @@
 /// it.
 const USABLE_IDLE_PERCENT: u32 = 60;
 
+/// Size of the read buffer of a connection in bytes. The head of an answer must fit into it.
+const BUFFER_BYTES: usize = 32 << 10;
+
 /// Connection to a target.
 #[derive(Debug)]
 pub struct Connection {
@@ -95,7 +98,10 @@
     if let Err(error) = options {
         log::warn!(step = "connect", peer:% = peer; "setting the options of a connection to a target failed, using it anyway: {error}");
     }
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(|source| Error::Setup { peer, source })?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
