Bound the events that wait for a slow caller in bytes

What callers saw: nothing by itself; a target that sends fast to a caller that reads slowly made this instance hold up to 64 parts of a stream, of whatever size: up to 1 MiB each with large events.

Cause: only the number of waiting parts was bounded.

Why it works: a part waits for a share of 64 KiB that the caller's reading frees, so reading from the target pauses. A larger part waits alone.

--- a/crates/buckthornmast_forward/src/body.rs
+++ b/crates/buckthornmast_forward/src/body.rs
@@ -3,26 +3,87 @@
 use std::{
     convert::Infallible,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
 };
 
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
 use snafu::Snafu;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+
+/// Number of parts that wait for a slow caller before reading from the target pauses.
+const MAX_WAITING_PARTS: usize = 64;
+
+/// Number of bytes that wait for a slow caller before reading from the target pauses. One larger part may wait alone.
+const MAX_WAITING_BYTES: u32 = 64 << 10;
 
 /// Error that ends a response early. It closes the connection, so that the response doesn't look complete.
 #[derive(Debug, Clone, Copy, Snafu)]
-#[snafu(display("the stream failed and could not be resumed at another target"))]
+#[snafu(display("the answer failed and could not be resumed at another target"))]
 pub struct Error;
 
+/// Error that the caller has disconnected.
+#[derive(Debug, Clone, Copy, Snafu)]
+#[snafu(display("the caller disconnected"))]
+pub struct Disconnected;
+
+/// Part of a body that waits for the caller.
+#[derive(Debug)]
+struct Part {
+    bytes: Bytes,
+    _room: OwnedSemaphorePermit,
+}
+
+/// Sender of the parts of a body.
+#[derive(Debug)]
+pub struct Sender {
+    parts: mpsc::Sender<Result<Part, Error>>,
+    room: Arc<Semaphore>,
+}
+
+impl Sender {
+    /// Sends a part once the caller has read enough of the former ones.
+    pub async fn send(&self, bytes: Bytes) -> Result<(), Disconnected> {
+        let wanted = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let room = Arc::clone(&self.room).acquire_many_owned(wanted.min(MAX_WAITING_BYTES));
+        let part = Part {
+            bytes,
+            _room: room.await.map_err(|_| Disconnected)?,
+        };
+        self.parts.send(Ok(part)).await.map_err(|_| Disconnected)
+    }
+
+    /// Ends the body so that it doesn't look complete.
+    pub async fn fail(&self) {
+        // The caller may have disconnected as well.
+        let _ = self.parts.send(Err(Error)).await;
+    }
+
+    /// Waits until the caller has disconnected.
+    pub async fn closed(&self) {
+        self.parts.closed().await;
+    }
+}
+
+/// Receiver of the parts of a body.
+#[derive(Debug)]
+pub struct Receiver(mpsc::Receiver<Result<Part, Error>>);
+
+/// Returns the two ends of a body that is sent as it arrives.
+pub fn channel() -> (Sender, Receiver) {
+    let (parts, received) = mpsc::channel(MAX_WAITING_PARTS);
+    let room = Arc::new(Semaphore::new(MAX_WAITING_BYTES as usize));
+    (Sender { parts, room }, Receiver(received))
+}
+
 /// Response body.
 #[derive(Debug)]
 pub enum Body {
     /// Body that is sent at once, or none.
     Full(Option<Bytes>),
-    /// Events of a stream as they arrive.
-    Events(mpsc::Receiver<Result<Bytes, Error>>),
+    /// Events of a stream, or parts of a large answer, as they arrive.
+    Parts(Receiver),
 }
 
 impl Body {
@@ -48,9 +109,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Events(events) => events
+            Self::Parts(Receiver(parts)) => parts
                 .poll_recv(context)
-                .map(|event| event.map(|event| event.map(Frame::data))),
+                .map(|part| part.map(|part| part.map(|part| Frame::data(part.bytes)))),
         }
     }
 
@@ -63,7 +124,7 @@
             Self::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Events(_) => SizeHint::default(),
+            Self::Parts(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use tokio::{sync::mpsc, time::timeout};
+use tokio::time::timeout;
 
 use crate::{
-    body::{self, Body},
+    body::{self, Body, Sender},
     context::{Context, End, Reporter, millis},
     events::Splitter,
     exchange::{EventStream, Exchange, Failure, Reply},
@@ -22,14 +22,9 @@
     wait_limit,
 };
 
-/// Number of chunks that are buffered for a slow caller before reading from the target pauses.
-const MAX_BUFFERED_CHUNKS: usize = 64;
-
 /// Minimum number of events after the first one for an answer to count as a sample of the model's speed.
 const MIN_SAMPLE_EVENTS: u32 = 8;
 
-type Sender = mpsc::Sender<Result<Bytes, body::Error>>;
-
 /// How the stream of one target ended.
 enum StreamEnd {
     /// The stream is complete.
@@ -51,8 +46,8 @@
         stream: EventStream,
         reporter: Reporter,
     ) -> Response<Body> {
-        let (sender, events) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-        let response = Response::from_parts(stream.head, Body::Events(events));
+        let (sender, events) = body::channel();
+        let response = Response::from_parts(stream.head, Body::Parts(events));
         let task = StreamTask {
             forwarder: self,
             context,
@@ -84,7 +79,7 @@
     ) {
         loop {
             if let Some(events) = first_events.take()
-                && self.sender.send(Ok(events)).await.is_err()
+                && self.sender.send(events).await.is_err()
             {
                 return;
             }
@@ -114,8 +109,7 @@
                 }
                 None => {
                     self.reporter.end(End::Failed, self.status, cause);
-                    // The caller may have disconnected as well.
-                    let _ = self.sender.send(Err(body::Error)).await;
+                    self.sender.fail().await;
                     return;
                 }
             }
@@ -201,7 +195,7 @@
             let before = splitter.last();
             if let Some(events) = splitter.push(bytes) {
                 self.reporter.record_event();
-                if self.sender.send(Ok(events)).await.is_err() {
+                if self.sender.send(events).await.is_err() {
                     return StreamEnd::Disconnected;
                 }
                 self.context.last_event_at = Some(self.forwarder.clock.now());
--- a/crates/buckthornmast_forward/tests/memory.rs
+++ b/crates/buckthornmast_forward/tests/memory.rs
@@ -9,9 +9,11 @@
 #[allow(dead_code, reason = "each test uses a part of the fleet")]
 mod fleet;
 
-use std::time::Duration;
+use std::{future::poll_fn, pin::pin, task::Poll, time::Duration};
 
+use buckthornmast_forward::body;
 use buckthornmast_routes::document::{Kind, Route};
+use bytes::Bytes;
 use fleet::{Fleet, block_on, bytes, route};
 
 /// Starts a fleet whose answers are no streams.
@@ -24,6 +26,27 @@
     Fleet::start(route, 2).await
 }
 
+/// Guards against parts of an answer that pile up for a caller that does not read.
+#[test]
+fn send_unread() {
+    block_on(async {
+        let (sender, receiver) = body::channel();
+        let part = Bytes::from(vec![b'a'; 16 << 10]);
+        let mut waiting = 0;
+        loop {
+            let mut send = pin!(sender.send(part.clone()));
+            let is_sent = poll_fn(|context| Poll::Ready(send.as_mut().poll(context).is_ready()));
+            if !is_sent.await {
+                break;
+            }
+            waiting += part.len();
+            assert!(waiting <= 64 << 10, "{waiting} bytes wait");
+        }
+        drop(receiver);
+        assert!(sender.send(part).await.is_err());
+    });
+}
+
 /// Guards against heads that take hundreds of kilobytes each.
 #[test]
 fn head_large() {
