Bound the memory of all answers in progress together

Each answer without end was held up to 32 MiB (1 MiB for an event), so five of them at once are the 160 MB of an instance, with which all its requests would end.

Cause: answers that are no streams were held until they were whole, and the bound held for one request only.

Change: the answers of an instance share 32 MiB. Each may take as much as is left after it, so that many answers without end take a small share each and others still find room; an event that finds none ends the attempt like one that is too large. An answer that is no stream is forwarded as it arrives once there is no memory for it: with its length, or in chunks. It can't be tried again at another target after that. If it is reset, ends before its length, is larger than MAX_ANSWER_BYTES or is not whole at the deadline, the connection of the caller ends before the end of the answer. An error answer that finds no room is replaced by 502, which promises nothing.

Why it works: the bound no longer depends on the number of requests. What remains for each request are its connection's buffer (32 KiB) and the parts that wait for its caller (64 KiB).

--- a/crates/buckthornmast_forward/src/events.rs
+++ b/crates/buckthornmast_forward/src/events.rs
@@ -6,13 +6,15 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::memory::Share;
+
 /// Largest event in bytes. A target that sends more without ending the event is faulty.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Reason why a stream can't be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
-    /// An event is too large.
+    /// An event is too large, or there is no memory for it.
     Size,
     /// An event is missing.
     Gap {
@@ -24,21 +26,26 @@
 }
 
 /// Splits bytes into events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Splitter {
     buffer: BytesMut,
     // Number of bytes at the start of the buffer that contain no end of an event.
     searched: usize,
+    share: Share,
     last: Option<u64>,
     fault: Option<Fault>,
 }
 
 impl Splitter {
-    /// Returns a splitter that expects the event after `last`, or any first number if `last` is `None`.
-    pub fn new(last: Option<u64>) -> Self {
+    /// Returns a splitter that expects the event after `last`, or any first number if `last` is `None`, and that holds
+    /// events in `share` until they are whole.
+    pub fn new(last: Option<u64>, share: Share) -> Self {
         Self {
+            buffer: BytesMut::new(),
+            searched: 0,
+            share,
             last,
-            ..Self::default()
+            fault: None,
         }
     }
 
@@ -52,9 +59,10 @@
         !self.buffer.is_empty()
     }
 
-    /// Discards the beginning of an event before the stream is resumed at another target.
+    /// Discards the beginning of an event, because it can't become whole or the stream is resumed at another target.
     pub fn discard_partial(&mut self) {
-        self.buffer.clear();
+        self.buffer = BytesMut::new();
+        self.share.resize(0);
         self.searched = 0;
     }
 
@@ -86,9 +94,13 @@
                 }
             }
         }
-        if self.fault.is_none() && self.buffer.len() > MAX_EVENT_BYTES {
+        let has_room = self.share.resize(self.buffer.len());
+        if self.fault.is_none() && (!has_room || self.buffer.len() > MAX_EVENT_BYTES) {
             self.fault = Some(Fault::Size);
         }
+        if self.fault.is_some() {
+            self.discard_partial();
+        }
         events.map(BytesMut::freeze)
     }
 
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -22,6 +22,7 @@
     events::Splitter,
     forwarder::Forwarder,
     mapping::{Answer, Mapping, TargetHeaders},
+    memory::{Held, Memory},
     pool::{self, Connection},
     state::Member,
     stats::Ended,
@@ -29,7 +30,7 @@
 };
 
 /// Largest body of an answer that is not a stream, in bytes. A larger one counts as a failed exchange.
-const MAX_ANSWER_BYTES: usize = 32 << 20;
+pub(crate) const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 /// Headers that apply to one connection only.
 const HOP_HEADERS: [header::HeaderName; 7] = [
@@ -86,10 +87,23 @@
 pub enum Reply {
     /// The answer was received in full.
     Full(FullAnswer),
+    /// The answer is not a stream, and there is no memory to receive it in full before it is forwarded.
+    Part(Box<PartialAnswer>),
     /// The answer is a stream of events.
     Stream(Box<EventStream>),
 }
 
+/// Answer of a target that has been received in part.
+#[derive(Debug)]
+pub struct PartialAnswer {
+    /// Head, without the headers of its connection.
+    pub head: response::Parts,
+    /// Beginning of the body.
+    pub first: [Bytes; 2],
+    /// Exchange that yields the rest.
+    pub rest: Exchange,
+}
+
 /// Stream of events that a target has begun.
 #[derive(Debug)]
 pub struct EventStream {
@@ -275,6 +289,21 @@
                 }
                 Ok(Reply::Full(answer))
             }
+            StartedAnswer::Part {
+                head,
+                first,
+                body,
+                connection,
+                idle,
+            } => {
+                let rest = Exchange {
+                    body,
+                    connection,
+                    idle,
+                    in_flight,
+                };
+                Ok(Reply::Part(Box::new(PartialAnswer { head, first, rest })))
+            }
             StartedAnswer::Stream {
                 head,
                 first_events,
@@ -322,19 +351,33 @@
         strip_hop_headers(&mut head.headers);
         let idle = answer.idle;
         let is_stream = context.route.kind.is_stream() && head.status.is_success();
+        let memory = self.state.borrow().memory.clone();
         if !is_stream {
-            let body = collect(&mut body).await?;
-            let full_answer = FullAnswer { head, body };
-            connection.is_used = true;
-            return Ok(StartedAnswer::Full {
-                answer: full_answer,
-                connection,
-                idle,
-            });
+            return match collect(&mut body, &memory).await? {
+                Received::Whole(body) => {
+                    connection.is_used = true;
+                    Ok(StartedAnswer::Full {
+                        answer: FullAnswer { head, body },
+                        connection,
+                        idle,
+                    })
+                }
+                Received::Part(_) if head.status.is_server_error() => {
+                    let failure = failure(Dispatch::Sent, "the error answer is too large");
+                    Err((failure, Ended::Failed))
+                }
+                Received::Part(first) => Ok(StartedAnswer::Part {
+                    head,
+                    first,
+                    body,
+                    connection,
+                    idle,
+                }),
+            };
         }
         // Another target may resume the stream, so the length of this target's part is not that of the answer.
         head.headers.remove(header::CONTENT_LENGTH);
-        let mut splitter = Splitter::new(after);
+        let mut splitter = Splitter::new(after, memory.share());
         let (first_events, is_complete) = read_first_events(&mut body, &mut splitter).await?;
         in_flight.record_first_event();
         Ok(StartedAnswer::Stream {
@@ -463,6 +506,13 @@
         connection: Connection,
         idle: Option<Duration>,
     },
+    Part {
+        head: response::Parts,
+        first: [Bytes; 2],
+        body: Incoming,
+        connection: Connection,
+        idle: Option<Duration>,
+    },
     Stream {
         head: response::Parts,
         first_events: Option<Bytes>,
@@ -509,16 +559,29 @@
     Ok(())
 }
 
-async fn collect(body: &mut Incoming) -> Result<Bytes, (Failure, Ended)> {
-    let broken = |cause| (failure(Dispatch::Sent, cause), Ended::Failed);
-    let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
-    match limited.collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) => {
+/// Body of an answer that was received.
+enum Received {
+    Whole(Bytes),
+    /// There was no memory to hold more.
+    Part([Bytes; 2]),
+}
+
+async fn collect(body: &mut Incoming, memory: &Memory) -> Result<Received, (Failure, Ended)> {
+    let mut held = Held::new(memory);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
             log::debug!(step = "receive"; "reading the answer of a target failed: {error}");
-            Err(broken("the answer could not be read"))
+            let failure = failure(Dispatch::Sent, "the answer could not be read");
+            (failure, Ended::Failed)
+        })?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        if !held.push(&bytes) {
+            return Ok(Received::Part([held.into_bytes(), bytes]));
         }
     }
+    Ok(Received::Whole(held.into_bytes()))
 }
 
 /// Reads up to the first whole event. Also returns whether the stream has ended.
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -195,6 +195,10 @@
                     reporter.end(End::Answered, answer.head.status.as_u16(), "");
                     return answer_response(answer);
                 }
+                Ok(Reply::Part(answer)) => {
+                    reporter.record_event();
+                    return self.transfer(context, *answer, reporter);
+                }
                 Ok(Reply::Stream(stream)) => {
                     reporter.record_event();
                     return self.stream(context, *stream, reporter);
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod exchange;
 pub mod forwarder;
 pub mod mapping;
-
+pub mod memory;
 pub mod pool;
 pub mod refusal;
 pub mod selection;
@@ -25,6 +25,7 @@
 pub mod stats;
 pub mod stream;
 pub mod supply;
+pub mod transfer;
 pub mod wait_limit;
 
 /// Names that most users of this crate import together.
--- /dev/null
+++ b/crates/buckthornmast_forward/src/memory.rs
@@ -0,0 +1,132 @@
+//! Memory for answers of targets that are held until they, or one event of them, are whole.
+//!
+//! A holder may take as much as is left after it (a dynamic threshold). So `n` answers without end take about
+//! `1 / (n + 1)` of the memory each, and at least half of such a share stays free for the others.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use bytes::Bytes;
+
+/// Memory for all answers of an instance together, in bytes.
+const DEFAULT_BYTES: usize = 32 << 20;
+
+/// Memory that the answers of an instance share.
+#[derive(Debug, Clone)]
+pub struct Memory {
+    total: usize,
+    used: Arc<AtomicUsize>,
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self::new(DEFAULT_BYTES)
+    }
+}
+
+impl Memory {
+    /// Returns an unused memory of this size in bytes.
+    pub fn new(total: usize) -> Self {
+        Self {
+            total,
+            used: Arc::default(),
+        }
+    }
+
+    /// Returns the number of bytes in use.
+    pub fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    /// Returns an empty share.
+    pub fn share(&self) -> Share {
+        Share {
+            memory: self.clone(),
+            bytes: 0,
+        }
+    }
+}
+
+/// Part of the memory that one answer uses. Dropping it returns the part.
+#[derive(Debug)]
+pub struct Share {
+    memory: Memory,
+    bytes: usize,
+}
+
+impl Share {
+    /// Changes the size. Returns whether there is room for it; a share that doesn't grow always has room.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        let used = self.memory.used() - self.bytes + bytes;
+        let left = self.memory.total.saturating_sub(used);
+        if bytes > self.bytes && bytes > left {
+            return false;
+        }
+        // The holders of an instance run on one thread, only the last holder of sent bytes may be dropped on another.
+        if bytes >= self.bytes {
+            let added = bytes - self.bytes;
+            self.memory.used.fetch_add(added, Ordering::Relaxed);
+        } else {
+            let returned = self.bytes - bytes;
+            self.memory.used.fetch_sub(returned, Ordering::Relaxed);
+        }
+        self.bytes = bytes;
+        true
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.resize(0);
+    }
+}
+
+/// Bytes that are held together with their share.
+#[derive(Debug)]
+pub struct Held {
+    bytes: Vec<u8>,
+    share: Share,
+}
+
+impl Held {
+    /// Returns no bytes with an empty share.
+    pub fn new(memory: &Memory) -> Self {
+        Self {
+            bytes: Vec::new(),
+            share: memory.share(),
+        }
+    }
+
+    /// Appends bytes. Returns whether there is room for them; without room, nothing is changed.
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        let length = self.bytes.len() + bytes.len();
+        if length > self.bytes.capacity() {
+            let amortised = length.max(self.bytes.capacity() * 2);
+            let capacity = [amortised, length]
+                .into_iter()
+                .find(|capacity| self.share.resize(*capacity));
+            let Some(capacity) = capacity else {
+                return false;
+            };
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(bytes);
+        true
+    }
+
+    /// Returns the bytes. Their share is returned with the last reference to them.
+    pub fn into_bytes(self) -> Bytes {
+        if self.bytes.is_empty() {
+            return Bytes::new();
+        }
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -20,6 +20,7 @@
     advisory::Board,
     context::millis,
     mapping::{Answer, Generation},
+    memory::Memory,
     pool::Pool,
     stats::StatsTable,
 };
@@ -101,6 +102,8 @@
     pub pool: Pool,
     /// What targets stated about themselves in their answers.
     pub advisories: Board,
+    /// Memory for answers that are held until they are whole.
+    pub memory: Memory,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
     /// When this instance ends, if it is stopping. Requests that still wait for a target at that time are refused.
@@ -121,6 +124,7 @@
             stats: StatsTable::default(),
             pool: Pool::default(),
             advisories: Board::default(),
+            memory: Memory::default(),
             changed: Rc::default(),
             stop_deadline: None,
             routes: None,
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -286,7 +286,7 @@
             target = chosen.member.target.clone();
             failure = match reply {
                 Ok(Reply::Stream(stream)) => return Some(*stream),
-                Ok(Reply::Full(_)) => Failure {
+                Ok(Reply::Full(_) | Reply::Part(_)) => Failure {
                     dispatch: Dispatch::Sent,
                     cause: "the target did not resume the stream",
                     answer: None,
--- a/crates/buckthornmast_forward/tests/events.rs
+++ b/crates/buckthornmast_forward/tests/events.rs
@@ -5,7 +5,10 @@
     arbitrary::{self, Unstructured},
     arbtest,
 };
-use buckthornmast_forward::events::{Fault, Splitter};
+use buckthornmast_forward::{
+    events::{Fault, Splitter},
+    memory::Memory,
+};
 use bytes::Bytes;
 
 fn event(number: u64) -> String {
@@ -25,7 +28,7 @@
     fn push_cut(u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
         let count = u.int_in_range(1..=8)?;
         let whole: String = (1..=count).map(event).collect();
-        let mut splitter = Splitter::new(None);
+        let mut splitter = Splitter::new(None, Memory::default().share());
         let mut passed = String::new();
         let mut rest = whole.as_str();
         while !rest.is_empty() {
@@ -49,7 +52,7 @@
 /// Guards against a partial event that reaches the caller before the stream is resumed at another target.
 #[test]
 fn push_partial() {
-    let mut splitter = Splitter::new(None);
+    let mut splitter = Splitter::new(None, Memory::default().share());
     let events = push(&mut splitter, &format!("{}id: 2\nda", event(1))).unwrap();
     assert_eq!(events.as_deref(), Some(event(1).as_bytes()));
     assert!(splitter.is_partial());
@@ -61,7 +64,7 @@
 /// Guards against an event that the caller receives twice or never.
 #[test]
 fn push_after_last() {
-    let mut splitter = Splitter::new(Some(3));
+    let mut splitter = Splitter::new(Some(3), Memory::default().share());
     let events = push(&mut splitter, &format!("{}{}", event(3), event(4))).unwrap();
     assert_eq!(events.as_deref(), Some(event(4).as_bytes()));
     let gap = push(&mut splitter, &event(6));
@@ -73,7 +76,7 @@
 #[test]
 fn push_before_gap() {
     let text = format!("{}{}", event(1), event(3));
-    let mut splitter = Splitter::new(None);
+    let mut splitter = Splitter::new(None, Memory::default().share());
     let events = splitter.push(Bytes::from(text));
     assert_eq!(events.as_deref(), Some(event(1).as_bytes()));
     assert_eq!(splitter.last(), Some(1));
