--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -21,6 +21,7 @@
     advisory::Board,
     context::millis,
     mapping::{Answer, Generation},
+    memory::Memory,
     pool::Pool,
     stats::StatsTable,
 };
@@ -104,6 +105,8 @@
     pub advisories: Board,
     /// Prompt parts on which targets crash.
     pub guard: Guard,
+    /// Memory for answers that are held until they are whole.
+    pub memory: Memory,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
     /// When this instance ends, if it is stopping. Requests that still wait for a target at that time are refused.
@@ -125,6 +128,7 @@
             pool: Pool::default(),
             advisories: Board::default(),
             guard: Guard::default(),
+            memory: Memory::default(),
             changed: Rc::default(),
             stop_deadline: None,
             routes: None,
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use tokio::{sync::mpsc, time::timeout};
+use tokio::time::timeout;
 
 use crate::{
-    body::{Body, Part},
+    body::{self, Body, Sender},
     context::{Context, End, Reporter, millis},
     events::Splitter,
     exchange::{EventStream, Exchange, Failure, Reply},
@@ -23,9 +23,6 @@
     wait_limit,
 };
 
-/// Number of chunks that are buffered for a slow caller before reading from the target pauses.
-const MAX_BUFFERED_CHUNKS: usize = 64;
-
 /// Minimum number of events after the first one for an answer to count as a sample of the model's speed.
 const MIN_SAMPLE_EVENTS: u32 = 8;
 
@@ -52,8 +49,8 @@
         stream: EventStream,
         reporter: Reporter,
     ) -> Response<Body> {
-        let (sender, events) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-        let response = Response::from_parts(stream.head, Body::Events(events));
+        let (sender, events) = body::channel();
+        let response = Response::from_parts(stream.head, Body::Parts(events));
         let task = StreamTask {
             forwarder: self,
             context,
@@ -72,7 +69,7 @@
     forwarder: Rc<Forwarder<M, S>>,
     context: Context,
     reporter: Reporter,
-    sender: mpsc::Sender<Part>,
+    sender: Sender,
     status: u16,
 }
 
@@ -85,7 +82,7 @@
     ) {
         loop {
             if let Some(events) = first_events.take()
-                && self.sender.send(Part::Events(events)).await.is_err()
+                && self.sender.send(events).await.is_err()
             {
                 return;
             }
@@ -136,7 +133,7 @@
 
     /// Ends a stream that is complete.
     async fn complete(mut self) {
-        if self.sender.send(Part::End).await.is_ok() {
+        if self.sender.end().await.is_ok() {
             self.reporter.end(End::Answered, self.status, "");
         }
     }
@@ -238,7 +235,7 @@
                 if batches == PROGRESS_BATCHES {
                     self.forwarder.record_progress(&self.context);
                 }
-                if self.sender.send(Part::Events(events)).await.is_err() {
+                if self.sender.send(events).await.is_err() {
                     return StreamEnd::Disconnected;
                 }
                 self.context.last_event_at = Some(self.forwarder.clock.now());
@@ -320,7 +317,7 @@
             incarnation = chosen.member.incarnation;
             failure = match reply {
                 Ok(Reply::Stream(stream)) => return Some(*stream),
-                Ok(Reply::Full(_)) => Failure {
+                Ok(Reply::Full(_) | Reply::Part(_)) => Failure {
                     dispatch: Dispatch::Sent,
                     cause: "the target did not resume the stream",
                     answer: None,
