Return to a silent target if the one that it was left for refuses the stream

What callers saw: a stream whose target was silent for 60 % of the callers' wait was broken off, although the target was sound, if the target that it was moved to refused it and no other one was left.

Cause: whether another target has room is an estimate. When the estimate is wrong, the silent target has been left for nothing, and it counted as tried.

Evidence: return_to_silent_target ended after event 1 of 3 before this change.

Change: a target that was left only because it was silent may be resumed at once more, when no untried one is left. The number of attempts and the retry budget bound this as before.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -44,6 +44,8 @@
     pub not_run: u32,
     /// Targets that the request has been dispatched to.
     pub tried: SmallVec<[id::Target; 2]>,
+    /// Targets among them that were left during the stream only because they were silent.
+    pub silent: SmallVec<[id::Target; 1]>,
     /// Time that the request waited for a target.
     pub waited: Duration,
     /// When the caller was sent the last events, once its stream has begun.
@@ -71,6 +73,17 @@
         self.route.kind.is_repeatable() && self.history.attempts() + 1 < self.max_attempts()
     }
 
+    /// Allows one of the targets that were left because they were silent once more, if it still serves the request.
+    /// Returns whether there is one.
+    pub fn return_to_silent(&mut self, is_serving: impl Fn(&id::Target) -> bool) -> bool {
+        let Some(index) = self.silent.iter().position(is_serving) else {
+            return false;
+        };
+        let target = self.silent.remove(index);
+        self.tried.retain(|tried| *tried != target);
+        true
+    }
+
     /// Returns whether the caller was sent the start of a stream, so that the request can't be refused any more.
     pub fn has_begun(&self) -> bool {
         self.last_event_at.is_some()
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -134,6 +134,7 @@
             tried: SmallVec::new(),
             waited: Duration::ZERO,
             last_event_at: None,
+            silent: SmallVec::new(),
             body: Bytes::new(),
             parts,
             head,
@@ -273,7 +274,11 @@
             .shortest_pause(context, &context.tried)
             .filter(|_| context.has_begun());
         let has_untried_target = serving.iter().any(is_untried)
-            || pause.is_some_and(|pause| now + pause < context.next_event_deadline());
+            || pause.is_some_and(|pause| now + pause < context.next_event_deadline())
+            // The silent target could have gone on, had it not been left for one that failed.
+            || context.return_to_silent(|silent| {
+                *silent != *target && serving.iter().any(|member| member.target == *silent)
+            });
         let conditions = Conditions {
             is_repeatable: context.route.kind.is_repeatable(),
             is_resumable: matches!(
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -187,6 +187,8 @@
                 }
                 Err(_) => {
                     exchange.in_flight.end(Ended::Failed);
+                    let target = exchange.in_flight.target.clone();
+                    self.context.silent.push(target);
                     return broken("the target sent no event in time", splitter);
                 }
             };
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -13,7 +13,7 @@
 use buckthornmast_forward::mapping::Load;
 use buckthornmast_routes::document::Route;
 use buckthornmast_types::{id, time::Clock};
-use fleet::{Fleet, Step, block_on, event, route, stream_head};
+use fleet::{Fleet, Step, block_on, event, refusal, route, stream_head};
 use tokio::time::sleep;
 
 /// Pause between two events, far shorter than the one after which a stream is resumed.
@@ -203,3 +203,15 @@
         assert_eq!(fleet.arrived(), 1);
     });
 }
+
+/// Guards against a stream that is broken off because its silent target was left for one that then refuses it.
+#[test]
+fn return_to_silent_target() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        fleet.script([stream_head(), event(1), Step::Hang]);
+        fleet.script([refusal()]);
+        fleet.script([stream_head(), event(2), event(3)]);
+        assert_complete(&fleet.call("1,2").await, 3);
+    });
+}
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -161,6 +161,7 @@
         tried: SmallVec::new(),
         waited: Duration::ZERO,
         last_event_at: None,
+        silent: SmallVec::new(),
     }
 }
 
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -22,7 +22,7 @@
     register::Revision,
 };
 use buckthornmast_types::{id, rate::Rate, size::Bytes as Size, time::Clock, time::System};
-use http::{HeaderMap, request, response};
+use http::{HeaderMap, StatusCode, request, response};
 use smallvec::SmallVec;
 use socket2::SockRef;
 use tokio::{
@@ -53,6 +53,11 @@
     Step::Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n".to_owned())
 }
 
+/// Returns the answer of a target that doesn't run the request.
+pub(crate) fn refusal() -> Step {
+    Step::Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned())
+}
+
 /// Returns an event.
 pub(crate) fn event(number: u64) -> Step {
     Step::Send(format!("id: {number}\ndata: e{number}\n\n"))
@@ -100,9 +105,10 @@
         }
     }
 
-    fn decode_answer(&self, _: &response::Parts) -> Answer {
+    fn decode_answer(&self, head: &response::Parts) -> Answer {
         Answer {
             is_stamped: true,
+            is_refusal: head.status == StatusCode::SERVICE_UNAVAILABLE,
             ..Answer::default()
         }
     }
