Wait for the retry budget after a silent target was left

What callers saw: a stream whose sound but silent target was left was broken off, if the next target failed and the retry budget of the instance, which holds one or two attempts, was empty at that moment.

Cause: a silent target is left if the budget has one attempt. When that attempt fails, a second one is needed.

Change: such a stream waits for the budget until its caller is expected to leave. The budget itself is unchanged, and a stream whose target failed by itself is ended at once as before.

--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -260,12 +260,22 @@
         target: &id::Target,
         failure: &Failure,
     ) -> Decision {
-        let now = self.clock.now();
         context.history.add(failure.dispatch);
         context.tried.push(target.clone());
         if matches!(failure.dispatch, Dispatch::NotSent | Dispatch::Refused) {
             context.not_run += 1;
         }
+        self.decide_again(context, target, failure)
+    }
+
+    /// Decides whether another attempt follows the last one in the history.
+    pub(crate) fn decide_again(
+        &self,
+        context: &mut Context,
+        target: &id::Target,
+        failure: &Failure,
+    ) -> Decision {
+        let now = self.clock.now();
         let members = self.state.borrow().members(&context.service);
         let serving = self.serving(&members, context, now);
         let is_untried = |member: &&Member| !context.tried.contains(&member.target);
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -2,12 +2,15 @@
 
 use std::{rc::Rc, time::Duration};
 
-use buckthornmast_routing::attempt::{Decision, Dispatch};
+use buckthornmast_routing::attempt::{Decision, Dispatch, Reason};
 use buckthornmast_types::{id, time::Clock};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
 
 use crate::{
     body::{Body, Part},
@@ -28,6 +31,9 @@
 /// Minimum number of events after the first one for an answer to count as a sample of the model's speed.
 const MIN_SAMPLE_EVENTS: u32 = 8;
 
+/// Interval at which a stream whose silent target was left looks for an attempt in the retry budget.
+const BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How the stream of one target ended.
 enum StreamEnd {
     /// The stream is complete.
@@ -41,6 +47,13 @@
     },
 }
 
+fn is_for_budget(decision: Decision) -> bool {
+    let Decision::End { reason, .. } = decision else {
+        return false;
+    };
+    reason == Reason::Budget
+}
+
 impl<M: Mapping, S: Supply> Forwarder<M, S> {
     /// Returns the response whose body forwards a stream.
     pub(crate) fn stream(
@@ -237,6 +250,7 @@
         last: Option<u64>,
         cause: &'static str,
     ) -> Option<EventStream> {
+        let was_silent = self.context.silent.contains(target);
         let mut target = target.clone();
         let mut failure = Failure {
             dispatch: Dispatch::Streaming {
@@ -246,7 +260,17 @@
             answer: None,
         };
         loop {
-            let decision = self.decide(&target, &failure);
+            let mut decision = self.decide(&target, &failure);
+            // The silent target could have gone on, so the stream isn't given up for the lack of a budget at this moment.
+            while was_silent && is_for_budget(decision) && self.is_awaited() {
+                tokio::select! {
+                    () = self.sender.closed() => return None,
+                    () = sleep(BUDGET_POLL_INTERVAL) => {}
+                }
+                decision = self
+                    .forwarder
+                    .decide_again(&mut self.context, &target, &failure);
+            }
             log::info!(
                 step = "resume",
                 request:% = self.context.head.request,
@@ -295,6 +319,11 @@
         }
     }
 
+    /// Returns whether the caller still waits for the next event.
+    fn is_awaited(&self) -> bool {
+        self.forwarder.clock.now() < self.context.next_event_deadline()
+    }
+
     fn log_refused_resume(&self, target: &id::Target, refusal: Refusal) {
         let now = self.forwarder.clock.now();
         let routes_version = self.forwarder.state.borrow().version();
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -215,3 +215,28 @@
         assert_complete(&fleet.call("1,2").await, 3);
     });
 }
+
+/// Guards against a stream that is broken off because its silent target was left, and the budget then has no attempt for a
+/// moment.
+#[test]
+fn return_without_budget() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        // The budget of this instance holds a single attempt.
+        fleet.forwarder.state.borrow_mut().set_instances(1000);
+        fleet.script([stream_head(), event(1), Step::Hang]);
+        fleet.script([refusal()]);
+        fleet.script([stream_head(), event(2), event(3)]);
+        let (answer, ()) = tokio::join!(fleet.call("1,2"), async {
+            while fleet.arrived() < 2 {
+                sleep(Duration::from_millis(1)).await;
+            }
+            sleep(Duration::from_millis(100)).await;
+            let now = fleet.forwarder.clock.now();
+            let mut state = fleet.forwarder.state.borrow_mut();
+            let budget = state.budget(&"engines".parse().unwrap(), now);
+            (0..10).for_each(|_| budget.record_request());
+        });
+        assert_complete(&answer, 3);
+    });
+}
