--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -140,6 +140,7 @@
             last_event_at: None,
             shared_parts,
             is_trial: false,
+            silent: SmallVec::new(),
             body: Bytes::new(),
             parts,
             head,
@@ -277,12 +278,24 @@
     ) -> Decision {
         let may_end_targets =
             failure.is_connection_lost && self.is_suspect(context, target, incarnation).await;
-        let now = self.clock.now();
         context.history.add(failure.dispatch);
         context.tried.push(target.clone());
         if matches!(failure.dispatch, Dispatch::NotSent | Dispatch::Refused) {
             context.not_run += 1;
         }
+        self.decide_again(context, target, failure, may_end_targets)
+    }
+
+    /// Decides whether another attempt follows the last one in the history. `may_end_targets` is whether the request may be
+    /// the cause of the end of its target.
+    pub(crate) fn decide_again(
+        &self,
+        context: &mut Context,
+        target: &id::Target,
+        failure: &Failure,
+        may_end_targets: bool,
+    ) -> Decision {
+        let now = self.clock.now();
         let members = self.state.borrow().members(&context.service);
         let serving = self.serving(&members, context, now);
         let is_untried = |member: &&Member| !context.tried.contains(&member.target);
@@ -291,7 +304,11 @@
             .shortest_pause(context, &context.tried)
             .filter(|_| context.has_begun());
         let has_untried_target = serving.iter().any(is_untried)
-            || pause.is_some_and(|pause| now + pause < context.next_event_deadline());
+            || pause.is_some_and(|pause| now + pause < context.next_event_deadline())
+            // The silent target could have gone on, had it not been left for one that failed.
+            || context.return_to_silent(|silent| {
+                *silent != *target && serving.iter().any(|member| member.target == *silent)
+            });
         let conditions = Conditions {
             is_repeatable: context.route.kind.is_repeatable(),
             is_resumable: matches!(
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -2,12 +2,12 @@
 
 use std::{rc::Rc, time::Duration};
 
-use buckthornmast_routing::attempt::{Decision, Dispatch};
+use buckthornmast_routing::attempt::{Decision, Dispatch, Reason};
 use buckthornmast_types::{id, time::Clock};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     body::{self, Body, Sender},
@@ -26,6 +26,9 @@
 /// Minimum number of events after the first one for an answer to count as a sample of the model's speed.
 const MIN_SAMPLE_EVENTS: u32 = 8;
 
+/// Interval at which a stream whose silent target was left looks for an attempt in the retry budget.
+const BUDGET_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How the stream of one target ended.
 enum StreamEnd {
     /// The stream is complete.
@@ -41,6 +44,13 @@
     },
 }
 
+fn is_for_budget(decision: Decision) -> bool {
+    let Decision::End { reason, .. } = decision else {
+        return false;
+    };
+    reason == Reason::Budget
+}
+
 impl<M: Mapping, S: Supply> Forwarder<M, S> {
     /// Returns the response whose body forwards a stream.
     pub(crate) fn stream(
@@ -222,6 +232,8 @@
                 }
                 None => {
                     exchange.in_flight.end(Ended::Failed);
+                    let target = exchange.in_flight.target.clone();
+                    self.context.silent.push(target);
                     return broken("the target sent no event in time", splitter);
                 }
             };
@@ -275,9 +287,20 @@
         last: Option<u64>,
         mut failure: Failure,
     ) -> Option<EventStream> {
+        let was_silent = self.context.silent.contains(target);
         let mut target = target.clone();
         loop {
-            let decision = self.decide(&target, incarnation, &failure).await;
+            let mut decision = self.decide(&target, incarnation, &failure).await;
+            // The silent target could have gone on, so the stream isn't given up for the lack of a budget at this moment.
+            while was_silent && is_for_budget(decision) && self.is_awaited() {
+                tokio::select! {
+                    () = self.sender.closed() => return None,
+                    () = sleep(BUDGET_POLL_INTERVAL) => {}
+                }
+                decision = self
+                    .forwarder
+                    .decide_again(&mut self.context, &target, &failure, false);
+            }
             log::info!(
                 step = "resume",
                 request:% = self.context.head.request,
@@ -328,6 +351,11 @@
         }
     }
 
+    /// Returns whether the caller still waits for the next event.
+    fn is_awaited(&self) -> bool {
+        self.forwarder.clock.now() < self.context.next_event_deadline()
+    }
+
     fn log_refused_resume(&self, target: &id::Target, refusal: Refusal) {
         let now = self.forwarder.clock.now();
         let routes_version = self.forwarder.state.borrow().version();
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -168,6 +168,7 @@
         last_event_at: None,
         shared_parts: Set::default(),
         is_trial: false,
+        silent: SmallVec::new(),
     }
 }
 
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -23,7 +23,7 @@
     register::Revision,
 };
 use buckthornmast_types::{id, rate::Rate, size::Bytes as Size, time::Clock, time::System};
-use http::{HeaderMap, request, response};
+use http::{HeaderMap, StatusCode, request, response};
 use smallvec::SmallVec;
 use socket2::SockRef;
 use tokio::{
@@ -73,6 +73,11 @@
     Step::Send(text.to_owned())
 }
 
+/// Returns the answer of a target that doesn't run the request.
+pub(crate) fn refusal() -> Step {
+    Step::Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned())
+}
+
 /// Returns an event.
 pub(crate) fn event(number: u64) -> Step {
     Step::Send(format!("id: {number}\ndata: e{number}\n\n"))
@@ -124,9 +129,10 @@
         }
     }
 
-    fn decode_answer(&self, _: &response::Parts) -> Answer {
+    fn decode_answer(&self, head: &response::Parts) -> Answer {
         Answer {
             is_stamped: true,
+            is_refusal: head.status == StatusCode::SERVICE_UNAVAILABLE,
             ..Answer::default()
         }
     }
