Count extra attempts in a sliding window, as the bound on them does

What callers saw: streams and requests of a failed target were ended for lack of a budget, though few extra attempts had been made lately.

Cause: each instance had a token bucket of its share of the burst, 1.8 attempts with 68 instances. What its requests earned above that was lost, but a target that ends needs all of its attempts at once. The bound of the platform is one on windows. The bucket was also refilled whenever the number of instances changed.

Change: an instance counts the requests and the extra attempts of the last window, and may make as many as its share of the bound allows. Over all instances, seven tenths of the bound are used, as before. The tests are of the new type, so they have no counterpart before.

--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -178,10 +178,7 @@
     async fn run(self: Rc<Self>, mut context: Context, mut reporter: Reporter) -> Response<Body> {
         let service = context.service.clone();
         let now = self.clock.now();
-        self.state
-            .borrow_mut()
-            .budget(&service, now)
-            .record_request();
+        self.state.borrow_mut().record_request(&service, now);
         loop {
             let chosen = match self.select_target(&mut context).await {
                 Ok(chosen) => chosen,
@@ -327,11 +324,7 @@
         attempt::decide(&context.history, &conditions, now, || {
             // Nothing arrived at the target, so the attempt doesn't count against the retry budget.
             failure.dispatch == Dispatch::NotSent
-                || self
-                    .state
-                    .borrow_mut()
-                    .budget(&context.service, now)
-                    .take(now)
+                || self.state.borrow_mut().take_attempt(&context.service, now)
         })
     }
 
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -359,7 +359,7 @@
         let now = self.clock.now();
         let has_budget = {
             let mut state = self.state.borrow_mut();
-            state.budget(&context.service, now).has_attempt(now)
+            state.has_attempt(&context.service, now)
         };
         let members = self.state.borrow().members(&context.service);
         let mut serving = self.serving(&members, context, now);
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -4,6 +4,7 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use buckthornmast_fleet::prelude::*;
@@ -13,8 +14,8 @@
     register::Revision,
     table::Table,
 };
-use buckthornmast_routing::budget::{self, Retry};
-use buckthornmast_types::{id, rate::Rate, time::Point};
+use buckthornmast_routing::budget;
+use buckthornmast_types::{id, time::Point};
 use tokio::sync::Notify;
 
 use crate::{
@@ -26,10 +27,6 @@
     stats::StatsTable,
 };
 
-/// Share of the allowed extra attempts that this instance uses, so that the sum over all instances stays within the
-/// bound while they disagree on the number of instances.
-const BUDGET_SHARE: f64 = 0.7;
-
 /// Number of inventories of unknown targets that are kept.
 const MAX_UNKNOWN_INVENTORIES: usize = 1000;
 
@@ -92,6 +89,8 @@
     pub ratio: f64,
     /// Extra attempts in one window in addition to the ratio.
     pub burst: f64,
+    /// Length of a window.
+    pub window: Duration,
 }
 
 /// State of an entry instance.
@@ -115,7 +114,7 @@
     registry: Registry,
     inventories: BTreeMap<id::Target, Inventory>,
     members: HashMap<id::Service, Rc<Vec<Member>>>,
-    budgets: HashMap<id::Service, Retry>,
+    budgets: HashMap<id::Service, budget::Window>,
     retry_bounds: RetryBounds,
     instances: u32,
 }
@@ -209,10 +208,7 @@
 
     /// Sets the number of entry instances, which share the retry budget.
     pub fn set_instances(&mut self, instances: u32) {
-        if self.instances != instances.max(1) {
-            self.instances = instances.max(1);
-            self.budgets.clear();
-        }
+        self.instances = instances.max(1);
     }
 
     fn rebuild(&mut self) {
@@ -286,15 +282,39 @@
         self.members.get(service).cloned().unwrap_or_default()
     }
 
-    /// Returns the retry budget of a service.
-    pub fn budget(&mut self, service: &id::Service, now: Point) -> &mut Retry {
-        let config = budget::Config {
-            retries_per_request: self.retry_bounds.ratio * BUDGET_SHARE,
-            capacity: (self.retry_bounds.burst * BUDGET_SHARE / f64::from(self.instances)).max(1.0),
-            refill_rate: Rate::default(),
-        };
-        let budget = self.budgets.entry(service.clone());
-        budget.or_insert_with(|| Retry::new(config, now))
+    /// Returns the share of this instance in the bounds on extra attempts.
+    fn budget_config(&self) -> budget::WindowConfig {
+        let RetryBounds {
+            ratio,
+            burst,
+            window,
+        } = self.retry_bounds;
+        budget::WindowConfig {
+            length: window,
+            retries_per_request: ratio * budget::WINDOW_SHARE,
+            burst: burst * budget::WINDOW_SHARE / f64::from(self.instances),
+        }
+    }
+
+    /// Records a request for a service, which adds to the budget of extra attempts.
+    pub fn record_request(&mut self, service: &id::Service, now: Point) {
+        let config = self.budget_config();
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.record_request(&config, now);
+    }
+
+    /// Returns whether the budget of a service has an extra attempt.
+    pub fn has_attempt(&mut self, service: &id::Service, now: Point) -> bool {
+        let config = self.budget_config();
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.has_attempt(&config, now)
+    }
+
+    /// Takes an extra attempt from the budget of a service, if it has one.
+    pub fn take_attempt(&mut self, service: &id::Service, now: Point) -> bool {
+        let config = self.budget_config();
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.take(&config, now)
     }
 
     /// Removes expired targets, idle connections and statistics of former targets.
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -235,8 +235,8 @@
             sleep(Duration::from_millis(100)).await;
             let now = fleet.forwarder.clock.now();
             let mut state = fleet.forwarder.state.borrow_mut();
-            let budget = state.budget(&"engines".parse().unwrap(), now);
-            (0..10).for_each(|_| budget.record_request());
+            let service = "engines".parse().unwrap();
+            (0..20).for_each(|_| state.record_request(&service, now));
         });
         assert_complete(&answer, 3);
     });
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -81,6 +81,7 @@
     let retry_bounds = RetryBounds {
         ratio: 0.2,
         burst: 10.0,
+        window: Duration::from_secs(10),
     };
     let mut state = State::new(retry_bounds);
     state.change_targets(|registry| {
--- a/crates/buckthornmast_forward/tests/state.rs
+++ b/crates/buckthornmast_forward/tests/state.rs
@@ -102,6 +102,7 @@
         let mut entry = Entry::new(RetryBounds {
             ratio: 0.2,
             burst: 10.0,
+            window: Duration::from_secs(10),
         });
         if is_placed_first {
             place(&mut entry, "m2");
@@ -125,6 +126,7 @@
         let mut entry = Entry::new(RetryBounds {
             ratio: 0.2,
             burst: 10.0,
+            window: Duration::from_secs(10),
         });
         set_routes(&mut entry, 1, &["other"]);
         if is_announced_first {
--- a/crates/buckthornmast_forward/tests/stop.rs
+++ b/crates/buckthornmast_forward/tests/stop.rs
@@ -68,6 +68,7 @@
     let retry_bounds = RetryBounds {
         ratio: 0.2,
         burst: 10.0,
+        window: Duration::from_secs(10),
     };
     let forwarder = Forwarder {
         mapping: NoHeaders,
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -227,6 +227,7 @@
         let mut state = State::new(RetryBounds {
             ratio: 0.2,
             burst: 50.0,
+            window: Duration::from_secs(10),
         });
         assert!(state.set_routes(document(route)));
         let mut tasks = Vec::new();
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -58,6 +58,7 @@
         let retry_bounds = RetryBounds {
             ratio: settings.bounds.extra_ratio,
             burst: settings.bounds.extra_burst,
+            window: settings.bounds.extra_window,
         };
         let supplier = Shared::default();
         let forwarder = Forwarder {
--- a/crates/buckthornmast_node/src/settings.rs
+++ b/crates/buckthornmast_node/src/settings.rs
@@ -55,6 +55,9 @@
     },
 }
 
+/// Length of the window of extra attempts, if the settings don't name one.
+const DEFAULT_EXTRA_WINDOW: Duration = Duration::from_secs(10);
+
 /// Bounds that the deployment sets.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -68,6 +71,8 @@
     pub extra_ratio: f64,
     /// Extra attempts beyond that ratio in one window, summed over all instances.
     pub extra_burst: f64,
+    /// Length of that window.
+    pub extra_window: Duration,
     /// Number of file descriptors that the process may open.
     pub descriptors: usize,
 }
@@ -175,6 +180,7 @@
     let is_fenced = reader.optional("bounds", "fenced", "true or false");
     let extra_ratio = reader.required("bounds", "extra-ratio", "a number");
     let extra_burst = reader.required("bounds", "extra-burst", "a number");
+    let extra_window: Option<Span> = reader.optional("bounds", "extra-window", DURATION_FORMAT);
     let descriptors = reader.required("bounds", "descriptors", "a number");
     Some(Bounds {
         grace: grace?.0,
@@ -182,6 +188,7 @@
         is_fenced: is_fenced.unwrap_or(false),
         extra_ratio: extra_ratio?,
         extra_burst: extra_burst?,
+        extra_window: extra_window.map_or(DEFAULT_EXTRA_WINDOW, |window| window.0),
         descriptors: descriptors?,
     })
 }
--- a/crates/buckthornmast_node/tests/settings.rs
+++ b/crates/buckthornmast_node/tests/settings.rs
@@ -19,6 +19,13 @@
         settings.bounds.handover_interval,
         Duration::from_millis(500)
     );
+    assert_eq!(settings.bounds.extra_window, Duration::from_secs(10));
+    let with_window = ENTRY.replace("extra-burst = 52", "extra-burst = 52\nextra-window = 4s");
+    let settings_with_window = Settings::parse("entry.ini", &with_window).unwrap();
+    assert_eq!(
+        settings_with_window.bounds.extra_window,
+        Duration::from_secs(4)
+    );
     let peers: Vec<String> = settings.seed_peers().map(|seed| seed.to_string()).collect();
     assert_eq!(peers, ["10.0.0.2:7380", "10.0.0.3:7380"]);
     let member = Settings::member_name("10.0.0.2:8144".parse().unwrap()).unwrap();
@@ -33,6 +40,11 @@
         ("role = entry", "role = front", "role"),
         ("callers = 10.0.0.1:80", "callers = here", "callers"),
         ("grace = 8s", "grace = soon", "grace"),
+        (
+            "extra-burst = 52",
+            "extra-burst = 52\nextra-window = long",
+            "extra-window",
+        ),
         ("10.0.0.3:8144", "nowhere", "control"),
         ("port = 7380", "", "port"),
     ] {
