Keep one quarantine of a part, so that a failed trial ends its series

What callers would see: with two quarantines of the same part, a trial every 10 s without end, each of which ends a target. In a ledger with the quarantines {2, 7} and {7}, in which part 2 is cleared, 5 trials fail within 35 s.

Cause: a quarantine loses its cleared parts and may then equal another one, or refuse less than it. Each has trials of its own, but a failed trial was counted only against the first one that covers the suspect, so the other one stayed due.

Evidence: record_crash_twice_quarantined failed before (5 trials instead of 1).

Change: quarantines that refuse nothing of their own are dropped, equal ones are joined, also when they come from another instance, and a failed trial lengthens each quarantine that covers the suspect. No quarantine is a subset of another one any more.

--- a/crates/buckthornmast_quarantine/src/ledger.rs
+++ b/crates/buckthornmast_quarantine/src/ledger.rs
@@ -101,6 +101,15 @@
         }
     }
 
+    /// Adds what another quarantine of the same parts states.
+    fn absorb(&mut self, other: &Self) {
+        self.is_stale |= other.is_stale;
+        self.since = self.since.min(other.since);
+        self.until = self.until.max(other.until);
+        self.length = self.length.max(other.length);
+        self.touched_at = self.touched_at.max(other.touched_at);
+    }
+
     fn lengthen(&mut self, now: Point) {
         self.length = self
             .length
@@ -123,17 +132,19 @@
         if evidence.parts.is_empty() {
             return false;
         }
-        let covering = self
-            .quarantines
-            .iter_mut()
-            .find(|quarantine| quarantine.parts.is_subset(&evidence.parts));
-        if let Some(quarantine) = covering {
+        let mut is_covered = false;
+        let mut is_trial = false;
+        let quarantines = self.quarantines.iter_mut();
+        for quarantine in quarantines.filter(|known| known.parts.is_subset(&evidence.parts)) {
+            is_covered = true;
             quarantine.touched_at = now;
             // Before that, the request was sent before the quarantine was in force everywhere.
-            let is_trial = now >= quarantine.until;
-            if is_trial {
+            if now >= quarantine.until {
+                is_trial = true;
                 quarantine.lengthen(now);
             }
+        }
+        if is_covered {
             return is_trial;
         }
         self.evidence
@@ -156,9 +167,27 @@
             length: FIRST_QUARANTINE,
             touched_at: now,
         });
+        self.reduce();
         true
     }
 
+    /// Drops quarantines that refuse nothing which another one doesn't refuse as well. Each would have trials of its own.
+    fn reduce(&mut self) {
+        let mut kept: Vec<Quarantine> = Vec::with_capacity(self.quarantines.len());
+        self.quarantines.sort_by_key(|known| known.parts.len());
+        for quarantine in self.quarantines.drain(..) {
+            let wider = kept
+                .iter_mut()
+                .find(|wider| wider.parts.is_subset(&quarantine.parts));
+            match wider {
+                Some(same) if same.parts == quarantine.parts => same.absorb(&quarantine),
+                Some(_) => {}
+                None => kept.push(quarantine),
+            }
+        }
+        self.quarantines = kept;
+    }
+
     /// Returns the largest set of parts that enough crashes have in common with a suspect, and the time of the first of
     /// these crashes.
     fn common_parts(&self, suspect: &Evidence) -> Option<(Set, Point)> {
@@ -209,34 +238,40 @@
         }
         self.quarantines
             .retain(|quarantine| !quarantine.parts.is_empty());
+        if is_changed {
+            self.reduce();
+        }
         is_changed
     }
 
     /// Adds quarantines that another instance knows. Returns whether the quarantines have changed.
     pub fn merge(&mut self, notices: &[Notice], now: Point) -> bool {
         let mut is_changed = false;
-        for notice in notices {
-            let known = self
-                .quarantines
-                .iter_mut()
-                .find(|quarantine| quarantine.parts == notice.parts);
-            let until = now + notice.remaining;
-            if let Some(known) = known {
-                known.touched_at = now;
-                known.length = known.length.max(notice.length);
-                known.until = known.until.max(until);
-            } else if !notice.parts.is_empty() && self.quarantines.len() < MAX_QUARANTINES {
-                is_changed = true;
-                self.quarantines.push(Quarantine {
-                    parts: notice.parts.clone(),
-                    is_stale: notice.is_stale,
-                    since: now - notice.age,
-                    until,
-                    length: notice.length,
-                    touched_at: now,
-                });
+        for notice in notices.iter().filter(|notice| !notice.parts.is_empty()) {
+            let has_room = self.quarantines.len() < MAX_QUARANTINES;
+            let quarantine = Quarantine {
+                parts: notice.parts.clone(),
+                is_stale: notice.is_stale,
+                since: now - notice.age,
+                until: now + notice.remaining,
+                length: notice.length,
+                touched_at: now,
+            };
+            let mut quarantines = self.quarantines.iter_mut();
+            let known = quarantines.find(|known| known.parts.is_subset(&notice.parts));
+            match known {
+                Some(same) if same.parts == notice.parts => same.absorb(&quarantine),
+                Some(_) => {}
+                None if has_room => {
+                    is_changed = true;
+                    self.quarantines.push(quarantine);
+                }
+                None => {}
             }
         }
+        if is_changed {
+            self.reduce();
+        }
         is_changed
     }
 
--- a/crates/buckthornmast_quarantine/tests/guard.rs
+++ b/crates/buckthornmast_quarantine/tests/guard.rs
@@ -172,3 +172,32 @@
     assert!(is_refused(&mut guard, &[7], at(0)));
     assert_eq!(guard.notices(at(0)).len(), 1);
 }
+
+/// Guards against trials without end where two quarantines have become the same by the progress of a companion part.
+#[test]
+fn record_crash_twice_quarantined() {
+    let mut ledger = Ledger::default();
+    for (number, ids) in [[2, 7], [2, 7], [3, 7], [4, 7]].iter().enumerate() {
+        let evidence = Evidence {
+            crash: crash(number as u64),
+            parts: parts(ids),
+            is_stale: false,
+        };
+        ledger.record_crash(evidence, at(0));
+    }
+    ledger.record_progress(&parts(&[2, 3, 4]));
+    let mut trials = 0;
+    for second in 10..45 {
+        if ledger.begin_trial(at(second)).is_some() {
+            trials += 1;
+            let evidence = Evidence {
+                crash: crash(100 + second),
+                parts: parts(&[7]),
+                is_stale: false,
+            };
+            ledger.record_crash(evidence, at(second));
+        }
+    }
+    assert_eq!(trials, 1);
+    assert_eq!(ledger.notices(at(45)).len(), 1);
+}
