Forget quarantines after their last crash, and let notices postpone no trial

What callers would see: prompts that share a part with targets that ended by themselves stay refused without a trial while entry instances connect to the leader more often than every 10 s, as in a rolling restart. And a quarantine whose part no request has any more is never forgotten: the leader permits a trial of it every 10 s and logs each, and 64 of them take the room of all later ones.

Cause: one point in time, touched_at, stood for the last crash, the last notice and the last trial.

Evidence: begin_trial_between_notices and prune_unused failed before (no trial in 30 s instead of 3; kept after 3 h).

Change: the last crash and the last trial are kept apart. A notice states the time since the last crash, so that instances which tell each other of a quarantine don't renew it.

--- a/crates/buckthornmast_quarantine/src/ledger.rs
+++ b/crates/buckthornmast_quarantine/src/ledger.rs
@@ -42,7 +42,7 @@
 /// Time after which a trial that had no result is repeated at another instance.
 pub const TRIAL_TIME: Duration = Duration::from_secs(10);
 
-/// Time after the last crash or notice after which a quarantine is forgotten, if trials have no result.
+/// Time after the last crash after which a quarantine is forgotten, if trials have no result.
 const QUARANTINE_RETENTION: Duration = Duration::from_secs(2 * 3600);
 
 /// End of a target, which happens once in its incarnation.
@@ -74,6 +74,8 @@
     pub is_stale: bool,
     /// Time since the first of its crashes.
     pub age: Duration,
+    /// Time since the last of its crashes.
+    pub idle: Duration,
     /// Time until the next trial.
     pub remaining: Duration,
     /// Time between two trials.
@@ -87,7 +89,8 @@
     since: Point,
     until: Point,
     length: Duration,
-    touched_at: Point,
+    crashed_at: Point,
+    tried_at: Option<Point>,
 }
 
 impl Quarantine {
@@ -96,6 +99,7 @@
             parts: self.parts.clone(),
             is_stale: self.is_stale,
             age: now.since(self.since),
+            idle: now.since(self.crashed_at),
             remaining: self.until.since(now),
             length: self.length,
         }
@@ -107,7 +111,8 @@
         self.since = self.since.min(other.since);
         self.until = self.until.max(other.until);
         self.length = self.length.max(other.length);
-        self.touched_at = self.touched_at.max(other.touched_at);
+        self.crashed_at = self.crashed_at.max(other.crashed_at);
+        self.tried_at = self.tried_at.max(other.tried_at);
     }
 
     fn lengthen(&mut self, now: Point) {
@@ -137,7 +142,7 @@
         let quarantines = self.quarantines.iter_mut();
         for quarantine in quarantines.filter(|known| known.parts.is_subset(&evidence.parts)) {
             is_covered = true;
-            quarantine.touched_at = now;
+            quarantine.crashed_at = now;
             // Before that, the request was sent before the quarantine was in force everywhere.
             if now >= quarantine.until {
                 is_trial = true;
@@ -165,7 +170,8 @@
             since,
             until: now + FIRST_QUARANTINE,
             length: FIRST_QUARANTINE,
-            touched_at: now,
+            crashed_at: now,
+            tried_at: None,
         });
         self.reduce();
         true
@@ -255,7 +261,8 @@
                 since: now - notice.age,
                 until: now + notice.remaining,
                 length: notice.length,
-                touched_at: now,
+                crashed_at: now - notice.idle,
+                tried_at: None,
             };
             let mut quarantines = self.quarantines.iter_mut();
             let known = quarantines.find(|known| known.parts.is_subset(&notice.parts));
@@ -294,10 +301,12 @@
     pub fn begin_trial(&mut self, now: Point) -> Option<Set> {
         let mut quarantines = self.quarantines.iter_mut();
         let quarantine = quarantines.find(|quarantine| {
-            now >= quarantine.until && now >= quarantine.touched_at + TRIAL_TIME
+            let tried_at = quarantine.tried_at;
+            let is_tried = tried_at.is_some_and(|tried_at| now < tried_at + TRIAL_TIME);
+            now >= quarantine.until && !is_tried
         })?;
         // The end of the quarantine stays in the past, by which a failure of the trial is recognized.
-        quarantine.touched_at = now;
+        quarantine.tried_at = Some(now);
         Some(quarantine.parts.clone())
     }
 
@@ -319,6 +328,6 @@
         self.evidence
             .retain(|(at, _)| now.since(*at) < EVIDENCE_RETENTION);
         self.quarantines
-            .retain(|quarantine| now.since(quarantine.touched_at) < QUARANTINE_RETENTION);
+            .retain(|quarantine| now.since(quarantine.crashed_at) < QUARANTINE_RETENTION);
     }
 }
--- a/crates/buckthornmast_quarantine/tests/guard.rs
+++ b/crates/buckthornmast_quarantine/tests/guard.rs
@@ -201,3 +201,47 @@
     assert_eq!(trials, 1);
     assert_eq!(ledger.notices(at(45)).len(), 1);
 }
+
+/// Guards against quarantines that stay forever because trials without result and notices count as crashes.
+#[test]
+fn prune_unused() {
+    let mut ledger = Ledger::default();
+    let mut other = Ledger::default();
+    for number in 0..2 {
+        let evidence = Evidence {
+            crash: crash(number),
+            parts: parts(&[7]),
+            is_stale: false,
+        };
+        ledger.record_crash(evidence, at(0));
+    }
+    for second in (10..3 * 3600).step_by(10) {
+        let now = at(second);
+        ledger.begin_trial(now);
+        other.merge(&ledger.notices(now), now);
+        ledger.merge(&other.notices(now), now);
+        ledger.prune(now);
+        other.prune(now);
+    }
+    assert!(ledger.is_empty() && other.is_empty());
+}
+
+/// Guards against a trial that never comes while instances connect again and again.
+#[test]
+fn begin_trial_between_notices() {
+    let mut ledger = Ledger::default();
+    for number in 0..2 {
+        let evidence = Evidence {
+            crash: crash(number),
+            parts: parts(&[7]),
+            is_stale: false,
+        };
+        ledger.record_crash(evidence, at(0));
+    }
+    let mut trials = 0;
+    for second in 1..=30 {
+        ledger.merge(&ledger.notices(at(second)), at(second));
+        trials += usize::from(ledger.begin_trial(at(second)).is_some());
+    }
+    assert_eq!(trials, 3);
+}
