Keep quarantines beside wider ones that may be refuted

What callers would see: an entry instance that suspects part 1 alone, by itself, ignores the quarantine of 1 and 7 that the core sends, and once part 1 is cleared it lets requests with part 7 through to two more targets.

Evidence: merge_beside_wider failed before this change.

Change: such a quarantine stays, and has no trial as long as the wider one stands. Equal ones are still joined.

--- a/crates/buckthornmast_quarantine/src/guard.rs
+++ b/crates/buckthornmast_quarantine/src/guard.rs
@@ -29,7 +29,7 @@
 }
 
 /// Guard of one instance.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Guard {
     ledger: Ledger,
     memory: Memory,
--- a/crates/buckthornmast_quarantine/src/ledger.rs
+++ b/crates/buckthornmast_quarantine/src/ledger.rs
@@ -55,7 +55,7 @@
 }
 
 /// Request that a target was beginning to answer when it ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Evidence {
     /// End of the target.
     pub crash: Crash,
@@ -66,7 +66,7 @@
 }
 
 /// Quarantine, as one instance tells another of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Notice {
     /// Parts that a request must have to be refused.
     pub parts: Set,
@@ -82,7 +82,7 @@
     pub length: Duration,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Quarantine {
     parts: Set,
     is_stale: bool,
@@ -125,7 +125,7 @@
 }
 
 /// Crashes and quarantines that one instance knows.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Ledger {
     evidence: VecDeque<(Point, Evidence)>,
     quarantines: Vec<Quarantine>,
@@ -177,23 +177,28 @@
         true
     }
 
-    /// Drops quarantines that refuse nothing which another one doesn't refuse as well. Each would have trials of its own.
+    /// Joins equal quarantines, each of which would have trials of its own, and puts the widest ones first.
     fn reduce(&mut self) {
         let mut kept: Vec<Quarantine> = Vec::with_capacity(self.quarantines.len());
-        self.quarantines.sort_by_key(|known| known.parts.len());
         for quarantine in self.quarantines.drain(..) {
-            let wider = kept
-                .iter_mut()
-                .find(|wider| wider.parts.is_subset(&quarantine.parts));
-            match wider {
-                Some(same) if same.parts == quarantine.parts => same.absorb(&quarantine),
-                Some(_) => {}
+            let same = kept.iter_mut().find(|same| same.parts == quarantine.parts);
+            match same {
+                Some(same) => same.absorb(&quarantine),
                 None => kept.push(quarantine),
             }
         }
+        kept.sort_by_key(|quarantine| quarantine.parts.len());
         self.quarantines = kept;
     }
 
+    /// Returns whether another quarantine refuses all requests that this one refuses.
+    fn is_idle(&self, quarantine: &Quarantine) -> bool {
+        let mut others = self.quarantines.iter();
+        others.any(|other| {
+            other.parts.len() < quarantine.parts.len() && other.parts.is_subset(&quarantine.parts)
+        })
+    }
+
     /// Returns the largest set of parts that enough crashes have in common with a suspect, and the time of the first of
     /// these crashes.
     fn common_parts(&self, suspect: &Evidence) -> Option<(Set, Point)> {
@@ -265,10 +270,8 @@
                 tried_at: None,
             };
             let mut quarantines = self.quarantines.iter_mut();
-            let known = quarantines.find(|known| known.parts.is_subset(&notice.parts));
-            match known {
-                Some(same) if same.parts == notice.parts => same.absorb(&quarantine),
-                Some(_) => {}
+            match quarantines.find(|known| known.parts == notice.parts) {
+                Some(known) => known.absorb(&quarantine),
                 None if has_room => {
                     is_changed = true;
                     self.quarantines.push(quarantine);
@@ -282,7 +285,7 @@
         is_changed
     }
 
-    /// Returns the parts that are quarantined, if a request has all parts of a quarantine, and the time until the next trial.
+    /// Returns the parts of the widest quarantine whose parts a request has, and the time until the next trial.
     pub fn find(&self, parts: &Set, now: Point) -> Option<(&Set, Duration)> {
         let mut matching = self.quarantines.iter();
         let quarantine = matching.find(|quarantine| quarantine.parts.is_subset(parts))?;
@@ -299,12 +302,13 @@
 
     /// Returns the parts of a quarantine whose trial is due, and postpones the next trial.
     pub fn begin_trial(&mut self, now: Point) -> Option<Set> {
-        let mut quarantines = self.quarantines.iter_mut();
-        let quarantine = quarantines.find(|quarantine| {
+        let is_due = |quarantine: &Quarantine| {
             let tried_at = quarantine.tried_at;
             let is_tried = tried_at.is_some_and(|tried_at| now < tried_at + TRIAL_TIME);
-            now >= quarantine.until && !is_tried
-        })?;
+            now >= quarantine.until && !is_tried && !self.is_idle(quarantine)
+        };
+        let index = self.quarantines.iter().position(is_due)?;
+        let quarantine = self.quarantines.get_mut(index)?;
         // The end of the quarantine stays in the past, by which a failure of the trial is recognized.
         quarantine.tried_at = Some(now);
         Some(quarantine.parts.clone())
--- a/crates/buckthornmast_quarantine/src/memory.rs
+++ b/crates/buckthornmast_quarantine/src/memory.rs
@@ -13,7 +13,7 @@
 pub const MAX_GENERATION_PARTS: usize = 8192;
 
 /// Times at which targets last answered on parts.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Memory {
     young: HashMap<Part, Point>,
     old: HashMap<Part, Point>,
--- a/crates/buckthornmast_quarantine/tests/guard.rs
+++ b/crates/buckthornmast_quarantine/tests/guard.rs
@@ -245,3 +245,19 @@
     }
     assert_eq!(trials, 3);
 }
+
+/// Guards against losing a quarantine for a wider one that is refuted later.
+#[test]
+fn merge_beside_wider() {
+    let mut blaming = Guard::default();
+    end_target(&mut blaming, 1, &[1, 7], at(0));
+    end_target(&mut blaming, 2, &[1, 7], at(0));
+    let mut guard = Guard::default();
+    end_target(&mut guard, 3, &[1], at(0));
+    end_target(&mut guard, 4, &[1], at(0));
+    assert!(is_refused(&mut guard, &[1], at(0)));
+    guard.merge(&blaming.notices(at(0)), at(0));
+    guard.record_progress(&parts(&[1]), at(1));
+    assert!(!is_refused(&mut guard, &[1], at(1)));
+    assert!(is_refused(&mut guard, &[7], at(1)));
+}
