--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -35,6 +35,10 @@
 /// Interval of the main loop.
 const TICK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Number of ticks between two reports of the quarantines. An instance of the core that missed the evidence permits no
+/// trial, and one that missed the refutation passes the quarantine on.
+const QUARANTINE_REPORT_TICKS: u64 = 25;
+
 /// Time before the end of the grace period of a stop from which requests that still wait for a target are refused, so
 /// that the response arrives before this instance ends.
 const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(2000);
@@ -101,7 +105,7 @@
 
     /// Runs the main loop, and never returns.
     pub async fn run(self: Rc<Self>) {
-        loop {
+        for tick in 0_u64.. {
             let now = self.forwarder.clock.now();
             let addresses = {
                 let mut roster = self.roster.borrow_mut();
@@ -112,6 +116,10 @@
             self.connections.set(&addresses, &self);
             self.supplier.0.report();
             self.forwarder.state.borrow_mut().prune(now);
+            if tick.is_multiple_of(QUARANTINE_REPORT_TICKS) {
+                let notices = self.forwarder.state.borrow().guard.notices(now);
+                self.supplier.0.report_quarantines_everywhere(notices);
+            }
             sleep(TICK_INTERVAL).await;
         }
     }
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -217,6 +217,13 @@
         }
     }
 
+    /// Tells all instances of the core the quarantines that this instance knows.
+    pub fn report_quarantines_everywhere(&self, notices: Vec<Notice>) {
+        if !notices.is_empty() {
+            self.send_cores(&Upstream::Quarantines(notices));
+        }
+    }
+
     /// Tells all instances of the core that targets answer on parts.
     pub fn report_progress(&self, parts: part::Set) {
         self.send_cores(&Upstream::Progress(parts));
