--- a/crates/buckthornmast_forward/tests/crash.rs
+++ b/crates/buckthornmast_forward/tests/crash.rs
@@ -8,6 +8,7 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
+use buckthornmast_routes::document::Kind;
 use fleet::{Fleet, Step, block_on, event, route, stream_head};
 
 /// Answers a request, or crashes if it has the part 7.
@@ -56,3 +57,35 @@
         assert_eq!(fleet.arrived(), 1);
     });
 }
+
+/// Answers a request as a whole, or crashes in the middle of the answer if it has the part 7.
+fn crash_in_body(head: &str) -> Vec<Step> {
+    let is_deadly = crash_on_part(head)
+        .iter()
+        .any(|step| matches!(step, Step::Crash));
+    let body = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf";
+    let rest = if is_deadly {
+        Step::Crash
+    } else {
+        Step::Send("half".to_owned())
+    };
+    vec![Step::Send(body.to_owned()), rest]
+}
+
+/// Guards against whole answers whose requests aren't suspected, and are sent to one target after the other.
+#[test]
+fn crash_in_whole_answer() {
+    block_on(async {
+        let mut whole = route();
+        whole.kind = Kind::Idempotent;
+        let fleet = Fleet::start(whole, 8).await;
+        fleet.play.answer.set(Some(crash_in_body));
+        assert!(fleet.call("1,100").await.ends_with("halfhalf"));
+        fleet.play.requests.borrow_mut().clear();
+        for own in 200..210 {
+            fleet.call(&format!("1,7,{own}")).await;
+        }
+        assert!(fleet.arrived() <= 2, "{} targets ended", fleet.arrived());
+        assert!(fleet.call("1,300").await.ends_with("halfhalf"));
+    });
+}
