Take parts that were answered elsewhere long ago for answered, but not lately

What callers would see: a prompt part that was in use and turns deadly is retried on further targets, and not suspected, for two seconds after an instance that answered on it long ago refutes its quarantine.

Cause: each instance recorded such a refutation as an answer of that moment, by which a part counts as fresh and isn't suspected.

Evidence: merge_progress_long_ago failed with the report recorded as an answer of that moment, as before.

Change: reported answers count as answers at an unknown time: the parts are cleared and aren't new, but crashes on them are evidence.

--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -213,7 +213,7 @@
                 }
             }
             Downstream::Progress(parts) => {
-                if state.guard.record_progress(&parts, now) {
+                if state.guard.merge_progress(&parts) {
                     log::info!(step = "quarantine", parts:% = parts, peer:% = peer; "targets answer on parts elsewhere; clearing them");
                 }
             }
--- a/crates/buckthornmast_quarantine/src/guard.rs
+++ b/crates/buckthornmast_quarantine/src/guard.rs
@@ -105,6 +105,21 @@
         for part in parts.iter() {
             self.memory.record(part, now);
         }
+        self.clear(parts)
+    }
+
+    /// Records that another instance knows of an answer on these parts. Returns whether one of them was blamed.
+    pub fn merge_progress(&mut self, parts: &Set) -> bool {
+        for part in parts.iter() {
+            if self.memory.last(part).is_none() {
+                // The answer may be as old as the memory of that instance.
+                self.memory.record(part, Point::ZERO);
+            }
+        }
+        self.clear(parts)
+    }
+
+    fn clear(&mut self, parts: &Set) -> bool {
         let is_blamed = self.ledger.blames(parts);
         if is_blamed {
             self.ledger.record_progress(parts);
--- a/crates/buckthornmast_quarantine/tests/guard.rs
+++ b/crates/buckthornmast_quarantine/tests/guard.rs
@@ -261,3 +261,21 @@
     assert!(!is_refused(&mut guard, &[1], at(1)));
     assert!(is_refused(&mut guard, &[7], at(1)));
 }
+
+/// Guards against a part that turned deadly and is taken for proven because a target answered on it long ago elsewhere.
+#[test]
+fn merge_progress_long_ago() {
+    let mut old = Guard::default();
+    old.record_progress(&parts(&[7]), at(0));
+    let mut guard = Guard::default();
+    end_target(&mut guard, 1, &[7], at(100));
+    end_target(&mut guard, 2, &[7], at(100));
+    let refuted = old.merge(&guard.notices(at(100)), at(100));
+    assert!(guard.merge_progress(&refuted));
+    for number in 3..7 {
+        assert!(!is_refused(&mut guard, &[7], at(100)));
+        assert!(end_target(&mut guard, number, &[7], at(100)));
+    }
+    assert!(is_refused(&mut guard, &[7], at(100)));
+    assert!(old.merge(&guard.notices(at(100)), at(100)).is_empty());
+}
--- a/crates/buckthornmast_quarantine/tests/model.rs
+++ b/crates/buckthornmast_quarantine/tests/model.rs
@@ -280,7 +280,7 @@
             }
             Some(Downstream::Progress(_)) if mutation == Mutation::IgnoreProgress => {}
             Some(Downstream::Progress(parts)) => {
-                entry.guard.record_progress(&parts, self.now);
+                entry.guard.merge_progress(&parts);
                 entry.proven = union(&entry.proven, &parts);
             }
             Some(Downstream::Trial(parts)) => entry.guard.permit_trial(parts, self.now),
