--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -591,8 +591,7 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
             log::debug!(step = "receive"; "reading the answer of a target failed: {error}");
-            let failure = failure(Dispatch::Sent, "the answer could not be read");
-            (failure, Ended::Failed)
+            connection_lost("the answer could not be read")
         })?;
         let Ok(bytes) = frame.into_data() else {
             continue;
--- a/crates/buckthornmast_quarantine/src/ledger.rs
+++ b/crates/buckthornmast_quarantine/src/ledger.rs
@@ -42,7 +42,7 @@
 /// Time after which a trial that had no result is repeated at another instance.
 pub const TRIAL_TIME: Duration = Duration::from_secs(10);
 
-/// Time after the last crash or notice after which a quarantine is forgotten, if trials have no result.
+/// Time after the last crash after which a quarantine is forgotten, if trials have no result.
 const QUARANTINE_RETENTION: Duration = Duration::from_secs(2 * 3600);
 
 /// End of a target, which happens once in its incarnation.
@@ -55,7 +55,7 @@
 }
 
 /// Request that a target was beginning to answer when it ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Evidence {
     /// End of the target.
     pub crash: Crash,
@@ -66,7 +66,7 @@
 }
 
 /// Quarantine, as one instance tells another of it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Notice {
     /// Parts that a request must have to be refused.
     pub parts: Set,
@@ -74,20 +74,23 @@
     pub is_stale: bool,
     /// Time since the first of its crashes.
     pub age: Duration,
+    /// Time since the last of its crashes.
+    pub idle: Duration,
     /// Time until the next trial.
     pub remaining: Duration,
     /// Time between two trials.
     pub length: Duration,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Quarantine {
     parts: Set,
     is_stale: bool,
     since: Point,
     until: Point,
     length: Duration,
-    touched_at: Point,
+    crashed_at: Point,
+    tried_at: Option<Point>,
 }
 
 impl Quarantine {
@@ -96,11 +99,22 @@
             parts: self.parts.clone(),
             is_stale: self.is_stale,
             age: now.since(self.since),
+            idle: now.since(self.crashed_at),
             remaining: self.until.since(now),
             length: self.length,
         }
     }
 
+    /// Adds what another quarantine of the same parts states.
+    fn absorb(&mut self, other: &Self) {
+        self.is_stale |= other.is_stale;
+        self.since = self.since.min(other.since);
+        self.until = self.until.max(other.until);
+        self.length = self.length.max(other.length);
+        self.crashed_at = self.crashed_at.max(other.crashed_at);
+        self.tried_at = self.tried_at.max(other.tried_at);
+    }
+
     fn lengthen(&mut self, now: Point) {
         self.length = self
             .length
@@ -111,7 +125,7 @@
 }
 
 /// Crashes and quarantines that one instance knows.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Ledger {
     evidence: VecDeque<(Point, Evidence)>,
     quarantines: Vec<Quarantine>,
@@ -123,17 +137,19 @@
         if evidence.parts.is_empty() {
             return false;
         }
-        let covering = self
-            .quarantines
-            .iter_mut()
-            .find(|quarantine| quarantine.parts.is_subset(&evidence.parts));
-        if let Some(quarantine) = covering {
-            quarantine.touched_at = now;
+        let mut is_covered = false;
+        let mut is_trial = false;
+        let quarantines = self.quarantines.iter_mut();
+        for quarantine in quarantines.filter(|known| known.parts.is_subset(&evidence.parts)) {
+            is_covered = true;
+            quarantine.crashed_at = now;
             // Before that, the request was sent before the quarantine was in force everywhere.
-            let is_trial = now >= quarantine.until;
-            if is_trial {
+            if now >= quarantine.until {
+                is_trial = true;
                 quarantine.lengthen(now);
             }
+        }
+        if is_covered {
             return is_trial;
         }
         self.evidence
@@ -154,11 +170,35 @@
             since,
             until: now + FIRST_QUARANTINE,
             length: FIRST_QUARANTINE,
-            touched_at: now,
+            crashed_at: now,
+            tried_at: None,
         });
+        self.reduce();
         true
     }
 
+    /// Joins equal quarantines, each of which would have trials of its own, and puts the widest ones first.
+    fn reduce(&mut self) {
+        let mut kept: Vec<Quarantine> = Vec::with_capacity(self.quarantines.len());
+        for quarantine in self.quarantines.drain(..) {
+            let same = kept.iter_mut().find(|same| same.parts == quarantine.parts);
+            match same {
+                Some(same) => same.absorb(&quarantine),
+                None => kept.push(quarantine),
+            }
+        }
+        kept.sort_by_key(|quarantine| quarantine.parts.len());
+        self.quarantines = kept;
+    }
+
+    /// Returns whether another quarantine refuses all requests that this one refuses.
+    fn is_idle(&self, quarantine: &Quarantine) -> bool {
+        let mut others = self.quarantines.iter();
+        others.any(|other| {
+            other.parts.len() < quarantine.parts.len() && other.parts.is_subset(&quarantine.parts)
+        })
+    }
+
     /// Returns the largest set of parts that enough crashes have in common with a suspect, and the time of the first of
     /// these crashes.
     fn common_parts(&self, suspect: &Evidence) -> Option<(Set, Point)> {
@@ -209,38 +249,43 @@
         }
         self.quarantines
             .retain(|quarantine| !quarantine.parts.is_empty());
+        if is_changed {
+            self.reduce();
+        }
         is_changed
     }
 
     /// Adds quarantines that another instance knows. Returns whether the quarantines have changed.
     pub fn merge(&mut self, notices: &[Notice], now: Point) -> bool {
         let mut is_changed = false;
-        for notice in notices {
-            let known = self
-                .quarantines
-                .iter_mut()
-                .find(|quarantine| quarantine.parts == notice.parts);
-            let until = now + notice.remaining;
-            if let Some(known) = known {
-                known.touched_at = now;
-                known.length = known.length.max(notice.length);
-                known.until = known.until.max(until);
-            } else if !notice.parts.is_empty() && self.quarantines.len() < MAX_QUARANTINES {
-                is_changed = true;
-                self.quarantines.push(Quarantine {
-                    parts: notice.parts.clone(),
-                    is_stale: notice.is_stale,
-                    since: now - notice.age,
-                    until,
-                    length: notice.length,
-                    touched_at: now,
-                });
+        for notice in notices.iter().filter(|notice| !notice.parts.is_empty()) {
+            let has_room = self.quarantines.len() < MAX_QUARANTINES;
+            let quarantine = Quarantine {
+                parts: notice.parts.clone(),
+                is_stale: notice.is_stale,
+                since: now - notice.age,
+                until: now + notice.remaining,
+                length: notice.length,
+                crashed_at: now - notice.idle,
+                tried_at: None,
+            };
+            let mut quarantines = self.quarantines.iter_mut();
+            match quarantines.find(|known| known.parts == notice.parts) {
+                Some(known) => known.absorb(&quarantine),
+                None if has_room => {
+                    is_changed = true;
+                    self.quarantines.push(quarantine);
+                }
+                None => {}
             }
         }
+        if is_changed {
+            self.reduce();
+        }
         is_changed
     }
 
-    /// Returns the parts that are quarantined, if a request has all parts of a quarantine, and the time until the next trial.
+    /// Returns the parts of the widest quarantine whose parts a request has, and the time until the next trial.
     pub fn find(&self, parts: &Set, now: Point) -> Option<(&Set, Duration)> {
         let mut matching = self.quarantines.iter();
         let quarantine = matching.find(|quarantine| quarantine.parts.is_subset(parts))?;
@@ -257,12 +302,15 @@
 
     /// Returns the parts of a quarantine whose trial is due, and postpones the next trial.
     pub fn begin_trial(&mut self, now: Point) -> Option<Set> {
-        let mut quarantines = self.quarantines.iter_mut();
-        let quarantine = quarantines.find(|quarantine| {
-            now >= quarantine.until && now >= quarantine.touched_at + TRIAL_TIME
-        })?;
+        let is_due = |quarantine: &Quarantine| {
+            let tried_at = quarantine.tried_at;
+            let is_tried = tried_at.is_some_and(|tried_at| now < tried_at + TRIAL_TIME);
+            now >= quarantine.until && !is_tried && !self.is_idle(quarantine)
+        };
+        let index = self.quarantines.iter().position(is_due)?;
+        let quarantine = self.quarantines.get_mut(index)?;
         // The end of the quarantine stays in the past, by which a failure of the trial is recognized.
-        quarantine.touched_at = now;
+        quarantine.tried_at = Some(now);
         Some(quarantine.parts.clone())
     }
 
@@ -284,6 +332,6 @@
         self.evidence
             .retain(|(at, _)| now.since(*at) < EVIDENCE_RETENTION);
         self.quarantines
-            .retain(|quarantine| now.since(quarantine.touched_at) < QUARANTINE_RETENTION);
+            .retain(|quarantine| now.since(quarantine.crashed_at) < QUARANTINE_RETENTION);
     }
 }
--- a/crates/buckthornmast_quarantine/tests/guard.rs
+++ b/crates/buckthornmast_quarantine/tests/guard.rs
@@ -172,3 +172,110 @@
     assert!(is_refused(&mut guard, &[7], at(0)));
     assert_eq!(guard.notices(at(0)).len(), 1);
 }
+
+/// Guards against trials without end where two quarantines have become the same by the progress of a companion part.
+#[test]
+fn record_crash_twice_quarantined() {
+    let mut ledger = Ledger::default();
+    for (number, ids) in [[2, 7], [2, 7], [3, 7], [4, 7]].iter().enumerate() {
+        let evidence = Evidence {
+            crash: crash(number as u64),
+            parts: parts(ids),
+            is_stale: false,
+        };
+        ledger.record_crash(evidence, at(0));
+    }
+    ledger.record_progress(&parts(&[2, 3, 4]));
+    let mut trials = 0;
+    for second in 10..45 {
+        if ledger.begin_trial(at(second)).is_some() {
+            trials += 1;
+            let evidence = Evidence {
+                crash: crash(100 + second),
+                parts: parts(&[7]),
+                is_stale: false,
+            };
+            ledger.record_crash(evidence, at(second));
+        }
+    }
+    assert_eq!(trials, 1);
+    assert_eq!(ledger.notices(at(45)).len(), 1);
+}
+
+/// Guards against quarantines that stay forever because trials without result and notices count as crashes.
+#[test]
+fn prune_unused() {
+    let mut ledger = Ledger::default();
+    let mut other = Ledger::default();
+    for number in 0..2 {
+        let evidence = Evidence {
+            crash: crash(number),
+            parts: parts(&[7]),
+            is_stale: false,
+        };
+        ledger.record_crash(evidence, at(0));
+    }
+    for second in (10..3 * 3600).step_by(10) {
+        let now = at(second);
+        ledger.begin_trial(now);
+        other.merge(&ledger.notices(now), now);
+        ledger.merge(&other.notices(now), now);
+        ledger.prune(now);
+        other.prune(now);
+    }
+    assert!(ledger.is_empty() && other.is_empty());
+}
+
+/// Guards against a trial that never comes while instances connect again and again.
+#[test]
+fn begin_trial_between_notices() {
+    let mut ledger = Ledger::default();
+    for number in 0..2 {
+        let evidence = Evidence {
+            crash: crash(number),
+            parts: parts(&[7]),
+            is_stale: false,
+        };
+        ledger.record_crash(evidence, at(0));
+    }
+    let mut trials = 0;
+    for second in 1..=30 {
+        ledger.merge(&ledger.notices(at(second)), at(second));
+        trials += usize::from(ledger.begin_trial(at(second)).is_some());
+    }
+    assert_eq!(trials, 3);
+}
+
+/// Guards against losing a quarantine for a wider one that is refuted later.
+#[test]
+fn merge_beside_wider() {
+    let mut blaming = Guard::default();
+    end_target(&mut blaming, 1, &[1, 7], at(0));
+    end_target(&mut blaming, 2, &[1, 7], at(0));
+    let mut guard = Guard::default();
+    end_target(&mut guard, 3, &[1], at(0));
+    end_target(&mut guard, 4, &[1], at(0));
+    assert!(is_refused(&mut guard, &[1], at(0)));
+    guard.merge(&blaming.notices(at(0)), at(0));
+    guard.record_progress(&parts(&[1]), at(1));
+    assert!(!is_refused(&mut guard, &[1], at(1)));
+    assert!(is_refused(&mut guard, &[7], at(1)));
+}
+
+/// Guards against a part that turned deadly and is taken for proven because a target answered on it long ago elsewhere.
+#[test]
+fn merge_progress_long_ago() {
+    let mut old = Guard::default();
+    old.record_progress(&parts(&[7]), at(0));
+    let mut guard = Guard::default();
+    end_target(&mut guard, 1, &[7], at(100));
+    end_target(&mut guard, 2, &[7], at(100));
+    let refuted = old.merge(&guard.notices(at(100)), at(100));
+    assert!(guard.merge_progress(&refuted));
+    for number in 3..7 {
+        assert!(!is_refused(&mut guard, &[7], at(100)));
+        assert!(end_target(&mut guard, number, &[7], at(100)));
+    }
+    assert!(is_refused(&mut guard, &[7], at(100)));
+    assert!(old.merge(&guard.notices(at(100)), at(100)).is_empty());
+}
