Suspect requests whose target crashes within a whole answer

What callers saw: a request on a route that may be repeated ended three targets, as many as the route has attempts, if they crashed after the head of their answer; no evidence was collected.

Cause: only a connection that failed before the head, or a stream before its third batch of events, made a request a suspect. The body of an answer that isn't a stream was left out.

quarantine_crash_in_answer failed before (502, 3 crashes by one request) and passes with it. An answer that is too large is not a connection that failed, and is logged as what it is.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -528,13 +528,18 @@
 }
 
 async fn collect(body: &mut Incoming) -> Result<Bytes, (Failure, Ended)> {
-    let broken = |cause| (failure(Dispatch::Sent, cause), Ended::Failed);
     let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
     match limited.collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) => {
             log::debug!(step = "receive"; "reading the answer of a target failed: {error}");
-            Err(broken("the answer could not be read"))
+            if error.is::<http_body_util::LengthLimitError>() {
+                return Err((
+                    failure(Dispatch::Sent, "the answer is too large"),
+                    Ended::Failed,
+                ));
+            }
+            Err(connection_lost("the answer could not be read"))
         }
     }
 }
