Tell quarantines to the other instances of the core as well

What would be seen: an instance of the core that restarted while no entry instance ran, or missed one of two crashes, never learned the quarantine. As the leader it would have permitted no trial of it, so the quarantine would have stayed although targets answer again, and an entry instance that connected to it first got the routes without it.

Cause: instances of the core told quarantines to entry instances only, and entry instances report what they know only when they connect.

A quarantine that is known already is not passed on again, so messages end.

--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -565,7 +565,7 @@
             Downstream::Placements(self.controller.placements()),
         ];
         let quarantines = state.crashes.notices(now);
-        if is_entry && !quarantines.is_empty() {
+        if !quarantines.is_empty() {
             // Before the routes, without which an entry instance sends no request.
             messages.push(Downstream::Quarantines(quarantines));
         }
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -75,6 +75,7 @@
                     state.registry.record_alive(&target, incarnation, now - age);
                 }
             }
+            Downstream::Quarantines(notices) => self.merge_quarantines(&notices),
             Downstream::Ordered(target) => self.controller.record_ordered(target),
             // Routes arrive through the log, and only entry instances need the rest.
             Downstream::Routes(_)
@@ -83,7 +84,6 @@
             | Downstream::Leadership(_)
             | Downstream::CopyGrant { .. }
             | Downstream::Permit { .. }
-            | Downstream::Quarantines(_)
             | Downstream::Progress(_)
             | Downstream::Trial(_) => {}
         }
--- a/crates/buckthornmast_node/src/core/quarantine.rs
+++ b/crates/buckthornmast_node/src/core/quarantine.rs
@@ -1,8 +1,8 @@
 //! Quarantines of prompt parts on which targets crash.
 //!
-//! Entry instances report suspects to every instance of the core, and each of these keeps a ledger and tells the entry
-//! instances its quarantines. So evidence meets without a leader, and on either side of a partition. Only the leader permits
-//! trials, one entry instance after the other.
+//! Entry instances report suspects to every instance of the core, and each of these keeps a ledger and tells its quarantines
+//! to the entry instances and the rest of the core. So evidence meets without a leader, and on either side of a partition.
+//! Only the leader permits trials, one entry instance after the other.
 
 use buckthornmast_quarantine::{
     ledger::{Evidence, Notice},
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Adds the quarantines that an entry instance knows, for example from before a restart of this instance.
+    /// Adds the quarantines that another instance knows, for example from before a restart of this instance.
     pub(super) fn merge_quarantines(&self, notices: &[Notice]) {
         let now = self.clock.now();
         let is_changed = self.state.borrow_mut().crashes.merge(notices, now);
@@ -49,8 +49,8 @@
         for notice in &notices {
             log::warn!(step = "quarantine", parts:% = notice.parts, quarantines = notices.len(); "targets crash on prompt parts; quarantining them");
         }
-        self.subscribers
-            .send_entries(&Downstream::Quarantines(notices));
+        // Other instances of the core as well: one of them may have started while no entry instance knew the quarantines.
+        self.subscribers.send(&Downstream::Quarantines(notices));
     }
 
     /// Forgets old crashes, and permits a trial if one is due and this instance leads.
