Bound the parts of one prompt that may be quarantined

What callers would see: an instance of the core that does nothing else for a second. The first 64 shared parts count now. quarantine_parts_bounded is new with the bound.

--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -11,6 +11,9 @@
 use smallvec::SmallVec;
 use snafu::Snafu;
 
+/// Number of parts of a prompt that may be quarantined. Comparing suspects takes quadratic time in it.
+const MAX_QUARANTINE_PARTS: usize = 64;
+
 /// Id that a caller assigned to its request. Each retry of a caller has a new id.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RequestId(pub Box<str>);
@@ -59,7 +62,7 @@
 
     /// Returns these parts as they are quarantined at the targets of a service.
     pub fn quarantine_parts(&self, service: &id::Service) -> Set {
-        let parts = self.shared_parts().iter();
+        let parts = self.shared_parts().iter().take(MAX_QUARANTINE_PARTS);
         parts.map(|part| Part::new(service, part.id)).collect()
     }
 }
--- a/crates/buckthornmast_forward/tests/crash.rs
+++ b/crates/buckthornmast_forward/tests/crash.rs
@@ -9,6 +9,7 @@
 #[allow(dead_code, reason = "each test uses a part of the fleet")]
 mod fleet;
 
+use buckthornmast_forward::mapping::{Generation, PromptPart};
 use buckthornmast_routes::document::Kind;
 use fleet::{Fleet, Step, block_on, event, route, stream_head};
 
@@ -90,3 +91,18 @@
         assert!(fleet.call("1,300").await.ends_with("halfhalf"));
     });
 }
+
+/// Guards against a prompt of thousands of parts, whose comparison with other suspects would stop an instance for seconds.
+#[test]
+fn quarantine_parts_bounded() {
+    let parts = (0..3000).map(|id| PromptPart { id, tokens: 1 });
+    let generation = Generation {
+        model: "m1".parse().unwrap(),
+        adapter: None,
+        prompt_tokens: 3000,
+        answer_tokens: 10,
+        parts: parts.collect(),
+    };
+    let service = "engines".parse().unwrap();
+    assert_eq!(generation.quarantine_parts(&service).len(), 64);
+}
