Bound the time of an order's answer as a whole at the daemon's client

What callers saw: nothing by itself; a target that sent the answer to an order a few bytes at a time held the controller's sender for minutes: each byte prolonged the wait by 2 s, up to 4096 bytes.

Cause: the time limit held for each wait, and no deadline was set for the whole answer as it is for calls of plain services.

Evidence: order_endless failed before this change ("HTTP/1.1 200 OK\r\n\r\n": timed out waiting on channel, after 20 s), and passes with it.

Why it works: the client gets a deadline that further bytes do not prolong. The outcome stays unknown, since the order may have arrived.

forward_endless is a guard: calls of plain services were bounded already, in bytes and in time.

--- a/crates/buckthornmast_target/src/mapping.rs
+++ b/crates/buckthornmast_target/src/mapping.rs
@@ -174,7 +174,9 @@
             head: ORDER_TIMEOUT,
             gap: ORDER_TIMEOUT,
         };
+        let deadline = Instant::now() + ORDER_TIMEOUT;
         let mut response = send_json("order", endpoint, "/v1/orders", &body, &timeouts)?;
+        response.set_deadline(deadline);
         if let Some(cause) = status_cause(&response) {
             return match cause {
                 Cause::Refused { .. } => Ok(order::Reply::Refused),
