Report a stream that ends inside an event as broken off at the daemon's client

What callers saw: none of them saw it, since the gateway also takes the regular end of a stream without its finish as truncated; other users of the client got a stream that looked complete.

Cause: at the end of the body the bytes of the event in progress were dropped without an error.

Evidence: event_broken_off failed before this change (no length, closed regularly: Ok(None) after the first event), and passes with it, for bodies without a length, with one and in chunks.

Why it works: bytes that are left at the end of the body are now an error like a connection that ends early. event_until_close is a guard: a stream that ends with its connection after an event is complete.

--- a/crates/buckthornmast_http/src/client.rs
+++ b/crates/buckthornmast_http/src/client.rs
@@ -195,7 +195,8 @@
         }
     }
 
-    /// Returns the data of the next server-sent event, or `None` at the end of the stream.
+    /// Returns the data of the next server-sent event, or `None` at the end of the stream. A stream that ends inside an event
+    /// has been truncated.
     ///
     /// The gap limits the whole wait: comments and parts of an event don't prolong it.
     pub fn event(&mut self) -> Result<Option<String>, ReadError> {
@@ -219,7 +220,13 @@
                 Some(bytes) => self
                     .buffer
                     .extend(bytes.iter().filter(|byte| **byte != b'\r')),
-                None => return Ok(None),
+                None if self.buffer.is_empty() => return Ok(None),
+                None => {
+                    return Err(ReadError::Truncated {
+                        peer: self.peer,
+                        source: io::ErrorKind::UnexpectedEof.into(),
+                    });
+                }
             }
         }
     }
--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -322,6 +322,52 @@
     }
 }
 
+/// Sends a request to a server that sends these bytes and closes its connection, and returns the response.
+fn receive(answer: Vec<u8>) -> Result<client::Response, client::SendError> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4096]);
+        let _ = stream.write_all(&answer);
+    });
+    let response = get(address);
+    server.join().unwrap();
+    response
+}
+
+/// Guards against a stream that ends inside an event and is taken as complete.
+#[test]
+fn event_broken_off() {
+    for head in [
+        "",
+        "Content-Length: 16\r\n",
+        "Transfer-Encoding: chunked\r\n",
+    ] {
+        let body = if head.starts_with('T') {
+            "10\r\ndata: a\n\ndata: b\r\n0\r\n\r\n"
+        } else {
+            "data: a\n\ndata: b"
+        };
+        let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n{body}");
+        let mut response = receive(answer.into_bytes()).unwrap();
+        assert_eq!(response.event().unwrap().as_deref(), Some("a"), "{head:?}");
+        let end = response.event();
+        assert!(
+            matches!(end, Err(ReadError::Truncated { .. })),
+            "{head:?}: {end:?}"
+        );
+    }
+}
+
+/// Guards against a stream that is taken as broken off at its regular end, the end of its connection.
+#[test]
+fn event_until_close() {
+    let mut response = receive(b"HTTP/1.1 200 OK\r\n\r\ndata: a\n\n".to_vec()).unwrap();
+    assert_eq!(response.event().unwrap().as_deref(), Some("a"));
+    assert_eq!(response.event().unwrap(), None);
+}
+
 /// Guards against connections that are idle after a streamed answer and exclude new clients.
 #[test]
 fn serve_idle_after_stream() {
