Bound the heads of answers to 32 KiB at the daemon's client

What callers saw: nothing by itself; each target that sent a head without end took up to 408 KiB of the daemon.

Evidence: send_head_large failed before this change (a head of 300 KiB was accepted, status 200), and passes with it.

Why it works: a head that does not fit into the buffer ends the connection, and the request may have been sent.

--- a/crates/buckthornmast_http/src/client.rs
+++ b/crates/buckthornmast_http/src/client.rs
@@ -25,6 +25,9 @@
 /// Maximum size of one event in bytes; reading a larger one fails.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Size of the read buffer of a connection in bytes. The head of an answer must fit into it.
+const BUFFER_BYTES: usize = 32 << 10;
+
 /// Request to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request<'a> {
@@ -305,7 +308,9 @@
         let stream = stream.unwrap_or_else(|_| Err(timed_out()));
         let stream = stream.map_err(fail("connect", false))?;
         let _ = stream.set_nodelay(true);
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| fail("connect", false)(io::Error::other(error)))?;
         let connection = tokio::spawn(async move {
--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -368,6 +368,14 @@
     assert_eq!(response.event().unwrap(), None);
 }
 
+/// Guards against heads that take hundreds of kilobytes each.
+#[test]
+fn send_head_large() {
+    let head = format!("HTTP/1.1 200 OK\r\nX: {}\r\n\r\n", "a".repeat(300 << 10));
+    let error = receive(head.into_bytes()).unwrap_err();
+    assert!(error.may_have_been_sent, "{error}");
+}
+
 /// Guards against connections that are idle after a streamed answer and exclude new clients.
 #[test]
 fn serve_idle_after_stream() {
