Bound the memory of all answers to orders and queries together

What callers saw: nothing by itself; a new leader queries all targets at once, and each answer without end was held up to 1 MiB.

Cause: MAX_RESPONSE_BYTES bounds one answer only.

Why it works: the answers share 16 MiB in the way that the forwarder's do. A query without room counts as failed and is repeated, an order without room has an unknown outcome.

--- a/crates/buckthornmast_forward/src/memory.rs
+++ b/crates/buckthornmast_forward/src/memory.rs
@@ -116,9 +116,19 @@
         true
     }
 
+    /// Returns the number of bytes.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Returns whether there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Returns the bytes. Their share is returned with the last reference to them.
     pub fn into_bytes(self) -> Bytes {
-        if self.bytes.is_empty() {
+        if self.is_empty() {
             return Bytes::new();
         }
         Bytes::from_owner(self)
--- a/crates/buckthornmast_node/src/orders.rs
+++ b/crates/buckthornmast_node/src/orders.rs
@@ -2,7 +2,10 @@
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
-use buckthornmast_forward::pool::{self, Pool};
+use buckthornmast_forward::{
+    memory::{Held, Memory},
+    pool::{self, Pool},
+};
 use buckthornmast_supply::order::{Order, Outcome, Report};
 use buckthornmast_types::{
     id,
@@ -10,7 +13,7 @@
 };
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use tokio::time::timeout;
 
 use crate::platform::{Fence, Platform};
@@ -21,12 +24,16 @@
 /// Largest response body in bytes. A larger one counts as a failed exchange.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
+/// Memory for the response bodies of all exchanges in progress, in bytes. A new leader queries all targets at once.
+const RESPONSES_BYTES: usize = 16 << 20;
+
 /// Client for orders and queries to targets.
 #[derive(Debug)]
 pub struct Orders<P> {
     platform: P,
     clock: System,
     pool: RefCell<Pool>,
+    memory: Memory,
 }
 
 impl<P: Platform> Orders<P> {
@@ -36,6 +43,7 @@
             platform,
             clock,
             pool: RefCell::default(),
+            memory: Memory::new(RESPONSES_BYTES),
         }
     }
 
@@ -124,17 +132,22 @@
             is_sent: error.message().is_none(),
             cause: error.error().to_string(),
         })?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|error| Failure {
-            is_sent: true,
-            cause: error.to_string(),
-        })?;
+        let (head, mut body) = response.into_parts();
+        let mut held = Held::new(&self.memory);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Failure::unanswered(error.to_string()))?;
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            if held.len() + bytes.len() > MAX_RESPONSE_BYTES || !held.push(&bytes) {
+                return Err(Failure::unanswered("the answer is too large".to_owned()));
+            }
+        }
         let now = self.clock.now();
         self.pool
             .borrow_mut()
             .put(target, incarnation, connection, None, now);
-        Ok(Response::from_parts(head, body.to_bytes()))
+        Ok(Response::from_parts(head, held.into_bytes()))
     }
 
     /// Closes connections that have been idle for too long.
@@ -151,6 +164,13 @@
 }
 
 impl Failure {
+    fn unanswered(cause: String) -> Self {
+        Self {
+            is_sent: true,
+            cause,
+        }
+    }
+
     fn unsent(error: pool::Error) -> Self {
         Self {
             is_sent: false,
