Find the end of an event in one pass

Cause: for each event the splitter searched the rest of the bytes that had arrived for the other kind of line end, so the time grew with the square of their number.

No test fails without the change, as tests have no time limits; push_line_ends is a guard that passes before and after it, for mixed line ends split at any two places.

Why it works: each byte is looked at once for an event that has ended, and again only at the three bytes where reads meet.

--- a/crates/buckthornmast_forward/src/events.rs
+++ b/crates/buckthornmast_forward/src/events.rs
@@ -107,17 +107,16 @@
     /// Returns the length of the first whole event, which ends with an empty line.
     fn find_end(&mut self) -> Option<usize> {
         let from = self.searched.saturating_sub(3);
-        let tail = &self.buffer[from..];
-        let lf_end = tail.windows(2).position(|bytes| bytes == b"\n\n");
-        let crlf_end = tail.windows(4).position(|bytes| bytes == b"\r\n\r\n");
         self.searched = self.buffer.len();
-        match (
-            lf_end.map(|at| from + at + 2),
-            crlf_end.map(|at| from + at + 4),
-        ) {
-            (Some(lf_end), Some(crlf_end)) => Some(lf_end.min(crlf_end)),
-            (lf_end, crlf_end) => lf_end.or(crlf_end),
-        }
+        // One pass, since a search for each kind of line end would run to the end of the buffer for each event.
+        let tail = &self.buffer[from..];
+        let mut line_ends = (0..tail.len()).filter(|at| tail[*at] == b'\n');
+        let end = line_ends.find_map(|at| match &tail[at + 1..] {
+            [b'\n', ..] => Some(at + 2),
+            [b'\r', b'\n', ..] if tail[..at].ends_with(b"\r") => Some(at + 3),
+            _ => None,
+        });
+        end.map(|end| from + end)
     }
 
     /// Returns whether an event is to be forwarded.
--- a/crates/buckthornmast_forward/tests/events.rs
+++ b/crates/buckthornmast_forward/tests/events.rs
@@ -15,6 +15,11 @@
     format!("id: {number}\ndata: word\n\n")
 }
 
+/// Returns an event whose lines end with a carriage return as well.
+fn crlf_event(number: u64) -> String {
+    event(number).replace('\n', "\r\n")
+}
+
 /// Returns the events that a text completes, or the fault if there is one.
 fn push(splitter: &mut Splitter, text: &str) -> Result<Option<Bytes>, Fault> {
     let events = splitter.push(Bytes::copy_from_slice(text.as_bytes()));
@@ -49,6 +54,40 @@
     }
 }
 
+/// Guards against events that are split or joined at the wrong place if some have other line ends, wherever the network
+/// splits them.
+#[test]
+fn push_line_ends() {
+    let events = [
+        event(1),
+        crlf_event(2),
+        crlf_event(3),
+        event(4),
+        crlf_event(5),
+    ];
+    let whole = events.concat();
+    for first in 0..=whole.len() {
+        for second in first..=whole.len() {
+            let mut splitter = Splitter::new(None, Memory::default().share());
+            let pieces = [&whole[..first], &whole[first..second], &whole[second..]];
+            let passed =
+                pieces.map(|piece| push(&mut splitter, piece).unwrap().unwrap_or_default());
+            assert_eq!(passed.concat(), whole.as_bytes());
+            let mut passed_bytes = 0;
+            for (end, passed) in [first, second, whole.len()].into_iter().zip(&passed) {
+                passed_bytes += passed.len();
+                let ends = events.iter().scan(0, |at, event| {
+                    *at += event.len();
+                    Some(*at)
+                });
+                let arrived = ends.take_while(|at| *at <= end).last();
+                assert_eq!(passed_bytes, arrived.unwrap_or(0), "{first} {second}");
+            }
+            assert!(!splitter.is_partial());
+        }
+    }
+}
+
 /// Guards against a partial event that reaches the caller before the stream is resumed at another target.
 #[test]
 fn push_partial() {
