--- a/crates/buckthornmast_http/src/client.rs
+++ b/crates/buckthornmast_http/src/client.rs
@@ -25,6 +25,9 @@
 /// Maximum size of one event in bytes; reading a larger one fails.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Size of the read buffer of a connection in bytes. The head of an answer must fit into it.
+const BUFFER_BYTES: usize = 32 << 10;
+
 /// Request to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request<'a> {
@@ -195,7 +198,8 @@
         }
     }
 
-    /// Returns the data of the next server-sent event, or `None` at the end of the stream.
+    /// Returns the data of the next server-sent event, or `None` at the end of the stream. A stream that ends inside an event
+    /// has been truncated.
     ///
     /// The gap limits the whole wait: comments and parts of an event don't prolong it.
     pub fn event(&mut self) -> Result<Option<String>, ReadError> {
@@ -219,7 +223,13 @@
                 Some(bytes) => self
                     .buffer
                     .extend(bytes.iter().filter(|byte| **byte != b'\r')),
-                None => return Ok(None),
+                None if self.buffer.is_empty() => return Ok(None),
+                None => {
+                    return Err(ReadError::Truncated {
+                        peer: self.peer,
+                        source: io::ErrorKind::UnexpectedEof.into(),
+                    });
+                }
             }
         }
     }
@@ -298,7 +308,9 @@
         let stream = stream.unwrap_or_else(|_| Err(timed_out()));
         let stream = stream.map_err(fail("connect", false))?;
         let _ = stream.set_nodelay(true);
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (mut sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| fail("connect", false)(io::Error::other(error)))?;
         let connection = tokio::spawn(async move {
