Split the exchange and the stream, and name what is lost at the start of an answer

The failure field says that the connection was lost at the start, which is what it is true for. No logic is changed.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -3,26 +3,27 @@
 //! This module classifies failures: no byte of the request was sent, the target stated that it did not run the request,
 //! or it is unknown whether the request ran.
 
-use std::{rc::Rc, time::Duration};
+mod in_flight;
+mod receive;
+
+use std::time::Duration;
 
 use buckthornmast_routing::attempt::Dispatch;
-use buckthornmast_types::{
-    id,
-    time::{Clock, Point},
-};
+use buckthornmast_types::{id, time::Clock};
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode, header, response};
-use http_body_util::{BodyExt, Full};
+use http::{HeaderMap, Request, header, response};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+pub use self::in_flight::InFlight;
+use self::receive::{Received, check, collect, read_first_events};
 use crate::{
     choice::Candidate,
     context::Context,
     events::Splitter,
     forwarder::Forwarder,
     mapping::{Answer, Mapping, TargetHeaders},
-    memory::{Held, Memory},
     pool::{self, Connection},
     state::Member,
     stats::Ended,
@@ -71,8 +72,8 @@
     pub cause: &'static str,
     /// Error response of the target, if there is one.
     pub answer: Option<Box<FullAnswer>>,
-    /// Whether the connection failed while the target was beginning to answer.
-    pub is_connection_lost: bool,
+    /// Whether the connection was lost while the target was beginning to answer.
+    pub is_lost_at_start: bool,
 }
 
 /// Answer of a target that was received in full.
@@ -132,100 +133,18 @@
     pub in_flight: InFlight,
 }
 
-/// Request in flight, counted in the load statistics of its target until it ends or is dropped.
-#[derive(Debug)]
-pub struct InFlight {
-    state: Rc<std::cell::RefCell<crate::state::State>>,
-    clock: buckthornmast_types::time::System,
-    /// Target.
-    pub target: id::Target,
-    /// Incarnation of the target.
-    pub incarnation: id::Incarnation,
-    started: Point,
-    first_event_time: Option<Duration>,
-    is_ended: bool,
-}
-
-impl InFlight {
-    fn start<M, S>(forwarder: &Forwarder<M, S>, member: &Member) -> Self {
-        let now = forwarder.clock.now();
-        let mut state = forwarder.state.borrow_mut();
-        state
-            .stats
-            .record_dispatch(&member.target, member.incarnation);
-        Self {
-            state: Rc::clone(&forwarder.state),
-            clock: forwarder.clock,
-            target: member.target.clone(),
-            incarnation: member.incarnation,
-            started: now,
-            first_event_time: None,
-            is_ended: false,
-        }
-    }
-
-    /// Records the arrival of the first event, or of the whole answer.
-    pub fn record_first_event(&mut self) {
-        let now = self.clock.now();
-        self.first_event_time.get_or_insert(now.since(self.started));
-    }
-
-    /// Records the end of the exchange and puts its connection into the pool. Returns the time and events that it took.
-    /// `events` is the number of events after the first one.
-    pub fn complete(
-        mut self,
-        connection: Connection,
-        idle: Option<Duration>,
-        events: u32,
-    ) -> Usage {
-        let now = self.clock.now();
-        let total_time = now.since(self.started);
-        let first_event_time = self.first_event_time.unwrap_or(total_time);
-        self.end(Ended::Answered {
-            first_event_time,
-            total_time,
-        });
-        let mut state = self.state.borrow_mut();
-        state
-            .pool
-            .put(&self.target, self.incarnation, connection, idle, now);
-        Usage {
-            total_time,
-            events,
-            event_time: total_time.saturating_sub(first_event_time),
-        }
-    }
-
-    /// Records how the exchange ended, unless that was recorded before.
-    pub fn end(&mut self, ended: Ended) {
-        if !std::mem::replace(&mut self.is_ended, true) {
-            let now = self.clock.now();
-            let mut state = self.state.borrow_mut();
-            state
-                .stats
-                .record_end(&self.target, self.incarnation, ended, now);
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.end(Ended::Abandoned);
-    }
-}
-
 fn failure(dispatch: Dispatch, cause: &'static str) -> Failure {
     Failure {
         dispatch,
         cause,
         answer: None,
-        is_connection_lost: false,
+        is_lost_at_start: false,
     }
 }
 
-fn connection_lost(cause: &'static str) -> (Failure, Ended) {
+fn lost_at_start(cause: &'static str) -> (Failure, Ended) {
     let failure = Failure {
-        is_connection_lost: true,
+        is_lost_at_start: true,
         ..failure(Dispatch::Sent, cause)
     };
     (failure, Ended::Failed)
@@ -299,7 +218,7 @@
                         dispatch: Dispatch::Sent,
                         cause: "the target answered with an error",
                         answer: Some(Box::new(answer)),
-                        is_connection_lost: false,
+                        is_lost_at_start: false,
                     });
                 }
                 Ok(Reply::Full(answer))
@@ -457,7 +376,7 @@
                     if error.message().is_some() {
                         return Err((failure(Dispatch::NotSent, cause), Ended::Failed));
                     }
-                    return Err(connection_lost(cause));
+                    return Err(lost_at_start(cause));
                 }
             }
         }
@@ -544,97 +463,6 @@
     },
 }
 
-/// Checks that the response head belongs to the request and that the answer may be forwarded.
-fn check(request: &str, head: &response::Parts, answer: &Answer) -> Result<(), (Failure, Ended)> {
-    let is_for_request = answer
-        .request
-        .as_deref()
-        .is_none_or(|answered| answered == request);
-    if !is_for_request {
-        let failure = failure(Dispatch::Sent, "the answer belongs to another request");
-        return Err((failure, Ended::Failed));
-    }
-    if answer.is_misdirected {
-        let failure = failure(
-            Dispatch::Refused,
-            "the target is not the one that the request is for, or lacks its model or adapter",
-        );
-        return Err((failure, Ended::Abandoned));
-    }
-    if answer.is_refusal {
-        let failure = failure(Dispatch::Refused, "the target refused the request");
-        return Err((failure, Ended::Refused));
-    }
-    if head.status.is_success() && (!answer.is_stamped || answer.is_transformed) {
-        let failure = failure(
-            Dispatch::Sent,
-            "the answer does not carry the target's mark or was transformed by an intermediary",
-        );
-        return Err((failure, Ended::Failed));
-    }
-    if head.status == StatusCode::SWITCHING_PROTOCOLS {
-        let failure = failure(Dispatch::Sent, "the target switched to another protocol");
-        return Err((failure, Ended::Failed));
-    }
-    Ok(())
-}
-
-/// Body of an answer that was received.
-enum Received {
-    Whole(Bytes),
-    /// There was no memory to hold more.
-    Part([Bytes; 2]),
-}
-
-async fn collect(body: &mut Incoming, memory: &Memory) -> Result<Received, (Failure, Ended)> {
-    let mut held = Held::new(memory);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            log::debug!(step = "receive"; "reading the answer of a target failed: {error}");
-            connection_lost("the answer could not be read")
-        })?;
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
-        if !held.push(&bytes) {
-            return Ok(Received::Part([held.into_bytes(), bytes]));
-        }
-    }
-    Ok(Received::Whole(held.into_bytes()))
-}
-
-/// Reads up to the first whole event. Also returns whether the stream has ended.
-async fn read_first_events(
-    body: &mut Incoming,
-    splitter: &mut Splitter,
-) -> Result<(Option<Bytes>, bool), (Failure, Ended)> {
-    let broken = |cause| (failure(Dispatch::Sent, cause), Ended::Failed);
-    while let Some(frame) = body.frame().await {
-        let frame =
-            frame.map_err(|_| connection_lost("the stream failed before its first event"))?;
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
-        let events = splitter.push(bytes);
-        if events.is_some() {
-            return Ok((events, false));
-        }
-        if splitter.fault().is_some() {
-            return Err(broken("an event is missing or too large"));
-        }
-    }
-    if splitter.is_partial() {
-        return Err(connection_lost(
-            "the stream ended in the middle of an event",
-        ));
-    }
-    if splitter.last().is_none() {
-        return Err(connection_lost("the stream ended before its first event"));
-    }
-    // The caller may have received all events before the stream was resumed.
-    Ok((None, true))
-}
-
 impl Member {
     /// Returns the properties that the choice of a target is based on.
     pub fn candidate(&self, domain: &id::Domain) -> Candidate {
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -274,7 +274,7 @@
         failure: &Failure,
     ) -> Decision {
         let may_end_targets =
-            failure.is_connection_lost && self.is_suspect(context, target, incarnation).await;
+            failure.is_lost_at_start && self.examine_lost(context, target, incarnation).await;
         context.history.add(failure.dispatch);
         context.tried.push(target.clone());
         if matches!(failure.dispatch, Dispatch::NotSent | Dispatch::Refused) {
--- a/crates/buckthornmast_forward/src/quarantine.rs
+++ b/crates/buckthornmast_forward/src/quarantine.rs
@@ -63,7 +63,7 @@
 
     /// Examines a request whose connection failed while its target was beginning to answer. Returns whether it may have
     /// ended the target, so that it must not be sent to another one.
-    pub(crate) async fn is_suspect(
+    pub(crate) async fn examine_lost(
         &self,
         context: &Context,
         target: &id::Target,
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -6,6 +6,7 @@
 use buckthornmast_types::{id, time::Clock};
 use bytes::Bytes;
 use http::Response;
+use http_body::Frame;
 use http_body_util::BodyExt;
 use tokio::time::{sleep, timeout};
 
@@ -40,10 +41,23 @@
         cause: &'static str,
         last: Option<u64>,
         /// Whether the connection failed while the target was beginning to answer.
-        is_connection_lost: bool,
+        is_lost_at_start: bool,
     },
 }
 
+/// What a target sent next.
+enum Next {
+    Frame(Frame<Bytes>),
+    /// The regular end of its answer.
+    End,
+    /// The connection to it failed.
+    Lost(hyper::Error),
+    /// It sent nothing in time.
+    Silent,
+    /// The caller has disconnected.
+    Disconnected,
+}
+
 fn is_for_budget(decision: Decision) -> bool {
     let Decision::End { reason, .. } = decision else {
         return false;
@@ -102,15 +116,15 @@
             };
             let target = exchange.in_flight.target.clone();
             let incarnation = exchange.in_flight.incarnation;
-            let (cause, last, is_connection_lost) =
+            let (cause, last, is_lost_at_start) =
                 match self.forward_events(exchange, &mut splitter).await {
                     StreamEnd::Complete => return self.complete().await,
                     StreamEnd::Disconnected => return,
                     StreamEnd::Broken {
                         cause,
                         last,
-                        is_connection_lost,
-                    } => (cause, last, is_connection_lost),
+                        is_lost_at_start,
+                    } => (cause, last, is_lost_at_start),
                 };
             log::info!(
                 step = "stream",
@@ -127,7 +141,7 @@
                 },
                 cause,
                 answer: None,
-                is_connection_lost,
+                is_lost_at_start,
             };
             match self.resume(&target, incarnation, last, failure).await {
                 Some(stream) => {
@@ -157,12 +171,12 @@
         let broken = |cause, splitter: &Splitter| StreamEnd::Broken {
             cause,
             last: splitter.last(),
-            is_connection_lost: false,
+            is_lost_at_start: false,
         };
-        let connection_lost = |cause, splitter: &Splitter, batches| StreamEnd::Broken {
+        let lost_at_start = |cause, splitter: &Splitter, batches| StreamEnd::Broken {
             cause,
             last: splitter.last(),
-            is_connection_lost: batches < PROGRESS_BATCHES,
+            is_lost_at_start: batches < PROGRESS_BATCHES,
         };
         let mut last_progress = self.forwarder.clock.now();
         // Batches of events after the first one.
@@ -182,58 +196,31 @@
             let gap = self
                 .max_gap()
                 .map_or(left, |gap| (last_progress + gap).since(now).min(left));
-            // A timeout of zero would still return bytes that have arrived, so a target that sends fast would never reach it.
-            let next = async {
-                if gap.is_zero() {
-                    return None;
-                }
-                timeout(gap, exchange.body.frame()).await.ok()
-            };
-            let frame = tokio::select! {
-                biased;
-                () = self.sender.closed() => return StreamEnd::Disconnected,
-                frame = next => frame,
-            };
-            let frame = match frame {
-                Some(Some(Ok(frame))) => frame,
-                Some(Some(Err(error))) => {
+            let frame = match self.next_frame(&mut exchange, gap).await {
+                Next::Disconnected => return StreamEnd::Disconnected,
+                Next::Frame(frame) => frame,
+                Next::Lost(error) => {
                     log::info!(step = "stream", request:% = self.context.head.request, target:% = exchange.in_flight.target; "the target ended the connection of a stream: {error}");
                     exchange.in_flight.end(Ended::Failed);
-                    return connection_lost(
-                        "the connection to the target failed",
-                        splitter,
-                        batches,
-                    );
+                    return lost_at_start("the connection to the target failed", splitter, batches);
                 }
-                Some(None) if splitter.is_partial() => {
+                Next::End if splitter.is_partial() => {
                     exchange.in_flight.end(Ended::Failed);
                     let cause = "the stream ended in the middle of an event";
-                    return connection_lost(cause, splitter, batches);
+                    return lost_at_start(cause, splitter, batches);
                 }
-                Some(None) => {
-                    self.forwarder.record_progress(&self.context);
-                    let Exchange {
-                        connection,
-                        idle,
-                        in_flight,
-                        ..
-                    } = exchange;
-                    let events = self.sample_events(splitter);
-                    let usage = in_flight.complete(connection, idle, events);
-                    self.forwarder.report_usage(&self.context, usage);
+                Next::End => {
+                    self.finish_exchange(exchange, splitter);
                     return StreamEnd::Complete;
                 }
-                None if !self
-                    .forwarder
-                    .can_move(&self.context, &exchange.in_flight.target) =>
-                {
-                    last_progress = self.forwarder.clock.now();
-                    continue;
-                }
-                None => {
+                Next::Silent => {
+                    let target = &exchange.in_flight.target;
+                    if !self.forwarder.can_move(&self.context, target) {
+                        last_progress = self.forwarder.clock.now();
+                        continue;
+                    }
+                    self.context.silent.push(target.clone());
                     exchange.in_flight.end(Ended::Failed);
-                    let target = exchange.in_flight.target.clone();
-                    self.context.silent.push(target);
                     return broken("the target sent no event in time", splitter);
                 }
             };
@@ -259,6 +246,39 @@
         }
     }
 
+    /// Waits for the next bytes of a target, for at most the given time.
+    async fn next_frame(&self, exchange: &mut Exchange, gap: Duration) -> Next {
+        // A timeout of zero would still return bytes that have arrived, so a target that sends fast would never reach it.
+        if gap.is_zero() {
+            return Next::Silent;
+        }
+        let frame = tokio::select! {
+            biased;
+            () = self.sender.closed() => return Next::Disconnected,
+            frame = timeout(gap, exchange.body.frame()) => frame,
+        };
+        match frame {
+            Ok(Some(Ok(frame))) => Next::Frame(frame),
+            Ok(Some(Err(error))) => Next::Lost(error),
+            Ok(None) => Next::End,
+            Err(_) => Next::Silent,
+        }
+    }
+
+    /// Records the end of a complete stream.
+    fn finish_exchange(&self, exchange: Exchange, splitter: &Splitter) {
+        self.forwarder.record_progress(&self.context);
+        let Exchange {
+            connection,
+            idle,
+            in_flight,
+            ..
+        } = exchange;
+        let events = self.sample_events(splitter);
+        let usage = in_flight.complete(connection, idle, events);
+        self.forwarder.report_usage(&self.context, usage);
+    }
+
     /// Returns the number of events after the first one if the answer is long enough for a sample of the model's speed
     /// and one target generated all of it, or 0 otherwise.
     fn sample_events(&self, splitter: &Splitter) -> u32 {
@@ -344,7 +364,7 @@
                     dispatch: Dispatch::Sent,
                     cause: "the target did not resume the stream",
                     answer: None,
-                    is_connection_lost: false,
+                    is_lost_at_start: false,
                 },
                 Err(failure) => failure,
             };
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -15,6 +15,7 @@
     state::{Inventory, RetryBounds, State},
 };
 use buckthornmast_link::Outbox;
+use buckthornmast_quarantine::ledger::Notice;
 use buckthornmast_types::{
     id,
     time::{Clock, System},
@@ -126,6 +127,20 @@
     }
 }
 
+impl<P: Platform> Entry<P> {
+    /// Adds the quarantines of an instance of the core, and refutes those on whose parts targets have answered.
+    fn merge_quarantines(&self, state: &mut State, notices: &[Notice], peer: SocketAddr) {
+        for notice in notices {
+            log::info!(step = "quarantine", parts:% = notice.parts, age_ms = millis(notice.age), remaining_ms = millis(notice.remaining), peer:% = peer; "the core quarantines prompt parts");
+        }
+        let refuted = state.guard.merge(notices, self.forwarder.clock.now());
+        if !refuted.is_empty() {
+            log::info!(step = "quarantine", parts:% = refuted, peer:% = peer; "targets have answered on quarantined parts; clearing them");
+            self.supplier.0.report_progress(refuted);
+        }
+    }
+}
+
 impl<P: Platform> Dialer for Entry<P> {
     fn hello(&self) -> Upstream {
         Upstream::Entry(self.instance.clone())
@@ -204,14 +219,7 @@
             Downstream::CopyGrant { number, grant } => self.supplier.0.answer_copy(number, grant),
             Downstream::Permit { number, permit } => self.supplier.0.answer_permit(number, permit),
             Downstream::Quarantines(notices) => {
-                for notice in &notices {
-                    log::info!(step = "quarantine", parts:% = notice.parts, age_ms = millis(notice.age), remaining_ms = millis(notice.remaining), peer:% = peer; "the core quarantines prompt parts");
-                }
-                let refuted = state.guard.merge(&notices, now);
-                if !refuted.is_empty() {
-                    log::info!(step = "quarantine", parts:% = refuted, peer:% = peer; "targets have answered on quarantined parts; clearing them");
-                    self.supplier.0.report_progress(refuted);
-                }
+                self.merge_quarantines(&mut state, &notices, peer);
             }
             Downstream::Progress(parts) => {
                 if state.guard.merge_progress(&parts) {
--- a/crates/buckthornmast_quarantine/src/guard.rs
+++ b/crates/buckthornmast_quarantine/src/guard.rs
@@ -59,7 +59,7 @@
 
     /// Returns whether requests with these shared parts are refused.
     pub fn is_quarantined(&self, parts: &Set) -> bool {
-        !self.ledger.is_empty() && self.ledger.find(parts, Point::ZERO).is_some()
+        self.ledger.covers(parts)
     }
 
     /// Returns the evidence against a request that its target was beginning to answer when it ended, if any of its parts is
--- a/crates/buckthornmast_quarantine/src/ledger.rs
+++ b/crates/buckthornmast_quarantine/src/ledger.rs
@@ -285,10 +285,20 @@
         is_changed
     }
 
+    /// Returns the widest quarantine whose parts a request has.
+    fn covering(&self, parts: &Set) -> Option<&Quarantine> {
+        let mut quarantines = self.quarantines.iter();
+        quarantines.find(|quarantine| quarantine.parts.is_subset(parts))
+    }
+
+    /// Returns whether a request has all parts of a quarantine.
+    pub fn covers(&self, parts: &Set) -> bool {
+        self.covering(parts).is_some()
+    }
+
     /// Returns the parts of the widest quarantine whose parts a request has, and the time until the next trial.
     pub fn find(&self, parts: &Set, now: Point) -> Option<(&Set, Duration)> {
-        let mut matching = self.quarantines.iter();
-        let quarantine = matching.find(|quarantine| quarantine.parts.is_subset(parts))?;
+        let quarantine = self.covering(parts)?;
         Some((&quarantine.parts, quarantine.until.since(now)))
     }
 
