Log the limits that targets state, and the requests that are sent to such targets

An answer's limit is decoded now, and logged where it differs from the last one of its target; each request to such a target is logged with the number of earlier attempts. Nothing is decided by it yet.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -367,6 +367,7 @@
                 );
                 return Err((failure, Ended::Abandoned));
             }
+            self.log_limited(context, member);
             let request = self.request(context, member, rank, after);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((connection, response)),
@@ -382,6 +383,27 @@
         }
     }
 
+    /// Logs a request that is about to be sent to a target that has stated a limit.
+    fn log_limited(&self, context: &Context, member: &Member) {
+        let limit = self
+            .state
+            .borrow()
+            .advisories
+            .limit(&member.target, member.incarnation);
+        if let Some(limit) = limit {
+            metrics::counter!("buckthornmast_limited_dispatches_total").increment(1);
+            log::info!(
+                step = "limit",
+                request:% = context.head.request,
+                target:% = member.target,
+                limit:% = limit,
+                earlier_attempts = context.history.attempts(),
+                has_begun = context.has_begun();
+                "sending a request to a target that limits its rate"
+            );
+        }
+    }
+
     fn request(
         &self,
         context: &Context,
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -5,6 +5,7 @@
 
 use std::{fmt, time::Duration};
 
+use buckthornmast_limit::statement::Statement;
 use buckthornmast_quarantine::part::{Part, Set};
 use buckthornmast_types::id;
 use http::{HeaderMap, request, response};
@@ -103,7 +104,7 @@
 }
 
 /// Decoded response head of a target.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Answer {
     /// Id of the request that is answered.
     pub request: Option<Box<str>>,
@@ -123,6 +124,8 @@
     pub is_leaving: bool,
     /// Time for which the target wants no request from this instance.
     pub pause: Option<Duration>,
+    /// Rate that the target takes from all instances together.
+    pub limit: Statement,
 }
 
 /// Error when decoding a request head.
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -263,6 +263,13 @@
         {
             log::info!(step = "advisory", target:% = target, born = incarnation.0, pause_ms = millis(pause); "target wants no request for some time");
         }
+        if self
+            .advisories
+            .record_limit(target, incarnation, answer.limit, now)
+        {
+            metrics::counter!("buckthornmast_limits_stated_total").increment(1);
+            log::info!(step = "limit", target:% = target, born = incarnation.0, limit:? = answer.limit; "target states another limit");
+        }
         let is_new = answer.is_leaving && self.advisories.record_leaving(target, incarnation, now);
         if is_new {
             log::info!(step = "advisory", target:% = target, born = incarnation.0; "target states that it leaves; it gets no further request");
