--- a/crates/buckthornmast_forward/src/advisory.rs
+++ b/crates/buckthornmast_forward/src/advisory.rs
@@ -6,8 +6,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use buckthornmast_limit::statement::Statement;
-use buckthornmast_types::{id, rate::Rate, time::Point};
+use buckthornmast_types::{id, time::Point};
 
 /// Longest pause that a target can ask for. A longer one is shortened to this.
 pub const MAX_PAUSE: Duration = Duration::from_secs(60);
@@ -20,7 +19,6 @@
 struct Advisory {
     is_leaving: bool,
     paused_until: Option<Point>,
-    limit: Option<Rate>,
     recorded_at: Point,
 }
 
@@ -66,33 +64,6 @@
         !was_paused
     }
 
-    /// Records what a target states about the rate that it takes. Returns whether it differs from what it stated before.
-    pub fn record_limit(
-        &mut self,
-        target: &id::Target,
-        incarnation: id::Incarnation,
-        statement: Statement,
-        now: Point,
-    ) -> bool {
-        let limit = match statement {
-            Statement::Unreadable => return false,
-            Statement::Unlimited if self.limit(target, incarnation).is_none() => return false,
-            Statement::Unlimited => None,
-            Statement::Limited(rate) => Some(rate),
-        };
-        let advisory = self.advisory(target, incarnation);
-        advisory.recorded_at = now;
-        std::mem::replace(&mut advisory.limit, limit) != limit
-    }
-
-    /// Returns the rate that a target takes from all instances together, as it stated last.
-    pub fn limit(&self, target: &id::Target, incarnation: id::Incarnation) -> Option<Rate> {
-        if self.advisories.is_empty() {
-            return None;
-        }
-        self.advisories.get(&(target.clone(), incarnation))?.limit
-    }
-
     /// Returns whether a target has stated that it leaves.
     pub fn is_leaving(&self, target: &id::Target, incarnation: id::Incarnation) -> bool {
         if self.advisories.is_empty() {
@@ -131,7 +102,7 @@
                 Some(known) => known <= *incarnation,
                 None => now.since(advisory.recorded_at) < RETENTION,
             };
-            is_retained && (advisory.is_leaving || is_paused || advisory.limit.is_some())
+            is_retained && (advisory.is_leaving || is_paused)
         });
     }
 }
--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use buckthornmast_limit::statement::{Grant, Key};
 use buckthornmast_quarantine::part;
 use buckthornmast_routes::{document::Route, register::Revision};
 use buckthornmast_routing::attempt::History;
@@ -20,6 +21,17 @@
 /// Maximum number of attempts of one request, including those that reached no target.
 const MAX_ATTEMPTS: u32 = 5;
 
+/// Permission to send a request to a target that takes requests at a limited rate only.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// Target.
+    pub key: Key,
+    /// Grant of the account, unless this instance was out of its reach.
+    pub grant: Option<Grant>,
+    /// When the permission ends.
+    pub expires_at: Point,
+}
+
 /// Request in progress with all decisions about it.
 #[derive(Debug)]
 pub struct Context {
@@ -47,6 +59,8 @@
     pub shared_parts: part::Set,
     /// Whether the request may be sent although its parts are quarantined.
     pub is_trial: bool,
+    /// Permission for the attempt that is next or in progress, if its target has a limit.
+    pub held: Option<Held>,
     /// Targets that the request has been dispatched to.
     pub tried: SmallVec<[id::Target; 2]>,
     /// Targets among them that were left during the stream only because they were silent.
@@ -102,6 +116,18 @@
         self.last_event_at.is_some()
     }
 
+    /// Returns whether the request may be sent to this target although it has a limit.
+    pub fn may_send_to(
+        &self,
+        target: &id::Target,
+        incarnation: id::Incarnation,
+        now: Point,
+    ) -> bool {
+        self.held.as_ref().is_some_and(|held| {
+            held.key.0 == *target && held.key.1 == incarnation && now <= held.expires_at
+        })
+    }
+
     /// Returns the time left until the final answer is due.
     pub fn time_left(&self, now: Point) -> Duration {
         self.deadline.since(now)
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -9,7 +9,10 @@
 use std::time::Duration;
 
 use buckthornmast_routing::attempt::Dispatch;
-use buckthornmast_types::{id, time::Clock};
+use buckthornmast_types::{
+    id,
+    time::{Clock, Point},
+};
 use bytes::Bytes;
 use http::{HeaderMap, Request, header, response};
 use http_body_util::Full;
@@ -133,7 +136,7 @@
     pub in_flight: InFlight,
 }
 
-fn failure(dispatch: Dispatch, cause: &'static str) -> Failure {
+pub(crate) fn failure(dispatch: Dispatch, cause: &'static str) -> Failure {
     Failure {
         dispatch,
         cause,
@@ -277,10 +280,11 @@
         after: Option<u64>,
         in_flight: &mut InFlight,
     ) -> Result<StartedAnswer, (Failure, Ended)> {
+        let sent = self.clock.now();
         let (mut connection, response) = self.send(context, member, rank, after).await?;
         let (mut head, mut body) = response.into_parts();
         let answer = self.mapping.decode_answer(&head);
-        self.record_answer(context, member, &answer);
+        self.record_answer(context, member, &answer, sent);
         check(&context.head.request.0, &head, &answer)?;
         strip_hop_headers(&mut head.headers);
         let idle = answer.idle;
@@ -334,7 +338,7 @@
         after: Option<u64>,
     ) -> Result<(Connection, http::Response<Incoming>), (Failure, Ended)> {
         loop {
-            self.check_accepts(member)?;
+            self.check_accepts(context, member)?;
             let now = self.clock.now();
             let pooled = self
                 .state
@@ -359,7 +363,7 @@
                 return Err((failure, Ended::Unreachable));
             }
             // Other answers of the target, or quarantines, may have arrived while the connection was being opened.
-            self.check_accepts(member)?;
+            self.check_accepts(context, member)?;
             if self.is_quarantined(context) {
                 let failure = failure(
                     Dispatch::NotSent,
@@ -383,27 +387,6 @@
         }
     }
 
-    /// Logs a request that is about to be sent to a target that has stated a limit.
-    fn log_limited(&self, context: &Context, member: &Member) {
-        let limit = self
-            .state
-            .borrow()
-            .advisories
-            .limit(&member.target, member.incarnation);
-        if let Some(limit) = limit {
-            metrics::counter!("buckthornmast_limited_dispatches_total").increment(1);
-            log::info!(
-                step = "limit",
-                request:% = context.head.request,
-                target:% = member.target,
-                limit:% = limit,
-                earlier_attempts = context.history.attempts(),
-                has_begun = context.has_begun();
-                "sending a request to a target that limits its rate"
-            );
-        }
-    }
-
     fn request(
         &self,
         context: &Context,
@@ -438,8 +421,9 @@
 
     /// Records what a target states about itself with an answer. An answer to another request than this one is as much
     /// its own.
-    fn record_answer(&self, context: &Context, member: &Member, answer: &Answer) {
+    fn record_answer(&self, context: &Context, member: &Member, answer: &Answer, sent: Point) {
         let now = self.clock.now();
+        self.record_limit(context, member, answer.limit, sent);
         let is_newly_leaving = self.state.borrow_mut().record_answer(member, answer, now);
         if is_newly_leaving && context.head.generation.is_some() {
             // The leader queries the target, and loads its models elsewhere.
@@ -448,7 +432,8 @@
     }
 
     /// Returns an error if the target has stated, since it was chosen, that it wants no request.
-    fn check_accepts(&self, member: &Member) -> Result<(), (Failure, Ended)> {
+    fn check_accepts(&self, context: &Context, member: &Member) -> Result<(), (Failure, Ended)> {
+        self.check_limit(context, member)?;
         if self.state.borrow().accepts(member, self.clock.now()) {
             return Ok(());
         }
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -135,6 +135,7 @@
             deadline: received + timeout,
             history: History::default(),
             not_run: 0,
+            held: None,
             tried: SmallVec::new(),
             waited: Duration::ZERO,
             last_event_at: None,
@@ -256,6 +257,9 @@
             ) => {
                 let refusal = match self.shortest_pause(context, &[]) {
                     Some(remaining) => Refusal::Paused { remaining },
+                    None if self.is_limited(member) => Refusal::Limited {
+                        wait: self.limit_interval(member),
+                    },
                     None if dispatch == Dispatch::NotSent => Refusal::Unreachable,
                     None => Refusal::TargetRefused,
                 };
@@ -294,12 +298,17 @@
     ) -> Decision {
         let now = self.clock.now();
         let members = self.state.borrow().members(&context.service);
-        let serving = self.serving(&members, context, now);
+        let mut serving = self.serving(&members, context, now);
         let is_untried = |member: &&Member| !context.tried.contains(&member.target);
         // A stream that has begun waits for the end of a pause, because its caller can't be told to come back.
         let pause = self
             .shortest_pause(context, &context.tried)
             .filter(|_| context.has_begun());
+        // A grant may be refused, and the answer of the failed attempt would then be lost.
+        let may_be_refused = failure.answer.is_some();
+        let state = self.state.borrow();
+        serving.retain(|member| !(may_be_refused && state.is_limited(member)));
+        drop(state);
         let has_untried_target = serving.iter().any(is_untried)
             || pause.is_some_and(|pause| now + pause < context.next_event_deadline())
             // The silent target could have gone on, had it not been left for one that failed.
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod exchange;
 pub mod forwarder;
+mod limit;
 pub mod mapping;
 pub mod memory;
 pub mod pool;
--- /dev/null
+++ b/crates/buckthornmast_forward/src/limit.rs
@@ -0,0 +1,233 @@
+//! Requests to targets that take requests at a limited rate only.
+//!
+//! Targets without a limit come first. A request that no such target can take asks the account of the leader for a grant,
+//! and is sent when the grant says. The account is asked once for all targets that could run the request. Without the
+//! account, the request may only use a slot of this instance.
+
+use std::time::Duration;
+
+use buckthornmast_limit::{
+    account::{Answer, GRANT_LIFETIME, Request},
+    statement::{Key, Report, Statement},
+};
+use buckthornmast_routing::attempt::Dispatch;
+use buckthornmast_types::time::{Clock, Point};
+use smallvec::SmallVec;
+use tokio::time::sleep;
+
+use crate::{
+    context::{Context, Held, millis},
+    exchange::{Failure, failure},
+    forwarder::Forwarder,
+    mapping::Mapping,
+    selection::{Chosen, Inputs},
+    state::Member,
+    stats::Ended,
+    supply::Supply,
+};
+
+/// Wait for the slot of another instance, for callers that are told when to come back.
+const MAX_SLOT_WAIT: Duration = Duration::from_secs(5);
+
+fn key_of(member: &Member) -> Key {
+    (member.target.clone(), member.incarnation)
+}
+
+/// Result of a request for a grant.
+pub(crate) enum Granted {
+    /// The request may be sent to this target now.
+    Target(Chosen),
+    /// A target has no limit any more, so targets are chosen again.
+    Unlimited,
+    /// Nothing is granted within the wait of the request. The limits are expected to have room after this time.
+    Refused(Duration),
+}
+
+impl<M: Mapping, S: Supply> Forwarder<M, S> {
+    /// Returns whether a target takes requests at a limited rate only.
+    pub(crate) fn is_limited(&self, member: &Member) -> bool {
+        self.state.borrow().is_limited(member)
+    }
+
+    /// Returns the time between two requests to a target with a limit.
+    pub(crate) fn limit_interval(&self, member: &Member) -> Duration {
+        let rate = self.state.borrow().limits.rate(&key_of(member));
+        let rate = rate.map(|rate| rate.get()).filter(|rate| *rate > 0.0);
+        let interval = rate.and_then(|rate| Duration::try_from_secs_f64(1.0 / rate).ok());
+        interval.unwrap_or_default().min(MAX_SLOT_WAIT)
+    }
+
+    /// Returns the targets without a limit, and those with one that have not had the request yet.
+    pub(crate) fn split_limited<'a>(
+        &self,
+        serving: &[&'a Member],
+        context: &Context,
+    ) -> (SmallVec<[&'a Member; 16]>, SmallVec<[&'a Member; 2]>) {
+        let state = self.state.borrow();
+        let (mut open, mut limited) = (SmallVec::new(), SmallVec::new());
+        for member in serving {
+            if !state.is_limited(member) {
+                open.push(*member);
+            } else if !context.tried.contains(&member.target) {
+                limited.push(*member);
+            }
+        }
+        (open, limited)
+    }
+
+    /// Returns whether one of these targets should be offered a request that others could take.
+    pub(crate) fn take_probe(&self, limited: &[&Member]) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let mut due = limited
+            .iter()
+            .map(|member| state.limits.take_probe(&key_of(member), now));
+        due.any(|is_due| is_due)
+    }
+
+    /// Requests a grant for one of these targets, and waits until the request may be sent.
+    pub(crate) async fn request_grant(
+        &self,
+        context: &mut Context,
+        limited: &[&Member],
+        max_wait: Duration,
+        has_alternative: bool,
+    ) -> Granted {
+        let request = Request {
+            candidates: limited.iter().map(|member| key_of(member)).collect(),
+            max_wait,
+            priority: context.route.priority,
+            has_alternative,
+        };
+        let answer = self.supply.request_grant(request).await;
+        let now = self.clock.now();
+        self.state
+            .borrow_mut()
+            .limits
+            .set_reachable(answer.is_some(), now);
+        let (member, held) = match answer {
+            Some(Answer::Granted(key, grant)) => {
+                sleep(grant.wait).await;
+                let Some(member) = limited.iter().find(|member| key_of(member) == key) else {
+                    log::warn!(step = "limit", request:% = context.head.request, target:% = key.0; "the leader granted a request to a target that it was not asked for");
+                    return Granted::Refused(grant.wait);
+                };
+                let held = Held {
+                    key,
+                    grant: Some(grant),
+                    expires_at: self.clock.now() + GRANT_LIFETIME,
+                };
+                (member, held)
+            }
+            Some(Answer::Unlimited(key)) => {
+                self.state.borrow_mut().limits.forget(&key);
+                return Granted::Unlimited;
+            }
+            Some(Answer::Refused(wait)) => return Granted::Refused(wait),
+            None if has_alternative => return Granted::Refused(Duration::ZERO),
+            None => match self.take_slot(limited, now) {
+                Ok(held) => held,
+                Err(wait) => return Granted::Refused(wait.min(MAX_SLOT_WAIT)),
+            },
+        };
+        context.held = Some(held);
+        Granted::Target(Chosen {
+            member: (*member).clone(),
+            rank: None,
+            basis: Inputs {
+                permit_wait: self.clock.now().since(now),
+                candidates: limited.len(),
+                ..Inputs::default()
+            },
+        })
+    }
+
+    /// Takes a slot of this instance at one of these targets.
+    fn take_slot<'a, 'b>(
+        &self,
+        limited: &'b [&'a Member],
+        now: Point,
+    ) -> Result<(&'b &'a Member, Held), Duration> {
+        let mut state = self.state.borrow_mut();
+        let mut least = MAX_SLOT_WAIT;
+        for member in limited {
+            let key = key_of(member);
+            match state.limits.take_slot(&key, now) {
+                Ok(()) => {
+                    let held = Held {
+                        key,
+                        grant: None,
+                        expires_at: now + GRANT_LIFETIME,
+                    };
+                    return Ok((member, held));
+                }
+                Err(wait) => least = least.min(wait),
+            }
+        }
+        Err(least)
+    }
+
+    /// Returns an error if the target has a limit and the request has no grant for it.
+    pub(crate) fn check_limit(
+        &self,
+        context: &Context,
+        member: &Member,
+    ) -> Result<(), (Failure, Ended)> {
+        let now = self.clock.now();
+        if !self.is_limited(member) || context.may_send_to(&member.target, member.incarnation, now)
+        {
+            return Ok(());
+        }
+        let failure = failure(
+            Dispatch::NotSent,
+            "the target limits its rate, and the request has no grant",
+        );
+        Err((failure, Ended::Abandoned))
+    }
+
+    /// Logs a request that is about to be sent to a target with a limit.
+    pub(crate) fn log_limited(&self, context: &Context, member: &Member) {
+        let Some(limit) = self.state.borrow().limits.rate(&key_of(member)) else {
+            return;
+        };
+        metrics::counter!("buckthornmast_limited_dispatches_total").increment(1);
+        let grant = context.held.as_ref().and_then(|held| held.grant);
+        log::info!(
+            step = "limit",
+            request:% = context.head.request,
+            target:% = member.target,
+            limit:% = limit,
+            earlier_attempts = context.history.attempts(),
+            has_begun = context.has_begun(),
+            has_grant = grant.is_some(),
+            grant_wait_ms = grant.map_or(0, |grant| millis(grant.wait));
+            "sending a request to a target that limits its rate"
+        );
+    }
+
+    /// Records what a target states about its limit, and reports what the account has to know.
+    pub(crate) fn record_limit(
+        &self,
+        context: &Context,
+        member: &Member,
+        statement: Statement,
+        sent: Point,
+    ) {
+        let now = self.clock.now();
+        let key = key_of(member);
+        let held = context.held.as_ref().filter(|held| held.key == key);
+        let grant = held.and_then(|held| held.grant);
+        let differs = self
+            .state
+            .borrow_mut()
+            .record_limit(member, statement, sent, now);
+        if differs || grant.is_some() {
+            self.supply.report_limit(Report {
+                key,
+                statement,
+                age: Duration::ZERO,
+                grant,
+            });
+        }
+    }
+}
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -47,6 +47,11 @@
         /// Time until the first of them accepts requests again.
         remaining: Duration,
     },
+    /// All targets that could run the request take requests at a limited rate only, and it would have to wait too long.
+    Limited {
+        /// Time after which the limit is expected to have room.
+        wait: Duration,
+    },
     /// The prompt has parts on which targets crash.
     Quarantined {
         /// Time until a request with these parts is tried again.
@@ -70,6 +75,7 @@
             Self::CannotLoad => "the model can't be loaded",
             Self::TargetsFull { .. } => "the targets are full",
             Self::Paused { .. } => "the targets want no request for some time",
+            Self::Limited { .. } => "the targets limit their rate",
             Self::Quarantined { .. } => "the prompt has parts on which targets crash",
             Self::Deadline => "the deadline has passed",
             Self::TargetRefused => "the target refused the request",
@@ -85,6 +91,7 @@
             Self::Loading { remaining } | Self::Paused { remaining } => {
                 remaining.max(MIN_RETRY_AFTER)
             }
+            Self::Limited { wait } => wait.max(MIN_RETRY_AFTER),
             Self::Quarantined { remaining } => remaining.max(NO_TARGET_RETRY_AFTER),
             Self::TargetsFull { wait } => wait.clamp(MIN_RETRY_AFTER, MAX_FULL_RETRY_AFTER),
             Self::TargetRefused | Self::Unreachable => REFUSED_RETRY_AFTER,
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -8,6 +8,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use buckthornmast_limit::{account::GRANT_LIFETIME, statement::Grant};
 use buckthornmast_types::{
     id,
     time::{Clock, Point},
@@ -19,8 +20,9 @@
 use crate::{
     admission::{self, Verdict},
     choice::{self, Query},
-    context::{Context, millis},
+    context::{Context, Held, millis},
     forwarder::Forwarder,
+    limit::Granted,
     mapping::{Generation, Mapping},
     refusal::Refusal,
     state::Member,
@@ -35,6 +37,9 @@
 /// Interval at which a stream that has begun looks for a place, while its targets are full.
 const FULL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Longest such interval, while the targets with room limit their rate.
+const MAX_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Target that was selected for a request.
 #[derive(Debug)]
 pub struct Chosen {
@@ -64,7 +69,7 @@
 /// Result of a request for a prefill permit.
 enum PermitResult {
     /// The leader granted a permit for this target.
-    Granted(id::Target),
+    Granted(id::Target, Option<Grant>),
     /// There is no permit; this instance chooses the target.
     Unavailable,
 }
@@ -101,6 +106,7 @@
             self.supply.record_demand(item);
         }
         let started = self.clock.now();
+        context.held = None;
         let mut is_copy_requested = false;
         let mut permit: Option<PermitResult> = None;
         loop {
@@ -129,20 +135,30 @@
                         );
                         continue;
                     }
-                    Some(PermitResult::Granted(target)) => {
-                        if let Some(chosen) = self.granted_target(context, &serving, target) {
+                    Some(PermitResult::Granted(target, grant)) => {
+                        let chosen = self.granted_target(context, &serving, target, *grant);
+                        if let Some(chosen) = chosen {
                             return Ok(chosen);
                         }
                     }
                     Some(PermitResult::Unavailable) => {}
                 }
-                match self.select_locally(context, &serving, now) {
+                match self
+                    .select_without_permit(context, &serving, deadline)
+                    .await
+                {
+                    // The target with a limit is like any other now.
+                    Ok(None) => continue,
+                    Ok(Some(chosen)) => return Ok(chosen),
                     // The caller of a stream that has begun can't be told to come back.
-                    Err(Refusal::TargetsFull { .. }) if context.has_begun() && may_wait => {
-                        sleep(FULL_POLL_INTERVAL.min(deadline.since(now))).await;
+                    Err(Refusal::TargetsFull { wait } | Refusal::Limited { wait })
+                        if context.has_begun() && may_wait =>
+                    {
+                        let wait = wait.clamp(FULL_POLL_INTERVAL, MAX_POLL_INTERVAL);
+                        sleep(wait.min(deadline.since(now))).await;
                         continue;
                     }
-                    result => return result,
+                    Err(refusal) => return Err(refusal),
                 }
             }
             if !may_wait {
@@ -265,7 +281,8 @@
         };
         let wait_limit = request.max_wait;
         match timeout(wait_limit, self.supply.request_permit(request)).await {
-            Ok(Permit::Granted(target)) => Ok(PermitResult::Granted(target)),
+            Ok(Permit::Granted(target)) => Ok(PermitResult::Granted(target, None)),
+            Ok(Permit::Limited(target, grant)) => Ok(PermitResult::Granted(target, Some(grant))),
             Ok(Permit::Refuse(wait)) => {
                 log::info!(
                     step = "turn",
@@ -276,6 +293,10 @@
                     candidates = serving.len();
                     "the leader refused a permit: no target has room in time"
                 );
+                let state = self.state.borrow();
+                if serving.iter().all(|member| state.is_limited(member)) {
+                    return Err(Refusal::Limited { wait });
+                }
                 Err(Refusal::TargetsFull { wait })
             }
             Ok(Permit::Unknown) => Ok(PermitResult::Unavailable),
@@ -302,15 +323,25 @@
         avoid
     }
 
-    /// Returns the target that the permit names, if it still serves the request.
+    /// Returns the target that the permit names, if it still serves the request and has no limit that the permit doesn't
+    /// account for.
     fn granted_target(
         &self,
-        context: &Context,
+        context: &mut Context,
         serving: &[&Member],
         target: &id::Target,
+        grant: Option<Grant>,
     ) -> Option<Chosen> {
         let member = serving.iter().find(|member| member.target == *target)?;
         let state = self.state.borrow();
+        if grant.is_none() && state.is_limited(member) {
+            return None;
+        }
+        context.held = grant.map(|grant| Held {
+            key: (member.target.clone(), member.incarnation),
+            grant: Some(grant),
+            expires_at: self.clock.now() + GRANT_LIFETIME,
+        });
         let stats = state.stats.get(&member.target, member.incarnation);
         let now = self.clock.now();
         Some(Chosen {
@@ -362,7 +393,9 @@
             state.has_attempt(&context.service, now)
         };
         let members = self.state.borrow().members(&context.service);
-        let mut serving = self.serving(&members, context, now);
+        let serving = self.serving(&members, context, now);
+        // A grant may be refused.
+        let (mut serving, _) = self.split_limited(&serving, context);
         serving.retain(|member| member.target != *target);
         // A request that may not wait any more is not given to another target either.
         let may_select = context.has_begun() || now < self.wait_deadline(context);
@@ -377,6 +410,41 @@
         })
     }
 
+    /// Selects a target without a permit of the leader: one without a limit if there is one that accepts the request, and
+    /// one with a grant otherwise. Returns `None` if the limit of a target has ended meanwhile.
+    async fn select_without_permit(
+        &self,
+        context: &mut Context,
+        serving: &[&Member],
+        deadline: Point,
+    ) -> Result<Option<Chosen>, Refusal> {
+        let now = self.clock.now();
+        let (open, limited) = self.split_limited(serving, context);
+        let chosen = self.select_locally(context, &open, now);
+        // The leader itself sends limited targets a generation now and then.
+        let is_probe = chosen.is_ok() && context.head.generation.is_none();
+        if limited.is_empty() || (chosen.is_ok() && !(is_probe && self.take_probe(&limited))) {
+            return chosen.map(Some);
+        }
+        let max_wait = if is_probe {
+            Duration::ZERO
+        } else {
+            deadline.since(now)
+        };
+        let granted = self.request_grant(context, &limited, max_wait, is_probe);
+        match granted.await {
+            Granted::Target(chosen) => Ok(Some(chosen)),
+            Granted::Unlimited => Ok(None),
+            Granted::Refused(limit_wait) => match chosen {
+                Ok(chosen) => Ok(Some(chosen)),
+                Err(Refusal::TargetsFull { wait }) => Err(Refusal::TargetsFull {
+                    wait: wait.min(limit_wait),
+                }),
+                Err(_) => Err(Refusal::Limited { wait: limit_wait }),
+            },
+        }
+    }
+
     /// Chooses among the targets that serve the request, or refuses the request if they are full.
     fn select_locally(
         &self,
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -8,6 +8,7 @@
 };
 
 use buckthornmast_fleet::prelude::*;
+use buckthornmast_limit::{statement::Statement, view::View};
 use buckthornmast_quarantine::guard::Guard;
 use buckthornmast_routes::{
     document::{Document, Service},
@@ -27,6 +28,9 @@
     stats::StatsTable,
 };
 
+/// Minimum time between two log lines about limits that can't be read.
+const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Number of inventories of unknown targets that are kept.
 const MAX_UNKNOWN_INVENTORIES: usize = 1000;
 
@@ -102,6 +106,8 @@
     pub pool: Pool,
     /// What targets stated about themselves in their answers.
     pub advisories: Board,
+    /// Rates that targets take from all instances together.
+    pub limits: View,
     /// Prompt parts on which targets crash.
     pub guard: Guard,
     /// Memory for answers that are held until they are whole.
@@ -117,6 +123,8 @@
     budgets: HashMap<id::Service, budget::Window>,
     retry_bounds: RetryBounds,
     instances: u32,
+    // When a limit that can't be read was last logged.
+    unreadable_logged_at: Option<Point>,
 }
 
 impl State {
@@ -126,6 +134,7 @@
             stats: StatsTable::default(),
             pool: Pool::default(),
             advisories: Board::default(),
+            limits: View::default(),
             guard: Guard::default(),
             memory: Memory::default(),
             changed: Rc::default(),
@@ -137,6 +146,7 @@
             budgets: HashMap::new(),
             retry_bounds,
             instances: 1,
+            unreadable_logged_at: None,
         }
     }
 
@@ -209,6 +219,7 @@
     /// Sets the number of entry instances, which share the retry budget.
     pub fn set_instances(&mut self, instances: u32) {
         self.instances = instances.max(1);
+        self.limits.set_instances(self.instances);
     }
 
     fn rebuild(&mut self) {
@@ -263,13 +274,6 @@
         {
             log::info!(step = "advisory", target:% = target, born = incarnation.0, pause_ms = millis(pause); "target wants no request for some time");
         }
-        if self
-            .advisories
-            .record_limit(target, incarnation, answer.limit, now)
-        {
-            metrics::counter!("buckthornmast_limits_stated_total").increment(1);
-            log::info!(step = "limit", target:% = target, born = incarnation.0, limit:? = answer.limit; "target states another limit");
-        }
         let is_new = answer.is_leaving && self.advisories.record_leaving(target, incarnation, now);
         if is_new {
             log::info!(step = "advisory", target:% = target, born = incarnation.0; "target states that it leaves; it gets no further request");
@@ -278,6 +282,37 @@
         is_new
     }
 
+    /// Records what a target states about its limit with the answer to a request that was sent at a time. Returns whether
+    /// that differs from what this instance knows.
+    pub fn record_limit(
+        &mut self,
+        member: &Member,
+        statement: Statement,
+        sent: Point,
+        now: Point,
+    ) -> bool {
+        if statement == Statement::Unreadable {
+            let logged_at = self.unreadable_logged_at;
+            if logged_at.is_none_or(|at| now.since(at) >= UNREADABLE_LOG_INTERVAL) {
+                self.unreadable_logged_at = Some(now);
+                log::warn!(step = "limit", target:% = member.target, born = member.incarnation.0; "ignoring the limit of a target, since it is no number of requests a second");
+            }
+        }
+        let key = (member.target.clone(), member.incarnation);
+        let was_limited = self.limits.rate(&key).is_some();
+        let differs = self.limits.record(&key, statement, sent, now);
+        if was_limited != self.limits.rate(&key).is_some() {
+            metrics::counter!("buckthornmast_limits_stated_total").increment(1);
+            log::info!(step = "limit", target:% = member.target, born = member.incarnation.0, limit:? = statement; "target has begun or ended to limit its rate");
+        }
+        differs
+    }
+
+    /// Returns whether a target takes requests at a limited rate only.
+    pub fn is_limited(&self, member: &Member) -> bool {
+        self.limits.is_limited(&member.target, member.incarnation)
+    }
+
     /// Returns whether a target may be sent a request now, as far as its answers say.
     pub fn accepts(&self, member: &Member, now: Point) -> bool {
         self.advisories
@@ -332,6 +367,7 @@
         let registry = &self.registry;
         let known = |target: &id::Target| Some(registry.get(target)?.announcement.incarnation);
         self.advisories.prune(known, now);
+        self.limits.prune(known, now);
         // The leader's placements may arrive before the core's updates about new targets, and are not sent again.
         if self.inventories.len() > MAX_UNKNOWN_INVENTORIES + registry.entries().count() {
             self.inventories
--- a/crates/buckthornmast_forward/src/supply.rs
+++ b/crates/buckthornmast_forward/src/supply.rs
@@ -2,6 +2,10 @@
 
 use std::{fmt, future::Future, time::Duration};
 
+use buckthornmast_limit::{
+    account,
+    statement::{Grant, Report},
+};
 use buckthornmast_quarantine::{ledger::Evidence, part};
 use buckthornmast_types::id;
 use smallvec::SmallVec;
@@ -59,6 +63,8 @@
 pub enum Permit {
     /// The request may be sent to this target.
     Granted(id::Target),
+    /// The request may be sent to this target, which takes requests at a limited rate only.
+    Limited(id::Target, Grant),
     /// The request would wait for about this time, which is too long.
     Refuse(Duration),
     /// The leader can't be reached or knows no target. This instance decides locally.
@@ -86,6 +92,13 @@
     fn report_down(&self, target: &id::Target, incarnation: id::Incarnation);
     /// Requests a permit and waits for the answer.
     fn request_permit(&self, request: PermitRequest) -> impl Future<Output = Permit>;
+    /// Requests a grant to send a request to a target with a limit. Returns `None` if the leader can't be reached.
+    fn request_grant(
+        &self,
+        request: account::Request,
+    ) -> impl Future<Output = Option<account::Answer>>;
+    /// Reports what a target states about its limit.
+    fn report_limit(&self, report: Report);
     /// Reports a request that its target was beginning to answer when it ended.
     fn report_crash(&self, evidence: &Evidence);
     /// Reports that a target answers on parts that were blamed for crashes.
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -13,6 +13,7 @@
     state::{RetryBounds, State},
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
+use buckthornmast_limit::{account, statement::Report};
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_routes::{
     document::{Kind, Route},
@@ -65,6 +66,12 @@
 
     fn report_down(&self, _: &id::Target, _: id::Incarnation) {}
 
+    async fn request_grant(&self, _: account::Request) -> Option<account::Answer> {
+        None
+    }
+
+    fn report_limit(&self, _: Report) {}
+
     fn report_crash(&self, _: &Evidence) {}
 
     fn report_progress(&self, _: &Set) {}
@@ -164,6 +171,7 @@
         deadline: now + Duration::from_secs(10),
         history: History::default(),
         not_run: 0,
+        held: None,
         tried: SmallVec::new(),
         waited: Duration::ZERO,
         last_event_at: None,
--- a/crates/buckthornmast_forward/tests/stop.rs
+++ b/crates/buckthornmast_forward/tests/stop.rs
@@ -17,6 +17,7 @@
     state::{RetryBounds, State},
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
+use buckthornmast_limit::{account, statement::Report};
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_types::{id, time::System};
 use http::{HeaderMap, request, response};
@@ -54,6 +55,12 @@
         Permit::Unknown
     }
 
+    async fn request_grant(&self, _: account::Request) -> Option<account::Answer> {
+        None
+    }
+
+    fn report_limit(&self, _: Report) {}
+
     fn report_crash(&self, _: &Evidence) {}
 
     fn report_progress(&self, _: &Set) {}
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -17,6 +17,7 @@
     state::{RetryBounds, State},
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
+use buckthornmast_limit::{account, statement::Report};
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_routes::{
     document::{Document, Kind, Limits, Pool, Route, Service},
@@ -154,6 +155,12 @@
         Permit::Unknown
     }
 
+    async fn request_grant(&self, _: account::Request) -> Option<account::Answer> {
+        None
+    }
+
+    fn report_limit(&self, _: Report) {}
+
     fn report_crash(&self, _: &Evidence) {}
 
     fn report_progress(&self, _: &Set) {}
--- a/crates/buckthornmast_limit/src/view.rs
+++ b/crates/buckthornmast_limit/src/view.rs
@@ -25,6 +25,10 @@
 /// Time for which the limit of a target that nobody announces is kept. Announcements are delayed by seconds at most.
 const RETENTION: Duration = Duration::from_secs(300);
 
+/// Time after which this instance offers a target with a limit another request that others could take, to learn whether
+/// the limit still holds. The account accepts the offers of one instance.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Number of limits that are kept.
 const MAX_LIMITS: usize = 10_000;
 
@@ -35,10 +39,12 @@
     heard_at: Point,
     // Last slot that was used.
     used_slot: Option<u64>,
+    // When a request that others could take was last offered to the target.
+    probed_at: Option<Point>,
 }
 
 /// Limits that an instance knows.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct View {
     limits: HashMap<Key, Known>,
     // Place of this instance's slots between those of the others, from 0 to 1.
@@ -54,14 +60,14 @@
         Self {
             limits: HashMap::new(),
             phase: (place >> 11) as f64 / (1_u64 << 53) as f64,
-            instances: 1,
+            instances: 0,
             alone_since: None,
         }
     }
 
     /// Sets the number of instances that share what may be spent without the account.
     pub fn set_instances(&mut self, instances: u32) {
-        self.instances = instances.max(1);
+        self.instances = instances;
     }
 
     /// Records whether the account could be reached.
@@ -106,6 +112,7 @@
                 rate,
                 heard_at: now,
                 used_slot: None,
+                probed_at: None,
             };
             self.limits.insert(key.clone(), known);
         }
@@ -142,6 +149,24 @@
         limits.map(move |(key, known)| (key, known.rate, now.since(known.heard_at)))
     }
 
+    /// Removes a limit of which the account doesn't know.
+    pub fn forget(&mut self, key: &Key) {
+        self.limits.remove(key);
+    }
+
+    /// Returns whether a target with a limit should be offered a request that others could take, and takes note of it.
+    pub fn take_probe(&mut self, key: &Key, now: Point) -> bool {
+        let Some(known) = self.limits.get_mut(key) else {
+            return false;
+        };
+        let probed_at = known.probed_at.unwrap_or(known.heard_at);
+        let is_due = now.since(probed_at.max(known.heard_at)) >= PROBE_INTERVAL;
+        if is_due {
+            known.probed_at = Some(now);
+        }
+        is_due
+    }
+
     fn is_alone(&self, now: Point) -> bool {
         let alone_since = self.alone_since;
         alone_since.is_some_and(|alone_since| now.since(alone_since) >= ALONE_AFTER)
@@ -158,7 +183,7 @@
         let Some(alone_since) = self.alone_since.filter(|_| is_alone) else {
             return Err(spacing);
         };
-        let interval = spacing.as_secs_f64() * f64::from(self.instances);
+        let interval = spacing.as_secs_f64() * f64::from(self.instances.max(1));
         let passed = now.since(alone_since + ALONE_AFTER).as_secs_f64() / interval - self.phase;
         if passed < 0.0 {
             return Err(spacing);
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -1,5 +1,6 @@
 //! Placement of models and adapters on the targets, and permits for requests, as decided by the leader of the core.
 
+mod limits;
 pub mod permits;
 
 use std::{
@@ -10,6 +11,7 @@
 };
 
 use buckthornmast_fleet::registry::Registry;
+use buckthornmast_limit::account::Account;
 use buckthornmast_routes::document::{Document, Pool, Service};
 use buckthornmast_supply::{
     adapters::{self, Place},
@@ -136,6 +138,9 @@
         state.published.clear();
         state.permits.clear();
         state.requesters.clear();
+        if let Some(leadership) = &leadership {
+            state.permits.limits = Account::open(leadership.fence.term, self.clock.now());
+        }
         state.leadership = leadership;
     }
 
@@ -171,6 +176,7 @@
             permits.retain(ledger);
         }
         state.demand.prune(now);
+        self.prune_limits(&mut state, registry, now);
         let Some(document) = state.document.clone() else {
             return;
         };
@@ -180,10 +186,14 @@
         };
         {
             let State {
-                ledger, handover, ..
+                ledger,
+                handover,
+                permits,
+                ..
             } = &mut *state;
             ledger.observe(registry, has_models, now);
             ledger.block_ordered(handover, now);
+            limits::apply(&permits.limits, ledger);
         }
         let mut queries = Vec::new();
         for (target, inventory) in &mut state.ledger.inventories {
--- a/crates/buckthornmast_node/src/controller/permits.rs
+++ b/crates/buckthornmast_node/src/controller/permits.rs
@@ -37,7 +37,7 @@
 
 fn label(permit: &Permit) -> &'static str {
     match permit {
-        Permit::Go(_) => "go",
+        Permit::Go(_) | Permit::Limited(..) => "go",
         Permit::Wait(_) => "wait",
         Permit::Refuse(_) => "refuse",
         Permit::Unknown => "unknown",
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -564,6 +564,11 @@
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
         ];
+        let limits = self.controller.limits();
+        if !limits.is_empty() {
+            // Before the routes, as the quarantines.
+            messages.push(Downstream::Limits(limits));
+        }
         let quarantines = state.crashes.notices(now);
         if !quarantines.is_empty() {
             // Before the routes, without which an entry instance sends no request.
@@ -618,6 +623,14 @@
             Upstream::Crash(evidence) => self.record_crash(evidence),
             Upstream::Progress(parts) => self.record_progress(parts),
             Upstream::Quarantines(notices) => self.merge_quarantines(&notices),
+            Upstream::Limit(report) => self.controller.record_limit(&report),
+            Upstream::GrantRequest { number, request } => {
+                let answer = self.controller.request_grant(&request);
+                if let Some(answer) = answer {
+                    // An entry instance that has disconnected needs no answer.
+                    let _ = outbox.send(&Downstream::Grant { number, answer });
+                }
+            }
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
                 let now = self.clock.now();
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -85,7 +85,9 @@
             | Downstream::CopyGrant { .. }
             | Downstream::Permit { .. }
             | Downstream::Progress(_)
-            | Downstream::Trial(_) => {}
+            | Downstream::Trial(_)
+            | Downstream::Limits(_)
+            | Downstream::Grant { .. } => {}
         }
     }
 
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -14,6 +14,10 @@
     forwarder::Forwarder,
     state::{Inventory, RetryBounds, State},
 };
+use buckthornmast_limit::{
+    statement::{Report, Statement},
+    view::View,
+};
 use buckthornmast_link::Outbox;
 use buckthornmast_quarantine::ledger::Notice;
 use buckthornmast_types::{
@@ -23,6 +27,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     dial::{Connections, Dialer},
@@ -66,12 +71,14 @@
             window: settings.bounds.extra_window,
         };
         let supplier = Shared::default();
+        let mut state = State::new(retry_bounds);
+        state.limits = View::new(xxh3_64(settings.instance.as_str().as_bytes()));
         let forwarder = Forwarder {
             mapping: platform.headers(),
             supply: supplier.clone(),
             clock: System::start(),
             domain: settings.domain.clone(),
-            state: Rc::new(RefCell::new(State::new(retry_bounds))),
+            state: Rc::new(RefCell::new(state)),
         };
         Rc::new(Self {
             forwarder: Rc::new(forwarder),
@@ -141,6 +148,20 @@
     }
 }
 
+impl<P: Platform> Entry<P> {
+    /// Tells a new leader the limits that this instance knows.
+    fn report_limits(&self, state: &State) {
+        let limits = state.limits.limits(self.forwarder.clock.now());
+        let reports = limits.map(|(key, rate, age)| Report {
+            key: key.clone(),
+            statement: Statement::Limited(rate),
+            age,
+            grant: None,
+        });
+        self.supplier.0.report_limits(reports);
+    }
+}
+
 impl<P: Platform> Dialer for Entry<P> {
     fn hello(&self) -> Upstream {
         Upstream::Entry(self.instance.clone())
@@ -214,8 +235,17 @@
             // For instances of the core only.
             Downstream::Ordered(_) => {}
             Downstream::Leadership(leading_term) => {
-                self.supplier.0.set_leading_term(peer, leading_term)
+                self.supplier.0.set_leading_term(peer, leading_term);
+                if self.supplier.0.is_leader(peer) {
+                    self.report_limits(&state);
+                }
+            }
+            Downstream::Limits(notices) => {
+                if self.supplier.0.is_leader(peer) {
+                    state.limits.merge(&notices, now);
+                }
             }
+            Downstream::Grant { number, answer } => self.supplier.0.answer_grant(number, answer),
             Downstream::CopyGrant { number, grant } => self.supplier.0.answer_copy(number, grant),
             Downstream::Permit { number, permit } => self.supplier.0.answer_permit(number, permit),
             Downstream::Quarantines(notices) => {
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -11,6 +11,10 @@
 use buckthornmast_consensus::message::Message;
 use buckthornmast_discovery::roster::{Member, Sighting};
 use buckthornmast_fleet::{announcement::Resident, registry::Update};
+use buckthornmast_limit::{
+    account::{self, Answer},
+    statement,
+};
 use buckthornmast_quarantine::{
     ledger::{Evidence, Notice},
     part,
@@ -81,6 +85,15 @@
     Progress(part::Set),
     /// Reports the quarantines that an entry instance knows, which an instance of the core may have lost.
     Quarantines(Vec<Notice>),
+    /// Reports what a target states about its limit to the leader.
+    Limit(statement::Report),
+    /// Requests a grant from the leader to send a request to a target with a limit.
+    GrantRequest {
+        /// Number of the request.
+        number: u64,
+        /// Targets and wait.
+        request: account::Request,
+    },
 }
 
 /// Models and adapters of a target that requests may use.
@@ -166,4 +179,13 @@
     Progress(part::Set),
     /// Permits one request with quarantined parts as a trial.
     Trial(part::Set),
+    /// Limits of targets that have changed, from the leader.
+    Limits(Vec<statement::Notice>),
+    /// Answers a request for a grant.
+    Grant {
+        /// Number of the request.
+        number: u64,
+        /// Answer.
+        answer: Answer,
+    },
 }
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -9,6 +9,10 @@
 };
 
 use buckthornmast_forward::supply::{self, Availability, PermitRequest, Supply, Usage};
+use buckthornmast_limit::{
+    account::{self, Answer},
+    statement::Report,
+};
 use buckthornmast_link::Outbox;
 use buckthornmast_quarantine::{
     ledger::{Evidence, Notice},
@@ -56,6 +60,7 @@
     // Demand since the last report.
     demand: RefCell<HashMap<Item, Row>>,
     permit_requests: RefCell<HashMap<u64, flume::Sender<Permit>>>,
+    grant_requests: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     // Times at which targets were last reported to be unreachable.
     unreachable: RefCell<HashMap<id::Target, Instant>>,
     // Time until which no permits are requested.
@@ -277,6 +282,7 @@
                     pending.is_answered = true;
                     return match permit {
                         Permit::Go(target) => supply::Permit::Granted(target),
+                        Permit::Limited(target, grant) => supply::Permit::Limited(target, grant),
                         Permit::Refuse(wait) => supply::Permit::Refuse(wait),
                         Permit::Wait(_) | Permit::Unknown => supply::Permit::Unknown,
                     };
@@ -295,9 +301,45 @@
         }
     }
 
-    /// Cancels all permit requests, so that their prompts are placed without permits.
+    /// Cancels all permit requests, so that their prompts are placed without permits, and all requests for grants.
     fn cancel_permits(&self) {
         self.permit_requests.borrow_mut().clear();
+        self.grant_requests.borrow_mut().clear();
+    }
+
+    /// Passes an answer of the leader to its request for a grant.
+    pub fn answer_grant(&self, number: u64, answer: Answer) {
+        if let Some(sender) = self.grant_requests.borrow_mut().remove(&number) {
+            // The request may have timed out.
+            let _ = sender.send(answer);
+        }
+    }
+
+    async fn request_grant(&self, request: account::Request) -> Option<Answer> {
+        let leader = self.leader()?;
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let (sender, answer) = oneshot::channel();
+        self.grant_requests.borrow_mut().insert(number, sender);
+        let answer = if leader.send(&Upstream::GrantRequest { number, request }) {
+            timeout(PERMIT_ANSWER_TIMEOUT, answer).await.ok()
+        } else {
+            None
+        };
+        self.grant_requests.borrow_mut().remove(&number);
+        // The sender is dropped if the leader changes.
+        answer?.ok()
+    }
+
+    /// Reports limits of targets to the leader, if one is known. A new leader is told all known limits.
+    pub fn report_limits(&self, reports: impl IntoIterator<Item = Report>) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        for report in reports {
+            // If the connection has ended, another leader, or this one again, is told all limits.
+            let _ = leader.send(&Upstream::Limit(report));
+        }
     }
 
     async fn wait_for_leader(&self) -> Option<Outbox<Upstream>> {
@@ -355,6 +397,14 @@
         self.0.request_permit(permit_request).await
     }
 
+    async fn request_grant(&self, request: account::Request) -> Option<Answer> {
+        self.0.request_grant(request).await
+    }
+
+    fn report_limit(&self, report: Report) {
+        self.0.report_limits([report]);
+    }
+
     fn report_crash(&self, evidence: &Evidence) {
         self.0.send_cores(&Upstream::Crash(evidence.clone()));
     }
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -12,7 +12,7 @@
 
 use buckthornmast_fleet::prelude::*;
 use buckthornmast_routes::document::{Model, Pool};
-use buckthornmast_types::{id, size::Bytes, time::Point};
+use buckthornmast_types::{id, rate::Rate, size::Bytes, time::Point};
 
 use crate::{
     demand::Item,
@@ -80,6 +80,8 @@
     pub is_ready: bool,
     /// Requests that the target runs concurrently.
     pub slots: u32,
+    /// Requests a second that it takes from all instances together, if it states a limit.
+    pub limit: Option<Rate>,
     /// Resident models with their adapters.
     pub resident: BTreeMap<id::Model, BTreeSet<id::Adapter>>,
     /// Copies in the target's main memory, which load fastest.
@@ -125,6 +127,7 @@
             domain: announcement.domain.clone(),
             is_ready: true,
             slots: announcement.slots,
+            limit: None,
             resident: BTreeMap::new(),
             in_memory: BTreeSet::new(),
             on_disk: BTreeSet::new(),
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -12,7 +12,11 @@
     time::Duration,
 };
 
-use buckthornmast_types::{id, time::Point};
+use buckthornmast_limit::{
+    account::Account,
+    statement::{Grant, Key},
+};
+use buckthornmast_types::{id, rate::Rate, time::Point};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -62,6 +66,9 @@
 /// Time for which the table of the targets of each model is used before it is built again.
 const HOLDERS_LIFETIME: Duration = Duration::from_millis(20);
 
+/// Longest expected wait, in seconds. A longer one says no more.
+const MAX_WAIT_SECONDS: f64 = 3600.0;
+
 /// Request for a permit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Request {
@@ -93,6 +100,8 @@
     Refuse(Duration),
     /// No target has the model or adapter.
     Unknown,
+    /// The request may be sent to this target now, which takes requests at a limited rate only.
+    Limited(id::Target, Grant),
 }
 
 /// Number of a waiting request.
@@ -169,6 +178,8 @@
 /// Queue of the requests for permits at all targets.
 #[derive(Default)]
 pub struct Queue {
+    /// Account of the targets that take requests at a limited rate only.
+    pub limits: Account,
     loads: HashMap<id::Target, TargetLoad>,
     waiting: Vec<Waiting>,
     next_ticket: u64,
@@ -217,16 +228,36 @@
 
 /// Target that has the model and adapter of a request, with its current load.
 struct Holder {
-    target: id::Target,
-    wait: Duration,
+    key: Key,
+    // Time until the prompts that were sent to it are read.
+    prefill_wait: Duration,
     running: f64,
     utilisation: f64,
     slots: f64,
+    // Requests a second that it takes, and the time until the next one, if it has a limit.
+    limit: Option<(Rate, Duration)>,
+    // Whether it should get a request although others could take it.
+    is_probed: bool,
+}
+
+impl Holder {
+    /// Returns the time until the target takes another prompt.
+    fn wait(&self) -> Duration {
+        let limit_wait = self.limit.map_or(Duration::ZERO, |(_, wait)| wait);
+        self.prefill_wait.max(limit_wait)
+    }
+
+    fn is_open(&self) -> bool {
+        let has_room = self.running + 1.0 <= self.slots;
+        let is_within_limit = self.limit.is_none_or(|(_, wait)| wait.is_zero());
+        self.prefill_wait <= MAX_OUTSTANDING_PREFILL && has_room && is_within_limit
+    }
 }
 
 impl Queue {
     /// Removes all state.
     pub fn clear(&mut self) {
+        self.limits = Account::default();
         self.loads.clear();
         self.waiting.clear();
         self.holders = Holders::default();
@@ -272,8 +303,7 @@
         if competing.is_empty()
             && let Some(target) = self.pick_target(&holders, &waiting.request)
         {
-            self.grant(&target, &waiting, PREFILL_SHARE, now);
-            return (ticket, Permit::Go(target));
+            return (ticket, self.grant(target, &waiting, PREFILL_SHARE, now));
         }
         let latest_permit = waiting.latest_permit;
         let is_ahead =
@@ -342,8 +372,8 @@
                 } else {
                     PREFILL_SHARE
                 };
-                self.grant(&target, &one, prefill_share, now);
-                permits.push((one.ticket, Permit::Go(target)));
+                let permit = self.grant(target, &one, prefill_share, now);
+                permits.push((one.ticket, permit));
             } else {
                 if one.request.avoid.is_empty() {
                     full_items.insert(one.request.item.clone());
@@ -381,51 +411,66 @@
                 continue;
             }
             let load = self.loads.get(target).copied().unwrap_or_default();
+            let key = (target.clone(), inventory.incarnation);
+            let limit = self.limits.limit(&key);
+            let limit = limit.zip(self.limits.wait(&key, now));
             holders.push(Holder {
-                target: target.clone(),
-                wait: load.prefilled_at.since(now),
+                prefill_wait: load.prefilled_at.since(now),
                 running: load.running(now),
                 utilisation: load.utilisation(now),
                 slots: (f64::from(inventory.slots) * USED_SLOT_SHARE).max(1.0),
+                limit,
+                is_probed: self.limits.is_due(&key, now),
+                key,
             });
         }
         holders
     }
 
     /// Returns the target that a prompt may be sent to now, if there is one.
-    fn pick_target(&self, holders: &[Holder], request: &Request) -> Option<id::Target> {
-        let open_targets = || {
-            holders.iter().filter(|holder| {
-                holder.wait <= MAX_OUTSTANDING_PREFILL && holder.running + 1.0 <= holder.slots
-            })
-        };
-        let best = open_targets().min_by(|one, other| {
-            let by_wait = one.wait.cmp(&other.wait);
+    fn pick_target(&self, holders: &[Holder], request: &Request) -> Option<Key> {
+        let is_limited = |holder: &&Holder| holder.limit.is_some();
+        let open = || holders.iter().filter(|holder| holder.is_open());
+        let probed = open().filter(is_limited).find(|holder| holder.is_probed);
+        let unlimited = || open().filter(|holder| !is_limited(holder));
+        if let Some(probed) = probed {
+            return Some(probed.key.clone());
+        }
+        let Some(best) = unlimited().min_by(|one, other| {
+            let by_wait = one.prefill_wait.cmp(&other.prefill_wait);
             by_wait.then(one.running.total_cmp(&other.running))
-        })?;
-        let min_running = open_targets()
+        }) else {
+            let limited = open().min_by(|one, other| one.running.total_cmp(&other.running));
+            return limited.map(|holder| holder.key.clone());
+        };
+        let min_running = unlimited()
             .map(|holder| holder.running)
             .fold(f64::INFINITY, f64::min);
-        let equivalent = open_targets().filter(|holder| {
-            holder.wait <= best.wait + WAIT_TOLERANCE
+        let equivalent = unlimited().filter(|holder| {
+            holder.prefill_wait <= best.prefill_wait + WAIT_TOLERANCE
                 && holder.running <= min_running + RUNNING_REQUESTS_TOLERANCE
         });
         let chosen = match request.prefix {
             Some(prefix) => equivalent
-                .max_by_key(|holder| xxh3_64_with_seed(holder.target.as_str().as_bytes(), prefix)),
+                .max_by_key(|holder| xxh3_64_with_seed(holder.key.0.as_str().as_bytes(), prefix)),
             None => equivalent.min_by(|one, other| one.running.total_cmp(&other.running)),
         };
-        Some(chosen.unwrap_or(best).target.clone())
+        Some(chosen.unwrap_or(best).key.clone())
     }
 
-    fn grant(&mut self, target: &id::Target, waiting: &Waiting, prefill_share: f64, now: Point) {
-        let load = self.loads.entry(target.clone()).or_default();
+    /// Accounts for a request that is sent to a target now.
+    fn grant(&mut self, key: Key, waiting: &Waiting, prefill_share: f64, now: Point) -> Permit {
+        let load = self.loads.entry(key.0.clone()).or_default();
         load.grant(
             waiting.prefill_time,
             waiting.running_seconds,
             prefill_share,
             now,
         );
+        match self.limits.take(&key, now) {
+            Some(grant) => Permit::Limited(key.0, grant),
+            None => Permit::Go(key.0),
+        }
     }
 }
 
@@ -435,15 +480,24 @@
     others: impl Iterator<Item = &'a &'b Waiting>,
     one: &Waiting,
 ) -> Duration {
-    let targets = holders.len().max(1) as f64;
     let (count, ahead) = others.fold((0.0, Duration::ZERO), |(count, ahead), other| {
         (count + 1.0, ahead + other.prefill_time)
     });
-    let wait = holders.iter().map(|holder| holder.wait).min();
+    let unlimited = || holders.iter().filter(|holder| holder.limit.is_none());
+    let wait = holders.iter().map(Holder::wait).min();
+    if unlimited().count() == 0 {
+        let rates = holders.iter().filter_map(|holder| holder.limit);
+        let rate: f64 = rates.map(|(rate, _)| rate.get()).sum();
+        let behind =
+            Duration::from_secs_f64((count / rate.max(f64::EPSILON)).min(MAX_WAIT_SECONDS));
+        return wait.unwrap_or_default() + behind;
+    }
+    let targets = unlimited().count() as f64;
     let prefill_wait = wait.unwrap_or_default() + ahead.div_f64(BACKLOG_PREFILL_SHARE * targets);
-    let slots: f64 = holders.iter().map(|holder| holder.slots).sum();
-    let running: f64 = holders.iter().map(|holder| holder.running).sum();
+    let slots: f64 = unlimited().map(|holder| holder.slots).sum();
+    let running: f64 = unlimited().map(|holder| holder.running).sum();
     let excess = (running + count + 1.0 - slots).max(0.0);
-    let slot_wait = Duration::from_secs_f64((one.running_seconds * excess / slots).min(3600.0));
+    let slot_wait =
+        Duration::from_secs_f64((one.running_seconds * excess / slots).min(MAX_WAIT_SECONDS));
     prefill_wait.max(slot_wait)
 }
--- a/crates/buckthornmast_supply/src/plan.rs
+++ b/crates/buckthornmast_supply/src/plan.rs
@@ -106,7 +106,9 @@
     name: &'a id::Target,
     // Number of concurrent requests up to which the target answers fast.
     soft_limit: f64,
-    // Expected number of concurrent requests.
+    // Part of it that the target's limit on its rate leaves without requests.
+    unused: f64,
+    // Expected number of concurrent requests, and the part that can't be used.
     level: f64,
     // Whether the target can't be sent an order now.
     is_busy: bool,
@@ -154,6 +156,7 @@
             .map(|(target, inventory)| TargetState {
                 name: target,
                 soft_limit: f64::from(inventory.slots).clamp(1.0, SOFT_CONCURRENCY_LIMIT),
+                unused: 0.0,
                 level: 0.0,
                 is_busy: !inventory.is_free(),
                 reserved: None,
@@ -190,6 +193,7 @@
             now,
         };
         planner.find_copies();
+        planner.apply_limits();
         planner.spread();
         planner
     }
@@ -225,9 +229,24 @@
         }
     }
 
+    /// Takes the limits that targets state into account, as concurrent requests.
+    fn apply_limits(&mut self) {
+        let demand: f64 = self.models.iter().map(|state| state.demand).sum();
+        let rate: f64 = self.models.iter().map(|state| state.rate).sum();
+        if rate <= 0.0 {
+            return;
+        }
+        let request_seconds = demand / rate;
+        for target in &mut self.targets {
+            if let Some(limit) = self.ledger.inventories[target.name].limit {
+                target.unused = (target.soft_limit - limit.get() * request_seconds).max(0.0);
+            }
+        }
+    }
+
     /// Spreads the demand for each model over its copies, so that the highest level is as low as possible.
     fn spread(&mut self) {
-        let mut levels = vec![0.0; self.targets.len()];
+        let mut levels: Vec<f64> = self.targets.iter().map(|target| target.unused).collect();
         for state in &mut self.models {
             let share = state.demand / state.copies.len().max(1) as f64;
             state
--- a/crates/buckthornmast_supply/tests/permits.rs
+++ b/crates/buckthornmast_supply/tests/permits.rs
@@ -169,6 +169,7 @@
                 self.outcomes.refused += 1;
             }
             Permit::Wait(_) => {}
+            Permit::Limited(target, _) => panic!("{target} states no limit"),
             Permit::Unknown => panic!("no target has the model"),
         }
     }
