--- a/crates/buckthornmast_forward/src/limit.rs
+++ b/crates/buckthornmast_forward/src/limit.rs
@@ -54,7 +54,7 @@
         let rate = self.state.borrow().limits.rate(&key_of(member));
         let rate = rate.map(|rate| rate.get()).filter(|rate| *rate > 0.0);
         let interval = rate.and_then(|rate| Duration::try_from_secs_f64(1.0 / rate).ok());
-        interval.unwrap_or_default().min(MAX_SLOT_WAIT)
+        interval.unwrap_or(MAX_SLOT_WAIT).min(MAX_SLOT_WAIT)
     }
 
     /// Returns the targets without a limit, and those with one that have not had the request yet.
