Expect waits by the targets without a limit, where there are some

A limited target whose turn has come made the expected wait zero for all requests of a model, however many waited at the other targets, so that requests joined the queue which could not be on time.

--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -484,8 +484,8 @@
         (count + 1.0, ahead + other.prefill_time)
     });
     let unlimited = || holders.iter().filter(|holder| holder.limit.is_none());
-    let wait = holders.iter().map(Holder::wait).min();
     if unlimited().count() == 0 {
+        let wait = holders.iter().map(Holder::wait).min();
         let rates = holders.iter().filter_map(|holder| holder.limit);
         let rate: f64 = rates.map(|(rate, _)| rate.get()).sum();
         let behind =
@@ -493,6 +493,7 @@
         return wait.unwrap_or_default() + behind;
     }
     let targets = unlimited().count() as f64;
+    let wait = unlimited().map(|holder| holder.prefill_wait).min();
     let prefill_wait = wait.unwrap_or_default() + ahead.div_f64(BACKLOG_PREFILL_SHARE * targets);
     let slots: f64 = unlimited().map(|holder| holder.slots).sum();
     let running: f64 = unlimited().map(|holder| holder.running).sum();
