Load adapters elsewhere that only targets with a limit have

Callers of such an adapter were refused at the rate of the limited target, although another target had the model: an adapter that is resident anywhere was never loaded again. An entry instance now asks for a copy in this case, and the leader prefers targets without a limit (place_adapter_beside_limited).

--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -126,6 +126,15 @@
                 .iter()
                 .any(|member| !context.tried.contains(&member.target))
             {
+                if let Some(item) = item.as_ref().filter(|_| !is_copy_requested)
+                    && self.needs_other_place(context, &serving, item)
+                {
+                    is_copy_requested = true;
+                    // Whether or not there is one, targets are chosen again.
+                    let _ =
+                        timeout(deadline.since(now), self.supply.request_copy(item.clone())).await;
+                    continue;
+                }
                 match &permit {
                     // The members may have changed while the request waited for the permit.
                     None => {
@@ -216,6 +225,12 @@
         serving.collect()
     }
 
+    /// Returns whether only targets with a limit on their rate have the adapter of a request.
+    fn needs_other_place(&self, context: &Context, serving: &[&Member], item: &Item) -> bool {
+        let (open, limited) = self.split_limited(serving, context);
+        item.adapter.is_some() && open.is_empty() && !limited.is_empty() && !context.has_begun()
+    }
+
     /// Returns the time until the first of the paused targets that could run a request accepts requests again, if there
     /// is one. The targets in `ignored` are left out.
     pub(crate) fn shortest_pause(
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -1,7 +1,8 @@
 //! Placement of adapters.
 //!
 //! An adapter is loaded on its first request, on the target with the model that has the least demand for its adapters.
-//! When all places are taken, the least recently requested adapter is evicted.
+//! When all places are taken, the least recently requested adapter is evicted. An adapter that only targets with a limit
+//! on their rate have is loaded elsewhere as well, if another target has its model.
 
 use std::time::Duration;
 
@@ -37,6 +38,10 @@
     Full,
 }
 
+/// Rank of a target for an adapter, lower is better: whether it has a limit on its rate, whether all places are taken, the
+/// number of models that only it has, and the demand for its adapters.
+type Rank = (bool, bool, usize, u64);
+
 /// Decides on the placement of an adapter.
 pub fn place(ledger: &Ledger, pool: &Pool, demand: &Demand, item: &Item, now: Point) -> Place {
     let Some(adapter) = &item.adapter else {
@@ -45,7 +50,8 @@
     let mut with_model = ledger.inventories.iter().filter(|(_, inventory)| {
         inventory.is_ready && inventory.service == item.service && inventory.is_usable(&item.model)
     });
-    let mut best: Option<(&id::Target, &Inventory, (bool, usize, u64))> = None;
+    let mut best: Option<(&id::Target, &Inventory, Rank)> = None;
+    let mut limited_holder: Option<&id::Target> = None;
     let mut has_busy = false;
     let mut is_cooling_down = false;
     for (target, inventory) in with_model.by_ref() {
@@ -53,7 +59,11 @@
             .draining
             .contains(&(item.model.clone(), adapter.clone()));
         if inventory.resident[&item.model].contains(adapter) && !is_draining {
-            return Place::Resident(target.clone());
+            if inventory.limit.is_none() {
+                return Place::Resident(target.clone());
+            }
+            limited_holder.get_or_insert(target);
+            continue;
         }
         let load = Action::LoadAdapter(item.model.clone(), adapter.clone());
         if inventory
@@ -78,6 +88,7 @@
         }
         let is_full = inventory.adapters() >= pool.adapters as usize;
         let key = (
+            inventory.limit.is_some(),
             is_full,
             sole_models(ledger, item, inventory),
             adapter_demand(inventory, demand, now),
@@ -86,7 +97,14 @@
             best = Some((target, inventory, key));
         }
     }
-    let Some((target, inventory, (is_full, ..))) = best else {
+    if let Some(holder) = limited_holder {
+        // A place at another target with a limit gains nothing.
+        best = best.filter(|(_, inventory, _)| inventory.limit.is_none());
+        if best.is_none() {
+            return Place::Resident(holder.clone());
+        }
+    }
+    let Some((target, inventory, (_, is_full, ..))) = best else {
         return match (has_busy, is_cooling_down) {
             (true, _) => Place::Busy,
             (false, true) => Place::Full,
@@ -101,7 +119,7 @@
     }
     match eviction(inventory, demand, now) {
         Some(action) => Place::Order(target.clone(), action),
-        None => Place::Full,
+        None => limited_holder.map_or(Place::Full, |holder| Place::Resident(holder.clone())),
     }
 }
 
