Take only answers to the request itself as evidence of the end of a limit

The answer to an earlier request may arrive on the connection late, and another target at the address may answer as well. Neither says that a limit has ended; the first may still say that there is one.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -423,7 +423,7 @@
     /// its own.
     fn record_answer(&self, context: &Context, member: &Member, answer: &Answer, sent: Point) {
         let now = self.clock.now();
-        self.record_limit(context, member, answer.limit, sent);
+        self.record_limit(context, member, answer, sent);
         let is_newly_leaving = self.state.borrow_mut().record_answer(member, answer, now);
         if is_newly_leaving && context.head.generation.is_some() {
             // The leader queries the target, and loads its models elsewhere.
--- a/crates/buckthornmast_forward/src/limit.rs
+++ b/crates/buckthornmast_forward/src/limit.rs
@@ -19,7 +19,7 @@
     context::{Context, Held, millis},
     exchange::{Failure, failure},
     forwarder::Forwarder,
-    mapping::Mapping,
+    mapping::{self, Mapping},
     selection::{Chosen, Inputs},
     state::Member,
     stats::Ended,
@@ -210,12 +210,24 @@
         &self,
         context: &Context,
         member: &Member,
-        statement: Statement,
+        answer: &mapping::Answer,
         sent: Point,
     ) {
+        if answer.is_misdirected {
+            // Another target at the address may have answered.
+            return;
+        }
         let now = self.clock.now();
         let key = key_of(member);
-        let held = context.held.as_ref().filter(|held| held.key == key);
+        let statement = answer.limit;
+        let answered = answer.request.as_deref();
+        let is_late = answered.is_some_and(|answered| *answered != *context.head.request.0);
+        if is_late && statement == Statement::Unlimited {
+            // The answer to an earlier request is no evidence of the end of a limit.
+            return;
+        }
+        let held = context.held.as_ref();
+        let held = held.filter(|held| held.key == key && !is_late);
         let grant = held.and_then(|held| held.grant);
         let differs = self
             .state
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -17,7 +17,10 @@
     state::{RetryBounds, State},
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
-use buckthornmast_limit::{account, statement::Report};
+use buckthornmast_limit::{
+    account,
+    statement::{Report, Statement},
+};
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_routes::{
     document::{Document, Kind, Limits, Pool, Route, Service},
@@ -37,6 +40,9 @@
 /// Header with the parts of a prompt, as numbers that are separated by commas.
 const PARTS: &str = "x-parts";
 
+/// Header with the limit that a target states, in requests a second.
+const LIMIT: &str = "x-limit";
+
 /// Step of a target while it answers one request.
 #[derive(Debug, Clone)]
 pub(crate) enum Step {
@@ -134,13 +140,25 @@
         Answer {
             is_stamped: true,
             is_refusal: head.status == StatusCode::SERVICE_UNAVAILABLE,
+            limit: head
+                .headers
+                .get(LIMIT)
+                .map_or(Statement::Unlimited, |limit| {
+                    Statement::Limited(limit.to_str().unwrap().parse().unwrap())
+                }),
             ..Answer::default()
         }
     }
 }
 
-#[derive(Debug)]
-pub(crate) struct NoPermits;
+/// Leader that grants no permits.
+#[derive(Debug, Default)]
+pub(crate) struct NoPermits {
+    /// Answer to all requests for grants. Without one, the leader can't be reached.
+    pub(crate) grant: RefCell<Option<account::Answer>>,
+    /// Reports about limits.
+    pub(crate) reports: RefCell<Vec<Report>>,
+}
 
 impl Supply for NoPermits {
     async fn request_copy(&self, _: Item) -> Availability {
@@ -156,10 +174,12 @@
     }
 
     async fn request_grant(&self, _: account::Request) -> Option<account::Answer> {
-        None
+        self.grant.borrow().clone()
     }
 
-    fn report_limit(&self, _: Report) {}
+    fn report_limit(&self, report: Report) {
+        self.reports.borrow_mut().push(report);
+    }
 
     fn report_crash(&self, _: &Evidence) {}
 
@@ -254,7 +274,7 @@
         }
         let forwarder = Rc::new(Forwarder {
             mapping: Headers,
-            supply: NoPermits,
+            supply: NoPermits::default(),
             clock,
             domain: "d1".parse().unwrap(),
             state: Rc::new(RefCell::new(state)),
