Tell entry instances of limits once a tick, and offer fewer probes in large fleets

Entry instances offer a limited target a request that others could take now and then: 300 of them each 2 s would ask the leader 150 times a second for each such target, so the interval grows with their number.

--- a/crates/buckthornmast_limit/src/view.rs
+++ b/crates/buckthornmast_limit/src/view.rs
@@ -26,9 +26,12 @@
 const RETENTION: Duration = Duration::from_secs(300);
 
 /// Time after which this instance offers a target with a limit another request that others could take, to learn whether
-/// the limit still holds. The account accepts the offers of one instance.
+/// the limit still holds, for each [`INSTANCES_PER_INTERVAL`]. The account accepts the offers of one instance.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Number of instances that together offer a request so many times in [`PROBE_INTERVAL`].
+const INSTANCES_PER_INTERVAL: u32 = 10;
+
 /// Number of limits that are kept.
 const MAX_LIMITS: usize = 10_000;
 
@@ -156,11 +159,12 @@
 
     /// Returns whether a target with a limit should be offered a request that others could take, and takes note of it.
     pub fn take_probe(&mut self, key: &Key, now: Point) -> bool {
+        let interval = PROBE_INTERVAL * (self.instances / INSTANCES_PER_INTERVAL).max(1);
         let Some(known) = self.limits.get_mut(key) else {
             return false;
         };
         let probed_at = known.probed_at.unwrap_or(known.heard_at);
-        let is_due = now.since(probed_at.max(known.heard_at)) >= PROBE_INTERVAL;
+        let is_due = now.since(probed_at.max(known.heard_at)) >= interval;
         if is_due {
             known.probed_at = Some(now);
         }
--- a/crates/buckthornmast_node/src/controller/limits.rs
+++ b/crates/buckthornmast_node/src/controller/limits.rs
@@ -19,12 +19,13 @@
 }
 
 impl<P: Platform> Controller<P> {
-    /// Adds what an entry instance reports about a target's limit, if this instance leads.
+    /// Adds what an entry instance reports about a target's limit, if this instance leads. The others are told at the next
+    /// tick, of all changes together.
     pub fn record_limit(&self, report: &Report) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if state.leadership.is_some() && state.permits.limits.record(report, now) {
-            self.publish_limits(&mut state.permits.limits, now);
+        if state.leadership.is_some() {
+            state.permits.limits.record(report, now);
         }
     }
 
@@ -62,17 +63,8 @@
             let entry = registry.get(target);
             entry.is_some_and(|entry| entry.announcement.incarnation <= *incarnation)
         };
-        let ended = limits.prune(is_known, now);
-        self.send_limits(ended);
-        self.publish_limits(limits, now);
-    }
-
-    fn publish_limits(&self, limits: &mut Account, now: Point) {
-        let changes = limits.changes(now);
-        self.send_limits(changes);
-    }
-
-    fn send_limits(&self, notices: Vec<Notice>) {
+        let mut notices = limits.prune(is_known, now);
+        notices.extend(limits.changes(now));
         if notices.is_empty() {
             return;
         }
