Count an instance as without the account only while it knows no leader

One grant that took too long made an instance count as alone, and with it still do so long after, if it asked for nothing in between; it could then send in slots of its own, beside the account, as soon as another answer was late. Whether a leader is known and connected is checked at each tick now, and a late answer only refuses its request.

Also bounds the wait for another place of an adapter to 200 ms, and names the limit as the reason of a refusal only where the attempt had no grant.

--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -20,6 +20,7 @@
     body::Body,
     context::{Context, End, Reporter, millis},
     exchange::{Failure, Reply},
+    limit::NO_GRANT,
     mapping::Mapping,
     refusal::{NO_TARGET_RETRY_AFTER, Refusal, answer_response, empty_response, refusal_response},
     selection::request_hash,
@@ -257,7 +258,7 @@
             ) => {
                 let refusal = match self.shortest_pause(context, &[]) {
                     Some(remaining) => Refusal::Paused { remaining },
-                    None if self.is_limited(member) => Refusal::Limited {
+                    None if cause == NO_GRANT => Refusal::Limited {
                         wait: self.limit_interval(member),
                     },
                     None if dispatch == Dispatch::NotSent => Refusal::Unreachable,
--- a/crates/buckthornmast_forward/src/limit.rs
+++ b/crates/buckthornmast_forward/src/limit.rs
@@ -29,6 +29,9 @@
 /// Wait for the slot of another instance, for callers that are told when to come back.
 const MAX_SLOT_WAIT: Duration = Duration::from_secs(5);
 
+/// Cause of a failed attempt at a target that has stated a limit since it was chosen.
+pub(crate) const NO_GRANT: &str = "the target limits its rate, and the request has no grant";
+
 fn key_of(member: &Member) -> Key {
     (member.target.clone(), member.incarnation)
 }
@@ -101,10 +104,6 @@
         };
         let answer = self.supply.request_grant(request).await;
         let now = self.clock.now();
-        self.state
-            .borrow_mut()
-            .limits
-            .set_reachable(answer.is_some(), now);
         let (member, held) = match answer {
             Some(Answer::Granted(key, grant)) => {
                 sleep(grant.wait).await;
@@ -178,11 +177,7 @@
         {
             return Ok(());
         }
-        let failure = failure(
-            Dispatch::NotSent,
-            "the target limits its rate, and the request has no grant",
-        );
-        Err((failure, Ended::Abandoned))
+        Err((failure(Dispatch::NotSent, NO_GRANT), Ended::Abandoned))
     }
 
     /// Logs a request that is about to be sent to a target with a limit.
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -34,6 +34,9 @@
 /// expected to be ready.
 const MAX_TARGET_WAIT: Duration = Duration::from_millis(1000);
 
+/// Maximum wait for another place of an adapter that only targets with a limit on their rate have.
+const MAX_PLACE_WAIT: Duration = Duration::from_millis(200);
+
 /// Interval at which a stream that has begun looks for a place, while its targets are full.
 const FULL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -131,8 +134,8 @@
                 {
                     is_copy_requested = true;
                     // Whether or not there is one, targets are chosen again.
-                    let _ =
-                        timeout(deadline.since(now), self.supply.request_copy(item.clone())).await;
+                    let wait = MAX_PLACE_WAIT.min(deadline.since(now));
+                    let _ = timeout(wait, self.supply.request_copy(item.clone())).await;
                     continue;
                 }
                 match &permit {
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -124,7 +124,13 @@
             };
             self.connections.set(&addresses, &self);
             self.supplier.0.report();
-            self.forwarder.state.borrow_mut().prune(now);
+            {
+                let mut state = self.forwarder.state.borrow_mut();
+                state.prune(now);
+                state
+                    .limits
+                    .set_reachable(self.supplier.0.knows_leader(), now);
+            }
             if tick.is_multiple_of(QUARANTINE_REPORT_TICKS) {
                 let notices = self.forwarder.state.borrow().guard.notices(now);
                 self.supplier.0.report_quarantines_everywhere(notices);
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -140,6 +140,11 @@
         leading_term.is_some() && leading_term == highest
     }
 
+    /// Returns whether a leader is known and connected.
+    pub fn knows_leader(&self) -> bool {
+        self.leader().is_some()
+    }
+
     /// Passes an answer of the leader to its copy request.
     pub fn answer_copy(&self, number: u64, grant: Grant) {
         if let Some(answer) = self.copy_requests.borrow_mut().remove(&number) {
