--- a/crates/buckthornmast_limit/src/account.rs
+++ b/crates/buckthornmast_limit/src/account.rs
@@ -299,18 +299,18 @@
         {
             return Answer::Granted(key.clone(), limit.take(self.term, self.settles_at, now));
         }
-        let soonest = request
-            .candidates
-            .iter()
-            .min_by_key(|key| self.wait(key, now));
+        if request.has_alternative {
+            return Answer::Refused(Duration::ZERO);
+        }
+        Answer::Refused(self.advise(&request.candidates, now))
+    }
+
+    /// Returns the time after which a caller should come back that was refused at all of these targets. Callers are told
+    /// different times, as many as the limits will allow.
+    pub fn advise(&mut self, keys: &[Key], now: Point) -> Duration {
+        let soonest = keys.iter().min_by_key(|key| self.wait(key, now));
         let limit = soonest.and_then(|key| self.limits.get_mut(key));
-        let advice = limit.map_or(Duration::ZERO, |limit| {
-            if request.has_alternative {
-                return limit.wait(self.settles_at, now);
-            }
-            limit.advise(self.settles_at, now)
-        });
-        Answer::Refused(advice)
+        limit.map_or(Duration::ZERO, |limit| limit.advise(self.settles_at, now))
     }
 
     /// Removes the limits of targets that have stopped to state one, and of incarnations that are gone.
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -319,6 +319,11 @@
             waiting.wait_until = now + max_wait;
             wait = expected_wait(&holders, competing.iter(), &waiting);
             if wait > max_wait.mul_f64(spare) {
+                if holders.iter().all(|holder| holder.limit.is_some()) {
+                    let keys: SmallVec<[Key; 8]> =
+                        holders.into_iter().map(|holder| holder.key).collect();
+                    wait = wait.max(self.limits.advise(&keys, now));
+                }
                 return (ticket, Permit::Refuse(wait));
             }
         }
--- a/crates/buckthornmast_supply/tests/limits.rs
+++ b/crates/buckthornmast_supply/tests/limits.rs
@@ -114,13 +114,17 @@
     let (ledger, demand) = (ledger(2), Demand::default());
     let mut sent = 0;
     let mut refused = 0;
+    let mut longest = Duration::ZERO;
     for millis in (0..20_000).step_by(20) {
         let mut permits = queue.poll(&ledger, at(millis));
         permits.push(queue.request(request(), &ledger, &demand, at(millis)));
         for (_, permit) in permits {
             match permit {
                 Permit::Limited(..) => sent += 1,
-                Permit::Refuse(_) => refused += 1,
+                Permit::Refuse(wait) => {
+                    refused += 1;
+                    longest = longest.max(wait);
+                }
                 Permit::Wait(_) => {}
                 permit => panic!("{permit:?}"),
             }
@@ -130,6 +134,8 @@
     assert!((72..=84).contains(&sent), "{sent}");
     assert!(refused > 500, "{refused}");
     assert!(queue.waiting() < 10);
+    // Refused callers don't all come back together.
+    assert!(longest > Duration::from_secs(5), "{longest:?}");
 }
 
 /// Guards against adapters that stay at the rate of a target with a limit although another target has their model.
