Grant few requests by a limit that may be out of date

An account now grants 2 a second at most until a request that it granted itself is answered with the limit, and at most four intervals ahead. A limit that has risen also moves the next request forward, which was due after an interval of the lower limit: the target got nothing for up to 5 s.

--- a/crates/buckthornmast_limit/src/account.rs
+++ b/crates/buckthornmast_limit/src/account.rs
@@ -3,6 +3,9 @@
 //! Requests are granted at intervals, with a short wait at most, so that every window has about as many as the limit
 //! allows. An account that has just been opened grants nothing until the grants of the one before it have expired.
 //!
+//! What instances tell a new account may be out of date. Until a request that it granted itself is answered with the
+//! limit, it grants a few requests a second at most.
+//!
 //! Answers overtake each other on their way here. A lower limit counts as soon as it is reported. A higher one, or the
 //! end of a limit, counts only if the answer is newer for certain: its request was granted after all reports of the
 //! lower limit had arrived. After the end, the rate doubles in steps, so that nothing rushes at the target.
@@ -21,6 +24,12 @@
 /// Time after the wait of a grant in which it may be used.
 pub const GRANT_LIFETIME: Duration = Duration::from_millis(500);
 
+/// Number of intervals that a grant lies ahead at most, since the limit may fall meanwhile.
+const MAX_AHEAD: u32 = 4;
+
+/// Highest rate that is granted before an answer has confirmed the limit.
+const UNCONFIRMED_RATE: f64 = 2.0;
+
 /// Lowest rate that is granted. Without any request, the end of a limit would not be noticed.
 const MIN_RATE: f64 = 0.1;
 
@@ -91,6 +100,8 @@
     raised_by: Point,
     // Since when the target states no limit.
     lifted_at: Option<Point>,
+    // Whether a request that this account granted was answered with a limit.
+    is_confirmed: bool,
     granted_at: Point,
     grants: u64,
     // Until when refused callers are expected back.
@@ -106,6 +117,7 @@
             stated_at: now,
             raised_by: Point::ZERO,
             lifted_at: None,
+            is_confirmed: false,
             granted_at: now,
             grants: 0,
             advised_until: now,
@@ -121,7 +133,12 @@
             now.since(lifted_at).as_millis() / DOUBLING_TIME.as_millis()
         });
         let factor = f64::from(1_u32 << u32::try_from(doublings.min(16)).unwrap_or(16));
-        let rate = self.stated.get().clamp(MIN_RATE, MAX_RATE) * factor;
+        let max_rate = if self.is_confirmed {
+            MAX_RATE
+        } else {
+            UNCONFIRMED_RATE
+        };
+        let rate = self.stated.get().clamp(MIN_RATE, max_rate) * factor;
         Duration::from_secs_f64(1.0 / rate)
     }
 
@@ -141,12 +158,13 @@
     }
 
     /// Returns the longest time that a grant may lie ahead for a request of this priority.
-    fn horizon(&self, priority: u32) -> Duration {
+    fn horizon(&self, priority: u32, now: Point) -> Duration {
+        let horizon = (self.interval(now) * MAX_AHEAD).min(HORIZON);
         let is_turn_of_others = self.grants % TURNS == TURNS - 1;
         if (priority == 0) == is_turn_of_others {
-            HORIZON / 2
+            horizon / 2
         } else {
-            HORIZON
+            horizon
         }
     }
 
@@ -173,7 +191,7 @@
     }
 
     /// Takes a statement of a limit into account.
-    fn restate(&mut self, rate: Rate, received: Point, granted: Option<Point>) {
+    fn restate(&mut self, rate: Rate, received: Point, granted: Option<Point>, now: Point) {
         if rate <= self.stated || self.lifted_at.is_some() {
             if received > self.raised_by {
                 self.stated = rate;
@@ -184,6 +202,9 @@
             self.stated = rate;
             self.stated_at = received;
             self.raised_by = granted;
+            // The next request was due after an interval of the lower limit.
+            let next_at = now + self.interval(now) + self.tolerance(now);
+            self.next_at = self.next_at.min(next_at);
         }
     }
 }
@@ -232,8 +253,9 @@
             Statement::Unreadable => false,
             Statement::Limited(rate) => match self.limits.get_mut(&report.key) {
                 Some(limit) => {
+                    limit.is_confirmed |= granted.is_some();
                     let before = (limit.stated, limit.lifted_at);
-                    limit.restate(rate, received, granted);
+                    limit.restate(rate, received, granted, now);
                     before != (limit.stated, limit.lifted_at)
                 }
                 None => self.begin(report.key.clone(), rate, received, now),
@@ -288,7 +310,7 @@
                 return Answer::Unlimited(key.clone());
             };
             let wait = limit.wait(self.settles_at, now);
-            let max_wait = request.max_wait.min(limit.horizon(request.priority));
+            let max_wait = request.max_wait.min(limit.horizon(request.priority, now));
             let is_offered = !request.has_alternative || limit.is_due(self.settles_at, now);
             if is_offered && wait <= max_wait && best.is_none_or(|(least, _)| wait < least) {
                 best = Some((wait, key));
