--- a/crates/buckthornmast_forward/src/limit.rs
+++ b/crates/buckthornmast_forward/src/limit.rs
@@ -20,10 +20,11 @@
     exchange::{Failure, failure},
     forwarder::Forwarder,
     mapping::{self, Mapping},
+    refusal::Refusal,
     selection::{Chosen, Inputs},
     state::Member,
     stats::Ended,
-    supply::Supply,
+    supply::{Item, Supply},
 };
 
 /// Wait for the slot of another instance, for callers that are told when to come back.
@@ -37,7 +38,7 @@
 }
 
 /// Result of a request for a grant.
-pub(crate) enum Granted {
+enum Granted {
     /// The request may be sent to this target now.
     Target(Chosen),
     /// A target has no limit any more, so targets are chosen again.
@@ -78,8 +79,54 @@
         (open, limited)
     }
 
+    /// Returns whether only targets with a limit on their rate have the adapter of a request.
+    pub(crate) fn needs_other_place(
+        &self,
+        context: &Context,
+        serving: &[&Member],
+        item: &Item,
+    ) -> bool {
+        let (open, limited) = self.split_limited(serving, context);
+        item.adapter.is_some() && open.is_empty() && !limited.is_empty() && !context.has_begun()
+    }
+
+    /// Selects a target without a permit of the leader: one without a limit if there is one that accepts the request, and
+    /// one with a grant otherwise. Returns `None` if the limit of a target has ended meanwhile.
+    pub(crate) async fn select_without_permit(
+        &self,
+        context: &mut Context,
+        serving: &[&Member],
+        deadline: Point,
+    ) -> Result<Option<Chosen>, Refusal> {
+        let now = self.clock.now();
+        let (open, limited) = self.split_limited(serving, context);
+        let chosen = self.select_locally(context, &open, now);
+        // The leader itself sends limited targets a generation now and then.
+        let is_probe = chosen.is_ok() && context.head.generation.is_none();
+        if limited.is_empty() || (chosen.is_ok() && !(is_probe && self.take_probe(&limited))) {
+            return chosen.map(Some);
+        }
+        let max_wait = if is_probe {
+            Duration::ZERO
+        } else {
+            deadline.since(now)
+        };
+        let granted = self.request_grant(context, &limited, max_wait, is_probe);
+        match granted.await {
+            Granted::Target(chosen) => Ok(Some(chosen)),
+            Granted::Unlimited => Ok(None),
+            Granted::Refused(limit_wait) => match chosen {
+                Ok(chosen) => Ok(Some(chosen)),
+                Err(Refusal::TargetsFull { wait }) => Err(Refusal::TargetsFull {
+                    wait: wait.min(limit_wait),
+                }),
+                Err(_) => Err(Refusal::Limited { wait: limit_wait }),
+            },
+        }
+    }
+
     /// Returns whether one of these targets should be offered a request that others could take.
-    pub(crate) fn take_probe(&self, limited: &[&Member]) -> bool {
+    fn take_probe(&self, limited: &[&Member]) -> bool {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let mut due = limited
@@ -89,7 +136,7 @@
     }
 
     /// Requests a grant for one of these targets, and waits until the request may be sent.
-    pub(crate) async fn request_grant(
+    async fn request_grant(
         &self,
         context: &mut Context,
         limited: &[&Member],
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -22,7 +22,6 @@
     choice::{self, Query},
     context::{Context, Held, millis},
     forwarder::Forwarder,
-    limit::Granted,
     mapping::{Generation, Mapping},
     refusal::Refusal,
     state::Member,
@@ -40,8 +39,8 @@
 /// Interval at which a stream that has begun looks for a place, while its targets are full.
 const FULL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Longest such interval, while the targets with room limit their rate.
-const MAX_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest such interval, while all targets limit their rate.
+const MAX_LIMITED_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Target that was selected for a request.
 #[derive(Debug)]
@@ -163,10 +162,12 @@
                     Ok(None) => continue,
                     Ok(Some(chosen)) => return Ok(chosen),
                     // The caller of a stream that has begun can't be told to come back.
-                    Err(Refusal::TargetsFull { wait } | Refusal::Limited { wait })
-                        if context.has_begun() && may_wait =>
-                    {
-                        let wait = wait.clamp(FULL_POLL_INTERVAL, MAX_POLL_INTERVAL);
+                    Err(Refusal::TargetsFull { .. }) if context.has_begun() && may_wait => {
+                        sleep(FULL_POLL_INTERVAL.min(deadline.since(now))).await;
+                        continue;
+                    }
+                    Err(Refusal::Limited { wait }) if context.has_begun() && may_wait => {
+                        let wait = wait.clamp(FULL_POLL_INTERVAL, MAX_LIMITED_POLL_INTERVAL);
                         sleep(wait.min(deadline.since(now))).await;
                         continue;
                     }
@@ -228,12 +229,6 @@
         serving.collect()
     }
 
-    /// Returns whether only targets with a limit on their rate have the adapter of a request.
-    fn needs_other_place(&self, context: &Context, serving: &[&Member], item: &Item) -> bool {
-        let (open, limited) = self.split_limited(serving, context);
-        item.adapter.is_some() && open.is_empty() && !limited.is_empty() && !context.has_begun()
-    }
-
     /// Returns the time until the first of the paused targets that could run a request accepts requests again, if there
     /// is one. The targets in `ignored` are left out.
     pub(crate) fn shortest_pause(
@@ -428,43 +423,8 @@
         })
     }
 
-    /// Selects a target without a permit of the leader: one without a limit if there is one that accepts the request, and
-    /// one with a grant otherwise. Returns `None` if the limit of a target has ended meanwhile.
-    async fn select_without_permit(
-        &self,
-        context: &mut Context,
-        serving: &[&Member],
-        deadline: Point,
-    ) -> Result<Option<Chosen>, Refusal> {
-        let now = self.clock.now();
-        let (open, limited) = self.split_limited(serving, context);
-        let chosen = self.select_locally(context, &open, now);
-        // The leader itself sends limited targets a generation now and then.
-        let is_probe = chosen.is_ok() && context.head.generation.is_none();
-        if limited.is_empty() || (chosen.is_ok() && !(is_probe && self.take_probe(&limited))) {
-            return chosen.map(Some);
-        }
-        let max_wait = if is_probe {
-            Duration::ZERO
-        } else {
-            deadline.since(now)
-        };
-        let granted = self.request_grant(context, &limited, max_wait, is_probe);
-        match granted.await {
-            Granted::Target(chosen) => Ok(Some(chosen)),
-            Granted::Unlimited => Ok(None),
-            Granted::Refused(limit_wait) => match chosen {
-                Ok(chosen) => Ok(Some(chosen)),
-                Err(Refusal::TargetsFull { wait }) => Err(Refusal::TargetsFull {
-                    wait: wait.min(limit_wait),
-                }),
-                Err(_) => Err(Refusal::Limited { wait: limit_wait }),
-            },
-        }
-    }
-
     /// Chooses among the targets that serve the request, or refuses the request if they are full.
-    fn select_locally(
+    pub(crate) fn select_locally(
         &self,
         context: &Context,
         serving: &[&Member],
