--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -1,5 +1,6 @@
 //! Placement of models and adapters on the targets, and permits for requests, as decided by the leader of the core.
 
+mod copies;
 mod limits;
 pub mod permits;
 
@@ -14,8 +15,7 @@
 use buckthornmast_limit::account::Account;
 use buckthornmast_routes::document::{Document, Pool, Service};
 use buckthornmast_supply::{
-    adapters::{self, Place},
-    demand::{Demand, Item, Row},
+    demand::{Demand, Row},
     handover::Handover,
     ledger::Ledger,
     order::{Action, Order, Outcome},
@@ -27,14 +27,11 @@
     id,
     time::{Clock, Point, System},
 };
-use tokio::{
-    sync::Notify,
-    time::{sleep, timeout},
-};
+use tokio::{sync::Notify, time::sleep};
 
 use self::permits::Requester;
 use crate::{
-    message::{Downstream, Grant, Placement},
+    message::{Downstream, Placement},
     orders::Orders,
     platform::{Fence, Platform},
     subscribers::Subscribers,
@@ -47,9 +44,6 @@
 /// that are on their way arrive.
 const UNLOAD_DELAY: Duration = Duration::from_millis(80);
 
-/// Time limit for answering a copy request, after which the caller can try elsewhere.
-const COPY_REQUEST_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Load time assumed for a model whose target or definition is unknown.
 const DEFAULT_LOAD_TIME: Duration = Duration::from_secs(5);
 
@@ -410,98 +404,6 @@
     pub fn placements(&self) -> Vec<Placement> {
         self.state.borrow().published.values().cloned().collect()
     }
-
-    /// Answers the copy request of an entry instance that found no target for a model or an adapter.
-    pub async fn request_copy(self: &Rc<Self>, item: &Item) -> Grant {
-        let grant = timeout(COPY_REQUEST_TIMEOUT, self.provide(item)).await;
-        let grant = grant.unwrap_or(Grant::No);
-        log::info!(
-            step = "want",
-            model:% = item.model,
-            adapter:% = item.adapter.as_ref().map_or("", |adapter| adapter.as_str()),
-            granted:? = grant;
-            "answered a copy request"
-        );
-        grant
-    }
-
-    /// Waits until a copy is available, and orders the load of an adapter if necessary.
-    async fn provide(self: &Rc<Self>, item: &Item) -> Grant {
-        loop {
-            let notified = self.changed.notified();
-            let next = {
-                let state = self.state.borrow();
-                self.next_step(&state, item)
-            };
-            match next {
-                Next::Done(grant) => return grant,
-                Next::Order(target, action) => {
-                    // A task of its own completes the order even if the copy request times out before.
-                    if let Some(order) = self.start_order(&target, action, ADAPTER_LOAD_TIME) {
-                        let controller = Rc::clone(self);
-                        tokio::task::spawn_local(async move {
-                            controller.execute(order).await;
-                        });
-                    }
-                    notified.await;
-                }
-                Next::Wait => notified.await,
-            }
-        }
-    }
-
-    fn next_step(&self, state: &State, item: &Item) -> Next {
-        let Some(document) = &state.document else {
-            return Next::Done(Grant::No);
-        };
-        let service = document.services.get(&item.service);
-        let Some(pool) = service.and_then(|service| service.pool.as_ref()) else {
-            return Next::Done(Grant::No);
-        };
-        let Some(model) = pool
-            .models
-            .get(&item.model)
-            .filter(|_| state.leadership.is_some())
-        else {
-            return Next::Done(Grant::No);
-        };
-        let now = self.clock.now();
-        let mut inventories = state.ledger.inventories.iter();
-        let holder = inventories.find(|(_, inventory)| {
-            inventory.service == item.service
-                && inventory.is_ready
-                && inventory.is_usable(&item.model)
-        });
-        let Some((target, _)) = holder else {
-            return Next::Done(Grant::Later(time_to_model(state, item, model.load, now)));
-        };
-        if item.adapter.is_none() {
-            return Next::Done(Grant::Ready(target.clone()));
-        }
-        match adapters::place(&state.ledger, pool, &state.demand, item, now) {
-            Place::Resident(target) => Next::Done(Grant::Ready(target)),
-            Place::Loading(_) | Place::Busy => Next::Wait,
-            Place::Order(target, action) => Next::Order(target, action),
-            Place::NoModel | Place::Full => Next::Wait,
-        }
-    }
-}
-
-/// Next step for a copy request.
-enum Next {
-    Done(Grant),
-    Order(id::Target, Action),
-    Wait,
-}
-
-/// Returns the expected time until a model that no target has is resident at one: the rest of a load in progress, or
-/// the time of a load from the weight store.
-fn time_to_model(state: &State, item: &Item, load: Duration, now: Point) -> Duration {
-    let mut loading = state.ledger.inventories.values().filter_map(|inventory| {
-        let (model, due) = inventory.loading()?;
-        (*model == item.model && inventory.service == item.service).then_some(due)
-    });
-    loading.next().map_or(load, |due| due.since(now))
 }
 
 fn pools(document: &Document) -> impl Iterator<Item = (&Service, &Pool)> {
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -7,6 +7,8 @@
 //! in the order of the deadlines of the first events. Requests that can no longer meet their deadline wait behind all
 //! that can, in a bounded queue. Beyond its bound, requests are refused at once, with the expected wait.
 
+mod holder;
+
 use std::{
     collections::{HashMap, HashSet},
     time::Duration,
@@ -16,11 +18,11 @@
     account::Account,
     statement::{Grant, Key},
 };
-use buckthornmast_types::{id, rate::Rate, time::Point};
+use buckthornmast_types::{id, time::Point};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::holder::Holder;
 use crate::{
     demand::{Demand, Item},
     ledger::{Inventory, Ledger},
@@ -36,10 +38,6 @@
 /// Reading time of the waiting prompts, per target, above which the targets count as under backlog.
 const BACKLOG_PER_TARGET: Duration = Duration::from_millis(60);
 
-/// Maximum outstanding reading time at which a target may get another prompt. Answers that pause for this long are
-/// still on time.
-const MAX_OUTSTANDING_PREFILL: Duration = Duration::from_millis(40);
-
 /// Share of a target's slots that is used, since the number of running requests is an estimate.
 const USED_SLOT_SHARE: f64 = 0.9;
 
@@ -56,19 +54,9 @@
 /// of 38.4 tokens per millisecond, and events of 6 tokens at 5.23 ms per token.
 const PREFILL_TOKENS_PER_EVENT: f64 = 1200.0;
 
-/// Difference in expected waits up to which targets count as equal, so that prompts with a common prefix can be sent
-/// to the same target.
-const WAIT_TOLERANCE: Duration = Duration::from_millis(15);
-
-/// Difference in running requests up to which targets count as equal.
-const RUNNING_REQUESTS_TOLERANCE: f64 = 3.0;
-
 /// Time for which the table of the targets of each model is used before it is built again.
 const HOLDERS_LIFETIME: Duration = Duration::from_millis(20);
 
-/// Longest expected wait, in seconds. A longer one says no more.
-const MAX_WAIT_SECONDS: f64 = 3600.0;
-
 /// Request for a permit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Request {
@@ -226,34 +214,6 @@
     }
 }
 
-/// Target that has the model and adapter of a request, with its current load.
-struct Holder {
-    key: Key,
-    // Time until the prompts that were sent to it are read.
-    prefill_wait: Duration,
-    running: f64,
-    utilisation: f64,
-    slots: f64,
-    // Requests a second that it takes, and the time until the next one, if it has a limit.
-    limit: Option<(Rate, Duration)>,
-    // Whether it should get a request although others could take it.
-    is_probed: bool,
-}
-
-impl Holder {
-    /// Returns the time until the target takes another prompt.
-    fn wait(&self) -> Duration {
-        let limit_wait = self.limit.map_or(Duration::ZERO, |(_, wait)| wait);
-        self.prefill_wait.max(limit_wait)
-    }
-
-    fn is_open(&self) -> bool {
-        let has_room = self.running + 1.0 <= self.slots;
-        let is_within_limit = self.limit.is_none_or(|(_, wait)| wait.is_zero());
-        self.prefill_wait <= MAX_OUTSTANDING_PREFILL && has_room && is_within_limit
-    }
-}
-
 impl Queue {
     /// Removes all state.
     pub fn clear(&mut self) {
@@ -301,7 +261,7 @@
         };
         let competing = self.competing(&waiting.request.item);
         if competing.is_empty()
-            && let Some(target) = self.pick_target(&holders, &waiting.request)
+            && let Some(target) = holder::pick(&holders, &waiting.request)
         {
             return (ticket, self.grant(target, &waiting, PREFILL_SHARE, now));
         }
@@ -309,7 +269,7 @@
         let is_ahead =
             |other: &&&Waiting| !other.sort_key(now).0 && other.latest_permit <= latest_permit;
         let on_time = competing.iter().filter(is_ahead);
-        let mut wait = expected_wait(&holders, on_time, &waiting);
+        let mut wait = holder::expected_wait(&holders, on_time, &waiting);
         if now + wait > waiting.latest_permit {
             // Requests that can be on time go first, including later ones, so only spare time counts.
             let max_wait = waiting.request.max_wait.mul_f64(LATE_WAIT_SHARE);
@@ -317,7 +277,7 @@
             let spare = spare.fold(0.0, f64::max);
             waiting.is_late = true;
             waiting.wait_until = now + max_wait;
-            wait = expected_wait(&holders, competing.iter(), &waiting);
+            wait = holder::expected_wait(&holders, competing.iter(), &waiting);
             if wait > max_wait.mul_f64(spare) {
                 if holders.iter().all(|holder| holder.limit.is_some()) {
                     let keys: SmallVec<[Key; 8]> =
@@ -364,7 +324,7 @@
             let holders = self.find_holders(&one.request, ledger, now);
             if holders.is_empty() {
                 permits.push((one.ticket, Permit::Unknown));
-            } else if let Some(target) = self.pick_target(&holders, &one.request) {
+            } else if let Some(target) = holder::pick(&holders, &one.request) {
                 let of_model = (
                     one.request.item.service.clone(),
                     one.request.item.model.clone(),
@@ -432,37 +392,6 @@
         holders
     }
 
-    /// Returns the target that a prompt may be sent to now, if there is one.
-    fn pick_target(&self, holders: &[Holder], request: &Request) -> Option<Key> {
-        let is_limited = |holder: &&Holder| holder.limit.is_some();
-        let open = || holders.iter().filter(|holder| holder.is_open());
-        let probed = open().filter(is_limited).find(|holder| holder.is_probed);
-        let unlimited = || open().filter(|holder| !is_limited(holder));
-        if let Some(probed) = probed {
-            return Some(probed.key.clone());
-        }
-        let Some(best) = unlimited().min_by(|one, other| {
-            let by_wait = one.prefill_wait.cmp(&other.prefill_wait);
-            by_wait.then(one.running.total_cmp(&other.running))
-        }) else {
-            let limited = open().min_by(|one, other| one.running.total_cmp(&other.running));
-            return limited.map(|holder| holder.key.clone());
-        };
-        let min_running = unlimited()
-            .map(|holder| holder.running)
-            .fold(f64::INFINITY, f64::min);
-        let equivalent = unlimited().filter(|holder| {
-            holder.prefill_wait <= best.prefill_wait + WAIT_TOLERANCE
-                && holder.running <= min_running + RUNNING_REQUESTS_TOLERANCE
-        });
-        let chosen = match request.prefix {
-            Some(prefix) => equivalent
-                .max_by_key(|holder| xxh3_64_with_seed(holder.key.0.as_str().as_bytes(), prefix)),
-            None => equivalent.min_by(|one, other| one.running.total_cmp(&other.running)),
-        };
-        Some(chosen.unwrap_or(best).key.clone())
-    }
-
     /// Accounts for a request that is sent to a target now.
     fn grant(&mut self, key: Key, waiting: &Waiting, prefill_share: f64, now: Point) -> Permit {
         let load = self.loads.entry(key.0.clone()).or_default();
@@ -478,32 +407,3 @@
         }
     }
 }
-
-/// Returns the expected wait of a request behind others.
-fn expected_wait<'a, 'b: 'a>(
-    holders: &[Holder],
-    others: impl Iterator<Item = &'a &'b Waiting>,
-    one: &Waiting,
-) -> Duration {
-    let (count, ahead) = others.fold((0.0, Duration::ZERO), |(count, ahead), other| {
-        (count + 1.0, ahead + other.prefill_time)
-    });
-    let unlimited = || holders.iter().filter(|holder| holder.limit.is_none());
-    if unlimited().count() == 0 {
-        let wait = holders.iter().map(Holder::wait).min();
-        let rates = holders.iter().filter_map(|holder| holder.limit);
-        let rate: f64 = rates.map(|(rate, _)| rate.get()).sum();
-        let behind =
-            Duration::from_secs_f64((count / rate.max(f64::EPSILON)).min(MAX_WAIT_SECONDS));
-        return wait.unwrap_or_default() + behind;
-    }
-    let targets = unlimited().count() as f64;
-    let wait = unlimited().map(|holder| holder.prefill_wait).min();
-    let prefill_wait = wait.unwrap_or_default() + ahead.div_f64(BACKLOG_PREFILL_SHARE * targets);
-    let slots: f64 = unlimited().map(|holder| holder.slots).sum();
-    let running: f64 = unlimited().map(|holder| holder.running).sum();
-    let excess = (running + count + 1.0 - slots).max(0.0);
-    let slot_wait =
-        Duration::from_secs_f64((one.running_seconds * excess / slots).min(MAX_WAIT_SECONDS));
-    prefill_wait.max(slot_wait)
-}
