Log the identity of a request whose connection is lost as its target begins to answer

The identity is a digest of what targets act upon, and leaves out what changes with each attempt. No decision uses it yet.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -1,9 +1,9 @@
 //! A caller's request in progress, and the log line and metrics at its end.
 
-use std::{sync::Arc, time::Duration};
+use std::{cell::OnceCell, sync::Arc, time::Duration};
 
 use buckthornmast_limit::statement::{Grant, Key};
-use buckthornmast_quarantine::part;
+use buckthornmast_quarantine::part::{self, Part};
 use buckthornmast_routes::{document::Route, register::Revision};
 use buckthornmast_routing::attempt::History;
 use buckthornmast_types::{id, time::Point};
@@ -12,6 +12,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    identity,
     mapping::{Generation, Head},
     selection::{Chosen, Inputs},
     supply::Item,
@@ -57,6 +58,8 @@
     pub not_run: u32,
     /// Parts of the prompt that other requests may share, which may be quarantined.
     pub shared_parts: part::Set,
+    /// Identity of the request, once it was needed.
+    pub identity: OnceCell<Part>,
     /// Whether the request may be sent although its parts are quarantined.
     pub is_trial: bool,
     /// Permission for the attempt that is next or in progress, if its target has a limit.
@@ -90,6 +93,13 @@
         names.join(",")
     }
 
+    /// Returns the identity of the request. Its body must have been read.
+    pub fn identity(&self) -> Part {
+        *self.identity.get_or_init(|| {
+            identity::of_request(&self.service, &self.parts, &self.shared_parts, &self.body)
+        })
+    }
+
     /// Returns the maximum number of attempts, including those that certainly didn't run the request.
     pub fn max_attempts(&self) -> u32 {
         (self.route.attempts + self.not_run).min(MAX_ATTEMPTS)
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -1,6 +1,11 @@
 //! Handling of a request from its route to its final answer.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use buckthornmast_routes::{document::Kind, table};
 use buckthornmast_routing::attempt::{self, Conditions, Decision, Dispatch, History};
@@ -141,6 +146,7 @@
             waited: Duration::ZERO,
             last_event_at: None,
             shared_parts,
+            identity: OnceCell::new(),
             is_trial: false,
             silent: SmallVec::new(),
             body: Bytes::new(),
@@ -231,8 +237,9 @@
             dispatch,
             cause,
             answer,
-            ..
+            is_lost_at_start,
         } = failure;
+        let identity = is_lost_at_start.then(|| context.identity());
         log::info!(
             step = "attempt",
             request:% = context.head.request,
@@ -240,6 +247,7 @@
             dispatch:? = dispatch,
             cause:% = cause,
             parts:% = context.shared_part_names(),
+            identity:% = identity.map_or_else(String::new, |identity| identity.to_string()),
             decision:? = decision;
             "attempt at a target failed"
         );
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod exchange;
 pub mod forwarder;
+pub mod identity;
 mod limit;
 pub mod mapping;
 pub mod memory;
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -1,7 +1,12 @@
 //! Selection of a target with permits of the leader.
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use buckthornmast_fleet::prelude::*;
 use buckthornmast_forward::{
@@ -176,6 +181,7 @@
         waited: Duration::ZERO,
         last_event_at: None,
         shared_parts: Set::default(),
+        identity: OnceCell::new(),
         is_trial: false,
         silent: SmallVec::new(),
     }
--- a/crates/buckthornmast_quarantine/src/part.rs
+++ b/crates/buckthornmast_quarantine/src/part.rs
@@ -8,7 +8,10 @@
 use snafu::{ResultExt, Snafu};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Part of a prompt at the targets of one service.
+/// Bit that tells whole requests from parts of prompts, so that both travel in the same messages.
+const REQUEST_BIT: u64 = 1 << 63;
+
+/// Part of a prompt at the targets of one service, or a whole request.
 ///
 /// It is a hash, so that messages stay small and a part that crashes the engines of one service isn't blamed at another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -17,7 +20,19 @@
 impl Part {
     /// Returns the part with this id at the targets of a service.
     pub fn new(service: &id::Service, id: u64) -> Self {
-        Self(xxh3_64_with_seed(service.as_str().as_bytes(), id))
+        Self(xxh3_64_with_seed(service.as_str().as_bytes(), id) & !REQUEST_BIT)
+    }
+
+    /// Returns the part that stands for a whole request with this digest.
+    pub fn of_request(digest: &[u8; 32]) -> Self {
+        let mut hash = [0; 8];
+        hash.copy_from_slice(&digest[..8]);
+        Self(u64::from_le_bytes(hash) | REQUEST_BIT)
+    }
+
+    /// Returns whether the part stands for a whole request.
+    pub fn is_request(self) -> bool {
+        self.0 & REQUEST_BIT != 0
     }
 }
 
