--- a/crates/buckthornmast_quarantine/src/guard.rs
+++ b/crates/buckthornmast_quarantine/src/guard.rs
@@ -94,6 +94,23 @@
             .filter(|part| self.memory.last(*part).is_none())
     }
 
+    /// Returns whether any request is suspected, watched or quarantined as a whole, so that the identity of each matters.
+    pub fn blames_requests(&self) -> bool {
+        self.ledger.blames_requests()
+    }
+
+    /// Returns whether a request must not be repeated at another target after it was lost with one: it was lost with two
+    /// targets at least.
+    pub fn watches(&self, request: Part) -> bool {
+        self.ledger.watches(request)
+    }
+
+    /// Records that a target has answered a request, or goes on answering it. Returns whether it was blamed, so that other
+    /// instances must learn it.
+    pub fn clear_request(&mut self, request: Part) -> bool {
+        self.clear(&Set::of(request))
+    }
+
     /// Records evidence. Returns whether the quarantines have changed.
     pub fn record_crash(&mut self, evidence: Evidence, now: Point) -> bool {
         self.ledger.record_crash(evidence, now)
@@ -110,7 +127,7 @@
 
     /// Records that another instance knows of an answer on these parts. Returns whether one of them was blamed.
     pub fn merge_progress(&mut self, parts: &Set) -> bool {
-        for part in parts.iter() {
+        for part in parts.iter().filter(|part| !part.is_request()) {
             if self.memory.last(part).is_none() {
                 // The answer may be as old as the memory of that instance.
                 self.memory.record(part, Point::ZERO);
@@ -149,6 +166,13 @@
         self.trial = Some((parts, now + TRIAL_TIME));
     }
 
+    /// Returns the quarantines for another instance, without the requests that are only watched.
+    pub fn notices_in_force(&self, now: Point) -> Vec<Notice> {
+        let mut notices = self.notices(now);
+        notices.retain(|notice| !notice.is_watch());
+        notices
+    }
+
     /// Returns the quarantines for another instance.
     pub fn notices(&self, now: Point) -> Vec<Notice> {
         self.ledger.notices(now)
--- a/crates/buckthornmast_quarantine/src/ledger.rs
+++ b/crates/buckthornmast_quarantine/src/ledger.rs
@@ -10,7 +10,10 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::part::Set;
+use crate::{
+    part::{Part, Set},
+    suspect::Register,
+};
 
 /// Crashes after which all parts of one of their suspects are quarantined, if no target has ever answered on them.
 const NEW_THRESHOLD: usize = 2;
@@ -21,6 +24,16 @@
 /// Crashes after which parts are quarantined on which targets used to answer.
 const STALE_THRESHOLD: usize = 4;
 
+/// Crashes after which a request is watched: it is still sent, but not repeated if it is lost once more.
+const WATCH_THRESHOLD: usize = 2;
+
+/// Crashes after which a request is quarantined. One that was beside the cause of a crash is repeated at once, and may be
+/// beside it a second time.
+const REQUEST_THRESHOLD: usize = 3;
+
+/// Number of requests that are watched. Older ones are dropped.
+const MAX_WATCHED: usize = 64;
+
 /// Time for which a crash counts. Much longer than the time between two requests with a part that is in use.
 const EVIDENCE_RETENTION: Duration = Duration::from_secs(300);
 
@@ -65,6 +78,23 @@
     pub is_stale: bool,
 }
 
+impl Evidence {
+    /// Returns the evidence against a whole request.
+    pub fn against_request(crash: Crash, request: Part) -> Self {
+        Self {
+            crash,
+            parts: Set::of(request),
+            is_stale: false,
+        }
+    }
+
+    /// Returns the request, if the evidence is against a whole request.
+    fn request(&self) -> Option<Part> {
+        let mut parts = self.parts.iter();
+        parts.next().filter(|part| part.is_request())
+    }
+}
+
 /// Quarantine, as one instance tells another of it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Notice {
@@ -78,10 +108,17 @@
     pub idle: Duration,
     /// Time until the next trial.
     pub remaining: Duration,
-    /// Time between two trials.
+    /// Time between two trials. Zero if the request is only watched, and not refused.
     pub length: Duration,
 }
 
+impl Notice {
+    /// Returns whether the request is only watched, and not refused.
+    pub fn is_watch(&self) -> bool {
+        self.length.is_zero()
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Quarantine {
     parts: Set,
@@ -94,6 +131,11 @@
 }
 
 impl Quarantine {
+    /// Returns whether requests are refused, and not only watched.
+    fn is_in_force(&self) -> bool {
+        !self.length.is_zero()
+    }
+
     fn notice(&self, now: Point) -> Notice {
         Notice {
             parts: self.parts.clone(),
@@ -128,6 +170,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Ledger {
     evidence: VecDeque<(Point, Evidence)>,
+    requests: Register,
     quarantines: Vec<Quarantine>,
 }
 
@@ -137,6 +180,9 @@
         if evidence.parts.is_empty() {
             return false;
         }
+        if let Some(request) = evidence.request() {
+            return self.record_request(&evidence.crash, request, now);
+        }
         let mut is_covered = false;
         let mut is_trial = false;
         let quarantines = self.quarantines.iter_mut();
@@ -161,7 +207,7 @@
         let Some((parts, since)) = self.common_parts(&evidence) else {
             return false;
         };
-        if self.quarantines.len() >= MAX_QUARANTINES {
+        if !self.has_room() {
             return false;
         }
         self.quarantines.push(Quarantine {
@@ -177,6 +223,87 @@
         true
     }
 
+    /// Records that a request was lost with its target. Returns whether the quarantines have changed.
+    fn record_request(&mut self, crash: &Crash, request: Part, now: Point) -> bool {
+        let Some(crashes) = self.requests.record(crash, request, now) else {
+            return false;
+        };
+        let parts = Set::of(request);
+        let mut quarantines = self.quarantines.iter_mut();
+        let known = quarantines.find(|known| known.parts == parts);
+        if let Some(known) = known {
+            known.crashed_at = now;
+            if known.is_in_force() {
+                // Before that, the request was sent before the quarantine was in force everywhere.
+                let is_trial = now >= known.until;
+                if is_trial {
+                    known.lengthen(now);
+                }
+                return is_trial;
+            }
+            if crashes < REQUEST_THRESHOLD {
+                return false;
+            }
+        }
+        let length = match crashes {
+            REQUEST_THRESHOLD.. => FIRST_QUARANTINE,
+            WATCH_THRESHOLD.. => Duration::ZERO,
+            _ => return false,
+        };
+        self.add(Quarantine {
+            parts,
+            is_stale: false,
+            since: now,
+            until: now + length,
+            length,
+            crashed_at: now,
+            tried_at: None,
+        })
+    }
+
+    /// Adds a quarantine, or what it states to a known one of the same parts. Returns whether the quarantines have changed.
+    fn add(&mut self, quarantine: Quarantine) -> bool {
+        let has_room = self.has_room();
+        let mut known = self.quarantines.iter_mut();
+        match known.find(|known| known.parts == quarantine.parts) {
+            Some(known) => {
+                let was_in_force = known.is_in_force();
+                known.absorb(&quarantine);
+                known.is_in_force() != was_in_force
+            }
+            None if quarantine.is_in_force() => {
+                if has_room {
+                    self.quarantines.push(quarantine);
+                }
+                has_room
+            }
+            None => {
+                self.drop_oldest_watch();
+                self.quarantines.push(quarantine);
+                true
+            }
+        }
+    }
+
+    /// Returns whether another quarantine may be imposed.
+    fn has_room(&self) -> bool {
+        let in_force = self.quarantines.iter().filter(|known| known.is_in_force());
+        in_force.count() < MAX_QUARANTINES
+    }
+
+    /// Makes room for another watched request.
+    fn drop_oldest_watch(&mut self) {
+        let watched = self.quarantines.iter().enumerate();
+        let watched = watched.filter(|(_, known)| !known.is_in_force());
+        let (oldest, count) = watched.fold((None, 0), |(oldest, count), (index, known)| {
+            let older = oldest.filter(|(_, at)| *at <= known.crashed_at);
+            (older.or(Some((index, known.crashed_at))), count + 1)
+        });
+        if let Some((index, _)) = oldest.filter(|_| count >= MAX_WATCHED) {
+            self.quarantines.remove(index);
+        }
+    }
+
     /// Joins equal quarantines, each of which would have trials of its own, and puts the widest ones first.
     fn reduce(&mut self) {
         let mut kept: Vec<Quarantine> = Vec::with_capacity(self.quarantines.len());
@@ -195,7 +322,9 @@
     fn is_idle(&self, quarantine: &Quarantine) -> bool {
         let mut others = self.quarantines.iter();
         others.any(|other| {
-            other.parts.len() < quarantine.parts.len() && other.parts.is_subset(&quarantine.parts)
+            other.is_in_force()
+                && other.parts.len() < quarantine.parts.len()
+                && other.parts.is_subset(&quarantine.parts)
         })
     }
 
@@ -238,6 +367,7 @@
 
     /// Records that a target has answered on parts. Returns whether the quarantines have changed.
     pub fn record_progress(&mut self, parts: &Set) -> bool {
+        self.requests.clear(parts);
         for (_, evidence) in &mut self.evidence {
             evidence.parts.remove_all(parts);
         }
@@ -259,8 +389,7 @@
     pub fn merge(&mut self, notices: &[Notice], now: Point) -> bool {
         let mut is_changed = false;
         for notice in notices.iter().filter(|notice| !notice.parts.is_empty()) {
-            let has_room = self.quarantines.len() < MAX_QUARANTINES;
-            let quarantine = Quarantine {
+            is_changed |= self.add(Quarantine {
                 parts: notice.parts.clone(),
                 is_stale: notice.is_stale,
                 since: now - notice.age,
@@ -268,16 +397,7 @@
                 length: notice.length,
                 crashed_at: now - notice.idle,
                 tried_at: None,
-            };
-            let mut quarantines = self.quarantines.iter_mut();
-            match quarantines.find(|known| known.parts == notice.parts) {
-                Some(known) => known.absorb(&quarantine),
-                None if has_room => {
-                    is_changed = true;
-                    self.quarantines.push(quarantine);
-                }
-                None => {}
-            }
+            });
         }
         if is_changed {
             self.reduce();
@@ -288,7 +408,20 @@
     /// Returns the widest quarantine whose parts a request has.
     fn covering(&self, parts: &Set) -> Option<&Quarantine> {
         let mut quarantines = self.quarantines.iter();
-        quarantines.find(|quarantine| quarantine.parts.is_subset(parts))
+        quarantines.find(|quarantine| quarantine.is_in_force() && quarantine.parts.is_subset(parts))
+    }
+
+    /// Returns whether a request is watched or quarantined as a whole.
+    pub fn watches(&self, request: Part) -> bool {
+        let mut quarantines = self.quarantines.iter();
+        quarantines.any(|quarantine| quarantine.parts.contains(request))
+    }
+
+    /// Returns whether any request is suspected, watched or quarantined as a whole.
+    pub fn blames_requests(&self) -> bool {
+        let mut quarantines = self.quarantines.iter();
+        !self.requests.is_empty()
+            || quarantines.any(|quarantine| quarantine.parts.iter().any(Part::is_request))
     }
 
     /// Returns whether a request has all parts of a quarantine.
@@ -307,7 +440,7 @@
         let has_common = |other: &Set| !other.intersection(parts).is_empty();
         let mut suspected = self.evidence.iter().map(|(_, evidence)| &evidence.parts);
         let mut quarantined = self.quarantines.iter().map(|quarantine| &quarantine.parts);
-        suspected.any(has_common) || quarantined.any(has_common)
+        self.requests.blames(parts) || suspected.any(has_common) || quarantined.any(has_common)
     }
 
     /// Returns the parts of a quarantine whose trial is due, and postpones the next trial.
@@ -315,7 +448,10 @@
         let is_due = |quarantine: &Quarantine| {
             let tried_at = quarantine.tried_at;
             let is_tried = tried_at.is_some_and(|tried_at| now < tried_at + TRIAL_TIME);
-            now >= quarantine.until && !is_tried && !self.is_idle(quarantine)
+            quarantine.is_in_force()
+                && now >= quarantine.until
+                && !is_tried
+                && !self.is_idle(quarantine)
         };
         let index = self.quarantines.iter().position(is_due)?;
         let quarantine = self.quarantines.get_mut(index)?;
@@ -339,9 +475,16 @@
 
     /// Forgets old crashes and quarantines.
     pub fn prune(&mut self, now: Point) {
+        self.requests.prune(now);
         self.evidence
             .retain(|(at, _)| now.since(*at) < EVIDENCE_RETENTION);
-        self.quarantines
-            .retain(|quarantine| now.since(quarantine.crashed_at) < QUARANTINE_RETENTION);
+        self.quarantines.retain(|quarantine| {
+            let retention = if quarantine.is_in_force() {
+                QUARANTINE_RETENTION
+            } else {
+                EVIDENCE_RETENTION
+            };
+            now.since(quarantine.crashed_at) < retention
+        });
     }
 }
--- a/crates/buckthornmast_quarantine/src/lib.rs
+++ b/crates/buckthornmast_quarantine/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 pub mod memory;
 pub mod part;
+pub mod suspect;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- a/crates/buckthornmast_quarantine/src/part.rs
+++ b/crates/buckthornmast_quarantine/src/part.rs
@@ -62,6 +62,17 @@
 pub struct Set(SmallVec<[Part; 4]>);
 
 impl Set {
+    /// Returns the set of one part.
+    pub fn of(part: Part) -> Self {
+        Self([part].into_iter().collect())
+    }
+
+    /// Returns the set with another part.
+    #[must_use]
+    pub fn with(&self, part: Part) -> Self {
+        self.iter().chain([part]).collect()
+    }
+
     /// Returns whether there are no parts.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
