Quarantine requests that end each target that runs them

Callers of bestellkern were refused nearly all the time for 8 to 15 s: one stock-check that came again ended all four targets, again and again. Its cause was never blamed, since only parts of prompts were.

A request that is lost with its target as it begins to answer is now a suspect as a whole, on every kind of route: after two crashes it isn't repeated any more, after three all instances refuse it as not run, and an answer clears it. Targets that are unreachable refuse no connection, so no request is blamed for them.

--- a/crates/buckthornmast_forward/src/quarantine.rs
+++ b/crates/buckthornmast_forward/src/quarantine.rs
@@ -1,6 +1,12 @@
 //! Requests that may crash their targets: which are refused, which are suspected, and which are cleared.
 
-use buckthornmast_quarantine::{guard::Verdict, ledger::Crash};
+use std::borrow::Cow;
+
+use buckthornmast_quarantine::{
+    guard::{Guard, Verdict},
+    ledger::{Crash, Evidence},
+    part::Set,
+};
 use buckthornmast_types::{id, time::Clock};
 
 use crate::{
@@ -15,18 +21,28 @@
 /// Batches of events after the first one from which a target is taken to survive a request.
 pub(crate) const PROGRESS_BATCHES: u32 = 3;
 
+/// Returns what a request may be refused for: the shared parts of its prompt and, if any request is suspected as a whole, its
+/// identity. Computing that costs a digest of the body.
+fn blamable_parts<'a>(guard: &Guard, context: &'a Context) -> Cow<'a, Set> {
+    if guard.blames_requests() {
+        Cow::Owned(context.shared_parts.with(context.identity()))
+    } else {
+        Cow::Borrowed(&context.shared_parts)
+    }
+}
+
 impl<M: Mapping, S: Supply> Forwarder<M, S> {
-    /// Refuses a request whose prompt has quarantined parts, unless it is their trial.
+    /// Refuses a request that is quarantined, or whose prompt has quarantined parts, unless it is their trial.
     pub(crate) fn check_quarantine(&self, context: &mut Context) -> Result<(), Refusal> {
-        if context.is_trial || context.shared_parts.is_empty() {
+        if context.is_trial {
             return Ok(());
         }
         let now = self.clock.now();
-        let verdict = self
-            .state
-            .borrow_mut()
-            .guard
-            .check(&context.shared_parts, now);
+        let verdict = {
+            let guard = &mut self.state.borrow_mut().guard;
+            let parts = blamable_parts(guard, context);
+            guard.check(&parts, now)
+        };
         match verdict {
             Verdict::Pass => Ok(()),
             Verdict::Trial => {
@@ -42,13 +58,15 @@
     pub(crate) fn is_quarantined(&self, context: &Context) -> bool {
         let is_quarantined = || {
             let state = self.state.borrow();
-            state.guard.is_quarantined(&context.shared_parts)
+            let parts = blamable_parts(&state.guard, context);
+            state.guard.is_quarantined(&parts)
         };
         !context.is_trial && is_quarantined()
     }
 
     /// Records that a target goes on answering a request.
     pub(crate) fn record_progress(&self, context: &Context) {
+        self.clear_request(context);
         if context.shared_parts.is_empty() {
             return;
         }
@@ -61,6 +79,19 @@
         }
     }
 
+    /// Clears a request that a target answers, if it was suspected as a whole.
+    fn clear_request(&self, context: &Context) {
+        let is_blamed = {
+            let guard = &mut self.state.borrow_mut().guard;
+            guard.blames_requests() && guard.clear_request(context.identity())
+        };
+        if is_blamed {
+            let identity = context.identity();
+            log::info!(step = "quarantine", request:% = context.head.request, identity:% = identity; "a target answers a request that was suspected; clearing it");
+            self.supply.report_progress(&Set::of(identity));
+        }
+    }
+
     /// Examines a request whose connection failed while its target was beginning to answer. Returns whether it may have
     /// ended the target, so that it must not be sent to another one.
     pub(crate) async fn examine_lost(
@@ -74,22 +105,32 @@
             target: target.clone(),
             incarnation,
         };
-        let (evidence, is_proven) = {
+        let (of_parts, is_proven) = {
             let guard = &self.state.borrow().guard;
-            let evidence = guard.suspect(crash, &context.shared_parts, now);
+            let evidence = guard.suspect(crash.clone(), &context.shared_parts, now);
             (evidence, guard.is_proven(&context.shared_parts))
         };
-        let Some(evidence) = evidence else {
-            return false;
-        };
         if !self.has_ended(context, target, incarnation).await {
             return false;
         }
+        let has_suspected_parts = of_parts.is_some();
+        let identity = context.identity();
+        let of_request = Evidence::against_request(crash, identity);
+        for evidence in of_parts.into_iter().chain([of_request]) {
+            self.report_suspect(context, evidence);
+        }
+        let is_watched = self.state.borrow().guard.watches(identity);
+        is_watched || (has_suspected_parts && !is_proven)
+    }
+
+    /// Records evidence here and at the core.
+    fn report_suspect(&self, context: &Context, evidence: Evidence) {
+        let now = self.clock.now();
         log::info!(
             step = "quarantine",
             request:% = context.head.request,
-            target:% = target,
-            born = incarnation.0,
+            target:% = evidence.crash.target,
+            born = evidence.crash.incarnation.0,
             parts:% = context.shared_part_names(),
             suspected:% = evidence.parts,
             is_stale = evidence.is_stale,
@@ -98,12 +139,11 @@
         );
         metrics::counter!("buckthornmast_suspects_total").increment(1);
         self.supply.report_crash(&evidence);
-        let now = self.clock.now();
+        let suspected = evidence.parts.clone();
         let is_changed = self.state.borrow_mut().guard.record_crash(evidence, now);
         if is_changed {
-            log::warn!(step = "quarantine", request:% = context.head.request, parts:% = context.shared_part_names(); "targets crash on parts of this prompt; refusing requests with these parts");
+            log::warn!(step = "quarantine", request:% = context.head.request, parts:% = context.shared_part_names(), suspected:% = suspected; "targets crash on this request or on parts of its prompt; refusing or watching such requests");
         }
-        !is_proven
     }
 
     /// Returns whether the incarnation of a target has ended, and not only a connection to it.
@@ -126,7 +166,7 @@
             Ok(_) => false,
             Err(error) => {
                 log::info!(step = "quarantine", request:% = context.head.request, target:% = target; "connecting to a target whose connection failed as it began to answer: {error}");
-                if error.is_refused() {
+                if error.is_refused() && context.head.generation.is_some() {
                     self.supply.report_down(target, incarnation);
                 }
                 error.is_refused()
--- a/crates/buckthornmast_node/src/core/quarantine.rs
+++ b/crates/buckthornmast_node/src/core/quarantine.rs
@@ -20,9 +20,10 @@
     pub(super) fn record_crash(&self, evidence: Evidence) {
         let now = self.clock.now();
         log::info!(step = "quarantine", target:% = evidence.crash.target, born = evidence.crash.incarnation.0, parts:% = evidence.parts, is_stale = evidence.is_stale; "target ended as it began to answer a request; suspecting the request");
+        let suspected = evidence.parts.clone();
         let is_changed = self.state.borrow_mut().crashes.record_crash(evidence, now);
         if is_changed {
-            self.publish_quarantines(now);
+            self.publish_quarantines(now, |notice| notice.parts.is_subset(&suspected));
         }
     }
 
@@ -40,13 +41,21 @@
         let now = self.clock.now();
         let is_changed = self.state.borrow_mut().crashes.merge(notices, now);
         if is_changed {
-            self.publish_quarantines(now);
+            let is_merged =
+                |notice: &Notice| notices.iter().any(|known| known.parts == notice.parts);
+            self.publish_quarantines(now, is_merged);
         }
     }
 
-    fn publish_quarantines(&self, now: Point) {
-        let notices = self.state.borrow().crashes.notices(now);
+    /// Tells the entry instances the quarantines that are selected.
+    fn publish_quarantines(&self, now: Point, is_selected: impl Fn(&Notice) -> bool) {
+        let mut notices = self.state.borrow().crashes.notices(now);
+        notices.retain(is_selected);
         for notice in &notices {
+            if notice.is_watch() {
+                log::info!(step = "quarantine", parts:% = notice.parts; "two targets ended under the same request; it is not repeated any more");
+                continue;
+            }
             log::warn!(step = "quarantine", parts:% = notice.parts, quarantines = notices.len(); "targets crash on prompt parts; quarantining them");
         }
         // Other instances of the core are told only as they connect. They remember no answers, so a quarantine and its refutation
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -132,7 +132,7 @@
                     .set_reachable(self.supplier.0.knows_leader(), now);
             }
             if tick.is_multiple_of(QUARANTINE_REPORT_TICKS) {
-                let notices = self.forwarder.state.borrow().guard.notices(now);
+                let notices = self.forwarder.state.borrow().guard.notices_in_force(now);
                 self.supplier.0.report_quarantines_everywhere(notices);
             }
             sleep(TICK_INTERVAL).await;
@@ -143,7 +143,7 @@
 impl<P: Platform> Entry<P> {
     /// Adds the quarantines of an instance of the core, and refutes those on whose parts targets have answered.
     fn merge_quarantines(&self, state: &mut State, notices: &[Notice], peer: SocketAddr) {
-        for notice in notices {
+        for notice in notices.iter().filter(|notice| !notice.is_watch()) {
             log::info!(step = "quarantine", parts:% = notice.parts, age_ms = millis(notice.age), remaining_ms = millis(notice.remaining), peer:% = peer; "the core quarantines prompt parts");
         }
         let refuted = state.guard.merge(notices, self.forwarder.clock.now());
