Decode the version of targets' software, and log it with streams that go on

Messages carry versions at their end, where an older build passes over them; a message of an older build, which lacks them, is read as if it named none. No decision uses them yet.

--- a/crates/buckthornmast_fleet/src/announcement.rs
+++ b/crates/buckthornmast_fleet/src/announcement.rs
@@ -5,6 +5,8 @@
 use buckthornmast_types::id;
 use serde::{Deserialize, Serialize};
 
+use crate::version::Version;
+
 /// Whether a target takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum State {
@@ -55,6 +57,11 @@
     pub in_memory: Vec<id::Model>,
     /// Models with a copy on disk.
     pub on_disk: Vec<id::Model>,
+    /// Version of the software of this incarnation, if it states one.
+    ///
+    /// Not part of the encoded form, which older builds read by position: messages carry it at their end.
+    #[serde(skip)]
+    pub version: Option<Version>,
 }
 
 impl Announcement {
@@ -69,6 +76,7 @@
             && self.slots == other.slots
             && self.state == other.state
             && self.cold.is_zero() == other.cold.is_zero()
+            && self.version == other.version
     }
 
     /// Returns whether another announcement has the same content, apart from its number.
--- a/crates/buckthornmast_fleet/src/lib.rs
+++ b/crates/buckthornmast_fleet/src/lib.rs
@@ -5,11 +5,13 @@
 
 pub mod announcement;
 pub mod registry;
+pub mod version;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
     pub use crate::{
         announcement::{Announcement, Resident, State},
         registry::{Entry, Merge, Registry, Update},
+        version::Version,
     };
 }
--- a/crates/buckthornmast_fleet/src/registry.rs
+++ b/crates/buckthornmast_fleet/src/registry.rs
@@ -97,7 +97,7 @@
     /// Merges an update of this age.
     pub fn merge(&mut self, update: Update, age: Duration, now: Point) -> Merge {
         let Update {
-            announcement,
+            mut announcement,
             withdrawn,
         } = update;
         let heard_at = now - age;
@@ -130,10 +130,22 @@
         {
             return Merge::Stale;
         }
+        if announcement.incarnation == known.incarnation {
+            // The version of an incarnation doesn't change. An update from an older build has none.
+            announcement.version = known.version.clone().or(announcement.version);
+        }
+        let is_newly_versioned = announcement.incarnation == known.incarnation
+            && announcement.version.is_some()
+            && known.version.is_none();
         let withdrawn =
             withdrawn || (entry.is_withdrawn && announcement.incarnation == known.incarnation);
         let is_restart = announcement.incarnation > known.incarnation;
         let is_newer = ordering.is_gt();
+        if !is_newer && is_newly_versioned {
+            entry.announcement.version = announcement.version;
+            entry.is_withdrawn = withdrawn;
+            return Merge::Changed;
+        }
         if !is_newer && withdrawn == entry.is_withdrawn {
             if ordering.is_eq() {
                 entry.last_heard = entry.last_heard.max(heard_at);
--- a/crates/buckthornmast_fleet/tests/merge.rs
+++ b/crates/buckthornmast_fleet/tests/merge.rs
@@ -26,6 +26,7 @@
         resident: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        version: "v1".parse().ok(),
     }
 }
 
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -210,6 +210,11 @@
                 }
                 Ok(Reply::Stream(stream)) => {
                     reporter.record_event();
+                    if let Some(last) = context.head.last_event {
+                        log::info!(step = "stream", request:% = context.head.request, target:% = chosen.member.target, version:% = chosen.member.version_name(), resumes:% = context.head.resumes.as_deref().unwrap_or(""), last = last; "a caller has taken up a stream again");
+                    } else {
+                        log::debug!(step = "stream", request:% = context.head.request, target:% = chosen.member.target, version:% = chosen.member.version_name(); "stream has begun");
+                    }
                     return self.stream(context, *stream, reporter);
                 }
                 Err(failure) => failure,
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -77,6 +77,8 @@
     pub deadline: Option<Duration>,
     /// Last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Request that brought the caller the first event of the stream that it resumes.
+    pub resumes: Option<Box<str>>,
     /// Generation, if the request is for a model engine.
     pub generation: Option<Generation>,
 }
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -66,10 +66,17 @@
     pub domain: id::Domain,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
+    /// Version of its software, if it states one.
+    pub version: Option<Version>,
     resident: Vec<Resident>,
 }
 
 impl Member {
+    /// Returns the version of its software for logs.
+    pub fn version_name(&self) -> &str {
+        self.version.as_ref().map_or("", Version::as_str)
+    }
+
     /// Returns whether the model and adapter that a request needs are resident at the target.
     pub fn serves(&self, generation: Option<&Generation>) -> bool {
         let Some(generation) = generation else {
@@ -250,6 +257,7 @@
                 address: announcement.address,
                 domain: announcement.domain.clone(),
                 slots: announcement.slots,
+                version: announcement.version.clone(),
                 resident: resident.clone(),
             });
         }
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -359,7 +359,10 @@
             target = chosen.member.target.clone();
             incarnation = chosen.member.incarnation;
             failure = match reply {
-                Ok(Reply::Stream(stream)) => return Some(*stream),
+                Ok(Reply::Stream(stream)) => {
+                    log::info!(step = "resume", request:% = self.context.head.request, target:% = target, version:% = chosen.member.version_name(), last = last.unwrap_or(0); "the stream goes on at another target");
+                    return Some(*stream);
+                }
                 Ok(Reply::Full(_) | Reply::Part(_)) => Failure {
                     dispatch: Dispatch::Sent,
                     cause: "the target did not resume the stream",
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -114,6 +114,7 @@
                 }],
                 in_memory: Vec::new(),
                 on_disk: Vec::new(),
+                version: "v1".parse().ok(),
             };
             let update = Update {
                 announcement,
@@ -159,6 +160,7 @@
             request: RequestId("r1".into()),
             deadline: None,
             last_event: None,
+            resumes: None,
             generation: Some(Generation {
                 model: "m1".parse().unwrap(),
                 adapter: None,
--- a/crates/buckthornmast_forward/tests/state.rs
+++ b/crates/buckthornmast_forward/tests/state.rs
@@ -38,6 +38,7 @@
         resident: resident(model),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        version: "v1".parse().ok(),
     };
     let update = Update {
         announcement,
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -120,6 +120,7 @@
             request: RequestId("r1".into()),
             deadline: None,
             last_event: None,
+            resumes: None,
             generation: parts.map(|parts| Generation {
                 model: "m1".parse().unwrap(),
                 adapter: None,
@@ -356,6 +357,7 @@
         }],
         in_memory: Vec::new(),
         on_disk: Vec::new(),
+        version: "v1".parse().ok(),
     }
 }
 
--- a/crates/buckthornmast_link/src/lib.rs
+++ b/crates/buckthornmast_link/src/lib.rs
@@ -37,6 +37,9 @@
 /// pauses while the incoming queue is full. A peer that falls further behind misses messages, and has to connect again.
 pub const MAX_QUEUED_FRAMES: usize = 4096;
 
+/// Number of zeros that stand for missing fields at the end of a message, one for each field at least.
+const MISSING_BYTES: usize = 16;
+
 /// Size in bytes from which a batch of frames is written.
 const WRITE_BATCH_BYTES: usize = 64 << 10;
 
@@ -181,6 +184,19 @@
         .new_codec()
 }
 
+/// Decodes a message. What follows it is passed over, and fields that are missing at its end are read as zeros: so a build
+/// reads the messages of one that knows more or fewer fields at the end.
+fn decode<In: DeserializeOwned>(frame: &[u8]) -> postcard::Result<In> {
+    match postcard::from_bytes(frame) {
+        Err(postcard::Error::DeserializeUnexpectedEnd) => {
+            let mut padded = frame.to_vec();
+            padded.resize(frame.len() + MISSING_BYTES, 0);
+            postcard::from_bytes(&padded)
+        }
+        result => result,
+    }
+}
+
 async fn read_frames<In: DeserializeOwned>(
     read: OwnedReadHalf,
     peer: SocketAddr,
@@ -204,7 +220,7 @@
         if frame.is_empty() {
             continue;
         }
-        match postcard::from_bytes(&frame) {
+        match decode(&frame) {
             Ok(message) => {
                 if received.send_async(message).await.is_err() {
                     return;
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -231,7 +231,7 @@
                 drop(state);
                 if !removed.is_empty() {
                     log::info!(step = "target", targets = removed.len(); "removed restored targets that have not announced themselves since the start");
-                    self.subscribers.send(&Downstream::Targets(removed));
+                    self.subscribers.send(&Downstream::targets(removed));
                 }
             }
         }
@@ -439,7 +439,7 @@
         let update = self.state.borrow_mut().registry.withdraw(target, now)?;
         log::info!(step = "target", target:% = target, born = update.announcement.incarnation.0; "target withdrew");
         self.subscribers
-            .send_entries(&Downstream::Targets(vec![update.clone()]));
+            .send_entries(&Downstream::targets(vec![update.clone()]));
         Some(update)
     }
 
@@ -454,7 +454,7 @@
         });
         let is_alone = !self.subscribers.has_core();
         self.subscribers
-            .send_cores(&Downstream::Targets(vec![update]));
+            .send_cores(&Downstream::targets(vec![update]));
         let saving = self.store.save_and_wait(&self.state.borrow().registry);
         // A disk that hangs must not delay the answer for long: the acknowledgement of another instance is sufficient.
         if timeout(SAVE_TIMEOUT, saving).await.is_err() {
@@ -560,7 +560,7 @@
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
             Downstream::EntryCount(state.entry_count),
-            Downstream::Targets(updates),
+            Downstream::targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
         ];
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -9,7 +9,7 @@
 use crate::{
     core::Core,
     dial::Dialer,
-    message::{Downstream, Liveness, Upstream},
+    message::{Downstream, Liveness, Upstream, with_versions},
     platform::Platform,
     settings::Settings,
 };
@@ -49,8 +49,8 @@
                     state.is_roster_published = false;
                 }
             }
-            Downstream::Targets(updates) => {
-                for update in updates {
+            Downstream::Targets(updates, versions) => {
+                for update in with_versions(updates, versions) {
                     let leaves =
                         update.withdrawn || update.announcement.state != announcement::State::Ready;
                     let acknowledgement = Upstream::Acknowledge {
--- a/crates/buckthornmast_node/src/core/updates.rs
+++ b/crates/buckthornmast_node/src/core/updates.rs
@@ -34,11 +34,11 @@
         let target = update.announcement.target.clone();
         if update.withdrawn || update.announcement.state != announcement::State::Ready {
             self.state.borrow_mut().unsent.remove(&target);
-            return self.subscribers.send(&Downstream::Targets(vec![update]));
+            return self.subscribers.send(&Downstream::targets(vec![update]));
         }
         if is_first_hand {
             self.subscribers
-                .send_cores(&Downstream::Targets(vec![update.clone()]));
+                .send_cores(&Downstream::targets(vec![update.clone()]));
         }
         // Adapters change many times a second, and there are far more entry instances than instances of the core.
         let is_route = merge == Merge::Changed;
@@ -88,7 +88,7 @@
     fn send_targets(&self, updates: Vec<Update>, is_selected: impl Fn(&Subscriber) -> bool) {
         if !updates.is_empty() {
             self.subscribers
-                .send_where(&Downstream::Targets(updates), is_selected);
+                .send_where(&Downstream::targets(updates), is_selected);
         }
     }
 }
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -32,7 +32,7 @@
 use crate::{
     dial::{Connections, Dialer},
     http::{Handler, empty_response},
-    message::{Downstream, Liveness, Upstream},
+    message::{Downstream, Liveness, Upstream, with_versions},
     platform::Platform,
     settings::Settings,
     supplier::Shared,
@@ -198,16 +198,17 @@
                     log::error!(step = "routes", version = text.version.0; "accepted routes can't be decoded, the previous ones stay in force: {error}");
                 }
             },
-            Downstream::Targets(updates) => {
+            Downstream::Targets(updates, versions) => {
                 state.change_targets(|registry| {
-                    updates.into_iter().fold(false, |has_changed, update| {
+                    with_versions(updates, versions).fold(false, |has_changed, update| {
                         let target = update.announcement.target.clone();
                         let incarnation = update.announcement.incarnation;
                         let announced = format!("{:?}", update.announcement.state);
                         let withdrawn = update.withdrawn;
+                        let version = update.announcement.version.clone();
                         let merge = registry.merge(update, Duration::ZERO, now);
                         if merge == Merge::Changed {
-                            log::info!(step = "target", target:% = target, born = incarnation.0, state:% = announced, withdrawn = withdrawn, peer:% = peer; "target changed");
+                            log::info!(step = "target", target:% = target, born = incarnation.0, state:% = announced, withdrawn = withdrawn, version:% = version.as_ref().map_or("", |version| version.as_str()), peer:% = peer; "target changed");
                         }
                         matches!(merge, Merge::Changed | Merge::Inventory) || has_changed
                     })
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -4,13 +4,14 @@
 //! of that instance, followed by updates.
 //!
 //! Messages are encoded by position and exchanged between processes of different builds, so the order of variants and
-//! fields is part of the format.
+//! fields is part of the format. Fields may be added at the end of a variant: an older build passes over them, and a newer
+//! one reads zeros, which stand for nothing, where an older build has sent none.
 
 use std::time::Duration;
 
 use buckthornmast_consensus::message::Message;
 use buckthornmast_discovery::roster::{Member, Sighting};
-use buckthornmast_fleet::{announcement::Resident, registry::Update};
+use buckthornmast_fleet::{announcement::Resident, registry::Update, version::Version};
 use buckthornmast_limit::{
     account::{self, Answer},
     statement,
@@ -143,7 +144,9 @@
     /// Routes in force.
     Routes(Text),
     /// Announcements of targets.
-    Targets(Vec<Update>),
+    ///
+    /// The versions of their software, in the same order, are at the end, where older builds pass over them.
+    Targets(Vec<Update>, Vec<Option<Version>>),
     /// Targets that have contacted this instance directly.
     #[serde(rename = "Alive")]
     Liveness(Vec<Liveness>),
@@ -189,3 +192,24 @@
         answer: Answer,
     },
 }
+
+impl Downstream {
+    /// Returns a message with updates about targets.
+    pub fn targets(updates: Vec<Update>) -> Self {
+        let versions = updates.iter();
+        let versions = versions.map(|update| update.announcement.version.clone());
+        let versions = versions.collect();
+        Self::Targets(updates, versions)
+    }
+}
+
+/// Returns the updates of a message with their versions. An older build sends none.
+pub fn with_versions(
+    mut updates: Vec<Update>,
+    versions: Vec<Option<Version>>,
+) -> impl Iterator<Item = Update> {
+    for (update, version) in updates.iter_mut().zip(versions) {
+        update.announcement.version = version;
+    }
+    updates.into_iter()
+}
--- a/crates/buckthornmast_node/tests/memory.rs
+++ b/crates/buckthornmast_node/tests/memory.rs
@@ -27,6 +27,7 @@
             resident: Vec::new(),
             in_memory: Vec::new(),
             on_disk: Vec::new(),
+            version: "v1".parse().ok(),
         };
         let update = Update {
             announcement,
--- a/crates/buckthornmast_supply/examples/plan_time.rs
+++ b/crates/buckthornmast_supply/examples/plan_time.rs
@@ -82,6 +82,7 @@
             resident: resident(number),
             in_memory: Vec::new(),
             on_disk: Vec::new(),
+            version: "v1".parse().ok(),
         };
         let update = Update {
             announcement,
--- a/crates/buckthornmast_supply/tests/support/pool.rs
+++ b/crates/buckthornmast_supply/tests/support/pool.rs
@@ -84,6 +84,7 @@
             resident: resident_models(models),
             in_memory: Vec::new(),
             on_disk: Vec::new(),
+            version: "v1".parse().ok(),
         };
         let update = Update {
             announcement,
