--- /dev/null
+++ b/crates/buckthornmast_origin/src/record.rs
@@ -0,0 +1,115 @@
+//! Records of streams that have begun.
+
+use std::{collections::HashMap, fmt, time::Duration};
+
+use buckthornmast_types::{id, time::Point};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Number of records in one generation. An instance of the core gets two copies' share of 1,600 streams a second in a fleet
+/// of six, which is a minute.
+pub const MAX_GENERATION_RECORDS: usize = 32_768;
+
+/// Stream, as a hash of its service and of the request that brought its first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key(u64);
+
+impl Key {
+    /// Returns the stream that a request to a service began.
+    pub fn new(service: &id::Service, request: &str) -> Self {
+        let service = xxh3_64(service.as_str().as_bytes());
+        Self(xxh3_64_with_seed(request.as_bytes(), service))
+    }
+
+    /// Returns a number that differs between streams and for each seed.
+    pub fn spread(self, seed: &[u8]) -> u64 {
+        xxh3_64_with_seed(seed, self.0)
+    }
+}
+
+/// Version of a target's software, as a hash: messages and memory hold one for each stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Mark(u64);
+
+impl Mark {
+    /// Returns the mark of a version.
+    pub fn new(version: &str) -> Self {
+        Self(xxh3_64(version.as_bytes()))
+    }
+}
+
+impl fmt::Display for Mark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Record {
+    /// Stream.
+    pub key: Key,
+    /// Version.
+    pub mark: Mark,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Known {
+    at: Point,
+    // None if several versions were recorded, for example because a caller used an id twice.
+    mark: Option<Mark>,
+}
+
+/// Records of one instance: two generations of a fixed size, of which the older one is dropped when the younger one is full.
+#[derive(Debug, Clone, Default)]
+pub struct Memory {
+    young: HashMap<Key, Known>,
+    old: HashMap<Key, Known>,
+}
+
+impl Memory {
+    /// Adds a record.
+    pub fn record(&mut self, record: Record, now: Point) {
+        let known = self.find(record.key);
+        let is_conflict = known.is_some_and(|known| known.mark != Some(record.mark));
+        if self.young.len() >= MAX_GENERATION_RECORDS && !self.young.contains_key(&record.key) {
+            self.old = std::mem::take(&mut self.young);
+        }
+        let known = Known {
+            at: now,
+            mark: Some(record.mark).filter(|_| !is_conflict),
+        };
+        self.young.insert(record.key, known);
+    }
+
+    fn find(&self, key: Key) -> Option<Known> {
+        let young = self.young.get(&key);
+        young.or_else(|| self.old.get(&key)).copied()
+    }
+
+    /// Returns the version that began a stream, if one is recorded.
+    pub fn get(&self, key: Key) -> Option<Mark> {
+        self.find(key)?.mark
+    }
+
+    /// Returns the records of streams that began within a time, for an instance that may have lost them.
+    pub fn recent(&self, age: Duration, now: Point) -> Vec<Record> {
+        let all = self.young.iter().chain(&self.old);
+        let recent = all.filter(|(_, known)| now.since(known.at) < age);
+        let records = recent.filter_map(|(key, known)| {
+            let mark = known.mark?;
+            Some(Record { key: *key, mark })
+        });
+        records.collect()
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Returns whether nothing is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.young.is_empty() && self.old.is_empty()
+    }
+}
