Resume streams only at targets of the version that began them

Each request now has an origin: open until its first event, then the version that sent it. Every choice of a target and the last check before bytes are sent ask it. A caller that comes back elsewhere names the request that brought its first event; the core is asked for the version, and what nobody knows is refused at once, as not run.

Stored targets and messages carry versions at their end, where an older build passes over them (link, receive_from_other_build).

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -3,6 +3,7 @@
 use std::{cell::OnceCell, sync::Arc, time::Duration};
 
 use buckthornmast_limit::statement::{Grant, Key};
+use buckthornmast_origin::origin::Origin;
 use buckthornmast_quarantine::part::{self, Part};
 use buckthornmast_routes::{document::Route, register::Revision};
 use buckthornmast_routing::attempt::History;
@@ -60,6 +61,8 @@
     pub shared_parts: part::Set,
     /// Identity of the request, once it was needed.
     pub identity: OnceCell<Part>,
+    /// Version that began its stream.
+    pub origin: Origin,
     /// Whether the request may be sent although its parts are quarantined.
     pub is_trial: bool,
     /// Permission for the attempt that is next or in progress, if its target has a limit.
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -434,6 +434,13 @@
     /// Returns an error if the target has stated, since it was chosen, that it wants no request.
     fn check_accepts(&self, context: &Context, member: &Member) -> Result<(), (Failure, Ended)> {
         self.check_limit(context, member)?;
+        if !context.origin.permits(member.mark) {
+            let failure = failure(
+                Dispatch::NotSent,
+                "the target has another version than the one that began the stream",
+            );
+            return Err((failure, Ended::Abandoned));
+        }
         if self.state.borrow().accepts(member, self.clock.now()) {
             return Ok(());
         }
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use buckthornmast_origin::origin::Origin;
 use buckthornmast_routes::{document::Kind, table};
 use buckthornmast_routing::attempt::{self, Conditions, Decision, Dispatch, History};
 use buckthornmast_types::{
@@ -71,6 +72,9 @@
         if let Err(response) = self.read_body(&mut context, incoming, &mut reporter).await {
             return response;
         }
+        if let Err(refusal) = self.find_origin(&mut context).await {
+            return self.refuse(&context, &mut reporter, refusal);
+        }
         self.run(context, reporter).await
     }
 
@@ -147,6 +151,7 @@
             last_event_at: None,
             shared_parts,
             identity: OnceCell::new(),
+            origin: Origin::default(),
             is_trial: false,
             silent: SmallVec::new(),
             body: Bytes::new(),
@@ -210,6 +215,7 @@
                 }
                 Ok(Reply::Stream(stream)) => {
                     reporter.record_event();
+                    self.record_origin(&mut context, &chosen.member);
                     if let Some(last) = context.head.last_event {
                         log::info!(step = "stream", request:% = context.head.request, target:% = chosen.member.target, version:% = chosen.member.version_name(), resumes:% = context.head.resumes.as_deref().unwrap_or(""), last = last; "a caller has taken up a stream again");
                     } else {
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod limit;
 pub mod mapping;
 pub mod memory;
+mod origin;
 pub mod pool;
 pub mod quarantine;
 pub mod refusal;
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -57,6 +57,10 @@
         /// Time until a request with these parts is tried again.
         remaining: Duration,
     },
+    /// Nobody knows which version of the targets' software began the stream that is to be resumed.
+    UnknownOrigin,
+    /// No target of the version that began the stream is left.
+    VersionGone,
     /// The deadline of the answer has passed.
     Deadline,
     /// A target refused the request, and no further attempt is allowed.
@@ -77,6 +81,8 @@
             Self::Paused { .. } => "the targets want no request for some time",
             Self::Limited { .. } => "the targets limit their rate",
             Self::Quarantined { .. } => "the prompt has parts on which targets crash",
+            Self::UnknownOrigin => "the version that began the stream is not known",
+            Self::VersionGone => "no target of the version that began the stream is left",
             Self::Deadline => "the deadline has passed",
             Self::TargetRefused => "the target refused the request",
             Self::Unreachable => "the target can't be reached",
@@ -86,7 +92,11 @@
     /// Returns the time after which the caller should retry.
     pub fn retry_after(self) -> Duration {
         match self {
-            Self::NoRoutes | Self::NoTarget | Self::Deadline => NO_TARGET_RETRY_AFTER,
+            Self::NoRoutes
+            | Self::NoTarget
+            | Self::UnknownOrigin
+            | Self::VersionGone
+            | Self::Deadline => NO_TARGET_RETRY_AFTER,
             Self::CannotLoad => MAX_FULL_RETRY_AFTER,
             Self::Loading { remaining } | Self::Paused { remaining } => {
                 remaining.max(MIN_RETRY_AFTER)
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -190,6 +190,13 @@
             if !serving.is_empty() {
                 return Err(Refusal::NoTarget);
             }
+            if !members
+                .iter()
+                .any(|member| context.origin.permits(member.mark))
+                && !members.is_empty()
+            {
+                return Err(Refusal::VersionGone);
+            }
             let left = deadline.since(now);
             let wait = match &item {
                 Some(item) if !is_copy_requested => {
@@ -209,8 +216,7 @@
                 None if context.waited < MAX_TARGET_WAIT => MAX_TARGET_WAIT,
                 None => return Err(Refusal::NoTarget),
             };
-            self.wait_for_target(wait.min(left), item.as_ref(), &context.service)
-                .await;
+            self.wait_for_target(wait.min(left), context).await;
         }
     }
 
@@ -225,7 +231,8 @@
         let state = self.state.borrow();
         let serving = members
             .iter()
-            .filter(|member| member.serves(generation) && state.accepts(member, now));
+            .filter(|member| member.serves(generation) && state.accepts(member, now))
+            .filter(|member| context.origin.permits(member.mark));
         serving.collect()
     }
 
@@ -242,7 +249,8 @@
         let members = state.members(&context.service);
         let serving = members
             .iter()
-            .filter(|member| member.serves(generation) && !ignored.contains(&member.target));
+            .filter(|member| member.serves(generation) && !ignored.contains(&member.target))
+            .filter(|member| context.origin.permits(member.mark));
         let pauses = serving.filter_map(|member| {
             state
                 .advisories
@@ -283,6 +291,7 @@
         if avoid.len() >= serving.len() {
             return Ok(PermitResult::Unavailable);
         }
+        let avoid = self.with_other_versions(context, avoid);
         let shared = Some(generation).filter(|_| context.route.affinity);
         let request = PermitRequest {
             item: item.clone(),
@@ -317,6 +326,21 @@
         }
     }
 
+    /// Adds the targets of other versions than the one that began the stream, of which the leader knows nothing.
+    fn with_other_versions(
+        &self,
+        context: &Context,
+        mut avoid: SmallVec<[id::Target; 2]>,
+    ) -> SmallVec<[id::Target; 2]> {
+        let members = self.state.borrow().members(&context.service);
+        let generation = context.head.generation.as_ref();
+        let others = members
+            .iter()
+            .filter(|member| member.serves(generation) && !context.origin.permits(member.mark));
+        avoid.extend(others.map(|member| member.target.clone()));
+        avoid
+    }
+
     /// Returns the targets that a request has been dispatched to already, or that fail.
     fn avoided_targets(
         &self,
@@ -371,22 +395,16 @@
     }
 
     /// Waits until a target serves the model or adapter, or until the wait limit is reached.
-    async fn wait_for_target(&self, wait: Duration, item: Option<&Item>, service: &id::Service) {
+    async fn wait_for_target(&self, wait: Duration, context: &Context) {
         let changed = Rc::clone(&self.state.borrow().changed);
-        let generation = item.map(|item| Generation {
-            model: item.model.clone(),
-            adapter: item.adapter.clone(),
-            prompt_tokens: 0,
-            answer_tokens: 0,
-            parts: SmallVec::new(),
-        });
+        let generation = context.head.generation.as_ref();
         let served = async {
             loop {
                 let notified = changed.notified();
-                let members = self.state.borrow().members(service);
+                let members = self.state.borrow().members(&context.service);
                 if members
                     .iter()
-                    .any(|member| member.serves(generation.as_ref()))
+                    .any(|member| member.serves(generation) && context.origin.permits(member.mark))
                 {
                     return;
                 }
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -9,6 +9,7 @@
 
 use buckthornmast_fleet::prelude::*;
 use buckthornmast_limit::{statement::Statement, view::View};
+use buckthornmast_origin::record::{self as origin, Mark};
 use buckthornmast_quarantine::guard::Guard;
 use buckthornmast_routes::{
     document::{Document, Service},
@@ -68,6 +69,8 @@
     pub slots: u32,
     /// Version of its software, if it states one.
     pub version: Option<Version>,
+    /// Mark of this version.
+    pub mark: Option<Mark>,
     resident: Vec<Resident>,
 }
 
@@ -104,6 +107,12 @@
     pub window: Duration,
 }
 
+/// Returns the mark of the version that a target announces.
+fn mark_of(announcement: &Announcement) -> Option<Mark> {
+    let version = announcement.version.as_ref();
+    version.map(|version| Mark::new(version.as_str()))
+}
+
 /// State of an entry instance.
 #[derive(Debug)]
 pub struct State {
@@ -117,6 +126,8 @@
     pub limits: View,
     /// Prompt parts on which targets crash.
     pub guard: Guard,
+    /// Versions that began the streams of this instance.
+    pub origins: origin::Memory,
     /// Memory for answers that are held until they are whole.
     pub memory: Memory,
     /// Notified whenever routes or targets have changed.
@@ -143,6 +154,7 @@
             advisories: Board::default(),
             limits: View::default(),
             guard: Guard::default(),
+            origins: origin::Memory::default(),
             memory: Memory::default(),
             changed: Rc::default(),
             stop_deadline: None,
@@ -258,6 +270,7 @@
                 domain: announcement.domain.clone(),
                 slots: announcement.slots,
                 version: announcement.version.clone(),
+                mark: mark_of(announcement),
                 resident: resident.clone(),
             });
         }
@@ -316,6 +329,17 @@
         differs
     }
 
+    /// Returns the versions of all targets of a service, also of those that have left lately.
+    pub fn versions<'a>(
+        &'a self,
+        service: &'a id::Service,
+    ) -> impl Iterator<Item = Option<Mark>> + 'a {
+        let entries = self.registry.entries();
+        let announcements = entries.map(|entry| &entry.announcement);
+        let of_service = announcements.filter(|announcement| announcement.service == *service);
+        of_service.map(mark_of)
+    }
+
     /// Returns whether a target takes requests at a limited rate only.
     pub fn is_limited(&self, member: &Member) -> bool {
         self.limits.is_limited(&member.target, member.incarnation)
--- a/crates/buckthornmast_forward/src/supply.rs
+++ b/crates/buckthornmast_forward/src/supply.rs
@@ -6,6 +6,10 @@
     account,
     statement::{Grant, Report},
 };
+use buckthornmast_origin::{
+    inquiry::Finding,
+    record::{Key, Record},
+};
 use buckthornmast_quarantine::{ledger::Evidence, part};
 use buckthornmast_types::id;
 use smallvec::SmallVec;
@@ -103,6 +107,10 @@
     fn report_crash(&self, evidence: &Evidence);
     /// Reports that a target answers on parts that were blamed for crashes.
     fn report_progress(&self, parts: &part::Set);
+    /// Reports which version began a stream, before its first event is passed on.
+    fn report_origin(&self, record: Record);
+    /// Asks the instances of the core which version began a stream.
+    fn find_origin(&self, key: Key) -> impl Future<Output = Finding>;
     /// Reports that a request was answered, and the time and events that it took at its target.
     fn report_usage(&self, item: &Item, usage: Usage);
 }
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -19,6 +19,11 @@
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
 use buckthornmast_limit::{account, statement::Report};
+use buckthornmast_origin::{
+    inquiry::Finding,
+    origin::Origin,
+    record::{Key, Record},
+};
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_routes::{
     document::{Kind, Route},
@@ -81,6 +86,12 @@
 
     fn report_progress(&self, _: &Set) {}
 
+    fn report_origin(&self, _: Record) {}
+
+    async fn find_origin(&self, _: Key) -> Finding {
+        Finding::Nowhere
+    }
+
     fn report_usage(&self, _: &Item, _: Usage) {}
 }
 
@@ -184,6 +195,7 @@
         last_event_at: None,
         shared_parts: Set::default(),
         identity: OnceCell::new(),
+        origin: Origin::default(),
         is_trial: false,
         silent: SmallVec::new(),
     }
--- a/crates/buckthornmast_forward/tests/stop.rs
+++ b/crates/buckthornmast_forward/tests/stop.rs
@@ -18,6 +18,10 @@
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
 use buckthornmast_limit::{account, statement::Report};
+use buckthornmast_origin::{
+    inquiry::Finding,
+    record::{Key, Record},
+};
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_types::{id, time::System};
 use http::{HeaderMap, request, response};
@@ -65,6 +69,12 @@
 
     fn report_progress(&self, _: &Set) {}
 
+    fn report_origin(&self, _: Record) {}
+
+    async fn find_origin(&self, _: Key) -> Finding {
+        Finding::Nowhere
+    }
+
     fn report_usage(&self, _: &Item, _: Usage) {}
 }
 
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -21,6 +21,10 @@
     account,
     statement::{Report, Statement},
 };
+use buckthornmast_origin::{
+    inquiry::Finding,
+    record::{Key, Record},
+};
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
 use buckthornmast_routes::{
     document::{Document, Kind, Limits, Pool, Route, Service},
@@ -186,6 +190,12 @@
 
     fn report_progress(&self, _: &Set) {}
 
+    fn report_origin(&self, _: Record) {}
+
+    async fn find_origin(&self, _: Key) -> Finding {
+        Finding::Nowhere
+    }
+
     fn report_usage(&self, _: &Item, _: Usage) {}
 }
 
--- a/crates/buckthornmast_link/tests/frames.rs
+++ b/crates/buckthornmast_link/tests/frames.rs
@@ -86,3 +86,29 @@
         });
     }
 }
+
+/// Guards against builds that close the connection on messages with more fields at their end, or with fewer.
+#[test]
+fn receive_from_other_build() {
+    type Older = (String,);
+    type Newer = (String, Option<String>, Vec<u8>);
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let older = Link::<Older, Older>::connect(address, timing());
+        let (older, accepted) = tokio::join!(older, listener.accept());
+        let (stream, peer) = accepted.unwrap();
+        let newer = Link::<Newer, Newer>::start(stream, peer, timing()).unwrap();
+        let older = older.unwrap();
+        assert!(older.outbox.send(&("old".to_owned(),)));
+        let received = newer.inbox.recv_async().await.unwrap();
+        assert_eq!(received, ("old".to_owned(), None, Vec::new()));
+        assert!(
+            newer
+                .outbox
+                .send(&("new".to_owned(), Some("more".to_owned()), vec![7]))
+        );
+        let received = older.inbox.recv_async().await.unwrap();
+        assert_eq!(received, ("new".to_owned(),));
+    });
+}
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -17,6 +17,7 @@
 use buckthornmast_discovery::roster::{Member, Roster};
 use buckthornmast_fleet::registry::{Merge, Registry, Update};
 use buckthornmast_link::{Link, Outbox, Timing};
+use buckthornmast_origin::record as origin;
 use buckthornmast_quarantine::ledger::Ledger;
 use buckthornmast_routes::register::{Revision, Text};
 use buckthornmast_types::{
@@ -34,7 +35,7 @@
     controller::{Controller, Leadership, permits::Requester},
     dial::Connections,
     memory::{self, Store},
-    message::{Downstream, Liveness, Upstream},
+    message::{Downstream, Liveness, UNDERSTANDS_ORIGINS, Upstream},
     platform::{Fence, Platform},
     replica::{self, Outboxes, Replica},
     settings::{Bounds, Service, Settings},
@@ -109,6 +110,8 @@
     unsent: BTreeMap<id::Target, Unsent>,
     // Crashes of targets with the requests that are suspected, from all entry instances.
     crashes: Ledger,
+    // Versions that began streams.
+    origins: origin::Memory,
     // Number of trials of quarantined parts that this instance has permitted.
     trials: usize,
 }
@@ -263,7 +266,7 @@
         if state.entry_count != entry_count {
             state.entry_count = entry_count;
             self.subscribers
-                .send_entries(&Downstream::EntryCount(entry_count));
+                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_ORIGINS));
         }
         drop(state);
         self.connections.set(&addresses, self);
@@ -559,7 +562,7 @@
         }
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
-            Downstream::EntryCount(state.entry_count),
+            Downstream::EntryCount(state.entry_count, UNDERSTANDS_ORIGINS),
             Downstream::targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
@@ -631,6 +634,18 @@
                     let _ = outbox.send(&Downstream::Grant { number, answer });
                 }
             }
+            Upstream::Origins(records) => {
+                let now = self.clock.now();
+                let origins = &mut self.state.borrow_mut().origins;
+                for record in records {
+                    origins.record(record, now);
+                }
+            }
+            Upstream::OriginRequest { number, key } => {
+                let mark = self.state.borrow().origins.get(key);
+                // An entry instance that has disconnected needs no answer.
+                let _ = outbox.send(&Downstream::Origin { number, mark });
+            }
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
                 let now = self.clock.now();
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -79,7 +79,8 @@
             Downstream::Ordered(target) => self.controller.record_ordered(target),
             // Routes arrive through the log, and only entry instances need the rest.
             Downstream::Routes(_)
-            | Downstream::EntryCount(_)
+            | Downstream::EntryCount(..)
+            | Downstream::Origin { .. }
             | Downstream::Placements(_)
             | Downstream::Leadership(_)
             | Downstream::CopyGrant { .. }
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -32,7 +32,7 @@
 use crate::{
     dial::{Connections, Dialer},
     http::{Handler, empty_response},
-    message::{Downstream, Liveness, Upstream, with_versions},
+    message::{Downstream, Liveness, UNDERSTANDS_ORIGINS, Upstream, with_versions},
     platform::Platform,
     settings::Settings,
     supplier::Shared,
@@ -45,6 +45,10 @@
 /// trial, and one that missed the refutation passes the quarantine on.
 const QUARANTINE_REPORT_TICKS: u64 = 25;
 
+/// Age up to which the versions of streams are reported to an instance of the core that may have lost them. Callers go on
+/// with no older streams.
+const ORIGIN_AGE: Duration = Duration::from_secs(60);
+
 /// Time before the end of the grace period of a stop from which requests that still wait for a target are refused, so
 /// that the response arrives before this instance ends.
 const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(2000);
@@ -122,6 +126,7 @@
                 roster.prune(now);
                 roster.addresses()
             };
+            self.supplier.0.set_core_size(addresses.len());
             self.connections.set(&addresses, &self);
             self.supplier.0.report();
             {
@@ -187,7 +192,14 @@
             Downstream::Roster(entries) => {
                 self.roster.borrow_mut().merge(&entries, now);
             }
-            Downstream::EntryCount(entry_count) => state.set_instances(entry_count),
+            Downstream::EntryCount(entry_count, features) => {
+                state.set_instances(entry_count);
+                if features >= UNDERSTANDS_ORIGINS && self.supplier.0.add_origin_keeper(peer) {
+                    let records = state.origins.recent(ORIGIN_AGE, now);
+                    self.supplier.0.report_origins(peer, records);
+                }
+            }
+            Downstream::Origin { number, mark } => self.supplier.0.answer_origin(number, mark),
             Downstream::Routes(text) => match self.platform.decode_document(&text.body) {
                 Ok(document) => {
                     if state.set_routes(document) {
--- a/crates/buckthornmast_node/src/memory.rs
+++ b/crates/buckthornmast_node/src/memory.rs
@@ -21,6 +21,8 @@
 use buckthornmast_types::time::Point;
 use tokio::sync::watch;
 
+use crate::message::with_versions;
+
 /// Name of the file in the data folder.
 pub const FILE_NAME: &str = "targets";
 
@@ -177,8 +179,13 @@
     }
 }
 
+/// Encodes the targets, followed by their versions, which older builds pass over.
 fn encode(updates: &[Update]) -> Option<Vec<u8>> {
-    let body = postcard::to_stdvec(updates).ok()?;
+    let versions = updates.iter();
+    let versions: Vec<_> = versions
+        .map(|update| update.announcement.version.clone())
+        .collect();
+    let body = postcard::to_stdvec(&(updates, versions)).ok()?;
     let mut bytes = crc32fast::hash(&body).to_le_bytes().to_vec();
     bytes.extend_from_slice(&body);
     Some(bytes)
@@ -189,5 +196,8 @@
     if crc32fast::hash(body).to_le_bytes() != *checksum {
         return None;
     }
-    postcard::from_bytes(body).ok()
+    let (updates, rest) = postcard::take_from_bytes(body).ok()?;
+    // An older build stored no versions.
+    let versions = postcard::from_bytes(rest).unwrap_or_default();
+    Some(with_versions(updates, versions).collect())
 }
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -16,6 +16,7 @@
     account::{self, Answer},
     statement,
 };
+use buckthornmast_origin::record::{Key, Mark, Record};
 use buckthornmast_quarantine::{
     ledger::{Evidence, Notice},
     part,
@@ -95,6 +96,15 @@
         /// Targets and wait.
         request: account::Request,
     },
+    /// Reports which versions began streams.
+    Origins(Vec<Record>),
+    /// Asks which version began a stream.
+    OriginRequest {
+        /// Number of the request.
+        number: u64,
+        /// Stream.
+        key: Key,
+    },
 }
 
 /// Models and adapters of a target that requests may use.
@@ -133,14 +143,20 @@
     No,
 }
 
+/// States that an instance of the core understands [`Upstream::Origins`] and [`Upstream::OriginRequest`]. Older builds close
+/// a connection on which they are sent such messages.
+pub const UNDERSTANDS_ORIGINS: u8 = 1;
+
 /// Message from an instance of the core, to the instance that opened the connection.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Downstream {
     /// Instances of the core.
     Roster(Vec<Sighting>),
     /// Number of entry instances.
+    ///
+    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`] or nothing.
     #[serde(rename = "Entries")]
-    EntryCount(u32),
+    EntryCount(u32, u8),
     /// Routes in force.
     Routes(Text),
     /// Announcements of targets.
@@ -191,6 +207,13 @@
         /// Answer.
         answer: Answer,
     },
+    /// Answers which version began a stream, if it is known.
+    Origin {
+        /// Number of the request.
+        number: u64,
+        /// Version.
+        mark: Option<Mark>,
+    },
 }
 
 impl Downstream {
--- a/crates/buckthornmast_node/tests/subscribers.rs
+++ b/crates/buckthornmast_node/tests/subscribers.rs
@@ -38,10 +38,10 @@
             removed: Rc::clone(&removed),
         });
         for _ in 0..MAX_QUEUED_FRAMES {
-            subscribers.send(&Downstream::EntryCount(1));
+            subscribers.send(&Downstream::EntryCount(1, 0));
         }
         assert_eq!(subscribers.entry_count(), 1);
-        subscribers.send(&Downstream::EntryCount(2));
+        subscribers.send(&Downstream::EntryCount(2, 0));
         assert_eq!(subscribers.entry_count(), 0);
         timeout(HANG_TIMEOUT, removed.notified()).await.unwrap();
     });
