--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -190,7 +190,9 @@
         let mut state = self.forwarder.state.borrow_mut();
         match message {
             Downstream::Roster(entries) => {
-                self.roster.borrow_mut().merge(&entries, now);
+                let mut roster = self.roster.borrow_mut();
+                roster.merge(&entries, now);
+                self.supplier.0.set_core_size(roster.addresses().len());
             }
             Downstream::EntryCount(entry_count, features) => {
                 state.set_instances(entry_count);
