Log whole requests that are suspected once, at their entry instance

A target that ends takes some thirty plain requests with it, and each instance of the core logged every one. It still logs what is watched and refused.

--- a/crates/buckthornmast_node/src/core/quarantine.rs
+++ b/crates/buckthornmast_node/src/core/quarantine.rs
@@ -19,7 +19,13 @@
     /// Records a request that is suspected of the end of its target.
     pub(super) fn record_crash(&self, evidence: Evidence) {
         let now = self.clock.now();
-        log::info!(step = "quarantine", target:% = evidence.crash.target, born = evidence.crash.incarnation.0, parts:% = evidence.parts, is_stale = evidence.is_stale; "target ended as it began to answer a request; suspecting the request");
+        // A crash makes a suspect of each request at the target, and its entry instance has logged it.
+        let level = if evidence.request().is_some() {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        log::log!(level, step = "quarantine", target:% = evidence.crash.target, born = evidence.crash.incarnation.0, parts:% = evidence.parts, is_stale = evidence.is_stale; "target ended as it began to answer a request; suspecting the request");
         let suspected = evidence.parts.clone();
         let is_changed = self.state.borrow_mut().crashes.record_crash(evidence, now);
         if is_changed {
--- a/crates/buckthornmast_quarantine/src/ledger.rs
+++ b/crates/buckthornmast_quarantine/src/ledger.rs
@@ -89,7 +89,7 @@
     }
 
     /// Returns the request, if the evidence is against a whole request.
-    fn request(&self) -> Option<Part> {
+    pub fn request(&self) -> Option<Part> {
         let mut parts = self.parts.iter();
         parts.next().filter(|part| part.is_request())
     }
