--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,6 +1,7 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
 mod dialing;
+mod origins;
 mod quarantine;
 mod updates;
 
@@ -634,18 +635,8 @@
                     let _ = outbox.send(&Downstream::Grant { number, answer });
                 }
             }
-            Upstream::Origins(records) => {
-                let now = self.clock.now();
-                let origins = &mut self.state.borrow_mut().origins;
-                for record in records {
-                    origins.record(record, now);
-                }
-            }
-            Upstream::OriginRequest { number, key } => {
-                let mark = self.state.borrow().origins.get(key);
-                // An entry instance that has disconnected needs no answer.
-                let _ = outbox.send(&Downstream::Origin { number, mark });
-            }
+            Upstream::Origins(records) => self.record_origins(records),
+            Upstream::OriginRequest { number, key } => self.answer_origin(number, key, outbox),
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
                 let now = self.clock.now();
