--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -124,7 +124,7 @@
     pub advisories: Board,
     /// Rates that targets take from all instances together.
     pub limits: View,
-    /// Prompt parts on which targets crash.
+    /// Prompt parts and requests on which targets crash.
     pub guard: Guard,
     /// Versions that began the streams of this instance.
     pub origins: origin::Memory,
--- a/crates/buckthornmast_node/src/core/quarantine.rs
+++ b/crates/buckthornmast_node/src/core/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantines of prompt parts on which targets crash.
+//! Quarantines of prompt parts and of requests on which targets crash.
 //!
 //! Entry instances report suspects to every instance of the core, and each of these keeps a ledger and tells its quarantines
 //! to the entry instances, and to each instance of the core that connects. So evidence meets without a leader, and on either
