--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -97,6 +97,15 @@
         child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        if let Some(pid) = self.pid() {
+            let command = format!("kill -{signal} {pid}");
+            // The process may have ended already.
+            let _ = Command::new("sh").args(["-c", &command]).status();
+        }
+    }
+
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -118,6 +127,8 @@
     pub folder: PathBuf,
     root: PathBuf,
     record: Record,
+    // Time between SIGTERM and SIGKILL, in seconds.
+    grace: u64,
     pub cores: Vec<Machine>,
     pub entries: Vec<Machine>,
 }
@@ -155,6 +166,7 @@
                 .map(|number| machine(format!("entry-{}", number + 1), number, false))
                 .collect(),
             folder,
+            grace: 8,
             root: root.to_owned(),
             record: record.clone(),
         };
@@ -174,12 +186,7 @@
 
     /// Starts the process of a machine with its settings, unless it runs.
     pub fn start_machine(&mut self, is_core: bool, number: usize) {
-        let seeds: Vec<String> = self
-            .cores
-            .iter()
-            .take(3)
-            .map(|core| core.control().to_string())
-            .collect();
+        let seeds = self.seeds();
         let folder = self.folder.clone();
         let machine = if is_core {
             &mut self.cores[number]
@@ -189,9 +196,7 @@
         if machine.child.is_some() {
             return;
         }
-        let text = settings(machine, &seeds.join(","), &folder);
-        let file = folder.join(format!("{}.ini", machine.name));
-        fs::write(&file, text).expect("a settings file");
+        let file = write_settings(machine, &seeds, &folder, self.grace);
         machine.is_first_start = false;
         let log = folder.join(format!("{}.log", machine.name));
         let log = File::options().append(true).create(true).open(log);
@@ -212,6 +217,26 @@
         machine.child = Some(child);
     }
 
+    /// Changes `grace-s` in the settings of all entry machines, and tells their processes.
+    pub fn change_grace(&mut self, grace: u64) {
+        self.grace = grace;
+        let seeds = self.seeds();
+        for machine in &self.entries {
+            write_settings(machine, &seeds, &self.folder, grace);
+            self.record.line(&format!(
+                "{}: the settings now have a grace of {grace} s",
+                machine.name
+            ));
+            machine.signal("HUP");
+        }
+    }
+
+    fn seeds(&self) -> String {
+        let seeds = self.cores.iter().take(3);
+        let seeds: Vec<String> = seeds.map(|core| core.control().to_string()).collect();
+        seeds.join(",")
+    }
+
     /// Ends all processes with SIGKILL.
     pub fn kill_all(&mut self) {
         for machine in self.cores.iter_mut().chain(&mut self.entries) {
@@ -268,8 +293,19 @@
     }
 }
 
+/// Writes the settings file of a machine.
+fn write_settings(machine: &Machine, seeds: &str, folder: &Path, grace: u64) -> PathBuf {
+    let text = settings(machine, seeds, folder, grace);
+    let file = folder.join(format!("{}.ini", machine.name));
+    // Replaced at once, since the process may read it at any time.
+    let next = file.with_extension("next");
+    fs::write(&next, text).expect("a settings file");
+    fs::rename(&next, &file).expect("a settings file");
+    file
+}
+
 /// Returns the settings as the templates of the deploy file give them.
-fn settings(machine: &Machine, seeds: &str, folder: &Path) -> String {
+fn settings(machine: &Machine, seeds: &str, folder: &Path, grace: u64) -> String {
     let Machine { name, ip, zone, .. } = machine;
     let (role, listen, sections) = if machine.is_core {
         let data = folder.join(format!("disk-{name}"));
@@ -293,7 +329,7 @@
     };
     format!(
         "[instance]\nname = {name}\ndomain = {zone}\nrole = {role}\n\n[listen]\n{listen}metrics = {ip}:{METRICS_PORT}\n\n\
-         [seeds]\ncontrol = {seeds}\nport = {PEERS_PORT}\n\n{sections}\n[bounds]\ngrace = 8s\nturn = 3000ms\nfenced = true\n\
+         [seeds]\ncontrol = {seeds}\nport = {PEERS_PORT}\n\n{sections}\n[bounds]\ngrace = {grace}s\nturn = 3000ms\nfenced = true\n\
          extra-ratio = 0.2\nextra-burst = 52\n{window}descriptors = {descriptors}\n"
     )
 }
--- a/review/standin/src/oversized.rs
+++ b/review/standin/src/oversized.rs
@@ -10,7 +10,7 @@
     Outcome,
     deployment::{Addresses, Deployment},
     record::Record,
-    server::Server,
+    server::{EVENTS, Server},
     wire::{self, Message, name},
 };
 
@@ -46,6 +46,7 @@
     let document = include_str!("models.txt")
         .trim()
         .replace("VERSION", "1")
+        .replace("TIMEOUT", "12000")
         .replace("LIST", &models.join(","));
     if !deployment.publish(&document) {
         return Outcome::NotRun("the config was not acknowledged".to_owned());
@@ -63,6 +64,7 @@
                 deployment.controls(),
                 record,
                 models,
+                EVENTS,
             )
         })
         .collect();
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -32,9 +32,9 @@
 /// Time of a load from the weight store.
 const LOAD_TIME: Duration = Duration::from_millis(4200);
 
-/// Events of a stream and the pause between them.
-const EVENTS: u64 = 8;
-const EVENT_PAUSE: Duration = Duration::from_millis(31);
+/// Events of a stream, unless a case has longer ones, and the pause between them.
+pub const EVENTS: u64 = 8;
+pub const EVENT_PAUSE: Duration = Duration::from_millis(31);
 
 /// Models of an engine and its orders.
 #[derive(Default)]
@@ -60,6 +60,8 @@
     slots: usize,
     // Time that a request takes.
     work: Duration,
+    // Events of a stream.
+    events: u64,
     record: Record,
     sequence: AtomicU64,
     is_pinging: AtomicBool,
@@ -104,7 +106,7 @@
         controls: Vec<SocketAddr>,
         record: &Record,
     ) -> Self {
-        Self::start_with(id, service, zone, ip, work, controls, record, &[])
+        Self::start_with(id, service, zone, ip, work, controls, record, &[], EVENTS)
     }
 
     /// Starts a model engine that has some models from the beginning.
@@ -118,6 +120,7 @@
         controls: Vec<SocketAddr>,
         record: &Record,
         models: &[&str],
+        events: u64,
     ) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let server = Self(Arc::new(Shared {
@@ -127,6 +130,7 @@
             address: listener.local_addr().expect("an address"),
             slots: if models.is_empty() { 6 } else { 24 },
             work,
+            events,
             record: record.clone(),
             sequence: AtomicU64::new(0),
             is_pinging: AtomicBool::new(true),
@@ -351,10 +355,15 @@
         if out.write_all(head.as_bytes()).is_err() {
             return false;
         }
-        for number in last + 1..=EVENTS {
+        for number in last + 1..=self.0.events {
             let event = format!("id: {number}\ndata: word{number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if self.is_gone() || out.write_all(chunk.as_bytes()).is_err() {
+                let id = request.header(name("request"));
+                self.0.record.line(&format!(
+                    "{}: {id} was cut off before event {number}",
+                    self.0.id
+                ));
                 return false;
             }
             thread::sleep(EVENT_PAUSE);
