--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -32,9 +32,8 @@
 const PROGRAM: &str = "target/release/buckthornmast-node";
 const SETTINGS_VARIABLE: &str = "BUCKTHORNMAST_NODE_FILE";
 
-/// Files that an entry process may open (`max-fds`), on the sites and on the grown ones.
-pub const ENTRY_FILES: usize = 4200;
-pub const GROWN_ENTRY_FILES: usize = 4100;
+/// Files that an entry process may open (`max-fds`).
+const ENTRY_FILES: usize = 4200;
 
 /// Loopback addresses that are free on all ports of a machine.
 pub struct Addresses {
@@ -136,17 +135,6 @@
 impl Deployment {
     /// Starts four core machines and some entry machines, in four zones.
     pub fn start(root: &Path, record: &Record, addresses: &mut Addresses, entries: usize) -> Self {
-        Self::start_with(root, record, addresses, entries, ENTRY_FILES)
-    }
-
-    /// Starts such a deployment with entry processes that may open this number of files.
-    pub fn start_with(
-        root: &Path,
-        record: &Record,
-        addresses: &mut Addresses,
-        entries: usize,
-        entry_files: usize,
-    ) -> Self {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let mut machine = |name: String, number: usize, is_core: bool| Machine {
@@ -154,7 +142,7 @@
             ip: addresses.take(),
             zone: format!("zone-{}", number % 4 + 1),
             is_core,
-            files: if is_core { 4096 } else { entry_files },
+            files: if is_core { 4096 } else { ENTRY_FILES },
             is_first_start: true,
             child: None,
         };
--- a/review/standin/src/grace.rs
+++ b/review/standin/src/grace.rs
@@ -12,7 +12,7 @@
     Outcome,
     deployment::{Addresses, Deployment},
     record::Record,
-    server::{EVENT_PAUSE, Server},
+    server::{EVENT_PAUSE, EVENT_TOKENS, Server},
     wire::{self, name},
 };
 
@@ -34,10 +34,14 @@
     let document = include_str!("models.txt")
         .trim()
         .replace("VERSION", "1")
+        .replace("PLACES", "8")
         .replace("TIMEOUT", "20000")
         .replace(
             "LIST",
-            &include_str!("model.txt").trim().replace("NAME", "m1"),
+            &include_str!("model.txt")
+                .trim()
+                .replace("NAME", "m1")
+                .replace("ADAPTERS", "0"),
         );
     if !deployment.publish(&document) {
         return Outcome::NotRun("the config was not acknowledged".to_owned());
@@ -53,7 +57,6 @@
                 deployment.controls(),
                 record,
                 &["m1"],
-                EVENTS,
             )
         })
         .collect();
@@ -129,11 +132,12 @@
         ended: 0.0,
     };
     let head = format!(
-        "POST /chat/x HTTP/1.1\r\nHost: shop.example\r\n{}: {id}\r\n{}: 20000\r\n{}: m1\r\n{}: 715,400\r\n{}: a1:172,{number}:543\r\nContent-Length: 2\r\n\r\n{{}}",
+        "POST /chat/x HTTP/1.1\r\nHost: shop.example\r\n{}: {id}\r\n{}: 20000\r\n{}: m1\r\n{}: 715,{}\r\n{}: a1:172,{number}:543\r\nContent-Length: 2\r\n\r\n{{}}",
         name("request"),
         name("deadline"),
         name("model"),
         name("tokens"),
+        EVENTS * EVENT_TOKENS,
         name("prompt")
     );
     if let Some(mut connection) = wire::connect(callers, EVENT_PAUSE * 100)
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,7 +3,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
-mod channels;
+mod copy;
 mod deployment;
 mod forgotten;
 mod grace;
@@ -46,7 +46,7 @@
         if has_trouble { "with" } else { "without" }
     ));
     let outcome = match case.as_str() {
-        "channels" => channels::play(&root, &record, has_trouble),
+        "copy" => copy::play(&root, &record, has_trouble),
         "forgotten" => forgotten::play(&root, &record, has_trouble),
         "grace" => grace::play(&root, &record, has_trouble),
         "oversized" => oversized::play(&root, &record, has_trouble),
--- a/review/standin/src/oversized.rs
+++ b/review/standin/src/oversized.rs
@@ -10,7 +10,7 @@
     Outcome,
     deployment::{Addresses, Deployment},
     record::Record,
-    server::{EVENTS, Server},
+    server::Server,
     wire::{self, Message, name},
 };
 
@@ -41,11 +41,17 @@
     let models: Vec<String> = MODELS
         .iter()
         .flatten()
-        .map(|model| include_str!("model.txt").trim().replace("NAME", model))
+        .map(|model| {
+            include_str!("model.txt")
+                .trim()
+                .replace("NAME", model)
+                .replace("ADAPTERS", "0")
+        })
         .collect();
     let document = include_str!("models.txt")
         .trim()
         .replace("VERSION", "1")
+        .replace("PLACES", "8")
         .replace("TIMEOUT", "12000")
         .replace("LIST", &models.join(","));
     if !deployment.publish(&document) {
@@ -64,7 +70,6 @@
                 deployment.controls(),
                 record,
                 models,
-                EVENTS,
             )
         })
         .collect();
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -32,14 +32,25 @@
 /// Time of a load from the weight store.
 const LOAD_TIME: Duration = Duration::from_millis(4200);
 
-/// Events of a stream, unless a case has longer ones, and the pause between them.
-pub const EVENTS: u64 = 8;
+/// Adapters that fit into it, those that are being unloaded included, and the time of a load.
+const ADAPTER_PLACES: usize = 2;
+const ADAPTER_TIME: Duration = Duration::from_millis(6);
+
+/// Tokens in an event of a stream, and the pause between two events.
+pub const EVENT_TOKENS: u64 = 6;
 pub const EVENT_PAUSE: Duration = Duration::from_millis(31);
 
 /// Models of an engine and its orders.
 #[derive(Default)]
 struct Engine {
     models: Vec<String>,
+    // Adapters by model, those on their way from the store, and those that are unloaded once no request uses them.
+    adapters: Vec<(String, String)>,
+    coming: Vec<(String, String)>,
+    leaving: Vec<(String, String)>,
+    // Adapters of the requests in progress.
+    used: Vec<(String, String)>,
+    is_overloaded: bool,
     accepted: u64,
     fence: u64,
     is_busy: bool,
@@ -60,8 +71,6 @@
     slots: usize,
     // Time that a request takes.
     work: Duration,
-    // Events of a stream.
-    events: u64,
     record: Record,
     sequence: AtomicU64,
     is_pinging: AtomicBool,
@@ -72,13 +81,26 @@
     runs: Mutex<Vec<Run>>,
     connections: Mutex<Vec<TcpStream>>,
     engine: Mutex<Engine>,
+    // Whether the answer to the next report is sent a second time, before the next answer on its connection.
+    sends_copy: AtomicBool,
+    answers: AtomicU64,
 }
 
 /// Returns the models as announcements and reports list them.
-fn list(models: &[String]) -> String {
-    let models: Vec<String> = models
+fn list(engine: &Engine) -> String {
+    let models: Vec<String> = engine
+        .models
         .iter()
-        .map(|model| format!(r#"{{"name":"{model}","version":1,"adapters":[]}}"#))
+        .map(|model| {
+            let adapters = engine.adapters.iter().filter(|(of, _)| of == model);
+            let adapters: Vec<String> = adapters
+                .map(|(_, adapter)| format!("\"{adapter}\""))
+                .collect();
+            format!(
+                r#"{{"name":"{model}","version":1,"adapters":[{}]}}"#,
+                adapters.join(",")
+            )
+        })
         .collect();
     models.join(",")
 }
@@ -106,7 +128,7 @@
         controls: Vec<SocketAddr>,
         record: &Record,
     ) -> Self {
-        Self::start_with(id, service, zone, ip, work, controls, record, &[], EVENTS)
+        Self::start_with(id, service, zone, ip, work, controls, record, &[])
     }
 
     /// Starts a model engine that has some models from the beginning.
@@ -120,7 +142,6 @@
         controls: Vec<SocketAddr>,
         record: &Record,
         models: &[&str],
-        events: u64,
     ) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let server = Self(Arc::new(Shared {
@@ -130,7 +151,6 @@
             address: listener.local_addr().expect("an address"),
             slots: if models.is_empty() { 6 } else { 24 },
             work,
-            events,
             record: record.clone(),
             sequence: AtomicU64::new(0),
             is_pinging: AtomicBool::new(true),
@@ -143,6 +163,8 @@
                 models: models.iter().map(|model| (*model).to_owned()).collect(),
                 ..Engine::default()
             }),
+            sends_copy: AtomicBool::new(false),
+            answers: AtomicU64::new(0),
         }));
         let accepting = server.clone();
         thread::spawn(move || accepting.accept(&listener));
@@ -151,6 +173,27 @@
         server
     }
 
+    /// Adds an adapter that the engine has from the beginning.
+    pub fn add_adapter(&self, model: &str, adapter: &str) {
+        let place = (model.to_owned(), adapter.to_owned());
+        self.engine().adapters.push(place);
+    }
+
+    /// Sends the answer to the next report a second time, late: before the next answer on its connection.
+    pub fn send_copy(&self) {
+        self.0.sends_copy.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the engine was ordered to load more than it holds.
+    pub fn is_overloaded(&self) -> bool {
+        self.engine().is_overloaded
+    }
+
+    /// Returns the number of requests, reports and orders that the server has answered.
+    pub fn answers(&self) -> u64 {
+        self.0.answers.load(Ordering::SeqCst)
+    }
+
     pub fn id(&self) -> &str {
         &self.0.id
     }
@@ -206,7 +249,7 @@
             .replace("ZONE", &self.0.zone)
             .replace("SLOTS", &self.0.slots.to_string())
             .replace("STATE", state)
-            .replace("MODELS", &list(&self.engine().models))
+            .replace("MODELS", &list(&self.engine()))
             .replace("SEQUENCE", &sequence.to_string());
         let path = format!("{}{}", name("instances"), self.0.id);
         let answer = wire::call(control, "PUT", &path, &body);
@@ -254,8 +297,27 @@
             return;
         };
         let mut reader = BufReader::new(stream);
+        // Answer that is sent again before the next one.
+        let mut copy: Option<String> = None;
         while let Some(request) = wire::read(&mut reader) {
-            if self.is_gone() || !self.answer(&request, &mut writer) {
+            if self.is_gone() {
+                return;
+            }
+            if let Some(copy) = copy.take() {
+                self.0.record.line(&format!(
+                    "{} sends the answer to a report again, before that to {}",
+                    self.0.id, request.line
+                ));
+                if writer.write_all(copy.as_bytes()).is_err() {
+                    return;
+                }
+            }
+            let is_report = request.path() == "/report";
+            if is_report && self.0.sends_copy.swap(false, Ordering::SeqCst) {
+                copy = Some(answer_text(200, &self.keep_alive(), &self.report()));
+            }
+            self.0.answers.fetch_add(1, Ordering::SeqCst);
+            if !self.answer(&request, &mut writer) {
                 return;
             }
         }
@@ -275,36 +337,41 @@
             return respond(out, 421, &headers, "");
         }
         if request.path() == "/report" {
-            let engine = self.engine();
-            let body = REPORT
-                .trim()
-                .replace("MODELS", &list(&engine.models))
-                .replace("BUSY", &engine.is_busy.to_string())
-                .replace("SEQUENCE", &engine.accepted.to_string())
-                .replace(
-                    "RUNNING",
-                    &self.0.running.load(Ordering::SeqCst).to_string(),
-                )
-                .replace("CAPACITY", &CAPACITY.to_string());
-            return respond(out, 200, &leaving, &body);
+            return respond(
+                out,
+                200,
+                &format!("{}{leaving}", self.keep_alive()),
+                &self.report(),
+            );
         }
         if request.path() == "/order" {
             let status = self.order(&String::from_utf8_lossy(&request.body));
-            return respond(out, status, &leaving, "");
+            if self.is_gone() {
+                return false;
+            }
+            return respond(out, status, &format!("{}{leaving}", self.keep_alive()), "");
         }
         if id.is_empty() {
             return respond(out, 400, &format!("{}: 1\r\n", name("refusal")), "");
         }
-        let model = request.header(name("model"));
+        let item = request.header(name("model"));
+        let (model, adapter) = item.split_once('/').unwrap_or((item, ""));
+        let place = (model.to_owned(), adapter.to_owned());
         if !model.is_empty() {
             let refusal = format!(
                 "{}: {id}\r\n{}: 1\r\n{leaving}",
                 name("request"),
                 name("refusal")
             );
-            if !self.engine().models.iter().any(|known| known == model) {
+            let engine = self.engine();
+            let has_adapter = adapter.is_empty() || engine.adapters.contains(&place);
+            if !engine.models.iter().any(|known| known == model) || !has_adapter {
                 return respond(out, 421, &refusal, "");
             }
+            if engine.leaving.contains(&place) {
+                return respond(out, 503, &refusal, "");
+            }
+            drop(engine);
             let tokens: u64 = request
                 .header(name("tokens"))
                 .split(',')
@@ -343,7 +410,74 @@
         if model.is_empty() {
             return respond(out, 200, &headers, &format!("done {id}"));
         }
-        self.stream(request, &headers, out)
+        self.engine().used.push(place.clone());
+        let is_kept = self.stream(request, &headers, out);
+        let mut engine = self.engine();
+        if let Some(at) = engine.used.iter().position(|used| *used == place) {
+            engine.used.remove(at);
+        }
+        if !engine.used.contains(&place) && engine.leaving.contains(&place) {
+            engine.leaving.retain(|leaving| *leaving != place);
+            engine.adapters.retain(|known| *known != place);
+        }
+        is_kept
+    }
+
+    fn report(&self) -> String {
+        let engine = self.engine();
+        REPORT
+            .trim()
+            .replace("MODELS", &list(&engine))
+            .replace("BUSY", &engine.is_busy.to_string())
+            .replace("SEQUENCE", &engine.accepted.to_string())
+            .replace(
+                "RUNNING",
+                &self.0.running.load(Ordering::SeqCst).to_string(),
+            )
+            .replace("CAPACITY", &CAPACITY.to_string())
+    }
+
+    /// Returns the header with the time after which an idle connection is closed.
+    fn keep_alive(&self) -> String {
+        "Keep-Alive: timeout=10\r\n".to_owned()
+    }
+
+    /// Takes an order for an adapter and returns the status of the answer.
+    fn order_adapter(&self, engine: &mut Engine, op: &str, place: (String, String)) -> u16 {
+        let has = engine.adapters.contains(&place) || engine.coming.contains(&place);
+        if has == (op == "load") && !engine.leaving.contains(&place) {
+            return 200;
+        }
+        if !engine.models.contains(&place.0) {
+            return 400;
+        }
+        engine.accepted += 1;
+        if op == "load" {
+            let taken = engine.adapters.len() + engine.coming.len();
+            if taken >= ADAPTER_PLACES {
+                engine.is_overloaded = true;
+                self.0.record.line(&format!(
+                    "{} is ordered to load {}/{} while {taken} adapters take its {ADAPTER_PLACES} places, and crashes",
+                    self.0.id, place.0, place.1
+                ));
+                return 0;
+            }
+            engine.coming.push(place.clone());
+            let server = self.clone();
+            thread::spawn(move || {
+                thread::sleep(ADAPTER_TIME);
+                let mut engine = server.engine();
+                engine.coming.retain(|coming| *coming != place);
+                engine.adapters.push(place);
+            });
+            return 202;
+        }
+        if engine.used.contains(&place) {
+            engine.leaving.push(place);
+            return 202;
+        }
+        engine.adapters.retain(|known| *known != place);
+        200
     }
 
     /// Answers with a stream of events.
@@ -355,7 +489,11 @@
         if out.write_all(head.as_bytes()).is_err() {
             return false;
         }
-        for number in last + 1..=self.0.events {
+        let tokens = request.header(name("tokens")).split(',').nth(1);
+        let tokens: u64 = tokens
+            .and_then(|text| text.trim().parse().ok())
+            .unwrap_or(0);
+        for number in last + 1..=(tokens / EVENT_TOKENS).max(1) {
             let event = format!("id: {number}\ndata: word{number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if self.is_gone() || out.write_all(chunk.as_bytes()).is_err() {
@@ -390,6 +528,19 @@
         if engine.is_busy || expected.is_some_and(|expected| expected != engine.accepted) {
             return 409;
         }
+        if let Some(adapter) = field(body, "adapter") {
+            let status =
+                self.order_adapter(&mut engine, op, (model.to_owned(), adapter.to_owned()));
+            drop(engine);
+            self.0.record.line(&format!(
+                "{} is ordered: {op} {model}/{adapter}: {status}",
+                self.0.id
+            ));
+            if status == 0 {
+                self.exit();
+            }
+            return status;
+        }
         let has_model = engine.models.iter().any(|known| known == model);
         if has_model == (op == "load") {
             return 200;
@@ -422,10 +573,14 @@
     }
 }
 
-fn respond(out: &mut TcpStream, status: u16, headers: &str, body: &str) -> bool {
-    let text = format!(
+fn answer_text(status: u16, headers: &str, body: &str) -> String {
+    format!(
         "HTTP/1.1 {status} Status\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
-    );
-    out.write_all(text.as_bytes()).is_ok()
+    )
+}
+
+fn respond(out: &mut TcpStream, status: u16, headers: &str, body: &str) -> bool {
+    out.write_all(answer_text(status, headers, body).as_bytes())
+        .is_ok()
 }
