node: store departures of targets on disks before they are acknowledged

Callers saw: after a kill of all processes, requests went to targets whose withdrawal had been answered 200.

Cause: a departure was acknowledged once another instance of the core had it in memory. On disk it was only a missing line in the file of targets of the instance that was called; the others wrote theirs up to 0.7 s later, and restored the target as ready.

Fix: each instance has a file of departures. It acknowledges a departure to the others once its disk has it, and the target's call is answered 200 once `losses` + 1 instances have. A restored departure keeps its sequence number, so it beats copies of the target that others have restored as ready. The same holds for repeated announcements of a departure, which were answered without any replication, and for an instance that knows no other.

Tests that opened the store by a path name its folder and content now; their checks are unchanged.

--- a/crates/buckthornmast_fleet/src/registry.rs
+++ b/crates/buckthornmast_fleet/src/registry.rs
@@ -174,22 +174,31 @@
         }
     }
 
-    /// Restores a target from before a restart. Its next announcement is accepted whatever its sequence number.
+    /// Restores a target from before a restart, unless a newer incarnation of it is known. The next announcement of one that
+    /// took new work is accepted whatever its sequence number. One that was leaving goes on leaving, whatever other
+    /// instances have restored.
     pub fn restore(&mut self, update: Update, now: Point) {
         let Update {
             mut announcement,
             withdrawn,
         } = update;
-        announcement.sequence = 0;
+        let known = self.entries.get(&announcement.target);
+        if known.is_some_and(|known| known.announcement.incarnation >= announcement.incarnation) {
+            return;
+        }
+        let is_leaving = withdrawn || announcement.state != State::Ready;
+        if !is_leaving {
+            announcement.sequence = 0;
+        }
         let entry = Entry {
             is_withdrawn: withdrawn,
             last_heard: now,
-            leaving_since: None,
-            is_restored: true,
+            leaving_since: is_leaving.then_some(now),
+            is_restored: !is_leaving,
             announcement,
         };
         let target = entry.announcement.target.clone();
-        self.entries.entry(target).or_insert(entry);
+        self.entries.insert(target, entry);
     }
 
     /// Withdraws the restored targets that have not been heard of since, and returns the updates for other instances.
--- a/crates/buckthornmast_node/src/control.rs
+++ b/crates/buckthornmast_node/src/control.rs
@@ -5,7 +5,7 @@
 use buckthornmast_consensus::prelude::{ConfirmError, ProposeError};
 use buckthornmast_fleet::{
     announcement::{Announcement, State},
-    registry::Update,
+    registry::{Merge, Update},
 };
 use buckthornmast_routes::{
     document::Document,
@@ -81,7 +81,8 @@
             withdrawn: false,
         };
         let merge = self.0.merge(update.clone(), true);
-        if leaves && merge == buckthornmast_fleet::registry::Merge::Changed {
+        // The target calls again after an answer that was lost or was an error, here or at another instance.
+        if leaves && (merge == Merge::Changed || !self.0.is_departure_stored(&update)) {
             return self.replicate(update).await;
         }
         json("{}")
@@ -100,10 +101,10 @@
         if self.0.replicate(update).await {
             return json("{}");
         }
-        log::warn!(step = "target", target:% = target; "no other instance acknowledged that the target leaves; answering its call with 503");
+        log::warn!(step = "target", target:% = target; "too few instances have stored that the target leaves; answering its call with 503");
         error_response(
             StatusCode::SERVICE_UNAVAILABLE,
-            "not noted by another instance yet",
+            "not stored by enough instances yet",
         )
     }
 
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,5 +1,6 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
+mod departures;
 mod dialing;
 mod origins;
 mod quarantine;
@@ -16,7 +17,7 @@
 
 use buckthornmast_consensus::prelude::{Pool, Role};
 use buckthornmast_discovery::roster::{Member, Roster};
-use buckthornmast_fleet::registry::{Merge, Registry, Update};
+use buckthornmast_fleet::registry::{Entry, Merge, Registry, Update};
 use buckthornmast_link::{Link, Outbox, Timing};
 use buckthornmast_origin::{history::History, record as origin};
 use buckthornmast_quarantine::ledger::Ledger;
@@ -27,7 +28,7 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::{Notify, oneshot},
+    sync::Notify,
     time::{sleep, timeout},
 };
 
@@ -37,8 +38,9 @@
 };
 use crate::{
     controller::{Controller, Leadership, permits::Requester},
+    departure::{Departure, Departures},
     dial::Connections,
-    memory::{self, Store},
+    memory::{Content, Store},
     message::{Downstream, Liveness, UNDERSTANDS_ORIGINS, Upstream},
     observe::ReplicaGauge,
     platform::{Fence, Platform},
@@ -75,13 +77,6 @@
 /// Time limit for the first message on a new connection, which introduces the peer.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time limit for writing the file of targets.
-const SAVE_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Time limit for another instance to acknowledge that a target leaves. The target itself waits a second for the
-/// answer.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time after which an unresponsive voter is replaced, longer than a usual restart.
 const VOTER_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -96,20 +91,13 @@
 /// Term of the very first leader; no orders were sent before it.
 const FIRST_TERM: id::Term = id::Term(1);
 
-/// Wait for the acknowledgement of an update about a target by another instance.
-struct AcknowledgementWaiter {
-    target: id::Target,
-    incarnation: id::Incarnation,
-    acknowledged: oneshot::Sender<()>,
-}
-
 #[derive(Default)]
 struct State {
     roster: Roster,
     registry: Registry,
     // When a target last contacted this instance directly.
     last_contact: BTreeMap<id::Target, Point>,
-    waiters: Vec<AcknowledgementWaiter>,
+    departures: Departures,
     routes_version: Option<Revision>,
     services: Option<BTreeSet<id::Service>>,
     leading_term: Option<id::Term>,
@@ -142,7 +130,9 @@
     subscribers: Rc<Subscribers>,
     controller: Rc<Controller<P>>,
     connections: Connections,
+    // Files of the targets that take new work, and of those that leave.
     store: Store,
+    departures: Store,
     monitor: Monitor,
     gauge: ReplicaGauge,
     state: RefCell<State>,
@@ -175,8 +165,11 @@
         };
         let founders = settings.seeds.iter().copied();
         let founders = founders.filter_map(Settings::member_name);
-        let store = Store::new(data.join(memory::FILE_NAME));
-        let registry = store.load(Point::ZERO);
+        let store = Store::new(&data, Content::Ready);
+        let departures = Store::new(&data, Content::Leaving);
+        let mut registry = Registry::default();
+        departures.restore(&mut registry, Point::ZERO);
+        store.restore(&mut registry, Point::ZERO);
         let monitor = Monitor::new(data.clone());
         let config = replica::Config {
             member,
@@ -204,6 +197,7 @@
             subscribers,
             connections: Connections::default(),
             store,
+            departures,
             monitor,
             gauge: ReplicaGauge::default(),
             state: RefCell::new(State {
@@ -233,7 +227,11 @@
         self.send_unsent();
         self.replica.reopen_if_failed(now);
         if tick % SAVE_INTERVAL_TICKS == SAVE_INTERVAL_TICKS - 1 {
-            self.store.save(&self.state.borrow().registry);
+            let state = self.state.borrow();
+            // Lost targets announce themselves again.
+            self.store.save(&state.registry);
+            // New departures are stored at once. This removes those that are forgotten, and repeats a failed write.
+            self.departures.save(&state.registry);
         }
         self.tick_leader(now);
         if tick.is_multiple_of(MEASURE_INTERVAL_TICKS) {
@@ -251,9 +249,11 @@
             let State {
                 registry,
                 last_contact,
+                departures,
                 ..
             } = &mut *state;
             last_contact.retain(|target, _| registry.get(target).is_some());
+            departures.retain(|target| registry.get(target).is_some());
             if tick == RESTORED_RETENTION_TICKS {
                 let removed = state.registry.withdraw_unheard();
                 drop(state);
@@ -446,6 +446,10 @@
         }
         state.see_version(&update.announcement.target, now);
         let merge = state.registry.merge(update.clone(), Duration::ZERO, now);
+        let entry = state.registry.get(&update.announcement.target);
+        if entry.is_some_and(Entry::is_ready) {
+            state.departures.forget(&update.announcement.target);
+        }
         state.see_version(&update.announcement.target, now);
         drop(state);
         if matches!(merge, Merge::Changed | Merge::Inventory) {
@@ -474,49 +478,6 @@
         Some(update)
     }
 
-    /// Replicates an update about a target that leaves to the rest of the core, and waits until another instance has
-    /// acknowledged it, so that the update survives the loss of this instance.
-    pub(crate) async fn replicate(&self, update: Update) -> bool {
-        let (acknowledged, acknowledgement) = oneshot::channel();
-        self.state.borrow_mut().waiters.push(AcknowledgementWaiter {
-            target: update.announcement.target.clone(),
-            incarnation: update.announcement.incarnation,
-            acknowledged,
-        });
-        let is_alone = !self.subscribers.has_core();
-        self.subscribers
-            .send_cores(&Downstream::targets(vec![update]));
-        let saving = self.store.save_and_wait(&self.state.borrow().registry);
-        // A disk that hangs must not delay the answer for long: the acknowledgement of another instance is sufficient.
-        if timeout(SAVE_TIMEOUT, saving).await.is_err() {
-            log::warn!(step = "persist"; "the file of targets was not written in time; no longer waiting for it");
-        }
-        if is_alone {
-            // No instance of the core is connected, but the roster may list some that can't be reached.
-            return self.state.borrow().roster.members().count() <= 1;
-        }
-        matches!(
-            timeout(ACKNOWLEDGE_TIMEOUT, acknowledgement).await,
-            Ok(Ok(()))
-        )
-    }
-
-    fn acknowledge(&self, target: &id::Target, incarnation: id::Incarnation) {
-        let mut state = self.state.borrow_mut();
-        let is_acknowledged = |waiter: &mut AcknowledgementWaiter| {
-            waiter.target == *target && waiter.incarnation == incarnation
-        };
-        let acknowledged: Vec<AcknowledgementWaiter> =
-            state.waiters.extract_if(.., is_acknowledged).collect();
-        state
-            .waiters
-            .retain(|waiter| !waiter.acknowledged.is_closed());
-        for waiter in acknowledged {
-            // The wait may have timed out.
-            let _ = waiter.acknowledged.send(());
-        }
-    }
-
     /// Accepts connections of other instances.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
         loop {
@@ -629,7 +590,15 @@
             Upstream::Acknowledge {
                 target,
                 incarnation,
-            } => self.acknowledge(&target, incarnation),
+            } => {
+                if let Some(from) = from {
+                    let departure = Departure {
+                        target,
+                        incarnation,
+                    };
+                    self.record_stored(&departure, from);
+                }
+            }
             Upstream::Demand(rows) => self.controller.add_demand(&rows),
             Upstream::CopyRequest { number, item } => {
                 let controller = Rc::clone(&self.controller);
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use buckthornmast_fleet::announcement;
+use buckthornmast_fleet::registry::Update;
 use buckthornmast_link::Outbox;
 use buckthornmast_types::{id, time::Clock};
 
@@ -50,17 +50,12 @@
                 }
             }
             Downstream::Targets(updates, versions) => {
-                for update in with_versions(updates, versions) {
-                    let leaves =
-                        update.withdrawn || update.announcement.state != announcement::State::Ready;
-                    let acknowledgement = Upstream::Acknowledge {
-                        target: update.announcement.target.clone(),
-                        incarnation: update.announcement.incarnation,
-                    };
-                    self.merge(update, false);
-                    if leaves && let Some(instance) = self.instance_at(peer) {
-                        self.outboxes.send_message(&instance, acknowledgement);
-                    }
+                let updates: Vec<Update> = with_versions(updates, versions).collect();
+                for update in &updates {
+                    self.merge(update.clone(), false);
+                }
+                if let Some(instance) = self.instance_at(peer) {
+                    self.store_departures(&instance, &updates);
                 }
             }
             Downstream::Liveness(liveness) => {
--- a/crates/buckthornmast_node/src/lib.rs
+++ b/crates/buckthornmast_node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod controller;
 pub mod core;
+pub mod departure;
 pub mod dial;
 pub mod entry;
 pub mod http;
--- a/crates/buckthornmast_node/tests/origins.rs
+++ b/crates/buckthornmast_node/tests/origins.rs
@@ -5,7 +5,7 @@
 
 use buckthornmast_fleet::prelude::*;
 use buckthornmast_node::{
-    memory::Store,
+    memory::{Content, Store},
     message::{Downstream, UNDERSTANDS_ORIGINS, Upstream, with_versions},
 };
 use buckthornmast_origin::prelude::*;
@@ -84,7 +84,8 @@
         let mut bytes = crc32fast::hash(&body).to_le_bytes().to_vec();
         bytes.extend_from_slice(&body);
         fs::write(&file, bytes).unwrap();
-        let registry = Store::new(file.clone()).load(Point::ZERO);
+        let mut registry = Registry::default();
+        Store::new(folder.path(), Content::Ready).restore(&mut registry, Point::ZERO);
         let entries = registry.entries();
         let versions = entries.map(|entry| entry.announcement.version.clone());
         versions.collect::<Vec<_>>()
