platform, node, http: test answers that are cut within their heads

Report of another operator: an engine stopped in the middle of its answer's head, and clients got a 200 with a short body that was framed as whole.

The reason: each answer is read by one parser, which reports a connection that ends before the empty line as an error, and an attempt that fails so is answered 502 or by another target.

--- a/crates/buckthornmast_http/tests/clients.rs
+++ b/crates/buckthornmast_http/tests/clients.rs
@@ -539,3 +539,47 @@
     }
     assert!(lost.is_empty(), "{} lost: {:?}", lost.len(), lost.first());
 }
+
+/// Answers by their heads and bodies.
+const ANSWERS: [(&str, &str); 4] = [
+    (
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX: a\r\n\r\n",
+        "done",
+    ),
+    (
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "4\r\ndone\r\n0\r\n\r\n",
+    ),
+    ("HTTP/1.1 200 OK\r\nX: a\r\n\r\n", ""),
+    (
+        "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+        "done",
+    ),
+];
+
+/// Guards against an answer that was cut within its head, or later, and counts as whole.
+#[test]
+fn send_cut_answer() {
+    for (head, body) in ANSWERS {
+        let whole = format!("{head}{body}");
+        for length in 0..whole.len() {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            let part = whole[..length].to_owned();
+            let server = thread::spawn(move || {
+                let (mut stream, _) = listener.accept().unwrap();
+                let _ = stream.read(&mut [0; 512]).unwrap();
+                let middle = part.len() / 2;
+                stream.write_all(&part.as_bytes()[..middle]).unwrap();
+                // The head arrives in two pieces.
+                thread::sleep(Duration::from_millis(1));
+                stream.write_all(&part.as_bytes()[middle..]).unwrap();
+            });
+            let read = get(address).ok().map(|mut answer| answer.read_to_end(100));
+            server.join().unwrap();
+            let is_whole = matches!(&read, Some(Ok(_)));
+            assert!(!is_whole, "{:?}: {read:?}", &whole[..length]);
+            assert!(length >= head.len() || read.is_none());
+        }
+    }
+}
--- a/crates/buckthornmast_node/tests/orders.rs
+++ b/crates/buckthornmast_node/tests/orders.rs
@@ -61,6 +61,24 @@
     }
 }
 
+/// Heads of answers without a body of their own, whose parts must not pass for the whole.
+const HEADS: [&str; 3] = [
+    "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nX: a\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\nHTTP/1.1 202 Accepted\r\nConnection: close\r\n\r\n",
+];
+
+/// Guards against an order that counts as accepted, or a report that counts, though its answer was cut within its head.
+#[test]
+fn exchange_cut_head() {
+    for head in HEADS {
+        // All but the last byte of the empty line at the end.
+        for length in 0..head.len() {
+            block_on(assert_unanswered(&head[..length], End::Close));
+        }
+    }
+}
+
 /// Guards against an answer that is refused because only the end of its connection ends it.
 #[test]
 fn exchange_until_close() {
