forward: send a request during a stop only if it can end in time

Cause: a stop knew only one time, 2 s before the end, from which nothing was sent; what a request takes was not asked.

Fix: a plan of the stop, a pure module. A request is sent, waits for a place or moves to another target only if it is expected to be answered before the connections are closed: by the longest of the last 16 answers of its route, the mean of its target, and the wait there.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -7,7 +7,7 @@
 mod judgement;
 mod receive;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use buckthornmast_routing::attempt::Dispatch;
 use buckthornmast_types::{id, time::Clock};
@@ -167,7 +167,7 @@
         after: Option<u64>,
         wait_limit: Option<Duration>,
     ) -> Result<Reply, Failure> {
-        let mut in_flight = InFlight::start(self, member);
+        let mut in_flight = InFlight::start(self, member, Arc::clone(&context.route));
         let deadline = self.clock.now() + context.time_left(self.clock.now());
         let result = {
             let mut begin =
--- a/crates/buckthornmast_forward/src/exchange/in_flight.rs
+++ b/crates/buckthornmast_forward/src/exchange/in_flight.rs
@@ -1,7 +1,8 @@
 //! Requests in flight, as the load statistics and the pool of connections see them.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
+use buckthornmast_routes::document::Route;
 use buckthornmast_types::{
     id,
     time::{Clock, Point, System},
@@ -24,6 +25,7 @@
     pub target: id::Target,
     /// Incarnation of the target.
     pub incarnation: id::Incarnation,
+    route: Arc<Route>,
     started: Point,
     first_event_time: Option<Duration>,
     is_ended: bool,
@@ -31,7 +33,11 @@
 
 impl InFlight {
     /// Records a dispatch to a target.
-    pub(super) fn start<M, S>(forwarder: &Forwarder<M, S>, member: &Member) -> Self {
+    pub(super) fn start<M, S>(
+        forwarder: &Forwarder<M, S>,
+        member: &Member,
+        route: Arc<Route>,
+    ) -> Self {
         let now = forwarder.clock.now();
         let mut state = forwarder.state.borrow_mut();
         state
@@ -42,6 +48,7 @@
             clock: forwarder.clock,
             target: member.target.clone(),
             incarnation: member.incarnation,
+            route,
             started: now,
             first_event_time: None,
             is_ended: false,
@@ -85,6 +92,9 @@
         if !std::mem::replace(&mut self.is_ended, true) {
             let now = self.clock.now();
             let mut state = self.state.borrow_mut();
+            if let Ended::Answered { total_time, .. } = ended {
+                state.route_times.record(&self.route.name, total_time);
+            }
             state
                 .stats
                 .record_end(&self.target, self.incarnation, ended, now);
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod server;
 pub mod state;
 pub mod stats;
+pub mod stop;
 pub mod stream;
 pub mod supply;
 pub mod transfer;
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -63,6 +63,8 @@
     VersionGone,
     /// The deadline of the answer has passed.
     Deadline,
+    /// This instance stops before the answer is expected.
+    Stopping,
     /// A target refused the request, and no further attempt is allowed.
     TargetRefused,
     /// No target could be reached, and no further attempt is allowed.
@@ -84,6 +86,7 @@
             Self::UnknownOrigin => "the version that began the stream is not known",
             Self::VersionGone => "no target of the version that began the stream is left",
             Self::Deadline => "the deadline has passed",
+            Self::Stopping => "this instance stops before the answer is expected",
             Self::TargetRefused => "the target refused the request",
             Self::Unreachable => "the target can't be reached",
         }
@@ -98,6 +101,8 @@
             | Self::VersionGone
             | Self::Deadline => NO_TARGET_RETRY_AFTER,
             Self::CannotLoad => MAX_FULL_RETRY_AFTER,
+            // Another instance can take the request now.
+            Self::Stopping => MIN_RETRY_AFTER,
             Self::Loading { remaining } | Self::Paused { remaining } => {
                 remaining.max(MIN_RETRY_AFTER)
             }
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -25,6 +25,7 @@
     mapping::{Generation, Mapping},
     refusal::Refusal,
     state::Member,
+    stats::TargetStats,
     supply::{Availability, Item, Permit, PermitRequest, Supply},
     wait_limit,
 };
@@ -102,6 +103,15 @@
 
     /// Selects a target, and waits for one if an answer is still possible in time.
     pub async fn select_target(&self, context: &mut Context) -> Result<Chosen, Refusal> {
+        let chosen = self.find_target(context).await?;
+        if self.ends_before_stop(context, &chosen) {
+            return Ok(chosen);
+        }
+        log::info!(step = "stop", request:% = context.head.request, target:% = chosen.member.target, wait_ms = millis(chosen.basis.wait); "the target is not expected to answer before this instance stops");
+        Err(Refusal::Stopping)
+    }
+
+    async fn find_target(&self, context: &mut Context) -> Result<Chosen, Refusal> {
         self.check_quarantine(context)?;
         let item = context.item();
         if let Some(item) = item.as_ref().filter(|_| context.tried.is_empty()) {
@@ -120,7 +130,7 @@
             // A stream that has begun may go on for as long as its caller stays connected, if it needn't wait.
             let may_wait = now < deadline;
             if !may_wait && (!context.has_begun() || now >= context.deadline) {
-                return Err(Refusal::Deadline);
+                return Err(self.late_refusal(context, now));
             }
             let members = self.state.borrow().members(&context.service);
             let serving = self.serving(&members, context, now);
@@ -175,7 +185,7 @@
                 }
             }
             if !may_wait {
-                return Err(Refusal::Deadline);
+                return Err(self.late_refusal(context, now));
             }
             if let Some(remaining) = self.shortest_pause(context, &context.tried) {
                 // A wait for the end of the pause is only useful if the answer can still be on time.
@@ -208,7 +218,7 @@
                         }
                         Ok(Availability::Later(later)) => later + MAX_TARGET_WAIT,
                         Ok(Availability::No) => return Err(Refusal::CannotLoad),
-                        Err(_) => return Err(Refusal::Deadline),
+                        Err(_) => return Err(self.late_refusal(context, self.clock.now())),
                     }
                 }
                 Some(_) if context.waited < MAX_TARGET_WAIT => MAX_TARGET_WAIT,
@@ -259,15 +269,47 @@
         pauses.min()
     }
 
-    /// Returns until when a request may wait for a target: until its caller disconnects or this instance stops. A stream
-    /// that has begun can't be refused any more, so it is not given up before this instance ends.
+    /// Returns until when a request may wait for a target: until its caller disconnects, or until its answer can't be expected
+    /// before this instance stops. A stream that has begun can't be refused any more, so it is not given up before this
+    /// instance ends.
     fn wait_deadline(&self, context: &Context) -> Point {
         let deadline = context.next_event_deadline();
         if context.has_begun() {
             return deadline;
         }
-        let stop_deadline = self.state.borrow().stop_deadline;
-        stop_deadline.map_or(deadline, |stop_deadline| deadline.min(stop_deadline))
+        let state = self.state.borrow();
+        let expected = state.route_times.expected(&context.route);
+        let stop = state.stop;
+        stop.map_or(deadline, |stop| {
+            deadline.min(stop.latest_dispatch(expected, context.deadline))
+        })
+    }
+
+    /// Returns the refusal of a request that may not wait for a target any more.
+    fn late_refusal(&self, context: &Context, now: Point) -> Refusal {
+        if now < context.next_event_deadline() && self.state.borrow().stop.is_some() {
+            return Refusal::Stopping;
+        }
+        Refusal::Deadline
+    }
+
+    /// Returns whether a target is expected to answer before this instance stops, with the wait for a slot there. Always true
+    /// for a stream that has begun.
+    fn ends_before_stop(&self, context: &Context, chosen: &Chosen) -> bool {
+        let state = self.state.borrow();
+        let Some(stop) = state.stop.filter(|_| !context.has_begun()) else {
+            return true;
+        };
+        let Member {
+            target,
+            incarnation,
+            ..
+        } = &chosen.member;
+        let stats = state.stats.get(target, *incarnation);
+        let of_target = stats.map_or(Duration::ZERO, TargetStats::service_time);
+        let of_route = state.route_times.expected(&context.route);
+        let expected = of_route.max(of_target) + chosen.basis.wait;
+        self.clock.now() <= stop.latest_dispatch(expected, context.deadline)
     }
 
     /// Requests a prefill permit for a generation and waits for the answer.
@@ -322,7 +364,7 @@
                 Err(Refusal::TargetsFull { wait })
             }
             Ok(Permit::Unknown) => Ok(PermitResult::Unavailable),
-            Err(_) => Err(Refusal::Deadline),
+            Err(_) => Err(self.late_refusal(context, self.clock.now())),
         }
     }
 
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -28,6 +28,7 @@
     pool::Pool,
     refused,
     stats::StatsTable,
+    stop::{self, RouteTimes},
 };
 
 /// Minimum time between two log lines about limits that can't be read.
@@ -135,8 +136,10 @@
     pub memory: Memory,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
-    /// When this instance ends, if it is stopping. Requests that still wait for a target at that time are refused.
-    pub stop_deadline: Option<Point>,
+    /// Time that the requests of each route take.
+    pub route_times: RouteTimes,
+    /// Plan of the stop, if this instance is stopping.
+    pub stop: Option<stop::Plan>,
     routes: Option<Rc<Routes>>,
     registry: Registry,
     inventories: BTreeMap<id::Target, Inventory>,
@@ -161,7 +164,8 @@
             origins: origin::Memory::default(),
             memory: Memory::default(),
             changed: Rc::default(),
-            stop_deadline: None,
+            route_times: RouteTimes::default(),
+            stop: None,
             routes: None,
             registry: Registry::default(),
             inventories: BTreeMap::new(),
@@ -187,6 +191,8 @@
                 after.contains_key(service) || !before.contains_key(service)
             });
         }
+        self.route_times
+            .retain(|name| document.routes.iter().any(|route| route.name == name));
         let table = Table::new(&document);
         self.routes = Some(Rc::new(Routes { document, table }));
         self.rebuild();
--- /dev/null
+++ b/crates/buckthornmast_forward/src/stop.rs
@@ -0,0 +1,87 @@
+//! Plan of a stop: which requests may still be sent to a target before this instance ends.
+//!
+//! Designed for requests that are complete late in the grace period, because their bodies were slow or they waited for a
+//! place. One that is sent and can't be answered before the end is cut off, and its caller doesn't know whether it ran.
+//! So it is sent only if it is expected to end in time, by the time that its route and its target have taken so far. Otherwise
+//! it is refused while there is time for that, and comes back at another instance.
+
+use std::{collections::HashMap, time::Duration};
+
+use buckthornmast_routes::document::Route;
+use buckthornmast_types::time::Point;
+use smallvec::SmallVec;
+
+/// Time before the end by which an answer must have arrived, so that it still reaches its caller.
+const DELIVERY_TIME: Duration = Duration::from_millis(300);
+
+/// Times of a stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Plan {
+    /// From when on all requests that still wait for a target are refused.
+    pub refuse_at: Point,
+    /// When the connections of callers are closed.
+    pub ends_at: Point,
+}
+
+impl Plan {
+    /// Returns the last time at which a request may be sent to a target that is expected to take this time for it. No
+    /// request lasts beyond its deadline.
+    pub fn latest_dispatch(&self, expected: Duration, deadline: Point) -> Point {
+        let last_answer = self.ends_at - DELIVERY_TIME;
+        if deadline <= last_answer {
+            return self.refuse_at;
+        }
+        self.refuse_at.min(last_answer - expected)
+    }
+}
+
+/// Number of answers of a route that its expected time is taken from: the longest of them.
+const KNOWN_ANSWERS: usize = 16;
+
+/// Times of the last requests of a route that were answered.
+#[derive(Debug, Default)]
+struct Recent {
+    times: SmallVec<[Duration; KNOWN_ANSWERS]>,
+    next: usize,
+}
+
+impl Recent {
+    fn record(&mut self, total_time: Duration) {
+        match self.times.get_mut(self.next) {
+            Some(oldest) => *oldest = total_time,
+            None => self.times.push(total_time),
+        }
+        self.next = (self.next + 1) % KNOWN_ANSWERS;
+    }
+}
+
+/// Time that the requests of each route take, from the dispatch to the end of the answer.
+#[derive(Debug, Default)]
+pub struct RouteTimes {
+    by_route: HashMap<String, Recent>,
+}
+
+impl RouteTimes {
+    /// Records the time of a request that was answered.
+    pub fn record(&mut self, route: &str, total_time: Duration) {
+        if let Some(recent) = self.by_route.get_mut(route) {
+            return recent.record(total_time);
+        }
+        let mut recent = Recent::default();
+        recent.record(total_time);
+        self.by_route.insert(route.to_owned(), recent);
+    }
+
+    /// Returns the time that a request of a route is expected to take at the most. Before the first answer, that is the
+    /// objective of the route.
+    pub fn expected(&self, route: &Route) -> Duration {
+        let recent = self.by_route.get(&route.name);
+        let longest = recent.and_then(|recent| recent.times.iter().max().copied());
+        longest.unwrap_or(route.objective)
+    }
+
+    /// Forgets the routes that don't exist any more.
+    pub fn retain(&mut self, exists: impl Fn(&str) -> bool) {
+        self.by_route.retain(|route, _| exists(route));
+    }
+}
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use buckthornmast_forward::mapping::Load;
+use buckthornmast_forward::{mapping::Load, stop::Plan};
 use buckthornmast_routes::document::Route;
 use buckthornmast_types::{id, time::Clock};
 use fleet::{Fleet, Step, block_on, event, refusal, route, stream_head};
@@ -44,7 +44,10 @@
         sleep(Duration::from_millis(1)).await;
     }
     let now = fleet.forwarder.clock.now();
-    fleet.forwarder.state.borrow_mut().stop_deadline = Some(now);
+    fleet.forwarder.state.borrow_mut().stop = Some(Plan {
+        refuse_at: now,
+        ends_at: now + Duration::from_secs(60),
+    });
 }
 
 /// Waits until a request has arrived at one of two targets, and returns the other one.
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -16,6 +16,7 @@
     refusal::Refusal,
     selection::Chosen,
     state::{RetryBounds, State},
+    stop::Plan,
     supply::{Availability, Item, Permit, PermitRequest, Supply, Usage},
 };
 use buckthornmast_limit::{account, statement::Report};
@@ -265,14 +266,17 @@
     let soon = Duration::from_millis(100);
     for (load, refusal) in [
         (later, Refusal::Loading { remaining: later }),
-        (soon, Refusal::Deadline),
+        (soon, Refusal::Stopping),
     ] {
         let mut forwarder = forwarder(Permit::Unknown);
         forwarder.supply.availability = Availability::Later(load);
         let mut context = context(&forwarder);
         context.head.generation.as_mut().unwrap().model = "missing".parse().unwrap();
-        let stop_deadline = forwarder.clock.now() + Duration::from_millis(300);
-        forwarder.state.borrow_mut().stop_deadline = Some(stop_deadline);
+        let refuse_at = forwarder.clock.now() + Duration::from_millis(300);
+        forwarder.state.borrow_mut().stop = Some(Plan {
+            refuse_at,
+            ends_at: refuse_at + Duration::from_secs(60),
+        });
         assert_eq!(select(&forwarder, &mut context).unwrap_err(), refusal);
     }
 }
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -13,6 +13,7 @@
     context::millis,
     forwarder::Forwarder,
     state::{Inventory, RetryBounds, State},
+    stop,
 };
 use buckthornmast_limit::{
     statement::{Report, Statement},
@@ -50,9 +51,9 @@
 /// with no older streams.
 const ORIGIN_AGE: Duration = Duration::from_secs(60);
 
-/// Time before the end of the grace period of a stop from which requests that still wait for a target are refused, so
-/// that the response arrives before this instance ends.
-const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(2000);
+/// Time before the connections of callers are closed in a stop from which all requests that still wait for a target are
+/// refused, so that the response arrives before this instance ends.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(1400);
 
 /// Entry instance.
 pub struct Entry<P: Platform> {
@@ -102,13 +103,15 @@
         self.settings.replace(settings);
     }
 
-    /// Begins the stop: the instance is not ready any more, and requests that still wait for a target are refused
-    /// shortly before the end of the grace period.
-    pub fn begin_stop(&self) {
+    /// Begins the stop: the instance is not ready any more, and requests that are not expected to end before the connections
+    /// of callers are closed, after this time, are refused.
+    pub fn begin_stop(&self, closed_after: Duration) {
         self.is_stopping.set(true);
-        let grace = self.settings.borrow().bounds.grace;
-        let stop_deadline = self.forwarder.clock.now() + grace.saturating_sub(FINAL_RESPONSE_TIME);
-        self.forwarder.state.borrow_mut().stop_deadline = Some(stop_deadline);
+        let now = self.forwarder.clock.now();
+        self.forwarder.state.borrow_mut().stop = Some(stop::Plan {
+            refuse_at: now + closed_after.saturating_sub(FINAL_RESPONSE_TIME),
+            ends_at: now + closed_after,
+        });
     }
 
     /// Returns whether this instance has routes and is not stopping.
--- a/crates/buckthornmast_node/src/process.rs
+++ b/crates/buckthornmast_node/src/process.rs
@@ -267,11 +267,12 @@
 /// Waits within the grace period until the requests in progress have ended.
 async fn stop_entry<P: Platform>(entry: &Entry<P>, server: &Server, grace: Duration) {
     let started = Instant::now();
-    entry.begin_stop();
+    let closed_after = grace.saturating_sub(EXIT_RESERVE);
+    entry.begin_stop(closed_after);
     server.set_phase(Phase::Closing);
     sleep(LINGER_TIME.min(grace / 3)).await;
     server.set_phase(Phase::Closed);
-    let end = started + grace.saturating_sub(EXIT_RESERVE);
+    let end = started + closed_after;
     while server.connections() > 0 && Instant::now() < end {
         sleep_until((Instant::now() + DRAIN_POLL_INTERVAL).min(end)).await;
     }
