fleet: undo the withdrawal of a target that was only presumed gone

What callers would see: an instance of the core that was started while it heard of no target, because the others stood still or it was cut off, withdrew all targets that it had restored after 12 s. A withdrawal is final, so live targets were withdrawn everywhere until they started again, and requests got 503.

Cause: the presumption of one instance and a target's own word were the same message and had the same weight.

Fix: a presumed withdrawal is marked (sequence number 0, which only restored targets have). It counts only where the target has been silent for 10 s too, and ends with a newer announcement or a report that the target is alive. It isn't stored as a departure.

--- a/crates/buckthornmast_fleet/src/registry.rs
+++ b/crates/buckthornmast_fleet/src/registry.rs
@@ -7,6 +7,10 @@
 //! An address may be reused by another target. The newest incarnation at an address owns it, the others are gone. Where
 //! targets don't announce their incarnation, the most recently heard target owns the address.
 //!
+//! An instance that has restored a target and doesn't hear of it presumes that it is gone, and tells the others so. It may be
+//! the one that is cut off, so this withdrawal isn't final: it counts only where the target has been silent too, and ends with
+//! a sign of life. Between instances it is known by its sequence number 0, which only restored targets have.
+//!
 //! Not every announcement comes from the target that it names. A target doesn't change its service or its address
 //! within one incarnation, and if any target announces its incarnation, all of them do.
 
@@ -25,6 +29,10 @@
 /// restore a withdrawn one. It is far longer than the seconds for which an announcement may be delayed.
 pub const RETENTION: Duration = Duration::from_secs(300);
 
+/// Time without a sign of life after which another instance is believed that a target is gone. Live targets are reported each
+/// second.
+const SILENCE: Duration = Duration::from_secs(10);
+
 /// Maximum number of targets. Beyond it, the least recently heard target is removed.
 pub const MAX_TARGETS: usize = 20_000;
 
@@ -50,6 +58,8 @@
     pub leaving_since: Option<Point>,
     // Whether the entry was restored after a restart and the target has not been heard of since.
     is_restored: bool,
+    // Whether the target is withdrawn only because it is presumed gone.
+    is_presumed: bool,
 }
 
 impl Entry {
@@ -58,14 +68,38 @@
         !self.is_withdrawn && self.announcement.state == State::Ready
     }
 
+    /// Returns whether the target itself has said that it leaves or withdraws.
+    pub fn is_departing(&self) -> bool {
+        !self.is_ready() && !self.is_presumed
+    }
+
     /// Returns the key by which the owner of an address is chosen; the highest one owns it.
     fn ownership(&self) -> (id::Incarnation, Point) {
         (self.announcement.incarnation, self.last_heard)
     }
 
+    /// Withdraws the target because another instance presumes that it is gone, unless this one has heard of it lately.
+    fn presume_gone(&mut self, now: Point) -> Merge {
+        let is_silent = self.is_restored || now.since(self.last_heard) >= SILENCE;
+        if self.is_withdrawn || !is_silent {
+            return Merge::Stale;
+        }
+        self.is_withdrawn = true;
+        self.is_presumed = true;
+        self.is_restored = false;
+        self.leaving_since = self.leaving_since.or(Some(now));
+        Merge::Changed
+    }
+
+    /// Returns the update that brings another instance to the state of this one. A presumed withdrawal is marked by its
+    /// sequence number.
     fn update(&self) -> Update {
+        let mut announcement = self.announcement.clone();
+        if self.is_presumed {
+            announcement.sequence = 0;
+        }
         Update {
-            announcement: self.announcement.clone(),
+            announcement,
             withdrawn: self.is_withdrawn,
         }
     }
@@ -102,6 +136,7 @@
         } = update;
         let heard_at = now - age;
         let is_leaving = withdrawn || announcement.state != State::Ready;
+        let is_presumed = withdrawn && announcement.sequence == 0;
         if announcement.incarnation > id::Incarnation::default() {
             self.has_incarnations = true;
         } else if self.has_incarnations {
@@ -114,6 +149,7 @@
                 last_heard: heard_at,
                 leaving_since: is_leaving.then_some(now),
                 is_restored: false,
+                is_presumed,
                 announcement,
             };
             self.entries
@@ -130,6 +166,9 @@
         {
             return Merge::Stale;
         }
+        if announcement.incarnation == known.incarnation && is_presumed {
+            return entry.presume_gone(now);
+        }
         if announcement.incarnation == known.incarnation {
             // The version of an incarnation doesn't change. An update from an older build has none.
             announcement.version = known.version.clone().or(announcement.version);
@@ -137,10 +176,14 @@
         let is_newly_versioned = announcement.incarnation == known.incarnation
             && announcement.version.is_some()
             && known.version.is_none();
-        let withdrawn =
-            withdrawn || (entry.is_withdrawn && announcement.incarnation == known.incarnation);
+        let is_final = entry.is_withdrawn && !entry.is_presumed;
+        let withdrawn = withdrawn || (is_final && announcement.incarnation == known.incarnation);
         let is_restart = announcement.incarnation > known.incarnation;
         let is_newer = ordering.is_gt();
+        if !is_newer && entry.is_presumed && !withdrawn {
+            // A copy from before the target was silent.
+            return Merge::Stale;
+        }
         if !is_newer && is_newly_versioned {
             entry.announcement.version = announcement.version;
             entry.is_withdrawn = withdrawn;
@@ -158,6 +201,7 @@
         let is_same_inventory = announcement.has_same_content(known);
         entry.last_heard = entry.last_heard.max(heard_at);
         entry.is_withdrawn = withdrawn;
+        entry.is_presumed = false;
         entry.is_restored = entry.is_restored && !is_newer;
         if is_newer {
             entry.announcement = announcement;
@@ -195,18 +239,21 @@
             last_heard: now,
             leaving_since: is_leaving.then_some(now),
             is_restored: !is_leaving,
+            is_presumed: false,
             announcement,
         };
         let target = entry.announcement.target.clone();
         self.entries.insert(target, entry);
     }
 
-    /// Withdraws the restored targets that have not been heard of since, and returns the updates for other instances.
+    /// Withdraws the restored targets that have not been heard of since, as presumed gone, and returns the updates for other
+    /// instances.
     pub fn withdraw_unheard(&mut self) -> Vec<Update> {
         let unheard = self.entries.values_mut().filter(|entry| entry.is_restored);
         let updates = unheard.map(|entry| {
             entry.is_restored = false;
             entry.is_withdrawn = true;
+            entry.is_presumed = true;
             entry.update()
         });
         updates.collect()
@@ -216,23 +263,34 @@
     pub fn withdraw(&mut self, target: &id::Target, now: Point) -> Option<Update> {
         let entry = self.entries.get_mut(target)?;
         entry.is_withdrawn = true;
+        entry.is_presumed = false;
+        // The target may not have announced itself since it was restored.
+        entry.announcement.sequence = entry.announcement.sequence.max(1);
         entry.leaving_since = entry.leaving_since.or(Some(now));
         Some(entry.update())
     }
 
-    /// Records that a target was heard of at a time, if this incarnation of it is known.
+    /// Records that a target was heard of at a time, if this incarnation of it is known. Returns whether it was presumed gone.
     pub fn record_alive(
         &mut self,
         target: &id::Target,
         incarnation: id::Incarnation,
         heard_at: Point,
-    ) {
-        if let Some(entry) = self.entries.get_mut(target)
-            && entry.announcement.incarnation == incarnation
-        {
-            entry.last_heard = entry.last_heard.max(heard_at);
-            entry.is_restored = false;
+    ) -> bool {
+        let entry = self.entries.get_mut(target);
+        let Some(entry) = entry.filter(|entry| entry.announcement.incarnation == incarnation)
+        else {
+            return false;
+        };
+        let is_found = entry.is_presumed && heard_at > entry.last_heard;
+        if is_found {
+            entry.is_presumed = false;
+            entry.is_withdrawn = false;
+            entry.leaving_since = None;
         }
+        entry.last_heard = entry.last_heard.max(heard_at);
+        entry.is_restored = false;
+        is_found
     }
 
     /// Removes targets that were neither heard of nor began to leave within the last [`RETENTION`].
--- a/crates/buckthornmast_fleet/tests/merge.rs
+++ b/crates/buckthornmast_fleet/tests/merge.rs
@@ -181,6 +181,50 @@
     );
 }
 
+/// Guards against a live target that is withdrawn for good by an instance that restored it and was cut off since.
+#[test]
+fn presumed_withdrawal_is_not_final() {
+    let mut cut_off = Registry::default();
+    cut_off.restore(update(5, 40, State::Ready, false), NOW);
+    let presumed = cut_off.withdraw_unheard();
+    let mut live = Registry::default();
+    merge(&mut live, &update(5, 40, State::Ready, false));
+    assert_eq!(merge(&mut live, &presumed[0]), Merge::Stale);
+    assert!(live.get(&target()).unwrap().is_ready());
+    // The same update counts where the target has been silent.
+    let later = NOW + Duration::from_secs(20);
+    let merged = live.merge(presumed[0].clone(), Duration::ZERO, later);
+    assert_eq!(merged, Merge::Changed);
+    assert!(!live.get(&target()).unwrap().is_ready());
+    // A copy from before is no sign of life, an announcement is one.
+    let copy = update(5, 40, State::Ready, false);
+    assert_eq!(live.merge(copy, Duration::ZERO, later), Merge::Stale);
+    for registry in [&mut live, &mut cut_off] {
+        let next = update(5, 41, State::Ready, false);
+        assert_eq!(registry.merge(next, Duration::ZERO, later), Merge::Changed);
+        assert!(registry.get(&target()).unwrap().is_ready());
+    }
+}
+
+/// Guards against a live target that another instance has heard of, and that stays withdrawn here.
+#[test]
+fn presumed_withdrawal_ends_with_liveness() {
+    let mut registry = Registry::default();
+    registry.restore(update(5, 40, State::Ready, false), NOW);
+    registry.withdraw_unheard();
+    assert!(!registry.record_alive(&target(), id::Incarnation(5), NOW));
+    let later = NOW + Duration::from_secs(1);
+    assert!(registry.record_alive(&target(), id::Incarnation(5), later));
+    assert!(registry.get(&target()).unwrap().is_ready());
+    // The target's own withdrawal is final, also before its first announcement to this instance.
+    registry.withdraw(&target(), later).unwrap();
+    let latest = later + Duration::from_secs(1);
+    assert!(!registry.record_alive(&target(), id::Incarnation(5), latest));
+    let late = update(5, 41, State::Ready, false);
+    registry.merge(late, Duration::ZERO, latest);
+    assert!(!registry.get(&target()).unwrap().is_ready());
+}
+
 /// Guards against entry instances that get each change of adapters, and against changes of the route that they miss.
 #[test]
 fn merge_tells_inventory_from_route() {
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -244,15 +244,14 @@
             }
             Downstream::Liveness(liveness) => {
                 state.change_targets(|registry| {
-                    for Liveness {
-                        target,
-                        incarnation,
-                        age,
-                    } in liveness
-                    {
-                        registry.record_alive(&target, incarnation, now - age);
-                    }
-                    false
+                    liveness.into_iter().fold(false, |has_changed, liveness| {
+                        let Liveness {
+                            target,
+                            incarnation,
+                            age,
+                        } = liveness;
+                        registry.record_alive(&target, incarnation, now - age) || has_changed
+                    })
                 });
             }
             Downstream::Placements(placements) => {
--- a/crates/buckthornmast_node/src/memory.rs
+++ b/crates/buckthornmast_node/src/memory.rs
@@ -68,7 +68,7 @@
                 ready.map(ready_update).collect()
             }
             Self::Leaving => {
-                let leaving = registry.entries().filter(|entry| !entry.is_ready());
+                let leaving = registry.entries().filter(|entry| entry.is_departing());
                 let mut leaving: Vec<&Entry> = leaving.collect();
                 leaving.sort_by_key(|entry| Reverse(entry.leaving_since));
                 leaving.into_iter().map(leaving_update).collect()
