fleet: don't take a restored copy of a target for a sign of life

Callers would see: a target that ends while all processes are down is kept for 300 s after their restart instead of 12 s, and requests go to it, fail and are repeated.

Cause: instances of the core that have restored a target from their files send it to each other, with the same sequence number 0, and took that for a report that it is alive. So none of them removed it.

Fix: a target that was restored here is heard of by an announcement that is newer, by a call to this instance, or by a report of an instance that was called. The instance that is called records that itself now.

--- a/crates/buckthornmast_fleet/src/registry.rs
+++ b/crates/buckthornmast_fleet/src/registry.rs
@@ -190,9 +190,9 @@
             return Merge::Changed;
         }
         if !is_newer && withdrawn == entry.is_withdrawn {
-            if ordering.is_eq() {
+            // Another instance may have restored the target as well, which is no sign of life.
+            if ordering.is_eq() && !entry.is_restored {
                 entry.last_heard = entry.last_heard.max(heard_at);
-                entry.is_restored = false;
                 return Merge::Alive;
             }
             return Merge::Stale;
--- a/crates/buckthornmast_fleet/tests/merge.rs
+++ b/crates/buckthornmast_fleet/tests/merge.rs
@@ -225,6 +225,20 @@
     assert!(!registry.get(&target()).unwrap().is_ready());
 }
 
+/// Guards against a target that has ended and is kept for long, because two instances have restored it and take each other's
+/// copy for a sign of life.
+#[test]
+fn restored_at_two_instances() {
+    let (mut one, mut other) = (Registry::default(), Registry::default());
+    for registry in [&mut one, &mut other] {
+        registry.restore(update(5, 40, State::Ready, false), NOW);
+    }
+    for update in other.updates() {
+        assert_eq!(merge(&mut one, &update), Merge::Stale);
+    }
+    assert_eq!(one.withdraw_unheard().len(), 1);
+}
+
 /// Guards against entry instances that get each change of adapters, and against changes of the route that they miss.
 #[test]
 fn merge_tells_inventory_from_route() {
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -17,7 +17,10 @@
 
 use buckthornmast_consensus::prelude::{Pool, Role};
 use buckthornmast_discovery::roster::{Member, Roster};
-use buckthornmast_fleet::registry::{Entry, Merge, Registry, Update};
+use buckthornmast_fleet::{
+    announcement::Announcement,
+    registry::{Entry, Merge, Registry, Update},
+};
 use buckthornmast_link::{Link, Outbox, Timing};
 use buckthornmast_origin::{history::History, record as origin};
 use buckthornmast_quarantine::ledger::Ledger;
@@ -441,8 +444,13 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         if is_first_hand {
-            let target = update.announcement.target.clone();
-            state.last_contact.insert(target, now);
+            let Announcement {
+                target,
+                incarnation,
+                ..
+            } = &update.announcement;
+            state.last_contact.insert(target.clone(), now);
+            state.registry.record_alive(target, *incarnation, now);
         }
         state.see_version(&update.announcement.target, now);
         let merge = state.registry.merge(update.clone(), Duration::ZERO, now);
