node: refuse withdrawals before the targets of other instances are known

Callers would see: a target withdrew at an instance of the core that had just started with an empty disk, and was answered 200. The instance knew no target, so it told nobody, and requests went to the target until it ended.

Cause: a target that is unknown here was taken for one that nobody knows.

Fix: the call is answered 503, so that the target calls another instance, until another instance of the core has told its targets, or 12 s after the start, by when live targets have announced themselves.

--- a/crates/buckthornmast_node/src/control.rs
+++ b/crates/buckthornmast_node/src/control.rs
@@ -92,7 +92,14 @@
         match self.0.withdraw(target) {
             Some(update) => self.replicate(update).await,
             // A target that was never announced here or elsewhere can't have been sent any work.
-            None => json("{}"),
+            None if self.0.knows_targets() => json("{}"),
+            None => {
+                log::warn!(step = "target", target:% = target; "withdrawal of a target that is not known yet, so soon after the start; answering its call with 503");
+                error_response(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "the targets are not known here yet",
+                )
+            }
         }
     }
 
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -64,8 +64,11 @@
 /// which one that is.
 const ENTRY_REPORT_INTERVAL_TICKS: u64 = 10;
 
-/// Ticks after the start after which restored targets that have not announced themselves are removed. By then every
-/// live target has announced itself, also one that tries one instance after the other with growing pauses.
+/// Time after the start by which every live target has announced itself, also one that tries one instance after the other
+/// with growing pauses.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(12);
+
+/// Ticks after the start after which restored targets that have not announced themselves are removed.
 const RESTORED_RETENTION_TICKS: u64 = 120;
 
 /// Ticks between two runs of the controller.
@@ -101,6 +104,8 @@
     // When a target last contacted this instance directly.
     last_contact: BTreeMap<id::Target, Point>,
     departures: Departures,
+    // Whether another instance of the core has told its targets since the start.
+    has_peer_targets: bool,
     routes_version: Option<Revision>,
     services: Option<BTreeSet<id::Service>>,
     leading_term: Option<id::Term>,
--- a/crates/buckthornmast_node/src/core/departures.rs
+++ b/crates/buckthornmast_node/src/core/departures.rs
@@ -3,11 +3,14 @@
 use std::{convert::Infallible, future, time::Duration};
 
 use buckthornmast_fleet::{announcement, registry::Update};
-use buckthornmast_types::id;
+use buckthornmast_types::{
+    id,
+    time::{Clock, Point},
+};
 use tokio::time::timeout;
 
 use crate::{
-    core::Core,
+    core::{ANNOUNCEMENT_TIME, Core, State},
     departure::{Departure, required_copies},
     message::{Downstream, Upstream},
     platform::Platform,
@@ -29,11 +32,9 @@
     /// they have.
     pub(crate) async fn replicate(&self, update: Update) -> bool {
         let departure = departure_of(&update);
-        let seeds = self.settings.borrow().seeds.len();
         let (required, stored, saving) = {
             let mut state = self.state.borrow_mut();
-            let instances = state.roster.members().count().max(seeds);
-            let required = required_copies(self.losses, instances);
+            let required = required_copies(self.losses, self.instances(&state));
             let stored = state.departures.wait(departure.clone(), required);
             let saving = self.departures.save_and_wait(&state.registry);
             (required, stored, saving)
@@ -55,6 +56,21 @@
         }
     }
 
+    /// Returns whether a target that this instance doesn't know is unknown to the others too. After a start with an empty disk it
+    /// knows none until another instance has told it, or all live targets have announced themselves.
+    pub(crate) fn knows_targets(&self) -> bool {
+        let state = self.state.borrow();
+        let is_alone = self.instances(&state) <= 1;
+        let uptime = self.clock.now().since(Point::ZERO);
+        is_alone || state.has_peer_targets || uptime >= ANNOUNCEMENT_TIME
+    }
+
+    /// Returns the number of instances of the core that are known, or that the settings name.
+    fn instances(&self, state: &State) -> usize {
+        let seeds = self.settings.borrow().seeds.len();
+        state.roster.members().count().max(seeds)
+    }
+
     /// Returns whether the departure in an update is known to be stored by enough instances.
     pub(crate) fn is_departure_stored(&self, update: &Update) -> bool {
         let state = self.state.borrow();
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -50,6 +50,7 @@
                 }
             }
             Downstream::Targets(updates, versions) => {
+                self.state.borrow_mut().has_peer_targets = true;
                 let updates: Vec<Update> = with_versions(updates, versions).collect();
                 for update in &updates {
                     self.merge(update.clone(), false);
