fleet: don't refresh a target by another copy of it from before a restart

Callers would see: a target that ended while all processes were down is kept by an entry instance, and gets requests that fail, if the entry instance connects to an instance of the core again within the first seconds.

Cause: a second copy with the sequence number 0 counted as a report of the target at that moment, so that the target wasn't silent for 10 s when the core presumed it gone, once, 12 s after its start.

Fix: no copy with that number is a sign of life, whether the own one was restored here or came from another instance.

--- a/crates/buckthornmast_fleet/src/registry.rs
+++ b/crates/buckthornmast_fleet/src/registry.rs
@@ -190,8 +190,8 @@
             return Merge::Changed;
         }
         if !is_newer && withdrawn == entry.is_withdrawn {
-            // Another instance may have restored the target as well, which is no sign of life.
-            if ordering.is_eq() && !entry.is_restored {
+            // A copy that another instance has restored is no sign of life.
+            if ordering.is_eq() && announcement.sequence > 0 {
                 entry.last_heard = entry.last_heard.max(heard_at);
                 return Merge::Alive;
             }
--- a/crates/buckthornmast_fleet/tests/merge.rs
+++ b/crates/buckthornmast_fleet/tests/merge.rs
@@ -239,6 +239,25 @@
     assert_eq!(one.withdraw_unheard().len(), 1);
 }
 
+/// Guards against an entry instance that believes no instance of the core that a target is gone, because it has just connected
+/// to one of them again and got its copy once more.
+#[test]
+fn restored_copy_again() {
+    let copy = update(5, 0, State::Ready, false);
+    let mut registry = Registry::default();
+    merge(&mut registry, &copy);
+    let again = NOW + Duration::from_secs(9);
+    registry.merge(copy.clone(), Duration::ZERO, again);
+    let presumed = Update {
+        withdrawn: true,
+        ..copy
+    };
+    let later = NOW + Duration::from_secs(12);
+    let merged = registry.merge(presumed, Duration::ZERO, later);
+    assert_eq!(merged, Merge::Changed);
+    assert!(!registry.get(&target()).unwrap().is_ready());
+}
+
 /// Guards against entry instances that get each change of adapters, and against changes of the route that they miss.
 #[test]
 fn merge_tells_inventory_from_route() {
