node: record the call of a target after its announcement was merged

A target that was presumed gone and calls again is passed on to the others at once again, as a change, and not only with the next report of live targets a second later. Found in reading the diff. The files of targets are named as such.

--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -138,9 +138,10 @@
     subscribers: Rc<Subscribers>,
     controller: Rc<Controller<P>>,
     connections: Connections,
-    // Files of the targets that take new work, and of those that leave.
-    store: Store,
-    departures: Store,
+    // Targets that take new work.
+    targets_file: Store,
+    // Targets that leave.
+    departures_file: Store,
     monitor: Monitor,
     gauge: ReplicaGauge,
     state: RefCell<State>,
@@ -173,11 +174,11 @@
         };
         let founders = settings.seeds.iter().copied();
         let founders = founders.filter_map(Settings::member_name);
-        let store = Store::new(&data, Content::Ready);
-        let departures = Store::new(&data, Content::Leaving);
+        let targets_file = Store::new(&data, Content::Ready);
+        let departures_file = Store::new(&data, Content::Leaving);
         let mut registry = Registry::default();
-        departures.restore(&mut registry, Point::ZERO);
-        store.restore(&mut registry, Point::ZERO);
+        departures_file.restore(&mut registry, Point::ZERO);
+        targets_file.restore(&mut registry, Point::ZERO);
         let monitor = Monitor::new(data.clone());
         let config = replica::Config {
             member,
@@ -204,8 +205,8 @@
             outboxes,
             subscribers,
             connections: Connections::default(),
-            store,
-            departures,
+            targets_file,
+            departures_file,
             monitor,
             gauge: ReplicaGauge::default(),
             state: RefCell::new(State {
@@ -237,9 +238,9 @@
         if tick % SAVE_INTERVAL_TICKS == SAVE_INTERVAL_TICKS - 1 {
             let state = self.state.borrow();
             // Lost targets announce themselves again.
-            self.store.save(&state.registry);
+            self.targets_file.save(&state.registry);
             // New departures are stored at once. This removes those that are forgotten, and repeats a failed write.
-            self.departures.save(&state.registry);
+            self.departures_file.save(&state.registry);
         }
         self.tick_leader(now);
         if tick.is_multiple_of(MEASURE_INTERVAL_TICKS) {
@@ -449,19 +450,23 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         if is_first_hand {
-            let Announcement {
-                target,
-                incarnation,
-                ..
-            } = &update.announcement;
-            state.last_contact.insert(target.clone(), now);
-            state.registry.record_alive(target, *incarnation, now);
+            let target = update.announcement.target.clone();
+            state.last_contact.insert(target, now);
         }
         state.see_version(&update.announcement.target, now);
         let merge = state.registry.merge(update.clone(), Duration::ZERO, now);
-        let entry = state.registry.get(&update.announcement.target);
+        let Announcement {
+            target,
+            incarnation,
+            ..
+        } = &update.announcement;
+        if is_first_hand {
+            // The call is a sign of life, also if its announcement is late or as old as a restored one.
+            state.registry.record_alive(target, *incarnation, now);
+        }
+        let entry = state.registry.get(target);
         if entry.is_some_and(Entry::is_ready) {
-            state.departures.forget(&update.announcement.target);
+            state.departures.forget(target);
         }
         state.see_version(&update.announcement.target, now);
         drop(state);
--- a/crates/buckthornmast_node/src/core/departures.rs
+++ b/crates/buckthornmast_node/src/core/departures.rs
@@ -36,7 +36,7 @@
             let mut state = self.state.borrow_mut();
             let required = required_copies(self.losses, self.instances(&state));
             let stored = state.departures.wait(departure.clone(), required);
-            let saving = self.departures.save_and_wait(&state.registry);
+            let saving = self.departures_file.save_and_wait(&state.registry);
             (required, stored, saving)
         };
         if required > 1 && !self.subscribers.has_core() {
@@ -94,7 +94,9 @@
         if departures.is_empty() {
             return;
         }
-        let saving = self.departures.save_and_wait(&self.state.borrow().registry);
+        let saving = self
+            .departures_file
+            .save_and_wait(&self.state.borrow().registry);
         let (outboxes, from) = (self.outboxes.clone(), from.clone());
         // Ends within its time limit.
         tokio::task::spawn_local(async move {
