forward: expect what most requests of a route take during a stop

Cause: the expected time was the longest of the last 16 answers.

Fix: what three of four of them stayed below.

--- a/crates/buckthornmast_forward/src/stop.rs
+++ b/crates/buckthornmast_forward/src/stop.rs
@@ -35,9 +35,13 @@
     }
 }
 
-/// Number of answers of a route that its expected time is taken from: the longest of them.
+/// Number of answers of a route that its expected time is taken from.
 const KNOWN_ANSWERS: usize = 16;
 
+/// Share of these answers that take no longer than the expected time, in percent. The longest of them would have requests
+/// refused from the signal on wherever a few take as long as the grace period.
+const EXPECTED_PERCENT: usize = 75;
+
 /// Times of the last requests of a route that were answered.
 #[derive(Debug, Default)]
 struct Recent {
@@ -53,6 +57,13 @@
         }
         self.next = (self.next + 1) % KNOWN_ANSWERS;
     }
+
+    fn expected(&self) -> Duration {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        let index = times.len() * EXPECTED_PERCENT / 100;
+        times.get(index).copied().unwrap_or_default()
+    }
 }
 
 /// Time that the requests of each route take, from the dispatch to the end of the answer.
@@ -72,12 +83,11 @@
         self.by_route.insert(route.to_owned(), recent);
     }
 
-    /// Returns the time that a request of a route is expected to take at the most. Before the first answer, that is the
-    /// objective of the route.
+    /// Returns the time that most requests of a route take at the most. Before the first answer, that is the objective of the
+    /// route.
     pub fn expected(&self, route: &Route) -> Duration {
         let recent = self.by_route.get(&route.name);
-        let longest = recent.and_then(|recent| recent.times.iter().max().copied());
-        longest.unwrap_or(route.objective)
+        recent.map_or(route.objective, Recent::expected)
     }
 
     /// Forgets the routes that don't exist any more.
--- a/crates/buckthornmast_forward/tests/plan.rs
+++ b/crates/buckthornmast_forward/tests/plan.rs
@@ -83,6 +83,16 @@
         times.record("slow", Duration::from_secs(1));
     }
     assert_eq!(times.expected(&slow), Duration::from_secs(1));
+    // A few long answers don't make all requests long.
+    for _ in 0..4 {
+        times.record("quick", Duration::from_secs(8));
+    }
+    for _ in 0..12 {
+        times.record("quick", Duration::from_millis(50));
+    }
+    assert_eq!(times.expected(&quick), Duration::from_secs(8));
+    times.record("quick", Duration::from_millis(50));
+    assert_eq!(times.expected(&quick), Duration::from_millis(50));
     times.retain(|name| name != "slow");
     assert_eq!(times.expected(&slow), slow.objective);
 }
