--- a/crates/buckthornmast_node/src/orders.rs
+++ b/crates/buckthornmast_node/src/orders.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use buckthornmast_forward::{
+    mapping::Mapping,
     memory::{Held, Memory},
     pool::{self, Pool},
 };
@@ -71,6 +72,7 @@
         log::info!(
             step = "order",
             target:% = order.target,
+            born = order.incarnation.0,
             action:? = order.action,
             expected = order.expected,
             term = fence.term.0,
@@ -98,11 +100,26 @@
         };
         match report {
             Ok(report) => {
-                log::info!(step = "ask", target:% = target, accepted = report.accepted; "target reported its state");
+                let adapters: usize = report
+                    .resident
+                    .iter()
+                    .map(|entry| entry.adapters.len())
+                    .sum();
+                log::info!(
+                    step = "ask",
+                    target:% = target,
+                    born = incarnation.0,
+                    reported_born = report.incarnation.map_or(0, |incarnation| incarnation.0),
+                    accepted = report.accepted,
+                    is_busy = report.is_busy,
+                    models = report.resident.len(),
+                    adapters = adapters;
+                    "target reported its state"
+                );
                 Some(report)
             }
             Err(cause) => {
-                log::warn!(step = "ask", target:% = target; "querying the state of the target failed: {cause}");
+                log::warn!(step = "ask", target:% = target, born = incarnation.0; "querying the state of the target failed: {cause}");
                 None
             }
         }
@@ -133,6 +150,16 @@
             cause: error.error().to_string(),
         })?;
         let (head, mut body) = response.into_parts();
+        let answer = self.platform.headers().decode_answer(&head);
+        log::debug!(
+            step = "exchange",
+            target:% = target,
+            born = incarnation.0,
+            status = head.status.as_u16(),
+            is_kept = connection.is_used,
+            id = answer.request.as_deref().unwrap_or("");
+            "the target answers an order or a query"
+        );
         let mut held = Held::new(&self.memory);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| Failure::unanswered(error.to_string()))?;
