supply, platform: count adapters that a target reports as on their way

A leader that asks at such a moment, above all a new one while its predecessor's last orders are being carried out, knew the number of orders but one adapter too few, and could order one more than the target has places for. The target can't refuse that by the number.

They count as taken now, and the target is asked again until they are resident.

--- a/crates/buckthornmast_node/tests/support/targets.rs
+++ b/crates/buckthornmast_node/tests/support/targets.rs
@@ -83,6 +83,7 @@
             accepted: accepted.map_err(|error| format!("{error}"))?,
             is_busy: false,
             resident: Vec::new(),
+            arriving: Vec::new(),
             incarnation: None,
             is_leaving: false,
         })
--- a/crates/buckthornmast_supply/examples/plan_time.rs
+++ b/crates/buckthornmast_supply/examples/plan_time.rs
@@ -97,6 +97,7 @@
             accepted: 0,
             is_busy: false,
             resident: resident(number),
+            arriving: Vec::new(),
             incarnation: Some(incarnation),
             is_leaving: false,
         };
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -100,6 +100,8 @@
     pub loaded_at: BTreeMap<(id::Model, id::Adapter), Point>,
     /// Unanswered orders that may still take effect, with the times at which they were sent.
     pub unanswered: Vec<(Action, Point)>,
+    /// Adapters that the target reports as on their way to it.
+    pub arriving: BTreeSet<(id::Model, id::Adapter)>,
     // Time since which the target is known to be down, unless it has announced itself since.
     down_since: Option<Point>,
     // Whether the target has stated in a report that it leaves.
@@ -137,6 +139,7 @@
             cooldowns: BTreeMap::new(),
             loaded_at: BTreeMap::new(),
             unanswered: Vec::new(),
+            arriving: BTreeSet::new(),
             down_since: None,
             is_leaving: false,
             is_blocked: false,
@@ -180,7 +183,7 @@
         let loading = self
             .unfinished_loads()
             .filter(|action| matches!(action, Action::LoadAdapter(..)));
-        resident + loading.count()
+        resident + self.arriving.len() + loading.count()
     }
 
     /// Returns the memory that is free in the worst case.
@@ -198,7 +201,11 @@
                 _ => spec.map_or(0, |spec| spec.weights.0),
             }
         });
-        let used: u64 = resident.chain(loading).sum();
+        let arriving = self.arriving.iter().map(|(model, _)| {
+            let spec = pool.models.get(model);
+            spec.map_or(0, |spec| spec.adapter.0)
+        });
+        let used: u64 = resident.chain(loading).chain(arriving).sum();
         Bytes(pool.memory.0.saturating_sub(used))
     }
 
@@ -283,7 +290,9 @@
             |since: Option<Point>, interval| since.is_none_or(|since| now.since(since) >= interval);
         let changed = (self.changed_at > Point::ZERO).then_some(self.changed_at);
         let is_needed = match &self.pending {
-            None => self.accepted.is_none() || !self.draining.is_empty(),
+            None => {
+                self.accepted.is_none() || !self.draining.is_empty() || !self.arriving.is_empty()
+            }
             Some(pending) => pending.is_accepted && now >= pending.due + OVERDUE_MARGIN,
         };
         let should_query = self.is_ready
@@ -514,6 +523,7 @@
         inventory.pending = None;
         inventory.accepted = Some(report.accepted);
         inventory.set_resident(&report.resident);
+        inventory.arriving = report.arriving.iter().cloned().collect();
         let resident = &inventory.resident;
         let is_resident = |(model, adapter): &(id::Model, id::Adapter)| {
             resident
@@ -534,6 +544,9 @@
         match pending.action {
             Action::Load(model) => drop(self.resident.entry(model).or_default()),
             Action::LoadAdapter(model, adapter) => {
+                let place = (model, adapter);
+                self.arriving.remove(&place);
+                let (model, adapter) = place;
                 self.resident.entry(model).or_default().insert(adapter);
             }
             Action::Unload(model) => drop(self.resident.remove(&model)),
--- a/crates/buckthornmast_supply/src/order.rs
+++ b/crates/buckthornmast_supply/src/order.rs
@@ -50,6 +50,9 @@
     pub is_busy: bool,
     /// Resident models with their adapters.
     pub resident: Vec<buckthornmast_fleet::announcement::Resident>,
+    /// Adapters that are on their way to the target. They take up their places, and the orders to load them count as
+    /// accepted.
+    pub arriving: Vec<(id::Model, id::Adapter)>,
     /// Incarnation, if the target reports it.
     pub incarnation: Option<id::Incarnation>,
     /// Whether the target states that it leaves.
--- a/crates/buckthornmast_supply/tests/handover.rs
+++ b/crates/buckthornmast_supply/tests/handover.rs
@@ -42,6 +42,7 @@
             accepted: 0,
             is_busy: false,
             resident: resident_models(models),
+            arriving: Vec::new(),
             incarnation: None,
             is_leaving: false,
         };
--- a/crates/buckthornmast_supply/tests/limits.rs
+++ b/crates/buckthornmast_supply/tests/limits.rs
@@ -63,6 +63,7 @@
         accepted: 0,
         is_busy: false,
         resident: pool::resident_models(models),
+        arriving: Vec::new(),
         incarnation: None,
         is_leaving: false,
     };
