supply, node: count orders to earlier incarnations of a target that are still on their way

A target that starts again under its id counts from zero, so an unanswered order to its earlier incarnation is carried out as soon as the new one has accepted that many, whatever it holds by then. The ledger dropped its unanswered orders with the incarnation, and a successor knew none of them.

Orders without a known outcome outlast the inventory and the leadership. Those to earlier incarnations count as long as the number of accepted orders can still reach the one that they expect: the next order is accepted at the known number or not at all.

--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -22,6 +22,7 @@
     permits::{Queue, Ticket},
     plan::Planner,
     quota::Quota,
+    stray::Stray,
 };
 use buckthornmast_types::{
     id,
@@ -127,7 +128,7 @@
     /// Starts or ends leadership, and discards what was recorded about targets and permits before.
     pub fn set_leadership(&self, leadership: Option<Leadership>) {
         let mut state = self.state.borrow_mut();
-        state.ledger = Ledger::default();
+        state.ledger.clear();
         state.load_quotas.clear();
         state.published.clear();
         state.permits.clear();
@@ -138,10 +139,13 @@
         state.leadership = leadership;
     }
 
-    /// Records that another leader is about to send an order to a target.
-    pub fn record_ordered(&self, target: id::Target) {
+    /// Records that another leader is about to send an order to a target, and which orders to it may still be carried out.
+    pub fn record_ordered(&self, target: id::Target, term: id::Term, strays: Vec<Stray>) {
         let now = self.clock.now();
-        self.state.borrow_mut().handover.record(target, now);
+        let mut state = self.state.borrow_mut();
+        state.ledger.strays.prune(now);
+        state.ledger.strays.merge(&target, term, strays, now);
+        state.handover.record(target, now);
     }
 
     /// Sets the document of the routes in force, which also lists the services and their models.
@@ -335,9 +339,12 @@
             expected: inventory.accepted?,
             action,
         };
-        state.ledger.record_order(&order, now + load_time, now);
+        state
+            .ledger
+            .record_order(&order, fence.term, now + load_time, now);
+        let strays = state.ledger.strays.of(target, now);
         self.subscribers
-            .send_cores(&Downstream::Ordered(target.clone()));
+            .send_cores(&Downstream::Ordered(target.clone(), fence.term, strays));
         Some(Fenced { order, fence })
     }
 
@@ -357,6 +364,7 @@
                 .map(|inventory| inventory.address)
         };
         let Some(address) = address else {
+            self.state.borrow_mut().ledger.strays.settle(&order);
             log::info!(step = "order", target:% = order.target, action:? = order.action, term = fence.term.0; "order dropped: the leadership that planned it has ended, or the target is gone");
             return;
         };
@@ -368,6 +376,8 @@
         let mut state = self.state.borrow_mut();
         if state.leads_under(&fence) {
             state.ledger.record_outcome(&order, outcome, now);
+        } else if outcome != Outcome::Unknown {
+            state.ledger.strays.settle(&order);
         }
         drop(state);
         self.publish_placements();
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -72,7 +72,9 @@
                 }
             }
             Downstream::Quarantines(notices) => self.merge_quarantines(&notices),
-            Downstream::Ordered(target) => self.controller.record_ordered(target),
+            Downstream::Ordered(target, term, strays) => {
+                self.controller.record_ordered(target, term, strays);
+            }
             // Routes arrive through the log, and only entry instances need the rest.
             Downstream::Routes(_)
             | Downstream::EntryCount(..)
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -267,7 +267,7 @@
                 }
             }
             // For instances of the core only.
-            Downstream::Ordered(_) => {}
+            Downstream::Ordered(..) => {}
             Downstream::Leadership(leading_term) => {
                 self.supplier.0.set_leading_term(peer, leading_term);
                 if self.supplier.0.is_leader(peer) {
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -28,6 +28,7 @@
 use buckthornmast_supply::{
     demand::{Item, Row},
     permits::{Permit, Request},
+    stray::Stray,
 };
 use buckthornmast_types::id;
 use serde::{Deserialize, Serialize};
@@ -175,7 +176,10 @@
     #[serde(rename = "Placed")]
     Placements(Vec<Placement>),
     /// Target to which the leader is about to send an order, for the other instances of the core.
-    Ordered(id::Target),
+    ///
+    /// At the end, the term of the leader, and the orders to this target that it knows may still be carried out, the new one
+    /// among them. Older builds name none.
+    Ordered(id::Target, id::Term, Vec<Stray>),
     /// Term in which this instance leads, if it does.
     #[serde(rename = "Leads")]
     Leadership(Option<id::Term>),
--- a/crates/buckthornmast_supply/src/ledger.rs
+++ b/crates/buckthornmast_supply/src/ledger.rs
@@ -2,7 +2,8 @@
 //!
 //! Memory and adapter places are accounted for the worst case: a load counts from the moment its order is sent until
 //! the target is known not to have the model or adapter. An unanswered order counts until a later order with the same
-//! expected number has been accepted, since the target then refuses the earlier one.
+//! expected number has been accepted, since the target then refuses the earlier one. Orders to earlier incarnations of the
+//! target count as long as the number of accepted orders may still reach the one that they expect ([`crate::stray`]).
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -18,6 +19,7 @@
     demand::Item,
     handover::Handover,
     order::{Action, Order, Outcome, Report},
+    stray::{self, Strays},
 };
 
 /// Time without an announcement after which a target counts as gone, although it has not withdrawn. Several
@@ -41,9 +43,6 @@
 /// adapters get its place.
 const ADAPTER_COOLDOWN: Duration = Duration::from_millis(8000);
 
-/// Time after which an unanswered order is no longer carried out. The longest time that the platform states is 12 s.
-const UNANSWERED_ORDER_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Time past the expected completion after which a target is queried for the state of an order.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -102,6 +101,8 @@
     pub unanswered: Vec<(Action, Point)>,
     /// Adapters that the target reports as on their way to it.
     pub arriving: BTreeSet<(id::Model, id::Adapter)>,
+    // Orders to earlier incarnations that this one may carry out, with the numbers of accepted orders at which it does.
+    strays: Vec<(Action, u64)>,
     // Time since which the target is known to be down, unless it has announced itself since.
     down_since: Option<Point>,
     // Whether the target has stated in a report that it leaves.
@@ -140,6 +141,7 @@
             loaded_at: BTreeMap::new(),
             unanswered: Vec::new(),
             arriving: BTreeSet::new(),
+            strays: Vec::new(),
             down_since: None,
             is_leaving: false,
             is_blocked: false,
@@ -164,7 +166,16 @@
     /// Returns the loads that are in progress or may still take effect.
     fn unfinished_loads(&self) -> impl Iterator<Item = &Action> {
         let pending = self.pending.iter().map(|pending| &pending.action);
-        let loads = pending.chain(self.unanswered.iter().map(|(action, _)| action));
+        let unanswered = self.unanswered.iter().map(|(action, _)| action);
+        // The next order is accepted at the known number or not at all, so a stray that expects no higher number is
+        // refused after it.
+        let strays = self
+            .strays
+            .iter()
+            .filter(|(_, expected)| self.accepted.is_none_or(|accepted| *expected > accepted));
+        let loads = pending
+            .chain(unanswered)
+            .chain(strays.map(|(action, _)| action));
         loads.filter(|action| matches!(action, Action::Load(_) | Action::LoadAdapter(..)))
     }
 
@@ -311,6 +322,8 @@
 pub struct Ledger {
     /// Inventories by target.
     pub inventories: BTreeMap<id::Target, Inventory>,
+    /// Orders that may still be carried out. They outlast the inventories, and the leadership under which they were sent.
+    pub strays: Strays,
 }
 
 impl Ledger {
@@ -328,6 +341,7 @@
             .collect();
         self.inventories
             .retain(|target, inventory| incarnations.get(target) == Some(&inventory.incarnation));
+        self.strays.prune(now);
         for entry in owners {
             let announcement = &entry.announcement;
             if !has_models(&announcement.service) {
@@ -344,6 +358,12 @@
             inventory.is_ready = entry.is_ready() && is_alive && !inventory.is_leaving;
             inventory.in_memory = announcement.in_memory.iter().cloned().collect();
             inventory.on_disk = announcement.on_disk.iter().cloned().collect();
+            let strays = self
+                .strays
+                .of_earlier(&announcement.target, announcement.incarnation);
+            inventory.strays = strays
+                .map(|(action, expected)| (action.clone(), expected))
+                .collect();
             inventory.reconcile(announcement, now);
             inventory.announced = announcement
                 .resident
@@ -415,8 +435,14 @@
         }
     }
 
-    /// Records that an order is being sent.
-    pub fn record_order(&mut self, order: &Order, due: Point, now: Point) {
+    /// Removes what is known about the targets, but not the orders that may still be carried out.
+    pub fn clear(&mut self) {
+        self.inventories.clear();
+    }
+
+    /// Records that an order is being sent in a term.
+    pub fn record_order(&mut self, order: &Order, term: id::Term, due: Point, now: Point) {
+        self.strays.record(order, term, now);
         if let Some(inventory) = self.inventory(order) {
             if matches!(order.action, Action::Load(_)) {
                 inventory.reserved = None;
@@ -438,6 +464,9 @@
 
     /// Records the outcome of an order. An adapter counts as ready once its load is accepted.
     pub fn record_outcome(&mut self, order: &Order, outcome: Outcome, now: Point) {
+        if outcome != Outcome::Unknown {
+            self.strays.settle(order);
+        }
         let Some(inventory) = self.inventory(order) else {
             return;
         };
@@ -580,7 +609,7 @@
             return;
         }
         self.unanswered
-            .retain(|(_, sent)| now.since(*sent) < UNANSWERED_ORDER_TIMEOUT);
+            .retain(|(_, sent)| now.since(*sent) < stray::TIMEOUT);
         let is_announcement_current = now.since(self.changed_at) >= ANNOUNCEMENT_LAG;
         let is_queried_recently = self
             .queried_at
--- a/crates/buckthornmast_supply/src/lib.rs
+++ b/crates/buckthornmast_supply/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod permits;
 pub mod plan;
 pub mod quota;
+pub mod stray;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- a/crates/buckthornmast_supply/src/order.rs
+++ b/crates/buckthornmast_supply/src/order.rs
@@ -1,9 +1,12 @@
 //! Orders to targets and their outcomes.
 
 use buckthornmast_types::id;
+use serde::{Deserialize, Serialize};
 
 /// Operation that a target is ordered to carry out.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+///
+/// Instances exchange it by position, so the order of the variants is part of the format.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Action {
     /// Load a model.
     Load(id::Model),
--- a/crates/buckthornmast_supply/tests/ledger.rs
+++ b/crates/buckthornmast_supply/tests/ledger.rs
@@ -13,7 +13,7 @@
 use buckthornmast_types::{id, size::Bytes, time::Point};
 
 use crate::pool::{
-    INCARNATION, adapter, at, inventory, model, observe, pool, resident_models, target,
+    INCARNATION, TERM, adapter, at, inventory, model, observe, pool, resident_models, target,
 };
 
 fn order(action: Action, expected: u64) -> Order {
@@ -27,7 +27,7 @@
 
 fn send(ledger: &mut Ledger, action: Action, expected: u64, outcome: Outcome, now: Point) {
     let order = order(action, expected);
-    ledger.record_order(&order, now + Duration::from_millis(500), now);
+    ledger.record_order(&order, TERM, now + Duration::from_millis(500), now);
     ledger.record_outcome(&order, outcome, now);
 }
 
@@ -36,6 +36,7 @@
         accepted,
         is_busy: false,
         resident: resident_models(models),
+        arriving: Vec::new(),
         incarnation: None,
         is_leaving: false,
     }
--- a/crates/buckthornmast_supply/tests/plan.rs
+++ b/crates/buckthornmast_supply/tests/plan.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    pool::{INCARNATION, at, model, observe, pool, registry, service, target},
+    pool::{INCARNATION, TERM, at, model, observe, pool, registry, service, target},
     simulation::{MODELS, Simulation, item, row},
 };
 
@@ -30,6 +30,7 @@
             accepted: 0,
             is_busy: false,
             resident: pool::resident_models(models),
+            arriving: Vec::new(),
             incarnation: None,
             is_leaving: false,
         };
@@ -142,7 +143,7 @@
                         action,
                     };
                     accepted += 1;
-                    ledger.record_order(&order, now, now);
+                    ledger.record_order(&order, TERM, now, now);
                     ledger.record_outcome(&order, Outcome::Accepted, now);
                 }
                 _ => {}
@@ -157,6 +158,7 @@
                 accepted,
                 is_busy: false,
                 resident,
+                arriving: Vec::new(),
                 incarnation: None,
                 is_leaving: false,
             };
--- a/crates/buckthornmast_supply/tests/support/pool.rs
+++ b/crates/buckthornmast_supply/tests/support/pool.rs
@@ -14,6 +14,7 @@
 
 pub(crate) const INCARNATION: id::Incarnation = id::Incarnation(5);
 pub(crate) const SLOTS: u32 = 24;
+pub(crate) const TERM: id::Term = id::Term(1);
 
 pub(crate) fn at(millis: u64) -> Point {
     Point::from_millis(1_000_000 + millis)
--- a/crates/buckthornmast_supply/tests/support/simulation.rs
+++ b/crates/buckthornmast_supply/tests/support/simulation.rs
@@ -19,7 +19,9 @@
 use buckthornmast_types::time::Point;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::pool::{self, INCARNATION, SLOTS, adapter, at, model, pool, registry, service, target};
+use crate::pool::{
+    self, INCARNATION, SLOTS, TERM, adapter, at, model, pool, registry, service, target,
+};
 
 pub(crate) const MODELS: usize = 10;
 pub(crate) const TICK_MS: u64 = 200;
@@ -107,6 +109,7 @@
                 accepted: 0,
                 is_busy: false,
                 resident: simulation.announced(number),
+                arriving: Vec::new(),
                 incarnation: None,
                 is_leaving: false,
             };
@@ -238,7 +241,7 @@
                 action: step.action,
             };
             let due = now + Duration::from_millis(time);
-            self.ledger.record_order(&order, due, now);
+            self.ledger.record_order(&order, TERM, due, now);
             self.ledger.record_outcome(&order, Outcome::Accepted, now);
             self.accepted[number] += 1;
             assert!(
