forward, node, way: reach targets through another entry instance

There was no way from an entry instance to a target but its own connection: each request tried targets in turn until its attempts or its time were used up, and learned nothing for the next one.

An entry instance that can't connect to a target opens the connection through another entry instance, which only passes on bytes. So the request stays where it is: deadline, attempts, retry budget, permits, limits, versions and the state of a stream are counted there as before, and the end of the tunnel means what the end of a connection means. The core names each entry instance a few ways of its own domain and a few of others, with a key of each start; older builds aren't sent any. A way connects to the target itself and never through another one. It says at once if it is full, stops, or reaches the target no better. What a target states to it in an answer, to send nothing for a while or that it leaves, is told to it.

Evidence is only what attempts to connect show. Two targets out of reach with no sign of any since count as a cut, in which idle connections aren't used either; probes end it. A refused connection no longer counts as the crash of a target that a way reaches.

--- a/crates/buckthornmast_forward/src/advisory.rs
+++ b/crates/buckthornmast_forward/src/advisory.rs
@@ -15,6 +15,19 @@
 /// most.
 const RETENTION: Duration = Duration::from_secs(300);
 
+/// What a target states about its stay with an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Advice {
+    /// Target.
+    pub target: id::Target,
+    /// Incarnation.
+    pub incarnation: id::Incarnation,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// Time for which it wants no request.
+    pub pause: Option<Duration>,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Advisory {
     is_leaving: bool,
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -11,6 +11,7 @@
 
 use buckthornmast_routing::attempt::Dispatch;
 use buckthornmast_types::{id, time::Clock};
+use buckthornmast_way::reach::Path;
 use bytes::Bytes;
 use http::{HeaderMap, Request, header, response};
 use http_body_util::Full;
@@ -29,7 +30,7 @@
     events::Splitter,
     forwarder::Forwarder,
     mapping::{Mapping, TargetHeaders},
-    pool::{self, Connection},
+    pool::Connection,
     state::Member,
     stats::Ended,
     supply::{Supply, Usage},
@@ -286,8 +287,14 @@
         let (mut head, mut body) = response.into_parts();
         let answer = self.mapping.decode_answer(&head);
         let is_kept = connection.is_used;
+        self.record_path(member, &connection, &answer);
         self.judge(context, member, &head, &answer, Sent { at, is_kept })?;
         let has_end = has_end(&head, &body);
+        if !has_end && connection.way.is_some() {
+            // A way that ends closes the connection as a target does at the end of such an answer.
+            let cause = "the end of the answer can't be told from that of the way";
+            return Err((failure(Dispatch::Sent, cause), Ended::Failed));
+        }
         strip_hop_headers(&mut head.headers);
         let idle = answer.idle;
         let is_stream = context.route.kind.is_stream() && head.status.is_success();
@@ -345,22 +352,22 @@
     ) -> Result<(Connection, http::Response<Incoming>), (Failure, Ended)> {
         loop {
             self.check_accepts(context, member)?;
-            let now = self.clock.now();
-            let pooled = if self.is_repeat(context, member) {
-                None
-            } else {
+            let path = self.path(member);
+            let may_use_idle = match path {
+                Path::Direct => true,
+                Path::Around { may_use_idle } => may_use_idle,
+                Path::Down => false,
+            };
+            let pooled = if may_use_idle && !self.is_repeat(context, member) {
                 let mut state = self.state.borrow_mut();
+                let now = self.clock.now();
                 state.pool.take(&member.target, member.incarnation, now)
+            } else {
+                None
             };
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => pool::connect(member.address).await.map_err(|error| {
-                    log::info!(step = "connect", request:% = context.head.request, target:% = member.target; "opening a connection to the target failed: {error}");
-                    if error.is_refused() && context.head.generation.is_some() {
-                        self.supply.report_down(&member.target, member.incarnation);
-                    }
-                    (failure(Dispatch::NotSent, "the target can't be reached"), Ended::Unreachable)
-                })?,
+                None => self.connect(context, member, path).await?,
             };
             if connection.sender.ready().await.is_err() {
                 if connection.is_used {
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -46,6 +46,8 @@
     pub supply: S,
     /// Clock.
     pub clock: System,
+    /// Name of this instance.
+    pub instance: id::Instance,
     /// Failure domain of this instance.
     pub domain: id::Domain,
     /// State of this instance.
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -33,8 +33,10 @@
 pub mod stream;
 pub mod supply;
 pub mod transfer;
+pub mod tunnel;
 pub mod verdict;
 pub mod wait_limit;
+mod way;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- a/crates/buckthornmast_forward/src/pool.rs
+++ b/crates/buckthornmast_forward/src/pool.rs
@@ -7,18 +7,25 @@
 use std::{
     collections::{HashMap, VecDeque},
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
     time::Duration,
 };
 
 use buckthornmast_types::{id, time::Point};
+use buckthornmast_way::way::Way;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use rustix::io::Errno;
 use snafu::Snafu;
 use socket2::SockRef;
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::JoinHandle,
+    time::timeout,
+};
 
 /// Maximum time to establish a connection. One lost packet delays it by a second, so another target is tried first.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -43,6 +50,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has carried an exchange before.
     pub is_used: bool,
+    /// Way through which the connection leads, if it isn't direct.
+    pub way: Option<Rc<Way>>,
     task: JoinHandle<()>,
 }
 
@@ -84,11 +93,43 @@
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
     }
+
+    /// Returns whether this instance lacks descriptors, ports or memory, which says nothing about the target.
+    pub fn is_local(&self) -> bool {
+        let Self::Connect { source, .. } = self else {
+            return false;
+        };
+        let errno = Errno::from_io_error(source);
+        matches!(
+            errno,
+            Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM | Errno::ADDRNOTAVAIL)
+        )
+    }
 }
 
 /// Opens a connection.
 pub async fn connect(peer: SocketAddr) -> Result<Connection, Error> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+    let stream = open(peer, None, CONNECT_TIMEOUT).await?;
+    start(stream, peer, None).await
+}
+
+/// Opens a stream to a target within a time limit. `source` is the address that it comes from, if it is set.
+pub(crate) async fn open(
+    peer: SocketAddr,
+    source: Option<IpAddr>,
+    limit: Duration,
+) -> Result<TcpStream, Error> {
+    let socket = if peer.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    };
+    let socket = socket.map_err(|source| Error::Connect { peer, source })?;
+    if let Some(source) = source {
+        let bound = socket.bind(SocketAddr::new(source, 0));
+        bound.map_err(|source| Error::Connect { peer, source })?;
+    }
+    let stream = timeout(limit, socket.connect(peer)).await;
     let stream = stream
         .map_err(|_| Error::Timeout { peer })?
         .map_err(|source| Error::Connect { peer, source })?;
@@ -98,6 +139,15 @@
     if let Err(error) = options {
         log::warn!(step = "connect", peer:% = peer; "setting the options of a connection to a target failed, using it anyway: {error}");
     }
+    Ok(stream)
+}
+
+/// Starts to use a stream to a target, which may lead through a way.
+pub(crate) async fn start(
+    stream: TcpStream,
+    peer: SocketAddr,
+    way: Option<Rc<Way>>,
+) -> Result<Connection, Error> {
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -112,6 +162,7 @@
     Ok(Connection {
         sender,
         is_used: false,
+        way,
         task,
     })
 }
@@ -145,7 +196,7 @@
         None
     }
 
-    /// Adds a connection after a complete exchange.
+    /// Adds a connection after a complete exchange, unless it leads through a way.
     pub fn put(
         &mut self,
         target: &id::Target,
@@ -154,6 +205,10 @@
         idle: Option<Duration>,
         now: Point,
     ) {
+        // The statements of a target on a kept tunnel would come too late for the way, which can't read them.
+        if connection.way.is_some() {
+            return;
+        }
         connection.is_used = true;
         let expires = now + idle.unwrap_or(DEFAULT_IDLE_TIMEOUT) * USABLE_IDLE_PERCENT / 100;
         let connections = self.idle.entry((target.clone(), incarnation)).or_default();
--- a/crates/buckthornmast_forward/src/quarantine.rs
+++ b/crates/buckthornmast_forward/src/quarantine.rs
@@ -13,7 +13,6 @@
     context::{Context, millis},
     forwarder::Forwarder,
     mapping::Mapping,
-    pool,
     refusal::Refusal,
     supply::Supply,
 };
@@ -162,14 +161,21 @@
         let Some(address) = address else {
             return true;
         };
-        match pool::connect(address).await {
+        match self.connect_directly(target, incarnation, address).await {
             Ok(_) => false,
             Err(error) => {
                 log::info!(step = "quarantine", request:% = context.head.request, target:% = target; "connecting to a target whose connection failed as it began to answer: {error}");
-                if error.is_refused() && context.head.generation.is_some() {
+                if !error.is_refused() {
+                    return false;
+                }
+                // A partition may refuse connections as a target that has ended does.
+                if self.is_reached_around(target, incarnation).await {
+                    return false;
+                }
+                if context.head.generation.is_some() {
                     self.supply.report_down(target, incarnation);
                 }
-                error.is_refused()
+                true
             }
         }
     }
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -18,10 +18,11 @@
 };
 use buckthornmast_routing::budget;
 use buckthornmast_types::{id, time::Point};
+use buckthornmast_way::prelude::*;
 use tokio::sync::Notify;
 
 use crate::{
-    advisory::Board,
+    advisory::{Advice, Board},
     context::millis,
     mapping::{Answer, Generation},
     memory::Memory,
@@ -140,6 +141,12 @@
     pub route_times: RouteTimes,
     /// Plan of the stop, if this instance is stopping.
     pub stop: Option<stop::Plan>,
+    /// Which targets are in reach of this instance.
+    pub reach: Reach<(id::Target, id::Incarnation)>,
+    /// Instances through which targets out of reach are connected to.
+    pub ways: Ways,
+    /// Address that connections to targets come from, if the settings name one.
+    pub source: Option<IpAddr>,
     routes: Option<Rc<Routes>>,
     registry: Registry,
     inventories: BTreeMap<id::Target, Inventory>,
@@ -166,6 +173,9 @@
             changed: Rc::default(),
             route_times: RouteTimes::default(),
             stop: None,
+            reach: Reach::default(),
+            ways: Ways::default(),
+            source: None,
             routes: None,
             registry: Registry::default(),
             inventories: BTreeMap::new(),
@@ -294,15 +304,27 @@
     /// Records what a target states about its stay with an answer. Returns whether it states for the first time that it
     /// leaves.
     pub fn record_answer(&mut self, member: &Member, answer: &Answer, now: Point) -> bool {
-        let (target, incarnation) = (&member.target, member.incarnation);
-        if let Some(pause) = answer.pause
+        let advice = Advice {
+            target: member.target.clone(),
+            incarnation: member.incarnation,
+            is_leaving: answer.is_leaving,
+            pause: answer.pause,
+        };
+        self.record_advice(&advice, now)
+    }
+
+    /// Records what a target has stated about its stay, here or to an instance that it sees as this one. Returns whether it
+    /// states for the first time that it leaves.
+    pub fn record_advice(&mut self, advice: &Advice, now: Point) -> bool {
+        let (target, incarnation) = (&advice.target, advice.incarnation);
+        if let Some(pause) = advice.pause
             && self
                 .advisories
                 .record_pause(target, incarnation, pause, now)
         {
             log::info!(step = "advisory", target:% = target, born = incarnation.0, pause_ms = millis(pause); "target wants no request for some time");
         }
-        let is_new = answer.is_leaving && self.advisories.record_leaving(target, incarnation, now);
+        let is_new = advice.is_leaving && self.advisories.record_leaving(target, incarnation, now);
         if is_new {
             log::info!(step = "advisory", target:% = target, born = incarnation.0; "target states that it leaves; it gets no further request");
             self.rebuild();
@@ -407,6 +429,10 @@
         let known = |target: &id::Target| Some(registry.get(target)?.announcement.incarnation);
         self.advisories.prune(known, now);
         self.limits.prune(known, now);
+        self.reach.prune(
+            |(target, incarnation)| known(target) == Some(*incarnation),
+            now,
+        );
         // The leader's placements may arrive before the core's updates about new targets, and are not sent again.
         if self.inventories.len() > MAX_UNKNOWN_INVENTORIES + registry.entries().count() {
             self.inventories
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -144,6 +144,7 @@
             requests: RefCell::default(),
         },
         clock,
+        instance: "entry-1".parse().unwrap(),
         domain: "d1".parse().unwrap(),
         state: Rc::new(RefCell::new(state)),
     }
--- a/crates/buckthornmast_forward/tests/stop.rs
+++ b/crates/buckthornmast_forward/tests/stop.rs
@@ -91,6 +91,7 @@
         mapping: NoHeaders,
         supply: NoSupply,
         clock: System::start(),
+        instance: "entry-1".parse().unwrap(),
         domain: "d1".parse().unwrap(),
         state: Rc::new(RefCell::new(State::new(retry_bounds))),
     };
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -310,6 +310,7 @@
             mapping: Headers,
             supply: NoPermits::default(),
             clock,
+            instance: "entry-1".parse().unwrap(),
             domain: "d1".parse().unwrap(),
             state: Rc::new(RefCell::new(state)),
         });
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -56,6 +56,10 @@
 /// Interval of the main loop.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which changed ways are sent to entry instances. Each change moves the ways of a few of them, and choosing
+/// takes a time that grows with the square of their number.
+const WAYS_INTERVAL_TICKS: u64 = 8;
+
 /// Ticks between two reports to the other instances of the core of the targets that have contacted this instance.
 const LIVENESS_INTERVAL_TICKS: u64 = 10;
 
@@ -303,6 +307,9 @@
                 .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_ORIGINS));
         }
         drop(state);
+        if tick.is_multiple_of(WAYS_INTERVAL_TICKS) {
+            self.subscribers.publish_ways();
+        }
         self.connections.set(&addresses, self);
     }
 
@@ -520,14 +527,14 @@
     }
 
     async fn serve(self: Rc<Self>, link: Link<Upstream, Downstream>) {
-        let (instance, member) = match timeout(HELLO_TIMEOUT, link.inbox.recv_async()).await {
-            Ok(Ok(Upstream::Entry(instance))) => {
+        let (instance, member, way) = match timeout(HELLO_TIMEOUT, link.inbox.recv_async()).await {
+            Ok(Ok(Upstream::Entry(instance, way))) => {
                 log::info!(step = "hello", peer:% = instance; "entry instance connected");
-                (instance, None)
+                (instance, None, way)
             }
             Ok(Ok(Upstream::Core(member))) => {
                 log::info!(step = "hello", peer:% = member.instance; "instance of the core connected");
-                (member.instance.clone(), Some(member))
+                (member.instance.clone(), Some(member), None)
             }
             _ => return,
         };
@@ -537,6 +544,8 @@
             outbox: link.outbox.clone(),
             instance,
             is_core: core.is_some(),
+            way,
+            sent_ways: Vec::new(),
             removed: Rc::clone(&removed),
         });
         self.send_state(&link.outbox, member);
@@ -660,7 +669,7 @@
                 let now = self.clock.now();
                 self.state.borrow_mut().roster.record(&member, now);
             }
-            Upstream::Entry(_) => {}
+            Upstream::Entry(..) => {}
         }
     }
 }
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -86,6 +86,7 @@
             | Downstream::Progress(_)
             | Downstream::Trial(_)
             | Downstream::Limits(_)
+            | Downstream::Ways(_)
             | Downstream::Grant { .. } => {}
         }
     }
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -26,6 +27,7 @@
     id,
     time::{Clock, System},
 };
+use buckthornmast_way::way::{Key, Way};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use tokio::time::sleep;
@@ -36,7 +38,7 @@
     http::{Handler, empty_response},
     message::{Downstream, Liveness, UNDERSTANDS_ORIGINS, Upstream, with_versions},
     platform::Platform,
-    settings::Settings,
+    settings::{Service, Settings},
     supplier::Shared,
 };
 
@@ -66,6 +68,9 @@
     supplier: Shared,
     connections: Connections,
     is_stopping: Cell<bool>,
+    key: Key,
+    // Ways by the instance of the core that names them. One that is cut off knows fewer.
+    ways: RefCell<BTreeMap<SocketAddr, Vec<Way>>>,
 }
 
 impl<P: Platform> Entry<P> {
@@ -78,11 +83,15 @@
         };
         let supplier = Shared::default();
         let mut state = State::new(retry_bounds);
+        if let Service::Entry { source, .. } = &settings.service {
+            state.source = *source;
+        }
         state.limits = View::new(xxh3_64(settings.instance.as_str().as_bytes()));
         let forwarder = Forwarder {
             mapping: platform.headers(),
             supply: supplier.clone(),
             clock: System::start(),
+            instance: settings.instance.clone(),
             domain: settings.domain.clone(),
             state: Rc::new(RefCell::new(state)),
         };
@@ -95,11 +104,38 @@
             supplier,
             connections: Connections::default(),
             is_stopping: Cell::new(false),
+            key: Key(rand::random()),
+            ways: RefCell::default(),
         })
     }
 
+    /// Returns the key that tunnels through this instance need.
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
+    /// Sets the ways that an instance of the core names.
+    fn set_ways(&self, state: &mut State, peer: SocketAddr, ways: Option<Vec<Way>>) {
+        let mut by_peer = self.ways.borrow_mut();
+        match ways {
+            Some(ways) => by_peer.insert(peer, ways),
+            None => by_peer.remove(&peer),
+        };
+        let mut all: Vec<Way> = Vec::new();
+        for way in by_peer.values().flatten() {
+            // Another key or address is that of another start; the next update leaves one of them.
+            if !all.contains(way) {
+                all.push(way.clone());
+            }
+        }
+        state.ways.set(all);
+    }
+
     /// Applies changed settings.
     pub fn set_settings(&self, settings: Settings) {
+        if let Service::Entry { source, .. } = &settings.service {
+            self.forwarder.state.borrow_mut().source = *source;
+        }
         self.settings.replace(settings);
     }
 
@@ -140,6 +176,7 @@
                     .limits
                     .set_reachable(self.supplier.0.knows_leader(), now);
             }
+            self.forwarder.probe();
             if tick.is_multiple_of(QUARANTINE_REPORT_TICKS) {
                 let notices = self.forwarder.state.borrow().guard.notices_in_force(now);
                 self.supplier.0.report_quarantines_everywhere(notices);
@@ -179,7 +216,20 @@
 
 impl<P: Platform> Dialer for Entry<P> {
     fn hello(&self) -> Upstream {
-        Upstream::Entry(self.instance.clone())
+        let settings = self.settings.borrow();
+        let way = match &settings.service {
+            Service::Entry {
+                tunnels: Some(address),
+                ..
+            } => Some(Way {
+                instance: self.instance.clone(),
+                domain: settings.domain.clone(),
+                address: *address,
+                key: self.key,
+            }),
+            _ => None,
+        };
+        Upstream::Entry(self.instance.clone(), way)
     }
 
     fn opened(&self, peer: SocketAddr, outbox: Outbox<Upstream>) {
@@ -291,11 +341,14 @@
                 }
             }
             Downstream::Trial(parts) => state.guard.permit_trial(parts, now),
+            Downstream::Ways(ways) => self.set_ways(&mut state, peer, Some(ways)),
         }
     }
 
     fn closed(&self, peer: SocketAddr) {
         self.supplier.0.closed(peer);
+        let mut state = self.forwarder.state.borrow_mut();
+        self.set_ways(&mut state, peer, None);
     }
 }
 
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -31,13 +31,17 @@
     stray::Stray,
 };
 use buckthornmast_types::id;
+use buckthornmast_way::way::Way;
 use serde::{Deserialize, Serialize};
 
 /// Message to an instance of the core, from the instance that opened the connection.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Upstream {
     /// Introduces an entry instance.
-    Entry(id::Instance),
+    ///
+    /// At the end, how other entry instances open tunnels through it. Older builds state none, and understand no
+    /// [`Downstream::Ways`].
+    Entry(id::Instance, Option<Way>),
     /// Introduces an instance of the core.
     Core(Member),
     /// Carries a message of the replicated log.
@@ -227,6 +231,9 @@
         /// Only version that the sender has seen, if there is no record. An older build's answer shows nothing of it.
         sole: Option<Sole>,
     },
+    /// Ways of the receiver to targets that are out of its reach. Only sent to entry instances that have introduced
+    /// themselves as ways.
+    Ways(Vec<Way>),
 }
 
 impl Downstream {
--- a/crates/buckthornmast_node/src/process.rs
+++ b/crates/buckthornmast_node/src/process.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use buckthornmast_forward::server::{Bounds, Phase, Server};
+use buckthornmast_forward::{
+    server::{Bounds, Phase, Server},
+    tunnel::{self, Tunnels},
+};
 use buckthornmast_logging::queue;
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
@@ -50,6 +53,10 @@
 /// connections of callers.
 const RESERVED_DESCRIPTOR_DIVISOR: usize = 3;
 
+/// The number of file descriptors divided by this is the number of tunnels that an entry instance carries for others. Each
+/// takes two descriptors, half of those that are reserved for targets, instances and files.
+const DESCRIPTORS_PER_TUNNEL: usize = 12;
+
 /// Reason why a process can't start, or why changed settings are refused.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -172,7 +179,12 @@
     })?;
     let _metrics = http::start(listener, Rc::new(metrics));
     match settings.service.clone() {
-        Service::Entry { callers, ready } => {
+        Service::Entry {
+            callers,
+            ready,
+            tunnels,
+            ..
+        } => {
             let entry = Entry::new(platform, settings.clone());
             let ready = listen(ready).context(StartSnafu {
                 step: "the readiness listener",
@@ -187,12 +199,29 @@
                 idle: Duration::from_secs(15),
             };
             let server = Server::start(callers, bounds, Rc::clone(&entry.forwarder));
+            let tunnels = match tunnels {
+                Some(address) => {
+                    let listener = listen(address).context(StartSnafu {
+                        step: "the listener for tunnels",
+                    })?;
+                    let most = settings.bounds.descriptors / DESCRIPTORS_PER_TUNNEL;
+                    let forwarder = Rc::clone(&entry.forwarder);
+                    Some(tunnel::Server::start(
+                        listener,
+                        entry.key(),
+                        most,
+                        forwarder,
+                    ))
+                }
+                None => None,
+            };
             tokio::task::spawn_local(Rc::clone(&entry).run());
             wait_for_stop(path, watcher, settings.clone(), |settings| {
                 entry.set_settings(settings);
             })
             .await;
-            stop_entry(&entry, &server, settings.bounds.grace).await;
+            let tunnels = tunnels.as_ref().map(|server| &*server.tunnels);
+            stop_entry(&entry, &server, tunnels, settings.bounds.grace).await;
         }
         Service::Core { control, peers, .. } => {
             let core =
@@ -265,16 +294,25 @@
 }
 
 /// Waits within the grace period until the requests in progress have ended.
-async fn stop_entry<P: Platform>(entry: &Entry<P>, server: &Server, grace: Duration) {
+async fn stop_entry<P: Platform>(
+    entry: &Entry<P>,
+    server: &Server,
+    tunnels: Option<&Tunnels>,
+    grace: Duration,
+) {
     let started = Instant::now();
     let closed_after = grace.saturating_sub(EXIT_RESERVE);
     entry.begin_stop(closed_after);
     server.set_phase(Phase::Closing);
+    if let Some(tunnels) = tunnels {
+        tunnels.stop();
+    }
     sleep(LINGER_TIME.min(grace / 3)).await;
     server.set_phase(Phase::Closed);
     let end = started + closed_after;
-    while server.connections() > 0 && Instant::now() < end {
+    let open = || server.connections() + tunnels.map_or(0, Tunnels::count);
+    while open() > 0 && Instant::now() < end {
         sleep_until((Instant::now() + DRAIN_POLL_INTERVAL).min(end)).await;
     }
-    log::info!(step = "stop", connections = server.connections(); "finished waiting for the connections of callers to end");
+    log::info!(step = "stop", connections = server.connections(), tunnels = tunnels.map_or(0, Tunnels::count); "finished waiting for the connections of callers and the tunnels of other instances to end");
 }
--- a/crates/buckthornmast_node/src/settings.rs
+++ b/crates/buckthornmast_node/src/settings.rs
@@ -1,6 +1,11 @@
 //! Settings of a process, read from an INI file.
 
-use std::{net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    str::FromStr,
+    time::Duration,
+};
 
 use buckthornmast_config::{
     daemon::Span,
@@ -41,6 +46,11 @@
         callers: SocketAddr,
         /// Address for readiness checks.
         ready: SocketAddr,
+        /// Address for tunnels of other entry instances to targets that they can't reach. Without it, this instance neither
+        /// carries tunnels nor opens any.
+        tunnels: Option<SocketAddr>,
+        /// Address that connections to targets come from, for instances with several.
+        source: Option<IpAddr>,
     },
     /// Instance of the core.
     Core {
@@ -156,6 +166,8 @@
         Role::Entry => Service::Entry {
             callers: reader.required("listen", "callers", ADDRESS_FORMAT)?,
             ready: reader.required("listen", "ready", ADDRESS_FORMAT)?,
+            tunnels: reader.optional("listen", "tunnels", ADDRESS_FORMAT),
+            source: reader.optional("listen", "source", "an IP address"),
         },
         Role::Core => Service::Core {
             control: reader.required("listen", "control", ADDRESS_FORMAT)?,
--- a/crates/buckthornmast_node/src/subscribers.rs
+++ b/crates/buckthornmast_node/src/subscribers.rs
@@ -8,6 +8,7 @@
 
 use buckthornmast_link::{Frame, Outbox};
 use buckthornmast_types::id;
+use buckthornmast_way::{choice, way::Way};
 use tokio::sync::Notify;
 
 use crate::message::Downstream;
@@ -21,6 +22,10 @@
     pub instance: id::Instance,
     /// Whether the instance belongs to the core.
     pub is_core: bool,
+    /// How other entry instances open tunnels through this one, if it carries any.
+    pub way: Option<Way>,
+    /// Ways that were last sent to it.
+    pub sent_ways: Vec<Way>,
     /// Notified when the subscriber is removed because it falls behind, so that its connection is closed.
     pub removed: Rc<Notify>,
 }
@@ -30,6 +35,8 @@
 pub struct Subscribers {
     next_number: Cell<u64>,
     by_number: RefCell<BTreeMap<u64, Subscriber>>,
+    // Whether instances were added or removed since their ways were last published.
+    has_changed: Cell<bool>,
 }
 
 impl Subscribers {
@@ -37,6 +44,7 @@
     pub fn add(&self, subscriber: Subscriber) -> u64 {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
+        self.has_changed.set(true);
         self.by_number.borrow_mut().insert(number, subscriber);
         number
     }
@@ -44,6 +52,34 @@
     /// Removes an instance.
     pub fn remove(&self, number: u64) {
         self.by_number.borrow_mut().remove(&number);
+        self.has_changed.set(true);
+    }
+
+    /// Sends each entry instance its ways, if they have changed.
+    pub fn publish_ways(&self) {
+        if !self.has_changed.replace(false) {
+            return;
+        }
+        let mut subscribers = self.by_number.borrow_mut();
+        // An instance that has connected again may still have its former connection.
+        let all: BTreeMap<id::Instance, Way> = subscribers
+            .values()
+            .filter_map(|subscriber| subscriber.way.clone())
+            .map(|way| (way.instance.clone(), way))
+            .collect();
+        for subscriber in subscribers.values_mut() {
+            let Some(way) = &subscriber.way else {
+                continue;
+            };
+            let ways = choice::ways_of(&subscriber.instance, &way.domain, all.values());
+            if ways.iter().copied().eq(&subscriber.sent_ways) {
+                continue;
+            }
+            subscriber.sent_ways = ways.into_iter().cloned().collect();
+            let message = Downstream::Ways(subscriber.sent_ways.clone());
+            // The reader of the connection detects its end, and a full queue closes it with the next message to all.
+            let _ = subscriber.outbox.send(&message);
+        }
     }
 
     /// Sends a message to the subscribers that are selected. One whose connection has ended or whose queue is full is
--- a/crates/buckthornmast_node/tests/subscribers.rs
+++ b/crates/buckthornmast_node/tests/subscribers.rs
@@ -35,6 +35,8 @@
             outbox: link.outbox.clone(),
             instance: "front-1".parse().unwrap(),
             is_core: false,
+            way: None,
+            sent_ways: Vec::new(),
             removed: Rc::clone(&removed),
         });
         for _ in 0..MAX_QUEUED_FRAMES {
