forward: refuse in a stop what nothing shows to end in time

Before the first answer the objective of the route was expected.

Without an answer, a request may take up to the time limit of its route, so it is refused and comes back at another instance at once. Requests in progress are evidence, too: one that has taken longer than all answers is expected to take as long again. So a route that has just become slower is noticed before its first slow answer.

--- a/crates/buckthornmast_forward/src/exchange/in_flight.rs
+++ b/crates/buckthornmast_forward/src/exchange/in_flight.rs
@@ -43,6 +43,7 @@
         state
             .stats
             .record_dispatch(&member.target, member.incarnation);
+        state.route_times.begin(&route.name, now);
         Self {
             state: Rc::clone(&forwarder.state),
             clock: forwarder.clock,
@@ -92,6 +93,7 @@
         if !std::mem::replace(&mut self.is_ended, true) {
             let now = self.clock.now();
             let mut state = self.state.borrow_mut();
+            state.route_times.end(&self.route.name, self.started);
             if let Ended::Answered { total_time, .. } = ended {
                 state.route_times.record(&self.route.name, total_time);
             }
--- a/crates/buckthornmast_forward/src/selection/stop.rs
+++ b/crates/buckthornmast_forward/src/selection/stop.rs
@@ -19,7 +19,8 @@
             return deadline;
         }
         let state = self.state.borrow();
-        let expected = state.route_times.expected(&context.route);
+        let now = self.clock.now();
+        let expected = state.route_times.expected_in_stop(&context.route, now);
         let stop = state.stop;
         stop.map_or(deadline, |stop| {
             deadline.min(stop.latest_dispatch(expected, context.deadline))
@@ -48,8 +49,9 @@
         } = &chosen.member;
         let stats = state.stats.get(target, *incarnation);
         let of_target = stats.map_or(Duration::ZERO, TargetStats::service_time);
-        let of_route = state.route_times.expected(&context.route);
+        let now = self.clock.now();
+        let of_route = state.route_times.expected_in_stop(&context.route, now);
         let expected = of_route.max(of_target) + chosen.basis.wait;
-        self.clock.now() <= stop.latest_dispatch(expected, context.deadline)
+        now <= stop.latest_dispatch(expected, context.deadline)
     }
 }
--- a/crates/buckthornmast_forward/src/stop.rs
+++ b/crates/buckthornmast_forward/src/stop.rs
@@ -2,7 +2,8 @@
 //!
 //! Designed for requests that are complete late in the grace period, because their bodies were slow or they waited for a
 //! place. One that is sent and can't be answered before the end is cut off, and its caller doesn't know whether it ran.
-//! So it is sent only if it is expected to end in time, by the time that its route and its target have taken so far. Otherwise
+//! So it is sent only if it is expected to end in time, by the time that its route and its target have taken so far, and by
+//! that of the requests in progress. Where nothing is known of a route, a request may take up to its time limit. Otherwise
 //! it is refused while there is time for that, and comes back at another instance.
 
 use std::{collections::HashMap, time::Duration};
@@ -42,11 +43,16 @@
 /// refused from the signal on wherever a few take as long as the grace period.
 const EXPECTED_PERCENT: usize = 75;
 
-/// Times of the last requests of a route that were answered.
+/// Time that a request in progress is expected to take in all, as a multiple of the time that it has taken so far.
+const AGE_FACTOR: u32 = 2;
+
+/// Times of the last requests of a route that were answered, and those in progress.
 #[derive(Debug, Default)]
 struct Recent {
     times: SmallVec<[Duration; KNOWN_ANSWERS]>,
     next: usize,
+    // Times at which the requests in progress were sent.
+    sent: Vec<Point>,
 }
 
 impl Recent {
@@ -58,8 +64,10 @@
         self.next = (self.next + 1) % KNOWN_ANSWERS;
     }
 
-    fn expected(&self) -> Duration {
-        let mut times = self.times.clone();
+    fn expected(&self, now: Point) -> Duration {
+        let ages = self.sent.iter().map(|sent| now.since(*sent) * AGE_FACTOR);
+        let slow = ages.filter(|age| self.times.iter().all(|time| age > time));
+        let mut times: Vec<Duration> = self.times.iter().copied().chain(slow).collect();
         times.sort_unstable();
         let index = times.len() * EXPECTED_PERCENT / 100;
         times.get(index).copied().unwrap_or_default()
@@ -83,11 +91,44 @@
         self.by_route.insert(route.to_owned(), recent);
     }
 
+    /// Records that a request is sent to a target.
+    pub fn begin(&mut self, route: &str, now: Point) {
+        if let Some(recent) = self.by_route.get_mut(route) {
+            return recent.sent.push(now);
+        }
+        let recent = Recent {
+            sent: vec![now],
+            ..Recent::default()
+        };
+        self.by_route.insert(route.to_owned(), recent);
+    }
+
+    /// Records that a request that was sent at a time has ended, answered or not.
+    pub fn end(&mut self, route: &str, sent: Point) {
+        if let Some(recent) = self.by_route.get_mut(route)
+            && let Some(index) = recent.sent.iter().position(|other| *other == sent)
+        {
+            recent.sent.swap_remove(index);
+        }
+    }
+
     /// Returns the time that most requests of a route take at the most. Before the first answer, that is the objective of the
     /// route.
-    pub fn expected(&self, route: &Route) -> Duration {
+    pub fn expected(&self, route: &Route, now: Point) -> Duration {
+        let recent = self.answered(route);
+        recent.map_or(route.objective, |recent| recent.expected(now))
+    }
+
+    /// Returns the time that a request of a route is expected to take at the most in a stop. Before the first answer, only the
+    /// route's own time limit bounds it.
+    pub fn expected_in_stop(&self, route: &Route, now: Point) -> Duration {
+        let recent = self.answered(route);
+        recent.map_or(route.timeout, |recent| recent.expected(now))
+    }
+
+    fn answered(&self, route: &Route) -> Option<&Recent> {
         let recent = self.by_route.get(&route.name);
-        recent.map_or(route.objective, Recent::expected)
+        recent.filter(|recent| !recent.times.is_empty())
     }
 
     /// Forgets the routes that don't exist any more.
--- a/crates/buckthornmast_forward/tests/plan.rs
+++ b/crates/buckthornmast_forward/tests/plan.rs
@@ -13,6 +13,9 @@
     ends_at: Point::from_millis(7400),
 };
 
+/// Time at which no request is in progress.
+const NOW: Point = Point::ZERO;
+
 /// Deadline that is never reached before the end.
 const LATE: Point = Point::from_millis(60_000);
 
@@ -72,17 +75,17 @@
 fn expected_by_route() {
     let mut times = RouteTimes::default();
     let (slow, quick) = (route("slow"), route("quick"));
-    assert_eq!(times.expected(&slow), slow.objective);
+    assert_eq!(times.expected(&slow, NOW), slow.objective);
     for _ in 0..3 {
         times.record("slow", Duration::from_secs(3));
         times.record("quick", Duration::from_millis(20));
     }
-    assert_eq!(times.expected(&slow), Duration::from_secs(3));
-    assert_eq!(times.expected(&quick), Duration::from_millis(20));
+    assert_eq!(times.expected(&slow, NOW), Duration::from_secs(3));
+    assert_eq!(times.expected(&quick, NOW), Duration::from_millis(20));
     for _ in 0..16 {
         times.record("slow", Duration::from_secs(1));
     }
-    assert_eq!(times.expected(&slow), Duration::from_secs(1));
+    assert_eq!(times.expected(&slow, NOW), Duration::from_secs(1));
     // A few long answers don't make all requests long.
     for _ in 0..4 {
         times.record("quick", Duration::from_secs(8));
@@ -90,9 +93,42 @@
     for _ in 0..12 {
         times.record("quick", Duration::from_millis(50));
     }
-    assert_eq!(times.expected(&quick), Duration::from_secs(8));
+    assert_eq!(times.expected(&quick, NOW), Duration::from_secs(8));
     times.record("quick", Duration::from_millis(50));
-    assert_eq!(times.expected(&quick), Duration::from_millis(50));
+    assert_eq!(times.expected(&quick, NOW), Duration::from_millis(50));
     times.retain(|name| name != "slow");
-    assert_eq!(times.expected(&slow), slow.objective);
+    assert_eq!(times.expected(&slow, NOW), slow.objective);
+}
+
+/// Guards against requests that are sent in a stop as if they took the objective although those in progress have taken longer,
+/// or although nothing is known of their route.
+#[test]
+fn expected_in_stop_by_requests_in_progress() {
+    let mut times = RouteTimes::default();
+    let slow = route("slow");
+    let at = Point::from_millis;
+    assert_eq!(times.expected_in_stop(&slow, at(0)), slow.timeout);
+    times.begin("slow", at(0));
+    assert_eq!(times.expected_in_stop(&slow, at(100)), slow.timeout);
+    for _ in 0..16 {
+        times.record("slow", Duration::from_millis(50));
+    }
+    assert_eq!(
+        times.expected_in_stop(&slow, at(100)),
+        Duration::from_millis(50)
+    );
+    for _ in 0..8 {
+        times.begin("slow", at(0));
+    }
+    assert_eq!(
+        times.expected_in_stop(&slow, at(1000)),
+        Duration::from_millis(2000)
+    );
+    for _ in 0..9 {
+        times.end("slow", at(0));
+    }
+    assert_eq!(
+        times.expected_in_stop(&slow, at(1000)),
+        Duration::from_millis(50)
+    );
 }
