forward, way: try a target directly that only the failure of others speaks against

Without ways there is only the direct path, as before. With ways, a target that has not failed itself is tried directly if no way leads to it. call_beside_crashes plays both.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -355,7 +355,7 @@
             let path = self.path(member);
             let may_use_idle = match path {
                 Path::Direct => true,
-                Path::Around { may_use_idle } => may_use_idle,
+                Path::Around { may_use_idle, .. } => may_use_idle,
                 Path::Down => false,
             };
             let pooled = if may_use_idle && !self.is_repeat(context, member) {
--- a/crates/buckthornmast_forward/src/way.rs
+++ b/crates/buckthornmast_forward/src/way.rs
@@ -27,10 +27,14 @@
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 impl<M: Mapping, S: Supply> Forwarder<M, S> {
-    /// Returns the path to a target.
+    /// Returns the path to a target. Without ways, there is none but the direct one.
     pub(crate) fn path(&self, member: &Member) -> Path {
+        let state = self.state.borrow();
+        if state.ways.is_empty() {
+            return Path::Direct;
+        }
         let key = (member.target.clone(), member.incarnation);
-        self.state.borrow().reach.path(&key, self.clock.now())
+        state.reach.path(&key, self.clock.now())
     }
 
     /// Opens a connection for a request. If that fails, no byte of the request has been sent.
@@ -40,20 +44,10 @@
         member: &Member,
         path: Path,
     ) -> Result<Connection, (Failure, Ended)> {
-        if path == Path::Direct {
-            let (target, incarnation) = (&member.target, member.incarnation);
-            match self
-                .connect_directly(target, incarnation, member.address)
-                .await
-            {
-                Ok(connection) => return Ok(connection),
-                Err(error) => {
-                    log::info!(step = "connect", request:% = context.head.request, target:% = target, born = incarnation.0; "opening a connection to the target failed: {error}");
-                    if error.is_refused() && context.head.generation.is_some() {
-                        self.supply.report_down(target, incarnation);
-                    }
-                }
-            }
+        if path == Path::Direct
+            && let Some(connection) = self.try_directly(context, member).await
+        {
+            return Ok(connection);
         }
         let around = if path == Path::Down {
             None
@@ -64,7 +58,21 @@
             let failure = failure(Dispatch::NotSent, "the target can't be reached");
             (failure, Ended::Unreachable)
         };
-        let (stream, way) = around.ok_or_else(unreachable)?;
+        let Some((stream, way)) = around else {
+            let may_be_reached = matches!(
+                path,
+                Path::Around {
+                    may_be_reached: true,
+                    ..
+                }
+            );
+            let direct = if may_be_reached {
+                self.try_directly(context, member).await
+            } else {
+                None
+            };
+            return direct.ok_or_else(unreachable);
+        };
         log::debug!(step = "connect", request:% = context.head.request, target:% = member.target, way:% = way.instance; "the target is reached through another instance");
         metrics::counter!("buckthornmast_around_connections_total").increment(1);
         let peer = way.address;
@@ -75,6 +83,22 @@
         })
     }
 
+    /// Opens a direct connection for a request, if that is possible.
+    async fn try_directly(&self, context: &Context, member: &Member) -> Option<Connection> {
+        let (target, incarnation) = (&member.target, member.incarnation);
+        let result = self
+            .connect_directly(target, incarnation, member.address)
+            .await;
+        result
+            .inspect_err(|error| {
+                log::info!(step = "connect", request:% = context.head.request, target:% = target, born = incarnation.0; "opening a connection to the target failed: {error}");
+                if error.is_refused() && context.head.generation.is_some() {
+                    self.supply.report_down(target, incarnation);
+                }
+            })
+            .ok()
+    }
+
     /// Opens a direct connection, and records whether that was possible.
     pub(crate) async fn connect_directly(
         &self,
--- a/crates/buckthornmast_forward/tests/around.rs
+++ b/crates/buckthornmast_forward/tests/around.rs
@@ -282,3 +282,38 @@
         assert!(!fleet.forwarder.state.borrow().reach.is_cut_off());
     });
 }
+
+/// Guards against a sound target that isn't tried because others have crashed at the same time: without ways, and with one that
+/// has no room.
+#[test]
+fn call_beside_crashes() {
+    block_on(async {
+        for has_way in [false, true] {
+            let pair = Pair::start(0).await;
+            let fleet = Fleet::start(
+                Route {
+                    attempts: 5,
+                    ..once_route()
+                },
+                4,
+            )
+            .await;
+            for target in 1..4 {
+                fleet.stop_target(target).await;
+            }
+            if has_way {
+                fleet
+                    .forwarder
+                    .state
+                    .borrow_mut()
+                    .ways
+                    .set(vec![pair.way.clone()]);
+            }
+            for number in 0..10 {
+                fleet.script(answer("whole"));
+                let answer = fleet.call("1").await;
+                assert!(answer.ends_with("whole"), "{has_way} {number}: {answer}");
+            }
+        }
+    });
+}
--- a/crates/buckthornmast_way/src/reach.rs
+++ b/crates/buckthornmast_way/src/reach.rs
@@ -41,6 +41,9 @@
     Around {
         /// Whether an idle connection of this instance may be used instead.
         may_use_idle: bool,
+        /// Whether the target may be in reach although no way leads there: nothing speaks against it but the failure of
+        /// others, which may all have crashed.
+        may_be_reached: bool,
     },
     /// The target is down: neither this instance nor a way has reached it a moment ago.
     Down,
@@ -129,11 +132,13 @@
             return Path::Direct;
         }
         let is_cut_off = self.is_cut_off();
-        match self.marks.get(target) {
+        let mark = self.marks.get(target);
+        match mark {
             None if !is_cut_off => Path::Direct,
             Some(mark) if now < mark.down_until => Path::Down,
             _ => Path::Around {
                 may_use_idle: !is_cut_off,
+                may_be_reached: mark.is_none(),
             },
         }
     }
