types, routes, forward, supply: names for organisations, quotas and shared beginnings of prompts

Cause: the parts that the new deployments need (keys and quotas of organisations, a share of scarce room, kept prompts) exchange a few types, which several people would otherwise add in several ways.

Change: id::Organisation; organisations, their quotas and public routes in the document of routes; the organisation and priority of a request; in requests for permits, at the end where older builds pass over them: priority, organisation, length of the answer and the beginnings of the prompt. Nothing decides by them yet, and a document names no organisation until the adapter reads them.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -53,6 +53,10 @@
     pub version: Revision,
     /// Service.
     pub service: id::Service,
+    /// Organisation that the caller belongs to, if the route needs a key.
+    pub organisation: Option<id::Organisation>,
+    /// Priority of the organisation or, without one, of the route. 0 is the most urgent.
+    pub priority: u32,
     /// When the request head arrived.
     pub received: Point,
     /// When the final answer is due.
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -145,6 +145,8 @@
         Ok(Context {
             route: Arc::clone(route),
             service: service.clone(),
+            organisation: None,
+            priority: route.priority,
             version,
             received,
             deadline: received + timeout,
--- a/crates/buckthornmast_forward/src/limit.rs
+++ b/crates/buckthornmast_forward/src/limit.rs
@@ -146,7 +146,7 @@
         let request = Request {
             candidates: limited.iter().map(|member| key_of(member)).collect(),
             max_wait,
-            priority: context.route.priority,
+            priority: context.priority,
             has_alternative,
         };
         let answer = self.supply.request_grant(request).await;
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -13,6 +13,7 @@
 use buckthornmast_limit::{account::GRANT_LIFETIME, statement::Grant};
 use buckthornmast_types::{
     id,
+    prompt::Prefix,
     time::{Clock, Point},
 };
 use smallvec::SmallVec;
@@ -41,6 +42,9 @@
 /// Interval at which a stream that has begun looks for a place, while its targets are full.
 const FULL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of beginnings of a prompt that are told apart.
+const MAX_PREFIXES: usize = 8;
+
 /// Longest such interval, while all targets limit their rate.
 const MAX_LIMITED_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -83,13 +87,25 @@
     xxh3_64(request.as_bytes())
 }
 
-/// Returns the hash of the model, the adapter and the first part of the prompt, if other requests may share that part.
-fn prefix_hash(generation: &Generation) -> Option<u64> {
+/// Returns the beginnings of the prompt that other requests may share, from the shortest to the longest.
+pub fn prefixes(generation: &Generation) -> SmallVec<[Prefix; 4]> {
     let adapter = generation.adapter.as_ref().map_or("", |id| id.as_str());
     let mut hash = xxh3_64(generation.model.as_str().as_bytes());
     hash = xxh3_64_with_seed(adapter.as_bytes(), hash);
-    let first = generation.shared_parts().first()?;
-    Some(xxh3_64_with_seed(&first.id.to_le_bytes(), hash))
+    let parts = generation.shared_parts().iter().take(MAX_PREFIXES);
+    let prefixes = parts.map(|part| {
+        hash = xxh3_64_with_seed(&part.id.to_le_bytes(), hash);
+        Prefix {
+            hash,
+            tokens: part.tokens,
+        }
+    });
+    prefixes.collect()
+}
+
+/// Returns the hash of the model, the adapter and the first part of the prompt, if other requests may share that part.
+fn prefix_hash(generation: &Generation) -> Option<u64> {
+    prefixes(generation).first().map(|prefix| prefix.hash)
 }
 
 impl<M: Mapping, S: Supply> Forwarder<M, S> {
@@ -300,6 +316,10 @@
             objective: (context.received + context.route.objective).since(now),
             max_wait: self.wait_deadline(context).since(now),
             avoid,
+            priority: context.priority,
+            organisation: context.organisation.clone(),
+            answer_tokens: generation.answer_tokens,
+            prefixes: shared.map_or_else(SmallVec::new, prefixes),
         };
         let wait_limit = request.max_wait;
         match timeout(wait_limit, self.supply.request_permit(request)).await {
--- a/crates/buckthornmast_forward/src/supply.rs
+++ b/crates/buckthornmast_forward/src/supply.rs
@@ -11,7 +11,7 @@
     record::Record,
 };
 use buckthornmast_quarantine::{ledger::Evidence, part};
-use buckthornmast_types::id;
+use buckthornmast_types::{id, prompt::Prefix};
 use smallvec::SmallVec;
 
 /// Model or adapter that a request needs.
@@ -60,6 +60,14 @@
     pub max_wait: Duration,
     /// Targets that the request has been dispatched to already, or that fail.
     pub avoid: SmallVec<[id::Target; 2]>,
+    /// Priority of the caller, of which 0 is the most urgent.
+    pub priority: u32,
+    /// Organisation that the caller belongs to.
+    pub organisation: Option<id::Organisation>,
+    /// Maximum number of tokens of the answer.
+    pub answer_tokens: u32,
+    /// Beginnings of the prompt that other requests may share, from the shortest to the longest.
+    pub prefixes: SmallVec<[Prefix; 4]>,
 }
 
 /// Answer to the request for a permit.
--- a/crates/buckthornmast_forward/tests/plan.rs
+++ b/crates/buckthornmast_forward/tests/plan.rs
@@ -31,6 +31,7 @@
         attempts: 1,
         priority: 1,
         affinity: false,
+        is_public: false,
     }
 }
 
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -167,6 +167,7 @@
         attempts: 2,
         priority: 1,
         affinity: true,
+        is_public: false,
     };
     Context {
         head: Head {
@@ -187,6 +188,8 @@
         route: Arc::new(route),
         version: Revision(1),
         service: "engines".parse().unwrap(),
+        organisation: None,
+        priority: 1,
         received: now,
         deadline: now + Duration::from_secs(10),
         history: History::default(),
--- a/crates/buckthornmast_forward/tests/state.rs
+++ b/crates/buckthornmast_forward/tests/state.rs
@@ -69,6 +69,7 @@
             head_time: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         },
+        organisations: Vec::new(),
     };
     assert!(entry.set_routes(document));
 }
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -238,6 +238,7 @@
         attempts: 3,
         priority: 1,
         affinity: false,
+        is_public: false,
     }
 }
 
@@ -265,6 +266,7 @@
             head_time: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         },
+        organisations: Vec::new(),
     }
 }
 
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -273,6 +273,10 @@
             objective: permit_request.objective,
             max_wait: permit_request.max_wait,
             avoid: permit_request.avoid,
+            priority: permit_request.priority,
+            organisation: permit_request.organisation,
+            answer_tokens: permit_request.answer_tokens,
+            prefixes: permit_request.prefixes,
         };
         let (sender, answers) = flume::unbounded();
         self.permit_requests.borrow_mut().insert(number, sender);
--- a/crates/buckthornmast_routes/src/document.rs
+++ b/crates/buckthornmast_routes/src/document.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt,
     time::Duration,
 };
 
@@ -65,6 +66,8 @@
     pub priority: u32,
     /// Whether requests with a common prompt prefix should go to the same target.
     pub affinity: bool,
+    /// Whether requests need no key, although the document names organisations.
+    pub is_public: bool,
 }
 
 /// Model that the targets of a service may load.
@@ -112,6 +115,53 @@
     pub pool: Option<Pool>,
 }
 
+/// What a quota counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unit {
+    /// Each request counts as one.
+    Requests,
+    /// A request counts as the tokens of its prompt and its longest answer.
+    Tokens {
+        /// What a request counts as that states no number of tokens.
+        plain: u64,
+    },
+}
+
+/// Bound on the requests of an organisation at all instances together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Quota {
+    /// What it counts.
+    pub unit: Unit,
+    /// Units a second.
+    pub rate: Rate,
+    /// Units beyond the rate that may be used at once.
+    pub burst: f64,
+}
+
+/// Customer whose requests carry one of its keys.
+#[derive(Clone, PartialEq)]
+pub struct Organisation {
+    /// Name.
+    pub name: id::Organisation,
+    /// Keys. They are secrets: neither logged nor passed on.
+    pub keys: Vec<String>,
+    /// Priority of its requests in place of that of their route, of which 0 is the most urgent.
+    pub priority: Option<u32>,
+    /// Quota, if it has one.
+    pub quota: Option<Quota>,
+}
+
+impl fmt::Debug for Organisation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Organisation")
+            .field("name", &self.name)
+            .field("keys", &self.keys.len())
+            .field("priority", &self.priority)
+            .field("quota", &self.quota)
+            .finish()
+    }
+}
+
 /// Limits on requests of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -136,6 +186,8 @@
     pub services: BTreeMap<id::Service, Service>,
     /// Limits.
     pub limits: Limits,
+    /// Organisations that hold keys. Without any, requests need no key.
+    pub organisations: Vec<Organisation>,
 }
 
 /// Reason why a document is refused.
--- a/crates/buckthornmast_routes/tests/document.rs
+++ b/crates/buckthornmast_routes/tests/document.rs
@@ -21,6 +21,7 @@
         attempts: 2,
         priority: 0,
         affinity: false,
+        is_public: false,
     }
 }
 
@@ -40,6 +41,7 @@
             head_time: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         },
+        organisations: Vec::new(),
     }
 }
 
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -18,7 +18,7 @@
     account::Account,
     statement::{Grant, Key},
 };
-use buckthornmast_types::{id, time::Point};
+use buckthornmast_types::{id, prompt::Prefix, time::Point};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -74,6 +74,15 @@
     pub max_wait: Duration,
     /// Targets that have already had the request, or that fail.
     pub avoid: SmallVec<[id::Target; 2]>,
+    // Older builds send none of the following.
+    /// Priority of the caller, of which 0 is the most urgent.
+    pub priority: u32,
+    /// Organisation that the caller belongs to.
+    pub organisation: Option<id::Organisation>,
+    /// Maximum number of tokens of the answer.
+    pub answer_tokens: u32,
+    /// Beginnings of the prompt that other requests may share, from the shortest to the longest.
+    pub prefixes: SmallVec<[Prefix; 4]>,
 }
 
 /// Answer to a request for a permit.
--- a/crates/buckthornmast_supply/tests/limits.rs
+++ b/crates/buckthornmast_supply/tests/limits.rs
@@ -82,6 +82,10 @@
         objective: Duration::from_millis(300),
         max_wait: Duration::from_secs(2),
         avoid: SmallVec::new(),
+        priority: 1,
+        organisation: None,
+        answer_tokens: 0,
+        prefixes: SmallVec::new(),
     }
 }
 
--- a/crates/buckthornmast_supply/tests/permits.rs
+++ b/crates/buckthornmast_supply/tests/permits.rs
@@ -45,6 +45,10 @@
         objective: Duration::from_millis(OBJECTIVE_MS),
         max_wait: Duration::from_millis(MAX_WAIT_MS),
         avoid: SmallVec::new(),
+        priority: 1,
+        organisation: None,
+        answer_tokens: 0,
+        prefixes: SmallVec::new(),
     }
 }
 
--- a/crates/buckthornmast_types/src/id.rs
+++ b/crates/buckthornmast_types/src/id.rs
@@ -103,6 +103,8 @@
     Adapter = "adapter";
     /// Version of a model or an adapter.
     Version = "version";
+    /// Customer of a deployment, which holds keys and has a quota.
+    Organisation = "organisation";
     /// Service that targets belong to.
     Service = "service";
     /// Kind of target; the settings of the platform declare its capabilities.
--- a/crates/buckthornmast_types/src/lib.rs
+++ b/crates/buckthornmast_types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod id;
 pub mod order;
 pub mod outcome;
+pub mod prompt;
 pub mod rate;
 pub mod report;
 pub mod scope;
