organisation, forward, node, platform: keys of callers, and the lease under which instances honour them

Cause: nothing knew of keys. They were passed on to targets, unknown and removed keys were served, and no instance could tell whether its routes were out of date.

Change: the adapter decodes organisations, their keys and quotas, and public routes; a document with shared, empty or overlong keys or a repeated name is refused. The new crate buckthornmast_organisation looks keys up by digest and keeps the lease of an entry instance. The lease is renewed by the leader's confirmation of the newest version, counted from the time at which the instance asked, on a clock that counts suspension. Keys are checked on arrival and before each attempt. Messages: Upstream::ConfirmRequest and Downstream::Confirmation, only between builds that understand them. The setting key-lease switches the bound on; without organisations nothing changes on the wire.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -7,6 +7,7 @@
 };
 
 use buckthornmast_limit::statement::{Grant, Key};
+use buckthornmast_organisation::ring::Digest;
 use buckthornmast_origin::origin::Origin;
 use buckthornmast_quarantine::part::{self, Part};
 use buckthornmast_routes::{document::Route, register::Revision};
@@ -18,7 +19,7 @@
 
 use crate::{
     continuation, identity,
-    mapping::{Generation, Head},
+    mapping::{Caller, Generation, Head},
     selection::{Chosen, Inputs},
     supply::Item,
     wait_limit,
@@ -53,6 +54,10 @@
     pub version: Revision,
     /// Service.
     pub service: id::Service,
+    /// Whether the routes name organisations, so that nothing that the caller states about itself is passed on.
+    pub is_checked: bool,
+    /// Key of the caller, if the route needs one.
+    pub key: Option<Digest>,
     /// Organisation that the caller belongs to, if the route needs a key.
     pub organisation: Option<id::Organisation>,
     /// Priority of the organisation or, without one, of the route. 0 is the most urgent.
@@ -98,6 +103,15 @@
         })
     }
 
+    /// Returns what a target is told about the caller.
+    pub fn caller(&self) -> Caller<'_> {
+        match &self.organisation {
+            Some(organisation) => Caller::Known(organisation),
+            None if self.is_checked => Caller::Anonymous,
+            None => Caller::Unchecked,
+        }
+    }
+
     /// Returns the ids of the parts of the prompt that other requests may share, for the log.
     pub fn shared_part_names(&self) -> String {
         let generation = self.head.generation.as_ref();
@@ -205,6 +219,7 @@
 pub struct Reporter {
     request: Box<str>,
     route: Arc<Route>,
+    organisation: Option<id::Organisation>,
     version: Revision,
     received: std::time::Instant,
     first_event_time: Option<Duration>,
@@ -223,6 +238,7 @@
         Self {
             request: context.head.request.0.clone(),
             route: Arc::clone(&context.route),
+            organisation: context.organisation.clone(),
             version: context.version,
             received: std::time::Instant::now(),
             first_event_time: None,
@@ -273,6 +289,7 @@
             request:% = self.request,
             route:% = self.route.name,
             version = self.version.0,
+            organisation:% = self.organisation.as_ref().map_or("", |organisation| organisation.as_str()),
             model:% = self.model,
             target:% = self.target.as_ref().map_or("", |target| target.as_str()),
             load:% = format!("{:.1}", self.basis.load),
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -417,6 +417,7 @@
             time_left: context.time_left(self.clock.now()),
             rank,
             last_event: after,
+            caller: context.caller(),
         };
         self.mapping.encode(&mut headers, &target_headers);
         let mut request = Request::new(Full::new(context.body.clone()));
@@ -436,6 +437,7 @@
     /// Returns an error if the target has stated, since it was chosen, that it wants no request.
     fn check_accepts(&self, context: &Context, member: &Member) -> Result<(), (Failure, Ended)> {
         self.check_limit(context, member)?;
+        self.check_key(context)?;
         if !context.origin.permits(member.mark) {
             let failure = failure(
                 Dispatch::NotSent,
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -80,12 +80,12 @@
         self.run(context, reporter).await
     }
 
-    /// Waits for a short time if no routes are known, as after a start. A refusal with `Retry-After` would cost the
+    /// Waits for a short time if no routes are known or their keys were never confirmed, as after a start. A refusal with `Retry-After` would cost the
     /// caller more time.
     async fn wait_for_routes(&self) {
         let changed = {
             let state = self.state.borrow();
-            if state.version().is_some() {
+            if state.is_prepared() {
                 return;
             }
             Rc::clone(&state.changed)
@@ -93,7 +93,7 @@
         let routes_known = async {
             loop {
                 let notified = changed.notified();
-                if self.state.borrow().version().is_some() {
+                if self.state.borrow().is_prepared() {
                     return;
                 }
                 notified.await;
@@ -125,6 +125,7 @@
             log::info!(step = "decode", route:% = route.name; "decoding the head of a request failed, refusing it: {error}");
             Box::new(empty_response(StatusCode::BAD_REQUEST))
         })?;
+        let access = self.check_access(&routes, route, &parts.headers)?;
         // The service of a split route that began a stream has targets of its version.
         let resumes = head.resumes.as_deref();
         let resumes = resumes.filter(|_| head.last_event.is_some());
@@ -145,8 +146,10 @@
         Ok(Context {
             route: Arc::clone(route),
             service: service.clone(),
-            organisation: None,
-            priority: route.priority,
+            is_checked: access.is_checked,
+            key: access.key,
+            priority: access.priority.unwrap_or(route.priority),
+            organisation: access.organisation,
             version,
             received,
             deadline: received + timeout,
@@ -201,6 +204,9 @@
         let now = self.clock.now();
         self.state.borrow_mut().record_request(&service, now);
         loop {
+            if let Err(refusal) = self.recheck_key(&context) {
+                return self.refuse(&context, &mut reporter, refusal);
+            }
             let chosen = match self.select_target(&mut context).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return self.refuse(&context, &mut reporter, refusal),
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -7,6 +7,7 @@
 //! When a caller disconnects, the task of its request is dropped. This closes the connection to the target, which
 //! cancels the request there.
 
+pub mod access;
 pub mod admission;
 pub mod advisory;
 pub mod body;
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -6,6 +6,7 @@
 use std::{fmt, time::Duration};
 
 use buckthornmast_limit::statement::Statement;
+use buckthornmast_organisation::ring::Credential;
 use buckthornmast_quarantine::part::{Part, Set};
 use buckthornmast_types::id;
 use http::{HeaderMap, request, response};
@@ -83,6 +84,17 @@
     pub generation: Option<Generation>,
 }
 
+/// What a target is told about the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Caller<'a> {
+    /// Nothing, since the routes name no organisations. What the caller states about itself is passed on.
+    Unchecked,
+    /// Nothing, since the route needs no key. What the caller states about itself is removed.
+    Anonymous,
+    /// The organisation that holds its key, whatever the caller states.
+    Known(&'a id::Organisation),
+}
+
 /// Fields that are sent to a target with a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetHeaders<'a> {
@@ -94,6 +106,8 @@
     pub rank: Option<u8>,
     /// Event after which the stream is resumed.
     pub last_event: Option<u64>,
+    /// Caller.
+    pub caller: Caller<'a>,
 }
 
 /// Load that a target reported with an answer.
@@ -144,6 +158,10 @@
 pub trait Mapping: 'static {
     /// Decodes the request head of a caller.
     fn decode(&self, head: &request::Parts) -> Result<Head, Malformed>;
+    /// Decodes the key of a caller.
+    fn decode_credential(&self, _: &HeaderMap) -> Credential {
+        Credential::Missing
+    }
     /// Removes headers that callers must not set, and sets those for the target.
     fn encode(&self, headers: &mut HeaderMap, target_headers: &TargetHeaders<'_>);
     /// Decodes the response head of a target.
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -19,6 +19,10 @@
 /// target could be reached.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// `Retry-After` of a request whose key can't be checked. Another instance can serve it, and an instance that is in touch
+/// with the core again has its keys confirmed within this time.
+const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Longest `Retry-After` of a service whose targets are full, and that of a model that can't be loaded. The load of
 /// bursty models changes within seconds.
 const MAX_FULL_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -28,6 +32,10 @@
 pub enum Refusal {
     /// No routes are known yet.
     NoRoutes,
+    /// The routes in force may be out of date, so that the caller's key can't be checked.
+    Unconfirmed,
+    /// The key was taken away while the request waited.
+    KeyRemoved,
     /// No target of the service is known, or all have been tried.
     NoTarget,
     /// The model is being loaded.
@@ -76,6 +84,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoRoutes => "no routes are known yet",
+            Self::Unconfirmed => "the keys of the routes in force may be out of date",
+            Self::KeyRemoved => "the key was taken away while the request waited",
             Self::NoTarget => "no target is left",
             Self::Loading { .. } => "the model is being loaded",
             Self::CannotLoad => "the model can't be loaded",
@@ -100,6 +110,7 @@
             | Self::UnknownOrigin
             | Self::VersionGone
             | Self::Deadline => NO_TARGET_RETRY_AFTER,
+            Self::Unconfirmed | Self::KeyRemoved => UNCONFIRMED_RETRY_AFTER,
             Self::CannotLoad => MAX_FULL_RETRY_AFTER,
             // Another instance can take the request now.
             Self::Stopping => MIN_RETRY_AFTER,
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -9,6 +9,7 @@
 
 use buckthornmast_fleet::prelude::*;
 use buckthornmast_limit::{statement::Statement, view::View};
+use buckthornmast_organisation::{lease::Lease, ring::Ring};
 use buckthornmast_origin::record::{self as origin, Mark};
 use buckthornmast_quarantine::guard::Guard;
 use buckthornmast_routes::{
@@ -45,6 +46,8 @@
     pub document: Document,
     /// Routes of the document by host and path.
     pub table: Table,
+    /// Keys of the document.
+    pub ring: Ring,
 }
 
 /// Models and adapters that are ready at a target, as the leader of the core knows them. The target's own announcements
@@ -141,6 +144,8 @@
     pub route_times: RouteTimes,
     /// Plan of the stop, if this instance is stopping.
     pub stop: Option<stop::Plan>,
+    /// Lease under which keys of the routes in force are honoured. Its points are those of [`crate::access::boot_time`].
+    pub lease: Lease,
     /// Which targets are in reach of this instance.
     pub reach: Reach<(id::Target, id::Incarnation)>,
     /// Instances through which targets out of reach are connected to.
@@ -173,6 +178,7 @@
             changed: Rc::default(),
             route_times: RouteTimes::default(),
             stop: None,
+            lease: Lease::default(),
             reach: Reach::default(),
             ways: Ways::default(),
             source: None,
@@ -204,7 +210,13 @@
         self.route_times
             .retain(|name| document.routes.iter().any(|route| route.name == name));
         let table = Table::new(&document);
-        self.routes = Some(Rc::new(Routes { document, table }));
+        let ring = Ring::new(&document.organisations);
+        self.lease.set_in_force(document.version);
+        self.routes = Some(Rc::new(Routes {
+            document,
+            table,
+            ring,
+        }));
         self.rebuild();
         true
     }
@@ -214,6 +226,17 @@
         self.routes.as_ref().map(|routes| routes.document.version)
     }
 
+    /// Returns whether there are routes, and their keys, if they have any, have been confirmed since the start.
+    pub fn is_prepared(&self) -> bool {
+        self.routes.is_some() && !(self.has_organisations() && self.lease.awaits_first())
+    }
+
+    /// Returns whether the routes in force name organisations.
+    pub fn has_organisations(&self) -> bool {
+        let routes = self.routes.as_ref();
+        routes.is_some_and(|routes| !routes.document.organisations.is_empty())
+    }
+
     /// Returns the routes in force.
     pub fn routes(&self) -> Option<Rc<Routes>> {
         self.routes.clone()
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -188,6 +188,8 @@
         route: Arc::new(route),
         version: Revision(1),
         service: "engines".parse().unwrap(),
+        is_checked: false,
+        key: None,
         organisation: None,
         priority: 1,
         received: now,
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,5 +1,6 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
+mod confirmations;
 mod departures;
 mod dialing;
 mod origins;
@@ -36,6 +37,7 @@
 };
 
 use self::{
+    confirmations::Inquiries,
     origins::Streams,
     updates::{Unsent, for_entry},
 };
@@ -44,7 +46,7 @@
     departure::{Departure, Departures},
     dial::Connections,
     memory::{Content, Store},
-    message::{Downstream, Liveness, UNDERSTANDS_ORIGINS, Upstream},
+    message::{Downstream, Liveness, UNDERSTANDS_CONFIRMATIONS, Upstream},
     observe::ReplicaGauge,
     platform::{Fence, Platform},
     replica::{self, Outboxes, Replica},
@@ -148,6 +150,7 @@
     departures_file: Store,
     monitor: Monitor,
     gauge: ReplicaGauge,
+    inquiries: Inquiries,
     state: RefCell<State>,
 }
 
@@ -213,6 +216,7 @@
             departures_file,
             monitor,
             gauge: ReplicaGauge::default(),
+            inquiries: Inquiries::default(),
             state: RefCell::new(State {
                 registry,
                 ..State::default()
@@ -253,6 +257,7 @@
             self.gauge.publish(&self.replica.status(), leads);
         }
         self.publish_routes();
+        self.answer_inquiries();
         self.tick_quarantines(now);
         if tick.is_multiple_of(LIVENESS_INTERVAL_TICKS) {
             self.publish_liveness(tick, now);
@@ -303,8 +308,10 @@
         }
         if state.entry_count != entry_count {
             state.entry_count = entry_count;
-            self.subscribers
-                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_ORIGINS));
+            self.subscribers.send_entries(&Downstream::EntryCount(
+                entry_count,
+                UNDERSTANDS_CONFIRMATIONS,
+            ));
         }
         drop(state);
         if tick.is_multiple_of(WAYS_INTERVAL_TICKS) {
@@ -578,7 +585,7 @@
         }
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
-            Downstream::EntryCount(state.entry_count, UNDERSTANDS_ORIGINS),
+            Downstream::EntryCount(state.entry_count, UNDERSTANDS_CONFIRMATIONS),
             Downstream::targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
@@ -664,6 +671,9 @@
                 key,
                 service,
             } => self.answer_origin(number, key, service, outbox),
+            Upstream::ConfirmRequest { number } => {
+                self.inquiries.add(subscriber, number, outbox.clone());
+            }
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
                 let now = self.clock.now();
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -1,5 +1,7 @@
 //! An entry instance: forwards the requests of callers to targets.
 
+mod confirmations;
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -36,7 +38,10 @@
 use crate::{
     dial::{Connections, Dialer},
     http::{Handler, empty_response},
-    message::{Downstream, Liveness, UNDERSTANDS_ORIGINS, Upstream, with_versions},
+    message::{
+        Downstream, Liveness, UNDERSTANDS_CONFIRMATIONS, UNDERSTANDS_ORIGINS, Upstream,
+        with_versions,
+    },
     platform::Platform,
     settings::{Service, Settings},
     supplier::Shared,
@@ -86,6 +91,7 @@
         if let Service::Entry { source, .. } = &settings.service {
             state.source = *source;
         }
+        state.lease.set_bound(settings.bounds.key_lease);
         state.limits = View::new(xxh3_64(settings.instance.as_str().as_bytes()));
         let forwarder = Forwarder {
             mapping: platform.headers(),
@@ -134,7 +140,9 @@
     /// Applies changed settings.
     pub fn set_settings(&self, settings: Settings) {
         if let Service::Entry { source, .. } = &settings.service {
-            self.forwarder.state.borrow_mut().source = *source;
+            let mut state = self.forwarder.state.borrow_mut();
+            state.source = *source;
+            state.lease.set_bound(settings.bounds.key_lease);
         }
         self.settings.replace(settings);
     }
@@ -158,6 +166,10 @@
 
     /// Runs the main loop, and never returns.
     pub async fn run(self: Rc<Self>) {
+        tokio::join!(self.run_ticks(), self.keep_lease());
+    }
+
+    async fn run_ticks(self: &Rc<Self>) {
         for tick in 0_u64.. {
             let now = self.forwarder.clock.now();
             let addresses = {
@@ -167,7 +179,7 @@
                 roster.addresses()
             };
             self.supplier.0.set_core_size(addresses.len());
-            self.connections.set(&addresses, &self);
+            self.connections.set(&addresses, self);
             self.supplier.0.report();
             {
                 let mut state = self.forwarder.state.borrow_mut();
@@ -242,6 +254,7 @@
     fn receive(&self, peer: SocketAddr, message: Downstream) {
         let now = self.forwarder.clock.now();
         let mut state = self.forwarder.state.borrow_mut();
+        self.hear(&mut state, peer);
         match message {
             Downstream::Roster(entries) => {
                 let mut roster = self.roster.borrow_mut();
@@ -250,6 +263,9 @@
             }
             Downstream::EntryCount(entry_count, features) => {
                 state.set_instances(entry_count);
+                if features >= UNDERSTANDS_CONFIRMATIONS {
+                    self.supplier.0.set_confirms(peer);
+                }
                 if features >= UNDERSTANDS_ORIGINS && self.supplier.0.add_origin_keeper(peer) {
                     let records = state.origins.recent(ORIGIN_AGE, now);
                     self.supplier.0.report_origins(peer, records);
@@ -270,6 +286,9 @@
                 Ok(document) => {
                     if state.set_routes(document) {
                         log::info!(step = "routes", version = text.version.0, peer:% = peer; "routes are in force");
+                        if state.lease.awaits_first() {
+                            self.ask_confirmation(&mut state);
+                        }
                     }
                 }
                 Err(error) => {
@@ -322,6 +341,7 @@
                 self.supplier.0.set_leading_term(peer, leading_term);
                 if self.supplier.0.is_leader(peer) {
                     self.report_limits(&state);
+                    self.ask_confirmation(&mut state);
                 }
             }
             Downstream::Limits(notices) => {
@@ -341,6 +361,9 @@
                 }
             }
             Downstream::Trial(parts) => state.guard.permit_trial(parts, now),
+            Downstream::Confirmation { number, version } => {
+                self.confirm(&mut state, number, version);
+            }
             Downstream::Ways(ways) => self.set_ways(&mut state, peer, Some(ways)),
         }
     }
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -24,7 +24,7 @@
     ledger::{Evidence, Notice},
     part,
 };
-use buckthornmast_routes::register::{Command, Text};
+use buckthornmast_routes::register::{Command, Revision, Text};
 use buckthornmast_supply::{
     demand::{Item, Row},
     permits::{Permit, Request},
@@ -115,6 +115,12 @@
         /// Service of the stream. Older builds name none, and need no answer about it.
         service: record::Service,
     },
+    /// Asks the leader for the newest version of the routes. Only sent to instances that have stated
+    /// [`UNDERSTANDS_CONFIRMATIONS`].
+    ConfirmRequest {
+        /// Number of the request.
+        number: u64,
+    },
 }
 
 /// Models and adapters of a target that requests may use.
@@ -157,6 +163,9 @@
 /// a connection on which they are sent such messages.
 pub const UNDERSTANDS_ORIGINS: u8 = 1;
 
+/// States that an instance of the core understands [`Upstream::ConfirmRequest`] besides.
+pub const UNDERSTANDS_CONFIRMATIONS: u8 = 2;
+
 /// Message from an instance of the core, to the instance that opened the connection.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Downstream {
@@ -164,7 +173,7 @@
     Roster(Vec<Sighting>),
     /// Number of entry instances.
     ///
-    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`] or nothing.
+    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`], [`UNDERSTANDS_CONFIRMATIONS`] or nothing.
     #[serde(rename = "Entries")]
     EntryCount(u32, u8),
     /// Routes in force.
@@ -234,6 +243,14 @@
     /// Ways of the receiver to targets that are out of its reach. Only sent to entry instances that have introduced
     /// themselves as ways.
     Ways(Vec<Way>),
+    /// Answers a request for a confirmation, from the leader. A majority has confirmed since the request arrived that the
+    /// sender leads.
+    Confirmation {
+        /// Number of the request.
+        number: u64,
+        /// Newest version, or 0 if there are no routes.
+        version: Revision,
+    },
 }
 
 impl Downstream {
--- a/crates/buckthornmast_node/src/replica.rs
+++ b/crates/buckthornmast_node/src/replica.rs
@@ -357,6 +357,12 @@
         })
     }
 
+    /// Returns the version of the newest document that this replica knows.
+    pub fn newest_version(&self) -> Option<Revision> {
+        let handle = self.handle()?;
+        handle.read(|register| Some(register.newest()?.version))
+    }
+
     /// Proposes a command and waits for its answer.
     pub async fn propose(&self, command: Command) -> Result<Answer, ProposeError> {
         let Some(handle) = self.handle() else {
--- a/crates/buckthornmast_node/src/settings.rs
+++ b/crates/buckthornmast_node/src/settings.rs
@@ -12,6 +12,7 @@
     fault::Fault,
     source::{Reader, Source},
 };
+use buckthornmast_organisation::lease;
 use buckthornmast_types::{id, size::Bytes};
 
 use crate::replica::max_folder_bytes;
@@ -89,6 +90,9 @@
     pub extra_window: Duration,
     /// Number of file descriptors that the process may open.
     pub descriptors: usize,
+    /// Time after which a key that was taken away has to be refused everywhere. Without it, instances that are cut off from
+    /// the core go on to honour the keys that they know.
+    pub key_lease: Option<Duration>,
 }
 
 /// Settings of a process.
@@ -227,6 +231,12 @@
     let extra_burst = reader.required("bounds", "extra-burst", "a number");
     let extra_window: Option<Span> = reader.optional("bounds", "extra-window", DURATION_FORMAT);
     let descriptors = reader.required("bounds", "descriptors", "a number");
+    let key_lease: Option<Span> = reader.optional("bounds", "key-lease", DURATION_FORMAT);
+    let key_lease = key_lease.map(|span| span.0);
+    if key_lease.is_some_and(|bound| bound < lease::MIN_BOUND) {
+        let message = format!("shorter than {} s", lease::MIN_BOUND.as_secs());
+        reader.add_fault("bounds", "key-lease", message);
+    }
     Some(Bounds {
         grace: grace?.0,
         handover_interval: handover_interval?.0,
@@ -235,5 +245,6 @@
         extra_burst: extra_burst?,
         extra_window: extra_window.map_or(DEFAULT_EXTRA_WINDOW, |window| window.0),
         descriptors: descriptors?,
+        key_lease,
     })
 }
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -1,5 +1,6 @@
 //! Copy requests, permit requests and demand reports of an entry instance to the leader.
 
+mod confirmations;
 mod origins;
 
 use std::{
@@ -58,6 +59,8 @@
     leading_term: Option<id::Term>,
     // Whether it keeps the versions that began streams. Older builds don't.
     keeps_origins: bool,
+    // Whether it confirms versions while it leads. Older builds don't.
+    confirms: bool,
 }
 
 /// Client of the leader for models and adapters, over the connections to the core.
@@ -117,6 +120,7 @@
             outbox,
             leading_term: None,
             keeps_origins: false,
+            confirms: false,
         };
         self.cores.borrow_mut().insert(peer, core);
     }
@@ -165,10 +169,14 @@
     }
 
     fn leader(&self) -> Option<Outbox<Upstream>> {
+        self.with_leader(|leader| leader.outbox.clone())
+    }
+
+    fn with_leader<T>(&self, read: impl FnOnce(&Core) -> T) -> Option<T> {
         let cores = self.cores.borrow();
         let leaders = cores.values().filter(|core| core.leading_term.is_some());
         let leader = leaders.max_by_key(|core| core.leading_term)?;
-        Some(leader.outbox.clone())
+        Some(read(leader))
     }
 
     /// Reports the demand since the last report to the leader. Without a known leader, it is kept for the next report.
--- a/crates/buckthornmast_node/tests/settings.rs
+++ b/crates/buckthornmast_node/tests/settings.rs
@@ -35,6 +35,13 @@
         settings_with_window.bounds.extra_window,
         Duration::from_secs(4)
     );
+    assert_eq!(settings.bounds.key_lease, None);
+    let with_lease = ENTRY.replace("extra-burst = 52", "extra-burst = 52\nkey-lease = 5000ms");
+    let settings_with_lease = Settings::parse("entry.ini", &with_lease).unwrap();
+    assert_eq!(
+        settings_with_lease.bounds.key_lease,
+        Some(Duration::from_secs(5))
+    );
     let peers: Vec<String> = settings.seed_peers().map(|seed| seed.to_string()).collect();
     assert_eq!(peers, ["10.0.0.2:7380", "10.0.0.3:7380"]);
     let member = Settings::member_name("10.0.0.2:8144".parse().unwrap()).unwrap();
@@ -54,6 +61,11 @@
             "extra-burst = 52\nextra-window = long",
             "extra-window",
         ),
+        (
+            "extra-burst = 52",
+            "extra-burst = 52\nkey-lease = 1s",
+            "key-lease",
+        ),
         ("10.0.0.3:8144", "nowhere", "control"),
         ("port = 7380", "", "port"),
     ] {
--- a/crates/buckthornmast_routes/src/document.rs
+++ b/crates/buckthornmast_routes/src/document.rs
@@ -11,6 +11,9 @@
 
 use crate::register::Revision;
 
+/// Maximum length of a key in bytes. It leaves room for the other headers of a request.
+pub const MAX_KEY_BYTES: usize = 256;
+
 /// Conditions for repeating a request when the outcome of an attempt is unknown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Kind {
@@ -229,11 +232,70 @@
         /// Prefix.
         prefix: String,
     },
+    /// Two organisations have the same name.
+    #[snafu(display("two organisations have the name {organisation}"))]
+    DuplicateOrganisation {
+        /// Organisation.
+        organisation: id::Organisation,
+    },
+    /// A key is empty, too long, or can't be sent in a header.
+    #[snafu(display(
+        "key {number} of organisation {organisation} is not 1 to {MAX_KEY_BYTES} visible ASCII characters"
+    ))]
+    Key {
+        /// Organisation.
+        organisation: id::Organisation,
+        /// Position of the key, from 1. The key itself is a secret.
+        number: usize,
+    },
+    /// Two organisations hold the same key, so its callers can't be told apart.
+    #[snafu(display("the organisations {first} and {second} share a key"))]
+    SharedKey {
+        /// Organisation.
+        first: id::Organisation,
+        /// Organisation.
+        second: id::Organisation,
+    },
 }
 
 impl Document {
     /// Returns the first fault.
     pub fn check(&self) -> Result<(), Fault> {
+        self.check_routes()?;
+        self.check_organisations()
+    }
+
+    fn check_organisations(&self) -> Result<(), Fault> {
+        let mut names = BTreeSet::new();
+        let mut holders = BTreeMap::new();
+        for organisation in &self.organisations {
+            let name = &organisation.name;
+            if !names.insert(name) {
+                return Err(Fault::DuplicateOrganisation {
+                    organisation: name.clone(),
+                });
+            }
+            for (index, key) in organisation.keys.iter().enumerate() {
+                let is_visible = key.bytes().all(|byte| byte.is_ascii_graphic());
+                if key.is_empty() || key.len() > MAX_KEY_BYTES || !is_visible {
+                    return Err(Fault::Key {
+                        organisation: name.clone(),
+                        number: index + 1,
+                    });
+                }
+                let holder = *holders.entry(key.as_str()).or_insert(name);
+                if holder != name {
+                    return Err(Fault::SharedKey {
+                        first: holder.clone(),
+                        second: name.clone(),
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check_routes(&self) -> Result<(), Fault> {
         let mut seen = BTreeSet::new();
         for route in &self.routes {
             let name = || route.name.clone();
--- a/crates/buckthornmast_routes/tests/document.rs
+++ b/crates/buckthornmast_routes/tests/document.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use buckthornmast_routes::{
-    document::{Document, Fault, Kind, Limits, Route, Service},
+    document::{Document, Fault, Kind, Limits, MAX_KEY_BYTES, Organisation, Route, Service},
     register::Revision,
     table::{Table, pick_service},
 };
@@ -73,6 +73,40 @@
     assert!(matches!(unterminated.check(), Err(Fault::Prefix { .. })));
 }
 
+fn organisation(name: &str, keys: &[&str]) -> Organisation {
+    Organisation {
+        name: name.parse().unwrap(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        priority: None,
+        quota: None,
+    }
+}
+
+/// Guards against keys that name no organisation or several, and against faults that show a key.
+#[test]
+fn check_organisations() {
+    let check = |organisations: &[Organisation]| {
+        let mut document = document(Vec::new());
+        document.organisations = organisations.to_vec();
+        document.check()
+    };
+    let (a, b) = (organisation("a", &["k1", "k2"]), organisation("b", &["k3"]));
+    assert_eq!(check(&[a.clone(), b, organisation("c", &[])]), Ok(()));
+    let shared = check(&[a.clone(), organisation("b", &["k3", "k2"])]).unwrap_err();
+    assert!(matches!(shared, Fault::SharedKey { .. }));
+    assert!(!shared.to_string().contains("k2"), "{shared}");
+    let twice = check(&[a, organisation("a", &["k4"])]).unwrap_err();
+    assert!(matches!(twice, Fault::DuplicateOrganisation { .. }));
+    let long = "k".repeat(MAX_KEY_BYTES);
+    assert_eq!(check(&[organisation("a", &[&long])]), Ok(()));
+    let overlong = format!("{long}k");
+    for key in ["", "k 1", "k\n", "schlüssel", &overlong] {
+        let fault = check(&[organisation("a", &["k1", key])]).unwrap_err();
+        assert!(matches!(fault, Fault::Key { number: 2, .. }), "{key:?}");
+        assert!(key.is_empty() || !fault.to_string().contains(key));
+    }
+}
+
 /// Guards against a shorter prefix that shadows a longer one, and against matching other hosts.
 #[test]
 fn find_longest_prefix() {
