--- a/crates/buckthornmast_forward/src/access.rs
+++ b/crates/buckthornmast_forward/src/access.rs
@@ -21,7 +21,7 @@
     context::{Context, millis},
     exchange::{Failure, failure},
     forwarder::Forwarder,
-    mapping::Mapping,
+    mapping::{Mapping, RequestId},
     refusal::{Refusal, empty_response, refusal_response},
     state::Routes,
     stats::Ended,
@@ -64,6 +64,7 @@
         routes: &Routes,
         route: &Route,
         headers: &HeaderMap,
+        request: &RequestId,
     ) -> Result<Access, Box<Response<Body>>> {
         if routes.document.organisations.is_empty() {
             return Ok(Access::default());
@@ -88,17 +89,17 @@
             };
             count_refusal(reason);
             if state.lease.is_current(now) {
-                log::info!(step = "key", route:% = route.name, version = version, age_ms:? = age_ms; "request refused: its key is {reason}");
+                log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms:? = age_ms; "request refused: its key is {reason}");
                 return Err(Box::new(empty_response(StatusCode::UNAUTHORIZED)));
             }
-            log::info!(step = "key", route:% = route.name, version = version, age_ms:? = age_ms; "request refused: its key is {reason}, but the routes in force may be out of date");
+            log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms:? = age_ms; "request refused: its key is {reason}, but the routes in force may be out of date");
             return Err(Box::new(refusal_response(
                 Refusal::Unconfirmed.retry_after(),
             )));
         };
         if !state.lease.permits(now) {
             count_refusal("unconfirmed");
-            log::info!(step = "key", route:% = route.name, organisation:% = name, version = version, age_ms:? = age_ms; "request refused: {}", Refusal::Unconfirmed.as_str());
+            log::info!(step = "key", request:% = request, route:% = route.name, organisation:% = name, version = version, age_ms:? = age_ms; "request refused: {}", Refusal::Unconfirmed.as_str());
             return Err(Box::new(refusal_response(
                 Refusal::Unconfirmed.retry_after(),
             )));
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -125,7 +125,7 @@
             log::info!(step = "decode", route:% = route.name; "decoding the head of a request failed, refusing it: {error}");
             Box::new(empty_response(StatusCode::BAD_REQUEST))
         })?;
-        let access = self.check_access(&routes, route, &parts.headers)?;
+        let access = self.check_access(&routes, route, &parts.headers, &head.request)?;
         // The service of a split route that began a stream has targets of its version.
         let resumes = head.resumes.as_deref();
         let resumes = resumes.filter(|_| head.last_event.is_some());
--- a/crates/buckthornmast_node/src/entry/confirmations.rs
+++ b/crates/buckthornmast_node/src/entry/confirmations.rs
@@ -33,9 +33,9 @@
                     self.ask_confirmation(&mut state);
                 }
                 if state.has_organisations() {
-                    let age = state.lease.age(now).unwrap_or(Duration::MAX);
+                    let age = state.lease.age(now);
                     metrics::gauge!("buckthornmast_key_confirmation_age_seconds")
-                        .set(age.as_secs_f64());
+                        .set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
                 }
             }
             sleep(POLL_INTERVAL).await;
