forward: requests that wait for a target are refused once their key can't be honoured

Cause: a request whose key was taken away, or whose instance lost its lease, waited on for a place or the end of a pause, and was refused only directly before it would have been sent.

Change: the key is checked each 250 ms while a target is selected. Ages of confirmations are logged as numbers.

--- a/crates/buckthornmast_forward/src/access.rs
+++ b/crates/buckthornmast_forward/src/access.rs
@@ -15,6 +15,7 @@
 use buckthornmast_types::{id, time::Point};
 use http::{HeaderMap, Response, StatusCode};
 use rustix::time::{ClockId, clock_gettime};
+use tokio::time::sleep;
 
 use crate::{
     body::Body,
@@ -23,6 +24,7 @@
     forwarder::Forwarder,
     mapping::{Mapping, RequestId},
     refusal::{Refusal, empty_response, refusal_response},
+    selection::Chosen,
     state::Routes,
     stats::Ended,
     supply::Supply,
@@ -31,6 +33,10 @@
 /// Cause of an attempt that was not made since the key of the caller may have been taken away.
 const NO_KEY: &str = "the key of the caller is not confirmed any more";
 
+/// Interval at which the key of a request that waits for a target is checked. It bounds the time that a caller waits for
+/// nothing; directly before each attempt, the key is checked again.
+const KEY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Returns the time since the machine was started, with the time in which it was suspended. Changes of the time of day don't
 /// move it.
 pub fn boot_time() -> Point {
@@ -53,6 +59,17 @@
     pub(crate) priority: Option<u32>,
 }
 
+/// Key under which a request was admitted.
+#[derive(Debug, Clone)]
+pub(crate) struct HeldKey {
+    /// Request.
+    pub(crate) request: RequestId,
+    /// Key.
+    pub(crate) key: Digest,
+    /// Organisation that held it.
+    pub(crate) organisation: id::Organisation,
+}
+
 fn count_refusal(reason: &'static str) {
     metrics::counter!("buckthornmast_key_refusals_total", "reason" => reason).increment(1);
 }
@@ -89,17 +106,17 @@
             };
             count_refusal(reason);
             if state.lease.is_current(now) {
-                log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms:? = age_ms; "request refused: its key is {reason}");
+                log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms = age_ms; "request refused: its key is {reason}");
                 return Err(Box::new(empty_response(StatusCode::UNAUTHORIZED)));
             }
-            log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms:? = age_ms; "request refused: its key is {reason}, but the routes in force may be out of date");
+            log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms = age_ms; "request refused: its key is {reason}, but the routes in force may be out of date");
             return Err(Box::new(refusal_response(
                 Refusal::Unconfirmed.retry_after(),
             )));
         };
         if !state.lease.permits(now) {
             count_refusal("unconfirmed");
-            log::info!(step = "key", request:% = request, route:% = route.name, organisation:% = name, version = version, age_ms:? = age_ms; "request refused: {}", Refusal::Unconfirmed.as_str());
+            log::info!(step = "key", request:% = request, route:% = route.name, organisation:% = name, version = version, age_ms = age_ms; "request refused: {}", Refusal::Unconfirmed.as_str());
             return Err(Box::new(refusal_response(
                 Refusal::Unconfirmed.retry_after(),
             )));
@@ -116,31 +133,59 @@
 
     /// Checks again the key of a request that has waited. The routes may have changed, and the lease may have ended.
     pub(crate) fn recheck_key(&self, context: &Context) -> Result<(), Refusal> {
-        let (Some(key), Some(organisation)) = (&context.key, &context.organisation) else {
-            return Ok(());
-        };
-        if context.has_begun() {
-            return Ok(());
+        // A stream that has begun is not cut off.
+        match context.held_key().filter(|_| !context.has_begun()) {
+            Some(held) => self.check_held(&held),
+            None => Ok(()),
         }
+    }
+
+    fn check_held(&self, held: &HeldKey) -> Result<(), Refusal> {
+        let HeldKey {
+            request,
+            key,
+            organisation,
+        } = held;
         let state = self.state.borrow();
         let now = boot_time();
         let routes = state.routes();
         let holder = routes.as_ref().and_then(|routes| routes.ring.find(key));
-        let refusal = if holder.is_none_or(|holder| holder.name != *organisation) {
-            Refusal::KeyRemoved
+        let (refusal, reason) = if holder.is_none_or(|holder| holder.name != *organisation) {
+            (Refusal::KeyRemoved, "removed")
         } else if !state.lease.permits(now) {
-            Refusal::Unconfirmed
+            (Refusal::Unconfirmed, "unconfirmed")
         } else {
             return Ok(());
         };
-        count_refusal(match refusal {
-            Refusal::KeyRemoved => "removed",
-            _ => "unconfirmed",
-        });
-        log::info!(step = "key", request:% = context.head.request, organisation:% = organisation, version = state.version().map_or(0, |version| version.0), age_ms:? = state.lease.age(now).map(millis); "request is not sent: {}", refusal.as_str());
+        count_refusal(reason);
+        log::info!(step = "key", request:% = request, organisation:% = organisation, version = state.version().map_or(0, |version| version.0), age_ms = state.lease.age(now).map(millis); "request is not sent: {}", refusal.as_str());
         Err(refusal)
     }
 
+    /// Selects a target, unless the key of the request may not be honoured any more before one is found.
+    pub(crate) async fn select_with_key(&self, context: &mut Context) -> Result<Chosen, Refusal> {
+        self.recheck_key(context)?;
+        let held = context.held_key();
+        tokio::select! {
+            biased;
+            selected = self.select_target(context) => selected,
+            refusal = self.key_end(held) => Err(refusal),
+        }
+    }
+
+    /// Waits until a key may not be honoured any more. Never returns for a request that needs none.
+    async fn key_end(&self, held: Option<HeldKey>) -> Refusal {
+        let Some(held) = held else {
+            return std::future::pending().await;
+        };
+        loop {
+            sleep(KEY_CHECK_INTERVAL).await;
+            if let Err(refusal) = self.check_held(&held) {
+                return refusal;
+            }
+        }
+    }
+
     /// Returns an error if the key of the caller may have been taken away since the request was admitted.
     pub(crate) fn check_key(&self, context: &Context) -> Result<(), (Failure, Ended)> {
         let checked = self.recheck_key(context);
--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -18,6 +18,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    access::HeldKey,
     continuation, identity,
     mapping::{Caller, Generation, Head},
     selection::{Chosen, Inputs},
@@ -103,6 +104,15 @@
         })
     }
 
+    /// Returns the key under which the request was admitted, if its route needs one.
+    pub(crate) fn held_key(&self) -> Option<HeldKey> {
+        Some(HeldKey {
+            request: self.head.request.clone(),
+            key: self.key?,
+            organisation: self.organisation.clone()?,
+        })
+    }
+
     /// Returns what a target is told about the caller.
     pub fn caller(&self) -> Caller<'_> {
         match &self.organisation {
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -204,10 +204,7 @@
         let now = self.clock.now();
         self.state.borrow_mut().record_request(&service, now);
         loop {
-            if let Err(refusal) = self.recheck_key(&context) {
-                return self.refuse(&context, &mut reporter, refusal);
-            }
-            let chosen = match self.select_target(&mut context).await {
+            let chosen = match self.select_with_key(&mut context).await {
                 Ok(chosen) => chosen,
                 Err(refusal) => return self.refuse(&context, &mut reporter, refusal),
             };
--- a/crates/buckthornmast_node/src/entry/confirmations.rs
+++ b/crates/buckthornmast_node/src/entry/confirmations.rs
@@ -57,7 +57,7 @@
         let was_held = state.lease.permits(now);
         state.lease.confirm(number, version);
         if !was_held && state.lease.permits(now) {
-            log::info!(step = "key", version = version.0, age_ms:? = state.lease.age(now).map(millis); "the keys of the routes in force are confirmed; honouring them");
+            log::info!(step = "key", version = version.0, age_ms = state.lease.age(now).map(millis); "the keys of the routes in force are confirmed; honouring them");
             state.changed.notify_waiters();
         }
     }
