forward, node: bound what clients make an instance hold

Cause: Forwarder::read_body collected each body within the limit for one body, chunk by chunk with a whole read buffer behind each, and nothing bounded all of them together. Bodies announced beyond the limit were received up to it. Idle connections took all places, and an instance of the core took any number of connections.

Change: the settings state the memory (256 MiB without it), and a budget gives two thirds of what exceeds 16 MiB to connections, bodies and answers. Bodies draw from the account of the answers before they are held, copied into one buffer; large ones leave a quarter to small ones. Without room a body waits unread for up to 2.5 s, and bodies below 64 KiB/s for a second give way meanwhile. Refusals (413, 408, 503 with Retry-After) come before anything is sent to a target, and the rest of the body is discarded for up to a second so that they are read. Connections that wait for a request give way when all places are taken; the core's control port has the same places and account.

--- a/crates/buckthornmast_forward/src/body.rs
+++ b/crates/buckthornmast_forward/src/body.rs
@@ -94,6 +94,12 @@
     }
 }
 
+impl Default for Body {
+    fn default() -> Self {
+        Self::Full(None)
+    }
+}
+
 impl From<Infallible> for Error {
     fn from(never: Infallible) -> Self {
         match never {}
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -17,7 +17,6 @@
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use smallvec::SmallVec;
 use tokio::time::timeout;
@@ -174,25 +173,23 @@
         incoming: Incoming,
         reporter: &mut Reporter,
     ) -> Result<(), Response<Body>> {
-        let routes = self.state.borrow().routes();
-        let limit = routes.map_or(0, |routes| routes.document.limits.body);
+        let (limit, intake) = {
+            let state = self.state.borrow();
+            let routes = state.routes();
+            let limit = routes.map_or(0, |routes| routes.document.limits.body);
+            (limit, Rc::clone(&state.intake))
+        };
         let left = context.time_left(self.clock.now());
-        let (status, cause) = match timeout(left, Limited::new(incoming, limit).collect()).await {
-            Ok(Ok(body)) => {
-                context.body = body.to_bytes();
-                return Ok(());
+        match intake.receive(incoming, limit, left).await {
+            Ok(body) => {
+                context.body = body;
+                Ok(())
             }
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+            Err(fault) => {
+                reporter.end(End::Refused, fault.status().as_u16(), fault.as_str());
+                Err(fault.response())
             }
-            Ok(Err(_)) => (StatusCode::BAD_REQUEST, "the body could not be read"),
-            Err(_) => (
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive in time",
-            ),
-        };
-        reporter.end(End::Refused, status.as_u16(), cause);
-        Err(empty_response(status))
+        }
     }
 
     /// Dispatches a request until it is answered, refused or failed.
--- a/crates/buckthornmast_forward/src/memory.rs
+++ b/crates/buckthornmast_forward/src/memory.rs
@@ -1,7 +1,9 @@
-//! Memory for answers of targets that are held until they, or one event of them, are whole.
+//! Memory for what an instance holds for its callers: bodies of requests, and answers of targets until they, or one event
+//! of them, are whole.
 //!
-//! A holder may take as much as is left after it (a dynamic threshold). So `n` answers without end take about
-//! `1 / (n + 1)` of the memory each, and at least half of such a share stays free for the others.
+//! An answer may take as much as is left after it (a dynamic threshold). So `n` answers without end take about `1 / (n + 1)`
+//! of the memory each, and at least half of such a share stays free for the others. The size of a request body is known or
+//! bounded, so it draws what it needs beforehand and leaves a reserve (see [`crate::receive`]).
 
 use std::sync::{
     Arc,
@@ -9,15 +11,17 @@
 };
 
 use bytes::Bytes;
+use tokio::sync::{Notify, futures::Notified};
 
-/// Memory for all answers of an instance together, in bytes.
+/// Memory of an instance whose settings don't state any, in bytes.
 const DEFAULT_BYTES: usize = 32 << 20;
 
-/// Memory that the answers of an instance share.
+/// Memory that the bodies and answers of an instance share.
 #[derive(Debug, Clone)]
 pub struct Memory {
     total: usize,
     used: Arc<AtomicUsize>,
+    freed: Arc<Notify>,
 }
 
 impl Default for Memory {
@@ -32,9 +36,20 @@
         Self {
             total,
             used: Arc::default(),
+            freed: Arc::default(),
         }
     }
 
+    /// Returns the size in bytes.
+    pub fn total(&self) -> usize {
+        self.total
+    }
+
+    /// Completes when a holder has returned a part of the memory after this call.
+    pub fn freed(&self) -> Notified<'_> {
+        self.freed.notified()
+    }
+
     /// Returns the number of bytes in use.
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
@@ -49,7 +64,7 @@
     }
 }
 
-/// Part of the memory that one answer uses. Dropping it returns the part.
+/// Part of the memory that one body or answer uses. Dropping it returns the part.
 #[derive(Debug)]
 pub struct Share {
     memory: Memory,
@@ -64,6 +79,24 @@
         if bytes > self.bytes && bytes > left {
             return false;
         }
+        self.set(bytes);
+        true
+    }
+
+    /// Grows to a size unless less than `reserve` bytes of the memory would be left. Returns whether the share has at least
+    /// that size.
+    pub fn draw(&mut self, bytes: usize, reserve: usize) -> bool {
+        if bytes > self.bytes {
+            let used = self.memory.used() - self.bytes + bytes;
+            if used + reserve > self.memory.total {
+                return false;
+            }
+            self.set(bytes);
+        }
+        true
+    }
+
+    fn set(&mut self, bytes: usize) {
         // The holders of an instance run on one thread, only the last holder of sent bytes may be dropped on another.
         if bytes >= self.bytes {
             let added = bytes - self.bytes;
@@ -71,15 +104,15 @@
         } else {
             let returned = self.bytes - bytes;
             self.memory.used.fetch_sub(returned, Ordering::Relaxed);
+            self.memory.freed.notify_waiters();
         }
         self.bytes = bytes;
-        true
     }
 }
 
 impl Drop for Share {
     fn drop(&mut self) {
-        self.resize(0);
+        self.set(0);
     }
 }
 
@@ -116,6 +149,24 @@
         true
     }
 
+    /// Makes room for a number of bytes in total unless less than `reserve` bytes of the memory would be left. Returns
+    /// whether there is room.
+    pub fn draw(&mut self, capacity: usize, reserve: usize) -> bool {
+        if capacity <= self.bytes.capacity() {
+            return true;
+        }
+        let has_room = self.share.draw(capacity, reserve);
+        if has_room {
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        has_room
+    }
+
+    /// Returns the number of bytes for which there is room.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns the number of bytes.
     pub fn len(&self) -> usize {
         self.bytes.len()
--- a/crates/buckthornmast_forward/src/server.rs
+++ b/crates/buckthornmast_forward/src/server.rs
@@ -1,10 +1,7 @@
 //! HTTP server for callers.
 
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use http::Response;
-use hyper::{server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -12,7 +9,13 @@
     time::{sleep, timeout},
 };
 
-use crate::{body::Body, forwarder::Forwarder, mapping::Mapping, supply::Supply};
+use crate::{
+    connection::{self, Limits},
+    forwarder::Forwarder,
+    mapping::Mapping,
+    places::{Place, Places},
+    supply::Supply,
+};
 
 /// Pause after a failed accept, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -24,13 +27,18 @@
 /// way, or has arrived but not been read, is answered.
 const LAST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
-/// Maximum size of the buffer of a connection. Request heads must fit into it.
-const BUFFER_BYTES: usize = 64 << 10;
+/// Smallest and largest size of the read buffer of a connection in bytes. The largest one is in force until the limits of
+/// the routes document are known.
+const BUFFER_BYTES: (usize, usize) = (16 << 10, 64 << 10);
+
+/// Size of the read buffer in bytes beyond the limit on heads, since a head that fills the buffer is refused.
+const BUFFER_RESERVE: usize = 4 << 10;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
-    /// Maximum number of open connections. Further ones are closed unread.
+    /// Maximum number of open connections. Beyond it, one that waits for a request gives way, or the new one is closed
+    /// unread.
     pub connections: usize,
     /// Maximum idle time between two requests, with the time to receive the head of the second one, until the limits of
     /// the routes document are known.
@@ -52,7 +60,7 @@
 /// Server that accepts the connections of callers.
 pub struct Server {
     phase: watch::Sender<Phase>,
-    open: Rc<Cell<usize>>,
+    places: Rc<Places>,
 }
 
 impl Server {
@@ -63,15 +71,15 @@
         forwarder: Rc<Forwarder<M, S>>,
     ) -> Self {
         let (phase, watched) = watch::channel(Phase::Open);
-        let open = Rc::new(Cell::new(0));
+        let places = Places::new(bounds.connections);
         tokio::task::spawn_local(accept(
             listener,
             bounds,
             forwarder,
             watched,
-            Rc::clone(&open),
+            Rc::clone(&places),
         ));
-        Self { phase, open }
+        Self { phase, places }
     }
 
     /// Changes the phase.
@@ -81,7 +89,7 @@
 
     /// Returns the number of open connections.
     pub fn connections(&self) -> usize {
-        self.open.get()
+        self.places.open()
     }
 }
 
@@ -90,7 +98,7 @@
     bounds: Bounds,
     forwarder: Rc<Forwarder<M, S>>,
     mut phase: watch::Receiver<Phase>,
-    open: Rc<Cell<usize>>,
+    places: Rc<Places>,
 ) {
     loop {
         let accepted = tokio::select! {
@@ -102,7 +110,7 @@
             }
         };
         match accepted {
-            Ok((stream, peer)) => start(stream, peer, bounds, &forwarder, &phase, &open),
+            Ok((stream, peer)) => start(stream, peer, bounds, &forwarder, &phase, &places),
             Err(error) => {
                 log::warn!(step = "accept"; "accepting a connection of a caller failed, retrying: {error}");
                 sleep(ACCEPT_PAUSE).await;
@@ -111,35 +119,32 @@
     }
     // Callers whose connections wait to be accepted may have sent requests on them.
     while let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await {
-        start(stream, peer, bounds, &forwarder, &phase, &open);
+        start(stream, peer, bounds, &forwarder, &phase, &places);
     }
 }
 
-/// Starts to serve an accepted connection, unless too many are open.
+/// Starts to serve an accepted connection, unless too many are open and none of them gives way.
 fn start<M: Mapping, S: Supply>(
     stream: TcpStream,
     peer: SocketAddr,
     bounds: Bounds,
     forwarder: &Rc<Forwarder<M, S>>,
     phase: &watch::Receiver<Phase>,
-    open: &Rc<Cell<usize>>,
+    places: &Rc<Places>,
 ) {
-    if open.get() >= bounds.connections {
-        log::warn!(step = "accept", peer:% = peer, connections = open.get(); "connection of a caller closed: too many connections are open");
+    let intake = Rc::clone(&forwarder.state.borrow().intake);
+    let Some(place) = places.take(|| intake.evict_slowest()) else {
+        log::warn!(step = "accept", peer:% = peer, connections = places.open(); "connection of a caller closed: too many connections are open");
         return;
-    }
-    open.set(open.get() + 1);
-    let connection = serve(stream, peer, bounds, Rc::clone(forwarder), phase.clone());
-    let open = Rc::clone(open);
-    tokio::task::spawn_local(async move {
-        connection.await;
-        open.set(open.get() - 1);
-    });
+    };
+    let forwarder = Rc::clone(forwarder);
+    tokio::task::spawn_local(serve(stream, peer, place, bounds, forwarder, phase.clone()));
 }
 
 async fn serve<M: Mapping, S: Supply>(
     stream: TcpStream,
     peer: SocketAddr,
+    place: Place,
     bounds: Bounds,
     forwarder: Rc<Forwarder<M, S>>,
     mut phase: watch::Receiver<Phase>,
@@ -152,44 +157,36 @@
     }
     let watched = phase.clone();
     let limits = forwarder.state.borrow().routes();
-    let idle = limits.map_or(bounds.idle, |routes| {
+    let limits = limits.map(|routes| routes.document.limits);
+    let (min_buffer, max_buffer) = BUFFER_BYTES;
+    let limits = Limits {
         // Callers may use a connection again up to this time, and then take the time of a head to do it.
-        routes.document.limits.idle + routes.document.limits.head_time
-    });
-    let service = service_fn(move |request| {
+        head_time: limits.map_or(bounds.idle, |limits| limits.idle + limits.head_time),
+        buffer: limits.map_or(max_buffer, |limits| {
+            let buffer = limits.head.saturating_add(BUFFER_RESERVE);
+            buffer.clamp(min_buffer, max_buffer)
+        }),
+    };
+    let answer = |request| {
         let forwarder = Rc::clone(&forwarder);
         let watched = watched.clone();
         async move {
-            let mut response: Response<Body> = forwarder.serve(request).await;
+            let mut response = forwarder.serve(request).await;
             if *watched.borrow() != Phase::Open {
                 let close = http::HeaderValue::from_static("close");
                 response
                     .headers_mut()
                     .insert(http::header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let mut connection = std::pin::pin!(
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(idle)
-            .max_buf_size(BUFFER_BYTES)
-            .serve_connection(TokioIo::new(stream), service)
-    );
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        closed = phase.wait_for(|phase| *phase == Phase::Closed) => {
-            // An error means that the server was dropped.
-            drop(closed);
-            if let Ok(result) = timeout(LAST_REQUEST_TIME, connection.as_mut()).await {
-                result
-            } else {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
+            response
         }
     };
+    let stop = async {
+        // An error means that the server was dropped.
+        let _ = phase.wait_for(|phase| *phase == Phase::Closed).await;
+        sleep(LAST_REQUEST_TIME).await;
+    };
+    let result = connection::serve(stream, place, limits, stop, answer).await;
     if let Err(error) = result {
         log::debug!(step = "serve", peer:% = peer; "connection of a caller failed: {error}");
     }
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -27,6 +27,7 @@
     mapping::{Answer, Generation},
     memory::Memory,
     pool::Pool,
+    receive::Intake,
     refused,
     stats::StatsTable,
     stop::{self, RouteTimes},
@@ -133,8 +134,10 @@
     pub guard: Guard,
     /// Versions that began the streams of this instance.
     pub origins: origin::Memory,
-    /// Memory for answers that are held until they are whole.
+    /// Memory for bodies of requests, and for answers that are held until they are whole.
     pub memory: Memory,
+    /// Reception of the bodies of requests.
+    pub intake: Rc<Intake>,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
     /// Time that the requests of each route take.
@@ -159,8 +162,15 @@
 }
 
 impl State {
+    /// Sets the memory that bodies and answers share.
+    pub fn set_memory(&mut self, memory: Memory) {
+        self.intake = Rc::new(Intake::new(memory.clone()));
+        self.memory = memory;
+    }
+
     /// Returns a state without routes and targets.
     pub fn new(retry_bounds: RetryBounds) -> Self {
+        let memory = Memory::default();
         Self {
             stats: StatsTable::default(),
             pool: Pool::default(),
@@ -169,7 +179,8 @@
             refused: refused::Memory::default(),
             guard: Guard::default(),
             origins: origin::Memory::default(),
-            memory: Memory::default(),
+            intake: Rc::new(Intake::new(memory.clone())),
+            memory,
             changed: Rc::default(),
             route_times: RouteTimes::default(),
             stop: None,
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -11,8 +11,10 @@
 use buckthornmast_discovery::roster::Roster;
 use buckthornmast_fleet::registry::Merge;
 use buckthornmast_forward::{
+    budget::Budget,
     context::millis,
     forwarder::Forwarder,
+    memory::Memory,
     state::{Inventory, RetryBounds, State},
     stop,
 };
@@ -69,6 +71,7 @@
     connections: Connections,
     is_stopping: Cell<bool>,
     key: Key,
+    budget: Budget,
     // Ways by the instance of the core that names them. One that is cut off knows fewer.
     ways: RefCell<BTreeMap<SocketAddr, Vec<Way>>>,
 }
@@ -86,6 +89,11 @@
         if let Service::Entry { source, .. } = &settings.service {
             state.source = *source;
         }
+        let budget = Budget::new(
+            settings.bounds.memory_bytes(),
+            settings.bounds.connections(),
+        );
+        state.set_memory(Memory::new(budget.bytes));
         state.limits = View::new(xxh3_64(settings.instance.as_str().as_bytes()));
         let forwarder = Forwarder {
             mapping: platform.headers(),
@@ -105,10 +113,16 @@
             connections: Connections::default(),
             is_stopping: Cell::new(false),
             key: Key(rand::random()),
+            budget,
             ways: RefCell::default(),
         })
     }
 
+    /// Returns what callers may make this instance hold.
+    pub fn budget(&self) -> Budget {
+        self.budget
+    }
+
     /// Returns the key that tunnels through this instance need.
     pub fn key(&self) -> Key {
         self.key
--- a/crates/buckthornmast_node/src/process.rs
+++ b/crates/buckthornmast_node/src/process.rs
@@ -9,6 +9,8 @@
 };
 
 use buckthornmast_forward::{
+    memory::Memory,
+    receive::Intake,
     server::{Bounds, Phase, Server},
     tunnel::{self, Tunnels},
 };
@@ -49,9 +51,11 @@
 /// Number of connections that may wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
 
-/// The number of file descriptors divided by this is reserved for targets, instances and files. The rest is for the
-/// connections of callers.
-const RESERVED_DESCRIPTOR_DIVISOR: usize = 3;
+/// Connections to the servers for metrics and readiness, each of which has a few clients.
+const SMALL_CONNECTIONS: usize = 32;
+
+/// Memory for bodies of requests to these servers, which need none, in bytes.
+const SMALL_SERVER_BYTES: usize = 1 << 20;
 
 /// The number of file descriptors divided by this is the number of tunnels that an entry instance carries for others. Each
 /// takes two descriptors, half of those that are reserved for targets, instances and files.
@@ -177,7 +181,13 @@
     let listener = listen(settings.metrics).context(StartSnafu {
         step: "the metrics listener",
     })?;
-    let _metrics = http::start(listener, Rc::new(metrics));
+    let intake = Rc::new(Intake::new(Memory::new(SMALL_SERVER_BYTES)));
+    let _metrics = http::start(
+        listener,
+        Rc::new(metrics),
+        SMALL_CONNECTIONS,
+        Rc::clone(&intake),
+    );
     match settings.service.clone() {
         Service::Entry {
             callers,
@@ -189,13 +199,17 @@
             let ready = listen(ready).context(StartSnafu {
                 step: "the readiness listener",
             })?;
-            let _ready = http::start(ready, Rc::new(Ready(Rc::clone(&entry))));
+            let _ready = http::start(
+                ready,
+                Rc::new(Ready(Rc::clone(&entry))),
+                SMALL_CONNECTIONS,
+                intake,
+            );
             let callers = listen(callers).context(StartSnafu {
                 step: "the listener for callers",
             })?;
             let bounds = Bounds {
-                connections: settings.bounds.descriptors / RESERVED_DESCRIPTOR_DIVISOR
-                    * (RESERVED_DESCRIPTOR_DIVISOR - 1),
+                connections: entry.budget().connections,
                 idle: Duration::from_secs(15),
             };
             let server = Server::start(callers, bounds, Rc::clone(&entry.forwarder));
@@ -233,7 +247,11 @@
             let control = listen(control).context(StartSnafu {
                 step: "the listener for targets and operators",
             })?;
-            let _control = http::start(control, Rc::new(Control(Rc::clone(&core))));
+            let connections = settings.bounds.connections();
+            let bodies = Memory::new(http::bodies_bytes(settings.bounds.memory_bytes()));
+            let intake = Rc::new(Intake::new(bodies));
+            let handler = Rc::new(Control(Rc::clone(&core)));
+            let _control = http::start(control, handler, connections, intake);
             tokio::task::spawn_local(Rc::clone(&core).run());
             wait_for_stop(path, watcher, settings, |settings| {
                 core.set_settings(settings)
--- a/crates/buckthornmast_node/src/settings.rs
+++ b/crates/buckthornmast_node/src/settings.rs
@@ -12,6 +12,7 @@
     fault::Fault,
     source::{Reader, Source},
 };
+use buckthornmast_forward::budget::DEFAULT_MEMORY_BYTES;
 use buckthornmast_types::{id, size::Bytes};
 
 use crate::replica::max_folder_bytes;
@@ -72,6 +73,10 @@
 /// Length of the window of extra attempts, if the settings don't name one.
 const DEFAULT_EXTRA_WINDOW: Duration = Duration::from_secs(10);
 
+/// Number of file descriptors divided by the number that is reserved for targets, instances and files. The rest is for
+/// connections of callers, targets and operators.
+const RESERVED_DESCRIPTOR_DIVISOR: usize = 3;
+
 /// Bounds that the deployment sets.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -89,6 +94,8 @@
     pub extra_window: Duration,
     /// Number of file descriptors that the process may open.
     pub descriptors: usize,
+    /// Memory that the process may take, if the settings state it.
+    pub memory: Option<Bytes>,
 }
 
 /// Settings of a process.
@@ -110,6 +117,20 @@
     pub bounds: Bounds,
 }
 
+impl Bounds {
+    /// Returns the number of connections that an instance takes.
+    pub fn connections(&self) -> usize {
+        self.descriptors / RESERVED_DESCRIPTOR_DIVISOR * (RESERVED_DESCRIPTOR_DIVISOR - 1)
+    }
+
+    /// Returns the memory that the process may take, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let stated = self.memory.map(|memory| memory.0);
+        let stated = stated.and_then(|bytes| usize::try_from(bytes).ok());
+        stated.unwrap_or(DEFAULT_MEMORY_BYTES)
+    }
+}
+
 impl Settings {
     /// Parses settings, or returns every fault in them. Unknown keys are ignored, since a platform may add some.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
@@ -227,6 +248,7 @@
     let extra_burst = reader.required("bounds", "extra-burst", "a number");
     let extra_window: Option<Span> = reader.optional("bounds", "extra-window", DURATION_FORMAT);
     let descriptors = reader.required("bounds", "descriptors", "a number");
+    let memory = reader.optional("bounds", "memory", SIZE_FORMAT);
     Some(Bounds {
         grace: grace?.0,
         handover_interval: handover_interval?.0,
@@ -235,5 +257,6 @@
         extra_burst: extra_burst?,
         extra_window: extra_window.map_or(DEFAULT_EXTRA_WINDOW, |window| window.0),
         descriptors: descriptors?,
+        memory,
     })
 }
--- a/crates/buckthornmast_node/tests/calls.rs
+++ b/crates/buckthornmast_node/tests/calls.rs
@@ -9,6 +9,7 @@
 use std::{fs, net::SocketAddr, rc::Rc};
 
 use ::http::{Request, Response, StatusCode};
+use buckthornmast_forward::{memory::Memory, receive::Intake};
 use buckthornmast_node::http::{self, Handler, empty_response};
 use bytes::Bytes;
 use tokio::{
@@ -17,6 +18,9 @@
     task::LocalSet,
 };
 
+/// Memory of an instance of the core.
+const MEMORY_BYTES: usize = 256 << 20;
+
 /// Number of calls at the same time.
 const CALLS: usize = 30;
 
@@ -62,7 +66,9 @@
     let test = async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let server = http::start(listener, Rc::new(Ok));
+        let bodies = Memory::new(http::bodies_bytes(MEMORY_BYTES));
+        let intake = Rc::new(Intake::new(bodies));
+        let server = http::start(listener, Rc::new(Ok), 2 * CALLS, intake);
         let before = peak_kb();
         let calls = (0..CALLS).map(|_| tokio::task::spawn_local(call_endless(address)));
         for call in calls.collect::<Vec<_>>() {
--- a/crates/buckthornmast_node/tests/settings.rs
+++ b/crates/buckthornmast_node/tests/settings.rs
@@ -41,6 +41,17 @@
     assert_eq!(member.as_str(), "10.0.0.2-8144");
 }
 
+/// Guards against a memory that is misread, and against one that is needed.
+#[test]
+fn parse_memory() {
+    let settings = Settings::parse("entry.ini", ENTRY).unwrap();
+    assert_eq!(settings.bounds.memory_bytes(), 256 << 20);
+    let stated = format!("{ENTRY}memory = 112MB\n");
+    let settings = Settings::parse("entry.ini", &stated).unwrap();
+    assert_eq!(settings.bounds.memory_bytes(), 112_000_000);
+    assert!(Settings::parse("entry.ini", &format!("{ENTRY}memory = much\n")).is_err());
+}
+
 /// Guards against a process that starts with unusable settings, against faults that don't name the key, and against
 /// unknown keys that are refused.
 #[test]
