forward: parts that wait for callers draw from the memory of the instance

Cause: up to 64 KiB wait for each caller that reads slowly, which is 180 MB for 2,800 of them.

Change: parts that wait draw from the account of bodies and answers. Without memory, a part waits until its caller has read all former ones, so that each caller has one part and none is left without any.

--- a/crates/buckthornmast_forward/src/body.rs
+++ b/crates/buckthornmast_forward/src/body.rs
@@ -12,6 +12,8 @@
 use snafu::Snafu;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
+use crate::memory::{Memory, Share};
+
 /// Number of parts that wait for a slow caller before reading from the target pauses.
 const MAX_WAITING_PARTS: usize = 64;
 
@@ -33,6 +35,7 @@
 struct Part {
     bytes: Bytes,
     _room: OwnedSemaphorePermit,
+    _share: Share,
 }
 
 /// Sender of the parts of a body.
@@ -41,20 +44,34 @@
     // `None` is the end of the body.
     parts: mpsc::Sender<Option<Part>>,
     room: Arc<Semaphore>,
+    memory: Memory,
 }
 
 impl Sender {
-    /// Sends a part once the caller has read enough of the former ones.
+    /// Sends a part once the caller has read enough of the former ones, or all of them if there is no memory for more.
     pub async fn send(&self, bytes: Bytes) -> Result<(), Disconnected> {
         let wanted = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
-        let room = Arc::clone(&self.room).acquire_many_owned(wanted.min(MAX_WAITING_BYTES));
+        let mut room = self.reserve(wanted.min(MAX_WAITING_BYTES)).await?;
+        let mut share = self.memory.share();
+        if !share.draw(bytes.len(), 0) {
+            metrics::counter!("buckthornmast_parts_without_memory_total").increment(1);
+            drop(room);
+            room = self.reserve(MAX_WAITING_BYTES).await?;
+        }
         let part = Part {
             bytes,
-            _room: room.await.map_err(|_| Disconnected)?,
+            _room: room,
+            _share: share,
         };
         self.parts.send(Some(part)).await.map_err(|_| Disconnected)
     }
 
+    /// Waits until this number of bytes is free.
+    async fn reserve(&self, bytes: u32) -> Result<OwnedSemaphorePermit, Disconnected> {
+        let room = Arc::clone(&self.room).acquire_many_owned(bytes);
+        room.await.map_err(|_| Disconnected)
+    }
+
     /// Ends a body that is complete.
     pub async fn end(self) -> Result<(), Disconnected> {
         self.parts.send(None).await.map_err(|_| Disconnected)
@@ -70,11 +87,17 @@
 #[derive(Debug)]
 pub struct Receiver(mpsc::Receiver<Option<Part>>);
 
-/// Returns the two ends of a body that is sent as it arrives.
-pub fn channel() -> (Sender, Receiver) {
+/// Returns the two ends of a body that is sent as it arrives. Parts that wait for the caller draw from a memory.
+pub fn channel(memory: &Memory) -> (Sender, Receiver) {
     let (parts, received) = mpsc::channel(MAX_WAITING_PARTS);
     let room = Arc::new(Semaphore::new(MAX_WAITING_BYTES as usize));
-    (Sender { parts, room }, Receiver(received))
+    let memory = memory.clone();
+    let sender = Sender {
+        parts,
+        room,
+        memory,
+    };
+    (sender, Receiver(received))
 }
 
 /// Response body.
--- a/crates/buckthornmast_forward/src/stream.rs
+++ b/crates/buckthornmast_forward/src/stream.rs
@@ -73,7 +73,7 @@
         stream: EventStream,
         reporter: Reporter,
     ) -> Response<Body> {
-        let (sender, events) = body::channel();
+        let (sender, events) = body::channel(&self.state.borrow().memory);
         let response = Response::from_parts(stream.head, Body::Parts(events));
         let task = StreamTask {
             forwarder: self,
--- a/crates/buckthornmast_forward/src/transfer.rs
+++ b/crates/buckthornmast_forward/src/transfer.rs
@@ -31,7 +31,7 @@
     ) -> Response<Body> {
         let PartialAnswer { head, first, rest } = answer;
         let status = head.status.as_u16();
-        let (sender, parts) = body::channel();
+        let (sender, parts) = body::channel(&self.state.borrow().memory);
         // The task ends with the answer, at the deadline, or when the body of the response is dropped.
         tokio::task::spawn_local(async move {
             match self.forward_parts(&context, first, rest, &sender).await {
--- a/crates/buckthornmast_forward/tests/body.rs
+++ b/crates/buckthornmast_forward/tests/body.rs
@@ -1,7 +1,10 @@
 //! Bodies of streams.
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
-use buckthornmast_forward::body::{self, Body};
+use buckthornmast_forward::{
+    body::{self, Body},
+    memory::Memory,
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 
@@ -9,7 +12,7 @@
 #[tokio::test]
 async fn end_without_sender() {
     for is_complete in [false, true] {
-        let (sender, parts) = body::channel();
+        let (sender, parts) = body::channel(&Memory::default());
         sender.send(Bytes::from("e1")).await.unwrap();
         if is_complete {
             sender.end().await.unwrap();
--- a/crates/buckthornmast_forward/tests/memory.rs
+++ b/crates/buckthornmast_forward/tests/memory.rs
@@ -12,12 +12,13 @@
 use std::{future::poll_fn, pin::pin, task::Poll, time::Duration};
 
 use buckthornmast_forward::{
-    body,
+    body::{self, Body},
     memory::{Held, Memory},
 };
 use buckthornmast_routes::document::{Kind, Route};
 use bytes::Bytes;
 use fleet::{Fleet, Step, block_on, bytes, event, route, stream_head, whole_head};
+use http_body_util::BodyExt;
 
 /// Memory of a fleet that is full after a few reads.
 const SMALL: usize = 64 << 10;
@@ -66,7 +67,7 @@
 #[test]
 fn send_unread() {
     block_on(async {
-        let (sender, receiver) = body::channel();
+        let (sender, receiver) = body::channel(&Memory::default());
         let part = Bytes::from(vec![b'a'; 16 << 10]);
         let mut waiting = 0;
         loop {
@@ -83,6 +84,34 @@
     });
 }
 
+/// Guards against parts for many callers that do not read and that together take more than the memory, and against a
+/// caller that reads but gets nothing more.
+#[test]
+fn send_unread_many() {
+    const PART: usize = 8 << 10;
+    block_on(async {
+        let memory = Memory::new(SMALL);
+        let callers: Vec<_> = (0..20).map(|_| body::channel(&memory)).collect();
+        let part = Bytes::from(vec![b'a'; PART]);
+        let mut sent = 0;
+        for (sender, _) in callers.iter().cycle().take(200) {
+            let mut send = pin!(sender.send(part.clone()));
+            let is_sent = poll_fn(|context| Poll::Ready(send.as_mut().poll(context).is_ready()));
+            sent += usize::from(is_sent.await);
+            assert!(memory.used() <= SMALL);
+        }
+        // Each caller has one part, whether there is memory for it or not.
+        assert!((20..=20 + SMALL / PART).contains(&sent), "{sent} parts");
+        for (sender, receiver) in callers {
+            let reading = tokio::spawn(Body::Parts(receiver).collect());
+            sender.send(part.clone()).await.unwrap();
+            sender.end().await.unwrap();
+            assert!(reading.await.unwrap().unwrap().to_bytes().len() >= 2 * PART);
+        }
+        assert_eq!(memory.used(), 0);
+    });
+}
+
 /// Guards against a large answer that is refused, cut or altered although its target sent all of it.
 #[test]
 fn whole_larger_than_memory() {
@@ -195,3 +224,22 @@
         );
     });
 }
+
+/// Guards against prompts that no target of their service has memory for and that take its time nevertheless.
+#[test]
+fn prompt_larger_than_targets() {
+    block_on(async {
+        let fleet = Fleet::start(route(), 2).await;
+        // Ten tokens each; targets have memory for 1000.
+        let parts = |count: u32| (1..=count).map(|id| id.to_string()).collect::<Vec<_>>();
+        let answer = fleet.call(&parts(101).join(",")).await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("retry-after: "), "{answer}");
+        assert_eq!(fleet.arrived(), 0);
+        fleet.script(vec![whole_head(500, Some(0))]);
+        fleet.script(vec![whole_head(500, Some(0))]);
+        fleet.script(vec![whole_head(500, Some(0))]);
+        fleet.call(&parts(100).join(",")).await;
+        assert!(fleet.arrived() > 0);
+    });
+}
