forward: refuse prompts that are larger than the memory of any target

The leader books the reading time of a prompt at the target that it grants, whatever its length; a target refuses one that is larger than its memory as if it were full, and the booked time of minutes keeps all others from it.

Change: an entry instance refuses such a prompt at once as not run, before a permit is requested, if the routes state the memory of the service's targets.

--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -73,6 +73,10 @@
         if let Err(response) = self.read_body(&mut context, incoming, &mut reporter).await {
             return response;
         }
+        if self.exceeds_targets(&context) {
+            // A target would refuse it as if it were full, after time for its prompt was booked there.
+            return self.refuse(&context, &mut reporter, Refusal::PromptTooLarge);
+        }
         if let Err(refusal) = self.find_origin(&mut context).await {
             return self.refuse(&context, &mut reporter, refusal);
         }
@@ -167,6 +171,21 @@
         })
     }
 
+    /// Returns whether the prompt of a request is larger than the memory of any target of its service.
+    fn exceeds_targets(&self, context: &Context) -> bool {
+        let generation = context.head.generation.as_ref();
+        let prompt_tokens = generation.map_or(0, |generation| generation.prompt_tokens);
+        let routes = self.state.borrow().routes();
+        let service = routes.as_ref().and_then(|routes| {
+            let services = &routes.document.services;
+            services.get(&context.service)
+        });
+        let pool = service.and_then(|service| service.pool.as_ref());
+        let capacity = pool.map(|pool| pool.cache_tokens);
+        // Without a stated size, only targets know.
+        capacity.is_some_and(|tokens| tokens > 0 && u64::from(prompt_tokens) > tokens)
+    }
+
     async fn read_body(
         &self,
         context: &mut Context,
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -42,6 +42,8 @@
         /// Expected wait for a slot.
         wait: Duration,
     },
+    /// The prompt is larger than the memory of any target.
+    PromptTooLarge,
     /// All targets that could run the request want no request for some time.
     Paused {
         /// Time until the first of them accepts requests again.
@@ -80,6 +82,7 @@
             Self::Loading { .. } => "the model is being loaded",
             Self::CannotLoad => "the model can't be loaded",
             Self::TargetsFull { .. } => "the targets are full",
+            Self::PromptTooLarge => "the prompt is larger than the memory of any target",
             Self::Paused { .. } => "the targets want no request for some time",
             Self::Limited { .. } => "the targets limit their rate",
             Self::Quarantined { .. } => "the prompt has parts on which targets crash",
@@ -100,7 +103,7 @@
             | Self::UnknownOrigin
             | Self::VersionGone
             | Self::Deadline => NO_TARGET_RETRY_AFTER,
-            Self::CannotLoad => MAX_FULL_RETRY_AFTER,
+            Self::CannotLoad | Self::PromptTooLarge => MAX_FULL_RETRY_AFTER,
             // Another instance can take the request now.
             Self::Stopping => MIN_RETRY_AFTER,
             Self::Loading { remaining } | Self::Paused { remaining } => {
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -142,7 +142,7 @@
             generation: parts.map(|parts| Generation {
                 model: "m1".parse().unwrap(),
                 adapter: None,
-                prompt_tokens: 10,
+                prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
                 answer_tokens: 10,
                 parts,
             }),
