http: account for bodies until the end of their exchanges

Cause: the server of buckthornmastd counted the bytes of a body only while it was received, and without the spare capacity of its buffer, so a crowd of whole bodies could hold the largest body once for each exchange. Bodies that stopped short held the account until their timeout and kept all others out, and a refusal of a body that was not read could be lost to a reset.

Change: an account draws capacity before it is held and until the exchange is dropped; bodies over 16 KiB leave a quarter of it; while half is in use, bodies below 64 KiB/s after a second give way with 408. The rest of a refused body is discarded for up to a second and 8 MiB.

--- a/crates/buckthornmast_http/src/exchange.rs
+++ b/crates/buckthornmast_http/src/exchange.rs
@@ -18,7 +18,7 @@
 use snafu::Snafu;
 use tokio::sync::{Notify, mpsc, oneshot};
 
-use crate::{problem::Problem, response::Response};
+use crate::{account::Held, problem::Problem, response::Response};
 
 /// Maximum number of events of a stream that are queued for the connection.
 const STREAM_QUEUE_LEN: usize = 64;
@@ -77,6 +77,8 @@
     pub(crate) target: String,
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
+    /// Memory of the body, which handlers may pass on for as long as the exchange lasts.
+    pub(crate) _held: Held,
     pub(crate) write_timeout: Duration,
     pub(crate) runtime: tokio::runtime::Handle,
     pub(crate) answer: Option<oneshot::Sender<Answer>>,
--- a/crates/buckthornmast_http/src/interceptor.rs
+++ b/crates/buckthornmast_http/src/interceptor.rs
@@ -13,11 +13,12 @@
         atomic::{AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time::timeout};
 
 use crate::{problem::Problem, response::Response};
 
@@ -28,6 +29,12 @@
 /// reset the connection, and the client may then lose the answer.
 const MAX_DRAIN_BYTES: usize = 256 << 10;
 
+/// Maximum number of bytes of a refused request that are read and discarded, twice the largest body of most services.
+const MAX_REST_BYTES: usize = 8 << 20;
+
+/// Time limit for that.
+const REST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Connection that inspects the first bytes of each answer.
 #[derive(Debug)]
 pub(crate) struct Interceptor {
@@ -84,9 +91,13 @@
     }
 
     /// Ends the connection. A withheld answer is sent, with problem details if `hyper` has refused the
-    /// head.
-    pub(crate) async fn end(self, is_refused: bool) -> io::Result<()> {
+    /// head. The rest of a request that was refused before it was read is discarded, so that the client reads the answer.
+    pub(crate) async fn end(self, is_refused: bool, has_rest: bool) -> io::Result<()> {
         if self.withheld.is_empty() {
+            if has_rest {
+                // The time limit ends a client that sends without end.
+                let _ = timeout(REST_TIMEOUT, discard(&self.io.into_inner())).await;
+            }
             return Ok(());
         }
         let answer = if is_refused {
@@ -116,6 +127,24 @@
     }
 }
 
+/// Reads and discards what a client still sends, until it closes the connection.
+async fn discard(stream: &TcpStream) {
+    let mut discarded = 0;
+    while discarded < MAX_REST_BYTES && stream.readable().await.is_ok() {
+        match read_discarded(stream) {
+            Ok(0) => return,
+            Ok(bytes) => discarded += bytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// Reads once, with a buffer that isn't a part of the future.
+fn read_discarded(stream: &TcpStream) -> io::Result<usize> {
+    stream.try_read(&mut [0; 16 << 10])
+}
+
 /// Returns an answer without a body with problem details as its body, and with all other headers unchanged.
 fn with_problem(empty_answer: &[u8]) -> Vec<u8> {
     let head = String::from_utf8_lossy(empty_answer);
--- a/crates/buckthornmast_http/src/lib.rs
+++ b/crates/buckthornmast_http/src/lib.rs
@@ -24,6 +24,7 @@
 //!
 //! See [`client`].
 
+mod account;
 pub mod client;
 mod eviction;
 pub mod exchange;
--- a/crates/buckthornmast_http/src/server.rs
+++ b/crates/buckthornmast_http/src/server.rs
@@ -30,6 +30,7 @@
 };
 
 use crate::{
+    account::Account,
     eviction::{self, Slot},
     exchange::{Answer, Exchange, complete},
     interceptor::Interceptor,
@@ -67,7 +68,9 @@
     pub head_limit: usize,
     /// Maximum size of a body in bytes; a larger one is answered with 413.
     pub body_limit: usize,
-    /// Maximum size of all bodies being received, in bytes; a request that exceeds it is answered with 503.
+    /// Memory for the bodies of all requests until the end of their exchanges, in bytes. A request that exceeds it is
+    /// answered with 503, and one whose body makes no progress while half of it is in use with 408. Bodies over 16 KiB
+    /// leave a quarter of it to others.
     pub total_body_limit: usize,
     /// Time limit for the request line with headers, and for the wait between two requests. The connection is then
     /// closed without an answer.
@@ -114,8 +117,7 @@
     /// Notified when a connection has ended.
     connection_closed: Notify,
     evictions: Arc<eviction::Queue>,
-    /// Size of all bodies being received, in bytes.
-    pending_body_bytes: AtomicUsize,
+    bodies: Account,
     runtime: tokio::runtime::Handle,
 }
 
@@ -197,7 +199,7 @@
         connection_count: AtomicUsize::new(0),
         connection_closed: Notify::new(),
         evictions: Arc::default(),
-        pending_body_bytes: AtomicUsize::new(0),
+        bodies: Account::new(config.total_body_limit),
         runtime: runtime.handle().clone(),
         config,
     });
@@ -308,9 +310,20 @@
     set_options(&stream);
     let closed = Arc::new(AtomicBool::new(false));
     let calls = Arc::new(AtomicU64::new(0));
-    let service = service_fn(|request| {
+    let is_unread = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
         calls.fetch_add(1, Ordering::Relaxed);
-        answer(shared, peer, &slot, Arc::clone(&closed), request)
+        let has_body = !request.body().is_end_stream();
+        let answered = answer(shared, peer, &slot, Arc::clone(&closed), request);
+        let is_unread = &is_unread;
+        async move {
+            let answer = answered.await;
+            let is_refused = answer
+                .as_ref()
+                .is_ok_and(|answer| !answer.status().is_success());
+            is_unread.store(has_body && is_refused, Ordering::Relaxed);
+            answer
+        }
     });
     let interceptor = Interceptor::new(stream, Arc::clone(&calls));
     let mut connection = http1::Builder::new()
@@ -348,7 +361,9 @@
     };
     closed.store(true, Ordering::Relaxed);
     let is_refused = result.as_ref().is_err_and(hyper::Error::is_parse);
-    let ended = connection.into_parts().io.end(is_refused);
+    let io = connection.into_parts().io;
+    let has_rest = result.is_ok() && is_unread.load(Ordering::Relaxed);
+    let ended = io.end(is_refused, has_rest);
     let ended = tokio::select! {
         ended = timeout(shared.config.write_timeout, ended) => ended,
         () = slot.evicted() => Ok(Ok(())),
--- a/crates/buckthornmast_http/src/server/request.rs
+++ b/crates/buckthornmast_http/src/server/request.rs
@@ -2,10 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::AtomicBool},
+    time::Instant,
 };
 
 use http_body_util::BodyExt;
@@ -15,7 +13,16 @@
 };
 use tokio::time::timeout;
 
-use crate::{eviction::Slot, exchange::Exchange, problem::Problem, server::Shared};
+use crate::{
+    account::{GRACE, Held, is_slow},
+    eviction::Slot,
+    exchange::Exchange,
+    problem::Problem,
+    server::Shared,
+};
+
+/// Least memory of a body that is not empty, in bytes.
+const MIN_CAPACITY: usize = 1 << 10;
 
 /// Methods that are passed to handlers.
 const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
@@ -54,7 +61,7 @@
     let path = decode(head.uri.path()).filter(|path| is_plain(path));
     let path =
         path.ok_or_else(|| bad_request("the path is not plain UTF-8 without dot segments"))?;
-    let body = read_body(shared, body).await?;
+    let (body, held) = read_body(shared, body).await?;
     Ok(Exchange {
         peer,
         method: head.method.as_str().to_owned(),
@@ -62,6 +69,7 @@
         target,
         headers,
         body,
+        _held: held,
         write_timeout: shared.config.write_timeout,
         runtime: shared.runtime.clone(),
         answer: None,
@@ -70,59 +78,63 @@
     })
 }
 
-/// Bytes of a body being received; they are subtracted from the total of all bodies when dropped.
-struct Pending<'a> {
-    total: &'a AtomicUsize,
-    bytes: usize,
+async fn read_body<H>(shared: &Shared<H>, body: Incoming) -> Result<(Vec<u8>, Held), Problem> {
+    let limit = shared.config.body_limit;
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large(limit));
+    }
+    timeout(shared.config.body_timeout, collect(shared, body))
+        .await
+        .unwrap_or_else(|_| Err(Problem::new(408, "body took too long", "body")))
 }
 
-impl Drop for Pending<'_> {
-    fn drop(&mut self) {
-        self.total.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
+fn too_large(limit: usize) -> Problem {
+    let detail = format!("the body is over the limit of {limit} bytes");
+    Problem::new(413, "body too large", "body").detail(detail)
 }
 
-async fn read_body<H>(shared: &Shared<H>, mut body: Incoming) -> Result<Vec<u8>, Problem> {
+/// Reads a body. Its memory is drawn from the account before it is held.
+async fn collect<H>(shared: &Shared<H>, mut body: Incoming) -> Result<(Vec<u8>, Held), Problem> {
     let limit = shared.config.body_limit;
-    let too_large = || {
-        let detail = format!("the body is over the limit of {limit} bytes");
-        Problem::new(413, "body too large", "body").detail(detail)
-    };
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    let mut pending = Pending {
-        total: &shared.pending_body_bytes,
-        bytes: 0,
+    let refuse = || {
+        let problem = Problem::new(503, "too many bodies in progress", "body");
+        problem.retry_after(shared.config.retry_after)
     };
-    let read = async {
-        let mut bytes = Vec::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| {
-                Problem::new(400, "body was cut", "body").detail(error.to_string())
-            })?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if bytes.len() + data.len() > limit {
-                return Err(too_large());
-            }
-            pending.bytes += data.len();
-            let total = shared
-                .pending_body_bytes
-                .fetch_add(data.len(), Ordering::Relaxed)
-                + data.len();
-            if total > shared.config.total_body_limit {
-                let problem = Problem::new(503, "too many bodies in progress", "body");
-                return Err(problem.retry_after(shared.config.retry_after));
+    let slow = || Problem::new(408, "body makes no progress", "body");
+    let started_at = Instant::now();
+    let mut bytes = Vec::new();
+    let mut held = shared.bodies.hold();
+    loop {
+        let frame = match timeout(GRACE, body.frame()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return Ok((bytes, held)),
+            Err(_) if shared.bodies.is_crowded() => return Err(slow()),
+            Err(_) => continue,
+        };
+        let frame = frame
+            .map_err(|error| Problem::new(400, "body was cut", "body").detail(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = bytes.len() + data.len();
+        if length > limit {
+            return Err(too_large(limit));
+        }
+        if length > bytes.capacity() {
+            let capacity = length
+                .max(bytes.capacity() * 2)
+                .max(MIN_CAPACITY)
+                .min(limit);
+            if !held.grow(capacity) {
+                return Err(refuse());
             }
-            bytes.extend_from_slice(&data);
+            bytes.reserve_exact(capacity - bytes.len());
         }
-        Ok(bytes)
-    };
-    timeout(shared.config.body_timeout, read)
-        .await
-        .unwrap_or_else(|_| Err(Problem::new(408, "body took too long", "body")))
+        bytes.extend_from_slice(&data);
+        if shared.bodies.is_crowded() && is_slow(length, started_at.elapsed()) {
+            return Err(slow());
+        }
+    }
 }
 
 /// Returns whether a decoded path contains neither control characters nor dot segments.
--- a/crates/buckthornmast_http/tests/bad_input.rs
+++ b/crates/buckthornmast_http/tests/bad_input.rs
@@ -432,3 +432,19 @@
     }
     server.stop();
 }
+
+/// Guards against a refusal that the client can't read because the connection is reset under its body.
+#[test]
+fn request_oversized_whole() {
+    const BYTES: usize = 4 << 20;
+    let server = serve();
+    for framing in [
+        format!("Content-Length: {BYTES}\r\n"),
+        "Transfer-Encoding: chunked\r\n".to_owned(),
+    ] {
+        let mut body = format!("{BYTES:x}\r\n").into_bytes();
+        body.resize(BYTES, b'x');
+        let answer = exchange(server.address(), &post(&framing, &body), false);
+        assert!(answer.starts_with("HTTP/1.1 413 "), "{answer:?}");
+    }
+}
