--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -17,7 +17,6 @@
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use smallvec::SmallVec;
 use tokio::time::timeout;
@@ -74,6 +73,10 @@
         if let Err(response) = self.read_body(&mut context, incoming, &mut reporter).await {
             return response;
         }
+        if self.exceeds_targets(&context) {
+            // A target would refuse it as if it were full, after time for its prompt was booked there.
+            return self.refuse(&context, &mut reporter, Refusal::PromptTooLarge);
+        }
         if let Err(refusal) = self.find_origin(&mut context).await {
             return self.refuse(&context, &mut reporter, refusal);
         }
@@ -171,31 +174,44 @@
         })
     }
 
+    /// Returns whether the prompt of a request is larger than the memory of any target of its service.
+    fn exceeds_targets(&self, context: &Context) -> bool {
+        let generation = context.head.generation.as_ref();
+        let prompt_tokens = generation.map_or(0, |generation| generation.prompt_tokens);
+        let routes = self.state.borrow().routes();
+        let service = routes.as_ref().and_then(|routes| {
+            let services = &routes.document.services;
+            services.get(&context.service)
+        });
+        let pool = service.and_then(|service| service.pool.as_ref());
+        let capacity = pool.map(|pool| pool.cache_tokens);
+        // Without a stated size, only targets know.
+        capacity.is_some_and(|tokens| tokens > 0 && u64::from(prompt_tokens) > tokens)
+    }
+
     async fn read_body(
         &self,
         context: &mut Context,
         incoming: Incoming,
         reporter: &mut Reporter,
     ) -> Result<(), Response<Body>> {
-        let routes = self.state.borrow().routes();
-        let limit = routes.map_or(0, |routes| routes.document.limits.body);
+        let (limit, intake) = {
+            let state = self.state.borrow();
+            let routes = state.routes();
+            let limit = routes.map_or(0, |routes| routes.document.limits.body);
+            (limit, Rc::clone(&state.intake))
+        };
         let left = context.time_left(self.clock.now());
-        let (status, cause) = match timeout(left, Limited::new(incoming, limit).collect()).await {
-            Ok(Ok(body)) => {
-                context.body = body.to_bytes();
-                return Ok(());
+        match intake.receive(incoming, limit, left).await {
+            Ok(body) => {
+                context.body = body;
+                Ok(())
             }
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+            Err(fault) => {
+                reporter.end(End::Refused, fault.status().as_u16(), fault.as_str());
+                Err(fault.response())
             }
-            Ok(Err(_)) => (StatusCode::BAD_REQUEST, "the body could not be read"),
-            Err(_) => (
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive in time",
-            ),
-        };
-        reporter.end(End::Refused, status.as_u16(), cause);
-        Err(empty_response(status))
+        }
     }
 
     /// Dispatches a request until it is answered, refused or failed.
--- a/crates/buckthornmast_node/src/settings.rs
+++ b/crates/buckthornmast_node/src/settings.rs
@@ -12,6 +12,7 @@
     fault::Fault,
     source::{Reader, Source},
 };
+use buckthornmast_forward::budget::DEFAULT_MEMORY_BYTES;
 use buckthornmast_organisation::lease;
 use buckthornmast_types::{id, size::Bytes};
 
@@ -73,6 +74,10 @@
 /// Length of the window of extra attempts, if the settings don't name one.
 const DEFAULT_EXTRA_WINDOW: Duration = Duration::from_secs(10);
 
+/// Number of file descriptors divided by the number that is reserved for targets, instances and files. The rest is for
+/// connections of callers, targets and operators.
+const RESERVED_DESCRIPTOR_DIVISOR: usize = 3;
+
 /// Bounds that the deployment sets.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -93,6 +98,8 @@
     /// Time after which a key that was taken away has to be refused everywhere. Without it, instances that are cut off from
     /// the core go on to honour the keys that they know.
     pub key_lease: Option<Duration>,
+    /// Memory that the process may take, if the settings state it.
+    pub memory: Option<Bytes>,
 }
 
 /// Settings of a process.
@@ -114,6 +121,20 @@
     pub bounds: Bounds,
 }
 
+impl Bounds {
+    /// Returns the number of connections that an instance takes.
+    pub fn connections(&self) -> usize {
+        self.descriptors / RESERVED_DESCRIPTOR_DIVISOR * (RESERVED_DESCRIPTOR_DIVISOR - 1)
+    }
+
+    /// Returns the memory that the process may take, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let stated = self.memory.map(|memory| memory.0);
+        let stated = stated.and_then(|bytes| usize::try_from(bytes).ok());
+        stated.unwrap_or(DEFAULT_MEMORY_BYTES)
+    }
+}
+
 impl Settings {
     /// Parses settings, or returns every fault in them. Unknown keys are ignored, since a platform may add some.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
@@ -237,6 +258,7 @@
         let message = format!("shorter than {} s", lease::MIN_BOUND.as_secs());
         reader.add_fault("bounds", "key-lease", message);
     }
+    let memory = reader.optional("bounds", "memory", SIZE_FORMAT);
     Some(Bounds {
         grace: grace?.0,
         handover_interval: handover_interval?.0,
@@ -246,5 +268,6 @@
         extra_window: extra_window.map_or(DEFAULT_EXTRA_WINDOW, |window| window.0),
         descriptors: descriptors?,
         key_lease,
+        memory,
     })
 }
