supply, forward, node: choice of a target by expected completion, with the requests that run there

Cause: the leader guessed the number of running requests from its own permits and a mean time.

The leader counts permits until a report confirms them. Both choices use one model, completion: reading wait, slot wait, work by the slowdown, less the parts of the prompt that the target probably keeps, and the pause of its running answers, in time.

--- a/crates/buckthornmast_forward/src/choice.rs
+++ b/crates/buckthornmast_forward/src/choice.rs
@@ -1,29 +1,35 @@
 //! Choice of a target.
 //!
-//! Designed for batching engines: up to the number of slots, requests hardly slow each other down; beyond it they
-//! queue. So requests with the same prompt prefix are sent to the same target while it has free slots, and to the least
-//! loaded one otherwise. All instances use rendezvous hashing with the same hash, so they agree on the target of a
-//! prefix without communicating.
+//! Designed for targets that differ in load and speed from one moment to the next: a request is sent where its answer is
+//! expected first, by the model of [`completion`]. Requests with the same prompt prefix are sent to the same target while
+//! it has free slots and isn't slower than the others. All instances use rendezvous hashing with the same hash, so they
+//! agree on the target of a prefix without communicating.
 
 use std::time::Duration;
 
+use buckthornmast_routing::completion::{self, Work};
 use buckthornmast_types::{id, time::Point};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::stats::StatsTable;
+use crate::stats::{StatsTable, TargetStats};
 
 /// Number of requests by which a target may exceed the least loaded one and still be chosen for a prompt prefix.
 /// Prefill delays the other requests of the target, so a prefix that saves a fraction of it doesn't justify a higher
 /// load.
 const AFFINITY_SLACK_REQUESTS: f64 = 2.0;
 
-/// Score penalty of a failure rate of 1, in load as a ratio of the slots.
+/// Cost of a failure rate of 1, in service times. A failed request has to be run again, and its caller has waited.
 const FAILURE_COST: f64 = 3.0;
 
-/// Score penalty of another failure domain, in load as a ratio of the slots. Between equal targets, the local one is
-/// chosen.
+/// Cost of another failure domain, in service times. Between equal targets, the local one is chosen.
 const CROSS_DOMAIN_COST: f64 = 0.05;
 
+/// Slowdown above the least of all candidates beyond which a target isn't chosen for a prompt prefix.
+const SLOWDOWN_SLACK: f64 = 0.2;
+
+/// Service time that the estimates are relative to.
+const UNIT: Duration = Duration::from_secs(1);
+
 /// Failure rate above the best candidate's beyond which a target isn't chosen for a prompt prefix.
 const FAILURE_RATE_SLACK: f64 = 0.1;
 
@@ -64,6 +70,7 @@
     index: usize,
     requests: f64,
     failure_rate: f64,
+    slowdown: f64,
     score: f64,
 }
 
@@ -101,12 +108,17 @@
         .iter()
         .map(|scored| scored.requests)
         .fold(f64::INFINITY, f64::min);
+    let min_slowdown = scored
+        .iter()
+        .map(|scored| scored.slowdown)
+        .fold(f64::INFINITY, f64::min);
     let chosen = query
         .prefix
         .and_then(|prefix| {
             let eligible = scored.iter().filter(|scored| {
                 scored.requests <= min_requests + AFFINITY_SLACK_REQUESTS
                     && scored.failure_rate <= min_failure_rate + FAILURE_RATE_SLACK
+                    && scored.slowdown <= min_slowdown + SLOWDOWN_SLACK
             });
             eligible.max_by_key(|scored| rendezvous_hash(prefix, &candidates[scored.index].target))
         })
@@ -126,9 +138,25 @@
     now: Point,
 ) -> Scored {
     let stats = table.get(&candidate.target, candidate.incarnation);
-    let slots = f64::from(candidate.slots.max(1));
+    let slots = slots(candidate, stats);
     let requests = stats.map_or(0.0, |stats| stats.load(now));
     let failure_rate = stats.map_or(0.0, |stats| stats.failure_rate(now));
+    let slowdown = stats.map_or(1.0, |stats| stats.slowdown(now));
+    // In service times, so that targets are compared by the load and speed of the moment alone: the samples of one
+    // instance are too few to tell targets apart by their mean service times.
+    let load = completion::Load {
+        requests,
+        slots,
+        slot_time: UNIT,
+        reading_wait: Duration::ZERO,
+        slowdown,
+        distance: Duration::ZERO,
+    };
+    let work = Work {
+        time: UNIT,
+        spared: Duration::ZERO,
+    };
+    let completion = completion::estimate(&load, work).total().as_secs_f64();
     let distance = if candidate.is_local {
         0.0
     } else {
@@ -142,16 +170,24 @@
         index,
         requests,
         failure_rate,
-        score: requests / slots + failure_rate * FAILURE_COST + distance + noise,
+        slowdown,
+        score: completion + failure_rate * FAILURE_COST + distance + noise,
     }
 }
 
+/// Returns the number of requests that a target runs concurrently: what it announced, or less if it stated less since.
+fn slots(candidate: &Candidate, stats: Option<&TargetStats>) -> f64 {
+    let stated = stats.and_then(TargetStats::slots);
+    let slots = stated.map_or(candidate.slots, |stated| stated.min(candidate.slots));
+    f64::from(slots.max(1))
+}
+
 /// Returns the expected time until a slot is free for one more request.
 pub fn expected_wait(candidate: &Candidate, table: &StatsTable, now: Point) -> Duration {
     let Some(stats) = table.get(&candidate.target, candidate.incarnation) else {
         return Duration::ZERO;
     };
-    let slots = f64::from(candidate.slots.max(1));
+    let slots = slots(candidate, Some(stats));
     let excess = stats.load(now) + 1.0 - slots;
     if excess <= 0.0 {
         return Duration::ZERO;
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -7,7 +7,7 @@
 
 use buckthornmast_limit::statement::Statement;
 use buckthornmast_quarantine::part::{Part, Set};
-use buckthornmast_types::id;
+use buckthornmast_types::{id, slowdown::Slowdown};
 use http::{HeaderMap, request, response};
 use smallvec::SmallVec;
 use snafu::Snafu;
@@ -97,12 +97,16 @@
 }
 
 /// Load that a target reported with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
     /// Number of running requests.
     pub running: u32,
     /// Number of waiting requests.
     pub waiting: u32,
+    /// Number of requests that it runs concurrently, if it states one.
+    pub slots: Option<u32>,
+    /// Slowdown by other work beside it. A target that states none works as usual.
+    pub slowdown: Slowdown,
 }
 
 /// Decoded response head of a target.
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -28,7 +28,7 @@
     memory::Memory,
     pool::Pool,
     refused,
-    stats::StatsTable,
+    stats::{Change, StatsTable},
     stop::{self, RouteTimes},
 };
 
@@ -187,6 +187,18 @@
         }
     }
 
+    /// Returns the changes of this instance's requests at targets with models, which the leader is told, or all of them if
+    /// `is_complete`.
+    pub fn take_changes(
+        &mut self,
+        is_complete: bool,
+        now: Point,
+    ) -> Vec<(id::Target, id::Incarnation, Change)> {
+        let inventories = &self.inventories;
+        self.stats
+            .take_changes(is_complete, |target| inventories.contains_key(target), now)
+    }
+
     /// Puts routes into force unless the current ones are the same or newer. Returns whether they were put into force.
     pub fn set_routes(&mut self, document: Document) -> bool {
         let current = self.version();
--- a/crates/buckthornmast_forward/src/stats.rs
+++ b/crates/buckthornmast_forward/src/stats.rs
@@ -3,13 +3,15 @@
 //! The load of a target is the number of this instance's own requests there, which it counts, plus those of other
 //! instances, which it infers from the load that the target reported with its last answer.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use buckthornmast_routing::{
+    completion::expected_slowdown,
     estimate::Estimate,
     outlier::{Config, Health},
 };
 use buckthornmast_types::{id, time::Point};
+use tokio::sync::Notify;
 
 use crate::mapping::Load;
 
@@ -40,7 +42,13 @@
     own_requests: u32,
     // Requests of other instances at the time of the report.
     other_requests: u32,
+    // Last load that the target reported.
+    reported: Load,
     reported_at: Option<Point>,
+    // Changes that the leader hasn't been told yet.
+    begun: u32,
+    told_requests: u32,
+    told_report_at: Option<Point>,
     health: Health,
     failure_rate: f64,
     failure_rate_at: Point,
@@ -52,7 +60,11 @@
         Self {
             own_requests: 0,
             other_requests: 0,
+            reported: Load::default(),
             reported_at: None,
+            begun: 0,
+            told_requests: 0,
+            told_report_at: None,
             health: Health::default(),
             failure_rate: 0.0,
             failure_rate_at: Point::ZERO,
@@ -78,6 +90,36 @@
         self.reported_at.map(|at| now.since(at))
     }
 
+    /// Returns the number of requests that the target runs concurrently, if it states one.
+    pub fn slots(&self) -> Option<u32> {
+        self.reported.slots.filter(|slots| *slots > 0)
+    }
+
+    /// Returns the expected slowdown of the target, as a ratio of the usual time.
+    pub fn slowdown(&self, now: Point) -> f64 {
+        let age = self.load_age(now);
+        age.map_or(1.0, |age| expected_slowdown(self.reported.slowdown, age))
+    }
+
+    /// Returns what has changed since the leader was told, if anything has or if `is_complete`.
+    fn take_change(&mut self, is_complete: bool, now: Point) -> Option<Change> {
+        let reported_at = self
+            .reported_at
+            .filter(|at| self.told_report_at != Some(*at));
+        let has_changed =
+            self.begun > 0 || self.own_requests != self.told_requests || reported_at.is_some();
+        if !has_changed && !(is_complete && self.own_requests > 0) {
+            return None;
+        }
+        self.told_requests = self.own_requests;
+        self.told_report_at = self.reported_at;
+        Some(Change {
+            running: self.own_requests,
+            begun: std::mem::take(&mut self.begun),
+            reported: reported_at.map(|at| (self.reported, now.since(at))),
+        })
+    }
+
     /// Returns the number of this instance's requests in progress.
     pub fn own_requests(&self) -> u32 {
         self.own_requests
@@ -132,9 +174,22 @@
     Abandoned,
 }
 
+/// Change of this instance's requests at a target since the leader was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// Requests in progress.
+    pub running: u32,
+    /// Requests dispatched since then.
+    pub begun: u32,
+    /// Load that the target has reported since then, with its age.
+    pub reported: Option<(Load, Duration)>,
+}
+
 /// Load and health of all targets.
 #[derive(Debug, Default)]
 pub struct StatsTable {
+    /// Notified whenever there is a change to tell the leader.
+    pub changed: Rc<Notify>,
     targets: HashMap<(id::Target, id::Incarnation), TargetStats>,
     config: Config,
 }
@@ -155,9 +210,30 @@
             .or_default()
     }
 
+    /// Returns what has changed at the targets that the leader is told about, or all requests there if `is_complete`.
+    pub fn take_changes(
+        &mut self,
+        is_complete: bool,
+        is_told: impl Fn(&id::Target) -> bool,
+        now: Point,
+    ) -> Vec<(id::Target, id::Incarnation, Change)> {
+        let told = self
+            .targets
+            .iter_mut()
+            .filter(|((target, _), _)| is_told(target));
+        let changes = told.filter_map(|((target, incarnation), stats)| {
+            let change = stats.take_change(is_complete, now)?;
+            Some((target.clone(), *incarnation, change))
+        });
+        changes.collect()
+    }
+
     /// Records a dispatch.
     pub fn record_dispatch(&mut self, target: &id::Target, incarnation: id::Incarnation) {
-        self.get_or_insert(target, incarnation).own_requests += 1;
+        let stats = self.get_or_insert(target, incarnation);
+        stats.own_requests += 1;
+        stats.begun += 1;
+        self.changed.notify_one();
     }
 
     /// Records the end of a dispatch.
@@ -192,6 +268,7 @@
             }
             Ended::Refused | Ended::Abandoned => {}
         }
+        self.changed.notify_one();
     }
 
     /// Records the load that a target reported with an answer.
@@ -204,7 +281,9 @@
     ) {
         let stats = self.get_or_insert(target, incarnation);
         stats.other_requests = (load.running + load.waiting).saturating_sub(stats.own_requests);
+        stats.reported = load;
         stats.reported_at = Some(now);
+        self.changed.notify_one();
     }
 
     /// Removes targets that are no longer known and have no request in progress.
--- a/crates/buckthornmast_forward/tests/choice.rs
+++ b/crates/buckthornmast_forward/tests/choice.rs
@@ -46,6 +46,7 @@
     let load = Load {
         running: 8,
         waiting: 6,
+        ..Load::default()
     };
     table.record_load(&all[0].target, INCARNATION, load, NOW);
     for tie_breaker in 0..50 {
--- a/crates/buckthornmast_forward/tests/resume.rs
+++ b/crates/buckthornmast_forward/tests/resume.rs
@@ -166,6 +166,7 @@
             let load = Load {
                 running: 8,
                 waiting: 12,
+                ..Load::default()
             };
             let mut state = fleet.forwarder.state.borrow_mut();
             state
@@ -191,6 +192,7 @@
         let load = Load {
             running: 5,
             waiting: 0,
+            ..Load::default()
         };
         // The targets with the least load are tried first.
         for number in 0..2 {
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -167,6 +167,7 @@
             load: number(LOAD).map(|running| Load {
                 running,
                 waiting: 0,
+                ..Load::default()
             }),
             limit: head
                 .headers
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -18,6 +18,7 @@
     demand::{Demand, Row},
     handover::Handover,
     ledger::Ledger,
+    occupancy::{self, Reporter},
     order::{Action, Order, Outcome},
     permits::{Queue, Ticket},
     plan::Planner,
@@ -150,7 +151,11 @@
 
     /// Sets the document of the routes in force, which also lists the services and their models.
     pub fn set_document(&self, document: Rc<Document>) {
-        self.state.borrow_mut().document = Some(document);
+        let mut state = self.state.borrow_mut();
+        state.permits.cache_tokens = pools(&document)
+            .map(|(service, pool)| (service.name.clone(), pool.cache_tokens))
+            .collect();
+        state.document = Some(document);
     }
 
     /// Adds demand that an entry instance has reported.
@@ -159,6 +164,15 @@
         self.state.borrow_mut().demand.add(rows, now);
     }
 
+    /// Records the requests that an entry instance has at targets.
+    pub fn record_occupancy(&self, subscriber: u64, rows: &[occupancy::Row]) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if state.leadership.is_some() {
+            state.permits.record_report(Reporter(subscriber), rows, now);
+        }
+    }
+
     /// Updates the ledger from the registry, plans the placement, and sends orders.
     pub fn tick(self: &Rc<Self>, registry: &Registry) {
         let now = self.clock.now();
--- a/crates/buckthornmast_node/src/controller/permits.rs
+++ b/crates/buckthornmast_node/src/controller/permits.rs
@@ -3,7 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use buckthornmast_link::Outbox;
-use buckthornmast_supply::permits::{Permit, Request, Ticket};
+use buckthornmast_supply::{
+    occupancy::Reporter,
+    permits::{Permit, Request, Ticket},
+};
 use buckthornmast_types::time::Clock;
 use tokio::time::sleep;
 
@@ -101,9 +104,11 @@
         self.cancel(|requester| requester.subscriber == subscriber && requester.number == number);
     }
 
-    /// Cancels all permit requests of an entry instance whose connection has ended.
+    /// Cancels all permit requests of an entry instance whose connection has ended, and forgets its requests at targets.
     pub fn cancel_permits(&self, subscriber: u64) {
         self.cancel(|requester| requester.subscriber == subscriber);
+        let mut state = self.state.borrow_mut();
+        state.permits.remove_reporter(Reporter(subscriber));
     }
 
     fn cancel(&self, is_cancelled: impl Fn(&Requester) -> bool) {
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -626,7 +626,10 @@
                     self.record_stored(&departure, from);
                 }
             }
-            Upstream::Demand(rows) => self.controller.add_demand(&rows),
+            Upstream::Demand(rows, occupancy) => {
+                self.controller.add_demand(&rows);
+                self.controller.record_occupancy(subscriber, &occupancy);
+            }
             Upstream::CopyRequest { number, item } => {
                 let controller = Rc::clone(&self.controller);
                 let outbox = outbox.clone();
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -14,6 +14,7 @@
     context::millis,
     forwarder::Forwarder,
     state::{Inventory, RetryBounds, State},
+    stats::Change,
     stop,
 };
 use buckthornmast_limit::{
@@ -23,14 +24,15 @@
 use buckthornmast_link::Outbox;
 use buckthornmast_origin::{inquiry::Answer, record as origin};
 use buckthornmast_quarantine::ledger::Notice;
+use buckthornmast_supply::occupancy;
 use buckthornmast_types::{
     id,
-    time::{Clock, System},
+    time::{Clock, Point, System},
 };
 use buckthornmast_way::way::{Key, Way};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -156,8 +158,43 @@
         !self.is_stopping.get() && state.version().is_some()
     }
 
-    /// Runs the main loop, and never returns.
+    /// Runs this instance, and never returns.
     pub async fn run(self: Rc<Self>) {
+        tokio::join!(Rc::clone(&self).run_ticks(), self.report_occupancy());
+    }
+
+    /// Tells the leader about the requests at targets whenever they have changed.
+    async fn report_occupancy(&self) {
+        let changed = Rc::clone(&self.forwarder.state.borrow().stats.changed);
+        // Term of the leader that was told, and the time at which it was told everything.
+        let mut told: Option<(id::Term, Point)> = None;
+        loop {
+            // Without a change, it is time for a complete report.
+            let _ = timeout(occupancy::REFRESH_INTERVAL, changed.notified()).await;
+            sleep(occupancy::REPORT_INTERVAL).await;
+            let Some(term) = self.supplier.0.leading_term() else {
+                continue;
+            };
+            let now = self.forwarder.clock.now();
+            let is_complete = told.is_none_or(|(told_term, at)| {
+                told_term != term || now.since(at) >= occupancy::REFRESH_INTERVAL
+            });
+            if is_complete {
+                told = Some((term, now));
+            }
+            let changes = self
+                .forwarder
+                .state
+                .borrow_mut()
+                .take_changes(is_complete, now);
+            self.supplier
+                .0
+                .report_occupancy(changes.into_iter().map(occupancy_row).collect());
+        }
+    }
+
+    /// Runs the main loop, and never returns.
+    async fn run_ticks(self: Rc<Self>) {
         for tick in 0_u64.. {
             let now = self.forwarder.clock.now();
             let addresses = {
@@ -186,6 +223,24 @@
     }
 }
 
+/// Encodes the change of this instance's requests at a target.
+fn occupancy_row(
+    (target, incarnation, change): (id::Target, id::Incarnation, Change),
+) -> occupancy::Row {
+    let stated = change.reported.map(|(load, age)| occupancy::Statement {
+        requests: load.running.saturating_add(load.waiting),
+        slowdown: load.slowdown,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    });
+    occupancy::Row {
+        target,
+        incarnation,
+        running: change.running,
+        begun: change.begun,
+        stated,
+    }
+}
+
 impl<P: Platform> Entry<P> {
     /// Adds the quarantines of an instance of the core, and refutes those on whose parts targets have answered.
     fn merge_quarantines(&self, state: &mut State, notices: &[Notice], peer: SocketAddr) {
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -27,6 +27,7 @@
 use buckthornmast_routes::register::{Command, Text};
 use buckthornmast_supply::{
     demand::{Item, Row},
+    occupancy,
     permits::{Permit, Request},
     stray::Stray,
 };
@@ -56,7 +57,9 @@
         incarnation: id::Incarnation,
     },
     /// Reports the demand since the last report.
-    Demand(Vec<Row>),
+    ///
+    /// At the end, the changes of the sender's requests at targets since the last report. Older builds send none.
+    Demand(Vec<Row>, Vec<occupancy::Row>),
     /// Requests a copy of a model or an adapter from the leader.
     #[serde(rename = "Want")]
     CopyRequest {
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -26,6 +26,7 @@
 };
 use buckthornmast_supply::{
     demand::{Item, Row},
+    occupancy,
     permits::{Permit, Request},
 };
 use buckthornmast_types::id;
@@ -184,7 +185,21 @@
             .collect();
         if !rows.is_empty() {
             // If this report is lost, later demand shows in the next one.
-            let _ = leader.send(&Upstream::Demand(rows));
+            let _ = leader.send(&Upstream::Demand(rows, Vec::new()));
+        }
+    }
+
+    /// Returns the term of the known leader.
+    pub fn leading_term(&self) -> Option<id::Term> {
+        let cores = self.cores.borrow();
+        cores.values().filter_map(|core| core.leading_term).max()
+    }
+
+    /// Reports the requests of this instance at targets to the leader.
+    pub fn report_occupancy(&self, rows: Vec<occupancy::Row>) {
+        if let Some(leader) = self.leader().filter(|_| !rows.is_empty()) {
+            // A report that is lost with the connection is made up for by the next complete one.
+            let _ = leader.send(&Upstream::Demand(Vec::new(), rows));
         }
     }
 
--- a/crates/buckthornmast_routing/src/lib.rs
+++ b/crates/buckthornmast_routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod breaker;
 pub mod budget;
 pub mod choice;
+pub mod completion;
 pub mod departure;
 pub mod dispatcher;
 pub mod estimate;
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -8,6 +8,7 @@
 //! that can, in a bounded queue. Beyond its bound, requests are refused at once, with the expected wait.
 
 mod holder;
+mod load;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -21,11 +22,17 @@
 use buckthornmast_types::{id, prompt::Prefix, time::Point};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
-use self::holder::Holder;
+use self::{
+    holder::Holder,
+    load::{Cost, Load},
+};
 use crate::{
     demand::{Demand, Item},
+    kept::{ModelHash, Use},
     ledger::{Inventory, Ledger},
+    occupancy::{Reporter, Row},
 };
 
 /// Share of a target's time in which it reads prompts. The rest is for the answers of its running requests.
@@ -38,7 +45,7 @@
 /// Reading time of the waiting prompts, per target, above which the targets count as under backlog.
 const BACKLOG_PER_TARGET: Duration = Duration::from_millis(60);
 
-/// Share of a target's slots that is used, since the number of running requests is an estimate.
+/// Share of a target's slots that is used if no instance reports its requests there, since their number is a guess then.
 const USED_SLOT_SHARE: f64 = 0.9;
 
 /// Share of its wait limit that a request may be expected to wait if its answer will be late.
@@ -105,52 +112,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
 
-#[derive(Debug, Clone, Copy, Default)]
-struct TargetLoad {
-    // Time at which the prompts sent so far are read.
-    prefilled_at: Point,
-    // Expected number of running requests.
-    running: f64,
-    // Average running time of a request, in seconds.
-    running_seconds: f64,
-    // Share of the reading time that was granted in the last second.
-    utilisation: f64,
-    updated_at: Point,
-}
-
-impl TargetLoad {
-    fn running(&self, now: Point) -> f64 {
-        let passed = now.since(self.updated_at).as_secs_f64();
-        self.running * (-passed / self.running_seconds.max(0.01)).exp()
-    }
-
-    fn utilisation(&self, now: Point) -> f64 {
-        let passed = now.since(self.updated_at).as_secs_f64();
-        self.utilisation * (-passed / UTILISATION_SPAN.as_secs_f64()).exp()
-    }
-
-    fn grant(
-        &mut self,
-        prefill_time: Duration,
-        running_seconds: f64,
-        prefill_share: f64,
-        now: Point,
-    ) {
-        self.running = self.running(now) + 1.0;
-        let granted =
-            prefill_time.as_secs_f64() / BACKLOG_PREFILL_SHARE / UTILISATION_SPAN.as_secs_f64();
-        self.utilisation = self.utilisation(now) + granted;
-        self.updated_at = now;
-        // Newer requests outweigh older ones.
-        self.running_seconds = if self.running_seconds > 0.0 {
-            self.running_seconds * 0.9 + running_seconds * 0.1
-        } else {
-            running_seconds
-        };
-        self.prefilled_at = self.prefilled_at.max(now) + prefill_time.div_f64(prefill_share);
-    }
-}
-
 struct Waiting {
     ticket: Ticket,
     request: Request,
@@ -177,7 +138,9 @@
 pub struct Queue {
     /// Account of the targets that take requests at a limited rate only.
     pub limits: Account,
-    loads: HashMap<id::Target, TargetLoad>,
+    /// Tokens that fit into the memory of each target of a service. They aren't part of the state of a leadership.
+    pub cache_tokens: HashMap<id::Service, u64>,
+    loads: HashMap<Key, Load>,
     waiting: Vec<Waiting>,
     next_ticket: u64,
     holders: Holders,
@@ -270,7 +233,7 @@
         };
         let competing = self.competing(&waiting.request.item);
         if competing.is_empty()
-            && let Some(target) = holder::pick(&holders, &waiting.request)
+            && let Some(target) = holder::pick(&holders, &waiting)
         {
             return (ticket, self.grant(target, &waiting, PREFILL_SHARE, now));
         }
@@ -333,7 +296,7 @@
             let holders = self.find_holders(&one.request, ledger, now);
             if holders.is_empty() {
                 permits.push((one.ticket, Permit::Unknown));
-            } else if let Some(target) = holder::pick(&holders, &one.request) {
+            } else if let Some(target) = holder::pick(&holders, &one) {
                 let of_model = (
                     one.request.item.service.clone(),
                     one.request.item.model.clone(),
@@ -358,10 +321,34 @@
         permits
     }
 
-    /// Removes the state of targets that are gone.
+    /// Removes the state of targets that are gone, and the parts of prompts whose models are gone.
     pub fn retain(&mut self, ledger: &Ledger) {
-        self.loads
-            .retain(|target, _| ledger.inventories.contains_key(target));
+        self.loads.retain(|(target, incarnation), load| {
+            let Some(inventory) = ledger.inventories.get(target) else {
+                return false;
+            };
+            let resident: SmallVec<[ModelHash; 4]> =
+                inventory.resident.keys().map(model_hash).collect();
+            load.cache.retain_models(|model| resident.contains(&model));
+            inventory.incarnation == *incarnation
+        });
+    }
+
+    /// Records the requests that an instance has at targets.
+    pub fn record_report(&mut self, reporter: Reporter, rows: &[Row], now: Point) {
+        for row in rows {
+            let key = (row.target.clone(), row.incarnation);
+            let load = self.loads.entry(key).or_default();
+            let slot_time = load.slot_time();
+            load.occupancy.record_report(reporter, row, slot_time, now);
+        }
+    }
+
+    /// Forgets the requests of an instance whose connection has ended.
+    pub fn remove_reporter(&mut self, reporter: Reporter) {
+        for load in self.loads.values_mut() {
+            load.occupancy.remove(reporter);
+        }
     }
 
     /// Returns the waiting requests for the same model, with whatever adapter.
@@ -380,19 +367,34 @@
     ) -> SmallVec<[Holder; 8]> {
         let with_item = self.holders.find(&request.item, ledger);
         let mut holders: SmallVec<[Holder; 8]> = SmallVec::new();
+        let unknown = Load::default();
         for (target, inventory) in with_item {
             if request.avoid.contains(target) {
                 continue;
             }
-            let load = self.loads.get(target).copied().unwrap_or_default();
             let key = (target.clone(), inventory.incarnation);
             let limit = self.limits.limit(&key);
             let limit = limit.zip(self.limits.wait(&key, now));
+            let load = self.loads.get(&key).unwrap_or(&unknown);
+            let requests = load.requests(now);
+            let slot_share = if load.occupancy.is_reported(now) {
+                1.0
+            } else {
+                USED_SLOT_SHARE
+            };
             holders.push(Holder {
-                prefill_wait: load.prefilled_at.since(now),
-                running: load.running(now),
+                prefill_wait: load.prefill_wait(now),
+                running: requests,
                 utilisation: load.utilisation(now),
-                slots: (f64::from(inventory.slots) * USED_SLOT_SHARE).max(1.0),
+                slots: (f64::from(inventory.slots) * slot_share).max(1.0),
+                slot_time: load.slot_time(),
+                slowdown: load.occupancy.slowdown(now),
+                kept_tokens: load.cache.kept_tokens(
+                    &request.prefixes,
+                    self.capacity(request),
+                    requests,
+                    now,
+                ),
                 limit,
                 is_probed: self.limits.is_due(&key, now),
                 key,
@@ -401,18 +403,45 @@
         holders
     }
 
+    /// Returns the tokens that fit into the memory of a target that a request may be sent to.
+    fn capacity(&self, request: &Request) -> u64 {
+        let capacity = self.cache_tokens.get(&request.item.service);
+        capacity.copied().unwrap_or_default()
+    }
+
     /// Accounts for a request that is sent to a target now.
     fn grant(&mut self, key: Key, waiting: &Waiting, prefill_share: f64, now: Point) -> Permit {
-        let load = self.loads.entry(key.0.clone()).or_default();
-        load.grant(
-            waiting.prefill_time,
-            waiting.running_seconds,
-            prefill_share,
-            now,
-        );
+        let request = &waiting.request;
+        let capacity = self.capacity(request);
+        let load = self.loads.entry(key.clone()).or_default();
+        let kept = load
+            .cache
+            .kept_tokens(&request.prefixes, capacity, load.requests(now), now);
+        let unread = 1.0 - kept / f64::from(request.prompt_tokens.max(1));
+        // A slow target has to keep more of its time for its running answers.
+        let slowdown = load.occupancy.slowdown(now).max(1.0);
+        let cost = Cost {
+            prefill_time: waiting
+                .prefill_time
+                .mul_f64(unread.clamp(0.0, 1.0) * slowdown),
+            slot_time: Duration::from_secs_f64(waiting.running_seconds),
+            prefill_share: prefill_share / slowdown,
+        };
+        load.grant(cost, now);
+        let sent = Use {
+            model: model_hash(&request.item.model),
+            prefixes: &request.prefixes,
+            prompt_tokens: request.prompt_tokens,
+            answer_tokens: request.answer_tokens,
+        };
+        load.cache.record(sent, kept, now);
         match self.limits.take(&key, now) {
             Some(grant) => Permit::Limited(key.0, grant),
             None => Permit::Go(key.0),
         }
     }
 }
+
+fn model_hash(model: &id::Model) -> ModelHash {
+    xxh3_64(model.as_str().as_bytes())
+}
--- a/crates/buckthornmast_supply/src/permits/holder.rs
+++ b/crates/buckthornmast_supply/src/permits/holder.rs
@@ -3,21 +3,20 @@
 use std::time::Duration;
 
 use buckthornmast_limit::statement::Key;
+use buckthornmast_routing::completion::{self, Work};
 use buckthornmast_types::rate::Rate;
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{BACKLOG_PREFILL_SHARE, Request, Waiting};
+use super::{BACKLOG_PREFILL_SHARE, Waiting};
 
 /// Maximum outstanding reading time at which a target may get another prompt. Answers that pause for this long are
 /// still on time.
 const MAX_OUTSTANDING_PREFILL: Duration = Duration::from_millis(40);
 
-/// Difference in expected waits up to which targets count as equal, so that prompts with a common prefix can be sent
-/// to the same target.
-const WAIT_TOLERANCE: Duration = Duration::from_millis(15);
-
-/// Difference in running requests up to which targets count as equal.
-const RUNNING_REQUESTS_TOLERANCE: f64 = 3.0;
+/// Difference in expected times up to which targets count as equal, so that prompts with a common prefix can be sent to
+/// the same target. Applies to requests that don't state how much of their prompts is shared.
+const PREFIX_TOLERANCE: Duration = Duration::from_millis(15);
 
 /// Longest expected wait, in seconds. A longer one says no more.
 const MAX_WAIT_SECONDS: f64 = 3600.0;
@@ -34,6 +33,12 @@
     pub(super) utilisation: f64,
     /// Number of requests that it may run concurrently.
     pub(super) slots: f64,
+    /// Mean time of a request in its slot.
+    pub(super) slot_time: Duration,
+    /// Time that work takes there now, as a ratio of its usual time.
+    pub(super) slowdown: f64,
+    /// Tokens of the prompt that it probably keeps.
+    pub(super) kept_tokens: f64,
     /// Requests a second that it takes, and the time until the next one, if it has a limit.
     pub(super) limit: Option<(Rate, Duration)>,
     /// Whether it should get a request although others could take it.
@@ -50,39 +55,69 @@
     fn is_open(&self) -> bool {
         let has_room = self.running + 1.0 <= self.slots;
         let is_within_limit = self.limit.is_none_or(|(_, wait)| wait.is_zero());
-        self.prefill_wait <= MAX_OUTSTANDING_PREFILL && has_room && is_within_limit
+        // At a slow target, the time between two events is longer, and less is left of the pause that callers accept.
+        let max_outstanding = MAX_OUTSTANDING_PREFILL.div_f64(self.slowdown.max(1.0));
+        self.prefill_wait <= max_outstanding && has_room && is_within_limit
+    }
+
+    /// Returns the expected time until the target has read the prompt of a request.
+    fn completion(&self, one: &Waiting) -> Duration {
+        let load = completion::Load {
+            requests: self.running,
+            slots: self.slots,
+            slot_time: self.slot_time,
+            reading_wait: self.prefill_wait,
+            slowdown: self.slowdown,
+            // The entry instance isn't known, and all targets are about as far from the others.
+            distance: Duration::ZERO,
+        };
+        let work = Work {
+            time: one.prefill_time,
+            spared: part_of(one, self.kept_tokens),
+        };
+        completion::estimate(&load, work).total()
     }
 }
 
+/// Returns the time to read this many tokens of a prompt.
+fn part_of(one: &Waiting, tokens: f64) -> Duration {
+    let share = tokens / f64::from(one.request.prompt_tokens.max(1));
+    one.prefill_time.mul_f64(share.clamp(0.0, 1.0))
+}
+
 /// Returns the target that a prompt may be sent to now, if there is one.
-pub(super) fn pick(holders: &[Holder], request: &Request) -> Option<Key> {
+pub(super) fn pick(holders: &[Holder], one: &Waiting) -> Option<Key> {
     let is_limited = |holder: &&Holder| holder.limit.is_some();
     let open = || holders.iter().filter(|holder| holder.is_open());
     let probed = open().filter(is_limited).find(|holder| holder.is_probed);
-    let unlimited = || open().filter(|holder| !is_limited(holder));
     if let Some(probed) = probed {
         return Some(probed.key.clone());
     }
-    let Some(best) = unlimited().min_by(|one, other| {
-        let by_wait = one.prefill_wait.cmp(&other.prefill_wait);
-        by_wait.then(one.running.total_cmp(&other.running))
-    }) else {
+    let unlimited = open().filter(|holder| !is_limited(holder));
+    let expected: SmallVec<[(Duration, &Holder); 8]> = unlimited
+        .map(|holder| (holder.completion(one), holder))
+        .collect();
+    let Some((least, best)) = expected.iter().min_by_key(|(time, _)| *time) else {
         let limited = open().min_by(|one, other| one.running.total_cmp(&other.running));
         return limited.map(|holder| holder.key.clone());
     };
-    let min_running = unlimited()
-        .map(|holder| holder.running)
-        .fold(f64::INFINITY, f64::min);
-    let equivalent = unlimited().filter(|holder| {
-        holder.prefill_wait <= best.prefill_wait + WAIT_TOLERANCE
-            && holder.running <= min_running + RUNNING_REQUESTS_TOLERANCE
-    });
-    let chosen = match request.prefix {
-        Some(prefix) => equivalent
-            .max_by_key(|holder| xxh3_64_with_seed(holder.key.0.as_str().as_bytes(), prefix)),
-        None => equivalent.min_by(|one, other| one.running.total_cmp(&other.running)),
+    // What is kept at the best target is part of its estimate already.
+    let prefix = one.request.prefix.filter(|_| best.kept_tokens < 1.0);
+    let Some(prefix) = prefix else {
+        return Some(best.key.clone());
+    };
+    // A prefix that nobody keeps goes where it would go without a leader, if that costs less than it saves next time.
+    let shared: u32 = one.request.prefixes.iter().map(|part| part.tokens).sum();
+    let tolerance = match shared {
+        0 => PREFIX_TOLERANCE,
+        shared => part_of(one, f64::from(shared)).min(PREFIX_TOLERANCE),
     };
-    Some(chosen.unwrap_or(best).key.clone())
+    let equivalent = expected
+        .iter()
+        .filter(|(time, _)| *time <= *least + tolerance);
+    let chosen = equivalent
+        .max_by_key(|(_, holder)| xxh3_64_with_seed(holder.key.0.as_str().as_bytes(), prefix));
+    Some(chosen.map_or(best, |(_, holder)| holder).key.clone())
 }
 
 /// Returns the expected wait of a request behind others.
--- a/crates/buckthornmast_types/src/lib.rs
+++ b/crates/buckthornmast_types/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod report;
 pub mod scope;
 pub mod size;
+pub mod slowdown;
 pub mod time;
 
 /// Names that most users of this crate import together.
