supply, node: a further place for an adapter whose targets are nearly full

Cause: 200 of the 688 streams that were still late waited for the only target with their adapter, while others with the same model had free slots. An adapter loads in milliseconds.

Change: when all targets of an adapter use over 0.6 of their slots, the leader orders a further place at a target with the model that has slots to spare, in a free place or that of an adapter without a request in the last two seconds.

--- a/crates/buckthornmast_node/src/controller/permits.rs
+++ b/crates/buckthornmast_node/src/controller/permits.rs
@@ -4,13 +4,16 @@
 
 use buckthornmast_link::Outbox;
 use buckthornmast_supply::{
+    adapters,
+    demand::Item,
     occupancy::Reporter,
+    order::Action,
     permits::{Permit, Request, Ticket},
 };
 use buckthornmast_types::time::Clock;
 use tokio::time::sleep;
 
-use super::{Controller, State};
+use super::{ADAPTER_LOAD_TIME, Controller, Fenced, State};
 use crate::{message::Downstream, platform::Platform};
 
 /// Interval at which waiting requests are polled. Short compared with the pause that a prompt causes at a target.
@@ -64,16 +67,53 @@
             return requester.answer(Permit::Unknown);
         }
         let was_idle = permits.waiting() == 0;
+        let item = request.item.clone();
         let (ticket, permit) = permits.request(request, ledger, demand, now);
         requester.answer(permit.clone());
-        if matches!(permit, Permit::Wait(_)) {
+        let is_strained = item.adapter.is_some() && permits.is_strained(&item, ledger, now);
+        let is_waiting = matches!(permit, Permit::Wait(_));
+        if is_waiting {
             requesters.insert(ticket, requester);
-            drop(state);
-            if was_idle {
-                let controller = Rc::clone(self);
-                tokio::task::spawn_local(async move { controller.answer_waiting().await });
-            }
         }
+        drop(state);
+        if is_waiting && was_idle {
+            let controller = Rc::clone(self);
+            tokio::task::spawn_local(async move { controller.answer_waiting().await });
+        }
+        if is_strained {
+            self.add_place(item);
+        }
+    }
+
+    /// Orders a further place for an adapter whose targets are nearly full, if a target with its model has slots to spare.
+    fn add_place(self: &Rc<Self>, item: Item) {
+        let Some(order) = self.plan_place(&item) else {
+            return;
+        };
+        let controller = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let makes_room = matches!(order.order.action, Action::UnloadAdapter(..));
+            controller.execute(order).await;
+            if makes_room && let Some(order) = controller.plan_place(&item) {
+                controller.execute(order).await;
+            }
+        });
+    }
+
+    fn plan_place(&self, item: &Item) -> Option<Fenced> {
+        let now = self.clock.now();
+        let (target, action) = {
+            let state = self.state.borrow();
+            let service = state.document.as_ref()?.services.get(&item.service)?;
+            let has_room =
+                |target: &_, inventory: &_| state.permits.has_spare_slots(target, inventory, now);
+            let pool = service.pool.as_ref()?;
+            adapters::further_place(&state.ledger, pool, &state.demand, item, has_room, now)?
+        };
+        let order = self.start_order(&target, action, ADAPTER_LOAD_TIME)?;
+        metrics::counter!("buckthornmast_further_places_total").increment(1);
+        log::info!(step = "place", target:% = target, model:% = item.model, adapter:% = item.adapter.as_ref().map_or("", |adapter| adapter.as_str()), action:? = order.order.action; "the targets of the adapter are nearly full; adding a place");
+        Some(order)
     }
 
     /// Answers waiting requests until there are none left.
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -2,7 +2,8 @@
 //!
 //! An adapter is loaded on its first request, on the target with the model that has the least demand for its adapters.
 //! When all places are taken, the least recently requested adapter is evicted. An adapter that only targets with a limit
-//! on their rate have is loaded elsewhere as well, if another target has its model.
+//! on their rate have is loaded elsewhere as well, if another target has its model. So is one whose targets are nearly
+//! full: its load takes milliseconds, a slot up to seconds.
 
 use std::time::Duration;
 
@@ -123,6 +124,69 @@
     }
 }
 
+/// Returns the order that gives an adapter a further place, at a target with its model for which `has_room` holds, if
+/// there is one. An adapter that is in use elsewhere isn't evicted for it, and one place is added at a time.
+pub fn further_place(
+    ledger: &Ledger,
+    pool: &Pool,
+    demand: &Demand,
+    item: &Item,
+    has_room: impl Fn(&id::Target, &Inventory) -> bool,
+    now: Point,
+) -> Option<(id::Target, Action)> {
+    let place = (item.model.clone(), item.adapter.clone()?);
+    let load = Action::LoadAdapter(place.0.clone(), place.1.clone());
+    let needed = pool.models.get(&item.model)?.adapter;
+    let with_model = || {
+        ledger.inventories.iter().filter(|(_, inventory)| {
+            inventory.is_ready
+                && inventory.service == item.service
+                && inventory.is_usable(&item.model)
+        })
+    };
+    let is_loading = |inventory: &Inventory| {
+        let pending = inventory.pending.as_ref();
+        pending.is_some_and(|pending| pending.action == load)
+    };
+    if with_model().any(|(_, inventory)| is_loading(inventory)) {
+        return None;
+    }
+    let orders = with_model().filter_map(|(target, inventory)| {
+        let is_cooling_down = inventory
+            .cooldowns
+            .get(&place)
+            .is_some_and(|until| now < *until);
+        let is_candidate = inventory.is_free()
+            && inventory.limit.is_none()
+            && !inventory.resident[&item.model].contains(&place.1)
+            && !is_cooling_down
+            && has_room(target, inventory);
+        if !is_candidate {
+            return None;
+        }
+        let has_place =
+            inventory.adapters() < pool.adapters as usize && inventory.free(pool) >= needed;
+        let order = if has_place {
+            load.clone()
+        } else {
+            let (oldest, place) = least_recent(inventory, demand)?;
+            let last = demand.last_request(&oldest);
+            if last.is_some_and(|last| now.since(last) < IN_USE_PERIOD) {
+                return None;
+            }
+            Action::UnloadAdapter(place.0, place.1)
+        };
+        let rank = (
+            !has_place,
+            sole_models(ledger, item, inventory),
+            adapter_demand(inventory, demand, now),
+        );
+        Some((rank, target, order))
+    });
+    let (_, target, order) = orders.min_by(|(one, ..), (other, ..)| one.cmp(other))?;
+    Some((target.clone(), order))
+}
+
 /// Returns the number of other models that only this target has. Their adapters can't be placed elsewhere.
 fn sole_models(ledger: &Ledger, item: &Item, inventory: &Inventory) -> usize {
     let others = inventory
@@ -156,6 +220,18 @@
     })
 }
 
+/// Returns the least recently requested adapter of a target.
+fn least_recent(
+    inventory: &Inventory,
+    demand: &Demand,
+) -> Option<(Item, (id::Model, id::Adapter))> {
+    let resident = items(inventory).filter_map(|item| {
+        let place = (item.model.clone(), item.adapter.clone()?);
+        (!inventory.draining.contains(&place)).then_some((item, place))
+    });
+    resident.min_by_key(|(item, _)| demand.last_request(item))
+}
+
 /// Returns the order that makes room: it evicts the least recently requested adapter, or, if all are in use, the one
 /// that was loaded first. All requested adapters thus get a place in rotation when there are more of them than places.
 fn eviction(inventory: &Inventory, demand: &Demand, now: Point) -> Option<Action> {
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -48,6 +48,9 @@
 /// Share of a target's slots that is used if no instance reports its requests there, since their number is a guess then.
 const USED_SLOT_SHARE: f64 = 0.9;
 
+/// Share of a target's slots up to which it has some to spare for a burst.
+const SPARE_SLOT_SHARE: f64 = 0.6;
+
 /// Share of its wait limit that a request may be expected to wait if its answer will be late.
 const LATE_WAIT_SHARE: f64 = 0.5;
 
@@ -351,6 +354,21 @@
         }
     }
 
+    /// Returns whether all targets that can run an item are nearly full, so that the next burst would have to wait.
+    pub fn is_strained(&self, item: &Item, ledger: &Ledger, now: Point) -> bool {
+        self.holders.find(item, ledger).iter().all(|holder| {
+            let (target, inventory) = holder;
+            !self.has_spare_slots(target, inventory, now)
+        })
+    }
+
+    /// Returns whether a target has slots to spare.
+    pub fn has_spare_slots(&self, target: &id::Target, inventory: &Inventory, now: Point) -> bool {
+        let load = self.loads.get(&(target.clone(), inventory.incarnation));
+        let requests = load.map_or(0.0, |load| load.requests(now));
+        requests <= f64::from(inventory.slots) * SPARE_SLOT_SHARE
+    }
+
     /// Returns the waiting requests for the same model, with whatever adapter.
     fn competing(&self, item: &Item) -> Vec<&Waiting> {
         let same = |other: &&Waiting| {
