--- a/crates/buckthornmast_forward/src/stats.rs
+++ b/crates/buckthornmast_forward/src/stats.rs
@@ -106,9 +106,11 @@
         let reported_at = self
             .reported_at
             .filter(|at| self.told_report_at != Some(*at));
-        let has_changed =
-            self.begun > 0 || self.own_requests != self.told_requests || reported_at.is_some();
-        if !has_changed && !(is_complete && self.own_requests > 0) {
+        let is_due = self.begun > 0
+            || self.own_requests != self.told_requests
+            || reported_at.is_some()
+            || (is_complete && self.own_requests > 0);
+        if !is_due {
             return None;
         }
         self.told_requests = self.own_requests;
--- a/crates/buckthornmast_forward/tests/choice.rs
+++ b/crates/buckthornmast_forward/tests/choice.rs
@@ -122,3 +122,50 @@
     assert_eq!(choose(&all, &table, query), "t1");
     assert_eq!(pick(&all[..1], query, &table, NOW), None);
 }
+
+/// Guards against a target that is chosen although work takes longer there at the moment, and against an old statement
+/// that outlives its cause.
+#[test]
+fn pick_by_slowdown() {
+    let all = candidates(2);
+    let mut table = StatsTable::default();
+    let slow = Load {
+        slowdown: "250".parse().unwrap(),
+        ..Load::default()
+    };
+    table.record_load(&all[0].target, INCARNATION, slow, NOW);
+    for number in 0..50 {
+        assert_eq!(choose(&all, &table, query(None, number)), "t1");
+        assert_eq!(choose(&all, &table, query(Some(number), number)), "t1");
+    }
+    let later = NOW + Duration::from_secs(3);
+    let picks = (0..50).map(|number| pick(&all, query(None, number), &table, later).unwrap());
+    assert!(picks.filter(|picked| picked.index == 0).count() > 10);
+}
+
+/// Guards against a herd: twenty instances that see the same old figures, one target of which looks best to all.
+#[test]
+fn pick_among_many_instances() {
+    let all = candidates(4);
+    let mut chosen: BTreeMap<String, usize> = BTreeMap::new();
+    for instance in 0..20 {
+        let mut table = StatsTable::default();
+        for (number, candidate) in all.iter().enumerate() {
+            let load = Load {
+                running: if number == 0 { 1 } else { 2 },
+                ..Load::default()
+            };
+            table.record_load(&candidate.target, INCARNATION, load, NOW);
+        }
+        for request in 0..3 {
+            let query = query(None, instance * 1000 + request);
+            let picked = pick(&all, query, &table, NOW + Duration::from_millis(300)).unwrap();
+            let target = &all[picked.index].target;
+            table.record_dispatch(target, INCARNATION);
+            *chosen.entry(target.to_string()).or_default() += 1;
+        }
+    }
+    // The best one has room for more than its share, but not for twice as much.
+    assert_eq!(chosen.len(), 4, "{chosen:?}");
+    assert!(chosen.values().all(|count| *count <= 30), "{chosen:?}");
+}
--- a/crates/buckthornmast_supply/src/permits/holder.rs
+++ b/crates/buckthornmast_supply/src/permits/holder.rs
@@ -101,9 +101,9 @@
         let limited = open().min_by(|one, other| one.running.total_cmp(&other.running));
         return limited.map(|holder| holder.key.clone());
     };
-    // What is kept at the best target is part of its estimate already.
-    let prefix = one.request.prefix.filter(|_| best.kept_tokens < 1.0);
-    let Some(prefix) = prefix else {
+    // What is kept is part of the estimates already.
+    let is_kept = expected.iter().any(|(_, holder)| holder.kept_tokens >= 1.0);
+    let Some(prefix) = one.request.prefix.filter(|_| !is_kept) else {
         return Some(best.key.clone());
     };
     // A prefix that nobody keeps goes where it would go without a leader, if that costs less than it saves next time.
--- a/crates/buckthornmast_supply/tests/support/engine.rs
+++ b/crates/buckthornmast_supply/tests/support/engine.rs
@@ -51,6 +51,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Engine {
     pub(crate) slots: usize,
+    /// Time that work takes, as a ratio of its usual time.
+    pub(crate) pace: f64,
     queue: VecDeque<Answer>,
     running: Vec<Answer>,
     pub(crate) done: Vec<Answer>,
@@ -61,6 +63,7 @@
     pub(crate) fn new(slots: usize) -> Self {
         Self {
             slots,
+            pace: 1.0,
             ..Self::default()
         }
     }
@@ -92,7 +95,7 @@
                     self.running.push(answer);
                 }
             }
-            self.now += STEP_MS + read / PREFILL_TOKENS_PER_MS;
+            self.now += (STEP_MS + read / PREFILL_TOKENS_PER_MS) * self.pace;
             for answer in &mut self.running {
                 answer.steps += 1;
                 if answer.first == 0.0 {
