--- a/crates/buckthornmast_forward/src/access.rs
+++ b/crates/buckthornmast_forward/src/access.rs
@@ -96,27 +96,13 @@
         let credential = self.mapping.decode_credential(headers);
         let holder = credential.key().and_then(|key| routes.ring.find(&key));
         let state = self.state.borrow();
-        let age_ms = state.lease.age(now).map(millis);
-        let version = routes.document.version.0;
         let Some(Holder { name, priority }) = holder else {
-            let reason = match credential {
-                Credential::Missing => "missing",
-                Credential::Malformed => "malformed",
-                Credential::Key(_) => "unknown",
-            };
-            count_refusal(reason);
-            if state.lease.is_current(now) {
-                log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms = age_ms; "request refused: its key is {reason}");
-                return Err(Box::new(empty_response(StatusCode::UNAUTHORIZED)));
-            }
-            log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms = age_ms; "request refused: its key is {reason}, but the routes in force may be out of date");
-            return Err(Box::new(refusal_response(
-                Refusal::Unconfirmed.retry_after(),
-            )));
+            drop(state);
+            return Err(self.answer_unknown(routes, route, credential, request));
         };
         if !state.lease.permits(now) {
             count_refusal("unconfirmed");
-            log::info!(step = "key", request:% = request, route:% = route.name, organisation:% = name, version = version, age_ms = age_ms; "request refused: {}", Refusal::Unconfirmed.as_str());
+            log::info!(step = "key", request:% = request, route:% = route.name, organisation:% = name, version = routes.document.version.0, age_ms = state.lease.age(now).map(millis); "request refused: {}", Refusal::Unconfirmed.as_str());
             return Err(Box::new(refusal_response(
                 Refusal::Unconfirmed.retry_after(),
             )));
@@ -131,6 +117,32 @@
         })
     }
 
+    /// Returns the answer to a request whose key isn't in the routes in force.
+    fn answer_unknown(
+        &self,
+        routes: &Routes,
+        route: &Route,
+        credential: Credential,
+        request: &RequestId,
+    ) -> Box<Response<Body>> {
+        let reason = match credential {
+            Credential::Missing => "missing",
+            Credential::Malformed => "malformed",
+            Credential::Key(_) => "unknown",
+        };
+        count_refusal(reason);
+        let state = self.state.borrow();
+        let now = boot_time();
+        let age_ms = state.lease.age(now).map(millis);
+        let version = routes.document.version.0;
+        if state.lease.is_current(now) {
+            log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms = age_ms; "request refused: its key is {reason}");
+            return Box::new(empty_response(StatusCode::UNAUTHORIZED));
+        }
+        log::info!(step = "key", request:% = request, route:% = route.name, version = version, age_ms = age_ms; "request refused: its key is {reason}, but the routes in force may be out of date");
+        Box::new(refusal_response(Refusal::Unconfirmed.retry_after()))
+    }
+
     /// Checks again the key of a request that has waited. The routes may have changed, and the lease may have ended.
     pub(crate) fn recheck_key(&self, context: &Context) -> Result<(), Refusal> {
         // A stream that has begun is not cut off.
