quota, forward, node, platform: quotas of organisations, one account for all instances

A request is charged after its body is read; beyond the quota it gets 429 with the time after which the leader expects credit. Credit comes back from requests that certainly haven't run. Without a leader an instance spends a small reserve, which the account counts as lent when it loses the instance. Messages about credit are only sent to instances of the core that announce them. Deployments without organisations send no message and wait for nothing.

--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -19,6 +19,7 @@
 use crate::{
     continuation, identity,
     mapping::{Generation, Head},
+    quota::Charged,
     selection::{Chosen, Inputs},
     supply::Item,
     wait_limit,
@@ -57,6 +58,8 @@
     pub organisation: Option<id::Organisation>,
     /// Priority of the organisation or, without one, of the route. 0 is the most urgent.
     pub priority: u32,
+    /// Credit that the request was charged, if its organisation has a quota.
+    pub charge: Option<Charged>,
     /// When the request head arrived.
     pub received: Point,
     /// When the final answer is due.
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -77,6 +77,9 @@
         if let Err(refusal) = self.find_origin(&mut context).await {
             return self.refuse(&context, &mut reporter, refusal);
         }
+        if let Err(refusal) = self.charge(&mut context).await {
+            return self.refuse(&context, &mut reporter, refusal);
+        }
         self.run(context, reporter).await
     }
 
@@ -147,6 +150,7 @@
             service: service.clone(),
             organisation: None,
             priority: route.priority,
+            charge: None,
             version,
             received,
             deadline: received + timeout,
@@ -210,6 +214,7 @@
                 .first_event_limit(&context)
                 .map(|wait_limit| wait_limit + chosen.basis.wait);
             let after = context.head.last_event;
+            context.set_spent(true);
             let attempt = self.attempt(&context, &chosen.member, chosen.rank, after, wait_limit);
             let failure = match attempt.await {
                 Ok(Reply::Full(answer)) => {
@@ -312,7 +317,10 @@
         if matches!(failure.dispatch, Dispatch::NotSent | Dispatch::Refused) {
             context.not_run += 1;
         }
-        self.decide_again(context, target, failure, may_end_targets)
+        context.set_spent(context.history.execution() != Execution::No);
+        let decision = self.decide_again(context, target, failure, may_end_targets);
+        self.charge_run(context, failure.dispatch, &decision);
+        decision
     }
 
     /// Decides whether another attempt follows the last one in the history. `may_end_targets` is whether the request may be
@@ -375,12 +383,11 @@
             return self.fail(context, reporter, refusal.as_str());
         }
         log::debug!(step = "refuse", request:% = context.head.request, waited_ms = millis(context.waited); "request refused: {}", refusal.as_str());
-        reporter.end(
-            End::Refused,
-            StatusCode::SERVICE_UNAVAILABLE.as_u16(),
-            refusal.as_str(),
-        );
-        refusal_response(refusal.retry_after())
+        let status = refusal.status();
+        reporter.end(End::Refused, status.as_u16(), refusal.as_str());
+        let mut response = refusal_response(refusal.retry_after());
+        *response.status_mut() = status;
+        response
     }
 
     /// Returns the error response for a request that may have run.
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -23,6 +23,7 @@
 mod origin;
 pub mod pool;
 pub mod quarantine;
+pub mod quota;
 pub mod refusal;
 pub mod refused;
 pub mod selection;
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -144,6 +144,10 @@
 pub trait Mapping: 'static {
     /// Decodes the request head of a caller.
     fn decode(&self, head: &request::Parts) -> Result<Head, Malformed>;
+    /// Returns the tokens of the prompt and the longest answer that a request states, also if it is not for a model engine.
+    fn stated_tokens(&self, _head: &request::Parts) -> Option<u64> {
+        None
+    }
     /// Removes headers that callers must not set, and sets those for the target.
     fn encode(&self, headers: &mut HeaderMap, target_headers: &TargetHeaders<'_>);
     /// Decodes the response head of a target.
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -61,6 +61,16 @@
     UnknownOrigin,
     /// No target of the version that began the stream is left.
     VersionGone,
+    /// The organisation has used its quota.
+    OverQuota {
+        /// Time after which credit is expected.
+        wait: Duration,
+    },
+    /// There is no leader that lends credit, and this instance has spent its reserve.
+    NoCredit {
+        /// Time after which a leader is expected.
+        wait: Duration,
+    },
     /// The deadline of the answer has passed.
     Deadline,
     /// This instance stops before the answer is expected.
@@ -85,6 +95,8 @@
             Self::Quarantined { .. } => "the prompt has parts on which targets crash",
             Self::UnknownOrigin => "the version that began the stream is not known",
             Self::VersionGone => "no target of the version that began the stream is left",
+            Self::OverQuota { .. } => "the organisation has used its quota",
+            Self::NoCredit { .. } => "no leader lends credit to the organisation",
             Self::Deadline => "the deadline has passed",
             Self::Stopping => "this instance stops before the answer is expected",
             Self::TargetRefused => "the target refused the request",
@@ -92,6 +104,14 @@
         }
     }
 
+    /// Returns the status of the response.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
     /// Returns the time after which the caller should retry.
     pub fn retry_after(self) -> Duration {
         match self {
@@ -106,7 +126,9 @@
             Self::Loading { remaining } | Self::Paused { remaining } => {
                 remaining.max(MIN_RETRY_AFTER)
             }
-            Self::Limited { wait } => wait.max(MIN_RETRY_AFTER),
+            Self::Limited { wait } | Self::OverQuota { wait } | Self::NoCredit { wait } => {
+                wait.max(MIN_RETRY_AFTER)
+            }
             Self::Quarantined { remaining } => remaining.max(NO_TARGET_RETRY_AFTER),
             Self::TargetsFull { wait } => wait.clamp(MIN_RETRY_AFTER, MAX_FULL_RETRY_AFTER),
             Self::TargetRefused | Self::Unreachable => REFUSED_RETRY_AFTER,
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -12,7 +12,7 @@
 use buckthornmast_origin::record::{self as origin, Mark};
 use buckthornmast_quarantine::guard::Guard;
 use buckthornmast_routes::{
-    document::{Document, Service},
+    document::{Document, Quota, Service},
     register::Revision,
     table::Table,
 };
@@ -27,6 +27,7 @@
     mapping::{Answer, Generation},
     memory::Memory,
     pool::Pool,
+    quota::Credit,
     refused,
     stats::StatsTable,
     stop::{self, RouteTimes},
@@ -147,6 +148,8 @@
     pub ways: Ways,
     /// Address that connections to targets come from, if the settings name one.
     pub source: Option<IpAddr>,
+    /// Credit under the quotas of organisations.
+    pub credit: Credit,
     routes: Option<Rc<Routes>>,
     registry: Registry,
     inventories: BTreeMap<id::Target, Inventory>,
@@ -176,6 +179,7 @@
             reach: Reach::default(),
             ways: Ways::default(),
             source: None,
+            credit: Credit::default(),
             routes: None,
             registry: Registry::default(),
             inventories: BTreeMap::new(),
@@ -203,12 +207,25 @@
         }
         self.route_times
             .retain(|name| document.routes.iter().any(|route| route.name == name));
+        let organisations = &document.organisations;
+        self.credit.purse.borrow_mut().retain(|name| {
+            let mut with_quota = organisations.iter().filter(|known| known.quota.is_some());
+            with_quota.any(|known| known.name == *name)
+        });
         let table = Table::new(&document);
         self.routes = Some(Rc::new(Routes { document, table }));
         self.rebuild();
         true
     }
 
+    /// Returns the quota of an organisation, if it has one.
+    pub fn quota(&self, organisation: &id::Organisation) -> Option<Quota> {
+        let routes = self.routes.as_ref()?;
+        let mut organisations = routes.document.organisations.iter();
+        let known = organisations.find(|known| known.name == *organisation)?;
+        known.quota.filter(|quota| quota.rate.get() > 0.0)
+    }
+
     /// Returns the version of the routes in force.
     pub fn version(&self) -> Option<Revision> {
         self.routes.as_ref().map(|routes| routes.document.version)
--- a/crates/buckthornmast_forward/src/supply.rs
+++ b/crates/buckthornmast_forward/src/supply.rs
@@ -11,6 +11,7 @@
     record::Record,
 };
 use buckthornmast_quarantine::{ledger::Evidence, part};
+use buckthornmast_quota::credit::Claim;
 use buckthornmast_types::{id, prompt::Prefix};
 use smallvec::SmallVec;
 
@@ -111,6 +112,8 @@
     ) -> impl Future<Output = Option<account::Answer>>;
     /// Reports what a target states about its limit.
     fn report_limit(&self, report: Report);
+    /// Sends a claim for credit to the leader. A claim that is lost gets no answer.
+    fn claim_credit(&self, claim: Claim);
     /// Reports a request that its target was beginning to answer when it ended.
     fn report_crash(&self, evidence: &Evidence);
     /// Reports that a target answers on parts that were blamed for crashes.
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -26,6 +26,7 @@
     record::Record,
 };
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
+use buckthornmast_quota::credit::Claim;
 use buckthornmast_routes::{
     document::{Kind, Route},
     register::Revision,
@@ -83,6 +84,8 @@
 
     fn report_limit(&self, _: Report) {}
 
+    fn claim_credit(&self, _: Claim) {}
+
     fn report_crash(&self, _: &Evidence) {}
 
     fn report_progress(&self, _: &Set) {}
@@ -190,6 +193,7 @@
         service: "engines".parse().unwrap(),
         organisation: None,
         priority: 1,
+        charge: None,
         received: now,
         deadline: now + Duration::from_secs(10),
         history: History::default(),
--- a/crates/buckthornmast_forward/tests/stop.rs
+++ b/crates/buckthornmast_forward/tests/stop.rs
@@ -23,6 +23,7 @@
     record::Record,
 };
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
+use buckthornmast_quota::credit::Claim;
 use buckthornmast_types::{id, time::System};
 use http::{HeaderMap, request, response};
 use tokio::{net::TcpListener, task::LocalSet, time::sleep};
@@ -65,6 +66,8 @@
 
     fn report_limit(&self, _: Report) {}
 
+    fn claim_credit(&self, _: Claim) {}
+
     fn report_crash(&self, _: &Evidence) {}
 
     fn report_progress(&self, _: &Set) {}
--- a/crates/buckthornmast_forward/tests/support/fleet.rs
+++ b/crates/buckthornmast_forward/tests/support/fleet.rs
@@ -28,6 +28,7 @@
     record::Record,
 };
 use buckthornmast_quarantine::{ledger::Evidence, part::Set};
+use buckthornmast_quota::credit::Claim;
 use buckthornmast_routes::{
     document::{Document, Kind, Limits, Pool, Route, Service},
     register::Revision,
@@ -209,6 +210,8 @@
         self.reports.borrow_mut().push(report);
     }
 
+    fn claim_credit(&self, _: Claim) {}
+
     fn report_crash(&self, _: &Evidence) {}
 
     fn report_progress(&self, _: &Set) {}
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -1,6 +1,7 @@
 //! Placement of models and adapters on the targets, and permits for requests, as decided by the leader of the core.
 
 mod copies;
+mod credit;
 mod limits;
 pub mod permits;
 
@@ -13,6 +14,7 @@
 
 use buckthornmast_fleet::registry::Registry;
 use buckthornmast_limit::account::Account;
+use buckthornmast_quota::account as quota;
 use buckthornmast_routes::document::{Document, Pool, Service};
 use buckthornmast_supply::{
     demand::{Demand, Row},
@@ -71,6 +73,8 @@
     permits: Queue,
     // Entry instances whose requests wait in `permits`.
     requesters: HashMap<Ticket, Requester>,
+    // Account of the quotas, while this instance leads.
+    credit: Option<quota::Account>,
 }
 
 impl State {
@@ -91,6 +95,7 @@
 pub struct Controller<P> {
     orders: Orders<P>,
     clock: System,
+    quota_terms: quota::Terms,
     subscribers: Rc<Subscribers>,
     state: RefCell<State>,
     // Notified when copy requests have to be checked again.
@@ -103,6 +108,7 @@
         platform: P,
         clock: System,
         handover_interval: Duration,
+        quota_terms: quota::Terms,
         subscribers: Rc<Subscribers>,
     ) -> Self {
         let state = State {
@@ -115,10 +121,12 @@
             published: BTreeMap::new(),
             permits: Queue::default(),
             requesters: HashMap::new(),
+            credit: None,
         };
         Self {
             orders: Orders::new(platform, clock),
             clock,
+            quota_terms,
             subscribers,
             state: RefCell::new(state),
             changed: Notify::new(),
@@ -136,6 +144,14 @@
         if let Some(leadership) = &leadership {
             state.permits.limits = Account::open(leadership.fence.term, self.clock.now());
         }
+        let now = self.clock.now();
+        state.credit = leadership.as_ref().map(|leadership| {
+            let mut credit = quota::Account::open(leadership.fence.term, self.quota_terms, now);
+            if let Some(document) = &state.document {
+                credit.set_document(document, now);
+            }
+            credit
+        });
         state.leadership = leadership;
     }
 
@@ -150,7 +166,12 @@
 
     /// Sets the document of the routes in force, which also lists the services and their models.
     pub fn set_document(&self, document: Rc<Document>) {
-        self.state.borrow_mut().document = Some(document);
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if let Some(credit) = &mut state.credit {
+            credit.set_document(&document, now);
+        }
+        state.document = Some(document);
     }
 
     /// Adds demand that an entry instance has reported.
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,5 +1,6 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
+mod credit;
 mod departures;
 mod dialing;
 mod origins;
@@ -44,7 +45,7 @@
     departure::{Departure, Departures},
     dial::Connections,
     memory::{Content, Store},
-    message::{Downstream, Liveness, UNDERSTANDS_ORIGINS, Upstream},
+    message::{Downstream, Liveness, UNDERSTANDS_CREDIT, Upstream},
     observe::ReplicaGauge,
     platform::{Fence, Platform},
     replica::{self, Outboxes, Replica},
@@ -197,6 +198,7 @@
             platform.clone(),
             clock,
             settings.bounds.handover_interval,
+            settings.bounds.quota_terms,
             Rc::clone(&subscribers),
         );
         Ok(Rc::new(Self {
@@ -247,6 +249,7 @@
             self.departures_file.save(&state.registry);
         }
         self.tick_leader(now);
+        self.controller.tick_credit(self.state.borrow().entry_count);
         if tick.is_multiple_of(MEASURE_INTERVAL_TICKS) {
             self.monitor.start();
             let leads = self.state.borrow().leading_term.is_some();
@@ -256,6 +259,7 @@
         self.tick_quarantines(now);
         if tick.is_multiple_of(LIVENESS_INTERVAL_TICKS) {
             self.publish_liveness(tick, now);
+            self.controller.publish_credit(now);
             self.see_versions(now);
             let mut state = self.state.borrow_mut();
             state.registry.prune(now);
@@ -304,7 +308,7 @@
         if state.entry_count != entry_count {
             state.entry_count = entry_count;
             self.subscribers
-                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_ORIGINS));
+                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_CREDIT));
         }
         drop(state);
         if tick.is_multiple_of(WAYS_INTERVAL_TICKS) {
@@ -560,6 +564,9 @@
         }
         self.controller.cancel_permits(number);
         self.subscribers.remove(number);
+        if core.is_none() {
+            self.controller.lose_borrower(number);
+        }
     }
 
     /// Sends the full state to a new subscriber.
@@ -578,7 +585,7 @@
         }
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
-            Downstream::EntryCount(state.entry_count, UNDERSTANDS_ORIGINS),
+            Downstream::EntryCount(state.entry_count, UNDERSTANDS_CREDIT),
             Downstream::targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
@@ -664,6 +671,8 @@
                 key,
                 service,
             } => self.answer_origin(number, key, service, outbox),
+            Upstream::ConfirmRequest { .. } => {}
+            Upstream::Credit(claim) => self.answer_claim(subscriber, &claim, outbox),
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
                 let now = self.clock.now();
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -87,6 +87,8 @@
             | Downstream::Trial(_)
             | Downstream::Limits(_)
             | Downstream::Ways(_)
+            | Downstream::Confirmation { .. }
+            | Downstream::Credit(_)
             | Downstream::Grant { .. } => {}
         }
     }
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -1,5 +1,7 @@
 //! An entry instance: forwards the requests of callers to targets.
 
+mod credit;
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -13,6 +15,7 @@
 use buckthornmast_forward::{
     context::millis,
     forwarder::Forwarder,
+    quota::Credit,
     state::{Inventory, RetryBounds, State},
     stop,
 };
@@ -36,7 +39,9 @@
 use crate::{
     dial::{Connections, Dialer},
     http::{Handler, empty_response},
-    message::{Downstream, Liveness, UNDERSTANDS_ORIGINS, Upstream, with_versions},
+    message::{
+        Downstream, Liveness, UNDERSTANDS_CREDIT, UNDERSTANDS_ORIGINS, Upstream, with_versions,
+    },
     platform::Platform,
     settings::{Service, Settings},
     supplier::Shared,
@@ -86,6 +91,7 @@
         if let Service::Entry { source, .. } = &settings.service {
             state.source = *source;
         }
+        state.credit = Credit::new(settings.bounds.quota_terms);
         state.limits = View::new(xxh3_64(settings.instance.as_str().as_bytes()));
         let forwarder = Forwarder {
             mapping: platform.headers(),
@@ -176,6 +182,7 @@
                     .limits
                     .set_reachable(self.supplier.0.knows_leader(), now);
             }
+            self.tick_credit();
             self.forwarder.probe();
             if tick.is_multiple_of(QUARANTINE_REPORT_TICKS) {
                 let notices = self.forwarder.state.borrow().guard.notices_in_force(now);
@@ -250,6 +257,10 @@
             }
             Downstream::EntryCount(entry_count, features) => {
                 state.set_instances(entry_count);
+                state.credit.purse.borrow_mut().set_instances(entry_count);
+                if features >= UNDERSTANDS_CREDIT {
+                    self.supplier.0.add_lender(peer);
+                }
                 if features >= UNDERSTANDS_ORIGINS && self.supplier.0.add_origin_keeper(peer) {
                     let records = state.origins.recent(ORIGIN_AGE, now);
                     self.supplier.0.report_origins(peer, records);
@@ -320,6 +331,7 @@
             Downstream::Ordered(..) => {}
             Downstream::Leadership(leading_term) => {
                 self.supplier.0.set_leading_term(peer, leading_term);
+                self.set_lender(&state);
                 if self.supplier.0.is_leader(peer) {
                     self.report_limits(&state);
                 }
@@ -342,12 +354,15 @@
             }
             Downstream::Trial(parts) => state.guard.permit_trial(parts, now),
             Downstream::Ways(ways) => self.set_ways(&mut state, peer, Some(ways)),
+            Downstream::Confirmation { .. } => {}
+            Downstream::Credit(grant) => self.receive_credit(&state, peer, &grant),
         }
     }
 
     fn closed(&self, peer: SocketAddr) {
         self.supplier.0.closed(peer);
         let mut state = self.forwarder.state.borrow_mut();
+        self.set_lender(&state);
         self.set_ways(&mut state, peer, None);
     }
 }
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -24,7 +24,8 @@
     ledger::{Evidence, Notice},
     part,
 };
-use buckthornmast_routes::register::{Command, Text};
+use buckthornmast_quota::credit;
+use buckthornmast_routes::register::{Command, Revision, Text};
 use buckthornmast_supply::{
     demand::{Item, Row},
     permits::{Permit, Request},
@@ -115,6 +116,13 @@
         /// Service of the stream. Older builds name none, and need no answer about it.
         service: record::Service,
     },
+    /// Asks whether the newest version of the routes is known.
+    ConfirmRequest {
+        /// Number of the request.
+        number: u64,
+    },
+    /// Claims credit from the leader.
+    Credit(credit::Claim),
 }
 
 /// Models and adapters of a target that requests may use.
@@ -157,6 +165,9 @@
 /// a connection on which they are sent such messages.
 pub const UNDERSTANDS_ORIGINS: u8 = 1;
 
+/// States that an instance of the core understands [`Upstream::Credit`], and all that lower numbers stand for.
+pub const UNDERSTANDS_CREDIT: u8 = 3;
+
 /// Message from an instance of the core, to the instance that opened the connection.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Downstream {
@@ -164,7 +175,7 @@
     Roster(Vec<Sighting>),
     /// Number of entry instances.
     ///
-    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`] or nothing.
+    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`], [`UNDERSTANDS_CREDIT`] or nothing.
     #[serde(rename = "Entries")]
     EntryCount(u32, u8),
     /// Routes in force.
@@ -234,6 +245,15 @@
     /// Ways of the receiver to targets that are out of its reach. Only sent to entry instances that have introduced
     /// themselves as ways.
     Ways(Vec<Way>),
+    /// Confirms that a version of the routes is the newest one.
+    Confirmation {
+        /// Number of the request.
+        number: u64,
+        /// Version.
+        version: Revision,
+    },
+    /// Answers a claim for credit.
+    Credit(credit::Grant),
 }
 
 impl Downstream {
--- a/crates/buckthornmast_node/src/settings.rs
+++ b/crates/buckthornmast_node/src/settings.rs
@@ -12,6 +12,7 @@
     fault::Fault,
     source::{Reader, Source},
 };
+use buckthornmast_quota::account::Terms;
 use buckthornmast_types::{id, size::Bytes};
 
 use crate::replica::max_folder_bytes;
@@ -89,6 +90,8 @@
     pub extra_window: Duration,
     /// Number of file descriptors that the process may open.
     pub descriptors: usize,
+    /// How quotas are judged.
+    pub quota_terms: Terms,
 }
 
 /// Settings of a process.
@@ -227,6 +230,15 @@
     let extra_burst = reader.required("bounds", "extra-burst", "a number");
     let extra_window: Option<Span> = reader.optional("bounds", "extra-window", DURATION_FORMAT);
     let descriptors = reader.required("bounds", "descriptors", "a number");
+    let window: Option<Span> = reader.optional("bounds", "quota-window", DURATION_FORMAT);
+    let overage = reader.optional("bounds", "quota-overage", "a number");
+    let slack = reader.optional("bounds", "quota-slack", "a number");
+    let terms = Terms::default();
+    let quota_terms = Terms {
+        window: window.map_or(terms.window, |window| window.0),
+        overage: overage.unwrap_or(terms.overage),
+        slack: slack.unwrap_or(terms.slack),
+    };
     Some(Bounds {
         grace: grace?.0,
         handover_interval: handover_interval?.0,
@@ -235,5 +247,6 @@
         extra_burst: extra_burst?,
         extra_window: extra_window.map_or(DEFAULT_EXTRA_WINDOW, |window| window.0),
         descriptors: descriptors?,
+        quota_terms,
     })
 }
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -1,5 +1,6 @@
 //! Copy requests, permit requests and demand reports of an entry instance to the leader.
 
+mod credit;
 mod origins;
 
 use std::{
@@ -24,6 +25,7 @@
     ledger::{Evidence, Notice},
     part,
 };
+use buckthornmast_quota::credit::Claim;
 use buckthornmast_supply::{
     demand::{Item, Row},
     permits::{Permit, Request},
@@ -58,6 +60,8 @@
     leading_term: Option<id::Term>,
     // Whether it keeps the versions that began streams. Older builds don't.
     keeps_origins: bool,
+    // Whether it lends credit when it leads. Older builds don't.
+    lends_credit: bool,
 }
 
 /// Client of the leader for models and adapters, over the connections to the core.
@@ -117,6 +121,7 @@
             outbox,
             leading_term: None,
             keeps_origins: false,
+            lends_credit: false,
         };
         self.cores.borrow_mut().insert(peer, core);
     }
@@ -425,6 +430,10 @@
         self.0.report_limits([report]);
     }
 
+    fn claim_credit(&self, claim: Claim) {
+        self.0.claim_credit(claim);
+    }
+
     fn report_crash(&self, evidence: &Evidence) {
         self.0.send_cores(&Upstream::Crash(evidence.clone()));
     }
--- /dev/null
+++ b/crates/buckthornmast_quota/src/purse.rs
@@ -0,0 +1,504 @@
+//! Credit of one instance: what it was lent, what it has spent, and what it needs.
+//!
+//! A request is charged before it looks for a target. An organisation that keeps an instance busy is lent credit ahead,
+//! in proportion to its recent use, so its requests don't wait for the leader. The first request of an organisation waits
+//! for one round trip. At most one claim is on its way, with the needs of all organisations together.
+//!
+//! All points are of one clock that goes on while the machine is suspended.
+
+use std::{collections::HashMap, time::Duration};
+
+use buckthornmast_routes::document::{Quota, Unit};
+use buckthornmast_types::{id, time::Point};
+use smallvec::SmallVec;
+
+use crate::{
+    account::Terms,
+    credit::{Claim, Grant, Item, Return, Stamp},
+};
+
+/// Time limit for the answer to a claim, after which the instance goes on as without a leader: many round trips.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time over which the use of an organisation is averaged.
+const USE_TIME: Duration = Duration::from_millis(500);
+
+/// Weight of a request in the mean cost of an organisation's requests.
+const MEAN_WEIGHT: f64 = 0.2;
+
+/// Use ahead of which credit is held. It is claimed again when half of it is left.
+const AHEAD: Duration = Duration::from_millis(300);
+
+/// Longest wait for credit that a request isn't refused for.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// Longest time for which requests are refused without another claim.
+const MAX_DENIAL: Duration = Duration::from_millis(200);
+
+/// Time after which a reserve that was spent is full again: longer than any window.
+const RESERVE_REFILL: Duration = Duration::from_secs(20);
+
+/// Wait that a caller is told while there is no leader: about one election.
+const NO_LENDER_WAIT: Duration = Duration::from_secs(1);
+
+/// Leader as an instance knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Lender {
+    /// No leader is known.
+    #[default]
+    Absent,
+    /// The leader is an older build that lends no credit. Each instance spends an equal part of the quota.
+    Older,
+    /// The leader lends credit.
+    Present,
+}
+
+/// Reason why a request can't be charged now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// A claim is on its way, or credit is expected soon. The request should be charged again when credit has come, or
+    /// after this time.
+    Pending(Duration),
+    /// The organisation has used its quota. Credit is expected after this time.
+    Exhausted(Duration),
+    /// There is no leader, and the reserve of this instance is spent. A leader is expected after this time.
+    NoLender(Duration),
+}
+
+/// Credit that a request was charged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Charge {
+    /// Organisation.
+    pub organisation: id::Organisation,
+    /// Amount.
+    pub amount: u64,
+    // Loan that it came from. None for the reserve.
+    stamp: Option<Stamp>,
+    // Whether it was counted in tokens.
+    counts_tokens: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    stamp: Stamp,
+    until: Point,
+    amount: u64,
+    claimed_at: Point,
+}
+
+/// Time until which requests are refused without another claim, and when credit is expected.
+#[derive(Debug, Clone, Copy)]
+struct Denial {
+    until: Point,
+    credit_at: Point,
+}
+
+#[derive(Debug)]
+struct Pocket {
+    quota: Quota,
+    leases: SmallVec<[Lease; 4]>,
+    // Amount that runs have cost beyond the credit.
+    owed: u64,
+    // What waiting requests need, since the last claim.
+    need: u64,
+    wanted: u64,
+    // Units a second, averaged over `USE_TIME`, and the mean cost of a request.
+    use_rate: f64,
+    used_at: Point,
+    mean_cost: f64,
+    denial: Option<Denial>,
+    reserve_spent: f64,
+    reserve_at: Point,
+}
+
+fn counts_tokens(quota: &Quota) -> bool {
+    matches!(quota.unit, Unit::Tokens { .. })
+}
+
+impl Pocket {
+    fn new(quota: Quota, now: Point) -> Self {
+        Self {
+            quota,
+            leases: SmallVec::new(),
+            owed: 0,
+            need: 0,
+            wanted: 0,
+            use_rate: 0.0,
+            used_at: now,
+            mean_cost: 0.0,
+            denial: None,
+            reserve_spent: 0.0,
+            reserve_at: now,
+        }
+    }
+
+    fn balance(&self) -> u64 {
+        self.leases.iter().map(|lease| lease.amount).sum()
+    }
+
+    /// Deducts an amount, from the oldest loans first, and returns the oldest one.
+    fn deduct(&mut self, mut amount: u64) -> Option<Stamp> {
+        let mut oldest = None;
+        for lease in &mut self.leases {
+            let part = amount.min(lease.amount);
+            if part > 0 {
+                oldest.get_or_insert(lease.stamp);
+                lease.amount -= part;
+                amount -= part;
+            }
+        }
+        oldest
+    }
+
+    fn decay(&mut self, now: Point) {
+        let passed = now.since(self.used_at).as_secs_f64() / USE_TIME.as_secs_f64();
+        self.use_rate *= (-passed).exp();
+        self.used_at = now;
+    }
+
+    fn record_use(&mut self, cost: u64, now: Point) {
+        self.decay(now);
+        self.use_rate += cost as f64 / USE_TIME.as_secs_f64();
+        let cost = cost as f64;
+        self.mean_cost = if self.mean_cost > 0.0 {
+            self.mean_cost + (cost - self.mean_cost) * MEAN_WEIGHT
+        } else {
+            cost
+        };
+    }
+
+    /// Returns the amount that should be held ahead. 0 if the next request isn't expected in time.
+    fn ahead(&self) -> f64 {
+        let ahead = self.use_rate * AHEAD.as_secs_f64();
+        if ahead < 2.0 * self.mean_cost {
+            return 0.0;
+        }
+        ahead
+    }
+
+    /// Charges the reserve, which fills at a rate up to its size.
+    fn take_reserve(&mut self, cost: u64, size: f64, refill: f64, now: Point) -> bool {
+        let filled = refill * now.since(self.reserve_at).as_secs_f64();
+        self.reserve_spent = (self.reserve_spent - filled).max(0.0);
+        self.reserve_at = now;
+        let is_enough = self.reserve_spent + cost as f64 <= size;
+        if is_enough {
+            self.reserve_spent += cost as f64;
+        }
+        is_enough
+    }
+}
+
+/// Claim on its way.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    number: u64,
+    at: Point,
+}
+
+/// Credit of one instance.
+#[derive(Debug, Default)]
+pub struct Purse {
+    pockets: HashMap<id::Organisation, Pocket>,
+    returns: Vec<Return>,
+    sent: Option<Sent>,
+    next_number: u64,
+    lender: Lender,
+    // When the leader was lost, or failed to answer.
+    silent_until: Option<Point>,
+    instances: u32,
+    terms: Terms,
+}
+
+impl Purse {
+    /// Returns an empty purse.
+    pub fn new(terms: Terms) -> Self {
+        Self {
+            terms,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the number of instances that share what is spent without the leader. The highest number counts: an instance that
+    /// is cut off is told of fewer.
+    pub fn set_instances(&mut self, instances: u32) {
+        self.instances = self.instances.max(instances);
+    }
+
+    /// Sets the leader. A claim that is on its way to another one is dropped.
+    /// Returns whether it is of another kind.
+    pub fn set_lender(&mut self, lender: Lender) -> bool {
+        let has_changed = self.lender != lender;
+        self.lender = lender;
+        self.sent = None;
+        self.silent_until = None;
+        // Waiting requests are charged again.
+        for pocket in self.pockets.values_mut() {
+            (pocket.need, pocket.wanted) = (0, 0);
+            pocket.denial = None;
+        }
+        has_changed
+    }
+
+    /// Charges a request of an organisation. One that is charged in vain is counted among the needs of the next claim.
+    pub fn charge(
+        &mut self,
+        organisation: &id::Organisation,
+        quota: &Quota,
+        cost: u64,
+        now: Point,
+    ) -> Result<Charge, Lack> {
+        self.expire(now);
+        let charge = |stamp| Charge {
+            organisation: organisation.clone(),
+            amount: cost,
+            stamp,
+            counts_tokens: counts_tokens(quota),
+        };
+        let is_silent = self.is_silent(now);
+        let instances = self.instances.max(1);
+        let pocket = self.pocket(organisation, quota, now);
+        if cost + pocket.owed <= pocket.balance() {
+            let owed = std::mem::take(&mut pocket.owed);
+            pocket.deduct(owed);
+            let stamp = pocket.deduct(cost);
+            pocket.record_use(cost, now);
+            return Ok(charge(stamp));
+        }
+        let share = f64::from(instances);
+        let rate = quota.rate.get() / share;
+        match self.lender {
+            Lender::Older => {
+                let size = quota.burst / share + self.terms.reserve(quota, instances);
+                let pocket = self.pocket(organisation, quota, now);
+                if pocket.take_reserve(cost, size, rate, now) {
+                    return Ok(charge(None));
+                }
+                let missing = Duration::try_from_secs_f64(cost as f64 / rate);
+                Err(Lack::Exhausted(missing.unwrap_or(NO_LENDER_WAIT)))
+            }
+            Lender::Present if !is_silent => self.want(organisation, quota, cost, now),
+            Lender::Present | Lender::Absent => {
+                let size = self.terms.reserve(quota, self.instances);
+                let refill = size / RESERVE_REFILL.as_secs_f64();
+                let pocket = self.pocket(organisation, quota, now);
+                if pocket.take_reserve(cost, size, refill, now) {
+                    return Ok(charge(None));
+                }
+                Err(Lack::NoLender(NO_LENDER_WAIT))
+            }
+        }
+    }
+
+    fn pocket(
+        &mut self,
+        organisation: &id::Organisation,
+        quota: &Quota,
+        now: Point,
+    ) -> &mut Pocket {
+        let pocket = self.pockets.entry(organisation.clone());
+        let pocket = pocket.or_insert_with(|| Pocket::new(*quota, now));
+        if pocket.quota.unit != quota.unit {
+            // Its credit is in another unit.
+            *pocket = Pocket::new(*quota, now);
+        }
+        pocket.quota = *quota;
+        pocket
+    }
+
+    /// Counts a request that lacks credit among the needs of the next claim, unless the leader has just denied one.
+    fn want(
+        &mut self,
+        organisation: &id::Organisation,
+        quota: &Quota,
+        cost: u64,
+        now: Point,
+    ) -> Result<Charge, Lack> {
+        let pocket = self.pocket(organisation, quota, now);
+        if let Some(denial) = pocket.denial.filter(|denial| now < denial.until) {
+            let wait = denial.credit_at.since(now);
+            if wait > MAX_WAIT {
+                return Err(Lack::Exhausted(wait));
+            }
+            return Err(Lack::Pending(denial.until.since(now)));
+        }
+        let need = cost + pocket.owed;
+        pocket.need = if pocket.need == 0 {
+            need
+        } else {
+            pocket.need.min(need)
+        };
+        pocket.wanted += cost;
+        Err(Lack::Pending(ANSWER_TIMEOUT))
+    }
+
+    /// Counts another run of a request that was charged before. It isn't refused for want of credit: what it costs is
+    /// deducted from the credit that comes next.
+    pub fn charge_again(&mut self, charge: &Charge, now: Point) {
+        self.expire(now);
+        let Some(pocket) = self.pockets.get_mut(&charge.organisation) else {
+            return;
+        };
+        if counts_tokens(&pocket.quota) != charge.counts_tokens {
+            return;
+        }
+        let paid = charge.amount.min(pocket.balance());
+        pocket.deduct(paid);
+        pocket.owed += charge.amount - paid;
+    }
+
+    /// Takes back the credit of a request that certainly hasn't run.
+    pub fn give_back(&mut self, charge: &Charge, now: Point) {
+        self.expire(now);
+        let Some(pocket) = self.pockets.get_mut(&charge.organisation) else {
+            return;
+        };
+        if counts_tokens(&pocket.quota) != charge.counts_tokens {
+            return;
+        }
+        let Some(stamp) = charge.stamp else {
+            pocket.reserve_spent = (pocket.reserve_spent - charge.amount as f64).max(0.0);
+            return;
+        };
+        let mut leases = pocket.leases.iter_mut();
+        if let Some(lease) = leases.find(|lease| lease.stamp == stamp) {
+            lease.amount += charge.amount;
+            return;
+        }
+        self.returns.push(Return {
+            organisation: charge.organisation.clone(),
+            stamp,
+            amount: charge.amount,
+        });
+    }
+
+    /// Returns the claim to send to the leader now, if one is due and none is on its way.
+    pub fn claim(&mut self, now: Point) -> Option<Claim> {
+        if self.lender != Lender::Present || self.sent.is_some() {
+            return None;
+        }
+        self.expire(now);
+        let mut items = Vec::new();
+        for (organisation, pocket) in &mut self.pockets {
+            let is_denied = pocket.denial.is_some_and(|denial| now < denial.until);
+            pocket.decay(now);
+            let (ahead, balance) = (pocket.ahead(), pocket.balance() as f64);
+            let is_low = balance < ahead / 2.0 && !is_denied;
+            if pocket.need == 0 && !is_low {
+                continue;
+            }
+            // Larger than any amount only if the use is, which costs bound.
+            let ahead = (ahead - balance).max(0.0) as u64;
+            items.push(Item {
+                organisation: organisation.clone(),
+                counts_tokens: counts_tokens(&pocket.quota),
+                need: std::mem::take(&mut pocket.need),
+                want: std::mem::take(&mut pocket.wanted) + pocket.owed + ahead,
+            });
+        }
+        if items.is_empty() && self.returns.is_empty() {
+            return None;
+        }
+        self.next_number += 1;
+        if !items.is_empty() {
+            self.sent = Some(Sent {
+                number: self.next_number,
+                at: now,
+            });
+        }
+        Some(Claim {
+            number: self.next_number,
+            items,
+            returns: std::mem::take(&mut self.returns),
+        })
+    }
+
+    /// Adds the credit of an answer. An answer to a claim that isn't on its way any more is returned. Returns whether
+    /// waiting requests should be charged again.
+    pub fn receive(&mut self, grant: &Grant, now: Point) -> bool {
+        let sent = self.sent.take_if(|sent| sent.number == grant.number);
+        let Some(sent) = sent else {
+            self.returns.extend(grant.loans.iter().map(|loan| Return {
+                organisation: loan.organisation.clone(),
+                stamp: grant.stamp,
+                amount: loan.amount,
+            }));
+            return false;
+        };
+        self.silent_until = None;
+        for loan in &grant.loans {
+            let Some(pocket) = self.pockets.get_mut(&loan.organisation) else {
+                continue;
+            };
+            if loan.amount > 0 {
+                pocket.leases.push(Lease {
+                    stamp: grant.stamp,
+                    until: sent.at + grant.lifetime,
+                    amount: loan.amount,
+                    claimed_at: sent.at,
+                });
+            }
+            pocket.denial = (loan.wait > Duration::ZERO).then(|| Denial {
+                until: now + loan.wait.min(MAX_DENIAL),
+                credit_at: now + loan.wait,
+            });
+        }
+        self.expire(now);
+        true
+    }
+
+    /// Removes credit that has expired, which is returned with the next claim, and a claim without an answer.
+    fn expire(&mut self, now: Point) {
+        let late = self
+            .sent
+            .take_if(|sent| now.since(sent.at) > ANSWER_TIMEOUT);
+        if late.is_some() {
+            self.silent_until = Some(now + ANSWER_TIMEOUT);
+        }
+        for (organisation, pocket) in &mut self.pockets {
+            let returns = &mut self.returns;
+            pocket.leases.retain(|lease| {
+                if lease.until <= now && lease.amount > 0 {
+                    returns.push(Return {
+                        organisation: organisation.clone(),
+                        stamp: lease.stamp,
+                        amount: lease.amount,
+                    });
+                }
+                lease.until > now
+            });
+        }
+    }
+
+    fn is_silent(&self, now: Point) -> bool {
+        self.silent_until.is_some_and(|until| now < until)
+    }
+
+    /// Removes the organisations that have no quota any more.
+    pub fn retain(&mut self, has_quota: impl Fn(&id::Organisation) -> bool) {
+        self.pockets
+            .retain(|organisation, _| has_quota(organisation));
+    }
+
+    /// Returns the age of the oldest loan of an organisation, for logs and metrics.
+    pub fn lease_age(&self, organisation: &id::Organisation, now: Point) -> Option<Duration> {
+        let lease = self.pockets.get(organisation)?.leases.first()?;
+        Some(now.since(lease.claimed_at))
+    }
+
+    /// Returns the organisations that have credit here, and the ages of their oldest loans.
+    pub fn lease_ages(&self, now: Point) -> impl Iterator<Item = (&id::Organisation, Duration)> {
+        let organisations = self.pockets.keys();
+        organisations.filter_map(move |name| Some((name, self.lease_age(name, now)?)))
+    }
+
+    /// Returns whether no organisation with a quota has sent a request.
+    pub fn is_empty(&self) -> bool {
+        self.pockets.is_empty()
+    }
+
+    /// Returns the credit that an organisation has here.
+    pub fn balance(&self, organisation: &id::Organisation) -> u64 {
+        self.pockets.get(organisation).map_or(0, Pocket::balance)
+    }
+}
