--- a/crates/buckthornmast_forward/src/quota.rs
+++ b/crates/buckthornmast_forward/src/quota.rs
@@ -11,14 +11,11 @@
 };
 use buckthornmast_routes::document::{Quota, Unit};
 use buckthornmast_routing::attempt::{Decision, Dispatch};
-use buckthornmast_types::{
-    id,
-    time::{Clock, Point},
-};
-use rustix::time::{ClockId, clock_gettime};
+use buckthornmast_types::{id, time::Clock};
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
+    access::boot_time,
     context::{Context, millis},
     forwarder::Forwarder,
     mapping::Mapping,
@@ -29,14 +26,6 @@
 /// Longest wait for credit in total: an answer of the leader that is lost, and another one.
 const MAX_CREDIT_WAIT: Duration = Duration::from_millis(600);
 
-/// Returns the time on a clock that goes on while the machine is suspended. Credit expires on it.
-pub fn now() -> Point {
-    let time = clock_gettime(ClockId::Boottime);
-    let seconds = Duration::from_secs(u64::try_from(time.tv_sec).unwrap_or_default());
-    let nanos = Duration::from_nanos(u64::try_from(time.tv_nsec).unwrap_or_default());
-    Point::ZERO + seconds + nanos
-}
-
 /// Credit of this instance, and the requests that wait for it.
 #[derive(Debug, Clone, Default)]
 pub struct Credit {
@@ -70,7 +59,7 @@
             metrics::counter!("buckthornmast_quota_returned_total", "organisation" => self.charge.organisation.to_string())
                 .increment(self.charge.amount);
             let mut purse = self.purse.borrow_mut();
-            purse.give_back(&self.charge, now());
+            purse.give_back(&self.charge, boot_time());
         }
     }
 }
@@ -109,7 +98,7 @@
             let charge = credit
                 .purse
                 .borrow_mut()
-                .charge(&organisation, &quota, cost, now());
+                .charge(&organisation, &quota, cost, boot_time());
             self.claim_credit(&credit);
             let wait = match charge {
                 Ok(charge) => {
@@ -143,7 +132,7 @@
 
     /// Sends the claim for credit that is due, if one is.
     fn claim_credit(&self, credit: &Credit) {
-        let claim = credit.purse.borrow_mut().claim(now());
+        let claim = credit.purse.borrow_mut().claim(boot_time());
         if let Some(claim) = claim {
             self.supply.claim_credit(claim);
         }
@@ -155,7 +144,7 @@
         let goes_on = matches!(decision, Decision::Retry | Decision::Resume { .. });
         if let Some(charged) = context.charge.as_ref().filter(|_| goes_on && !is_charged) {
             let mut purse = charged.purse.borrow_mut();
-            purse.charge_again(&charged.charge, now());
+            purse.charge_again(&charged.charge, boot_time());
         }
     }
 
@@ -181,7 +170,7 @@
             version = context.version.0,
             cost = cost,
             credit = purse.balance(organisation),
-            lease_ms = purse.lease_age(organisation, now()).map_or(0, millis),
+            lease_ms = purse.lease_age(organisation, boot_time()).map_or(0, millis),
             retry_ms = millis(refusal.retry_after());
             "request refused: {}", refusal.as_str()
         );
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,5 +1,6 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
+mod confirmations;
 mod credit;
 mod departures;
 mod dialing;
@@ -37,6 +38,7 @@
 };
 
 use self::{
+    confirmations::Inquiries,
     origins::Streams,
     updates::{Unsent, for_entry},
 };
@@ -149,6 +151,7 @@
     departures_file: Store,
     monitor: Monitor,
     gauge: ReplicaGauge,
+    inquiries: Inquiries,
     state: RefCell<State>,
 }
 
@@ -215,6 +218,7 @@
             departures_file,
             monitor,
             gauge: ReplicaGauge::default(),
+            inquiries: Inquiries::default(),
             state: RefCell::new(State {
                 registry,
                 ..State::default()
@@ -256,6 +260,7 @@
             self.gauge.publish(&self.replica.status(), leads);
         }
         self.publish_routes();
+        self.answer_inquiries();
         self.tick_quarantines(now);
         if tick.is_multiple_of(LIVENESS_INTERVAL_TICKS) {
             self.publish_liveness(tick, now);
@@ -671,7 +676,9 @@
                 key,
                 service,
             } => self.answer_origin(number, key, service, outbox),
-            Upstream::ConfirmRequest { .. } => {}
+            Upstream::ConfirmRequest { number } => {
+                self.inquiries.add(subscriber, number, outbox.clone());
+            }
             Upstream::Credit(claim) => self.answer_claim(subscriber, &claim, outbox),
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
--- a/crates/buckthornmast_node/src/entry/credit.rs
+++ b/crates/buckthornmast_node/src/entry/credit.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use buckthornmast_forward::{quota, state::State};
+use buckthornmast_forward::{access::boot_time, state::State};
 use buckthornmast_quota::credit::Grant;
 
 use crate::{entry::Entry, platform::Platform};
@@ -25,10 +25,10 @@
             return;
         }
         let mut purse = state.credit.purse.borrow_mut();
-        if purse.receive(grant, quota::now()) {
+        if purse.receive(grant, boot_time()) {
             state.credit.changed.notify_waiters();
         }
-        if let Some(claim) = purse.claim(quota::now()) {
+        if let Some(claim) = purse.claim(boot_time()) {
             self.supplier.0.claim_credit(claim);
         }
     }
@@ -40,10 +40,10 @@
         if purse.is_empty() {
             return;
         }
-        if let Some(claim) = purse.claim(quota::now()) {
+        if let Some(claim) = purse.claim(boot_time()) {
             self.supplier.0.claim_credit(claim);
         }
-        for (organisation, age) in purse.lease_ages(quota::now()) {
+        for (organisation, age) in purse.lease_ages(boot_time()) {
             metrics::gauge!("buckthornmast_quota_lease_seconds", "organisation" => organisation.to_string())
                 .set(age.as_secs_f64());
         }
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -116,7 +116,8 @@
         /// Service of the stream. Older builds name none, and need no answer about it.
         service: record::Service,
     },
-    /// Asks whether the newest version of the routes is known.
+    /// Asks the leader for the newest version of the routes. Only sent to instances that have stated
+    /// [`UNDERSTANDS_CONFIRMATIONS`].
     ConfirmRequest {
         /// Number of the request.
         number: u64,
@@ -165,6 +166,9 @@
 /// a connection on which they are sent such messages.
 pub const UNDERSTANDS_ORIGINS: u8 = 1;
 
+/// States that an instance of the core understands [`Upstream::ConfirmRequest`] besides.
+pub const UNDERSTANDS_CONFIRMATIONS: u8 = 2;
+
 /// States that an instance of the core understands [`Upstream::Credit`], and all that lower numbers stand for.
 pub const UNDERSTANDS_CREDIT: u8 = 3;
 
@@ -175,7 +179,8 @@
     Roster(Vec<Sighting>),
     /// Number of entry instances.
     ///
-    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`], [`UNDERSTANDS_CREDIT`] or nothing.
+    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`], [`UNDERSTANDS_CONFIRMATIONS`],
+    /// [`UNDERSTANDS_CREDIT`] or nothing.
     #[serde(rename = "Entries")]
     EntryCount(u32, u8),
     /// Routes in force.
@@ -245,11 +250,12 @@
     /// Ways of the receiver to targets that are out of its reach. Only sent to entry instances that have introduced
     /// themselves as ways.
     Ways(Vec<Way>),
-    /// Confirms that a version of the routes is the newest one.
+    /// Answers a request for a confirmation, from the leader. A majority has confirmed since the request arrived that the
+    /// sender leads.
     Confirmation {
         /// Number of the request.
         number: u64,
-        /// Version.
+        /// Newest version, or 0 if there are no routes.
         version: Revision,
     },
     /// Answers a claim for credit.
--- a/crates/buckthornmast_node/src/settings.rs
+++ b/crates/buckthornmast_node/src/settings.rs
@@ -12,6 +12,7 @@
     fault::Fault,
     source::{Reader, Source},
 };
+use buckthornmast_organisation::lease;
 use buckthornmast_quota::account::Terms;
 use buckthornmast_types::{id, size::Bytes};
 
@@ -92,6 +93,9 @@
     pub descriptors: usize,
     /// How quotas are judged.
     pub quota_terms: Terms,
+    /// Time after which a key that was taken away has to be refused everywhere. Without it, instances that are cut off from
+    /// the core go on to honour the keys that they know.
+    pub key_lease: Option<Duration>,
 }
 
 /// Settings of a process.
@@ -239,6 +243,12 @@
         overage: overage.unwrap_or(terms.overage),
         slack: slack.unwrap_or(terms.slack),
     };
+    let key_lease: Option<Span> = reader.optional("bounds", "key-lease", DURATION_FORMAT);
+    let key_lease = key_lease.map(|span| span.0);
+    if key_lease.is_some_and(|bound| bound < lease::MIN_BOUND) {
+        let message = format!("shorter than {} s", lease::MIN_BOUND.as_secs());
+        reader.add_fault("bounds", "key-lease", message);
+    }
     Some(Bounds {
         grace: grace?.0,
         handover_interval: handover_interval?.0,
@@ -248,5 +258,6 @@
         extra_window: extra_window.map_or(DEFAULT_EXTRA_WINDOW, |window| window.0),
         descriptors: descriptors?,
         quota_terms,
+        key_lease,
     })
 }
