--- a/crates/buckthornmast_node/tests/settings.rs
+++ b/crates/buckthornmast_node/tests/settings.rs
@@ -7,6 +7,7 @@
     replica::max_folder_bytes,
     settings::{Service, Settings},
 };
+use buckthornmast_quota::account::Terms;
 use buckthornmast_types::size::Bytes;
 
 const ENTRY: &str = "[instance]\nname = front-1\ndomain = d1\nrole = entry\n\n[listen]\ncallers = 10.0.0.1:80\n\
@@ -133,3 +134,23 @@
         assert_eq!(settings.warning(), None);
     }
 }
+
+/// Guards against terms of quotas that are misread, and against settings without them that are refused.
+#[test]
+fn parse_quota_terms() {
+    let terms = |text: &str| {
+        let settings = Settings::parse("core.ini", &format!("{CORE}{text}")).unwrap();
+        settings.bounds.quota_terms
+    };
+    assert_eq!(terms(""), Terms::default());
+    let stated = terms("quota-window = 4s\nquota-overage = 0.2\nquota-slack = 7400\n");
+    let window = Duration::from_secs(4);
+    let expected = Terms {
+        window,
+        overage: 0.2,
+        slack: 7400.0,
+    };
+    assert_eq!(stated, expected);
+    let faults = Settings::parse("core.ini", &format!("{CORE}quota-overage = much\n"));
+    assert!(faults.unwrap_err()[0].to_string().contains("quota-overage"));
+}
--- a/crates/buckthornmast_quota/src/account.rs
+++ b/crates/buckthornmast_quota/src/account.rs
@@ -1,6 +1,6 @@
 //! Account of the leader: a token bucket for each organisation that has a quota.
 //!
-//! The level of a bucket is computed from its recent loans whenever it is needed. Credit that is returned is deducted
+//! The level of a bucket is computed from its recent loans. Credit that is returned is deducted
 //! from the loan that it came from, so the level becomes what it would be if that part had never been lent. Adding it to
 //! the level instead would let an organisation spend at once what was lent over a long time.
 //!
@@ -107,6 +107,8 @@
     // Time of the last loan. The level is computed as if all were lent then, which is never too high.
     to: Point,
     amount: f64,
+    // Level of the bucket after them.
+    level: f64,
 }
 
 /// Figures of an organisation, for metrics.
@@ -154,22 +156,33 @@
     }
 
     fn level(&self, now: Point) -> f64 {
-        let mut level = self.base;
-        let mut at = self.base_at;
-        for lent in &self.lent {
-            level = self.after(level, lent.to.since(at)) - lent.amount;
-            at = lent.to;
-        }
+        let (level, at) = self
+            .lent
+            .back()
+            .map_or((self.base, self.base_at), |last| (last.level, last.to));
         self.after(level, now.since(at))
     }
 
+    /// Computes the levels after the loans from an index on.
+    fn compute_levels(&mut self, from: usize) {
+        let (mut level, mut at) = match from.checked_sub(1).and_then(|index| self.lent.get(index)) {
+            Some(before) => (before.level, before.to),
+            None => (self.base, self.base_at),
+        };
+        for index in from..self.lent.len() {
+            let Lent { to, amount, .. } = self.lent[index];
+            level = self.after(level, to.since(at)) - amount;
+            at = to;
+            self.lent[index].level = level;
+        }
+    }
+
     fn record(&mut self, amount: f64, now: Point) {
-        while let Some(first) = self.lent.front().copied()
-            && now.since(first.to) > HISTORY
+        while let Some(first) = self
+            .lent
+            .pop_front_if(|first| now.since(first.to) > HISTORY)
         {
-            self.base = self.after(self.base, first.to.since(self.base_at)) - first.amount;
-            self.base_at = first.to;
-            self.lent.pop_front();
+            (self.base, self.base_at) = (first.level, first.to);
         }
         self.total_lent += amount;
         match self.lent.back_mut() {
@@ -181,17 +194,21 @@
                 from: now,
                 to: now,
                 amount,
+                level: 0.0,
             }),
         }
+        self.compute_levels(self.lent.len().saturating_sub(1));
     }
 
     fn give_back(&mut self, at: Point, amount: f64) {
-        let mut lent = self.lent.iter_mut();
-        if let Some(lent) = lent.find(|lent| lent.from <= at && at <= lent.to) {
-            let returned = amount.min(lent.amount);
-            lent.amount -= returned;
-            self.total_lent -= returned;
-        }
+        let mut lent = self.lent.iter();
+        let Some(index) = lent.position(|lent| lent.from <= at && at <= lent.to) else {
+            return;
+        };
+        let returned = amount.min(self.lent[index].amount);
+        self.lent[index].amount -= returned;
+        self.total_lent -= returned;
+        self.compute_levels(index);
     }
 
     /// Changes the quota. The loans under the earlier one have been settled: they may be in another unit.
@@ -223,6 +240,8 @@
     borrowers: HashMap<u64, u64>,
     // Highest number of instances, and when it was seen.
     instances: (u32, Point),
+    // Whether quotas were set before.
+    has_document: bool,
     // When the account was last used or looked at.
     active_at: Point,
 }
@@ -237,6 +256,7 @@
             buckets: BTreeMap::new(),
             borrowers: HashMap::new(),
             instances: (0, now),
+            has_document: false,
             active_at: now,
         }
     }
@@ -269,13 +289,19 @@
                     }
                 }
                 None => {
-                    // An earlier leader may have lent until this one was elected.
-                    let level = quota.rate.get() * now.since(self.opened_at).as_secs_f64();
+                    // An earlier leader may have lent until this one was elected, unless the organisation is new.
+                    let age = now.since(self.opened_at);
+                    let level = if self.has_document && age > HISTORY {
+                        capacity
+                    } else {
+                        quota.rate.get() * age.as_secs_f64()
+                    };
                     let bucket = Bucket::new(quota, capacity, level, now);
                     self.buckets.insert(organisation.name.clone(), bucket);
                 }
             }
         }
+        self.has_document = true;
     }
 
     /// Records that the account is active, and the number of instances that are connected. To be called more often than
--- a/crates/buckthornmast_quota/src/purse.rs
+++ b/crates/buckthornmast_quota/src/purse.rs
@@ -26,9 +26,18 @@
 /// Weight of a request in the mean cost of an organisation's requests.
 const MEAN_WEIGHT: f64 = 0.2;
 
-/// Use ahead of which credit is held. It is claimed again when half of it is left.
+/// Use ahead of which credit is held.
 const AHEAD: Duration = Duration::from_millis(300);
 
+/// Part of the credit ahead below which more is claimed.
+const CLAIM_PART: f64 = 0.5;
+
+/// Part of the credit ahead below which an organisation joins a claim for others, so that claims are few.
+const JOIN_PART: f64 = 0.8;
+
+/// Interval at which credit is returned while none is claimed.
+const RETURN_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Longest wait for credit that a request isn't refused for.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
@@ -86,11 +95,13 @@
     claimed_at: Point,
 }
 
-/// Time until which requests are refused without another claim, and when credit is expected.
+/// Time until which requests are refused without another claim, and when credit is expected. Requests that cost less may be
+/// lent credit sooner.
 #[derive(Debug, Clone, Copy)]
 struct Denial {
     until: Point,
     credit_at: Point,
+    need: u64,
 }
 
 #[derive(Debug)]
@@ -102,6 +113,8 @@
     // What waiting requests need, since the last claim.
     need: u64,
     wanted: u64,
+    // Need of the claim that is on its way.
+    asked: u64,
     // Units a second, averaged over `USE_TIME`, and the mean cost of a request.
     use_rate: f64,
     used_at: Point,
@@ -123,6 +136,7 @@
             owed: 0,
             need: 0,
             wanted: 0,
+            asked: 0,
             use_rate: 0.0,
             used_at: now,
             mean_cost: 0.0,
@@ -176,6 +190,12 @@
         ahead
     }
 
+    /// Returns whether less than a part of what should be held ahead is left, and more isn't denied.
+    fn is_below(&self, part: f64, now: Point) -> bool {
+        let is_denied = self.denial.is_some_and(|denial| now < denial.until);
+        !is_denied && (self.balance() as f64) < self.ahead() * part
+    }
+
     /// Charges the reserve, which fills at a rate up to its size.
     fn take_reserve(&mut self, cost: u64, size: f64, refill: f64, now: Point) -> bool {
         let filled = refill * now.since(self.reserve_at).as_secs_f64();
@@ -201,6 +221,8 @@
 pub struct Purse {
     pockets: HashMap<id::Organisation, Pocket>,
     returns: Vec<Return>,
+    // When credit was last returned.
+    returned_at: Point,
     sent: Option<Sent>,
     next_number: u64,
     lender: Lender,
@@ -232,6 +254,8 @@
         self.lender = lender;
         self.sent = None;
         self.silent_until = None;
+        // Another leader can't take back what it hasn't lent.
+        self.returns.clear();
         // Waiting requests are charged again.
         for pocket in self.pockets.values_mut() {
             (pocket.need, pocket.wanted) = (0, 0);
@@ -315,7 +339,8 @@
         now: Point,
     ) -> Result<Charge, Lack> {
         let pocket = self.pocket(organisation, quota, now);
-        if let Some(denial) = pocket.denial.filter(|denial| now < denial.until) {
+        let denial = pocket.denial.filter(|denial| now < denial.until);
+        if let Some(denial) = denial.filter(|denial| cost >= denial.need) {
             let wait = denial.credit_at.since(now);
             if wait > MAX_WAIT {
                 return Err(Lack::Exhausted(wait));
@@ -378,17 +403,24 @@
             return None;
         }
         self.expire(now);
-        let mut items = Vec::new();
-        for (organisation, pocket) in &mut self.pockets {
-            let is_denied = pocket.denial.is_some_and(|denial| now < denial.until);
+        let mut is_due = false;
+        for pocket in self.pockets.values_mut() {
             pocket.decay(now);
-            let (ahead, balance) = (pocket.ahead(), pocket.balance() as f64);
-            let is_low = balance < ahead / 2.0 && !is_denied;
-            if pocket.need == 0 && !is_low {
+            is_due |= pocket.need > 0 || pocket.is_below(CLAIM_PART, now);
+        }
+        let is_flushed = now.since(self.returned_at) >= RETURN_INTERVAL;
+        if !is_due && (self.returns.is_empty() || !is_flushed) {
+            return None;
+        }
+        let mut items = Vec::new();
+        for (organisation, pocket) in self.pockets.iter_mut().filter(|_| is_due) {
+            if pocket.need == 0 && !pocket.is_below(JOIN_PART, now) {
                 continue;
             }
+            let (ahead, balance) = (pocket.ahead(), pocket.balance() as f64);
             // Larger than any amount only if the use is, which costs bound.
             let ahead = (ahead - balance).max(0.0) as u64;
+            pocket.asked = pocket.need;
             items.push(Item {
                 organisation: organisation.clone(),
                 counts_tokens: counts_tokens(&pocket.quota),
@@ -396,9 +428,7 @@
                 want: std::mem::take(&mut pocket.wanted) + pocket.owed + ahead,
             });
         }
-        if items.is_empty() && self.returns.is_empty() {
-            return None;
-        }
+        self.returned_at = now;
         self.next_number += 1;
         if !items.is_empty() {
             self.sent = Some(Sent {
@@ -441,6 +471,7 @@
             pocket.denial = (loan.wait > Duration::ZERO).then(|| Denial {
                 until: now + loan.wait.min(MAX_DENIAL),
                 credit_at: now + loan.wait,
+                need: pocket.asked,
             });
         }
         self.expire(now);
