quota: credit up to the quota of a window, reports of what was spent to a new leader

Cause: the bucket filled at the rate alone, so an organisation that keeps asking was lent its burst once, while each window of 8 s allows it. With loans counted by window, a new leader that knows none would lend a whole quota again.

Change: the account counts the loans of the last window and one lifetime. Instances report what they have spent to each new leader; instances that are lost or have just started count as having spent their part.

--- a/crates/buckthornmast_forward/src/quota.rs
+++ b/crates/buckthornmast_forward/src/quota.rs
@@ -39,7 +39,7 @@
     /// Returns no credit.
     pub fn new(terms: Terms) -> Self {
         Self {
-            purse: Rc::new(RefCell::new(Purse::new(terms))),
+            purse: Rc::new(RefCell::new(Purse::new(terms, boot_time()))),
             changed: Rc::default(),
         }
     }
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -214,7 +214,8 @@
         self.route_times
             .retain(|name| document.routes.iter().any(|route| route.name == name));
         let organisations = &document.organisations;
-        self.credit.purse.borrow_mut().retain(|name| {
+        let has_quotas = organisations.iter().any(|known| known.quota.is_some());
+        self.credit.purse.borrow_mut().retain(has_quotas, |name| {
             let mut with_quota = organisations.iter().filter(|known| known.quota.is_some());
             with_quota.any(|known| known.name == *name)
         });
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -75,6 +75,7 @@
     requesters: HashMap<Ticket, Requester>,
     // Account of the quotas, while this instance leads.
     credit: Option<quota::Account>,
+    census: quota::Census,
 }
 
 impl State {
@@ -122,6 +123,7 @@
             permits: Queue::default(),
             requesters: HashMap::new(),
             credit: None,
+            census: quota::Census::default(),
         };
         Self {
             orders: Orders::new(platform, clock),
@@ -146,7 +148,8 @@
         }
         let now = self.clock.now();
         state.credit = leadership.as_ref().map(|leadership| {
-            let mut credit = quota::Account::open(leadership.fence.term, self.quota_terms, now);
+            let mut credit =
+                quota::Account::open(leadership.fence.term, self.quota_terms, state.census, now);
             if let Some(document) = &state.document {
                 credit.set_document(document, now);
             }
--- a/crates/buckthornmast_node/src/controller/credit.rs
+++ b/crates/buckthornmast_node/src/controller/credit.rs
@@ -36,15 +36,18 @@
     /// Records that this instance runs and the number of entry instances.
     pub fn tick_credit(&self, entry_count: u32) {
         let now = self.clock.now();
-        if let Some(credit) = &mut self.state.borrow_mut().credit {
+        let mut state = self.state.borrow_mut();
+        // Also before this instance leads: it has to know then whose use isn't reported.
+        state.census.record(entry_count, now);
+        if let Some(credit) = &mut state.credit {
             credit.tick(entry_count, now);
         }
     }
 
     /// Publishes what is lent.
     pub fn publish_credit(&self, now: Point) {
-        let state = self.state.borrow();
-        let Some(credit) = &state.credit else {
+        let mut state = self.state.borrow_mut();
+        let Some(credit) = &mut state.credit else {
             return;
         };
         for (organisation, figures) in credit.figures(now) {
--- a/crates/buckthornmast_node/src/entry/credit.rs
+++ b/crates/buckthornmast_node/src/entry/credit.rs
@@ -15,6 +15,11 @@
             return;
         }
         log::debug!(step = "quota", lender:? = lender; "the lender of credit has changed");
+        // Tells a new leader what was spent.
+        let claim = state.credit.purse.borrow_mut().claim(boot_time());
+        if let Some(claim) = claim {
+            self.supplier.0.claim_credit(claim);
+        }
         // Waiting requests ask the new leader, or spend the reserve.
         state.credit.changed.notify_waiters();
     }
--- a/crates/buckthornmast_node/tests/quota.rs
+++ b/crates/buckthornmast_node/tests/quota.rs
@@ -38,11 +38,14 @@
         organisation: name.clone(),
         amount: 120_000,
         wait: Duration::from_millis(1500),
+        is_ample: false,
     });
     let claim = Claim {
         number: 100_000,
         items: items.collect(),
         returns: returns.collect(),
+        history: Vec::new(),
+        is_young: false,
     };
     let grant = Grant {
         number: 100_000,
--- a/crates/buckthornmast_quota/src/account.rs
+++ b/crates/buckthornmast_quota/src/account.rs
@@ -1,11 +1,12 @@
-//! Account of the leader: a token bucket for each organisation that has a quota.
+//! Account of the leader: what was lent for each organisation that has a quota, within the last window.
 //!
-//! The level of a bucket is computed from its recent loans. Credit that is returned is deducted
-//! from the loan that it came from, so the level becomes what it would be if that part had never been lent. Adding it to
-//! the level instead would let an organisation spend at once what was lent over a long time.
+//! Credit is lent as long as the loans of the last window and of one lifetime before it stay below the quota. What is
+//! spent in any window was lent in that time. Credit that is returned is deducted from the loan that it came from, as if
+//! that part had never been lent.
 //!
-//! Loans of an earlier leader aren't known. They need not be: the account of a new leader begins with empty buckets, so
-//! what both lend together is no more than one bucket would have lent.
+//! A new leader knows no loans. Each instance reports what it has spent within the last window, and the account lends
+//! nothing until the reports have had time to arrive. Instances that are lost, or have just started,
+//! count as having spent their part of the quota.
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -15,44 +16,45 @@
 use buckthornmast_routes::document::{Document, Quota, Unit};
 use buckthornmast_types::{id, time::Point};
 
-use crate::{
-    credit::{Claim, Grant, Item, Loan, Return, Stamp},
-    purse::ANSWER_TIMEOUT,
-};
+use crate::credit::{Claim, Grant, Item, Loan, Return, Stamp, Use};
 
-/// Time within which credit may be returned, and the organisation of a quota be removed and added again. No request waits
-/// longer for its target.
+/// Time for which the number of instances, and the loans of an organisation without a quota, are remembered: longer than
+/// any window.
 const HISTORY: Duration = Duration::from_secs(20);
 
+/// Largest part of a quota that is taken to have been spent by instances that can't tell. After a restart of most instances,
+/// organisations get the rest at once.
+const MAX_UNKNOWN: f64 = 0.5;
+
+/// Time in which instances report to a new leader what they have spent. They do so as soon as they know it.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
 /// Time within which loans are recorded together, which bounds the length of the history.
 const SLOT: Duration = Duration::from_millis(50);
 
-/// Part of the overage that covers credit that was lent before a window and is spent within it.
-const LIFETIME_PART: f64 = 0.5;
+/// Part of the overage by which credit may be lent beyond the quota. It covers that loans are counted for longer than a
+/// window, by their lifetime, and credit that lies unspent in purses.
+const LENT_PART: f64 = 0.65;
 
-/// Part of the overage that covers credit that lies unspent in purses while others need it.
-const IDLE_PART: f64 = 0.2;
+/// Part of the overage that is the lifetime of a loan.
+const LIFETIME_PART: f64 = 0.5;
 
-/// Part of the slack that is added to the bucket. The rest covers requests that run twice.
+/// Part of the slack that is added to the quota. The rest covers requests that run twice.
 const SLACK_PART: f64 = 0.5;
 
 /// Longest lifetime of a loan. An account that loses a borrower gets its credit back no sooner.
 const MAX_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Part of the overage that all instances together may spend without the leader. A leader that is lost lends nothing
-/// meanwhile, and one that isn't counts the reserve of each instance that it loses as lent. So only the reserves of
-/// instances whose loss hasn't shown yet add to the rest, and those of a third of them have room beside it.
-const RESERVE_PART: f64 = 0.85;
-
-/// Time without a sign of life of the account itself after which it withholds the reserves of all instances: their claims
-/// have been waiting for as long.
-const MAX_STALL: Duration = ANSWER_TIMEOUT;
+/// Part of the overage that all instances together may spend without the leader at any time. Together with what is lent, it
+/// stays below the overage.
+const RESERVE_PART: f64 = 0.22;
 
-/// Time for which they are withheld. Instances that have spent some of it report that within a few ticks.
-const WITHHOLD_TIME: Duration = Duration::from_secs(1);
+/// Part of the window for whose rate all instances together may spend credit without the leader if much was left when they
+/// were last lent some: about two changes of the leader.
+const AMPLE_RESERVE_PART: f64 = 0.25;
 
-/// Longest expected wait for credit.
-const MAX_WAIT: Duration = Duration::from_secs(8);
+/// Part of the quota that counts as much.
+const AMPLE_PART: f64 = 0.5;
 
 /// Wait of an instance that has another version of the routes than the leader.
 const VERSION_WAIT: Duration = Duration::from_millis(100);
@@ -87,19 +89,53 @@
             .min(MAX_LIFETIME)
     }
 
-    /// Returns the amount that one instance may spend without the leader.
-    pub fn reserve(&self, quota: &Quota, instances: u32) -> f64 {
+    /// Returns the amount that one instance may spend without the leader. `is_ample` is whether much was left.
+    pub fn reserve(&self, quota: &Quota, instances: u32, is_ample: bool) -> f64 {
         if instances == 0 {
             return 0.0;
         }
-        let time = self.window.as_secs_f64() * self.overage * RESERVE_PART;
-        quota.rate.get() * time / f64::from(instances)
+        let part = if is_ample {
+            AMPLE_RESERVE_PART
+        } else {
+            self.overage * RESERVE_PART
+        };
+        quota.rate.get() * self.window.as_secs_f64() * part / f64::from(instances)
+    }
+
+    /// Returns the amount that may be lent within [`Self::memory`].
+    fn limit(&self, quota: &Quota) -> f64 {
+        let in_window = quota.rate.get() * self.window.as_secs_f64() + quota.burst;
+        in_window * (1.0 + self.overage * LENT_PART) + self.slack * SLACK_PART
+    }
+
+    /// Returns the time for which loans count.
+    pub fn memory(&self) -> Duration {
+        self.window + self.lifetime()
+    }
+}
+
+/// Number of instances that were connected lately.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Census {
+    highest: u32,
+    seen_at: Point,
+    connected: u32,
+}
+
+impl Census {
+    /// Records how many instances are connected.
+    pub fn record(&mut self, connected: u32, now: Point) {
+        self.connected = connected;
+        if connected >= self.highest || now.since(self.seen_at) > HISTORY {
+            (self.highest, self.seen_at) = (connected, now);
+        }
     }
 
-    /// Returns the size of the bucket.
-    fn capacity(&self, quota: &Quota) -> f64 {
-        let idle_time = self.window.as_secs_f64() * self.overage * IDLE_PART;
-        quota.burst + quota.rate.get() * idle_time + self.slack * SLACK_PART
+    /// Returns the part of the instances of which it isn't known what they have spent, if some of those connected can't tell.
+    fn unknown(&self, young: u32) -> f64 {
+        let lost = self.highest.saturating_sub(self.connected);
+        let part = f64::from(lost + young) / f64::from(self.highest.max(1));
+        part.min(MAX_UNKNOWN)
     }
 }
 
@@ -107,11 +143,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Lent {
     from: Point,
-    // Time of the last loan. The level is computed as if all were lent then, which is never too high.
+    // Time of the last loan. All count for as long as this one.
     to: Point,
     amount: f64,
-    // Level of the bucket after them.
-    level: f64,
 }
 
 /// Figures of an organisation, for metrics.
@@ -126,71 +160,57 @@
 #[derive(Debug)]
 struct Bucket {
     quota: Quota,
-    capacity: f64,
-    // Level at a time before all recorded loans.
-    base: f64,
-    base_at: Point,
+    limit: f64,
+    memory: Duration,
     lent: VecDeque<Lent>,
+    // Sum of the loans.
+    sum: f64,
     // Amount that waiting or refused requests have asked for, which drains at the rate of the quota.
     backlog: f64,
     backlog_at: Point,
     total_lent: f64,
-    // When reserves were withheld, and the amount.
-    withheld: Option<(Point, f64)>,
     // When the quota was removed.
     removed_at: Option<Point>,
 }
 
 impl Bucket {
-    fn new(quota: Quota, capacity: f64, level: f64, now: Point) -> Self {
+    fn new(quota: Quota, terms: &Terms, now: Point) -> Self {
         Self {
             quota,
-            capacity,
-            base: level.min(capacity),
-            base_at: now,
+            limit: terms.limit(&quota),
+            memory: terms.memory(),
             lent: VecDeque::new(),
+            sum: 0.0,
             backlog: 0.0,
             backlog_at: now,
             total_lent: 0.0,
-            withheld: None,
             removed_at: None,
         }
     }
 
-    fn after(&self, level: f64, span: Duration) -> f64 {
-        (level + self.quota.rate.get() * span.as_secs_f64()).min(self.capacity)
-    }
-
-    fn level(&self, now: Point) -> f64 {
-        let (level, at) = self
+    /// Forgets loans that don't count any more, and returns the amount that may be lent. It is negative if
+    /// instances have spent more without the leader.
+    fn level(&mut self, now: Point) -> f64 {
+        while let Some(first) = self
             .lent
-            .back()
-            .map_or((self.base, self.base_at), |last| (last.level, last.to));
-        self.after(level, now.since(at))
+            .pop_front_if(|first| now.since(first.to) > self.memory)
+        {
+            self.sum -= first.amount;
+        }
+        if self.lent.is_empty() {
+            // Without what is left of roundings.
+            self.sum = 0.0;
+        }
+        self.limit - self.sum
     }
 
-    /// Computes the levels after the loans from an index on.
-    fn compute_levels(&mut self, from: usize) {
-        let (mut level, mut at) = match from.checked_sub(1).and_then(|index| self.lent.get(index)) {
-            Some(before) => (before.level, before.to),
-            None => (self.base, self.base_at),
-        };
-        for index in from..self.lent.len() {
-            let Lent { to, amount, .. } = self.lent[index];
-            level = self.after(level, to.since(at)) - amount;
-            at = to;
-            self.lent[index].level = level;
-        }
+    fn is_ample(&mut self, now: Point) -> bool {
+        self.level(now) >= self.limit * AMPLE_PART
     }
 
     fn record(&mut self, amount: f64, now: Point) {
-        while let Some(first) = self
-            .lent
-            .pop_front_if(|first| now.since(first.to) > HISTORY)
-        {
-            (self.base, self.base_at) = (first.level, first.to);
-        }
         self.total_lent += amount;
+        self.sum += amount;
         match self.lent.back_mut() {
             Some(last) if now.since(last.from) < SLOT => {
                 last.to = now;
@@ -200,38 +220,70 @@
                 from: now,
                 to: now,
                 amount,
-                level: 0.0,
             }),
         }
-        self.compute_levels(self.lent.len().saturating_sub(1));
+    }
+
+    /// Adds what was spent before this account was opened.
+    fn record_use(&mut self, amount: f64, at: Point) {
+        self.sum += amount;
+        let index = self.lent.partition_point(|lent| lent.to < at);
+        match self.lent.get_mut(index) {
+            Some(lent) if lent.from <= at => lent.amount += amount,
+            _ => self.lent.insert(
+                index,
+                Lent {
+                    from: at,
+                    to: at,
+                    amount,
+                },
+            ),
+        }
     }
 
     fn give_back(&mut self, at: Point, amount: f64) {
-        let mut lent = self.lent.iter();
-        let Some(index) = lent.position(|lent| lent.from <= at && at <= lent.to) else {
-            return;
-        };
-        let returned = amount.min(self.lent[index].amount);
-        self.lent[index].amount -= returned;
-        self.total_lent -= returned;
-        self.compute_levels(index);
+        let mut lent = self.lent.iter_mut();
+        if let Some(lent) = lent.find(|lent| lent.from <= at && at <= lent.to) {
+            let returned = amount.min(lent.amount);
+            lent.amount -= returned;
+            self.sum -= returned;
+            self.total_lent -= returned;
+        }
     }
 
-    /// Changes the quota. The loans under the earlier one have been settled: they may be in another unit.
-    fn set_quota(&mut self, quota: Quota, capacity: f64, now: Point) {
-        let is_same_unit = self.quota.unit == quota.unit;
-        let level = if is_same_unit { self.level(now) } else { 0.0 };
-        *self = Self::new(quota, capacity, level, now);
+    fn scale(&mut self, factor: f64) {
+        for lent in &mut self.lent {
+            lent.amount *= factor;
+        }
+        self.sum *= factor;
     }
 
+    /// Changes the quota. Under a lower one, earlier loans count less: it holds for what is sent from now on.
+    fn set_quota(&mut self, quota: Quota, terms: &Terms, now: Point) {
+        if self.quota.unit != quota.unit {
+            // The loans are in the other unit.
+            *self = Self::new(quota, terms, now);
+            return;
+        }
+        let limit = terms.limit(&quota);
+        self.scale((limit / self.limit).min(1.0));
+        (self.quota, self.limit) = (quota, limit);
+    }
+
+    /// Returns the time until enough loans don't count any more for a need, and for what others were denied before.
     fn wait_for(&mut self, need: f64, level: f64, now: Point) -> Duration {
-        let rate = self.quota.rate.get();
+        let rate = self.limit / self.memory.as_secs_f64();
         let drained = rate * now.since(self.backlog_at).as_secs_f64();
         self.backlog = (self.backlog - drained).max(0.0);
         self.backlog_at = now;
-        let missing = (need.min(self.capacity) - level).max(0.0) + self.backlog;
-        let wait = Duration::try_from_secs_f64(missing / rate).unwrap_or(MAX_WAIT);
-        wait.min(MAX_WAIT)
+        let mut missing = (need.min(self.limit) - level).max(0.0) + self.backlog;
+        for lent in &self.lent {
+            missing -= lent.amount;
+            if missing <= 0.0 {
+                return (lent.to + self.memory).since(now);
+            }
+        }
+        self.memory
     }
 }
 
@@ -244,26 +296,25 @@
     buckets: BTreeMap<id::Organisation, Bucket>,
     // Number of the last claim of each borrower.
     borrowers: HashMap<u64, u64>,
-    // Highest number of instances, and when it was seen.
-    instances: (u32, Point),
-    // Whether quotas were set before.
-    has_document: bool,
-    // When the account was last used or looked at.
-    active_at: Point,
+    census: Census,
+    // Number of instances that have started within the last window before this account was opened.
+    young: u32,
+    // Whether instances have had the time to report what they have spent.
+    is_settled: bool,
 }
 
 impl Account {
-    /// Opens the account of a new leader, with empty buckets.
-    pub fn open(term: id::Term, terms: Terms, now: Point) -> Self {
+    /// Opens the account of a new leader.
+    pub fn open(term: id::Term, terms: Terms, census: Census, now: Point) -> Self {
         Self {
             term,
             opened_at: now,
             terms,
             buckets: BTreeMap::new(),
             borrowers: HashMap::new(),
-            instances: (0, now),
-            has_document: false,
-            active_at: now,
+            census,
+            young: 0,
+            is_settled: false,
         }
     }
 
@@ -286,65 +337,47 @@
                 self.buckets.remove(&organisation.name);
                 continue;
             };
-            let capacity = self.terms.capacity(&quota);
             match self.buckets.get_mut(&organisation.name) {
                 Some(bucket) => {
                     bucket.removed_at = None;
                     if bucket.quota != quota {
-                        bucket.set_quota(quota, capacity, now);
+                        bucket.set_quota(quota, &self.terms, now);
                     }
                 }
                 None => {
-                    // An earlier leader may have lent until this one was elected, unless the organisation is new.
-                    let age = now.since(self.opened_at);
-                    let level = if self.has_document && age > HISTORY {
-                        capacity
-                    } else {
-                        quota.rate.get() * age.as_secs_f64()
-                    };
-                    let bucket = Bucket::new(quota, capacity, level, now);
+                    let bucket = Bucket::new(quota, &self.terms, now);
                     self.buckets.insert(organisation.name.clone(), bucket);
                 }
             }
         }
-        self.has_document = true;
     }
 
-    /// Records that the account is active, and the number of instances that are connected. To be called more often than
-    /// instances wait for an answer.
+    /// Records the number of instances that are connected.
     pub fn tick(&mut self, connected: u32, now: Point) {
-        self.note_active(now);
-        let (highest, seen_at) = self.instances;
-        if connected >= highest || now.since(seen_at) > HISTORY {
-            self.instances = (connected, now);
-        }
+        self.settle(now);
+        self.census.record(connected, now);
     }
 
-    /// Counts the reserve of an instance as lent, because its connection is lost and it may go on without the leader.
-    pub fn lose(&mut self, borrower: u64, now: Point) {
-        self.borrowers.remove(&borrower);
+    /// Ends the time in which instances report what they have spent.
+    fn settle(&mut self, now: Point) {
+        if self.is_settled || now.since(self.opened_at) < SETTLE_TIME {
+            return;
+        }
+        self.is_settled = true;
+        let unknown = self.census.unknown(self.young);
         for bucket in self.buckets.values_mut() {
-            let reserve = self.terms.reserve(&bucket.quota, self.instances.0);
-            bucket.record(reserve, now);
+            bucket.record_use(bucket.limit * unknown, self.opened_at);
         }
     }
 
-    /// Withholds the reserves of all instances for a short time if their claims have waited while the process was suspended.
-    /// They report what they have spent.
-    fn note_active(&mut self, now: Point) {
-        let has_stalled = now.since(self.active_at) > MAX_STALL;
-        self.active_at = now;
-        let instances = self.instances.0;
+    /// Counts the reserve of an instance as lent where it may be large, because its connection is lost and it may go on
+    /// without the leader.
+    pub fn lose(&mut self, borrower: u64, now: Point) {
+        self.borrowers.remove(&borrower);
         for bucket in self.buckets.values_mut() {
-            let is_over =
-                |(at, _): &mut (Point, f64)| has_stalled || now.since(*at) > WITHHOLD_TIME;
-            if let Some((at, amount)) = bucket.withheld.take_if(is_over) {
-                bucket.give_back(at, amount);
-            }
-            if has_stalled {
-                let amount = self.terms.reserve(&bucket.quota, instances) * f64::from(instances);
-                bucket.record(amount, now);
-                bucket.withheld = Some((now, amount));
+            if bucket.is_ample(now) {
+                let instances = self.census.highest;
+                bucket.record(self.terms.reserve(&bucket.quota, instances, true), now);
             }
         }
     }
@@ -352,7 +385,7 @@
     /// Takes back what a borrower returns, and lends what it wants as far as the quotas allow. A claim that was answered
     /// before is ignored.
     pub fn answer(&mut self, borrower: u64, claim: &Claim, now: Point) -> Option<Grant> {
-        self.note_active(now);
+        self.settle(now);
         let last = self.borrowers.entry(borrower).or_insert(0);
         if claim.number <= *last {
             return None;
@@ -369,6 +402,22 @@
                 bucket.give_back(stamp.at, *amount as f64);
             }
         }
+        if claim.is_young && !self.is_settled {
+            self.young += 1;
+        }
+        for Use {
+            organisation,
+            age,
+            amount,
+        } in &claim.history
+        {
+            let at = now - *age;
+            // What was spent later was lent by this account.
+            let bucket = self.buckets.get_mut(organisation);
+            if let Some(bucket) = bucket.filter(|_| at <= self.opened_at + SETTLE_TIME) {
+                bucket.record_use(*amount as f64, at);
+            }
+        }
         let items = claim.items.iter();
         Some(Grant {
             number: claim.number,
@@ -386,6 +435,7 @@
             organisation: item.organisation.clone(),
             amount,
             wait,
+            is_ample: false,
         };
         let Some(bucket) = self.buckets.get_mut(&item.organisation) else {
             // The instance knows an older or newer version, in which the organisation has a quota.
@@ -397,13 +447,16 @@
         if item.spent > 0 {
             bucket.record(item.spent as f64, now);
         }
+        if !self.is_settled {
+            return loan(0, (self.opened_at + SETTLE_TIME).since(now));
+        }
         let level = bucket.level(now);
         let need = item.need as f64;
-        // A request that is larger than the bucket is lent credit once the bucket is full.
-        let is_met = level > 0.0 && level >= need.min(bucket.capacity);
+        // A request that is larger than the limit is lent credit once none is lent.
+        let is_met = level > 0.0 && level >= need.min(bucket.limit);
         if !is_met {
             let wait = bucket.wait_for(need, level, now);
-            bucket.backlog += (item.want as f64).min(bucket.capacity);
+            bucket.backlog += (item.want as f64).min(bucket.limit);
             return loan(0, wait);
         }
         let amount = (item.want as f64).min(level.floor()).max(need);
@@ -416,12 +469,15 @@
         };
         bucket.backlog += missing;
         // The amount is a whole number, and no larger than that of the claim.
-        loan(amount as u64, wait)
+        Loan {
+            is_ample: bucket.is_ample(now),
+            ..loan(amount as u64, wait)
+        }
     }
 
     /// Returns the organisations with a quota and their figures.
-    pub fn figures(&self, now: Point) -> impl Iterator<Item = (&id::Organisation, Figures)> {
-        let buckets = self.buckets.iter();
+    pub fn figures(&mut self, now: Point) -> impl Iterator<Item = (&id::Organisation, Figures)> {
+        let buckets = self.buckets.iter_mut();
         buckets.map(move |(organisation, bucket)| {
             let figures = Figures {
                 level: bucket.level(now),
--- a/crates/buckthornmast_quota/src/credit.rs
+++ b/crates/buckthornmast_quota/src/credit.rs
@@ -14,6 +14,10 @@
     pub items: Vec<Item>,
     /// Credit that it returns.
     pub returns: Vec<Return>,
+    /// What it has spent within the last window. Only in the first claim to a leader.
+    pub history: Vec<Use>,
+    /// Whether it has started within that time, and may have spent more before. Only in the first claim to a leader.
+    pub is_young: bool,
 }
 
 /// Credit that an instance wants for an organisation.
@@ -42,6 +46,17 @@
     pub amount: u64,
 }
 
+/// What an instance has spent for an organisation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Use {
+    /// Organisation.
+    pub organisation: id::Organisation,
+    /// Time since the last of it was spent.
+    pub age: Duration,
+    /// Amount.
+    pub amount: u64,
+}
+
 /// When credit was lent, on the clock of the leader of a term.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamp {
@@ -73,4 +88,6 @@
     pub amount: u64,
     /// Time after which credit is expected for a request that needs some now. Zero if the claim was met.
     pub wait: Duration,
+    /// Whether much of the quota is left.
+    pub is_ample: bool,
 }
--- a/crates/buckthornmast_quota/src/lib.rs
+++ b/crates/buckthornmast_quota/src/lib.rs
@@ -16,8 +16,8 @@
 /// Names that most users of this crate import together.
 pub mod prelude {
     pub use crate::{
-        account::{Account, Terms},
-        credit::{Claim, Grant, Item, Loan, Return},
+        account::{Account, Census, Terms},
+        credit::{Claim, Grant, Item, Loan, Return, Use},
         purse::{Charge, Lack, Lender, Purse, Session},
     };
 }
--- a/crates/buckthornmast_quota/src/purse.rs
+++ b/crates/buckthornmast_quota/src/purse.rs
@@ -16,7 +16,7 @@
 use self::pocket::{Denial, Lease, Pocket, counts_tokens};
 use crate::{
     account::Terms,
-    credit::{Claim, Grant, Item, Return, Stamp},
+    credit::{Claim, Grant, Item, Return, Stamp, Use},
 };
 
 /// Time limit for the answer to a claim, after which the instance goes on as without a leader: many round trips.
@@ -40,6 +40,10 @@
 /// Time after which a reserve that was spent is full again: longer than any window.
 const RESERVE_REFILL: Duration = Duration::from_secs(20);
 
+/// Time for which much of the quota counts as left after the leader has said so: a change of the leader, and the interval
+/// between two claims.
+const AMPLE_TIME: Duration = Duration::from_secs(3);
+
 /// Wait that a caller is told while there is no leader: about one election.
 const NO_LENDER_WAIT: Duration = Duration::from_secs(1);
 
@@ -87,6 +91,7 @@
     stamp: Option<Stamp>,
     // Whether it was counted in tokens.
     counts_tokens: bool,
+    at: Point,
 }
 
 /// Claim on its way.
@@ -106,17 +111,23 @@
     sent: Option<Sent>,
     next_number: u64,
     lender: Lender,
+    // Term of the leader that was last told what was spent.
+    told_term: Option<id::Term>,
     // When the leader was lost, or failed to answer.
     silent_until: Option<Point>,
     instances: u32,
     terms: Terms,
+    started_at: Point,
+    // Whether an organisation has a quota.
+    has_quotas: bool,
 }
 
 impl Purse {
     /// Returns an empty purse.
-    pub fn new(terms: Terms) -> Self {
+    pub fn new(terms: Terms, now: Point) -> Self {
         Self {
             terms,
+            started_at: now,
             ..Self::default()
         }
     }
@@ -161,7 +172,9 @@
             amount: cost,
             stamp,
             counts_tokens: counts_tokens(quota),
+            at: now,
         };
+        let memory = self.terms.memory();
         let is_silent = self.is_silent(now);
         let instances = self.instances.max(1);
         let pocket = self.pocket(organisation, quota, now);
@@ -170,13 +183,14 @@
             pocket.deduct(owed);
             let stamp = pocket.deduct(cost);
             pocket.record_use(cost, now);
+            pocket.record_spent(cost, memory, now);
             return Ok(charge(stamp));
         }
         let share = f64::from(instances);
         let rate = quota.rate.get() / share;
         match self.lender {
             Lender::Older => {
-                let size = quota.burst / share + self.terms.reserve(quota, instances);
+                let size = quota.burst / share + self.terms.reserve(quota, instances, false);
                 let pocket = self.pocket(organisation, quota, now);
                 if pocket.take_reserve(cost, size, rate, now) {
                     return Ok(charge(None));
@@ -186,10 +200,13 @@
             }
             Lender::Present(_) if !is_silent => self.want(organisation, quota, cost, now),
             Lender::Present(_) | Lender::Absent => {
-                let size = self.terms.reserve(quota, self.instances);
-                let refill = size / RESERVE_REFILL.as_secs_f64();
+                let (terms, instances) = (self.terms, self.instances);
                 let pocket = self.pocket(organisation, quota, now);
+                let is_ample = pocket.ample_until.is_some_and(|until| now < until);
+                let size = terms.reserve(quota, instances, is_ample);
+                let refill = size / RESERVE_REFILL.as_secs_f64();
                 if pocket.take_reserve(cost, size, refill, now) {
+                    pocket.record_spent(cost, memory, now);
                     return Ok(charge(None));
                 }
                 Err(Lack::NoLender(NO_LENDER_WAIT))
@@ -203,6 +220,7 @@
         quota: &Quota,
         now: Point,
     ) -> &mut Pocket {
+        self.has_quotas = true;
         let pocket = self.pockets.entry(organisation.clone());
         let pocket = pocket.or_insert_with(|| Pocket::new(*quota, now));
         if pocket.quota.unit != quota.unit {
@@ -244,6 +262,7 @@
     /// deducted from the credit that comes next.
     pub fn charge_again(&mut self, charge: &Charge, now: Point) {
         self.expire(now);
+        let memory = self.terms.memory();
         let Some(pocket) = self.pockets.get_mut(&charge.organisation) else {
             return;
         };
@@ -253,6 +272,7 @@
         let paid = charge.amount.min(pocket.balance());
         pocket.deduct(paid);
         pocket.owed += charge.amount - paid;
+        pocket.record_spent(charge.amount, memory, now);
     }
 
     /// Takes back the credit of a request that certainly hasn't run.
@@ -264,6 +284,7 @@
         if counts_tokens(&pocket.quota) != charge.counts_tokens {
             return;
         }
+        pocket.forget_spent(charge.amount, charge.at);
         let Some(stamp) = charge.stamp else {
             pocket.reserve_spent = (pocket.reserve_spent - charge.amount as f64).max(0.0);
             pocket.unreported = pocket.unreported.saturating_sub(charge.amount);
@@ -283,7 +304,10 @@
 
     /// Returns the claim to send to the leader now, if one is due and none is on its way.
     pub fn claim(&mut self, now: Point) -> Option<Claim> {
-        if !matches!(self.lender, Lender::Present(_)) || self.sent.is_some() {
+        let Lender::Present(session) = self.lender else {
+            return None;
+        };
+        if self.sent.is_some() {
             return None;
         }
         self.expire(now);
@@ -293,9 +317,12 @@
             is_due |= pocket.need > 0 || pocket.unreported > 0 || pocket.is_below(CLAIM_PART, now);
         }
         let is_flushed = now.since(self.returned_at) >= RETURN_INTERVAL;
-        if !is_due && (self.returns.is_empty() || !is_flushed) {
+        let is_new = self.told_term != Some(session.term) && self.has_quotas;
+        if !is_due && !is_new && (self.returns.is_empty() || !is_flushed) {
             return None;
         }
+        let is_young = is_new && now.since(self.started_at) < self.terms.memory();
+        let history = self.take_history(session.term, now);
         let mut items = Vec::new();
         for (organisation, pocket) in self.pockets.iter_mut().filter(|_| is_due) {
             if pocket.need == 0 && pocket.unreported == 0 && !pocket.is_below(JOIN_PART, now) {
@@ -325,9 +352,39 @@
             number: self.next_number,
             items,
             returns: std::mem::take(&mut self.returns),
+            history,
+            is_young,
         })
     }
 
+    /// Returns what was spent lately and may still be spent, in the first claim to a leader.
+    fn take_history(&mut self, term: id::Term, now: Point) -> Vec<Use> {
+        let mut history = Vec::new();
+        if self.told_term.replace(term) == Some(term) {
+            return history;
+        }
+        let memory = self.terms.memory();
+        for (organisation, pocket) in &self.pockets {
+            let mut add = |age, amount| {
+                history.push(Use {
+                    organisation: organisation.clone(),
+                    age,
+                    amount,
+                });
+            };
+            for spent in &pocket.spent {
+                let age = now.since(spent.to);
+                if age <= memory && spent.amount > 0 {
+                    add(age, spent.amount);
+                }
+            }
+            if pocket.balance() > 0 {
+                add(Duration::ZERO, pocket.balance());
+            }
+        }
+        history
+    }
+
     /// Adds the credit of an answer. An answer to a claim that isn't on its way any more is returned. Returns whether
     /// waiting requests should be charged again.
     pub fn receive(&mut self, grant: &Grant, now: Point) -> bool {
@@ -353,6 +410,7 @@
                     claimed_at: sent.at,
                 });
             }
+            pocket.ample_until = loan.is_ample.then(|| now + AMPLE_TIME);
             pocket.denial = (loan.wait > Duration::ZERO).then(|| Denial {
                 until: now + loan.wait.min(MAX_DENIAL),
                 credit_at: now + loan.wait,
@@ -395,8 +453,9 @@
         self.silent_until.is_some_and(|until| now < until)
     }
 
-    /// Removes the organisations that have no quota any more.
-    pub fn retain(&mut self, has_quota: impl Fn(&id::Organisation) -> bool) {
+    /// Sets whether any organisation has a quota, and removes those that have none any more.
+    pub fn retain(&mut self, has_quotas: bool, has_quota: impl Fn(&id::Organisation) -> bool) {
+        self.has_quotas = has_quotas;
         self.pockets
             .retain(|organisation, _| has_quota(organisation));
     }
@@ -413,9 +472,9 @@
         organisations.filter_map(move |name| Some((name, self.lease_age(name, now)?)))
     }
 
-    /// Returns whether no organisation with a quota has sent a request.
+    /// Returns whether no organisation has a quota.
     pub fn is_empty(&self) -> bool {
-        self.pockets.is_empty()
+        !self.has_quotas && self.pockets.is_empty()
     }
 
     /// Returns the credit that an organisation has here.
--- a/crates/buckthornmast_quota/src/purse/pocket.rs
+++ b/crates/buckthornmast_quota/src/purse/pocket.rs
@@ -1,6 +1,6 @@
 //! Credit of one organisation at an instance.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use buckthornmast_routes::document::{Quota, Unit};
 use buckthornmast_types::time::Point;
@@ -8,6 +8,9 @@
 
 use crate::credit::Stamp;
 
+/// Time within which what is spent is recorded together.
+const SPENT_SLOT: Duration = Duration::from_millis(500);
+
 /// Time over which the use of an organisation is averaged.
 const USE_TIME: Duration = Duration::from_millis(500);
 
@@ -34,6 +37,14 @@
     pub(super) need: u64,
 }
 
+/// What was spent within one slot.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Spent {
+    pub(super) from: Point,
+    pub(super) to: Point,
+    pub(super) amount: u64,
+}
+
 #[derive(Debug)]
 pub(super) struct Pocket {
     pub(super) quota: Quota,
@@ -50,6 +61,10 @@
     pub(super) used_at: Point,
     pub(super) mean_cost: f64,
     pub(super) denial: Option<Denial>,
+    // Time until which much of the quota counts as left.
+    pub(super) ample_until: Option<Point>,
+    // What was spent lately.
+    pub(super) spent: VecDeque<Spent>,
     // What was spent of the reserve, and the part that the leader hasn't been told.
     pub(super) reserve_spent: f64,
     pub(super) unreported: u64,
@@ -73,6 +88,8 @@
             used_at: now,
             mean_cost: 0.0,
             denial: None,
+            ample_until: None,
+            spent: VecDeque::new(),
             reserve_spent: 0.0,
             unreported: 0,
             reserve_at: now,
@@ -103,6 +120,30 @@
         self.used_at = now;
     }
 
+    /// Records what was spent, for the next leader. What is older than a time is forgotten.
+    pub(super) fn record_spent(&mut self, amount: u64, memory: Duration, now: Point) {
+        self.spent.retain(|spent| now.since(spent.to) <= memory);
+        match self.spent.back_mut() {
+            Some(last) if now.since(last.from) < SPENT_SLOT => {
+                last.to = now;
+                last.amount += amount;
+            }
+            _ => self.spent.push_back(Spent {
+                from: now,
+                to: now,
+                amount,
+            }),
+        }
+    }
+
+    /// Deducts what was spent at a time and came back.
+    pub(super) fn forget_spent(&mut self, amount: u64, at: Point) {
+        let mut spent = self.spent.iter_mut();
+        if let Some(spent) = spent.find(|spent| spent.from <= at && at <= spent.to) {
+            spent.amount = spent.amount.saturating_sub(amount);
+        }
+    }
+
     pub(super) fn record_use(&mut self, cost: u64, now: Point) {
         self.decay(now);
         self.use_rate += cost as f64 / USE_TIME.as_secs_f64();
