--- a/crates/buckthornmast_forward/src/context.rs
+++ b/crates/buckthornmast_forward/src/context.rs
@@ -21,6 +21,7 @@
     access::HeldKey,
     continuation, identity,
     mapping::{Caller, Generation, Head},
+    quota::Charged,
     selection::{Chosen, Inputs},
     supply::Item,
     wait_limit,
@@ -63,6 +64,8 @@
     pub organisation: Option<id::Organisation>,
     /// Priority of the organisation or, without one, of the route. 0 is the most urgent.
     pub priority: u32,
+    /// Credit that the request was charged, if its organisation has a quota.
+    pub charge: Option<Charged>,
     /// When the request head arrived.
     pub received: Point,
     /// When the final answer is due.
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod places;
 pub mod pool;
 pub mod quarantine;
+pub mod quota;
 pub mod receive;
 pub mod refusal;
 pub mod refused;
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -162,6 +162,10 @@
 pub trait Mapping: 'static {
     /// Decodes the request head of a caller.
     fn decode(&self, head: &request::Parts) -> Result<Head, Malformed>;
+    /// Returns the tokens of the prompt and the longest answer that a request states, also if it is not for a model engine.
+    fn stated_tokens(&self, _head: &request::Parts) -> Option<u64> {
+        None
+    }
     /// Decodes the key of a caller.
     fn decode_credential(&self, _: &HeaderMap) -> Credential {
         Credential::Missing
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,6 +1,7 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
 mod confirmations;
+mod credit;
 mod departures;
 mod dialing;
 mod origins;
@@ -46,7 +47,7 @@
     departure::{Departure, Departures},
     dial::Connections,
     memory::{Content, Store},
-    message::{Downstream, Liveness, UNDERSTANDS_CONFIRMATIONS, Upstream},
+    message::{Downstream, Liveness, UNDERSTANDS_CREDIT, Upstream},
     observe::ReplicaGauge,
     platform::{Fence, Platform},
     replica::{self, Outboxes, Replica},
@@ -200,6 +201,7 @@
             platform.clone(),
             clock,
             settings.bounds.handover_interval,
+            settings.bounds.quota_terms,
             Rc::clone(&subscribers),
         );
         Ok(Rc::new(Self {
@@ -251,6 +253,7 @@
             self.departures_file.save(&state.registry);
         }
         self.tick_leader(now);
+        self.controller.tick_credit(self.state.borrow().entry_count);
         if tick.is_multiple_of(MEASURE_INTERVAL_TICKS) {
             self.monitor.start();
             let leads = self.state.borrow().leading_term.is_some();
@@ -261,6 +264,7 @@
         self.tick_quarantines(now);
         if tick.is_multiple_of(LIVENESS_INTERVAL_TICKS) {
             self.publish_liveness(tick, now);
+            self.controller.publish_credit(now);
             self.see_versions(now);
             let mut state = self.state.borrow_mut();
             state.registry.prune(now);
@@ -308,10 +312,8 @@
         }
         if state.entry_count != entry_count {
             state.entry_count = entry_count;
-            self.subscribers.send_entries(&Downstream::EntryCount(
-                entry_count,
-                UNDERSTANDS_CONFIRMATIONS,
-            ));
+            self.subscribers
+                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_CREDIT));
         }
         drop(state);
         if tick.is_multiple_of(WAYS_INTERVAL_TICKS) {
@@ -567,6 +569,9 @@
         }
         self.controller.cancel_permits(number);
         self.subscribers.remove(number);
+        if core.is_none() {
+            self.controller.lose_borrower(number);
+        }
     }
 
     /// Sends the full state to a new subscriber.
@@ -585,7 +590,7 @@
         }
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
-            Downstream::EntryCount(state.entry_count, UNDERSTANDS_CONFIRMATIONS),
+            Downstream::EntryCount(state.entry_count, UNDERSTANDS_CREDIT),
             Downstream::targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
@@ -677,6 +682,7 @@
             Upstream::ConfirmRequest { number } => {
                 self.inquiries.add(subscriber, number, outbox.clone());
             }
+            Upstream::Credit(claim) => self.answer_claim(subscriber, &claim, outbox),
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
                 let now = self.clock.now();
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -88,6 +88,7 @@
             | Downstream::Limits(_)
             | Downstream::Ways(_)
             | Downstream::Confirmation { .. }
+            | Downstream::Credit(_)
             | Downstream::Grant { .. } => {}
         }
     }
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -1,6 +1,7 @@
 //! An entry instance: forwards the requests of callers to targets.
 
 mod confirmations;
+mod credit;
 
 use std::{
     cell::{Cell, RefCell},
@@ -17,6 +18,7 @@
     context::millis,
     forwarder::Forwarder,
     memory::Memory,
+    quota::Credit,
     state::{Inventory, RetryBounds, State},
     stats::Change,
     stop,
@@ -43,8 +45,8 @@
     dial::{Connections, Dialer},
     http::{Handler, empty_response},
     message::{
-        Downstream, Liveness, UNDERSTANDS_CONFIRMATIONS, UNDERSTANDS_ORIGINS, Upstream,
-        with_versions,
+        Downstream, Liveness, UNDERSTANDS_CONFIRMATIONS, UNDERSTANDS_CREDIT, UNDERSTANDS_ORIGINS,
+        Upstream, with_versions,
     },
     platform::Platform,
     settings::{Service, Settings},
@@ -96,6 +98,7 @@
         if let Service::Entry { source, .. } = &settings.service {
             state.source = *source;
         }
+        state.credit = Credit::new(settings.bounds.quota_terms);
         state.lease.set_bound(settings.bounds.key_lease);
         let budget = Budget::new(
             settings.bounds.memory_bytes(),
@@ -235,6 +238,7 @@
                     .limits
                     .set_reachable(self.supplier.0.knows_leader(), now);
             }
+            self.tick_credit();
             self.forwarder.probe();
             if tick.is_multiple_of(QUARANTINE_REPORT_TICKS) {
                 let notices = self.forwarder.state.borrow().guard.notices_in_force(now);
@@ -336,6 +340,10 @@
             }
             Downstream::EntryCount(entry_count, features) => {
                 state.set_instances(entry_count);
+                state.credit.purse.borrow_mut().set_instances(entry_count);
+                if features >= UNDERSTANDS_CREDIT {
+                    self.supplier.0.add_lender(peer);
+                }
                 if features >= UNDERSTANDS_CONFIRMATIONS {
                     self.supplier.0.set_confirms(peer);
                 }
@@ -412,6 +420,7 @@
             Downstream::Ordered(..) => {}
             Downstream::Leadership(leading_term) => {
                 self.supplier.0.set_leading_term(peer, leading_term);
+                self.set_lender(&state);
                 if self.supplier.0.is_leader(peer) {
                     self.report_limits(&state);
                     self.ask_confirmation(&mut state);
@@ -438,12 +447,14 @@
                 self.confirm(&mut state, number, version);
             }
             Downstream::Ways(ways) => self.set_ways(&mut state, peer, Some(ways)),
+            Downstream::Credit(grant) => self.receive_credit(&state, peer, &grant),
         }
     }
 
     fn closed(&self, peer: SocketAddr) {
         self.supplier.0.closed(peer);
         let mut state = self.forwarder.state.borrow_mut();
+        self.set_lender(&state);
         self.set_ways(&mut state, peer, None);
     }
 }
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -24,6 +24,7 @@
     ledger::{Evidence, Notice},
     part,
 };
+use buckthornmast_quota::credit;
 use buckthornmast_routes::register::{Command, Revision, Text};
 use buckthornmast_supply::{
     demand::{Item, Row},
@@ -124,6 +125,8 @@
         /// Number of the request.
         number: u64,
     },
+    /// Claims credit from the leader.
+    Credit(credit::Claim),
 }
 
 /// Models and adapters of a target that requests may use.
@@ -169,6 +172,9 @@
 /// States that an instance of the core understands [`Upstream::ConfirmRequest`] besides.
 pub const UNDERSTANDS_CONFIRMATIONS: u8 = 2;
 
+/// States that an instance of the core understands [`Upstream::Credit`], and all that lower numbers stand for.
+pub const UNDERSTANDS_CREDIT: u8 = 3;
+
 /// Message from an instance of the core, to the instance that opened the connection.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Downstream {
@@ -176,7 +182,8 @@
     Roster(Vec<Sighting>),
     /// Number of entry instances.
     ///
-    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`], [`UNDERSTANDS_CONFIRMATIONS`] or nothing.
+    /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`], [`UNDERSTANDS_CONFIRMATIONS`],
+    /// [`UNDERSTANDS_CREDIT`] or nothing.
     #[serde(rename = "Entries")]
     EntryCount(u32, u8),
     /// Routes in force.
@@ -254,6 +261,8 @@
         /// Newest version, or 0 if there are no routes.
         version: Revision,
     },
+    /// Answers a claim for credit.
+    Credit(credit::Grant),
 }
 
 impl Downstream {
--- a/crates/buckthornmast_node/src/settings.rs
+++ b/crates/buckthornmast_node/src/settings.rs
@@ -14,6 +14,7 @@
 };
 use buckthornmast_forward::budget::DEFAULT_MEMORY_BYTES;
 use buckthornmast_organisation::lease;
+use buckthornmast_quota::account::Terms;
 use buckthornmast_types::{id, size::Bytes};
 
 use crate::replica::max_folder_bytes;
@@ -95,6 +96,8 @@
     pub extra_window: Duration,
     /// Number of file descriptors that the process may open.
     pub descriptors: usize,
+    /// How quotas are judged.
+    pub quota_terms: Terms,
     /// Time after which a key that was taken away has to be refused everywhere. Without it, instances that are cut off from
     /// the core go on to honour the keys that they know.
     pub key_lease: Option<Duration>,
@@ -252,6 +255,15 @@
     let extra_burst = reader.required("bounds", "extra-burst", "a number");
     let extra_window: Option<Span> = reader.optional("bounds", "extra-window", DURATION_FORMAT);
     let descriptors = reader.required("bounds", "descriptors", "a number");
+    let window: Option<Span> = reader.optional("bounds", "quota-window", DURATION_FORMAT);
+    let overage = reader.optional("bounds", "quota-overage", "a number");
+    let slack = reader.optional("bounds", "quota-slack", "a number");
+    let terms = Terms::default();
+    let quota_terms = Terms {
+        window: window.map_or(terms.window, |window| window.0),
+        overage: overage.unwrap_or(terms.overage),
+        slack: slack.unwrap_or(terms.slack),
+    };
     let key_lease: Option<Span> = reader.optional("bounds", "key-lease", DURATION_FORMAT);
     let key_lease = key_lease.map(|span| span.0);
     if key_lease.is_some_and(|bound| bound < lease::MIN_BOUND) {
@@ -267,6 +279,7 @@
         extra_burst: extra_burst?,
         extra_window: extra_window.map_or(DEFAULT_EXTRA_WINDOW, |window| window.0),
         descriptors: descriptors?,
+        quota_terms,
         key_lease,
         memory,
     })
--- a/crates/buckthornmast_node/src/supplier.rs
+++ b/crates/buckthornmast_node/src/supplier.rs
@@ -1,6 +1,7 @@
 //! Copy requests, permit requests and demand reports of an entry instance to the leader.
 
 mod confirmations;
+mod credit;
 mod origins;
 
 use std::{
@@ -25,6 +26,7 @@
     ledger::{Evidence, Notice},
     part,
 };
+use buckthornmast_quota::credit::Claim;
 use buckthornmast_supply::{
     demand::{Item, Row},
     occupancy,
@@ -60,6 +62,10 @@
     leading_term: Option<id::Term>,
     // Whether it keeps the versions that began streams. Older builds don't.
     keeps_origins: bool,
+    // Number of the connection.
+    number: u64,
+    // Whether it lends credit when it leads. Older builds don't.
+    lends_credit: bool,
     // Whether it confirms versions while it leads. Older builds don't.
     confirms: bool,
 }
@@ -117,10 +123,14 @@
 impl Supplier {
     /// Adds a connection.
     pub fn opened(&self, peer: SocketAddr, outbox: Outbox<Upstream>) {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
         let core = Core {
             outbox,
             leading_term: None,
             keeps_origins: false,
+            number,
+            lends_credit: false,
             confirms: false,
         };
         self.cores.borrow_mut().insert(peer, core);
@@ -448,6 +458,10 @@
         self.0.report_limits([report]);
     }
 
+    fn claim_credit(&self, claim: Claim) {
+        self.0.claim_credit(claim);
+    }
+
     fn report_crash(&self, evidence: &Evidence) {
         self.0.send_cores(&Upstream::Crash(evidence.clone()));
     }
