--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -195,9 +195,17 @@
                 let notices = self.forwarder.state.borrow().guard.notices_in_force(now);
                 self.supplier.0.report_quarantines_everywhere(notices);
             }
+            self.observe_memory();
             sleep(TICK_INTERVAL).await;
         }
     }
+
+    /// Publishes what callers make this instance hold.
+    fn observe_memory(&self) {
+        let state = self.forwarder.state.borrow();
+        metrics::gauge!("buckthornmast_client_memory_bytes").set(state.memory.used() as f64);
+        metrics::gauge!("buckthornmast_bodies_waiting").set(state.intake.waiting() as f64);
+    }
 }
 
 impl<P: Platform> Entry<P> {
