supply, node: further places of adapters only in free places and at targets that make no room for a model

Change: only free places, none at a target that is reserved for a model, and from 0.8 of the slots on instead of 0.6.

--- a/crates/buckthornmast_node/src/controller/permits.rs
+++ b/crates/buckthornmast_node/src/controller/permits.rs
@@ -7,7 +7,6 @@
     adapters,
     demand::Item,
     occupancy::Reporter,
-    order::Action,
     permits::{Permit, Request, Ticket},
 };
 use buckthornmast_types::time::Clock;
@@ -91,13 +90,7 @@
             return;
         };
         let controller = Rc::clone(self);
-        tokio::task::spawn_local(async move {
-            let makes_room = matches!(order.order.action, Action::UnloadAdapter(..));
-            controller.execute(order).await;
-            if makes_room && let Some(order) = controller.plan_place(&item) {
-                controller.execute(order).await;
-            }
-        });
+        tokio::task::spawn_local(async move { controller.execute(order).await });
     }
 
     fn plan_place(&self, item: &Item) -> Option<Fenced> {
--- a/crates/buckthornmast_supply/src/adapters.rs
+++ b/crates/buckthornmast_supply/src/adapters.rs
@@ -125,7 +125,8 @@
 }
 
 /// Returns the order that gives an adapter a further place, at a target with its model for which `has_room` holds, if
-/// there is one. An adapter that is in use elsewhere isn't evicted for it, and one place is added at a time.
+/// there is one. Only free places are used, since the adapter that had to go would have to come back; and none at a target
+/// that makes room for a model, which takes one order at a time. One place is added at a time.
 pub fn further_place(
     ledger: &Ledger,
     pool: &Pool,
@@ -151,40 +152,30 @@
     if with_model().any(|(_, inventory)| is_loading(inventory)) {
         return None;
     }
-    let orders = with_model().filter_map(|(target, inventory)| {
+    let places = with_model().filter_map(|(target, inventory)| {
         let is_cooling_down = inventory
             .cooldowns
             .get(&place)
             .is_some_and(|until| now < *until);
         let is_candidate = inventory.is_free()
             && inventory.limit.is_none()
+            && inventory.reserved(now).is_none()
+            && inventory.adapters() < pool.adapters as usize
+            && inventory.free(pool) >= needed
             && !inventory.resident[&item.model].contains(&place.1)
             && !is_cooling_down
             && has_room(target, inventory);
         if !is_candidate {
             return None;
         }
-        let has_place =
-            inventory.adapters() < pool.adapters as usize && inventory.free(pool) >= needed;
-        let order = if has_place {
-            load.clone()
-        } else {
-            let (oldest, place) = least_recent(inventory, demand)?;
-            let last = demand.last_request(&oldest);
-            if last.is_some_and(|last| now.since(last) < IN_USE_PERIOD) {
-                return None;
-            }
-            Action::UnloadAdapter(place.0, place.1)
-        };
         let rank = (
-            !has_place,
             sole_models(ledger, item, inventory),
             adapter_demand(inventory, demand, now),
         );
-        Some((rank, target, order))
+        Some((rank, target))
     });
-    let (_, target, order) = orders.min_by(|(one, ..), (other, ..)| one.cmp(other))?;
-    Some((target.clone(), order))
+    let (_, target) = places.min()?;
+    Some((target.clone(), load))
 }
 
 /// Returns the number of other models that only this target has. Their adapters can't be placed elsewhere.
@@ -220,18 +211,6 @@
     })
 }
 
-/// Returns the least recently requested adapter of a target.
-fn least_recent(
-    inventory: &Inventory,
-    demand: &Demand,
-) -> Option<(Item, (id::Model, id::Adapter))> {
-    let resident = items(inventory).filter_map(|item| {
-        let place = (item.model.clone(), item.adapter.clone()?);
-        (!inventory.draining.contains(&place)).then_some((item, place))
-    });
-    resident.min_by_key(|(item, _)| demand.last_request(item))
-}
-
 /// Returns the order that makes room: it evicts the least recently requested adapter, or, if all are in use, the one
 /// that was loaded first. All requested adapters thus get a place in rotation when there are more of them than places.
 fn eviction(inventory: &Inventory, demand: &Demand, now: Point) -> Option<Action> {
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -51,6 +51,9 @@
 /// Share of a target's slots up to which it has some to spare for a burst.
 const SPARE_SLOT_SHARE: f64 = 0.6;
 
+/// Share of a target's slots from which the next burst would have to wait there.
+const STRAINED_SLOT_SHARE: f64 = 0.8;
+
 /// Share of its wait limit that a request may be expected to wait if its answer will be late.
 const LATE_WAIT_SHARE: f64 = 0.5;
 
@@ -358,15 +361,19 @@
     pub fn is_strained(&self, item: &Item, ledger: &Ledger, now: Point) -> bool {
         self.holders.find(item, ledger).iter().all(|holder| {
             let (target, inventory) = holder;
-            !self.has_spare_slots(target, inventory, now)
+            self.requests(target, inventory, now)
+                >= f64::from(inventory.slots) * STRAINED_SLOT_SHARE
         })
     }
 
     /// Returns whether a target has slots to spare.
     pub fn has_spare_slots(&self, target: &id::Target, inventory: &Inventory, now: Point) -> bool {
+        self.requests(target, inventory, now) <= f64::from(inventory.slots) * SPARE_SLOT_SHARE
+    }
+
+    fn requests(&self, target: &id::Target, inventory: &Inventory, now: Point) -> f64 {
         let load = self.loads.get(&(target.clone(), inventory.incarnation));
-        let requests = load.map_or(0.0, |load| load.requests(now));
-        requests <= f64::from(inventory.slots) * SPARE_SLOT_SHARE
+        load.map_or(0.0, |load| load.requests(now))
     }
 
     /// Returns the waiting requests for the same model, with whatever adapter.
--- a/crates/buckthornmast_supply/tests/placing.rs
+++ b/crates/buckthornmast_supply/tests/placing.rs
@@ -12,10 +12,12 @@
 };
 
 use buckthornmast_supply::{
+    adapters,
     demand::{Demand, Item},
     kept::{Cache, Use},
-    ledger::Ledger,
+    ledger::{Inventory, Ledger},
     occupancy::{Occupancy, Reporter, Row, Statement},
+    order::{self, Action},
     permits::{Permit, Queue, Request, Ticket},
 };
 use buckthornmast_types::{id, prompt::Prefix, slowdown::Slowdown};
@@ -379,3 +381,53 @@
     assert_eq!(count(&occupancy, 70), 1);
     assert_eq!(count(&occupancy, 5000), 0, "reports that stopped");
 }
+
+/// Guards against an adapter whose only target is full while others with its model are free, and against a further place
+/// that costs another adapter its own.
+#[test]
+fn further_place_when_strained() {
+    let pool = pool::pool();
+    let mut ledger = Ledger::default();
+    let targets: [&[(usize, &[usize])]; 4] =
+        [&[(0, &[1])], &[(0, &[])], &[(0, &[2, 3])], &[(1, &[])]];
+    observe(&mut ledger, &targets, 1, at(0));
+    for (number, models) in targets.iter().enumerate() {
+        let report = order::Report {
+            accepted: 0,
+            is_busy: false,
+            resident: pool::resident_models(models),
+            arriving: Vec::new(),
+            incarnation: None,
+            is_leaving: false,
+        };
+        ledger.apply_report(&target(number), INCARNATION, &report);
+    }
+    let wanted = Item {
+        adapter: Some(pool::adapter(1)),
+        ..request(10).item
+    };
+    let demand = Demand::default();
+    let mut queue = Queue::default();
+    let place = |queue: &Queue, has_room: bool| {
+        let has_room = |target: &id::Target, inventory: &Inventory| {
+            has_room && queue.has_spare_slots(target, inventory, at(100))
+        };
+        adapters::further_place(&ledger, &pool, &demand, &wanted, has_room, at(100))
+    };
+    assert!(!queue.is_strained(&wanted, &ledger, at(100)));
+    let full = Row {
+        target: target(0),
+        ..row(SLOTS, 0, None)
+    };
+    queue.record_report(Reporter(0), &[full], at(100));
+    assert!(queue.is_strained(&wanted, &ledger, at(100)));
+    let load = Action::LoadAdapter(model(0), pool::adapter(1));
+    assert_eq!(place(&queue, true), Some((target(1), load)));
+    assert_eq!(place(&queue, false), None);
+    let also_full = Row {
+        target: target(1),
+        ..row(SLOTS, 0, None)
+    };
+    queue.record_report(Reporter(0), &[also_full], at(100));
+    assert_eq!(place(&queue, true), None);
+}
