share, supply: fair shares of scarce room among organisations

Cause: waiting requests for permits were ordered by deadline alone, so that one organisation's flood made all others late, and a request that others had overtaken was held until its caller's wait limit.

Change: a scheduler without network (crate buckthornmast_share) orders them by urgency, standing of the organisation, priority with a minimum share, received service in tokens, and deadline. The leader's queue uses it once a request names an organisation; before, the order is as it was. With it, waiting requests are reviewed every 50 ms, those without a prospect are refused at once, and refused callers are told different times to come back.

--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -6,6 +6,10 @@
 //! instance therefore grants permits: each target gets prompts at a rate that leaves it time for its running answers,
 //! in the order of the deadlines of the first events. Requests that can no longer meet their deadline wait behind all
 //! that can, in a bounded queue. Beyond its bound, requests are refused at once, with the expected wait.
+//!
+//! As soon as a request names an organisation, the queue shares the room between organisations (see
+//! [`buckthornmast_share`]). Requests that others go before are then refused as soon as they can't be expected to be
+//! served, and callers are told different times to come back.
 
 mod holder;
 
@@ -18,6 +22,7 @@
     account::Account,
     statement::{Grant, Key},
 };
+use buckthornmast_share::prelude::{Advice, Cost, Entry, Flow, Offer, Policy, Scheduler};
 use buckthornmast_types::{id, prompt::Prefix, time::Point};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -44,6 +49,10 @@
 /// Share of its wait limit that a request may be expected to wait if its answer will be late.
 const LATE_WAIT_SHARE: f64 = 0.5;
 
+/// Interval at which waiting requests are checked for those that can't be served in time any more. A refused caller loses
+/// no more than this of the time that it has for a retry.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time from a permit to the first event beyond the reading time of the prompt: some steps of the target.
 const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(50);
 
@@ -151,34 +160,47 @@
     }
 }
 
+#[derive(Debug)]
 struct Waiting {
-    ticket: Ticket,
     request: Request,
     // Reading time of the prompt.
     prefill_time: Duration,
     // Expected running time, in seconds.
     running_seconds: f64,
-    // Latest time of the permit for the first event to be on time.
-    latest_permit: Point,
     wait_until: Point,
-    // Whether the request was already late when it joined the queue.
-    is_late: bool,
 }
 
 impl Waiting {
-    /// Returns the sort key: requests that can be on time by deadline, then the others.
-    fn sort_key(&self, now: Point) -> (bool, Point) {
-        (self.is_late || self.latest_permit < now, self.latest_permit)
+    fn group(&self) -> Group {
+        let item = &self.request.item;
+        (item.service.clone(), item.model.clone())
+    }
+
+    fn flow(&self) -> Flow {
+        Flow {
+            organisation: self.request.organisation.clone(),
+            priority: self.request.priority,
+        }
+    }
+
+    fn cost(&self) -> Cost {
+        Cost::of_tokens(self.request.prompt_tokens, self.request.answer_tokens)
     }
 }
 
+/// Requests that compete for the same targets: those for a model, with whatever adapter.
+type Group = (id::Service, id::Model);
+
 /// Queue of the requests for permits at all targets.
 #[derive(Default)]
 pub struct Queue {
     /// Account of the targets that take requests at a limited rate only.
     pub limits: Account,
     loads: HashMap<id::Target, TargetLoad>,
-    waiting: Vec<Waiting>,
+    waiting: Scheduler<Group, Waiting>,
+    // Times at which refused callers are expected back.
+    advice: Advice<Group>,
+    reviewed_at: Point,
     next_ticket: u64,
     holders: Holders,
 }
@@ -228,7 +250,8 @@
     pub fn clear(&mut self) {
         self.limits = Account::default();
         self.loads.clear();
-        self.waiting.clear();
+        self.waiting = Scheduler::default();
+        self.advice = Advice::default();
         self.holders = Holders::default();
     }
 
@@ -247,6 +270,9 @@
     ) -> (Ticket, Permit) {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
+        if request.organisation.is_some() {
+            self.waiting.policy = Policy::Share;
+        }
         self.holders.refresh(ledger, now);
         let holders = self.find_holders(&request, ledger, now);
         if holders.is_empty() {
@@ -256,106 +282,172 @@
         let prefill_time = timing
             .event_interval
             .mul_f64(f64::from(request.prompt_tokens) / PREFILL_TOKENS_PER_EVENT);
+        // Latest time of the permit for the first event to be on time.
+        let latest_permit = now
+            + request
+                .objective
+                .saturating_sub(prefill_time + FIRST_EVENT_OVERHEAD);
         let mut waiting = Waiting {
-            ticket,
             prefill_time,
             running_seconds: timing.slot_time.as_secs_f64(),
-            latest_permit: now
-                + request
-                    .objective
-                    .saturating_sub(prefill_time + FIRST_EVENT_OVERHEAD),
             wait_until: now + request.max_wait,
-            is_late: false,
             request,
         };
-        let competing = self.competing(&waiting.request.item);
-        if competing.is_empty()
+        let mut entry = Entry {
+            group: waiting.group(),
+            flow: waiting.flow(),
+            cost: waiting.cost(),
+            work: prefill_time,
+            deadline: latest_permit,
+            is_late: false,
+        };
+        if !self.waiting.has_waiting(&entry.group)
             && let Some(target) = holder::pick(&holders, &waiting.request)
         {
+            self.waiting.charge(&entry.flow, entry.cost, now);
             return (ticket, self.grant(target, &waiting, PREFILL_SHARE, now));
         }
-        let latest_permit = waiting.latest_permit;
-        let is_ahead =
-            |other: &&&Waiting| !other.sort_key(now).0 && other.latest_permit <= latest_permit;
-        let on_time = competing.iter().filter(is_ahead);
-        let mut wait = holder::expected_wait(&holders, on_time, &waiting);
-        if now + wait > waiting.latest_permit {
+        let late_wait = waiting.request.max_wait.mul_f64(LATE_WAIT_SHARE);
+        let ahead = self.waiting.ahead(&entry, now);
+        let mut wait = holder::expected_wait(&holders, ahead, &waiting);
+        if now + wait > latest_permit {
             // Requests that can be on time go first, including later ones, so only spare time counts.
-            let max_wait = waiting.request.max_wait.mul_f64(LATE_WAIT_SHARE);
             let spare = holders.iter().map(|holder| 1.0 - holder.utilisation);
             let spare = spare.fold(0.0, f64::max);
-            waiting.is_late = true;
-            waiting.wait_until = now + max_wait;
-            wait = holder::expected_wait(&holders, competing.iter(), &waiting);
-            if wait > max_wait.mul_f64(spare) {
-                if holders.iter().all(|holder| holder.limit.is_some()) {
-                    let keys: SmallVec<[Key; 8]> =
-                        holders.into_iter().map(|holder| holder.key).collect();
-                    wait = wait.max(self.limits.advise(&keys, now));
-                }
-                return (ticket, Permit::Refuse(wait));
+            entry.is_late = true;
+            waiting.wait_until = now + late_wait;
+            let ahead = self.waiting.ahead(&entry, now);
+            wait = holder::expected_wait(&holders, ahead, &waiting);
+            if wait > late_wait.mul_f64(spare) {
+                return (ticket, self.refuse(&waiting, &holders, wait, now));
             }
+        } else if self.waiting.policy == Policy::Share {
+            waiting.wait_until = latest_permit.max(now + late_wait);
         }
-        self.waiting.push(waiting);
+        self.waiting.insert(ticket.0, entry, waiting);
         (ticket, Permit::Wait(wait))
     }
 
     /// Removes a request that no longer waits.
     pub fn cancel(&mut self, ticket: Ticket) {
-        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        self.waiting.remove(ticket.0);
     }
 
     /// Returns the answers to the requests that get a permit now, and to those whose wait ended without one.
     pub fn poll(&mut self, ledger: &Ledger, now: Point) -> Vec<(Ticket, Permit)> {
         self.holders.refresh(ledger, now);
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiting| waiting.sort_key(now));
-        let mut backlogs: HashMap<(id::Service, id::Model), Duration> = HashMap::new();
-        for one in &waiting {
-            let of_model = (
-                one.request.item.service.clone(),
-                one.request.item.model.clone(),
-            );
-            *backlogs.entry(of_model).or_default() += one.prefill_time;
-        }
         let mut permits = Vec::new();
+        for (number, waiting) in self.waiting.extract(|waiting| now >= waiting.wait_until) {
+            let wait = waiting.request.objective;
+            let permit = match self.waiting.policy {
+                Policy::Deadline => Permit::Refuse(wait),
+                Policy::Share => {
+                    let holders = self.find_holders(&waiting.request, ledger, now);
+                    self.refuse(&waiting, &holders, Duration::ZERO, now)
+                }
+            };
+            permits.push((Ticket(number), permit));
+        }
+        let backlogs: HashMap<Group, Duration> = self
+            .waiting
+            .backlogs()
+            .map(|(group, work)| (group.clone(), work))
+            .collect();
+        let mut scheduler = std::mem::take(&mut self.waiting);
         // Targets only fill up while permits are granted, so what was refused one request is refused the later ones.
         let mut full_items: HashSet<Item> = HashSet::new();
-        for one in waiting {
-            if now >= one.wait_until {
-                permits.push((one.ticket, Permit::Refuse(one.request.objective)));
-                continue;
+        scheduler.dispatch(now, |number, waiting| {
+            if waiting.request.avoid.is_empty() && full_items.contains(&waiting.request.item) {
+                return Offer::Passed;
             }
-            if one.request.avoid.is_empty() && full_items.contains(&one.request.item) {
-                self.waiting.push(one);
-                continue;
-            }
-            let holders = self.find_holders(&one.request, ledger, now);
+            let holders = self.find_holders(&waiting.request, ledger, now);
             if holders.is_empty() {
-                permits.push((one.ticket, Permit::Unknown));
-            } else if let Some(target) = holder::pick(&holders, &one.request) {
-                let of_model = (
-                    one.request.item.service.clone(),
-                    one.request.item.model.clone(),
-                );
-                let backlog = backlogs.get(&of_model).copied().unwrap_or_default();
-                let has_backlog =
-                    backlog > BACKLOG_PER_TARGET * u32::try_from(holders.len()).unwrap_or(1);
-                let prefill_share = if has_backlog {
-                    BACKLOG_PREFILL_SHARE
-                } else {
-                    PREFILL_SHARE
-                };
-                let permit = self.grant(target, &one, prefill_share, now);
-                permits.push((one.ticket, permit));
-            } else {
-                if one.request.avoid.is_empty() {
-                    full_items.insert(one.request.item.clone());
+                permits.push((Ticket(number), Permit::Unknown));
+                return Offer::Dropped;
+            }
+            let Some(target) = holder::pick(&holders, &waiting.request) else {
+                if self.is_model_full(&waiting.request, ledger, now) {
+                    return Offer::Full;
+                }
+                if waiting.request.avoid.is_empty() {
+                    full_items.insert(waiting.request.item.clone());
                 }
-                self.waiting.push(one);
+                return Offer::Passed;
+            };
+            let backlog = backlogs.get(&waiting.group()).copied().unwrap_or_default();
+            let has_backlog =
+                backlog > BACKLOG_PER_TARGET * u32::try_from(holders.len()).unwrap_or(1);
+            let prefill_share = if has_backlog {
+                BACKLOG_PREFILL_SHARE
+            } else {
+                PREFILL_SHARE
+            };
+            let permit = self.grant(target, waiting, prefill_share, now);
+            permits.push((Ticket(number), permit));
+            Offer::Taken
+        });
+        self.waiting = scheduler;
+        self.review(ledger, now, &mut permits);
+        permits
+    }
+
+    /// Returns whether no target takes any request for the model now, with whatever adapter.
+    fn is_model_full(&self, request: &Request, ledger: &Ledger, now: Point) -> bool {
+        let mut request = request.clone();
+        request.item.adapter = None;
+        request.avoid.clear();
+        let holders = self.find_holders(&request, ledger, now);
+        holder::pick(&holders, &request).is_none()
+    }
+
+    /// Refuses the waiting requests that can't be expected to be served before their wait ends.
+    fn review(&mut self, ledger: &Ledger, now: Point, permits: &mut Vec<(Ticket, Permit)>) {
+        if self.waiting.policy != Policy::Share || now.since(self.reviewed_at) < REVIEW_INTERVAL {
+            return;
+        }
+        self.reviewed_at = now;
+        self.waiting.account.prune(now);
+        self.advice.prune(now);
+        let mut scheduler = std::mem::take(&mut self.waiting);
+        let mut holders_of: HashMap<Item, SmallVec<[Holder; 8]>> = HashMap::new();
+        let hopeless = scheduler.review(now, |waiting, outlook| {
+            let item = &waiting.request.item;
+            if !holders_of.contains_key(item) {
+                let holders = self.find_holders(&waiting.request, ledger, now);
+                holders_of.insert(item.clone(), holders);
             }
+            let wait = holder::expected_wait(&holders_of[item], outlook.ahead, waiting);
+            // Requests that can be on time take the room.
+            let is_displaced = outlook.is_late && outlook.ahead.requests > 0.0;
+            is_displaced || now + wait > waiting.wait_until
+        });
+        self.waiting = scheduler;
+        for (number, waiting, outlook) in hopeless {
+            let holders = self.find_holders(&waiting.request, ledger, now);
+            let wait = holder::expected_wait(&holders, outlook.ahead, &waiting);
+            let permit = self.refuse(&waiting, &holders, wait, now);
+            permits.push((Ticket(number), permit));
         }
-        permits
+    }
+
+    /// Refuses a request, with the time after which its caller should come back.
+    fn refuse(
+        &mut self,
+        waiting: &Waiting,
+        holders: &[Holder],
+        wait: Duration,
+        now: Point,
+    ) -> Permit {
+        if !holders.is_empty() && holders.iter().all(|holder| holder.limit.is_some()) {
+            let keys: SmallVec<[Key; 8]> =
+                holders.iter().map(|holder| holder.key.clone()).collect();
+            return Permit::Refuse(wait.max(self.limits.advise(&keys, now)));
+        }
+        if self.waiting.policy == Policy::Deadline {
+            return Permit::Refuse(wait);
+        }
+        let work = holder::work_share(holders, waiting);
+        Permit::Refuse(self.advice.advise(&waiting.group(), wait, work, now))
     }
 
     /// Removes the state of targets that are gone.
@@ -364,14 +456,6 @@
             .retain(|target, _| ledger.inventories.contains_key(target));
     }
 
-    /// Returns the waiting requests for the same model, with whatever adapter.
-    fn competing(&self, item: &Item) -> Vec<&Waiting> {
-        let same = |other: &&Waiting| {
-            other.request.item.model == item.model && other.request.item.service == item.service
-        };
-        self.waiting.iter().filter(same).collect()
-    }
-
     fn find_holders(
         &self,
         request: &Request,
--- a/crates/buckthornmast_supply/src/permits/holder.rs
+++ b/crates/buckthornmast_supply/src/permits/holder.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use buckthornmast_limit::statement::Key;
+use buckthornmast_share::scheduler::Ahead;
 use buckthornmast_types::rate::Rate;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -85,15 +86,21 @@
     Some(chosen.unwrap_or(best).key.clone())
 }
 
+/// Returns the time for which a request takes the room of all targets together.
+pub(super) fn work_share(holders: &[Holder], one: &Waiting) -> Duration {
+    let targets = holders.len().max(1) as f64;
+    let slots: f64 = holders.iter().map(|holder| holder.slots).sum();
+    let reading = one.prefill_time.div_f64(BACKLOG_PREFILL_SHARE * targets);
+    let running = Duration::from_secs_f64((one.running_seconds / slots.max(1.0)).min(1.0));
+    reading.max(running)
+}
+
 /// Returns the expected wait of a request behind others.
-pub(super) fn expected_wait<'a, 'b: 'a>(
-    holders: &[Holder],
-    others: impl Iterator<Item = &'a &'b Waiting>,
-    one: &Waiting,
-) -> Duration {
-    let (count, ahead) = others.fold((0.0, Duration::ZERO), |(count, ahead), other| {
-        (count + 1.0, ahead + other.prefill_time)
-    });
+pub(super) fn expected_wait(holders: &[Holder], ahead: Ahead, one: &Waiting) -> Duration {
+    let Ahead {
+        requests: count,
+        work: ahead,
+    } = ahead;
     let unlimited = || holders.iter().filter(|holder| holder.limit.is_none());
     if unlimited().count() == 0 {
         let wait = holders.iter().map(Holder::wait).min();
