--- a/crates/buckthornmast_share/src/advice.rs
+++ b/crates/buckthornmast_share/src/advice.rs
@@ -7,8 +7,8 @@
 
 use buckthornmast_types::time::Point;
 
-/// Longest advised time. Later, the load will have changed.
-const MAX_ADVICE: Duration = Duration::from_secs(4);
+/// Longest advised time beyond the expected wait. Later, the load will have changed.
+const MAX_SPREAD: Duration = Duration::from_secs(2);
 
 /// Refused callers of each group of targets that are expected back.
 #[derive(Debug, Clone)]
@@ -29,9 +29,14 @@
     /// time for which the caller's request takes it.
     pub fn advise(&mut self, group: &G, wait: Duration, work: Duration, now: Point) -> Duration {
         let booked_until = self.booked_until.entry(group.clone()).or_insert(now);
-        let earliest = (now + wait).max(*booked_until);
-        *booked_until = (earliest + work).min(now + MAX_ADVICE);
-        earliest.since(now).min(MAX_ADVICE)
+        let earliest = now + wait;
+        if *booked_until > earliest + MAX_SPREAD {
+            // More callers than there will be room for: the times start again, between those that were told before.
+            *booked_until = *booked_until - MAX_SPREAD;
+        }
+        let at = (*booked_until).clamp(earliest, earliest + MAX_SPREAD);
+        *booked_until = at + work;
+        at.since(now)
     }
 
     /// Removes groups where nobody is expected back.
--- a/crates/buckthornmast_share/src/scheduler.rs
+++ b/crates/buckthornmast_share/src/scheduler.rs
@@ -387,16 +387,18 @@
         Part::Share(((own - other) / lane.cost.max(1.0)).clamp(0.0, 1.0))
     }
 
-    /// Offers the waiting requests in their order, and returns those that left the queue, with whether each was taken.
+    /// Offers the waiting requests of the groups that may have room in their order, and returns those that left the queue,
+    /// with whether each was taken.
     pub fn dispatch(
         &mut self,
         now: Point,
+        has_room: impl Fn(&G) -> bool,
         mut offer: impl FnMut(u64, &T) -> Offer,
     ) -> Vec<(u64, T, bool)> {
         self.settle(now);
         let mut account = std::mem::take(&mut self.account);
         let mut left = Vec::new();
-        self.walk(&mut account, now, |_, number, waiting, _| {
+        self.walk(&mut account, now, has_room, |_, number, waiting, _| {
             let outcome = offer(number, &waiting.payload);
             if matches!(outcome, Offer::Taken | Offer::Dropped) {
                 left.push((number, outcome == Offer::Taken));
@@ -420,7 +422,8 @@
         let mut account = self.account.clone();
         let mut ahead_of: HashMap<G, Ahead> = HashMap::new();
         let mut hopeless = Vec::new();
-        self.walk(&mut account, now, |group, number, waiting, is_late| {
+        let all = |_: &G| true;
+        self.walk(&mut account, now, all, |group, number, waiting, is_late| {
             let ahead = ahead_of.entry(group.clone()).or_default();
             let outlook = Outlook {
                 ahead: *ahead,
@@ -449,11 +452,12 @@
         &self,
         account: &mut Account,
         now: Point,
+        is_visited: impl Fn(&G) -> bool,
         mut visit: impl FnMut(&G, u64, &Waiting<T>, bool) -> Offer,
     ) {
         let mut full: HashSet<&G> = HashSet::new();
-        let lanes = self.lanes.iter();
-        let lanes = lanes
+        let visited = self.lanes.iter().filter(|(group, _)| is_visited(group));
+        let lanes = visited
             .flat_map(|(group, lanes)| lanes.iter().map(move |(flow, lane)| (group, flow, lane)));
         let lanes: Vec<(&G, &Flow, &Lane<T>)> = lanes.collect();
         let head = |account: &Account, index: usize, position: Option<(bool, Slot)>| {
--- a/crates/buckthornmast_share/tests/load.rs
+++ b/crates/buckthornmast_share/tests/load.rs
@@ -175,17 +175,23 @@
                 });
                 hopeless.iter().for_each(|(_, one, _)| lose(one));
             }
-            let taken = scheduler.dispatch(now, |_, one| {
-                let targets = &mut free_at[one.group as usize];
-                match targets.iter_mut().find(|at| **at <= now) {
-                    Some(at) => {
-                        // A target with a backlog starts a request when the one before ends.
-                        *at = (*at).max(now - Duration::from_millis(STEP_MS)) + one.work;
-                        Offer::Taken
+            let has_room = |group: &u32| free_at[*group as usize].iter().any(|at| *at <= now);
+            let open: Vec<bool> = (0..models).map(|group| has_room(&group)).collect();
+            let taken = scheduler.dispatch(
+                now,
+                |group| open[*group as usize],
+                |_, one| {
+                    let targets = &mut free_at[one.group as usize];
+                    match targets.iter_mut().find(|at| **at <= now) {
+                        Some(at) => {
+                            // A target with a backlog starts a request when the one before ends.
+                            *at = (*at).max(now - Duration::from_millis(STEP_MS)) + one.work;
+                            Offer::Taken
+                        }
+                        None => Offer::Full,
                     }
-                    None => Offer::Full,
-                }
-            });
+                },
+            );
             for (_, one, _) in taken {
                 if one.is_counted {
                     outcomes[one.source].served += one.cost.get();
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -356,7 +356,15 @@
         let mut scheduler = std::mem::take(&mut self.waiting);
         // Targets only fill up while permits are granted, so what was refused one request is refused the later ones.
         let mut full_items: HashSet<Item> = HashSet::new();
-        scheduler.dispatch(now, |number, waiting| {
+        let is_shared = scheduler.policy == Policy::Share;
+        let has_room = |group: &Group| !is_shared || self.is_open(group, ledger, now);
+        let open: HashSet<Group> = backlogs
+            .keys()
+            .filter(|group| has_room(group))
+            .cloned()
+            .collect();
+        let has_room = |group: &Group| open.contains(group);
+        scheduler.dispatch(now, has_room, |number, waiting| {
             if waiting.request.avoid.is_empty() && full_items.contains(&waiting.request.item) {
                 return Offer::Passed;
             }
@@ -366,9 +374,6 @@
                 return Offer::Dropped;
             }
             let Some(target) = holder::pick(&holders, &waiting.request) else {
-                if self.is_model_full(&waiting.request, ledger, now) {
-                    return Offer::Full;
-                }
                 if waiting.request.avoid.is_empty() {
                     full_items.insert(waiting.request.item.clone());
                 }
@@ -391,13 +396,27 @@
         permits
     }
 
-    /// Returns whether no target takes any request for the model now, with whatever adapter.
-    fn is_model_full(&self, request: &Request, ledger: &Ledger, now: Point) -> bool {
-        let mut request = request.clone();
-        request.item.adapter = None;
-        request.avoid.clear();
+    /// Returns whether a request for a model may be answered now, with whatever adapter: a target takes it, or none has the
+    /// model any more.
+    fn is_open(&self, (service, model): &Group, ledger: &Ledger, now: Point) -> bool {
+        let request = Request {
+            item: Item {
+                service: service.clone(),
+                model: model.clone(),
+                adapter: None,
+            },
+            prompt_tokens: 0,
+            prefix: None,
+            objective: Duration::ZERO,
+            max_wait: Duration::ZERO,
+            avoid: SmallVec::new(),
+            priority: 0,
+            organisation: None,
+            answer_tokens: 0,
+            prefixes: SmallVec::new(),
+        };
         let holders = self.find_holders(&request, ledger, now);
-        holder::pick(&holders, &request).is_none()
+        holders.is_empty() || holder::pick(&holders, &request).is_some()
     }
 
     /// Refuses the waiting requests that can't be expected to be served before their wait ends.
