share: compare services from a tally, review waiting requests in proportion to their number

Cause: each comparison of two lanes read decaying accounts by name, and a review of 10,000 waiting requests every 50 ms took most of a core.

Change: a walk reads each service once (Tally); the interval of reviews grows with the number of waiting requests; only models with an open target are settled and ranked.

--- a/crates/buckthornmast_share/examples/share_cost.rs
+++ b/crates/buckthornmast_share/examples/share_cost.rs
@@ -30,6 +30,7 @@
     scheduler.policy = Policy::Share;
     let mut now = Point::from_millis(10_000);
     let mut number = 0;
+    let mut reviewed_at = now;
     let mut times = [Duration::ZERO; 3];
     let mut events = [0_u32; 3];
     for step in 0..STEPS {
@@ -75,7 +76,8 @@
         );
         times[1] += started.elapsed();
         events[1] += u32::try_from(left.len()).unwrap();
-        if step.is_multiple_of(10) {
+        if now.since(reviewed_at) >= scheduler.review_interval() {
+            reviewed_at = now;
             let started = Instant::now();
             let refused = scheduler.review(now, |_, outlook| {
                 outlook.is_late || outlook.ahead.work > Duration::from_secs(2)
--- a/crates/buckthornmast_share/src/account.rs
+++ b/crates/buckthornmast_share/src/account.rs
@@ -102,18 +102,16 @@
         Cost(of_organisation.map_or(0.0, |service| service.get(now)))
     }
 
-    /// Returns whether an organisation has recently received more than its share.
-    pub fn is_beyond_share(&self, organisation: &Option<id::Organisation>, now: Point) -> bool {
-        let mean = self.total.get(now) / self.organisations.len().max(1) as f64;
-        self.service(organisation, now).0 > mean * SHARE_MARGIN
+    /// Returns the recent service of the requests of one organisation and priority.
+    pub fn flow_service(&self, flow: &Flow, now: Point) -> Cost {
+        let of_flow = self.flows.get(flow);
+        Cost(of_flow.map_or(0.0, |service| service.get(now)))
     }
 
-    /// Returns the share of its organisation's service that went to requests of this priority.
-    pub fn priority_share(&self, flow: &Flow, now: Point) -> f64 {
-        let of_flow = self.flows.get(flow);
-        let of_flow = of_flow.map_or(0.0, |service| service.get(now));
-        let total = self.service(&flow.organisation, now).0;
-        if total > 0.0 { of_flow / total } else { 0.0 }
+    /// Returns the service above which an organisation is beyond its share.
+    pub fn share_limit(&self, now: Point) -> Cost {
+        let mean = self.total.get(now) / self.organisations.len().max(1) as f64;
+        Cost(mean * SHARE_MARGIN)
     }
 
     /// Removes organisations that have had no service for long.
--- a/crates/buckthornmast_share/src/lib.rs
+++ b/crates/buckthornmast_share/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod account;
 pub mod advice;
 pub mod scheduler;
+mod tally;
 
 /// Names that most users of this crate import together.
 pub mod prelude {
--- a/crates/buckthornmast_share/src/scheduler.rs
+++ b/crates/buckthornmast_share/src/scheduler.rs
@@ -6,6 +6,8 @@
 //! before those that received much. A lane whose priority received less than a minimum share of its organisation's
 //! service goes before the more urgent ones.
 
+mod lane;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
@@ -15,7 +17,11 @@
 
 use buckthornmast_types::time::Point;
 
-use crate::account::{Account, Cost, Flow};
+use self::lane::{Lane, Position, Slot, Waiting};
+use crate::{
+    account::{Account, Cost, Flow},
+    tally::Tally,
+};
 
 /// Time to its deadline above which a request leaves the room to others: a burst of urgent requests is served or refused
 /// within about a second.
@@ -24,6 +30,13 @@
 /// Share of its organisation's service below which a waiting priority goes before more urgent ones.
 const MIN_PRIORITY_SHARE: f64 = 0.05;
 
+/// Shortest time between two reviews of the waiting requests. A caller that is refused in a review has lost no more than
+/// this of the time that it has for a retry.
+const MIN_REVIEW_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time between two reviews for each waiting request: several times what a review takes.
+const REVIEW_INTERVAL_PER_REQUEST: Duration = Duration::from_micros(20);
+
 /// Order of the waiting requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Policy {
@@ -75,13 +88,6 @@
     Late,
 }
 
-#[derive(Debug)]
-struct Waiting<T> {
-    cost: Cost,
-    work: Duration,
-    payload: T,
-}
-
 /// Work that waits ahead of a request.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Ahead {
@@ -115,84 +121,6 @@
     pub is_late: bool,
 }
 
-type Slot = (Point, u64);
-
-#[derive(Debug)]
-struct Lane<T> {
-    on_time: BTreeMap<Slot, Waiting<T>>,
-    late: BTreeMap<Slot, Waiting<T>>,
-    // Sums over `on_time`.
-    cost: f64,
-    work: Duration,
-}
-
-impl<T> Default for Lane<T> {
-    fn default() -> Self {
-        Self {
-            on_time: BTreeMap::new(),
-            late: BTreeMap::new(),
-            cost: 0.0,
-            work: Duration::ZERO,
-        }
-    }
-}
-
-impl<T> Lane<T> {
-    fn is_empty(&self) -> bool {
-        self.on_time.is_empty() && self.late.is_empty()
-    }
-
-    fn subtract(&mut self, waiting: &Waiting<T>) {
-        self.cost = (self.cost - waiting.cost.get()).max(0.0);
-        self.work = self.work.saturating_sub(waiting.work);
-    }
-
-    fn remove(&mut self, slot: Slot) -> Option<Waiting<T>> {
-        if let Some(waiting) = self.on_time.remove(&slot) {
-            self.subtract(&waiting);
-            return Some(waiting);
-        }
-        self.late.remove(&slot)
-    }
-
-    fn get(&self, (is_late, slot): (bool, Slot)) -> Option<&Waiting<T>> {
-        if is_late {
-            self.late.get(&slot)
-        } else {
-            self.on_time.get(&slot)
-        }
-    }
-
-    /// Moves the requests that can't be on time any more behind the others.
-    fn settle(&mut self, now: Point) {
-        while let Some(first) = self.on_time.first_entry() {
-            if first.key().0 >= now {
-                return;
-            }
-            let (slot, waiting) = first.remove_entry();
-            self.subtract(&waiting);
-            self.late.insert(slot, waiting);
-        }
-    }
-
-    /// Returns the first request after a slot.
-    fn next(&self, after: Option<(bool, Slot)>) -> Option<(bool, Slot)> {
-        use std::ops::Bound::{Excluded, Unbounded};
-        let from = |slot: Option<Slot>| (slot.map_or(Unbounded, Excluded), Unbounded);
-        let on_time = match after {
-            Some((true, _)) => None,
-            Some((false, slot)) => self.on_time.range(from(Some(slot))).next(),
-            None => self.on_time.iter().next(),
-        };
-        if let Some((slot, _)) = on_time {
-            return Some((false, *slot));
-        }
-        let after = after.and_then(|(is_late, slot)| is_late.then_some(slot));
-        let (slot, _) = self.late.range(from(after)).next()?;
-        Some((true, *slot))
-    }
-}
-
 /// Standing of a lane among those with requests of the same urgency.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Standing {
@@ -201,14 +129,14 @@
 }
 
 impl Standing {
-    fn of(flow: &Flow, account: &Account, now: Point) -> Self {
-        let is_below_minimum = account.priority_share(flow, now) < MIN_PRIORITY_SHARE;
+    fn of(flow: usize, tally: &Tally<'_>) -> Self {
+        let is_below_minimum = tally.priority_share(flow) < MIN_PRIORITY_SHARE;
         Self {
-            is_beyond_share: account.is_beyond_share(&flow.organisation, now),
+            is_beyond_share: tally.is_beyond_share(flow),
             priority: if is_below_minimum {
                 0
             } else {
-                flow.priority.saturating_add(1)
+                tally.priority(flow).saturating_add(1)
             },
         }
     }
@@ -274,18 +202,28 @@
         self.places.is_empty()
     }
 
+    /// Returns the time that should pass between two reviews.
+    pub fn review_interval(&self) -> Duration {
+        let waiting = u32::try_from(self.len()).unwrap_or(u32::MAX);
+        MIN_REVIEW_INTERVAL.max(REVIEW_INTERVAL_PER_REQUEST.saturating_mul(waiting))
+    }
+
     /// Returns whether requests of a group wait.
     pub fn has_waiting(&self, group: &G) -> bool {
         self.lanes.contains_key(group)
     }
 
-    /// Returns the groups with waiting requests, and the time for which all of theirs occupy targets.
-    pub fn backlogs(&self) -> impl Iterator<Item = (&G, Duration)> {
-        self.lanes.iter().map(|(group, lanes)| {
-            let late = |lane: &Lane<T>| lane.late.values().map(|one| one.work).sum::<Duration>();
-            let work = lanes.values().map(|lane| lane.work + late(lane)).sum();
-            (group, work)
-        })
+    /// Returns the groups with waiting requests.
+    pub fn groups(&self) -> impl Iterator<Item = &G> {
+        self.lanes.keys()
+    }
+
+    /// Returns the time for which the waiting requests of a group occupy targets.
+    pub fn backlog(&self, group: &G) -> Duration {
+        let lanes = self.lanes.get(group).into_iter().flatten();
+        let work = lanes
+            .map(|(_, lane)| lane.work + lane.late.values().map(|one| one.work).sum::<Duration>());
+        work.sum()
     }
 
     /// Adds a request under a number that no other waiting request has.
@@ -369,8 +307,10 @@
 
     /// Returns which part of a lane goes before a request that can be on time.
     fn part_ahead(&self, entry: &Entry<G>, flow: &Flow, lane: &Lane<T>, now: Point) -> Part {
-        let own = Standing::of(&entry.flow, &self.account, now);
-        let other = Standing::of(flow, &self.account, now);
+        let mut tally = Tally::new(&self.account, now);
+        let (own_flow, other_flow) = (tally.index(&entry.flow), tally.index(flow));
+        let own = Standing::of(own_flow, &tally);
+        let other = Standing::of(other_flow, &tally);
         let has_spare_time = entry.deadline.since(now) > SPARE_TIME;
         if other < own || (has_spare_time && other.priority < own.priority) {
             return Part::Share(1.0);
@@ -382,8 +322,8 @@
             return Part::Earlier;
         }
         // The other organisation goes first until it has received as much service.
-        let own = self.account.service(&entry.flow.organisation, now).get() + entry.cost.get();
-        let other = self.account.service(&flow.organisation, now).get();
+        let own = tally.service(own_flow) + entry.cost.get();
+        let other = tally.service(other_flow);
         Part::Share(((own - other) / lane.cost.max(1.0)).clamp(0.0, 1.0))
     }
 
@@ -395,21 +335,28 @@
         has_room: impl Fn(&G) -> bool,
         mut offer: impl FnMut(u64, &T) -> Offer,
     ) -> Vec<(u64, T, bool)> {
-        self.settle(now);
-        let mut account = std::mem::take(&mut self.account);
+        let groups = self.lanes.keys().filter(|group| has_room(group));
+        let groups: Vec<G> = groups.cloned().collect();
+        self.settle(&groups, now);
         let mut left = Vec::new();
-        self.walk(&mut account, now, has_room, |_, number, waiting, _| {
+        self.walk(&groups, now, |_, number, waiting, _| {
             let outcome = offer(number, &waiting.payload);
             if matches!(outcome, Offer::Taken | Offer::Dropped) {
-                left.push((number, outcome == Offer::Taken));
+                left.push((number, outcome == Offer::Taken, waiting.cost));
             }
             outcome
         });
-        self.account = account;
-        let removed = left
-            .into_iter()
-            .filter_map(|(number, is_taken)| Some((number, self.remove(number)?, is_taken)));
-        removed.collect()
+        let mut removed = Vec::new();
+        for (number, is_taken, cost) in left {
+            if let Some((_, flow, _)) = self.places.get(&number).filter(|_| is_taken) {
+                self.account.charge(flow, cost, now);
+            }
+            removed.extend(
+                self.remove(number)
+                    .map(|payload| (number, payload, is_taken)),
+            );
+        }
+        removed
     }
 
     /// Removes the requests that a condition on what they can expect holds for, and returns them with it.
@@ -418,12 +365,11 @@
         now: Point,
         mut is_hopeless: impl FnMut(&T, Outlook) -> bool,
     ) -> Vec<(u64, T, Outlook)> {
-        self.settle(now);
-        let mut account = self.account.clone();
+        let groups: Vec<G> = self.lanes.keys().cloned().collect();
+        self.settle(&groups, now);
         let mut ahead_of: HashMap<G, Ahead> = HashMap::new();
         let mut hopeless = Vec::new();
-        let all = |_: &G| true;
-        self.walk(&mut account, now, all, |group, number, waiting, is_late| {
+        self.walk(&groups, now, |group, number, waiting, is_late| {
             let ahead = ahead_of.entry(group.clone()).or_default();
             let outlook = Outlook {
                 ahead: *ahead,
@@ -442,30 +388,34 @@
         removed.collect()
     }
 
-    fn settle(&mut self, now: Point) {
-        let lanes = self.lanes.values_mut().flat_map(BTreeMap::values_mut);
-        lanes.for_each(|lane| lane.settle(now));
+    fn settle(&mut self, groups: &[G], now: Point) {
+        for group in groups {
+            let lanes = self.lanes.get_mut(group).into_iter().flatten();
+            lanes.for_each(|(_, lane)| lane.settle(now));
+        }
     }
 
-    /// Visits the waiting requests in their order. Requests that are taken are charged to the account.
-    fn walk(
-        &self,
-        account: &mut Account,
+    /// Visits the waiting requests of some groups in their order, as if those that are taken had been served.
+    fn walk<'a>(
+        &'a self,
+        groups: &'a [G],
         now: Point,
-        is_visited: impl Fn(&G) -> bool,
-        mut visit: impl FnMut(&G, u64, &Waiting<T>, bool) -> Offer,
+        mut visit: impl FnMut(&'a G, u64, &'a Waiting<T>, bool) -> Offer,
     ) {
+        let mut tally = Tally::new(&self.account, now);
         let mut full: HashSet<&G> = HashSet::new();
-        let visited = self.lanes.iter().filter(|(group, _)| is_visited(group));
-        let lanes = visited
-            .flat_map(|(group, lanes)| lanes.iter().map(move |(flow, lane)| (group, flow, lane)));
-        let lanes: Vec<(&G, &Flow, &Lane<T>)> = lanes.collect();
-        let head = |account: &Account, index: usize, position: Option<(bool, Slot)>| {
+        let mut lanes: Vec<(&G, usize, &Lane<T>)> = Vec::new();
+        for group in groups {
+            for (flow, lane) in self.lanes.get(group).into_iter().flatten() {
+                lanes.push((group, tally.index(flow), lane));
+            }
+        }
+        let head = |tally: &Tally<'_>, index: usize, after: Option<Position>| {
             let (_, flow, lane) = lanes[index];
-            let next = lane.next(position)?;
-            Some(Reverse((self.rank(account, flow, next, now), index)))
+            let next = lane.next(after)?;
+            Some(Reverse((self.rank(tally, flow, next, now), index)))
         };
-        let first = (0..lanes.len()).filter_map(|index| head(account, index, None));
+        let first = (0..lanes.len()).filter_map(|index| head(&tally, index, None));
         let mut heads: BinaryHeap<_> = first.collect();
         while let Some(Reverse((rank, index))) = heads.pop() {
             let (group, flow, lane) = lanes[index];
@@ -473,7 +423,7 @@
                 continue;
             }
             let position = (rank.class == Class::Late, rank.slot);
-            let current = self.rank(account, flow, position, now);
+            let current = self.rank(&tally, flow, position, now);
             // The organisation may have been served since the rank was determined.
             if current > rank {
                 heads.push(Reverse((current, index)));
@@ -487,20 +437,15 @@
                     full.insert(group);
                     continue;
                 }
-                Offer::Taken => account.charge(flow, waiting.cost, now),
+                Offer::Taken => tally.add(flow, waiting.cost),
                 Offer::Dropped | Offer::Passed => {}
             }
-            heads.extend(head(account, index, Some(position)));
+            heads.extend(head(&tally, index, Some(position)));
         }
     }
 
-    fn rank(
-        &self,
-        account: &Account,
-        flow: &Flow,
-        (is_late, slot): (bool, Slot),
-        now: Point,
-    ) -> Rank {
+    fn rank(&self, tally: &Tally<'_>, flow: usize, position: Position, now: Point) -> Rank {
+        let (is_late, slot) = position;
         let class = if is_late {
             Class::Late
         } else if self.policy == Policy::Share && slot.0.since(now) > SPARE_TIME {
@@ -508,19 +453,15 @@
         } else {
             Class::Urgent
         };
-        match self.policy {
-            Policy::Deadline => Rank {
-                class,
-                standing: Standing::default(),
-                service: 0.0,
-                slot,
-            },
-            Policy::Share => Rank {
-                class,
-                standing: Standing::of(flow, account, now),
-                service: account.service(&flow.organisation, now).get(),
-                slot,
-            },
+        let (standing, service) = match self.policy {
+            Policy::Deadline => (Standing::default(), 0.0),
+            Policy::Share => (Standing::of(flow, tally), tally.service(flow)),
+        };
+        Rank {
+            class,
+            standing,
+            service,
+            slot,
         }
     }
 }
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -12,6 +12,7 @@
 //! served, and callers are told different times to come back.
 
 mod holder;
+mod refusal;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -49,10 +50,6 @@
 /// Share of its wait limit that a request may be expected to wait if its answer will be late.
 const LATE_WAIT_SHARE: f64 = 0.5;
 
-/// Interval at which waiting requests are checked for those that can't be served in time any more. A refused caller loses
-/// no more than this of the time that it has for a retry.
-const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Time from a permit to the first event beyond the reading time of the prompt: some steps of the target.
 const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(50);
 
@@ -337,33 +334,22 @@
     pub fn poll(&mut self, ledger: &Ledger, now: Point) -> Vec<(Ticket, Permit)> {
         self.holders.refresh(ledger, now);
         let mut permits = Vec::new();
-        for (number, waiting) in self.waiting.extract(|waiting| now >= waiting.wait_until) {
-            let wait = waiting.request.objective;
-            let permit = match self.waiting.policy {
-                Policy::Deadline => Permit::Refuse(wait),
-                Policy::Share => {
-                    let holders = self.find_holders(&waiting.request, ledger, now);
-                    self.refuse(&waiting, &holders, Duration::ZERO, now)
-                }
-            };
-            permits.push((Ticket(number), permit));
+        if self.waiting.policy == Policy::Deadline {
+            let ended = self.waiting.extract(|waiting| now >= waiting.wait_until);
+            permits.extend(ended.into_iter().map(|(number, waiting)| {
+                (Ticket(number), Permit::Refuse(waiting.request.objective))
+            }));
         }
-        let backlogs: HashMap<Group, Duration> = self
-            .waiting
-            .backlogs()
-            .map(|(group, work)| (group.clone(), work))
-            .collect();
         let mut scheduler = std::mem::take(&mut self.waiting);
         // Targets only fill up while permits are granted, so what was refused one request is refused the later ones.
         let mut full_items: HashSet<Item> = HashSet::new();
         let is_shared = scheduler.policy == Policy::Share;
-        let has_room = |group: &Group| !is_shared || self.is_open(group, ledger, now);
-        let open: HashSet<Group> = backlogs
-            .keys()
-            .filter(|group| has_room(group))
-            .cloned()
+        let groups = scheduler.groups();
+        let open = groups.filter(|group| !is_shared || self.is_open(group, ledger, now));
+        let backlogs: HashMap<Group, Duration> = open
+            .map(|group| (group.clone(), scheduler.backlog(group)))
             .collect();
-        let has_room = |group: &Group| open.contains(group);
+        let has_room = |group: &Group| backlogs.contains_key(group);
         scheduler.dispatch(now, has_room, |number, waiting| {
             if waiting.request.avoid.is_empty() && full_items.contains(&waiting.request.item) {
                 return Offer::Passed;
@@ -396,79 +382,6 @@
         permits
     }
 
-    /// Returns whether a request for a model may be answered now, with whatever adapter: a target takes it, or none has the
-    /// model any more.
-    fn is_open(&self, (service, model): &Group, ledger: &Ledger, now: Point) -> bool {
-        let request = Request {
-            item: Item {
-                service: service.clone(),
-                model: model.clone(),
-                adapter: None,
-            },
-            prompt_tokens: 0,
-            prefix: None,
-            objective: Duration::ZERO,
-            max_wait: Duration::ZERO,
-            avoid: SmallVec::new(),
-            priority: 0,
-            organisation: None,
-            answer_tokens: 0,
-            prefixes: SmallVec::new(),
-        };
-        let holders = self.find_holders(&request, ledger, now);
-        holders.is_empty() || holder::pick(&holders, &request).is_some()
-    }
-
-    /// Refuses the waiting requests that can't be expected to be served before their wait ends.
-    fn review(&mut self, ledger: &Ledger, now: Point, permits: &mut Vec<(Ticket, Permit)>) {
-        if self.waiting.policy != Policy::Share || now.since(self.reviewed_at) < REVIEW_INTERVAL {
-            return;
-        }
-        self.reviewed_at = now;
-        self.waiting.account.prune(now);
-        self.advice.prune(now);
-        let mut scheduler = std::mem::take(&mut self.waiting);
-        let mut holders_of: HashMap<Item, SmallVec<[Holder; 8]>> = HashMap::new();
-        let hopeless = scheduler.review(now, |waiting, outlook| {
-            let item = &waiting.request.item;
-            if !holders_of.contains_key(item) {
-                let holders = self.find_holders(&waiting.request, ledger, now);
-                holders_of.insert(item.clone(), holders);
-            }
-            let wait = holder::expected_wait(&holders_of[item], outlook.ahead, waiting);
-            // Requests that can be on time take the room.
-            let is_displaced = outlook.is_late && outlook.ahead.requests > 0.0;
-            is_displaced || now + wait > waiting.wait_until
-        });
-        self.waiting = scheduler;
-        for (number, waiting, outlook) in hopeless {
-            let holders = self.find_holders(&waiting.request, ledger, now);
-            let wait = holder::expected_wait(&holders, outlook.ahead, &waiting);
-            let permit = self.refuse(&waiting, &holders, wait, now);
-            permits.push((Ticket(number), permit));
-        }
-    }
-
-    /// Refuses a request, with the time after which its caller should come back.
-    fn refuse(
-        &mut self,
-        waiting: &Waiting,
-        holders: &[Holder],
-        wait: Duration,
-        now: Point,
-    ) -> Permit {
-        if !holders.is_empty() && holders.iter().all(|holder| holder.limit.is_some()) {
-            let keys: SmallVec<[Key; 8]> =
-                holders.iter().map(|holder| holder.key.clone()).collect();
-            return Permit::Refuse(wait.max(self.limits.advise(&keys, now)));
-        }
-        if self.waiting.policy == Policy::Deadline {
-            return Permit::Refuse(wait);
-        }
-        let work = holder::work_share(holders, waiting);
-        Permit::Refuse(self.advice.advise(&waiting.group(), wait, work, now))
-    }
-
     /// Removes the state of targets that are gone.
     pub fn retain(&mut self, ledger: &Ledger) {
         self.loads
