--- a/crates/buckthornmast_forward/src/admission.rs
+++ b/crates/buckthornmast_forward/src/admission.rs
@@ -4,6 +4,10 @@
 //! the objective. A request that can meet the objective joins the queue. One that would be late joins a short queue at
 //! the lowest rank, so that it takes only slots that no other request needs. Beyond that, requests are refused at once:
 //! a longer queue would make all of them late and would outlast the burst.
+//!
+//! While organisations compete, requests of one that has had more than its share of what this instance sent join the short
+//! queue only, so that the longer one is left to the others. The leader, which knows the requests of all instances, shares
+//! more precisely; this answers the time without it.
 
 /// Queue length of a target, as a ratio of its slots, above which late requests are refused.
 const MAX_LATE_QUEUE_RATIO: f64 = 0.25;
@@ -27,6 +31,8 @@
     pub slots: u32,
     /// Whether the answer would begin later than the objective allows.
     pub is_late: bool,
+    /// Whether the caller's organisation has received more than its share.
+    pub is_beyond_share: bool,
     /// Whether the target belongs to a plain service, which runs no models.
     pub is_plain: bool,
 }
@@ -52,7 +58,7 @@
     } else {
         1.0
     };
-    let limit = if query.is_late {
+    let limit = if query.is_late || query.is_beyond_share {
         MAX_LATE_QUEUE_RATIO
     } else {
         MAX_QUEUE_RATIO
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -11,6 +11,7 @@
 use std::{rc::Rc, time::Duration};
 
 use buckthornmast_limit::{account::GRANT_LIFETIME, statement::Grant};
+use buckthornmast_share::prelude::{Cost, Flow};
 use buckthornmast_types::{
     id,
     prompt::Prefix,
@@ -122,12 +123,28 @@
     pub async fn select_target(&self, context: &mut Context) -> Result<Chosen, Refusal> {
         let chosen = self.find_target(context).await?;
         if self.ends_before_stop(context, &chosen) {
+            self.charge_share(context);
             return Ok(chosen);
         }
         log::info!(step = "stop", request:% = context.head.request, target:% = chosen.member.target, wait_ms = millis(chosen.basis.wait); "the target is not expected to answer before this instance stops");
         Err(Refusal::Stopping)
     }
 
+    /// Counts a generation that is sent for its organisation.
+    fn charge_share(&self, context: &Context) {
+        let generation = context.head.generation.as_ref();
+        let organisation = context.organisation.as_ref();
+        if let Some((generation, organisation)) = generation.zip(organisation) {
+            let flow = Flow {
+                organisation: Some(organisation.clone()),
+                priority: context.priority,
+            };
+            let cost = Cost::of_tokens(generation.prompt_tokens, generation.answer_tokens);
+            let now = self.clock.now();
+            self.state.borrow_mut().shares.charge(&flow, cost, now);
+        }
+    }
+
     async fn find_target(&self, context: &mut Context) -> Result<Chosen, Refusal> {
         self.check_quarantine(context)?;
         let item = context.item();
@@ -493,6 +510,10 @@
             slots: candidate.slots,
             // Nothing but its continuation is of use to the caller of a stream that has begun.
             is_late: !context.has_begun() && !context.is_on_time(now + pick.wait),
+            is_beyond_share: generation.is_some()
+                && context.organisation.is_some()
+                && !context.has_begun()
+                && state.shares.is_beyond_share(&context.organisation, now),
             is_plain: generation.is_none(),
         });
         let rank = match verdict {
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -17,6 +17,7 @@
     table::Table,
 };
 use buckthornmast_routing::budget;
+use buckthornmast_share::account::Account;
 use buckthornmast_types::{id, time::Point};
 use buckthornmast_way::prelude::*;
 use tokio::sync::Notify;
@@ -137,6 +138,8 @@
     pub memory: Memory,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
+    /// Service that organisations have received through this instance.
+    pub shares: Account,
     /// Time that the requests of each route take.
     pub route_times: RouteTimes,
     /// Plan of the stop, if this instance is stopping.
@@ -163,6 +166,7 @@
     pub fn new(retry_bounds: RetryBounds) -> Self {
         Self {
             stats: StatsTable::default(),
+            shares: Account::default(),
             pool: Pool::default(),
             advisories: Board::default(),
             limits: View::default(),
--- a/crates/buckthornmast_forward/tests/overload.rs
+++ b/crates/buckthornmast_forward/tests/overload.rs
@@ -94,6 +94,7 @@
             load: stats.map_or(0.0, |stats| stats.load(at(now))),
             slots: SLOTS,
             is_late: pick.wait > Duration::from_millis(OBJECTIVE_MS),
+            is_beyond_share: false,
             is_plain: false,
         });
         let rank = match verdict {
@@ -215,3 +216,22 @@
         "{with} in time with admission control, {without} without"
     );
 }
+
+/// Guards against an organisation beyond its share that fills the queue of a target, and against slots that stay empty
+/// because only such an organisation asks.
+#[test]
+fn decide_beyond_share() {
+    let decide = |load: f64, is_beyond_share| {
+        admission::decide(&admission::Query {
+            load,
+            slots: SLOTS,
+            is_late: false,
+            is_beyond_share,
+            is_plain: false,
+        })
+    };
+    let slots = f64::from(SLOTS);
+    assert_eq!(decide(slots * 1.6, true), Verdict::Refuse);
+    assert_eq!(decide(slots * 1.6, false), Verdict::Send { rank: None });
+    assert_eq!(decide(slots - 1.0, true), Verdict::Send { rank: None });
+}
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -30,7 +30,7 @@
 };
 use tokio::{sync::Notify, time::sleep};
 
-use self::permits::Requester;
+use self::permits::{Claim, Requester};
 use crate::{
     message::{Downstream, Placement},
     orders::Orders,
@@ -70,7 +70,7 @@
     published: BTreeMap<id::Target, Placement>,
     permits: Queue,
     // Entry instances whose requests wait in `permits`.
-    requesters: HashMap<Ticket, Requester>,
+    requesters: HashMap<Ticket, (Requester, Claim)>,
 }
 
 impl State {
--- a/crates/buckthornmast_node/src/controller/permits.rs
+++ b/crates/buckthornmast_node/src/controller/permits.rs
@@ -1,5 +1,7 @@
 //! Permits of the leader for the requests of entry instances to send their prompts to targets.
 
+mod usage;
+
 use std::{rc::Rc, time::Duration};
 
 use buckthornmast_link::Outbox;
@@ -7,6 +9,8 @@
 use buckthornmast_types::time::Clock;
 use tokio::time::sleep;
 
+pub(super) use self::usage::Claim;
+use self::usage::Report;
 use super::{Controller, State};
 use crate::{message::Downstream, platform::Platform};
 
@@ -35,6 +39,7 @@
     }
 }
 
+/// Returns the name of an answer for the metrics.
 fn label(permit: &Permit) -> &'static str {
     match permit {
         Permit::Go(_) | Permit::Limited(..) => "go",
@@ -61,10 +66,12 @@
             return requester.answer(Permit::Unknown);
         }
         let was_idle = permits.waiting() == 0;
+        let claim = Claim::of(&request, now);
         let (ticket, permit) = permits.request(request, ledger, demand, now);
         requester.answer(permit.clone());
+        claim.record(&permit, permits, now);
         if matches!(permit, Permit::Wait(_)) {
-            requesters.insert(ticket, requester);
+            requesters.insert(ticket, (requester, claim));
             drop(state);
             if was_idle {
                 let controller = Rc::clone(self);
@@ -75,6 +82,7 @@
 
     /// Answers waiting requests until there are none left.
     async fn answer_waiting(&self) {
+        let mut report = Report::default();
         loop {
             sleep(POLL_INTERVAL).await;
             let now = self.clock.now();
@@ -86,10 +94,12 @@
                 ..
             } = &mut *state;
             for (ticket, permit) in permits.poll(ledger, now) {
-                if let Some(requester) = requesters.remove(&ticket) {
+                if let Some((requester, claim)) = requesters.remove(&ticket) {
+                    claim.record(&permit, permits, now);
                     requester.answer(permit);
                 }
             }
+            report.update(requesters.values().map(|(_, claim)| claim), now);
             if permits.waiting() == 0 {
                 return;
             }
@@ -114,7 +124,7 @@
             ..
         } = &mut *state;
         let cancelled: Vec<Ticket> = requesters
-            .extract_if(|_, requester| is_cancelled(requester))
+            .extract_if(|_, (requester, _)| is_cancelled(requester))
             .map(|(ticket, _)| ticket)
             .collect();
         for ticket in cancelled {
--- a/crates/buckthornmast_share/src/account.rs
+++ b/crates/buckthornmast_share/src/account.rs
@@ -20,6 +20,9 @@
 /// Service below which an organisation counts as idle, in prompt tokens: that of one small request.
 const NEGLIGIBLE: f64 = 64.0;
 
+/// Interval at which idle organisations are removed.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Service above which an organisation is beyond its share, as a ratio of the mean of all that aren't idle. Requests come
 /// in lumps, so equal organisations differ by less than this.
 const SHARE_MARGIN: f64 = 1.25;
@@ -85,11 +88,15 @@
     total: Decaying,
     organisations: HashMap<Option<id::Organisation>, Decaying>,
     flows: HashMap<Flow, Decaying>,
+    pruned_at: Point,
 }
 
 impl Account {
     /// Counts a request that is served now.
     pub fn charge(&mut self, flow: &Flow, cost: Cost, now: Point) {
+        if now.since(self.pruned_at) >= PRUNE_INTERVAL {
+            self.prune(now);
+        }
         self.total.add(cost, now);
         let of_organisation = self.organisations.entry(flow.organisation.clone());
         of_organisation.or_default().add(cost, now);
@@ -108,6 +115,11 @@
         Cost(of_flow.map_or(0.0, |service| service.get(now)))
     }
 
+    /// Returns whether an organisation received more than its share.
+    pub fn is_beyond_share(&self, organisation: &Option<id::Organisation>, now: Point) -> bool {
+        self.service(organisation, now) > self.share_limit(now)
+    }
+
     /// Returns the service above which an organisation is beyond its share.
     pub fn share_limit(&self, now: Point) -> Cost {
         let mean = self.total.get(now) / self.organisations.len().max(1) as f64;
@@ -115,7 +127,8 @@
     }
 
     /// Removes organisations that have had no service for long.
-    pub fn prune(&mut self, now: Point) {
+    fn prune(&mut self, now: Point) {
+        self.pruned_at = now;
         self.organisations
             .retain(|_, service| service.get(now) >= NEGLIGIBLE);
         self.flows
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -257,6 +257,13 @@
         self.waiting.len()
     }
 
+    /// Returns the recent service of an organisation, and the service above which it is beyond its share.
+    pub fn service(&self, organisation: &id::Organisation, now: Point) -> (Cost, Cost) {
+        let account = &self.waiting.account;
+        let service = account.service(&Some(organisation.clone()), now);
+        (service, account.share_limit(now))
+    }
+
     /// Answers a request. One that has to wait is answered again by [`Self::poll`] under its ticket.
     pub fn request(
         &mut self,
--- a/crates/buckthornmast_supply/src/permits/refusal.rs
+++ b/crates/buckthornmast_supply/src/permits/refusal.rs
@@ -49,7 +49,6 @@
             return;
         }
         self.reviewed_at = now;
-        self.waiting.account.prune(now);
         self.advice.prune(now);
         let mut scheduler = std::mem::take(&mut self.waiting);
         let mut holders_of: HashMap<Item, SmallVec<[Holder; 8]>> = HashMap::new();
