share: shares within a model; late requests keep waiting for gaps

Requests that became late while waiting were refused although gaps were left; their callers came back like new ones and took the room of callers that could still be on time.

Change: service is also counted for each model, and orders requests there; a large request more than the mean doesn't count as beyond the share.

--- a/crates/buckthornmast_share/src/account.rs
+++ b/crates/buckthornmast_share/src/account.rs
@@ -23,6 +23,10 @@
 /// Interval at which idle organisations are removed.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Service that doesn't count towards a share: that of one large request. While an account is new, single requests are
+/// most of what it knows.
+const LARGE_REQUEST: f64 = 4096.0;
+
 /// Service above which an organisation is beyond its share, as a ratio of the mean of all that aren't idle. Requests come
 /// in lumps, so equal organisations differ by less than this.
 const SHARE_MARGIN: f64 = 1.25;
@@ -115,6 +119,11 @@
         Cost(of_flow.map_or(0.0, |service| service.get(now)))
     }
 
+    /// Returns whether no organisation has had service for long.
+    pub fn is_idle(&self, now: Point) -> bool {
+        self.total.get(now) < NEGLIGIBLE
+    }
+
     /// Returns whether an organisation received more than its share.
     pub fn is_beyond_share(&self, organisation: &Option<id::Organisation>, now: Point) -> bool {
         self.service(organisation, now) > self.share_limit(now)
@@ -123,7 +132,7 @@
     /// Returns the service above which an organisation is beyond its share.
     pub fn share_limit(&self, now: Point) -> Cost {
         let mean = self.total.get(now) / self.organisations.len().max(1) as f64;
-        Cost(mean * SHARE_MARGIN)
+        Cost(mean * SHARE_MARGIN + LARGE_REQUEST)
     }
 
     /// Removes organisations that have had no service for long.
--- a/crates/buckthornmast_share/src/scheduler.rs
+++ b/crates/buckthornmast_share/src/scheduler.rs
@@ -20,7 +20,7 @@
 use self::lane::{Lane, Position, Slot, Waiting};
 use crate::{
     account::{Account, Cost, Flow},
-    tally::Tally,
+    tally::{Keys, Tallies},
 };
 
 /// Time to its deadline above which a request leaves the room to others: a burst of urgent requests is served or refused
@@ -129,14 +129,14 @@
 }
 
 impl Standing {
-    fn of(flow: usize, tally: &Tally<'_>) -> Self {
-        let is_below_minimum = tally.priority_share(flow) < MIN_PRIORITY_SHARE;
+    fn of(keys: Keys, tallies: &Tallies<'_>) -> Self {
+        let is_below_minimum = tallies.priority_share(keys) < MIN_PRIORITY_SHARE;
         Self {
-            is_beyond_share: tally.is_beyond_share(flow),
+            is_beyond_share: tallies.is_beyond_share(keys),
             priority: if is_below_minimum {
                 0
             } else {
-                tally.priority(flow).saturating_add(1)
+                tallies.priority(keys).saturating_add(1)
             },
         }
     }
@@ -176,6 +176,8 @@
     pub policy: Policy,
     /// Service that the organisations received.
     pub account: Account,
+    /// Service that they received in each group.
+    pub accounts: HashMap<G, Account>,
     lanes: HashMap<G, BTreeMap<Flow, Lane<T>>>,
     places: HashMap<u64, (G, Flow, Slot)>,
 }
@@ -185,6 +187,7 @@
         Self {
             policy: Policy::default(),
             account: Account::default(),
+            accounts: HashMap::new(),
             lanes: HashMap::new(),
             places: HashMap::new(),
         }
@@ -274,14 +277,21 @@
     }
 
     /// Counts a request that was sent without having waited.
-    pub fn charge(&mut self, flow: &Flow, cost: Cost, now: Point) {
+    pub fn charge(&mut self, group: &G, flow: &Flow, cost: Cost, now: Point) {
+        if self.policy == Policy::Deadline {
+            return;
+        }
         self.account.charge(flow, cost, now);
+        let of_group = self.accounts.entry(group.clone()).or_default();
+        of_group.charge(flow, cost, now);
     }
 
     /// Returns the work that would be offered before a request, as far as it is known now.
-    pub fn ahead(&self, entry: &Entry<G>, now: Point) -> Ahead {
+    pub fn ahead<'a>(&'a self, entry: &'a Entry<G>, now: Point) -> Ahead {
         let lanes = self.lanes.get(&entry.group).into_iter().flatten();
         let mut ahead = Ahead::default();
+        let accounts = std::iter::once(self.accounts.get(&entry.group));
+        let mut tallies = Tallies::new(&self.account, accounts, now);
         for (flow, lane) in lanes {
             if entry.is_late {
                 let waiting = lane.on_time.values().chain(lane.late.values());
@@ -290,7 +300,7 @@
             }
             let part = match self.policy {
                 Policy::Deadline => Part::Earlier,
-                Policy::Share => self.part_ahead(entry, flow, lane, now),
+                Policy::Share => part_ahead(entry, flow, lane, &mut tallies, now),
             };
             match part {
                 Part::Earlier => {
@@ -305,28 +315,6 @@
         ahead
     }
 
-    /// Returns which part of a lane goes before a request that can be on time.
-    fn part_ahead(&self, entry: &Entry<G>, flow: &Flow, lane: &Lane<T>, now: Point) -> Part {
-        let mut tally = Tally::new(&self.account, now);
-        let (own_flow, other_flow) = (tally.index(&entry.flow), tally.index(flow));
-        let own = Standing::of(own_flow, &tally);
-        let other = Standing::of(other_flow, &tally);
-        let has_spare_time = entry.deadline.since(now) > SPARE_TIME;
-        if other < own || (has_spare_time && other.priority < own.priority) {
-            return Part::Share(1.0);
-        }
-        if other > own {
-            return Part::Share(0.0);
-        }
-        if flow.organisation == entry.flow.organisation {
-            return Part::Earlier;
-        }
-        // The other organisation goes first until it has received as much service.
-        let own = tally.service(own_flow) + entry.cost.get();
-        let other = tally.service(other_flow);
-        Part::Share(((own - other) / lane.cost.max(1.0)).clamp(0.0, 1.0))
-    }
-
     /// Offers the waiting requests of the groups that may have room in their order, and returns those that left the queue,
     /// with whether each was taken.
     pub fn dispatch(
@@ -348,8 +336,9 @@
         });
         let mut removed = Vec::new();
         for (number, is_taken, cost) in left {
-            if let Some((_, flow, _)) = self.places.get(&number).filter(|_| is_taken) {
-                self.account.charge(flow, cost, now);
+            let place = self.places.get(&number).filter(|_| is_taken).cloned();
+            if let Some((group, flow, _)) = place {
+                self.charge(&group, &flow, cost, now);
             }
             removed.extend(
                 self.remove(number)
@@ -365,6 +354,7 @@
         now: Point,
         mut is_hopeless: impl FnMut(&T, Outlook) -> bool,
     ) -> Vec<(u64, T, Outlook)> {
+        self.accounts.retain(|_, account| !account.is_idle(now));
         let groups: Vec<G> = self.lanes.keys().cloned().collect();
         self.settle(&groups, now);
         let mut ahead_of: HashMap<G, Ahead> = HashMap::new();
@@ -402,28 +392,29 @@
         now: Point,
         mut visit: impl FnMut(&'a G, u64, &'a Waiting<T>, bool) -> Offer,
     ) {
-        let mut tally = Tally::new(&self.account, now);
+        let accounts = groups.iter().map(|group| self.accounts.get(group));
+        let mut tallies = Tallies::new(&self.account, accounts, now);
         let mut full: HashSet<&G> = HashSet::new();
-        let mut lanes: Vec<(&G, usize, &Lane<T>)> = Vec::new();
-        for group in groups {
+        let mut lanes: Vec<(&G, Keys, &Lane<T>)> = Vec::new();
+        for (number, group) in groups.iter().enumerate() {
             for (flow, lane) in self.lanes.get(group).into_iter().flatten() {
-                lanes.push((group, tally.index(flow), lane));
+                lanes.push((group, tallies.index(number, flow), lane));
             }
         }
-        let head = |tally: &Tally<'_>, index: usize, after: Option<Position>| {
-            let (_, flow, lane) = lanes[index];
+        let head = |tallies: &Tallies<'_>, index: usize, after: Option<Position>| {
+            let (_, keys, lane) = lanes[index];
             let next = lane.next(after)?;
-            Some(Reverse((self.rank(tally, flow, next, now), index)))
+            Some(Reverse((self.rank(tallies, keys, next, now), index)))
         };
-        let first = (0..lanes.len()).filter_map(|index| head(&tally, index, None));
+        let first = (0..lanes.len()).filter_map(|index| head(&tallies, index, None));
         let mut heads: BinaryHeap<_> = first.collect();
         while let Some(Reverse((rank, index))) = heads.pop() {
-            let (group, flow, lane) = lanes[index];
+            let (group, keys, lane) = lanes[index];
             if full.contains(group) {
                 continue;
             }
             let position = (rank.class == Class::Late, rank.slot);
-            let current = self.rank(&tally, flow, position, now);
+            let current = self.rank(&tallies, keys, position, now);
             // The organisation may have been served since the rank was determined.
             if current > rank {
                 heads.push(Reverse((current, index)));
@@ -437,14 +428,14 @@
                     full.insert(group);
                     continue;
                 }
-                Offer::Taken => tally.add(flow, waiting.cost),
+                Offer::Taken => tallies.add(keys, waiting.cost),
                 Offer::Dropped | Offer::Passed => {}
             }
-            heads.extend(head(&tally, index, Some(position)));
+            heads.extend(head(&tallies, index, Some(position)));
         }
     }
 
-    fn rank(&self, tally: &Tally<'_>, flow: usize, position: Position, now: Point) -> Rank {
+    fn rank(&self, tallies: &Tallies<'_>, keys: Keys, position: Position, now: Point) -> Rank {
         let (is_late, slot) = position;
         let class = if is_late {
             Class::Late
@@ -455,7 +446,7 @@
         };
         let (standing, service) = match self.policy {
             Policy::Deadline => (Standing::default(), 0.0),
-            Policy::Share => (Standing::of(flow, tally), tally.service(flow)),
+            Policy::Share => (Standing::of(keys, tallies), tallies.service(keys)),
         };
         Rank {
             class,
@@ -465,3 +456,31 @@
         }
     }
 }
+
+/// Returns which part of a lane goes before a request that can be on time.
+fn part_ahead<'a, G, T>(
+    entry: &'a Entry<G>,
+    flow: &'a Flow,
+    lane: &Lane<T>,
+    tallies: &mut Tallies<'a>,
+    now: Point,
+) -> Part {
+    let own_keys = tallies.index(0, &entry.flow);
+    let other_keys = tallies.index(0, flow);
+    let own = Standing::of(own_keys, tallies);
+    let other = Standing::of(other_keys, tallies);
+    let has_spare_time = entry.deadline.since(now) > SPARE_TIME;
+    if other < own || (has_spare_time && other.priority < own.priority) {
+        return Part::Share(1.0);
+    }
+    if other > own {
+        return Part::Share(0.0);
+    }
+    if flow.organisation == entry.flow.organisation {
+        return Part::Earlier;
+    }
+    // The other organisation goes first until it has received as much service.
+    let own = tallies.service(own_keys) + entry.cost.get();
+    let other = tallies.service(other_keys);
+    Part::Share(((own - other) / lane.cost.max(1.0)).clamp(0.0, 1.0))
+}
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -308,7 +308,8 @@
         if !self.waiting.has_waiting(&entry.group)
             && let Some(target) = holder::pick(&holders, &waiting.request)
         {
-            self.waiting.charge(&entry.flow, entry.cost, now);
+            self.waiting
+                .charge(&entry.group, &entry.flow, entry.cost, now);
             return (ticket, self.grant(target, &waiting, PREFILL_SHARE, now));
         }
         let late_wait = waiting.request.max_wait.mul_f64(LATE_WAIT_SHARE);
--- a/crates/buckthornmast_supply/src/permits/refusal.rs
+++ b/crates/buckthornmast_supply/src/permits/refusal.rs
@@ -59,9 +59,9 @@
                 holders_of.insert(item.clone(), holders);
             }
             let wait = holder::expected_wait(&holders_of[item], outlook.ahead, waiting);
-            // Requests that can be on time take the room.
-            let is_displaced = outlook.is_late && outlook.ahead.requests > 0.0;
-            is_displaced || now + wait > waiting.wait_until
+            // Late requests keep their place in the gaps: a refused caller returns like a new one, ahead of callers that
+            // can still be on time.
+            now + wait > waiting.wait_until
         });
         self.waiting = scheduler;
         for (number, waiting, outlook) in hopeless {
