share: the work ahead of a request whose deadline has passed

Cause: the range of the requests ahead began after its end for a deadline in the past, which ends the process; the leader's queue asks for none such today.

Change: such a request has nothing ahead of it by deadline.

--- a/crates/buckthornmast_share/src/scheduler.rs
+++ b/crates/buckthornmast_share/src/scheduler.rs
@@ -304,7 +304,8 @@
             };
             match part {
                 Part::Earlier => {
-                    let on_time = lane.on_time.range((now, 0)..(entry.deadline, u64::MAX));
+                    let until = (entry.deadline.max(now), u64::MAX);
+                    let on_time = lane.on_time.range((now, 0)..until);
                     on_time.for_each(|(_, waiting)| ahead.add(1.0, waiting.work));
                 }
                 Part::Share(part) => {
--- a/crates/buckthornmast_share/tests/load.rs
+++ b/crates/buckthornmast_share/tests/load.rs
@@ -413,3 +413,28 @@
         );
     }
 }
+
+/// Guards against a request whose deadline has passed that ends the process.
+#[test]
+fn ahead_deadline_passed() {
+    let mut scheduler: Scheduler<u32, ()> = Scheduler::default();
+    let now = Point::from_millis(5000);
+    for (number, policy) in [Policy::Deadline, Policy::Share].into_iter().enumerate() {
+        scheduler.policy = policy;
+        let entry = Entry {
+            group: 0,
+            flow: Flow {
+                organisation: None,
+                priority: 0,
+            },
+            cost: Cost::of_tokens(100, 10),
+            work: Duration::from_millis(10),
+            deadline: now - Duration::from_secs(1),
+            is_late: false,
+        };
+        scheduler.insert(number as u64, entry.clone(), ());
+        assert!(scheduler.ahead(&entry, now).work <= Duration::from_millis(20));
+        let taken = scheduler.dispatch(now, |_| true, |_, ()| Offer::Taken);
+        assert_eq!(taken.len(), 1);
+    }
+}
