--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -18,6 +18,7 @@
     table::Table,
 };
 use buckthornmast_routing::budget;
+use buckthornmast_share::account::Account;
 use buckthornmast_types::{id, time::Point};
 use buckthornmast_way::prelude::*;
 use tokio::sync::Notify;
@@ -144,6 +145,8 @@
     pub intake: Rc<Intake>,
     /// Notified whenever routes or targets have changed.
     pub changed: Rc<Notify>,
+    /// Service that organisations have received through this instance.
+    pub shares: Account,
     /// Time that the requests of each route take.
     pub route_times: RouteTimes,
     /// Plan of the stop, if this instance is stopping.
@@ -181,6 +184,7 @@
         let memory = Memory::default();
         Self {
             stats: StatsTable::default(),
+            shares: Account::default(),
             pool: Pool::default(),
             advisories: Board::default(),
             limits: View::default(),
--- a/crates/buckthornmast_node/src/controller.rs
+++ b/crates/buckthornmast_node/src/controller.rs
@@ -33,7 +33,7 @@
 };
 use tokio::{sync::Notify, time::sleep};
 
-use self::permits::Requester;
+use self::permits::{Claim, Requester};
 use crate::{
     message::{Downstream, Placement},
     orders::Orders,
@@ -73,7 +73,7 @@
     published: BTreeMap<id::Target, Placement>,
     permits: Queue,
     // Entry instances whose requests wait in `permits`.
-    requesters: HashMap<Ticket, Requester>,
+    requesters: HashMap<Ticket, (Requester, Claim)>,
     // Account of the quotas, while this instance leads.
     credit: Option<quota::Account>,
     census: quota::Census,
--- a/crates/buckthornmast_node/src/controller/permits.rs
+++ b/crates/buckthornmast_node/src/controller/permits.rs
@@ -1,5 +1,7 @@
 //! Permits of the leader for the requests of entry instances to send their prompts to targets.
 
+mod usage;
+
 use std::{rc::Rc, time::Duration};
 
 use buckthornmast_link::Outbox;
@@ -12,6 +14,8 @@
 use buckthornmast_types::time::Clock;
 use tokio::time::sleep;
 
+pub(super) use self::usage::Claim;
+use self::usage::Report;
 use super::{ADAPTER_LOAD_TIME, Controller, Fenced, State};
 use crate::{message::Downstream, platform::Platform};
 
@@ -40,6 +44,7 @@
     }
 }
 
+/// Returns the name of an answer for the metrics.
 fn label(permit: &Permit) -> &'static str {
     match permit {
         Permit::Go(_) | Permit::Limited(..) => "go",
@@ -67,12 +72,14 @@
         }
         let was_idle = permits.waiting() == 0;
         let item = request.item.clone();
+        let claim = Claim::of(&request, now);
         let (ticket, permit) = permits.request(request, ledger, demand, now);
         requester.answer(permit.clone());
+        claim.record(&permit, permits, now);
         let is_strained = item.adapter.is_some() && permits.is_strained(&item, ledger, now);
         let is_waiting = matches!(permit, Permit::Wait(_));
         if is_waiting {
-            requesters.insert(ticket, requester);
+            requesters.insert(ticket, (requester, claim));
         }
         drop(state);
         if is_waiting && was_idle {
@@ -111,6 +118,7 @@
 
     /// Answers waiting requests until there are none left.
     async fn answer_waiting(&self) {
+        let mut report = Report::default();
         loop {
             sleep(POLL_INTERVAL).await;
             let now = self.clock.now();
@@ -122,10 +130,12 @@
                 ..
             } = &mut *state;
             for (ticket, permit) in permits.poll(ledger, now) {
-                if let Some(requester) = requesters.remove(&ticket) {
+                if let Some((requester, claim)) = requesters.remove(&ticket) {
+                    claim.record(&permit, permits, now);
                     requester.answer(permit);
                 }
             }
+            report.update(requesters.values().map(|(_, claim)| claim), now);
             if permits.waiting() == 0 {
                 return;
             }
@@ -152,7 +162,7 @@
             ..
         } = &mut *state;
         let cancelled: Vec<Ticket> = requesters
-            .extract_if(|_, requester| is_cancelled(requester))
+            .extract_if(|_, (requester, _)| is_cancelled(requester))
             .map(|(ticket, _)| ticket)
             .collect();
         for ticket in cancelled {
--- a/crates/buckthornmast_supply/src/permits.rs
+++ b/crates/buckthornmast_supply/src/permits.rs
@@ -6,9 +6,14 @@
 //! instance therefore grants permits: each target gets prompts at a rate that leaves it time for its running answers,
 //! in the order of the deadlines of the first events. Requests that can no longer meet their deadline wait behind all
 //! that can, in a bounded queue. Beyond its bound, requests are refused at once, with the expected wait.
+//!
+//! As soon as a request names an organisation, the queue shares the room between organisations (see
+//! [`buckthornmast_share`]). Requests that others go before are then refused as soon as they can't be expected to be
+//! served, and callers are told different times to come back.
 
 mod holder;
 mod load;
+mod refusal;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -19,15 +24,13 @@
     account::Account,
     statement::{Grant, Key},
 };
+use buckthornmast_share::prelude::{Advice, Cost, Entry, Flow, Offer, Policy, Scheduler};
 use buckthornmast_types::{id, prompt::Prefix, time::Point};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::{
-    holder::Holder,
-    load::{Cost, Load},
-};
+use self::{holder::Holder, load::Load};
 use crate::{
     demand::{Demand, Item},
     kept::{ModelHash, Use},
@@ -118,27 +121,37 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
 
+#[derive(Debug)]
 struct Waiting {
-    ticket: Ticket,
     request: Request,
     // Reading time of the prompt.
     prefill_time: Duration,
     // Expected running time, in seconds.
     running_seconds: f64,
-    // Latest time of the permit for the first event to be on time.
-    latest_permit: Point,
     wait_until: Point,
-    // Whether the request was already late when it joined the queue.
-    is_late: bool,
 }
 
 impl Waiting {
-    /// Returns the sort key: requests that can be on time by deadline, then the others.
-    fn sort_key(&self, now: Point) -> (bool, Point) {
-        (self.is_late || self.latest_permit < now, self.latest_permit)
+    fn group(&self) -> Group {
+        let item = &self.request.item;
+        (item.service.clone(), item.model.clone())
+    }
+
+    fn flow(&self) -> Flow {
+        Flow {
+            organisation: self.request.organisation.clone(),
+            priority: self.request.priority,
+        }
+    }
+
+    fn cost(&self) -> Cost {
+        Cost::of_tokens(self.request.prompt_tokens, self.request.answer_tokens)
     }
 }
 
+/// Requests that compete for the same targets: those for a model, with whatever adapter.
+type Group = (id::Service, id::Model);
+
 /// Queue of the requests for permits at all targets.
 #[derive(Default)]
 pub struct Queue {
@@ -147,7 +160,10 @@
     /// Tokens that fit into the memory of each target of a service. They aren't part of the state of a leadership.
     pub cache_tokens: HashMap<id::Service, u64>,
     loads: HashMap<Key, Load>,
-    waiting: Vec<Waiting>,
+    waiting: Scheduler<Group, Waiting>,
+    // Times at which refused callers are expected back.
+    advice: Advice<Group>,
+    reviewed_at: Point,
     next_ticket: u64,
     holders: Holders,
 }
@@ -197,7 +213,8 @@
     pub fn clear(&mut self) {
         self.limits = Account::default();
         self.loads.clear();
-        self.waiting.clear();
+        self.waiting = Scheduler::default();
+        self.advice = Advice::default();
         self.holders = Holders::default();
     }
 
@@ -206,6 +223,13 @@
         self.waiting.len()
     }
 
+    /// Returns the recent service of an organisation, and the service above which it is beyond its share.
+    pub fn service(&self, organisation: &id::Organisation, now: Point) -> (Cost, Cost) {
+        let account = &self.waiting.account;
+        let service = account.service(&Some(organisation.clone()), now);
+        (service, account.share_limit(now))
+    }
+
     /// Answers a request. One that has to wait is answered again by [`Self::poll`] under its ticket.
     pub fn request(
         &mut self,
@@ -216,6 +240,9 @@
     ) -> (Ticket, Permit) {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
+        if request.organisation.is_some() {
+            self.waiting.policy = Policy::Share;
+        }
         self.holders.refresh(ledger, now);
         let holders = self.find_holders(&request, ledger, now);
         if holders.is_empty() {
@@ -225,105 +252,107 @@
         let prefill_time = timing
             .event_interval
             .mul_f64(f64::from(request.prompt_tokens) / PREFILL_TOKENS_PER_EVENT);
+        // Latest time of the permit for the first event to be on time.
+        let latest_permit = now
+            + request
+                .objective
+                .saturating_sub(prefill_time + FIRST_EVENT_OVERHEAD);
         let mut waiting = Waiting {
-            ticket,
             prefill_time,
             running_seconds: timing.slot_time.as_secs_f64(),
-            latest_permit: now
-                + request
-                    .objective
-                    .saturating_sub(prefill_time + FIRST_EVENT_OVERHEAD),
             wait_until: now + request.max_wait,
-            is_late: false,
             request,
         };
-        let competing = self.competing(&waiting.request.item);
-        if competing.is_empty()
+        let mut entry = Entry {
+            group: waiting.group(),
+            flow: waiting.flow(),
+            cost: waiting.cost(),
+            work: prefill_time,
+            deadline: latest_permit,
+            is_late: false,
+        };
+        if !self.waiting.has_waiting(&entry.group)
             && let Some(target) = holder::pick(&holders, &waiting)
         {
+            self.waiting
+                .charge(&entry.group, &entry.flow, entry.cost, now);
             return (ticket, self.grant(target, &waiting, PREFILL_SHARE, now));
         }
-        let latest_permit = waiting.latest_permit;
-        let is_ahead =
-            |other: &&&Waiting| !other.sort_key(now).0 && other.latest_permit <= latest_permit;
-        let on_time = competing.iter().filter(is_ahead);
-        let mut wait = holder::expected_wait(&holders, on_time, &waiting);
-        if now + wait > waiting.latest_permit {
+        let late_wait = waiting.request.max_wait.mul_f64(LATE_WAIT_SHARE);
+        let ahead = self.waiting.ahead(&entry, now);
+        let mut wait = holder::expected_wait(&holders, ahead, &waiting);
+        if now + wait > latest_permit {
             // Requests that can be on time go first, including later ones, so only spare time counts.
-            let max_wait = waiting.request.max_wait.mul_f64(LATE_WAIT_SHARE);
             let spare = holders.iter().map(|holder| 1.0 - holder.utilisation);
             let spare = spare.fold(0.0, f64::max);
-            waiting.is_late = true;
-            waiting.wait_until = now + max_wait;
-            wait = holder::expected_wait(&holders, competing.iter(), &waiting);
-            if wait > max_wait.mul_f64(spare) {
-                if holders.iter().all(|holder| holder.limit.is_some()) {
-                    let keys: SmallVec<[Key; 8]> =
-                        holders.into_iter().map(|holder| holder.key).collect();
-                    wait = wait.max(self.limits.advise(&keys, now));
-                }
-                return (ticket, Permit::Refuse(wait));
+            entry.is_late = true;
+            waiting.wait_until = now + late_wait;
+            let ahead = self.waiting.ahead(&entry, now);
+            wait = holder::expected_wait(&holders, ahead, &waiting);
+            if wait > late_wait.mul_f64(spare) {
+                return (ticket, self.refuse(&waiting, &holders, wait, now));
             }
+        } else if self.waiting.policy == Policy::Share {
+            waiting.wait_until = latest_permit.max(now + late_wait);
         }
-        self.waiting.push(waiting);
+        self.waiting.insert(ticket.0, entry, waiting);
         (ticket, Permit::Wait(wait))
     }
 
     /// Removes a request that no longer waits.
     pub fn cancel(&mut self, ticket: Ticket) {
-        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        self.waiting.remove(ticket.0);
     }
 
     /// Returns the answers to the requests that get a permit now, and to those whose wait ended without one.
     pub fn poll(&mut self, ledger: &Ledger, now: Point) -> Vec<(Ticket, Permit)> {
         self.holders.refresh(ledger, now);
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiting| waiting.sort_key(now));
-        let mut backlogs: HashMap<(id::Service, id::Model), Duration> = HashMap::new();
-        for one in &waiting {
-            let of_model = (
-                one.request.item.service.clone(),
-                one.request.item.model.clone(),
-            );
-            *backlogs.entry(of_model).or_default() += one.prefill_time;
-        }
         let mut permits = Vec::new();
+        if self.waiting.policy == Policy::Deadline {
+            let ended = self.waiting.extract(|waiting| now >= waiting.wait_until);
+            permits.extend(ended.into_iter().map(|(number, waiting)| {
+                (Ticket(number), Permit::Refuse(waiting.request.objective))
+            }));
+        }
+        let mut scheduler = std::mem::take(&mut self.waiting);
         // Targets only fill up while permits are granted, so what was refused one request is refused the later ones.
         let mut full_items: HashSet<Item> = HashSet::new();
-        for one in waiting {
-            if now >= one.wait_until {
-                permits.push((one.ticket, Permit::Refuse(one.request.objective)));
-                continue;
-            }
-            if one.request.avoid.is_empty() && full_items.contains(&one.request.item) {
-                self.waiting.push(one);
-                continue;
+        let is_shared = scheduler.policy == Policy::Share;
+        let groups = scheduler.groups();
+        let open = groups.filter(|group| !is_shared || self.is_open(group, ledger, now));
+        let backlogs: HashMap<Group, Duration> = open
+            .map(|group| (group.clone(), scheduler.backlog(group)))
+            .collect();
+        let has_room = |group: &Group| backlogs.contains_key(group);
+        scheduler.dispatch(now, has_room, |number, waiting| {
+            if waiting.request.avoid.is_empty() && full_items.contains(&waiting.request.item) {
+                return Offer::Passed;
             }
-            let holders = self.find_holders(&one.request, ledger, now);
+            let holders = self.find_holders(&waiting.request, ledger, now);
             if holders.is_empty() {
-                permits.push((one.ticket, Permit::Unknown));
-            } else if let Some(target) = holder::pick(&holders, &one) {
-                let of_model = (
-                    one.request.item.service.clone(),
-                    one.request.item.model.clone(),
-                );
-                let backlog = backlogs.get(&of_model).copied().unwrap_or_default();
-                let has_backlog =
-                    backlog > BACKLOG_PER_TARGET * u32::try_from(holders.len()).unwrap_or(1);
-                let prefill_share = if has_backlog {
-                    BACKLOG_PREFILL_SHARE
-                } else {
-                    PREFILL_SHARE
-                };
-                let permit = self.grant(target, &one, prefill_share, now);
-                permits.push((one.ticket, permit));
-            } else {
-                if one.request.avoid.is_empty() {
-                    full_items.insert(one.request.item.clone());
-                }
-                self.waiting.push(one);
+                permits.push((Ticket(number), Permit::Unknown));
+                return Offer::Dropped;
             }
-        }
+            let Some(target) = holder::pick(&holders, waiting) else {
+                if waiting.request.avoid.is_empty() {
+                    full_items.insert(waiting.request.item.clone());
+                }
+                return Offer::Passed;
+            };
+            let backlog = backlogs.get(&waiting.group()).copied().unwrap_or_default();
+            let has_backlog =
+                backlog > BACKLOG_PER_TARGET * u32::try_from(holders.len()).unwrap_or(1);
+            let prefill_share = if has_backlog {
+                BACKLOG_PREFILL_SHARE
+            } else {
+                PREFILL_SHARE
+            };
+            let permit = self.grant(target, waiting, prefill_share, now);
+            permits.push((Ticket(number), permit));
+            Offer::Taken
+        });
+        self.waiting = scheduler;
+        self.review(ledger, now, &mut permits);
         permits
     }
 
@@ -376,14 +405,6 @@
         load.map_or(0.0, |load| load.requests(now))
     }
 
-    /// Returns the waiting requests for the same model, with whatever adapter.
-    fn competing(&self, item: &Item) -> Vec<&Waiting> {
-        let same = |other: &&Waiting| {
-            other.request.item.model == item.model && other.request.item.service == item.service
-        };
-        self.waiting.iter().filter(same).collect()
-    }
-
     fn find_holders(
         &self,
         request: &Request,
@@ -445,7 +466,7 @@
         let unread = 1.0 - kept / f64::from(request.prompt_tokens.max(1));
         // A slow target has to keep more of its time for its running answers.
         let slowdown = load.occupancy.slowdown(now).max(1.0);
-        let cost = Cost {
+        let cost = load::Cost {
             prefill_time: waiting
                 .prefill_time
                 .mul_f64(unread.clamp(0.0, 1.0) * slowdown),
--- a/crates/buckthornmast_supply/src/permits/holder.rs
+++ b/crates/buckthornmast_supply/src/permits/holder.rs
@@ -4,6 +4,7 @@
 
 use buckthornmast_limit::statement::Key;
 use buckthornmast_routing::completion::{self, Work};
+use buckthornmast_share::scheduler::Ahead;
 use buckthornmast_types::rate::Rate;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -52,7 +53,8 @@
         self.prefill_wait.max(limit_wait)
     }
 
-    fn is_open(&self) -> bool {
+    /// Returns whether the target may be sent a prompt now.
+    pub(super) fn is_open(&self) -> bool {
         let has_room = self.running + 1.0 <= self.slots;
         let is_within_limit = self.limit.is_none_or(|(_, wait)| wait.is_zero());
         // At a slow target, the time between two events is longer, and less is left of the pause that callers accept.
@@ -120,15 +122,21 @@
     Some(chosen.map_or(best, |(_, holder)| holder).key.clone())
 }
 
+/// Returns the time for which a request takes the room of all targets together.
+pub(super) fn work_share(holders: &[Holder], one: &Waiting) -> Duration {
+    let targets = holders.len().max(1) as f64;
+    let slots: f64 = holders.iter().map(|holder| holder.slots).sum();
+    let reading = one.prefill_time.div_f64(BACKLOG_PREFILL_SHARE * targets);
+    let running = Duration::from_secs_f64((one.running_seconds / slots.max(1.0)).min(1.0));
+    reading.max(running)
+}
+
 /// Returns the expected wait of a request behind others.
-pub(super) fn expected_wait<'a, 'b: 'a>(
-    holders: &[Holder],
-    others: impl Iterator<Item = &'a &'b Waiting>,
-    one: &Waiting,
-) -> Duration {
-    let (count, ahead) = others.fold((0.0, Duration::ZERO), |(count, ahead), other| {
-        (count + 1.0, ahead + other.prefill_time)
-    });
+pub(super) fn expected_wait(holders: &[Holder], ahead: Ahead, one: &Waiting) -> Duration {
+    let Ahead {
+        requests: count,
+        work: ahead,
+    } = ahead;
     let unlimited = || holders.iter().filter(|holder| holder.limit.is_none());
     if unlimited().count() == 0 {
         let wait = holders.iter().map(Holder::wait).min();
