quota: a request that waits for credit of a used quota ends with 429

Cause: one that had waited for 600 ms in all got 503 as without a leader, although the leader had denied credit.

Change: the purse tells the two waits apart.

--- a/crates/buckthornmast_forward/src/quota.rs
+++ b/crates/buckthornmast_forward/src/quota.rs
@@ -111,19 +111,22 @@
                     });
                     return Ok(());
                 }
-                Err(Lack::Pending(wait)) => wait,
+                Err(Lack::Pending(wait) | Lack::Soon(wait)) => wait,
                 Err(lack) => break lack,
             };
             let left = wait_until.since(self.clock.now());
             if left.is_zero() {
-                break Lack::NoLender(MAX_CREDIT_WAIT);
+                break match charge {
+                    Err(Lack::Soon(wait)) => Lack::Exhausted(wait),
+                    _ => Lack::NoLender(MAX_CREDIT_WAIT),
+                };
             }
             // The charge is tried again in either case.
             let _ = timeout(wait.min(left), notified).await;
         };
         context.waited += self.clock.now().since(started);
         let refusal = match lack {
-            Lack::Exhausted(wait) => Refusal::OverQuota { wait },
+            Lack::Exhausted(wait) | Lack::Soon(wait) => Refusal::OverQuota { wait },
             Lack::NoLender(wait) | Lack::Pending(wait) => Refusal::NoCredit { wait },
         };
         self.log_lack(context, &organisation, cost, refusal, &credit);
--- a/crates/buckthornmast_quota/src/purse.rs
+++ b/crates/buckthornmast_quota/src/purse.rs
@@ -71,9 +71,11 @@
 /// Reason why a request can't be charged now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Lack {
-    /// A claim is on its way, or credit is expected soon. The request should be charged again when credit has come, or
-    /// after this time.
+    /// A claim is on its way. The request should be charged again when credit has come, or after this time.
     Pending(Duration),
+    /// The organisation has used its quota, but credit is expected soon. The request should be charged again after this
+    /// time.
+    Soon(Duration),
     /// The organisation has used its quota. Credit is expected after this time.
     Exhausted(Duration),
     /// There is no leader, and the reserve of this instance is spent. A leader is expected after this time.
@@ -246,7 +248,7 @@
             if wait > MAX_WAIT {
                 return Err(Lack::Exhausted(wait));
             }
-            return Err(Lack::Pending(denial.until.since(now)));
+            return Err(Lack::Soon(denial.until.since(now)));
         }
         let need = cost + pocket.owed;
         pocket.need = if pocket.need == 0 {
--- a/crates/buckthornmast_quota/tests/support/world.rs
+++ b/crates/buckthornmast_quota/tests/support/world.rs
@@ -516,7 +516,7 @@
                         self.outcome.runs.push((now, cost));
                     }
                 }
-                Err(Lack::Pending(wait))
+                Err(Lack::Pending(wait) | Lack::Soon(wait))
                     if now.since(waiting.since) < Duration::from_millis(600) =>
                 {
                     waiting.retry_at = now + wait;
