supply, node: instances report their requests less often the more of them there are

Cause: a report 50 ms after each change is up to 20 a second for each instance, and 300 instances would send the leader 6,000 a second beside its permits.

Change: the interval grows with the number of instances, by 50 ms for each 75.

--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -329,6 +329,11 @@
         self.limits.set_instances(self.instances);
     }
 
+    /// Returns the number of entry instances.
+    pub fn instances(&self) -> u32 {
+        self.instances
+    }
+
     fn rebuild(&mut self) {
         let registry = &self.registry;
         // A target of an unknown service must not replace a target of a known service at the same address.
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -196,7 +196,8 @@
         loop {
             // Without a change, it is time for a complete report.
             let _ = timeout(occupancy::REFRESH_INTERVAL, changed.notified()).await;
-            sleep(occupancy::REPORT_INTERVAL).await;
+            let instances = self.forwarder.state.borrow().instances();
+            sleep(occupancy::report_interval(instances)).await;
             let Some(term) = self.supplier.0.leading_term() else {
                 continue;
             };
--- a/crates/buckthornmast_supply/src/occupancy.rs
+++ b/crates/buckthornmast_supply/src/occupancy.rs
@@ -12,7 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 /// Interval at which an instance reports what has changed. Short compared with the time of a request in its slot.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Number of instances that report at [`REPORT_INTERVAL`]. More instances report less often, so that the leader gets about
+/// as many reports.
+const INSTANCES_PER_INTERVAL: u32 = 75;
 
 /// Interval at which an instance reports all its requests, changed or not.
 pub const REFRESH_INTERVAL: Duration = Duration::from_millis(1200);
@@ -29,6 +33,11 @@
 /// Maximum number of unconfirmed permits. More than that, and none of the instances reports.
 const MAX_PERMITS: usize = 256;
 
+/// Returns the interval at which each of a number of instances reports what has changed.
+pub fn report_interval(instances: u32) -> Duration {
+    REPORT_INTERVAL * instances.div_ceil(INSTANCES_PER_INTERVAL).max(1)
+}
+
 /// Requests of one instance at a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
