forward, node, ctl: operators can ask where an entry instance would send a request

Nobody could tell why a request went to a target, or why it would be refused, without sending one.

Change: an entry instance answers GET /explain on the address of its metrics, and buckthornmastctl explain prints the answer. The scoring of choice::pick is now choice::rank, which both use; the outcome comes from the functions that select targets. Keys aren't revealed; lists, query and objective are bounded. The leader's queue of permits, quotas, and requests in a file are not covered yet.

Other tests weren't run.

--- a/crates/buckthornmast_ctl/src/flags.rs
+++ b/crates/buckthornmast_ctl/src/flags.rs
@@ -42,6 +42,27 @@
         }
         /// Prints the state of instances and targets.
         cmd status {}
+        /// Explains where an entry instance would send a request now, and why, without sending it.
+        cmd explain {
+            /// Address of the instance's metrics, address:port.
+            required --instance address: String
+            required --service name: String
+            /// Name of the route; the first one to the service without it.
+            optional --route name: String
+            optional --model name: String
+            optional --adapter name: String
+            /// Id of the shared part of the prompt, in hexadecimal.
+            optional --prefix id: String
+            /// Length of the prompt in tokens.
+            optional --tokens number: u32
+            /// Objective in milliseconds in place of that of the route.
+            optional --objective-ms number: u64
+            optional --organisation name: String
+            /// Priority in place of that of the organisation or route; 0 is the most urgent.
+            optional --priority number: u32
+            /// Id of the request, which breaks ties between targets.
+            optional --request id: String
+        }
         /// Prints a report: burn or policies.
         cmd report {
             required name: String
--- a/crates/buckthornmast_ctl/src/lib.rs
+++ b/crates/buckthornmast_ctl/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod apply;
 pub mod client;
+pub mod explain;
 pub mod flags;
 pub mod outcome;
 pub mod show;
--- a/crates/buckthornmast_ctl/src/main.rs
+++ b/crates/buckthornmast_ctl/src/main.rs
@@ -6,6 +6,7 @@
 use buckthornmast_ctl::{
     apply,
     client::Client,
+    explain,
     flags::{Ctl, CtlCmd},
     outcome::{Failure, Outcome, USAGE},
     show,
@@ -55,6 +56,7 @@
         ),
         CtlCmd::History(history) => show::history(&client(flags)?, &history.team, flags.json),
         CtlCmd::Status(_) => show::status(&client(flags)?, flags.json),
+        CtlCmd::Explain(request) => explain::explain(request, flags.json),
         CtlCmd::Report(report) if REPORTS.contains(&report.name.as_str()) => {
             let client = client(flags)?;
             match &report.svg {
--- a/crates/buckthornmast_ctl/src/show.rs
+++ b/crates/buckthornmast_ctl/src/show.rs
@@ -10,7 +10,7 @@
     outcome::{Failure, Outcome},
 };
 
-fn format_value(value: &Value) -> String {
+pub(crate) fn format_value(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
         Value::String(text) => text.clone(),
@@ -18,7 +18,7 @@
     }
 }
 
-fn format_json(body: &Value) -> Outcome {
+pub(crate) fn format_json(body: &Value) -> Outcome {
     let text = serde_json::to_string_pretty(body);
     text.map(|text| text + "\n")
         .map_err(|error| Failure::Local {
@@ -26,7 +26,7 @@
         })
 }
 
-fn format_rows(list: &Value, keys: &[&str]) -> Vec<Vec<String>> {
+pub(crate) fn format_rows(list: &Value, keys: &[&str]) -> Vec<Vec<String>> {
     let row = |entry: &Value| keys.iter().map(|key| format_value(&entry[*key])).collect();
     list.as_array().into_iter().flatten().map(row).collect()
 }
--- a/crates/buckthornmast_forward/src/choice.rs
+++ b/crates/buckthornmast_forward/src/choice.rs
@@ -9,6 +9,7 @@
 
 use buckthornmast_routing::completion::{self, Work};
 use buckthornmast_types::{id, time::Point};
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::stats::{StatsTable, TargetStats};
@@ -66,12 +67,43 @@
     pub wait: Duration,
 }
 
-struct Scored {
-    index: usize,
-    requests: f64,
-    failure_rate: f64,
-    slowdown: f64,
-    score: f64,
+/// Candidate with the terms of its score. The target with the lowest score is expected to answer first.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Scored {
+    /// Index in the candidates.
+    pub index: usize,
+    /// Estimated number of requests at the target.
+    pub requests: f64,
+    /// Number of requests that it runs concurrently.
+    pub slots: f64,
+    /// Failure rate, from 0 to 1.
+    pub failure_rate: f64,
+    /// Slowdown, as a ratio of the usual time.
+    pub slowdown: f64,
+    /// Expected time until the answer, in service times.
+    pub completion: f64,
+    /// Cost of failures, in service times.
+    pub failure_cost: f64,
+    /// Cost of another failure domain, in service times.
+    pub distance: f64,
+    /// Noise that keeps instances from choosing the same target, in service times.
+    pub noise: f64,
+}
+
+impl Scored {
+    /// Returns the sum of the terms, in service times.
+    pub fn score(&self) -> f64 {
+        self.completion + self.failure_cost + self.distance + self.noise
+    }
+}
+
+/// Candidates that may be chosen, ordered by their scores.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ranking {
+    /// Candidates. Those that were tried or are ejected are left out.
+    pub scored: SmallVec<[Scored; 16]>,
+    /// Candidate that is chosen. It isn't the first one if another one is the place of the prompt prefix.
+    pub chosen: Scored,
 }
 
 /// Picks a target. Returns `None` if all candidates have been tried.
@@ -81,6 +113,20 @@
     table: &StatsTable,
     now: Point,
 ) -> Option<Pick> {
+    let index = rank(candidates, query, table, now)?.chosen.index;
+    Some(Pick {
+        index,
+        wait: expected_wait(&candidates[index], table, now),
+    })
+}
+
+/// Ranks the candidates and chooses one. Returns `None` if all have been tried.
+pub fn rank(
+    candidates: &[Candidate],
+    query: Query<'_>,
+    table: &StatsTable,
+    now: Point,
+) -> Option<Ranking> {
     let untried = || {
         let all = candidates.iter().enumerate();
         all.filter(|(_, candidate)| !query.tried.contains(&candidate.target))
@@ -94,11 +140,11 @@
         .count();
     // When most targets fail, they probably share a fault, and the few others couldn't carry the load.
     let uses_ejected = ejected * 2 > untried().count();
-    let mut scored: smallvec::SmallVec<[Scored; 16]> = untried()
+    let mut scored: SmallVec<[Scored; 16]> = untried()
         .filter(|(_, candidate)| uses_ejected || !is_ejected(candidate))
         .map(|(index, candidate)| score(index, candidate, query.tie_breaker, table, now))
         .collect();
-    scored.sort_by(|one, other| one.score.total_cmp(&other.score));
+    scored.sort_by(|one, other| one.score().total_cmp(&other.score()));
     let best = scored.first()?;
     let min_failure_rate = scored
         .iter()
@@ -123,11 +169,8 @@
             eligible.max_by_key(|scored| rendezvous_hash(prefix, &candidates[scored.index].target))
         })
         .unwrap_or(best);
-    let candidate = &candidates[chosen.index];
-    Some(Pick {
-        index: chosen.index,
-        wait: expected_wait(candidate, table, now),
-    })
+    let chosen = *chosen;
+    Some(Ranking { scored, chosen })
 }
 
 fn score(
@@ -169,9 +212,13 @@
     Scored {
         index,
         requests,
+        slots,
         failure_rate,
         slowdown,
-        score: completion + failure_rate * FAILURE_COST + distance + noise,
+        completion,
+        failure_cost: failure_rate * FAILURE_COST,
+        distance,
+        noise,
     }
 }
 
--- a/crates/buckthornmast_forward/src/forwarder.rs
+++ b/crates/buckthornmast_forward/src/forwarder.rs
@@ -179,7 +179,7 @@
     }
 
     /// Returns whether the prompt of a request is larger than the memory of any target of its service.
-    fn exceeds_targets(&self, context: &Context) -> bool {
+    pub(crate) fn exceeds_targets(&self, context: &Context) -> bool {
         let generation = context.head.generation.as_ref();
         let prompt_tokens = generation.map_or(0, |generation| generation.prompt_tokens);
         let routes = self.state.borrow().routes();
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod continuation;
 pub mod events;
 pub mod exchange;
+pub mod explain;
 pub mod forwarder;
 pub mod identity;
 mod limit;
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -6,6 +6,7 @@
 //! slots that no other request needs, and beyond a bounded queue it is refused at once, with the time after which a
 //! retry is useful.
 
+mod explain;
 mod stop;
 
 use std::{rc::Rc, time::Duration};
@@ -109,6 +110,17 @@
     prefixes(generation).first().map(|prefix| prefix.hash)
 }
 
+/// Returns what the choice of a target for a request depends on.
+fn choice_query(context: &Context) -> Query<'_> {
+    let generation = context.head.generation.as_ref();
+    let shared = generation.filter(|_| context.route.affinity);
+    Query {
+        prefix: shared.and_then(prefix_hash),
+        tried: &context.tried,
+        tie_breaker: request_hash(&context.head.request.0),
+    }
+}
+
 impl<M: Mapping, S: Supply> Forwarder<M, S> {
     /// Returns the time within which a target must begin its answer before another one is tried, if another one may be
     /// tried.
@@ -478,6 +490,12 @@
         })
     }
 
+    /// Returns targets as the choice sees them.
+    fn candidates(&self, serving: &[&Member]) -> SmallVec<[choice::Candidate; 16]> {
+        let candidates = serving.iter().map(|member| member.candidate(&self.domain));
+        candidates.collect()
+    }
+
     /// Chooses among the targets that serve the request, or refuses the request if they are full.
     pub(crate) fn select_locally(
         &self,
@@ -485,21 +503,10 @@
         serving: &[&Member],
         now: Point,
     ) -> Result<Chosen, Refusal> {
-        let candidates: SmallVec<[choice::Candidate; 16]> = serving
-            .iter()
-            .map(|member| member.candidate(&self.domain))
-            .collect();
+        let candidates = self.candidates(serving);
         let generation = context.head.generation.as_ref();
-        let prefix = generation
-            .filter(|_| context.route.affinity)
-            .and_then(prefix_hash);
-        let query = Query {
-            prefix,
-            tried: &context.tried,
-            tie_breaker: request_hash(&context.head.request.0),
-        };
         let state = self.state.borrow();
-        let Some(pick) = choice::pick(&candidates, query, &state.stats, now) else {
+        let Some(pick) = choice::pick(&candidates, choice_query(context), &state.stats, now) else {
             return Err(Refusal::NoTarget);
         };
         let candidate = &candidates[pick.index];
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -89,6 +89,11 @@
         self.version.as_ref().map_or("", Version::as_str)
     }
 
+    /// Returns whether a model is resident at the target, with whatever adapters.
+    pub fn has_model(&self, model: &id::Model) -> bool {
+        self.resident.iter().any(|entry| entry.model == *model)
+    }
+
     /// Returns whether the model and adapter that a request needs are resident at the target.
     pub fn serves(&self, generation: Option<&Generation>) -> bool {
         let Some(generation) = generation else {
--- a/crates/buckthornmast_forward/tests/choice.rs
+++ b/crates/buckthornmast_forward/tests/choice.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use buckthornmast_forward::{
-    choice::{Candidate, Query, pick},
+    choice::{Candidate, Query, pick, rank},
     mapping::Load,
     stats::{Ended, StatsTable},
 };
@@ -169,3 +169,36 @@
     assert_eq!(chosen.len(), 4, "{chosen:?}");
     assert!(chosen.values().all(|count| *count <= 30), "{chosen:?}");
 }
+
+/// Guards against an explanation that ranks targets in another way than the choice, and against terms that don't make up
+/// the score.
+#[test]
+fn rank_agrees_with_pick() {
+    let all = candidates(6);
+    let mut table = StatsTable::default();
+    for (number, candidate) in (0..).zip(&all) {
+        let load = Load {
+            running: number,
+            waiting: number / 2,
+            ..Load::default()
+        };
+        table.record_load(&candidate.target, INCARNATION, load, NOW);
+    }
+    table.record_dispatch(&all[0].target, INCARNATION);
+    table.record_end(&all[0].target, INCARNATION, Ended::Unreachable, NOW);
+    for number in 0..200 {
+        let query = query((number % 2 == 0).then_some(number), number);
+        let before = pick(&all, query, &table, NOW);
+        let ranking = rank(&all, query, &table, NOW).unwrap();
+        assert_eq!(ranking, rank(&all, query, &table, NOW).unwrap());
+        assert_eq!(pick(&all, query, &table, NOW), before);
+        assert_eq!(before.unwrap().index, ranking.chosen.index);
+        assert!(ranking.scored.contains(&ranking.chosen));
+        assert!(ranking.scored.is_sorted_by_key(|scored| scored.score()));
+        // The target that couldn't be reached is ejected.
+        assert_eq!(ranking.scored.len(), 5);
+        if query.prefix.is_none() {
+            assert_eq!(ranking.chosen, ranking.scored[0]);
+        }
+    }
+}
--- a/crates/buckthornmast_forward/tests/selection.rs
+++ b/crates/buckthornmast_forward/tests/selection.rs
@@ -10,9 +10,11 @@
 
 use buckthornmast_fleet::prelude::*;
 use buckthornmast_forward::{
+    advisory::Advice,
     context::Context,
+    explain::{Cause, Explanation, Outcome, Query, Reason},
     forwarder::Forwarder,
-    mapping::{Answer, Generation, Head, Malformed, Mapping, RequestId, TargetHeaders},
+    mapping::{Answer, Generation, Head, Load, Malformed, Mapping, RequestId, TargetHeaders},
     refusal::Refusal,
     selection::Chosen,
     state::{RetryBounds, State},
@@ -290,3 +292,149 @@
         assert_eq!(select(&forwarder, &mut context).unwrap_err(), refusal);
     }
 }
+
+/// Explains a request twice, selects its target, and explains it again: the explanations must agree with the selection and
+/// change nothing.
+fn explain_and_select(
+    forwarder: &Forwarder<Headers, FixedSupply>,
+) -> (Explanation, Result<Chosen, Refusal>) {
+    let mut context = context(forwarder);
+    let permits = || forwarder.supply.requests.borrow().len();
+    let before = permits();
+    let explanation = forwarder.explain_context(&context);
+    let again = forwarder.explain_context(&context);
+    let names = |explanation: &Explanation| -> Vec<id::Target> {
+        let candidates = explanation.candidates.iter();
+        candidates
+            .map(|candidate| candidate.target.clone())
+            .collect()
+    };
+    assert_eq!(names(&explanation), names(&again));
+    assert_eq!(permits(), before);
+    let chosen = select(forwarder, &mut context);
+    (explanation, chosen)
+}
+
+fn reasons(explanation: &Explanation) -> Vec<(&str, Reason)> {
+    let excluded = explanation.excluded.iter();
+    excluded
+        .map(|excluded| (excluded.target.as_str(), excluded.reason))
+        .collect()
+}
+
+/// Guards against an explanation of another decision than the one that requests get.
+#[test]
+fn explain_agrees_with_selection() {
+    let load = |running: u32, waiting: u32| Load {
+        running,
+        waiting,
+        ..Load::default()
+    };
+    for loads in [[0, 0], [7, 0], [0, 7], [20, 3], [60, 60]] {
+        let forwarder = forwarder(Permit::Unknown);
+        let now = forwarder.clock.now();
+        for (number, running) in loads.into_iter().enumerate() {
+            let stats = &mut forwarder.state.borrow_mut().stats;
+            stats.record_load(
+                &target(number),
+                id::Incarnation(1),
+                load(running, running),
+                now,
+            );
+        }
+        let (explanation, chosen) = explain_and_select(&forwarder);
+        assert!(explanation.asks_leader);
+        assert_eq!(explanation.candidates.len(), 2);
+        match (explanation.outcome, chosen) {
+            (Outcome::Target { target, .. }, Ok(chosen)) => {
+                assert_eq!(target, chosen.member.target, "{loads:?}");
+            }
+            (Outcome::Refusal { cause, .. }, Err(refusal)) => {
+                assert_eq!(cause, refusal.as_str(), "{loads:?}");
+            }
+            (outcome, chosen) => panic!("{loads:?}: {outcome:?}, {chosen:?}"),
+        }
+    }
+}
+
+/// Guards against targets that are left out without the reason.
+#[test]
+fn explain_excluded_targets() {
+    let forwarder = forwarder(Permit::Unknown);
+    let now = forwarder.clock.now();
+    let advise = |number, is_leaving, pause| {
+        let advice = Advice {
+            target: target(number),
+            incarnation: id::Incarnation(1),
+            is_leaving,
+            pause,
+        };
+        forwarder.state.borrow_mut().record_advice(&advice, now);
+    };
+    advise(1, false, Some(Duration::from_secs(9)));
+    let (explanation, chosen) = explain_and_select(&forwarder);
+    assert_eq!(chosen.unwrap().member.target, target(0));
+    let excluded = reasons(&explanation);
+    assert!(
+        matches!(
+            excluded[..],
+            [(
+                "t1",
+                Reason::Paused {
+                    remaining_ms: 8000..
+                }
+            )]
+        ),
+        "{excluded:?}"
+    );
+    advise(0, true, None);
+    let (explanation, chosen) = explain_and_select(&forwarder);
+    assert_eq!(reasons(&explanation)[0], ("t0", Reason::Leaving));
+    let refusal = chosen.unwrap_err();
+    assert!(matches!(refusal, Refusal::Paused { .. }), "{refusal:?}");
+    let Outcome::Refusal {
+        cause,
+        retry_after_ms,
+        ..
+    } = explanation.outcome
+    else {
+        panic!("{:?}", explanation.outcome);
+    };
+    assert_eq!(cause, refusal.as_str());
+    assert!((8000..=9000).contains(&retry_after_ms), "{retry_after_ms}");
+    let mut other = context(&forwarder);
+    other.head.generation.as_mut().unwrap().model = "m2".parse().unwrap();
+    let explanation = forwarder.explain_context(&other);
+    assert!(reasons(&explanation).contains(&("t1", Reason::LacksModel)));
+    let is_copy = matches!(
+        explanation.outcome,
+        Outcome::Wait {
+            cause: Cause::Copy,
+            ..
+        }
+    );
+    assert!(is_copy, "{:?}", explanation.outcome);
+}
+
+/// Guards against misspelt parameters that are passed over, and against values that are.
+#[test]
+fn parse_query() {
+    let query =
+        Query::parse("service=engines&model=m1&prefix=ff&tokens=9&objective_ms=300").unwrap();
+    assert_eq!(query.prefix, Some(255));
+    assert_eq!(query.objective, Some(Duration::from_millis(300)));
+    let long = format!("service={}", "s".repeat(3000));
+    let refused = [
+        "",
+        "service=",
+        "service=engines&modell=m1",
+        "service=engines&service=engines",
+        "service=engines&tokens=many",
+        "service=engines&adapter=a1",
+        "service=engines&objective_ms=99999999999",
+        &long,
+    ];
+    for text in refused {
+        assert!(Query::parse(text).is_err(), "{text}");
+    }
+}
--- a/crates/buckthornmast_node/src/lib.rs
+++ b/crates/buckthornmast_node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod departure;
 pub mod dial;
 pub mod entry;
+pub mod explain;
 pub mod http;
 pub mod memory;
 pub mod message;
--- a/crates/buckthornmast_node/src/process.rs
+++ b/crates/buckthornmast_node/src/process.rs
@@ -30,6 +30,7 @@
     control::Control,
     core::Core,
     entry::{Entry, Ready},
+    explain::Explainer,
     http,
     observe::Metrics,
     platform::Platform,
@@ -182,12 +183,6 @@
         step: "the metrics listener",
     })?;
     let intake = Rc::new(Intake::new(Memory::new(SMALL_SERVER_BYTES)));
-    let _metrics = http::start(
-        listener,
-        Rc::new(metrics),
-        SMALL_CONNECTIONS,
-        Rc::clone(&intake),
-    );
     match settings.service.clone() {
         Service::Entry {
             callers,
@@ -196,6 +191,16 @@
             ..
         } => {
             let entry = Entry::new(platform, settings.clone());
+            let explainer = Explainer {
+                metrics,
+                entry: Rc::clone(&entry),
+            };
+            let _metrics = http::start(
+                listener,
+                Rc::new(explainer),
+                SMALL_CONNECTIONS,
+                Rc::clone(&intake),
+            );
             let ready = listen(ready).context(StartSnafu {
                 step: "the readiness listener",
             })?;
@@ -238,6 +243,7 @@
             stop_entry(&entry, &server, tunnels, settings.bounds.grace).await;
         }
         Service::Core { control, peers, .. } => {
+            let _metrics = http::start(listener, Rc::new(metrics), SMALL_CONNECTIONS, intake);
             let core =
                 Core::new(platform, settings.clone()).context(StartSnafu { step: "the core" })?;
             let peers = listen(peers).context(StartSnafu {
