forward: instances keep brittle targets from having to refuse more than they bear

Callers' requests beyond a target's room were sent to it by every instance and refused there, without a bound, also when the target states that it falls over by that: `Server-Brittle` was read nowhere.

Each instance remembers what targets state. A brittle target gets a request only if a slot is expected to be free. After a refusal an instance keeps to the number of requests that it had there, and tries one more in time slots of its own, so that all instances together make N / 4 trials a second; a trial costs at most one refusal. Nothing is communicated, so it holds for instances that are cut off, too.

--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -32,7 +32,7 @@
     mapping::{Mapping, TargetHeaders},
     pool::Connection,
     state::Member,
-    stats::Ended,
+    stats::{Ended, TargetStats},
     supply::{Supply, Usage},
 };
 
@@ -386,6 +386,7 @@
                 return Err((failure, Ended::Abandoned));
             }
             self.log_limited(context, member);
+            self.start_brittle(member)?;
             let request = self.request(context, member, rank, after);
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((connection, response)),
@@ -427,6 +428,23 @@
         request
     }
 
+    /// Records a request that is about to be sent. Returns an error if the target is brittle and has refused another one
+    /// since it was chosen.
+    fn start_brittle(&self, member: &Member) -> Result<(), (Failure, Ended)> {
+        let now = self.clock.now();
+        let key = (member.target.clone(), member.incarnation);
+        let mut state = self.state.borrow_mut();
+        let stats = state.stats.get(&member.target, member.incarnation);
+        // The request itself is counted already.
+        let own = stats.map_or(0, TargetStats::own_requests).saturating_sub(1);
+        if !state.brittle.wait(&key, own, now).is_zero() {
+            let cause = "the target is brittle and has just refused a request";
+            return Err((failure(Dispatch::NotSent, cause), Ended::Abandoned));
+        }
+        state.brittle.record_dispatch(&key, own, now);
+        Ok(())
+    }
+
     /// Reports the time and events that a request took at its target.
     pub(crate) fn report_usage(&self, context: &Context, usage: Usage) {
         if let Some(item) = context.item() {
--- a/crates/buckthornmast_forward/src/exchange/judgement.rs
+++ b/crates/buckthornmast_forward/src/exchange/judgement.rs
@@ -125,6 +125,10 @@
                 .stats
                 .record_load(&member.target, member.incarnation, load, now);
         }
+        if verdict.is_assigned() && !answer.is_misdirected {
+            let is_refused = verdict == Verdict::Refused;
+            state.record_brittle(member, answer.brittle, is_refused, sent, now);
+        }
         if matches!(verdict, Verdict::Refused | Verdict::Misdirected) {
             let request = &context.head.request.0;
             state
--- a/crates/buckthornmast_forward/src/lib.rs
+++ b/crates/buckthornmast_forward/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admission;
 pub mod advisory;
 pub mod body;
+pub mod brittle;
 pub mod budget;
 pub mod choice;
 pub mod connection;
--- a/crates/buckthornmast_forward/src/limit.rs
+++ b/crates/buckthornmast_forward/src/limit.rs
@@ -67,10 +67,12 @@
         serving: &[&'a Member],
         context: &Context,
     ) -> (SmallVec<[&'a Member; 16]>, SmallVec<[&'a Member; 2]>) {
+        let now = self.clock.now();
         let state = self.state.borrow();
         let (mut open, mut limited) = (SmallVec::new(), SmallVec::new());
         for member in serving {
-            if !state.is_limited(member) {
+            // The choice among the open targets refuses a request that only brittle targets without room could take.
+            if !state.is_limited(member) || !state.has_brittle_room(member, now) {
                 open.push(*member);
             } else if !context.tried.contains(&member.target) {
                 limited.push(*member);
--- a/crates/buckthornmast_forward/src/mapping.rs
+++ b/crates/buckthornmast_forward/src/mapping.rs
@@ -8,7 +8,7 @@
 use buckthornmast_limit::statement::Statement;
 use buckthornmast_organisation::ring::Credential;
 use buckthornmast_quarantine::part::{Part, Set};
-use buckthornmast_types::{id, slowdown::Slowdown};
+use buckthornmast_types::{id, rate::Rate, slowdown::Slowdown};
 use http::{HeaderMap, request, response};
 use smallvec::SmallVec;
 use snafu::Snafu;
@@ -146,6 +146,8 @@
     pub pause: Option<Duration>,
     /// Rate that the target takes from all instances together.
     pub limit: Statement,
+    /// Requests a second that the target can refuse without falling over, if it is brittle.
+    pub brittle: Option<Rate>,
 }
 
 /// Error when decoding a request head.
--- a/crates/buckthornmast_forward/src/selection.rs
+++ b/crates/buckthornmast_forward/src/selection.rs
@@ -378,7 +378,8 @@
         avoid
     }
 
-    /// Returns the targets that a request has been dispatched to already, or that fail.
+    /// Returns the targets that a request has been dispatched to already, that fail, or that are brittle and have just refused
+    /// requests.
     fn avoided_targets(
         &self,
         context: &Context,
@@ -390,7 +391,8 @@
         for member in serving {
             let stats = state.stats.get(&member.target, member.incarnation);
             let is_unhealthy = stats.is_some_and(|stats| stats.is_unhealthy(now));
-            if is_unhealthy && !avoid.contains(&member.target) {
+            let is_held = !state.brittle_wait(member, now).is_zero();
+            if (is_unhealthy || is_held) && !avoid.contains(&member.target) {
                 avoid.push(member.target.clone());
             }
         }
@@ -408,6 +410,9 @@
     ) -> Option<Chosen> {
         let member = serving.iter().find(|member| member.target == *target)?;
         let state = self.state.borrow();
+        if !state.brittle_wait(member, self.clock.now()).is_zero() {
+            return None;
+        }
         if grant.is_none() && state.is_limited(member) {
             return None;
         }
@@ -485,6 +490,12 @@
         serving: &[&Member],
         now: Point,
     ) -> Result<Chosen, Refusal> {
+        let state = self.state.borrow();
+        let is_untried = |member: &&&Member| !context.tried.contains(&member.target);
+        let (serving, without_room): (SmallVec<[&Member; 16]>, SmallVec<[&Member; 16]>) = serving
+            .iter()
+            .copied()
+            .partition(|member| state.has_brittle_room(member, now));
         let candidates: SmallVec<[choice::Candidate; 16]> = serving
             .iter()
             .map(|member| member.candidate(&self.domain))
@@ -498,9 +509,16 @@
             tried: &context.tried,
             tie_breaker: request_hash(&context.head.request.0),
         };
-        let state = self.state.borrow();
         let Some(pick) = choice::pick(&candidates, query, &state.stats, now) else {
-            return Err(Refusal::NoTarget);
+            let without_room = without_room.iter().filter(is_untried);
+            let waits = without_room.map(|member| {
+                let candidate = member.candidate(&self.domain);
+                let wait = choice::expected_wait(&candidate, &state.stats, now);
+                wait.max(state.brittle_wait(member, now))
+            });
+            return Err(waits
+                .min()
+                .map_or(Refusal::NoTarget, |wait| Refusal::TargetsFull { wait }));
         };
         let candidate = &candidates[pick.index];
         let stats = state.stats.get(&candidate.target, candidate.incarnation);
--- a/crates/buckthornmast_forward/src/state.rs
+++ b/crates/buckthornmast_forward/src/state.rs
@@ -19,12 +19,13 @@
 };
 use buckthornmast_routing::budget;
 use buckthornmast_share::account::Account;
-use buckthornmast_types::{id, time::Point};
+use buckthornmast_types::{id, rate::Rate, time::Point};
 use buckthornmast_way::prelude::*;
 use tokio::sync::Notify;
 
 use crate::{
     advisory::{Advice, Board},
+    brittle,
     context::millis,
     mapping::{Answer, Generation},
     memory::Memory,
@@ -32,7 +33,7 @@
     quota::Credit,
     receive::Intake,
     refused,
-    stats::{Change, StatsTable},
+    stats::{Change, StatsTable, TargetStats},
     stop::{self, RouteTimes},
 };
 
@@ -133,6 +134,8 @@
     pub advisories: Board,
     /// Rates that targets take from all instances together.
     pub limits: View,
+    /// Targets that fall over if they have to refuse many requests.
+    pub brittle: brittle::Board,
     /// Requests that targets have refused lately.
     pub refused: refused::Memory,
     /// Prompt parts and requests on which targets crash.
@@ -188,6 +191,7 @@
             pool: Pool::default(),
             advisories: Board::default(),
             limits: View::default(),
+            brittle: brittle::Board::default(),
             refused: refused::Memory::default(),
             guard: Guard::default(),
             origins: origin::Memory::default(),
@@ -327,6 +331,7 @@
     pub fn set_instances(&mut self, instances: u32) {
         self.instances = instances.max(1);
         self.limits.set_instances(self.instances);
+        self.brittle.set_instances(self.instances);
     }
 
     /// Returns the number of entry instances.
@@ -447,6 +452,53 @@
         self.limits.is_limited(&member.target, member.incarnation)
     }
 
+    /// Records what a target states about the refusals that it bears, and whether it has refused the request.
+    pub fn record_brittle(
+        &mut self,
+        member: &Member,
+        stated: Option<Rate>,
+        is_refused: bool,
+        sent: Point,
+        now: Point,
+    ) {
+        let key = (member.target.clone(), member.incarnation);
+        if self.brittle.record(&key, stated, sent, now) {
+            log::info!(step = "brittle", target:% = member.target, born = member.incarnation.0, refusals_per_second:? = stated.map(Rate::get); "target has become brittle or has ceased to be");
+        }
+        let stats = self.stats.get(&member.target, member.incarnation);
+        let own = stats.map_or(0, TargetStats::own_requests).saturating_sub(1);
+        if !is_refused {
+            let used = stats.and_then(TargetStats::used_part);
+            self.brittle.record_success(&key, own, used, sent);
+        } else if self.brittle.record_refusal(&key, own, now) {
+            metrics::counter!("buckthornmast_brittle_refusals_total").increment(1);
+            log::info!(step = "brittle", target:% = member.target, born = member.incarnation.0, own_requests = own; "brittle target refused a request; this instance keeps to the number of requests that it has there");
+        }
+    }
+
+    /// Returns whether a target is expected to have a free slot for a request, if it is brittle.
+    pub fn has_brittle_room(&self, member: &Member, now: Point) -> bool {
+        let key = (member.target.clone(), member.incarnation);
+        if !self.brittle.is_brittle(&key) {
+            return true;
+        }
+        let stats = self.stats.get(&member.target, member.incarnation);
+        let requests = stats.map_or(0.0, |stats| stats.load(now));
+        let stated = stats.and_then(TargetStats::slots);
+        let slots = stated.map_or(member.slots, |stated| stated.min(member.slots));
+        let own = stats.map_or(0, TargetStats::own_requests);
+        self.brittle
+            .accepts(&key, own, requests, f64::from(slots), now)
+    }
+
+    /// Returns the time after which a brittle target may be sent a request; zero for others.
+    pub fn brittle_wait(&self, member: &Member, now: Point) -> Duration {
+        let key = (member.target.clone(), member.incarnation);
+        let stats = self.stats.get(&member.target, member.incarnation);
+        let own = stats.map_or(0, TargetStats::own_requests);
+        self.brittle.wait(&key, own, now)
+    }
+
     /// Returns whether a target may be sent a request now, as far as its answers say.
     pub fn accepts(&self, member: &Member, now: Point) -> bool {
         self.advisories
@@ -502,6 +554,8 @@
         let known = |target: &id::Target| Some(registry.get(target)?.announcement.incarnation);
         self.advisories.prune(known, now);
         self.limits.prune(known, now);
+        self.brittle
+            .retain(|target, incarnation| known(target) == Some(incarnation));
         self.reach.prune(
             |(target, incarnation)| known(target) == Some(*incarnation),
             now,
--- a/crates/buckthornmast_forward/src/stats.rs
+++ b/crates/buckthornmast_forward/src/stats.rs
@@ -95,6 +95,13 @@
         self.reported.slots.filter(|slots| *slots > 0)
     }
 
+    /// Returns the part of the target's slots that was in use when it reported its load, if it states their number.
+    pub fn used_part(&self) -> Option<f64> {
+        let requests = self.reported.running.saturating_add(self.reported.waiting);
+        let slots = self.slots()?;
+        Some(f64::from(requests) / f64::from(slots))
+    }
+
     /// Returns the expected slowdown of the target, as a ratio of the usual time.
     pub fn slowdown(&self, now: Point) -> f64 {
         let age = self.load_age(now);
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -14,6 +14,7 @@
 use buckthornmast_discovery::roster::Roster;
 use buckthornmast_fleet::registry::Merge;
 use buckthornmast_forward::{
+    brittle,
     budget::Budget,
     context::millis,
     forwarder::Forwarder,
@@ -105,7 +106,9 @@
             settings.bounds.connections(),
         );
         state.set_memory(Memory::new(budget.bytes));
-        state.limits = View::new(xxh3_64(settings.instance.as_str().as_bytes()));
+        let place = xxh3_64(settings.instance.as_str().as_bytes());
+        state.limits = View::new(place);
+        state.brittle = brittle::Board::new(place);
         let forwarder = Forwarder {
             mapping: platform.headers(),
             supply: supplier.clone(),
