review: case 8 is now that brittle engines fall over together; names in text files

Cause: an instance keeps to a bound at a brittle target only after that target has refused one of its own requests, and the target is new to it after each fall.

--- a/review/standin-2/src/engine.rs
+++ b/review/standin-2/src/engine.rs
@@ -24,8 +24,6 @@
     Sound,
     /// Answers without a length, and ends the answer with its channel.
     Unframed,
-    /// Fails one request of so many after it has run it, with a 503 that doesn't state that it wasn't run.
-    FailEach(usize),
 }
 
 pub struct State {
@@ -34,8 +32,15 @@
     pub body: Vec<u8>,
     /// Times and ids of the requests that were run.
     pub runs: Vec<(f64, String)>,
+    /// Since when the engine is brittle, and how many refusals in a second it bears.
+    pub brittle: Option<(f64, usize)>,
+    /// Times of its refusals for want of room.
+    pub refusals: Vec<f64>,
 }
 
+/// Time from the first statement that an engine is brittle until it lets no request wait.
+const NOTICE_S: f64 = 3.0;
+
 #[derive(Clone)]
 pub struct Engine {
     pub id: String,
@@ -45,7 +50,6 @@
     pub state: Arc<Mutex<State>>,
     pub slots: usize,
     running: Arc<AtomicUsize>,
-    count: Arc<AtomicUsize>,
     sequence: Arc<AtomicU64>,
     acknowledged: Arc<AtomicU64>,
     is_silent: Arc<AtomicBool>,
@@ -63,15 +67,35 @@
         record: &Record,
     ) -> Self {
         let process = std::process::id();
-        let mut listener = None;
-        for number in 1..250u32 {
+        let mut listeners = (1..250u32).filter_map(|number| {
             let ip = format!("127.{}.{}.{number}", 20 + process % 200, 251);
-            listener = TcpListener::bind((ip.as_str(), 8240)).ok();
-            if listener.is_some() {
-                break;
-            }
-        }
-        let listener = listener.expect("no free address for an engine");
+            TcpListener::bind((ip.as_str(), 8240)).ok()
+        });
+        let listener = listeners.next().expect("no free address for an engine");
+        Self::serve_at(listener, id, service, slots, controls, record)
+    }
+
+    /// Starts an engine at the address of one that has ended.
+    pub fn restart(&self, id: &str, controls: Vec<String>) -> Option<Self> {
+        let listener = TcpListener::bind(&self.address).ok()?;
+        Some(Self::serve_at(
+            listener,
+            id,
+            &self.service,
+            self.slots,
+            controls,
+            &self.record,
+        ))
+    }
+
+    fn serve_at(
+        listener: TcpListener,
+        id: &str,
+        service: &str,
+        slots: usize,
+        controls: Vec<String>,
+        record: &Record,
+    ) -> Self {
         let engine = Self {
             id: id.to_owned(),
             address: listener.local_addr().unwrap().to_string(),
@@ -82,22 +106,26 @@
                 work: Duration::from_millis(60),
                 body: b"{\"done\":true}".to_vec(),
                 runs: Vec::new(),
+                brittle: None,
+                refusals: Vec::new(),
             })),
             slots,
             running: Arc::default(),
-            count: Arc::default(),
             sequence: Arc::default(),
             acknowledged: Arc::default(),
             is_silent: Arc::default(),
             is_gone: Arc::default(),
         };
         let server = engine.clone();
+        listener.set_nonblocking(true).unwrap();
         thread::spawn(move || {
-            for stream in listener.incoming() {
-                if server.is_gone.load(Ordering::SeqCst) {
-                    return;
-                }
-                let Ok(stream) = stream else { continue };
+            // Dropping the listener refuses channels from then on.
+            while !server.is_gone() {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
                 let server = server.clone();
                 thread::spawn(move || server.serve(stream));
             }
@@ -125,8 +153,9 @@
     /// Returns the body of the next ping.
     pub fn ping(&self, state: &str) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let cold = name("cold");
         format!(
-            r#"{{"service":"{}","addr":"{}","zone":"muc-nord","version":"v1","slots":{},"state":"{state}","cold-left-ms":0,"seq":{sequence}}}"#,
+            r#"{{"service":"{}","addr":"{}","zone":"muc-nord","version":"v1","slots":{},"state":"{state}","{cold}":0,"seq":{sequence}}}"#,
             self.service, self.address, self.slots
         )
     }
@@ -173,6 +202,28 @@
         self.state.lock().unwrap().runs.clone()
     }
 
+    /// Returns whether this engine has fallen over.
+    pub fn is_gone(&self) -> bool {
+        self.is_gone.load(Ordering::SeqCst)
+    }
+
+    /// Records a refusal for want of room, after which a brittle engine may fall over.
+    fn record_refusal(&self) {
+        let now = self.record.now();
+        let mut state = self.state.lock().unwrap();
+        state.refusals.push(now);
+        let recent = state.refusals.iter().filter(|at| now - **at < 1.0).count();
+        let falls = state
+            .brittle
+            .is_some_and(|(since, most)| now >= since + NOTICE_S && recent > most);
+        if falls && !self.is_gone.swap(true, Ordering::SeqCst) {
+            self.record.line(format!(
+                "{} falls over after {recent} refusals in a second",
+                self.id
+            ));
+        }
+    }
+
     pub fn set_reply(&self, reply: Reply) {
         self.state.lock().unwrap().reply = reply;
     }
@@ -216,13 +267,22 @@
                 &format!("HTTP/1.1 400 Bad Request\r\n{common}{refused}\r\n"),
             );
         }
+        let brittle = self.state.lock().unwrap().brittle;
+        let stated = brittle.map_or_else(String::new, |(_, most)| {
+            format!("{}: {most}\r\n", name("brittle"))
+        });
+        let common = format!("{common}{stated}");
+        let waits = brittle.is_none_or(|(since, _)| self.record.now() < since + NOTICE_S);
+        let room = if waits { self.slots * 5 } else { self.slots };
         let running = self.running.fetch_add(1, Ordering::SeqCst);
-        if running >= self.slots * 5 {
+        if running >= room {
             self.running.fetch_sub(1, Ordering::SeqCst);
-            return write(
-                out,
-                &format!("HTTP/1.1 503 Service Unavailable\r\n{common}{refused}\r\n"),
-            );
+            self.record_refusal();
+            return !self.is_gone()
+                && write(
+                    out,
+                    &format!("HTTP/1.1 503 Service Unavailable\r\n{common}{refused}\r\n"),
+                );
         }
         let (reply, work, body) = {
             let mut state = self.state.lock().unwrap();
@@ -236,6 +296,10 @@
             request.path()
         ));
         thread::sleep(work);
+        if self.is_gone() {
+            self.record.line(format!("{id} ended with {}", self.id));
+            return false;
+        }
         let load = format!(
             "{}: {},0,{}\r\n",
             name("load"),
@@ -251,23 +315,11 @@
         self.running.fetch_sub(1, Ordering::SeqCst);
         let length = body.len();
         let text = String::from_utf8_lossy(&body).into_owned();
-        let count = self.count.fetch_add(1, Ordering::SeqCst);
-        let reply = match reply {
-            Reply::FailEach(each) if !count.is_multiple_of(each) => Reply::Sound,
-            reply => reply,
-        };
         match reply {
             Reply::Sound => write(
                 out,
                 &format!("{head}Content-Length: {length}\r\n\r\n{text}"),
             ),
-            Reply::FailEach(_) => {
-                let failed = format!("HTTP/1.1 503 Service Unavailable\r\n{common}{load}{stamp}");
-                write(
-                    out,
-                    &format!("{failed}Content-Length: {length}\r\n\r\n{text}"),
-                )
-            }
             Reply::Unframed => {
                 write(out, &format!("{head}Connection: close\r\n\r\n{text}"));
                 false
--- a/review/standin-2/src/scenes.rs
+++ b/review/standin-2/src/scenes.rs
@@ -1,6 +1,6 @@
 //! The cases.
 
-mod failed_run;
+mod brittle;
 mod first_start;
 mod foreign_ping;
 mod stray_engine;
@@ -22,17 +22,13 @@
         "foreign_ping" => foreign_ping::play(stage),
         "stray_engine" => stray_engine::play(stage),
         "unframed" => unframed::play(stage),
-        "failed_run" => failed_run::play(stage),
+        "brittle" => brittle::play(stage),
         _ => Err(format!("no case {scene}")),
     }
 }
 
 /// Routes of one plain service.
-pub const DOCUMENT: &str = r#"{"version":3,"routes":[
-{"name":"confirm","host":"shop.example","path-prefix":"/confirm/","route-kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":300,"priority":1,"service":"bestellkern","max-attempts":2,"sticky":false,"resumable":false},
-{"name":"stock","host":"shop.example","path-prefix":"/stock/","route-kind":"idempotent","timeout-ms":3000,"target-latency-ms":300,"priority":1,"service":"bestellkern","max-attempts":2,"sticky":false,"resumable":false}
-],"services":[{"name":"bestellkern","health-path":"/healthz","max-conns":96,"protocol":"h1","tls":false}],
-"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
+pub const DOCUMENT: &str = include_str!("../document.json");
 
 /// Starts a deployment with engines, and waits until all entry instances are ready and know the engines.
 pub fn start(stage: &Stage, entries: usize, engines: usize) -> Result<(Site, Vec<Engine>), String> {
--- a/review/standin-2/src/scenes/foreign_ping.rs
+++ b/review/standin-2/src/scenes/foreign_ping.rs
@@ -23,7 +23,7 @@
     let (site, engines) = start(stage, 2, 3)?;
     let leaving = engines[0].clone();
     if stage.has_trouble {
-        // A whole ping names `version` and `cold-left-ms`, too. The other writer goes from instance to instance, as engines do.
+        // A whole ping states the version and the time until the engine is warm, too. The other writer goes from instance to instance, as engines do.
         for control in site.controls() {
             let body = format!(
                 r#"{{"service":"bestellkern","addr":"{}","zone":"muc-nord","slots":6,"state":"ready","seq":100000}}"#,
--- a/review/standin-2/src/scenes/stray_engine.rs
+++ b/review/standin-2/src/scenes/stray_engine.rs
@@ -3,7 +3,7 @@
 use std::{thread, time::Duration};
 
 use super::{DOCUMENT, request};
-use crate::{Stage, Verdict, engine::Engine, http::call_core, site::Site};
+use crate::{Stage, Verdict, engine::Engine, http::call_core, names::name, site::Site};
 
 /// Interval of pings.
 const PERIOD: Duration = Duration::from_millis(1200);
@@ -18,10 +18,11 @@
     if stage.has_trouble {
         let (controls, record) = (site.controls(), record.clone());
         thread::spawn(move || {
+            let cold = name("cold");
             for sequence in 1..8_u64 {
                 // The address has no listener.
                 let body = format!(
-                    r#"{{"service":"fremdhalle","addr":"127.0.0.1:9","zone":"muc-nord","version":"v1","slots":6,"state":"ready","cold-left-ms":0,"born":1796545000000,"seq":{sequence}}}"#
+                    r#"{{"service":"fremdhalle","addr":"127.0.0.1:9","zone":"muc-nord","version":"v1","slots":6,"state":"ready","{cold}":0,"born":1796545000000,"seq":{sequence}}}"#
                 );
                 let control = &controls[sequence as usize % controls.len()];
                 let answer = call_core(control, "PUT", "/instances/i-fremd", &body);
