review: case 9 is now that streams can't be taken up after the core was killed

Cause: the version that began a stream is kept in memory only. Once it is lost, 35 s without another version have to pass before a stream is taken up again, counted from the start of each instance of the core.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,3 @@
 #!/usr/bin/env bash
-# Plays this case and writes record.txt beside it. See claim.txt.
-here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../standin-2/run-case.sh" "$here" unframed
+# Plays the case of claim.txt. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+exec "$(dirname "$0")/../standin-3/play.sh" "$(dirname "$0")" take-up-named
