origin: the only version of a service is attested on disk, so that streams go on after restarts of the core

Cause: a stream without a record goes on only if each instance of the core has seen one version for longer than a stream lives, counted from its own start. What all of them had known was forgotten with each process.

Change: instances of the core attest on disk what all of them state. Before one of them tells entry instances of another version, it and as many others as may lose their disks have withdrawn what speaks against it. An instance with a new disk attests nothing, and the others are believed without it as long as no more are new than may be lost. Evidence counts only under the same version of the routes.

The file writer moves from memory.rs to durable.rs and serves three files.

--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -1,5 +1,6 @@
 //! An instance of the core: keeps the routes and the registry of targets, and orders models when it leads.
 
+mod attestations;
 mod confirmations;
 mod credit;
 mod departures;
@@ -13,7 +14,7 @@
     collections::{BTreeMap, BTreeSet},
     io,
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Duration,
 };
 
@@ -24,7 +25,7 @@
     registry::{Entry, Merge, Registry, Update},
 };
 use buckthornmast_link::{Link, Outbox, Timing};
-use buckthornmast_origin::{history::History, record as origin};
+use buckthornmast_origin::{attestation::Register, history::History, record as origin};
 use buckthornmast_quarantine::ledger::Ledger;
 use buckthornmast_routes::register::{Revision, Text};
 use buckthornmast_types::{
@@ -39,15 +40,16 @@
 
 use self::{
     confirmations::Inquiries,
-    origins::Streams,
+    origins::{Streams, variant_of},
     updates::{Unsent, for_entry},
 };
 use crate::{
+    attestation,
     controller::{Controller, Leadership, permits::Requester},
     departure::{Departure, Departures},
     dial::Connections,
     memory::{Content, Store},
-    message::{Downstream, Liveness, UNDERSTANDS_CREDIT, Upstream},
+    message::{Downstream, Liveness, UNDERSTANDS_ATTESTATIONS, Upstream},
     observe::ReplicaGauge,
     platform::{Fence, Platform},
     replica::{self, Outboxes, Replica},
@@ -128,12 +130,25 @@
     history: History,
     // Services of resumable streams under the routes in force.
     streams: Streams,
+    // Which versions are attested, and may be used.
+    attestations: Register,
+    // Longest time limit of the routes in force.
+    longest_timeout: Option<Duration>,
+    // Version of the routes under which they were attested.
+    attested_routes: Revision,
+    // Whether the disk was new at the start.
+    is_new: bool,
+    // Other instances of the core that understand attestations, and those that are known not to.
+    attesters: BTreeSet<id::Instance>,
+    older: BTreeSet<id::Instance>,
     // Number of trials of quarantined parts that this instance has permitted.
     trials: usize,
 }
 
 /// Instance of the core.
 pub struct Core<P> {
+    // For tasks that outlive a call.
+    own: Weak<Self>,
     pub(crate) platform: P,
     pub(crate) clock: System,
     pub(crate) replica: Replica,
@@ -149,6 +164,7 @@
     targets_file: Store,
     // Targets that leave.
     departures_file: Store,
+    attestations_file: attestation::Store,
     monitor: Monitor,
     gauge: ReplicaGauge,
     inquiries: Inquiries,
@@ -187,6 +203,10 @@
         let mut registry = Registry::default();
         departures_file.restore(&mut registry, Point::ZERO);
         targets_file.restore(&mut registry, Point::ZERO);
+        let attestations_file = attestation::Store::new(&data);
+        let found = attestations_file.read();
+        let mut attestations = Register::default();
+        attestations.restore(found.attested);
         let monitor = Monitor::new(data.clone());
         let config = replica::Config {
             member,
@@ -204,7 +224,8 @@
             settings.bounds.quota_terms,
             Rc::clone(&subscribers),
         );
-        Ok(Rc::new(Self {
+        Ok(Rc::new_cyclic(|own| Self {
+            own: Weak::clone(own),
             replica: Replica::new(config, outboxes.clone(), clock),
             controller: Rc::new(controller),
             platform,
@@ -216,11 +237,15 @@
             connections: Connections::default(),
             targets_file,
             departures_file,
+            attestations_file,
             monitor,
             gauge: ReplicaGauge::default(),
             inquiries: Inquiries::default(),
             state: RefCell::new(State {
                 registry,
+                attestations,
+                attested_routes: found.routes,
+                is_new: found.is_new,
                 ..State::default()
             }),
             settings: RefCell::new(settings),
@@ -251,6 +276,7 @@
             self.targets_file.save(&state.registry);
             // New departures are stored at once. This removes those that are forgotten, and repeats a failed write.
             self.departures_file.save(&state.registry);
+            state.save_attestations(&self.attestations_file);
         }
         self.tick_leader(now);
         self.controller.tick_credit(self.state.borrow().entry_count);
@@ -266,6 +292,7 @@
             self.publish_liveness(tick, now);
             self.controller.publish_credit(now);
             self.see_versions(now);
+            self.tick_attestations(now);
             let mut state = self.state.borrow_mut();
             state.registry.prune(now);
             let State {
@@ -312,8 +339,10 @@
         }
         if state.entry_count != entry_count {
             state.entry_count = entry_count;
-            self.subscribers
-                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_CREDIT));
+            self.subscribers.send_entries(&Downstream::EntryCount(
+                entry_count,
+                UNDERSTANDS_ATTESTATIONS,
+            ));
         }
         drop(state);
         if tick.is_multiple_of(WAYS_INTERVAL_TICKS) {
@@ -395,7 +424,7 @@
             Ok(document) => {
                 let services: BTreeSet<id::Service> = document.services.keys().cloned().collect();
                 let mut state = self.state.borrow_mut();
-                state.see_routes(&document, self.clock.now());
+                state.see_routes(&document, text.version, self.clock.now());
                 state
                     .registry
                     .retain_services(|service| services.contains(service));
@@ -486,6 +515,7 @@
         }
         state.see_version(&update.announcement.target, now);
         drop(state);
+        self.clear(variant_of(&update.announcement), now);
         if matches!(merge, Merge::Changed | Merge::Inventory) {
             log::info!(
                 step = "target",
@@ -586,11 +616,12 @@
         }
         let mut updates = state.registry.updates();
         if is_entry {
-            updates = updates.iter().map(for_entry).collect();
+            let updates_for_entry = updates.iter().filter(|update| state.is_told(update));
+            updates = updates_for_entry.map(for_entry).collect();
         }
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
-            Downstream::EntryCount(state.entry_count, UNDERSTANDS_CREDIT),
+            Downstream::EntryCount(state.entry_count, UNDERSTANDS_ATTESTATIONS),
             Downstream::targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
@@ -682,6 +713,23 @@
             Upstream::ConfirmRequest { number } => {
                 self.inquiries.add(subscriber, number, outbox.clone());
             }
+            Upstream::Withdraw { number, variant } => {
+                if let Some(from) = from {
+                    self.withdraw_attestations(from, number, variant);
+                }
+            }
+            Upstream::Withdrawn { number } => {
+                if let Some(from) = from {
+                    self.record_withdrawal(number, from);
+                }
+            }
+            Upstream::Statements(statements) => {
+                if let Some(from) = from {
+                    let now = self.clock.now();
+                    let state = &mut self.state.borrow_mut();
+                    state.attestations.record_statements(from, &statements, now);
+                }
+            }
             Upstream::Credit(claim) => self.answer_claim(subscriber, &claim, outbox),
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
--- a/crates/buckthornmast_node/src/core/origins.rs
+++ b/crates/buckthornmast_node/src/core/origins.rs
@@ -1,11 +1,17 @@
 //! Versions that began streams, from the entry instances that served them, for those that are asked to resume them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use buckthornmast_fleet::announcement::Announcement;
 use buckthornmast_link::Outbox;
-use buckthornmast_origin::record::{Entry, Key, Mark, Record, Service};
-use buckthornmast_routes::document::Document;
+use buckthornmast_origin::{
+    attestation::Variant,
+    record::{Entry, Key, Mark, Record, Service},
+};
+use buckthornmast_routes::{document::Document, register::Revision};
 use buckthornmast_types::{
     id,
     time::{Clock, Point},
@@ -31,12 +37,25 @@
     pub(super) fn see_versions(&self, now: Point) {
         let mut state = self.state.borrow_mut();
         let State {
-            registry, history, ..
+            registry,
+            history,
+            attestations,
+            longest_timeout,
+            ..
         } = &mut *state;
-        history.keep(now);
+        // What is attested counts once the routes are known to be those under which it was.
+        if history.keep(now) && longest_timeout.is_some() {
+            history.credit(attestations.attested(), now);
+        }
+        let mut variants = BTreeSet::new();
         for entry in registry.entries() {
-            let (service, mark) = version_of(&entry.announcement);
-            history.see(service, mark, now);
+            let variant = variant_of(&entry.announcement);
+            history.see(variant.service, variant.mark, now);
+            variants.insert(variant);
+        }
+        drop(state);
+        for variant in variants {
+            self.clear(variant, now);
         }
     }
 
@@ -51,11 +70,16 @@
         let state = self.state.borrow();
         let entry = state.origins.get(key);
         let now = self.clock.now();
+        let sole = state.history.sole(service, now);
+        let is_attested = sole.is_some_and(|sole| state.attestations.attests(service, sole.mark));
         let message = Downstream::Origin {
             number,
             mark: entry.and_then(Entry::mark),
             is_void: entry == Some(Entry::Void),
-            sole: state.history.sole(service, now).filter(|_| entry.is_none()),
+            sole: sole.filter(|_| entry.is_none()),
+            is_new: state.is_new && !is_attested && state.history.is_uniform(service),
+            spare: if is_attested { self.spare() } else { 0 },
+            routes: state.routes_version.unwrap_or_default(),
         };
         // An entry instance that has disconnected needs no answer.
         let _ = outbox.send(&message);
@@ -67,23 +91,42 @@
 
 impl State {
     /// Records that streams may be taken up at another service than the one that began them, where routes have changed.
-    pub(super) fn see_routes(&mut self, document: &Document, now: Point) {
+    pub(super) fn see_routes(&mut self, document: &Document, version: Revision, now: Point) {
         let streams = streams_of(document);
-        let changed = streams
-            .iter()
-            .filter(|(host, prefixes)| self.streams.get(*host) != Some(*prefixes));
-        for service in changed.flat_map(|(_, prefixes)| prefixes.values().flatten()) {
-            // As a target whose version is not known.
-            self.history.see(Service::new(service), None, now);
+        let is_first = self.longest_timeout.is_none();
+        let timeouts = document.routes.iter().map(|route| route.timeout);
+        self.longest_timeout = Some(timeouts.max().unwrap_or(Duration::MAX));
+        if is_first && version == self.attested_routes {
+            self.history.credit(self.attestations.attested(), now);
+        } else if is_first {
+            // They may have changed, and changed back, while this instance did not run.
+            self.attestations.withdraw_all();
+            for service in streams.values().flat_map(BTreeMap::values).flatten() {
+                self.history.renew(Service::new(service), now);
+            }
+        } else {
+            let changed = streams
+                .iter()
+                .filter(|(host, prefixes)| self.streams.get(*host) != Some(*prefixes));
+            for service in changed.flat_map(|(_, prefixes)| prefixes.values().flatten()) {
+                // As a target whose version is not known.
+                let variant = Variant {
+                    service: Service::new(service),
+                    mark: None,
+                };
+                self.attestations.withdraw(variant);
+                self.history.see(variant.service, variant.mark, now);
+            }
         }
+        self.attested_routes = version;
         self.streams = streams;
     }
 
     /// Records the version of a target.
     pub(super) fn see_version(&mut self, target: &id::Target, now: Point) {
         if let Some(entry) = self.registry.get(target) {
-            let (service, mark) = version_of(&entry.announcement);
-            self.history.see(service, mark, now);
+            let variant = variant_of(&entry.announcement);
+            self.history.see(variant.service, variant.mark, now);
         }
     }
 }
@@ -100,10 +143,11 @@
     streams
 }
 
-fn version_of(announcement: &Announcement) -> (Service, Option<Mark>) {
+/// Returns the version of a target.
+pub(super) fn variant_of(announcement: &Announcement) -> Variant {
     let version = announcement.version.as_ref();
-    (
-        Service::new(&announcement.service),
-        version.map(|version| Mark::new(version.as_str())),
-    )
+    Variant {
+        service: Service::new(&announcement.service),
+        mark: version.map(|version| Mark::new(version.as_str())),
+    }
 }
--- a/crates/buckthornmast_node/src/core/updates.rs
+++ b/crates/buckthornmast_node/src/core/updates.rs
@@ -33,8 +33,14 @@
     pub(super) fn pass_on(&self, update: Update, merge: Merge, is_first_hand: bool) {
         let target = update.announcement.target.clone();
         if update.withdrawn || update.announcement.state != announcement::State::Ready {
-            self.state.borrow_mut().unsent.remove(&target);
-            return self.subscribers.send(&Downstream::targets(vec![update]));
+            let mut state = self.state.borrow_mut();
+            state.unsent.remove(&target);
+            let is_told = state.is_told(&update);
+            drop(state);
+            let message = Downstream::targets(vec![update]);
+            return self
+                .subscribers
+                .send_where(&message, |subscriber| is_told || subscriber.is_core);
         }
         if is_first_hand {
             self.subscribers
@@ -58,7 +64,13 @@
     /// Sends the updates that wait for this tick.
     pub(super) fn send_unsent(&self) {
         let mut state = self.state.borrow_mut();
-        let unsent = std::mem::take(&mut state.unsent);
+        let mut unsent = std::mem::take(&mut state.unsent);
+        for waiting in unsent.values_mut() {
+            // They are told once the version is cleared.
+            let is_told = state.is_told(&waiting.update);
+            waiting.to_entries &= is_told;
+            waiting.to_relayed_entries &= is_told;
+        }
         let members: Vec<id::Instance> = state
             .roster
             .members()
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -361,10 +361,21 @@
                 mark,
                 is_void,
                 sole,
+                is_new,
+                spare,
+                routes,
             } => {
                 let void = is_void.then_some(origin::Entry::Void);
                 let entry = mark.map(origin::Entry::Begun).or(void);
-                let answer = Answer { entry, sole };
+                let known = state.routes().map(|routes| routes.document.version);
+                // Under older routes, streams could go elsewhere. Older builds name no version, and know only their own time.
+                let is_current = routes.0 == 0 || known.is_some_and(|known| known <= routes);
+                let answer = Answer {
+                    entry,
+                    sole: sole.filter(|_| is_current),
+                    is_new,
+                    spare,
+                };
                 self.supplier.0.answer_origin(number, answer);
             }
             Downstream::Routes(text) => match self.platform.decode_document(&text.body) {
--- a/crates/buckthornmast_node/src/lib.rs
+++ b/crates/buckthornmast_node/src/lib.rs
@@ -7,11 +7,13 @@
 //!
 //! Each program runs on one thread. Only the replicated log, logging and signal handling have threads of their own.
 
+pub mod attestation;
 pub mod control;
 pub mod controller;
 pub mod core;
 pub mod departure;
 pub mod dial;
+pub mod durable;
 pub mod entry;
 pub mod explain;
 pub mod http;
--- a/crates/buckthornmast_node/src/memory.rs
+++ b/crates/buckthornmast_node/src/memory.rs
@@ -9,29 +9,17 @@
 //! when this file has it on enough disks, since a target that was told so may end, and another instance may restore it
 //! from an older hint.
 //!
-//! The files share their disk with the replicated log. Their size is bounded, and a write that fails leaves nothing behind,
-//! so that a disk that was full for a while doesn't stay full.
+//! The size of both is bounded, since they share their disk with the replicated log.
 
-use std::{
-    cell::{Cell, RefCell},
-    cmp::Reverse,
-    fs,
-    future::Future,
-    io::{self, Write},
-    path::{Path, PathBuf},
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{cell::Cell, cmp::Reverse, future::Future, path::Path, time::Duration};
 
 use buckthornmast_fleet::registry::{Entry, Registry, Update};
 use buckthornmast_types::time::Point;
-use snafu::{ResultExt, Snafu};
-use tokio::sync::watch;
 
-use crate::message::with_versions;
+use crate::{
+    durable::{Failure, File, Purpose, open, seal},
+    message::with_versions,
+};
 
 /// Targets that a file keeps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,157 +90,41 @@
     }
 }
 
-/// Contents that are written one after the other, on a thread of the runtime's blocking pool, so that a disk that hangs
-/// blocks one thread only.
-#[derive(Debug)]
-struct Writer {
-    path: PathBuf,
-    // Name of the file in logs and metrics.
-    file: &'static str,
-    // Content that waits for the write in progress, with its number. A newer one replaces it.
-    next: Mutex<Option<(u64, Vec<u8>)>>,
-    is_running: AtomicBool,
-    // Number of the newest content on the disk.
-    written: watch::Sender<u64>,
-    // Whether a write has failed since the last request to write.
-    has_failed: AtomicBool,
-    // Number of writes that have failed since the last one that succeeded.
-    failed: AtomicU64,
-}
-
-impl Writer {
-    fn start(self: &Arc<Self>, number: u64, bytes: Vec<u8>) {
-        let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
-        *next = Some((number, bytes));
-        if !self.is_running.swap(true, Ordering::AcqRel) {
-            let writer = Arc::clone(self);
-            // The thread ends with its last content, and the runtime joins it.
-            drop(tokio::task::spawn_blocking(move || writer.run()));
-        }
-    }
-
-    fn run(&self) {
-        loop {
-            let (number, bytes) = {
-                let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
-                let Some(next) = next.take() else {
-                    self.is_running.store(false, Ordering::Release);
-                    return;
-                };
-                next
-            };
-            match replace_file(&self.path, &bytes) {
-                Ok(()) => {
-                    self.written.send_replace(number);
-                    let failed = self.failed.swap(0, Ordering::AcqRel);
-                    if failed > 0 {
-                        log::info!(step = "persist", file = self.file, failed = failed; "the file of targets is written again");
-                    }
-                }
-                Err(error) => {
-                    metrics::counter!("buckthornmast_refused_writes_total", "file" => self.file)
-                        .increment(1);
-                    if self.failed.fetch_add(1, Ordering::AcqRel) == 0 {
-                        log::warn!(step = "persist", file = self.file, bytes = bytes.len(); "writing the file of targets failed, trying again until it succeeds: {error}");
-                    }
-                    self.has_failed.store(true, Ordering::Release);
-                }
-            }
-        }
-    }
-}
-
-/// Failed step of a replacement.
-#[derive(Debug, Snafu)]
-#[snafu(display("{step}: {source}"))]
-struct ReplaceError {
-    step: &'static str,
-    source: io::Error,
-}
-
-fn unfinished(path: &Path) -> PathBuf {
-    path.with_extension("new")
-}
-
-/// Removes the file of a replacement that was not finished.
-fn remove_unfinished(path: &Path) {
-    match fs::remove_file(unfinished(path)) {
-        Err(error) if error.kind() != io::ErrorKind::NotFound => {
-            log::warn!(step = "persist"; "removing an unfinished file failed, it keeps its space: {error}");
-        }
-        _ => {}
-    }
-}
-
-/// Replaces a file, so that after a loss of power it has either its former content or this one.
-fn replace_file(path: &Path, bytes: &[u8]) -> Result<(), ReplaceError> {
-    let unfinished = unfinished(path);
-    write_file(&unfinished, bytes)
-        .and_then(|()| fs::rename(&unfinished, path).context(ReplaceSnafu { step: "rename" }))
-        .inspect_err(|_| remove_unfinished(path))?;
-    match path.parent() {
-        Some(folder) => fs::File::open(folder)
-            .and_then(|folder| folder.sync_all())
-            .context(ReplaceSnafu {
-                step: "sync the folder",
-            }),
-        None => Ok(()),
-    }
-}
-
-fn write_file(path: &Path, bytes: &[u8]) -> Result<(), ReplaceError> {
-    let mut file = fs::File::create(path).context(ReplaceSnafu { step: "create" })?;
-    file.write_all(bytes)
-        .context(ReplaceSnafu { step: "write" })?;
-    file.sync_data().context(ReplaceSnafu { step: "sync" })
-}
-
 /// Store of known targets.
 #[derive(Debug)]
 pub struct Store {
     content: Content,
-    // Content that was last handed to the writer, and its number.
-    requested: RefCell<Vec<u8>>,
-    number: Cell<u64>,
-    // Whether that content lacks targets.
+    // Whether the file lacks targets.
     is_truncated: Cell<bool>,
-    writer: Arc<Writer>,
+    file: File,
 }
 
 impl Store {
     /// Creates a store on a file in a folder; neither need exist. What the process before this one has not finished is
     /// removed.
     pub fn new(folder: &Path, content: Content) -> Self {
-        let path = folder.join(content.file_name());
-        remove_unfinished(&path);
-        // A missing file stands for no targets, so it need not be written for them.
-        let known = if path.exists() { None } else { encode(&[]) };
+        // A missing file stands for no targets.
+        let empty = encode(&[]).unwrap_or_default();
+        let purpose = Purpose {
+            name: content.file_name(),
+            subject: "targets",
+            failure: Failure::Keep,
+        };
         Self {
             content,
-            requested: RefCell::new(known.unwrap_or_default()),
-            number: Cell::new(0),
             is_truncated: Cell::new(false),
-            writer: Arc::new(Writer {
-                path,
-                file: content.file_name(),
-                next: Mutex::default(),
-                is_running: AtomicBool::new(false),
-                written: watch::Sender::new(0),
-                has_failed: AtomicBool::new(false),
-                failed: AtomicU64::new(0),
-            }),
+            file: File::new(folder, purpose, empty),
         }
     }
 
     /// Adds the targets that the file had when it was written to a registry. Without a readable file there are none.
     pub fn restore(&self, registry: &mut Registry, now: Point) {
         let file = self.content.file_name();
-        let bytes = match fs::read(&self.writer.path) {
-            Ok(bytes) => bytes,
+        let bytes = match self.file.read() {
+            Ok(Some(bytes)) => bytes,
+            Ok(None) => return,
             Err(error) => {
-                if error.kind() != io::ErrorKind::NotFound {
-                    log::warn!(step = "open", file = file; "reading the file failed; no targets are restored from it: {error}");
-                }
+                log::warn!(step = "open", file = file; "reading the file failed; no targets are restored from it: {error}");
                 return;
             }
         };
@@ -271,21 +143,6 @@
 
     /// Writes the targets, if they have changed, without waiting for the disk.
     pub fn save(&self, registry: &Registry) {
-        self.write(registry);
-    }
-
-    /// Writes the targets, and waits until the disk has them. The wait does not end if the disk fails, so it needs a limit.
-    pub fn save_and_wait(&self, registry: &Registry) -> impl Future<Output = ()> + use<> {
-        self.write(registry);
-        let number = self.number.get();
-        let mut written = self.writer.written.subscribe();
-        async move {
-            // An error means that the store was dropped.
-            let _ = written.wait_for(|written| *written >= number).await;
-        }
-    }
-
-    fn write(&self, registry: &Registry) {
         let file = self.content.file_name();
         let updates = self.content.updates(registry);
         let Some((bytes, kept)) = encode_fitting(&updates, self.content.max_bytes()) else {
@@ -296,13 +153,13 @@
         if self.is_truncated.replace(is_truncated) != is_truncated {
             log::warn!(step = "persist", file = file, targets = updates.len(), written = kept, max_bytes = self.content.max_bytes(), is_truncated = is_truncated; "the number of targets that fit in their file has changed");
         }
-        let has_failed = self.writer.has_failed.swap(false, Ordering::AcqRel);
-        if *self.requested.borrow() == bytes && !has_failed {
-            return;
-        }
-        self.requested.replace(bytes.clone());
-        self.number.set(self.number.get() + 1);
-        self.writer.start(self.number.get(), bytes);
+        self.file.write(bytes);
+    }
+
+    /// Writes the targets, and waits until the disk has them. The wait does not end if the disk fails, so it needs a limit.
+    pub fn save_and_wait(&self, registry: &Registry) -> impl Future<Output = ()> + use<> {
+        self.save(registry);
+        self.file.written()
     }
 }
 
@@ -326,17 +183,11 @@
         .map(|update| update.announcement.version.clone())
         .collect();
     let body = postcard::to_stdvec(&(updates, versions)).ok()?;
-    let mut bytes = crc32fast::hash(&body).to_le_bytes().to_vec();
-    bytes.extend_from_slice(&body);
-    Some(bytes)
+    Some(seal(&body))
 }
 
 fn decode(bytes: &[u8]) -> Option<Vec<Update>> {
-    let (checksum, body) = bytes.split_first_chunk::<4>()?;
-    if crc32fast::hash(body).to_le_bytes() != *checksum {
-        return None;
-    }
-    let (updates, rest) = postcard::take_from_bytes(body).ok()?;
+    let (updates, rest) = postcard::take_from_bytes(open(bytes)?).ok()?;
     // An older build stored no versions.
     let versions = postcard::from_bytes(rest).unwrap_or_default();
     Some(with_versions(updates, versions).collect())
--- a/crates/buckthornmast_node/src/replica.rs
+++ b/crates/buckthornmast_node/src/replica.rs
@@ -33,7 +33,7 @@
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
 use self::recovery::{Action, Recovery};
-use crate::{memory::Content, message::Upstream, space::Space};
+use crate::{attestation, memory::Content, message::Upstream, space::Space};
 
 /// Intervals of the log, for a latency of 0.5 ms between instances. One lost packet delays a heartbeat by about 200 ms,
 /// which must not cause an election.
@@ -63,11 +63,11 @@
 /// Returns the largest size of the data folder, with the largest document and everything that is about to be replaced.
 pub fn max_folder_bytes() -> Bytes {
     let log = Bytes(LIMITS.folder_bytes(u64::from(LIMITS.command)));
-    let targets = [Content::Ready, Content::Leaving].map(|content| {
-        // The file, and the one that replaces it.
-        Bytes(2 * content.max_bytes() as u64)
-    });
-    targets.into_iter().chain([log]).sum()
+    let targets = [Content::Ready, Content::Leaving].map(Content::max_bytes);
+    let files = targets.into_iter().chain([attestation::MAX_BYTES]);
+    // The file, and the one that replaces it.
+    let files = files.map(|bytes| Bytes(2 * bytes as u64));
+    files.chain([log]).sum()
 }
 
 /// Time limit for a command, and for the confirmation of a read. Operators wait a second before they try another instance.
--- a/crates/buckthornmast_node/tests/origins.rs
+++ b/crates/buckthornmast_node/tests/origins.rs
@@ -9,6 +9,7 @@
     message::{Downstream, UNDERSTANDS_ORIGINS, Upstream, with_versions},
 };
 use buckthornmast_origin::prelude::*;
+use buckthornmast_routes::register::Revision;
 use buckthornmast_types::{id, time::Point};
 
 /// Largest encoded message about one stream, without the length of its frame.
@@ -125,14 +126,27 @@
             mark: Mark::new("v1"),
             age: Duration::from_secs(9),
         }),
+        is_new: true,
+        spare: 1,
+        routes: Revision(7),
     };
     let answer = postcard::to_stdvec(&answer).unwrap();
     let mut older = postcard::to_stdvec(&(answer[0], 7_u64, mark)).unwrap();
     assert!(answer.starts_with(&older));
-    older.extend_from_slice(&[0; 2]);
+    // Zeros stand for what an older build has not sent.
+    older.extend_from_slice(&[0; 5]);
     let received = postcard::from_bytes(&older).unwrap();
-    let Downstream::Origin { is_void, sole, .. } = received else {
+    let Downstream::Origin {
+        is_void,
+        sole,
+        is_new,
+        spare,
+        routes,
+        ..
+    } = received
+    else {
         panic!("another message");
     };
     assert_eq!((is_void, sole), (false, None));
+    assert_eq!((is_new, spare, routes), (false, 0, Revision(0)));
 }
--- a/crates/buckthornmast_origin/src/lib.rs
+++ b/crates/buckthornmast_origin/src/lib.rs
@@ -4,8 +4,9 @@
 //! go on at any instance, and name only the request that brought their first event. The instance that served it tells two
 //! instances of the core which version began the stream, before the first event leaves. Another instance that is asked to
 //! resume it asks all instances of the core that it reaches. What nobody knows is refused, unless there has been one version
-//! only for longer than any stream lives.
+//! only for longer than any stream lives. [`attestation`] keeps that knowledge over restarts.
 
+pub mod attestation;
 pub mod history;
 pub mod inquiry;
 pub mod origin;
@@ -14,6 +15,7 @@
 /// Names that most users of this crate import together.
 pub mod prelude {
     pub use crate::{
+        attestation::{Register, Statement, Variant},
         history::{History, Sole},
         inquiry::{Answer, Finding, Inquiry, Question},
         origin::Origin,
--- a/crates/buckthornmast_origin/tests/model.rs
+++ b/crates/buckthornmast_origin/tests/model.rs
@@ -42,10 +42,8 @@
         }
         for second in 0..(LIFE + MARGIN).as_secs() * 2 {
             self.pass_second(random);
+            self.deliver_peers();
             for core in 0..CORES {
-                while !self.cores[core].inbox.is_empty() {
-                    self.deliver_peer(core);
-                }
                 if second < LIFE.as_secs() {
                     self.forget(core % ENTRIES, core);
                 }
@@ -74,6 +72,61 @@
         }
     }
 
+    /// A version comes after there has been one only for long, and leaves. It may have been there before, or be known to one
+    /// instance of the core only. Then much is restarted, and streams are taken up.
+    fn come_and_go(&mut self, core: usize, random: &mut Random) -> Result<(), String> {
+        self.settle(random);
+        let version = world::mark(random.below(self.versions + 1));
+        if self.running.contains(&version) {
+            return Ok(());
+        }
+        self.versions += 1;
+        self.running.push(version);
+        self.announce(core, version);
+        if random.below(2) == 0 {
+            self.deliver_peers();
+            self.cut_off(core, version, random);
+        } else {
+            for _ in 0..random.below(20) {
+                self.deliver_peer(random.below(CORES));
+            }
+        }
+        let first = self.streams.len();
+        for entry in 0..ENTRIES {
+            while !self.entries[entry].links[core].down.is_empty() {
+                self.deliver_down(entry, core);
+            }
+            for _ in 0..3 {
+                self.begin(entry, random);
+            }
+        }
+        self.running.retain(|running| *running != version);
+        for core in 0..CORES {
+            self.forget(core % ENTRIES, core);
+        }
+        match random.below(4) {
+            0 => self.restart_all(),
+            1 => {
+                self.wipe_core(core);
+                self.restart_all();
+            }
+            2 => {
+                self.restart_core(core);
+                (0..ENTRIES).for_each(|entry| self.restart_entry(entry));
+            }
+            _ => {
+                (0..ENTRIES).for_each(|entry| self.restart_entry(entry));
+                (0..ENTRIES).for_each(|entry| self.entries[entry].links[core].is_down = true);
+            }
+        }
+        for stream in first..self.streams.len() {
+            for entry in 0..ENTRIES {
+                self.check(entry, stream)?;
+            }
+        }
+        Ok(())
+    }
+
     fn step(&mut self, random: &mut Random) -> Result<(), String> {
         let (entry, core) = (random.below(ENTRIES), random.below(CORES));
         let event = random.below(40);
@@ -87,7 +140,7 @@
             4..=8 => self.begin(entry, random),
             9..=13 => self.deliver_up(entry, core),
             14..=16 => self.deliver_down(entry, core),
-            17..=18 => self.deliver_peer(core),
+            17..=18 => (0..=random.below(16)).for_each(|_| self.deliver_peer(core)),
             19 => self.entries[entry].links[core].is_down = true,
             20..=22 => self.connect(entry, core),
             23 => self.restart_entry(entry),
@@ -100,6 +153,8 @@
             29 => self.cores[core].memory = Memory::default(),
             30 => (0..=random.below(20)).for_each(|_| self.pass_second(random)),
             31..=32 => self.pass_second(random),
+            34 if random.below(4) == 0 => self.wipe_core(core),
+            35 if random.below(4) == 0 => self.come_and_go(core, random)?,
             33 if random.below(4) == 0 => self.come_settled(entry, core, random),
             _ if !self.streams.is_empty() => {
                 let recent = self.streams.len().min(6);
@@ -121,6 +176,32 @@
                 return Err(format!("a stream is refused at {entry} beside one version"));
             }
         }
+        self.check_lasting(random)
+    }
+
+    /// The same right after a restart of all, and of all with one disk lost.
+    fn check_lasting(&mut self, random: &mut Random) -> Result<(), String> {
+        for is_lost in [false, true] {
+            for _ in 0..3 {
+                self.pass_second(random);
+                self.deliver_peers();
+            }
+            if is_lost {
+                self.wiped_at = None;
+                self.wipe_core(random.below(CORES));
+            }
+            self.restart_all();
+            self.deliver_peers();
+            for entry in 0..ENTRIES {
+                (0..CORES).for_each(|core| self.connect(entry, core));
+                let version = self.resume(entry, Some(Key::new("unknown")));
+                if version != Some(self.running[0]) {
+                    return Err(format!(
+                        "a stream is refused at {entry} after a restart of all ({is_lost})"
+                    ));
+                }
+            }
+        }
         Ok(())
     }
 
@@ -201,6 +282,11 @@
         Mutation::Guess,
         Mutation::SkipReports,
         Mutation::SkipState,
+        Mutation::TellAtOnce,
+        Mutation::AttestAlone,
+        Mutation::KeepPermission,
+        Mutation::KeepAttested,
+        Mutation::TrustNew,
     ];
     for mutation in mutations {
         let is_found = (0..SEEDS).any(|seed| play(seed, mutation).is_err());
