forward: answers are held in pieces, so that many without end stay within the memory of the machine

What callers saw: with 150 answers without end at once, an entry instance with settings of 260 MiB took 310 MB and more (VmHWM), and would be ended on such a machine, with the requests of all others. The account of memory held all the time.

Cause: each answer was held in one block that grows by doubling. glibc raises its thresholds with each large block that is freed, and then keeps gaps of megabytes.

Change: answers are held in pieces of 64 KiB at most, which are returned one by one. What one answer may take is unchanged.

--- a/crates/buckthornmast_forward/src/body.rs
+++ b/crates/buckthornmast_forward/src/body.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
+use smallvec::SmallVec;
 use snafu::Snafu;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
@@ -103,8 +104,8 @@
 /// Response body.
 #[derive(Debug)]
 pub enum Body {
-    /// Body that is sent at once, or none.
-    Full(Option<Bytes>),
+    /// Body that is there as a whole, in pieces, or none.
+    Full(smallvec::IntoIter<[Bytes; 1]>),
     /// Events of a stream, or parts of a large answer, as they arrive. It fails if its sender is dropped before
     /// [`Sender::end`].
     Parts(Receiver),
@@ -113,13 +114,14 @@
 impl Body {
     /// Returns a body that is sent at once.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full(Some(bytes.into()).filter(|bytes: &Bytes| !bytes.is_empty()))
+        let bytes = Some(bytes.into()).filter(|bytes: &Bytes| !bytes.is_empty());
+        Self::Full(bytes.into_iter().collect::<SmallVec<_>>().into_iter())
     }
 }
 
 impl Default for Body {
     fn default() -> Self {
-        Self::Full(None)
+        Self::Full(SmallVec::new().into_iter())
     }
 }
 
@@ -138,7 +140,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match &mut *self {
-            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Full(pieces) => Poll::Ready(pieces.next().map(|piece| Ok(Frame::data(piece)))),
             Self::Parts(Receiver(parts)) => parts.poll_recv(context).map(|part| match part {
                 Some(Some(part)) => Some(Ok(Frame::data(part.bytes))),
                 Some(None) => None,
@@ -148,13 +150,14 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(None))
+        matches!(self, Self::Full(pieces) if pieces.as_slice().is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            Self::Full(pieces) => {
+                let pieces = pieces.as_slice().iter();
+                SizeHint::with_exact(pieces.map(|piece| piece.len() as u64).sum())
             }
             Self::Parts(_) => SizeHint::default(),
         }
--- a/crates/buckthornmast_forward/src/exchange.rs
+++ b/crates/buckthornmast_forward/src/exchange.rs
@@ -16,6 +16,7 @@
 use http::{HeaderMap, Request, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 use tokio::time::timeout;
 
 pub use self::in_flight::InFlight;
@@ -87,8 +88,8 @@
 pub struct FullAnswer {
     /// Head, without the headers of its connection.
     pub head: response::Parts,
-    /// Body.
-    pub body: Bytes,
+    /// Body, in pieces.
+    pub body: SmallVec<[Bytes; 1]>,
 }
 
 /// Answer of a target that has begun.
@@ -108,7 +109,7 @@
     /// Head, without the headers of its connection.
     pub head: response::Parts,
     /// Beginning of the body.
-    pub first: [Bytes; 2],
+    pub first: SmallVec<[Bytes; 1]>,
     /// Exchange that yields the rest.
     pub rest: Exchange,
 }
@@ -483,7 +484,7 @@
     },
     Part {
         head: response::Parts,
-        first: [Bytes; 2],
+        first: SmallVec<[Bytes; 1]>,
         body: Incoming,
         connection: Connection,
         idle: Option<Duration>,
--- a/crates/buckthornmast_forward/src/exchange/receive.rs
+++ b/crates/buckthornmast_forward/src/exchange/receive.rs
@@ -7,22 +7,23 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 
 use super::{Failure, failure, lost_at_start};
 use crate::{
     context::Context,
     continuation::{End, Form},
     events::{Ending, Splitter},
-    memory::{Held, Memory},
+    memory::{Memory, Pieces},
     stats::Ended,
 };
 
 /// Body of an answer that was received.
 pub(super) enum Received {
     /// The body is whole.
-    Whole(Bytes),
+    Whole(SmallVec<[Bytes; 1]>),
     /// There was no memory to hold more.
-    Part([Bytes; 2]),
+    Part(SmallVec<[Bytes; 1]>),
 }
 
 /// Reads a body, as far as there is memory to hold it.
@@ -30,7 +31,7 @@
     body: &mut Incoming,
     memory: &Memory,
 ) -> Result<Received, (Failure, Ended)> {
-    let mut held = Held::new(memory);
+    let mut held = Pieces::new(memory);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
             log::debug!(step = "receive"; "reading the answer of a target failed: {error}");
@@ -39,11 +40,14 @@
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        if !held.push(&bytes) {
-            return Ok(Received::Part([held.into_bytes(), bytes]));
+        let rest = held.push(bytes);
+        if !rest.is_empty() {
+            let mut first = held.into_pieces();
+            first.push(rest);
+            return Ok(Received::Part(first));
         }
     }
-    Ok(Received::Whole(held.into_bytes()))
+    Ok(Received::Whole(held.into_pieces()))
 }
 
 /// Returns what the head of an answer announces on the route of its request.
--- a/crates/buckthornmast_forward/src/memory.rs
+++ b/crates/buckthornmast_forward/src/memory.rs
@@ -5,12 +5,16 @@
 //! of the memory each, and at least half of such a share stays free for the others. The size of a request body is known or
 //! bounded, so it draws what it needs beforehand and leaves a reserve (see [`crate::receive`]).
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    mem,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
+use smallvec::SmallVec;
 use tokio::sync::{Notify, futures::Notified};
 
 /// Memory of an instance whose settings don't state any, in bytes.
@@ -74,9 +78,14 @@
 impl Share {
     /// Changes the size. Returns whether there is room for it; a share that doesn't grow always has room.
     pub fn resize(&mut self, bytes: usize) -> bool {
+        self.resize_beside(bytes, 0)
+    }
+
+    /// Changes the size like [`Self::resize`], for a holder that has this number of bytes in other shares.
+    fn resize_beside(&mut self, bytes: usize, others: usize) -> bool {
         let used = self.memory.used() - self.bytes + bytes;
         let left = self.memory.total.saturating_sub(used);
-        if bytes > self.bytes && bytes > left {
+        if bytes > self.bytes && others + bytes > left {
             return false;
         }
         self.set(bytes);
@@ -134,12 +143,18 @@
 
     /// Appends bytes. Returns whether there is room for them; without room, nothing is changed.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
+        self.push_within(bytes, usize::MAX, 0)
+    }
+
+    /// Appends bytes, and makes room for no more than a number in total beyond them. `others` is what their holder has in other
+    /// shares.
+    fn push_within(&mut self, bytes: &[u8], most: usize, others: usize) -> bool {
         let length = self.bytes.len() + bytes.len();
         if length > self.bytes.capacity() {
-            let amortised = length.max(self.bytes.capacity() * 2);
+            let amortised = length.max(most.min(self.bytes.capacity() * 2));
             let capacity = [amortised, length]
                 .into_iter()
-                .find(|capacity| self.share.resize(*capacity));
+                .find(|capacity| self.share.resize_beside(*capacity, others));
             let Some(capacity) = capacity else {
                 return false;
             };
@@ -191,3 +206,60 @@
         &self.bytes
     }
 }
+
+/// Largest piece in bytes. Allocators treat large blocks apart, and one that grows leaves gaps of sizes that nothing fits in:
+/// answers that were held in one block each made a process take twice what they held.
+const PIECE_BYTES: usize = 64 << 10;
+
+/// Bytes that are held in pieces of limited size together with their shares.
+#[derive(Debug)]
+pub struct Pieces {
+    memory: Memory,
+    whole: SmallVec<[Bytes; 1]>,
+    // Room that they take.
+    whole_bytes: usize,
+    last: Held,
+}
+
+impl Pieces {
+    /// Returns no bytes.
+    pub fn new(memory: &Memory) -> Self {
+        Self {
+            memory: memory.clone(),
+            whole: SmallVec::new(),
+            whole_bytes: 0,
+            last: Held::new(memory),
+        }
+    }
+
+    /// Appends bytes, and returns those for which there is no room.
+    pub fn push(&mut self, mut bytes: Bytes) -> Bytes {
+        while !bytes.is_empty() {
+            if self.last.len() == PIECE_BYTES {
+                self.end_piece();
+            }
+            let length = bytes.len().min(PIECE_BYTES - self.last.len());
+            let others = self.whole_bytes;
+            if !self.last.push_within(&bytes[..length], PIECE_BYTES, others) {
+                break;
+            }
+            bytes.advance(length);
+        }
+        bytes
+    }
+
+    fn end_piece(&mut self) {
+        let next = Held::new(&self.memory);
+        let last = mem::replace(&mut self.last, next);
+        if !last.is_empty() {
+            self.whole_bytes += last.capacity();
+            self.whole.push(last.into_bytes());
+        }
+    }
+
+    /// Returns the pieces. The share of each is returned with the last reference to it.
+    pub fn into_pieces(mut self) -> SmallVec<[Bytes; 1]> {
+        self.end_piece();
+        self.whole
+    }
+}
--- a/crates/buckthornmast_forward/src/refusal.rs
+++ b/crates/buckthornmast_forward/src/refusal.rs
@@ -152,7 +152,7 @@
 
 /// Returns a response without a body.
 pub fn empty_response(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(Body::Full(None));
+    let mut response = Response::new(Body::default());
     *response.status_mut() = status;
     response
 }
@@ -169,5 +169,5 @@
 
 /// Returns the response that forwards a target's full answer to the caller.
 pub fn answer_response(answer: FullAnswer) -> Response<Body> {
-    Response::from_parts(answer.head, Body::full(answer.body))
+    Response::from_parts(answer.head, Body::Full(answer.body.into_iter()))
 }
--- a/crates/buckthornmast_forward/src/transfer.rs
+++ b/crates/buckthornmast_forward/src/transfer.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
+use smallvec::SmallVec;
 use tokio::time::timeout;
 
 use crate::{
@@ -53,12 +54,12 @@
     async fn forward_parts(
         &self,
         context: &Context,
-        first: [Bytes; 2],
+        first: SmallVec<[Bytes; 1]>,
         mut rest: Exchange,
         sender: &Sender,
     ) -> Result<bool, &'static str> {
         let mut sent = 0;
-        let mut first = first.into_iter().filter(|bytes| !bytes.is_empty());
+        let mut first = first.into_iter();
         loop {
             let bytes = match first.next() {
                 Some(bytes) => bytes,
--- a/crates/buckthornmast_forward/tests/memory.rs
+++ b/crates/buckthornmast_forward/tests/memory.rs
@@ -13,7 +13,7 @@
 
 use buckthornmast_forward::{
     body::{self, Body},
-    memory::{Held, Memory},
+    memory::{Held, Memory, Pieces},
 };
 use buckthornmast_routes::document::{Kind, Route};
 use bytes::Bytes;
@@ -63,6 +63,34 @@
     assert_eq!(memory.used(), 0);
 }
 
+/// Guards against an answer that is held in pieces and takes all that others need, or loses bytes between them.
+#[test]
+fn share_pieces() {
+    const TOTAL: usize = 1 << 20;
+    let memory = Memory::new(TOTAL);
+    let mut endless = Pieces::new(&memory);
+    let mut pushed = Vec::new();
+    let rest = loop {
+        let part: Vec<u8> = (0..7001_u32)
+            .map(|byte| byte as u8 ^ pushed.len() as u8)
+            .collect();
+        let rest = endless.push(Bytes::from(part.clone()));
+        pushed.extend_from_slice(&part);
+        if !rest.is_empty() {
+            break rest;
+        }
+    };
+    // It leaves as much as it takes.
+    assert!(memory.used() <= TOTAL / 2 && memory.used() >= TOTAL / 2 - (128 << 10));
+    let pieces = endless.into_pieces();
+    assert!(pieces.iter().all(|piece| piece.len() <= 64 << 10));
+    let held: Vec<u8> = pieces.iter().chain([&rest]).flatten().copied().collect();
+    assert!(held == pushed);
+    drop(pieces);
+    assert_eq!(memory.used(), 0);
+    assert!(Pieces::new(&memory).into_pieces().is_empty());
+}
+
 /// Guards against parts of an answer that pile up for a caller that does not read.
 #[test]
 fn send_unread() {
