origin: questions about versions that have left are forgotten

Cause: a question that is not answered by enough instances is repeated each second, and each time its version counts as seen. Read in review: while the disk of the asking instance refuses even a rename, evidence for the service would be held up after the version has left.

Change: unanswered questions about versions of which no target is known any more are dropped. That is safe, since nothing was permitted.

--- a/crates/buckthornmast_node/src/core/origins.rs
+++ b/crates/buckthornmast_node/src/core/origins.rs
@@ -53,6 +53,7 @@
             history.see(variant.service, variant.mark, now);
             variants.insert(variant);
         }
+        attestations.retain_pending(&variants);
         drop(state);
         for variant in variants {
             self.clear(variant, now);
--- a/crates/buckthornmast_origin/src/attestation.rs
+++ b/crates/buckthornmast_origin/src/attestation.rs
@@ -116,6 +116,12 @@
         Some(self.next_number)
     }
 
+    /// Forgets questions about versions that are not among these any more. They would count as seen wherever they are repeated.
+    pub fn retain_pending(&mut self, known: &BTreeSet<Variant>) {
+        self.clearances
+            .retain(|variant, clearance| clearance.is_granted || known.contains(variant));
+    }
+
     /// Returns the questions that are not answered by enough instances yet.
     pub fn pending(&self) -> impl Iterator<Item = (u64, Variant)> + '_ {
         let pending = self
--- a/crates/buckthornmast_origin/tests/attestation.rs
+++ b/crates/buckthornmast_origin/tests/attestation.rs
@@ -81,6 +81,21 @@
     assert!(!register.is_cleared(variant("v2")));
 }
 
+/// Guards against a question that is repeated, and counts as a sight of its version, after the version has left.
+#[test]
+fn retain_pending_known() {
+    let [a, _, _] = names();
+    let mut register = Register::default();
+    let granted = register.clear(variant("v1")).unwrap();
+    register.record_withdrawal(granted, &a, &a, 1);
+    register.clear(variant("v2")).unwrap();
+    register.clear(variant("v3")).unwrap();
+    register.retain_pending(&[variant("v3")].into());
+    let pending: Vec<Variant> = register.pending().map(|(_, variant)| variant).collect();
+    assert_eq!(pending, [variant("v3")]);
+    assert!(register.is_cleared(variant("v1")));
+}
+
 /// Guards against an instance that attests what not all state, or what one stated long ago.
 #[test]
 fn attest_all_state() {
