origin: a version is used once the own disk has withdrawn what speaks against it, without the others

Change: an instance waits for its own disk only, and is believed only if all others answer, as before. The three messages between instances of the core are gone again. Taken back with it: to believe the others while one disk is new. An instance that was cut off, used a new version and lost its disk would hide it, so the two can't be had together in this form.

--- a/crates/buckthornmast_node/src/attestation.rs
+++ b/crates/buckthornmast_node/src/attestation.rs
@@ -22,8 +22,6 @@
 /// What an instance finds at its start.
 #[derive(Debug, Default)]
 pub struct Found {
-    /// Whether the disk is new, so that another instance may have been in the place of this one.
-    pub is_new: bool,
     /// Version of the routes.
     pub routes: Revision,
     /// Services with the only version of each.
@@ -52,15 +50,9 @@
 
     /// Reads the file. Call it before the first write.
     pub fn read(&self) -> Found {
-        let is_new = self.file.is_new();
         let bytes = match self.file.read() {
             Ok(Some(bytes)) => bytes,
-            Ok(None) => {
-                return Found {
-                    is_new,
-                    ..Found::default()
-                };
-            }
+            Ok(None) => return Found::default(),
             Err(error) => {
                 log::warn!(step = "open"; "reading the file of attestations failed; it is not used: {error}");
                 return Found::default();
@@ -72,11 +64,7 @@
             return Found::default();
         };
         log::info!(step = "open", services = attested.len(), routes = routes.0; "restored the only versions of services");
-        Found {
-            is_new,
-            routes,
-            attested,
-        }
+        Found { routes, attested }
     }
 
     /// Writes what an instance attests under a version of the routes, if it has changed, without waiting for the disk.
--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -25,7 +25,11 @@
     registry::{Entry, Merge, Registry, Update},
 };
 use buckthornmast_link::{Link, Outbox, Timing};
-use buckthornmast_origin::{attestation::Register, history::History, record as origin};
+use buckthornmast_origin::{
+    attestation::{Register, Variant},
+    history::History,
+    record as origin,
+};
 use buckthornmast_quarantine::ledger::Ledger;
 use buckthornmast_routes::register::{Revision, Text};
 use buckthornmast_types::{
@@ -49,7 +53,7 @@
     departure::{Departure, Departures},
     dial::Connections,
     memory::{Content, Store},
-    message::{Downstream, Liveness, UNDERSTANDS_ATTESTATIONS, Upstream},
+    message::{Downstream, Liveness, UNDERSTANDS_CREDIT, Upstream},
     observe::ReplicaGauge,
     platform::{Fence, Platform},
     replica::{self, Outboxes, Replica},
@@ -136,11 +140,8 @@
     longest_timeout: Option<Duration>,
     // Version of the routes under which they were attested.
     attested_routes: Revision,
-    // Whether the disk was new at the start.
-    is_new: bool,
-    // Other instances of the core that understand attestations, and those that are known not to.
-    attesters: BTreeSet<id::Instance>,
-    older: BTreeSet<id::Instance>,
+    // Versions whose withdrawal waits for the disk.
+    clearing: BTreeSet<Variant>,
     // Number of trials of quarantined parts that this instance has permitted.
     trials: usize,
 }
@@ -245,7 +246,6 @@
                 registry,
                 attestations,
                 attested_routes: found.routes,
-                is_new: found.is_new,
                 ..State::default()
             }),
             settings: RefCell::new(settings),
@@ -339,10 +339,8 @@
         }
         if state.entry_count != entry_count {
             state.entry_count = entry_count;
-            self.subscribers.send_entries(&Downstream::EntryCount(
-                entry_count,
-                UNDERSTANDS_ATTESTATIONS,
-            ));
+            self.subscribers
+                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_CREDIT));
         }
         drop(state);
         if tick.is_multiple_of(WAYS_INTERVAL_TICKS) {
@@ -621,7 +619,7 @@
         }
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
-            Downstream::EntryCount(state.entry_count, UNDERSTANDS_ATTESTATIONS),
+            Downstream::EntryCount(state.entry_count, UNDERSTANDS_CREDIT),
             Downstream::targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
@@ -713,23 +711,6 @@
             Upstream::ConfirmRequest { number } => {
                 self.inquiries.add(subscriber, number, outbox.clone());
             }
-            Upstream::Withdraw { number, variant } => {
-                if let Some(from) = from {
-                    self.withdraw_attestations(from, number, variant);
-                }
-            }
-            Upstream::Withdrawn { number } => {
-                if let Some(from) = from {
-                    self.record_withdrawal(number, from);
-                }
-            }
-            Upstream::Statements(statements) => {
-                if let Some(from) = from {
-                    let now = self.clock.now();
-                    let state = &mut self.state.borrow_mut();
-                    state.attestations.record_statements(from, &statements, now);
-                }
-            }
             Upstream::Credit(claim) => self.answer_claim(subscriber, &claim, outbox),
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
--- a/crates/buckthornmast_node/src/core/departures.rs
+++ b/crates/buckthornmast_node/src/core/departures.rs
@@ -66,7 +66,7 @@
     }
 
     /// Returns the number of instances of the core that are known, or that the settings name.
-    pub(super) fn instances(&self, state: &State) -> usize {
+    fn instances(&self, state: &State) -> usize {
         let seeds = self.settings.borrow().seeds.len();
         state.roster.members().count().max(seeds)
     }
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -36,8 +36,6 @@
 
     fn opened(&self, peer: SocketAddr, outbox: Outbox<Upstream>) {
         if let Some(instance) = self.instance_at(peer) {
-            // It tells what it understands on this connection.
-            self.lose_attester(&instance);
             self.outboxes.set(instance, Some(outbox));
         }
     }
@@ -73,17 +71,13 @@
                     state.registry.record_alive(&target, incarnation, now - age);
                 }
             }
-            Downstream::EntryCount(_, features) => {
-                if let Some(instance) = self.instance_at(peer) {
-                    self.set_features(&instance, features);
-                }
-            }
             Downstream::Quarantines(notices) => self.merge_quarantines(&notices),
             Downstream::Ordered(target, term, strays) => {
                 self.controller.record_ordered(target, term, strays);
             }
             // Routes arrive through the log, and only entry instances need the rest.
             Downstream::Routes(_)
+            | Downstream::EntryCount(..)
             | Downstream::Origin { .. }
             | Downstream::Placements(_)
             | Downstream::Leadership(_)
@@ -101,7 +95,6 @@
 
     fn closed(&self, peer: SocketAddr) {
         if let Some(instance) = self.instance_at(peer) {
-            self.lose_attester(&instance);
             self.outboxes.set(instance, None);
         }
     }
--- a/crates/buckthornmast_node/src/core/origins.rs
+++ b/crates/buckthornmast_node/src/core/origins.rs
@@ -53,7 +53,6 @@
             history.see(variant.service, variant.mark, now);
             variants.insert(variant);
         }
-        attestations.retain_pending(&variants);
         drop(state);
         for variant in variants {
             self.clear(variant, now);
@@ -71,15 +70,11 @@
         let state = self.state.borrow();
         let entry = state.origins.get(key);
         let now = self.clock.now();
-        let sole = state.history.sole(service, now);
-        let is_attested = sole.is_some_and(|sole| state.attestations.attests(service, sole.mark));
         let message = Downstream::Origin {
             number,
             mark: entry.and_then(Entry::mark),
             is_void: entry == Some(Entry::Void),
-            sole: sole.filter(|_| entry.is_none()),
-            is_new: state.is_new && !is_attested && state.history.is_uniform(service),
-            spare: if is_attested { self.spare() } else { 0 },
+            sole: state.history.sole(service, now).filter(|_| entry.is_none()),
             routes: state.routes_version.unwrap_or_default(),
         };
         // An entry instance that has disconnected needs no answer.
--- a/crates/buckthornmast_node/src/durable.rs
+++ b/crates/buckthornmast_node/src/durable.rs
@@ -201,11 +201,6 @@
         }
     }
 
-    /// Returns whether nothing was ever written.
-    pub fn is_new(&self) -> bool {
-        !self.writer.path.exists() && !aside(&self.writer.path).exists()
-    }
-
     /// Returns the content, or nothing if there is no file.
     pub fn read(&self) -> io::Result<Option<Vec<u8>>> {
         match fs::read(&self.writer.path) {
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -361,8 +361,6 @@
                 mark,
                 is_void,
                 sole,
-                is_new,
-                spare,
                 routes,
             } => {
                 let void = is_void.then_some(origin::Entry::Void);
@@ -373,8 +371,6 @@
                 let answer = Answer {
                     entry,
                     sole: sole.filter(|_| is_current),
-                    is_new,
-                    spare,
                 };
                 self.supplier.0.answer_origin(number, answer);
             }
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -17,7 +17,6 @@
     statement,
 };
 use buckthornmast_origin::{
-    attestation::{Statement, Variant},
     history::Sole,
     record::{self, Key, Mark, Record},
 };
@@ -128,21 +127,6 @@
     },
     /// Claims credit from the leader.
     Credit(credit::Claim),
-    /// Asks an instance of the core to withdraw what it attests against a version, before the sender uses it. Only sent to
-    /// instances that have stated [`UNDERSTANDS_ATTESTATIONS`], as are the next two.
-    Withdraw {
-        /// Number of the question.
-        number: u64,
-        /// Version.
-        variant: Variant,
-    },
-    /// Answers that nothing speaks against the version of a question any more.
-    Withdrawn {
-        /// Number of the question.
-        number: u64,
-    },
-    /// States the only versions of services that the sender has long seen.
-    Statements(Vec<Statement>),
 }
 
 /// Models and adapters of a target that requests may use.
@@ -191,9 +175,6 @@
 /// States that an instance of the core understands [`Upstream::Credit`], and all that lower numbers stand for.
 pub const UNDERSTANDS_CREDIT: u8 = 3;
 
-/// States that an instance of the core understands [`Upstream::Withdraw`], and all that lower numbers stand for.
-pub const UNDERSTANDS_ATTESTATIONS: u8 = 4;
-
 /// Message from an instance of the core, to the instance that opened the connection.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Downstream {
@@ -202,7 +183,7 @@
     /// Number of entry instances.
     ///
     /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`], [`UNDERSTANDS_CONFIRMATIONS`],
-    /// [`UNDERSTANDS_CREDIT`], [`UNDERSTANDS_ATTESTATIONS`] or nothing.
+    /// [`UNDERSTANDS_CREDIT`] or nothing.
     #[serde(rename = "Entries")]
     EntryCount(u32, u8),
     /// Routes in force.
@@ -268,10 +249,6 @@
         is_void: bool,
         /// Only version that the sender has seen, if there is no record. An older build's answer shows nothing of it.
         sole: Option<Sole>,
-        /// Whether the disk of the sender is new, so that it knows nothing of the time before its start.
-        is_new: bool,
-        /// Number of other instances that may be new. Older builds state none.
-        spare: u32,
         /// Version of the routes at the sender. Older builds state 0.
         routes: Revision,
     },
--- a/crates/buckthornmast_origin/src/inquiry.rs
+++ b/crates/buckthornmast_origin/src/inquiry.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 use crate::{
     history::Sole,
     record::{Entry, Key, Mark, Service},
@@ -29,11 +27,6 @@
     pub entry: Option<Entry>,
     /// Only version that it has seen, if there is no record.
     pub sole: Option<Sole>,
-    /// Whether its disk is new, so that it knows nothing of the time before its start and contradicts nobody.
-    pub is_new: bool,
-    /// Number of other instances that may be new, because more than these have to withdraw before another version is used.
-    /// Older builds state none.
-    pub spare: u32,
 }
 
 /// What an inquiry has found.
@@ -68,12 +61,8 @@
 pub struct Inquiry {
     pending: usize,
     is_complete: bool,
-    // What all answers state together, and those of instances that are not new. The outer option is whether there was one.
-    all: Option<Option<Sole>>,
-    lasting: Option<Option<Sole>>,
-    // Versions of new instances, as far as they have seen any.
-    fresh: SmallVec<[Option<Mark>; 4]>,
-    spare: u32,
+    // What the answers state together. The outer option is whether there was one.
+    sole: Option<Option<Sole>>,
 }
 
 impl Inquiry {
@@ -82,10 +71,7 @@
         Self {
             pending: asked,
             is_complete,
-            all: None,
-            lasting: None,
-            fresh: SmallVec::new(),
-            spare: u32::MAX,
+            sole: None,
         }
     }
 
@@ -96,41 +82,22 @@
             Some(Entry::Void) => return Some(Finding::Unknown),
             None => {}
         }
-        self.all = Some(join(self.all, answer.sole));
-        if answer.is_new {
-            self.fresh.push(answer.sole.map(|sole| sole.mark));
-        } else {
-            self.lasting = Some(join(self.lasting, answer.sole));
-            self.spare = self.spare.min(answer.spare);
-        }
+        self.sole = Some(match self.sole {
+            None => answer.sole,
+            Some(sole) => sole
+                .zip(answer.sole)
+                .and_then(|(sole, other)| sole.and(other)),
+        });
         self.pending = self.pending.saturating_sub(1);
         self.result()
     }
 
-    /// Returns what the instances that are not new state, if they are enough without the others.
-    fn without_new(&self) -> Option<Sole> {
-        let sole = self.lasting??;
-        let is_spared = u32::try_from(self.fresh.len()).is_ok_and(|fresh| fresh <= self.spare);
-        let agrees = |mark: &Option<Mark>| mark.is_none_or(|mark| mark == sole.mark);
-        (is_spared && self.fresh.iter().all(agrees)).then_some(sole)
-    }
-
     /// Returns the result if no answer is awaited.
     pub fn result(&self) -> Option<Finding> {
-        (self.pending == 0).then(|| {
-            if !self.is_complete {
-                return Finding::Unknown;
-            }
-            let sole = self.without_new().or(self.all.flatten());
-            sole.map_or(Finding::Nowhere, Finding::Only)
+        (self.pending == 0).then_some(match self.sole {
+            _ if !self.is_complete => Finding::Unknown,
+            Some(Some(sole)) => Finding::Only(sole),
+            _ => Finding::Nowhere,
         })
     }
 }
-
-/// Returns what an answer and those before it state together.
-fn join(before: Option<Option<Sole>>, answer: Option<Sole>) -> Option<Sole> {
-    match before {
-        None => answer,
-        Some(sole) => sole.zip(answer).and_then(|(sole, other)| sole.and(other)),
-    }
-}
--- a/crates/buckthornmast_origin/src/lib.rs
+++ b/crates/buckthornmast_origin/src/lib.rs
@@ -15,7 +15,7 @@
 /// Names that most users of this crate import together.
 pub mod prelude {
     pub use crate::{
-        attestation::{Register, Statement, Variant},
+        attestation::{Register, Variant},
         history::{History, Sole},
         inquiry::{Answer, Finding, Inquiry, Question},
         origin::Origin,
