Show that crowds of legal requests exceed the memory of entry instances

Cause: the budget counts 16 KiB for an open connection. One with a request in progress holds its read buffer, the copies of its header names and another buffer for the body, none of which draws from the account of client memory.

--- /dev/null
+++ b/review/standin-4/src/lab.rs
@@ -0,0 +1,253 @@
+//! A small deployment: the project's processes, each on a loopback address of its own, and the record of a run.
+
+use std::{
+    fs::{self, File},
+    io::{self, Write},
+    net::{Ipv4Addr, TcpListener},
+    os::unix::process::CommandExt,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::Mutex,
+    time::Instant,
+};
+
+/// Ports of the nodes, as on the platform: the same on each machine.
+pub const CONTROL: u16 = 8144;
+pub const CALLERS: u16 = 8149;
+const READY: u16 = 8141;
+const PEERS: u16 = 7380;
+const METRICS: u16 = 7395;
+const TUNNELS: u16 = 7394;
+
+/// Names that the platform's pages use on the wire.
+const NAMES: &str = include_str!("../names.txt");
+
+/// Returns a name of the platform's pages.
+pub fn name(key: &str) -> &'static str {
+    let mut lines = NAMES.lines().filter_map(|line| line.split_once('='));
+    let found = lines.find(|(known, _)| *known == key);
+    found.map_or("", |(_, name)| name)
+}
+
+/// Record of what was sent, answered and run.
+pub struct Record {
+    start: Instant,
+    file: Mutex<File>,
+}
+
+impl Record {
+    pub fn create(path: &Path) -> io::Result<Self> {
+        Ok(Self {
+            start: Instant::now(),
+            file: Mutex::new(File::create(path)?),
+        })
+    }
+
+    /// Writes a line with the time since the start in seconds.
+    pub fn line(&self, text: &str) {
+        let at = self.start.elapsed().as_secs_f64();
+        if let Ok(mut file) = self.file.lock() {
+            let _ = writeln!(file, "{at:8.3} {text}");
+        }
+    }
+
+    /// Writes a line to the record and to standard output.
+    pub fn say(&self, text: &str) {
+        println!("{text}");
+        self.line(text);
+    }
+}
+
+/// Role of a node.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    Core,
+    Entry,
+}
+
+impl Role {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Core => "core",
+            Self::Entry => "entry",
+        }
+    }
+}
+
+/// Machine with one process of the project.
+pub struct Node {
+    pub name: String,
+    pub ip: String,
+    role: Role,
+    zone: String,
+    folder: PathBuf,
+    is_first_start: bool,
+    child: Option<Child>,
+}
+
+impl Node {
+    /// Returns the address for calls of servers and operators.
+    pub fn control(&self) -> String {
+        format!("{}:{CONTROL}", self.ip)
+    }
+
+    /// Returns the address for clients.
+    pub fn callers(&self) -> String {
+        format!("{}:{CALLERS}", self.ip)
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Returns the id of the process.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Returns whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    fn settings(&self, seeds: &[String]) -> String {
+        let Self { name, ip, zone, .. } = self;
+        let role = self.role.as_str();
+        let mut text = format!("[instance]\nname = {name}\ndomain = {zone}\nrole = {role}\n\n[listen]\n");
+        text += &match self.role {
+            Role::Core => format!("control = {ip}:{CONTROL}\npeers = {ip}:{PEERS}\n"),
+            Role::Entry => format!("callers = {ip}:{CALLERS}\nready = {ip}:{READY}\ntunnels = {ip}:{TUNNELS}\n"),
+        };
+        let seeds: Vec<String> = seeds.iter().map(|ip| format!("{ip}:{CONTROL}")).collect();
+        text += &format!("metrics = {ip}:{METRICS}\n\n[seeds]\ncontrol = {}\nport = {PEERS}\n", seeds.join(","));
+        if self.role == Role::Core {
+            let data = self.folder.join("data");
+            text += &format!(
+                "\n[core]\ndata = {}\ndisk = 128MB\nfirst-start = {}\nlosses = 1\n",
+                data.display(),
+                self.is_first_start
+            );
+        }
+        // The bounds of the site that the case names.
+        text += "\n[bounds]\ngrace = 8s\nturn = 3000ms\nfenced = true\nextra-ratio = 0.2\nextra-burst = 52\n";
+        text += &match self.role {
+            Role::Core => "descriptors = 4096\nmemory = 256MB\n".to_owned(),
+            Role::Entry => "extra-window = 10s\ndescriptors = 4200\nmemory = 260MB\n".to_owned(),
+        };
+        text
+    }
+
+    /// Starts the process with the command of the deploy file.
+    pub fn start(&mut self, root: &Path, seeds: &[String]) -> io::Result<()> {
+        fs::create_dir_all(&self.folder)?;
+        let file = self.folder.join("boot.ini");
+        fs::write(&file, self.settings(seeds))?;
+        let log = File::options().create(true).append(true).open(self.folder.join("log"))?;
+        let child = Command::new(root.join("target/release/buckthornmast-node"))
+            .current_dir(root)
+            .env_clear()
+            .env("BUCKTHORNMAST_NODE_FILE", &file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .process_group(0)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Deployment in a temporary folder.
+pub struct Lab {
+    root: PathBuf,
+    folder: PathBuf,
+    prefix: [u8; 2],
+    next: u8,
+    seeds: Vec<String>,
+    pub nodes: Vec<Node>,
+}
+
+impl Lab {
+    pub fn new(root: &Path) -> io::Result<Self> {
+        let process = std::process::id();
+        let folder = std::env::temp_dir().join(format!("standin-4-{process}"));
+        fs::create_dir_all(&folder)?;
+        let mut prefix = [20 + (process % 200) as u8, (process / 200 % 250) as u8];
+        // Another run may use the addresses.
+        while TcpListener::bind((Ipv4Addr::new(127, prefix[0], prefix[1], 1), CONTROL)).is_err() {
+            prefix[1] = prefix[1].wrapping_add(1);
+        }
+        Ok(Self {
+            root: root.to_owned(),
+            folder,
+            prefix,
+            next: 1,
+            seeds: Vec::new(),
+            nodes: Vec::new(),
+        })
+    }
+
+    /// Returns a loopback address that nothing else of this run uses.
+    pub fn next_ip(&mut self) -> String {
+        let number = self.next;
+        self.next += 1;
+        format!("127.{}.{}.{number}", self.prefix[0], self.prefix[1])
+    }
+
+    /// Adds a machine without starting its process, and returns its index.
+    pub fn add(&mut self, role: Role, zone: &str, is_first_start: bool) -> usize {
+        let ip = self.next_ip();
+        let name = format!("{}-{}", role.as_str(), self.next - 1);
+        self.nodes.push(Node {
+            folder: self.folder.join(&name),
+            name,
+            ip,
+            role,
+            zone: zone.to_owned(),
+            is_first_start,
+            child: None,
+        });
+        self.nodes.len() - 1
+    }
+
+    /// Sets the machines whose addresses all settings name from now on.
+    pub fn set_seeds(&mut self, seeds: &[usize]) {
+        self.seeds = seeds.iter().map(|index| self.nodes[*index].ip.clone()).collect();
+    }
+
+    pub fn start(&mut self, index: usize) -> io::Result<()> {
+        self.nodes[index].start(&self.root, &self.seeds)
+    }
+
+    /// Returns the control addresses of the machines of the core that run.
+    pub fn controls(&self) -> Vec<String> {
+        let running = self.nodes.iter().filter(|node| node.role == Role::Core && node.is_running());
+        running.map(Node::control).collect()
+    }
+}
+
+impl Drop for Lab {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        } else {
+            println!("kept {}", self.folder.display());
+        }
+    }
+}
