--- a/review/standin-4/src/first.rs
+++ b/review/standin-4/src/first.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Verdict, http,
-    lab::{Lab, Record, Role},
+    lab::{Lab, Record, Role, config, route},
 };
 
 /// Time after the start at which the machine is lost.
@@ -20,9 +20,8 @@
 /// Time after which the operator gives up.
 const GIVE_UP: Duration = Duration::from_secs(45);
 
-const DOCUMENT: &str = r#"{"version":1,"routes":[{"name":"r","host":"a.example","path-prefix":"/p/","route-kind":"idempotent","timeout-ms":1500,"target-latency-ms":300,"priority":1,"service":"s","max-attempts":2}],"services":[{"name":"s","health-path":"/healthz","max-conns":96,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
-
 pub fn run(root: &Path, record: &Record, has_trouble: bool) -> Result<Verdict, Box<dyn std::error::Error>> {
+    let document = config(&[route("r", "idempotent", 1500, false)]);
     let mut lab = Lab::new(root)?;
     let zones = ["z1", "z2", "z3", "z4"];
     let cores: Vec<usize> = zones.iter().map(|zone| lab.add(Role::Core, zone, true)).collect();
@@ -40,15 +39,22 @@
         let empty = lab.add(Role::Core, zones[2], false);
         lab.set_seeds(&[cores[0], cores[1], empty]);
         lab.start(empty)?;
-        record.line(&format!("{} takes its place, with an empty disk", lab.nodes[empty].name));
+        record.line(&format!(
+            "{} takes its place, with an empty disk",
+            lab.nodes[empty].name
+        ));
     }
     let mut acknowledged = None;
     let mut last = String::new();
     'calls: while started.elapsed() < GIVE_UP {
         for control in lab.controls() {
-            let answer = http::call(&control, "PUT", "/config", DOCUMENT);
+            let answer = http::call(&control, "PUT", "/config", &document);
             let text = match &answer {
-                Ok(answer) => format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body).trim()),
+                Ok(answer) => format!(
+                    "{} {}",
+                    answer.status,
+                    String::from_utf8_lossy(&answer.body).trim()
+                ),
                 Err(error) => error.to_string(),
             };
             if text != last {
@@ -73,8 +79,11 @@
         }
     }
     match (acknowledged, read) {
-        (Some(after), Some(body)) if body == DOCUMENT.as_bytes() => {
-            record.say(&format!("held: the first config was acknowledged after {:.1} s and is read back", after.as_secs_f64()));
+        (Some(after), Some(body)) if body == document.as_bytes() => {
+            record.say(&format!(
+                "held: the first config was acknowledged after {:.1} s and is read back",
+                after.as_secs_f64()
+            ));
             Ok(Verdict::Held)
         }
         (acknowledged, read) => {
--- a/review/standin-4/src/http.rs
+++ b/review/standin-4/src/http.rs
@@ -71,7 +71,9 @@
             body.extend_from_slice(&chunk[..length]);
         }
     }
-    let length = find("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let length = find("content-length")
+        .and_then(|length| length.parse().ok())
+        .unwrap_or(0);
     body.resize(length, 0);
     reader.read_exact(&mut body)?;
     Ok(body)
@@ -80,9 +82,16 @@
 /// Reads a whole answer.
 pub fn read_answer(reader: &mut impl BufRead) -> io::Result<Answer> {
     let (first, headers) = read_head(reader)?.ok_or_else(|| broken("closed without an answer"))?;
-    let status = first.get(1).and_then(|status| status.parse().ok()).ok_or_else(|| broken("no answer"))?;
+    let status = first
+        .get(1)
+        .and_then(|status| status.parse().ok())
+        .ok_or_else(|| broken("no answer"))?;
     let body = read_body(reader, &headers)?;
-    Ok(Answer { status, headers, body })
+    Ok(Answer {
+        status,
+        headers,
+        body,
+    })
 }
 
 /// Opens a connection.
--- a/review/standin-4/src/lab.rs
+++ b/review/standin-4/src/lab.rs
@@ -8,9 +8,12 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Mutex,
-    time::Instant,
+    thread::sleep,
+    time::{Duration, Instant},
 };
 
+use crate::http;
+
 /// Ports of the nodes, as on the platform: the same on each machine.
 pub const CONTROL: u16 = 8144;
 pub const CALLERS: u16 = 8149;
@@ -29,6 +32,25 @@
     found.map_or("", |(_, name)| name)
 }
 
+/// Announcement of a server, with places to fill in.
+pub const ANNOUNCEMENT: &str = include_str!("../texts/announcement.json");
+
+/// Returns a route: its name, its kind, its time limit in milliseconds, and whether its streams may be resumed.
+pub fn route(name: &str, kind: &str, timeout: u32, is_resumable: bool) -> String {
+    let route = include_str!("../texts/route.json").trim();
+    let route = route.replace("@name", name).replace("@kind", kind);
+    route
+        .replace("@timeout", &timeout.to_string())
+        .replace("@resumable", &is_resumable.to_string())
+}
+
+/// Returns a config with these routes.
+pub fn config(routes: &[String]) -> String {
+    include_str!("../texts/config.json")
+        .trim()
+        .replace("@routes", &routes.join(","))
+}
+
 /// Record of what was sent, answered and run.
 pub struct Record {
     start: Instant,
@@ -96,13 +118,19 @@
         format!("{}:{CALLERS}", self.ip)
     }
 
-    pub fn is_running(&self) -> bool {
-        self.child.is_some()
+    /// Removes the files of the disk.
+    pub fn wipe(&mut self) -> io::Result<()> {
+        self.is_first_start = false;
+        fs::remove_dir_all(self.folder.join("data"))
+    }
+
+    /// Lets the settings say that this isn't the first start of the whole system.
+    pub fn set_started(&mut self) {
+        self.is_first_start = false;
     }
 
-    /// Returns the id of the process.
-    pub fn process(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
     }
 
     /// Returns whether the process has ended by itself.
@@ -117,10 +145,15 @@
         let mut text = format!("[instance]\nname = {name}\ndomain = {zone}\nrole = {role}\n\n[listen]\n");
         text += &match self.role {
             Role::Core => format!("control = {ip}:{CONTROL}\npeers = {ip}:{PEERS}\n"),
-            Role::Entry => format!("callers = {ip}:{CALLERS}\nready = {ip}:{READY}\ntunnels = {ip}:{TUNNELS}\n"),
+            Role::Entry => {
+                format!("callers = {ip}:{CALLERS}\nready = {ip}:{READY}\ntunnels = {ip}:{TUNNELS}\n")
+            }
         };
         let seeds: Vec<String> = seeds.iter().map(|ip| format!("{ip}:{CONTROL}")).collect();
-        text += &format!("metrics = {ip}:{METRICS}\n\n[seeds]\ncontrol = {}\nport = {PEERS}\n", seeds.join(","));
+        text += &format!(
+            "metrics = {ip}:{METRICS}\n\n[seeds]\ncontrol = {}\nport = {PEERS}\n",
+            seeds.join(",")
+        );
         if self.role == Role::Core {
             let data = self.folder.join("data");
             text += &format!(
@@ -143,7 +176,10 @@
         fs::create_dir_all(&self.folder)?;
         let file = self.folder.join("boot.ini");
         fs::write(&file, self.settings(seeds))?;
-        let log = File::options().create(true).append(true).open(self.folder.join("log"))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("log"))?;
         let child = Command::new(root.join("target/release/buckthornmast-node"))
             .current_dir(root)
             .env_clear()
@@ -236,11 +272,45 @@
 
     /// Returns the control addresses of the machines of the core that run.
     pub fn controls(&self) -> Vec<String> {
-        let running = self.nodes.iter().filter(|node| node.role == Role::Core && node.is_running());
+        let running = self
+            .nodes
+            .iter()
+            .filter(|node| node.role == Role::Core && node.is_running());
         running.map(Node::control).collect()
     }
 }
 
+impl Lab {
+    /// Starts three machines of the core and a number of entry machines with a config. Returns the indexes of both.
+    pub fn begin(
+        &mut self,
+        entries: usize,
+        config: &str,
+    ) -> Result<(Vec<usize>, Vec<usize>), Box<dyn std::error::Error>> {
+        let zones = ["z1", "z2", "z3"];
+        let cores: Vec<usize> = zones
+            .iter()
+            .map(|zone| self.add(Role::Core, zone, true))
+            .collect();
+        self.set_seeds(&cores);
+        let entries: Vec<usize> = (0..entries)
+            .map(|entry| self.add(Role::Entry, zones[entry % 3], true))
+            .collect();
+        for node in cores.iter().chain(&entries) {
+            self.start(*node)?;
+        }
+        let started = Instant::now();
+        let control = self.nodes[cores[0]].control();
+        while !http::call(&control, "PUT", "/config", config).is_ok_and(|answer| answer.status == 200) {
+            if started.elapsed() > Duration::from_secs(15) {
+                return Err("the config was not acknowledged".into());
+            }
+            sleep(Duration::from_millis(100));
+        }
+        Ok((cores, entries))
+    }
+}
+
 impl Drop for Lab {
     fn drop(&mut self) {
         self.nodes.clear();
--- a/review/standin-4/src/main.rs
+++ b/review/standin-4/src/main.rs
@@ -1,12 +1,12 @@
 //! Cases of the review that need real processes. Exits with 1 if the rule of the case was broken, with 0 if it held, and with 2
 //! if the case couldn't run.
 
-mod crowd;
 mod first;
 mod http;
 mod lab;
-mod memory;
+mod resume;
 mod server;
+mod slow;
 mod streams;
 
 use std::{env, path::PathBuf, process::ExitCode, sync::Arc};
@@ -30,9 +30,9 @@
     record.say(&format!("case {case}, disruption: {has_trouble}"));
     match case.as_str() {
         "first" => first::run(&root, &record, has_trouble),
-        "memory" => memory::run(&root, &record, has_trouble),
+        "slow" => slow::run(&root, &record, has_trouble),
+        "resume" => resume::run(&root, &record, has_trouble),
         "streams" => streams::run(&root, &record, has_trouble),
-        "crowd" => crowd::run(&root, &record, has_trouble),
         _ => Err(format!("no case {case}").into()),
     }
 }
--- a/review/standin-4/src/server.rs
+++ b/review/standin-4/src/server.rs
@@ -4,12 +4,19 @@
     collections::HashMap,
     io::{self, BufReader, Write},
     net::{TcpListener, TcpStream},
-    sync::{Arc, Mutex, atomic::{AtomicU32, Ordering}},
+    ops::RangeInclusive,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use crate::{http, lab::name};
+use crate::{
+    http,
+    lab::{ANNOUNCEMENT, name},
+};
 
 const PORT: u16 = 8240;
 
@@ -26,8 +33,8 @@
 /// What a server does with a request.
 #[derive(Clone, Copy)]
 pub enum Work {
-    /// Works for a time, and answers as a whole.
-    Whole(Duration),
+    /// Works for a time, and answers as a whole with so many bytes.
+    Whole(Duration, usize),
     /// Answers with this number of events, each of which it writes in two pieces with a pause after each piece.
     Events(u32, Duration),
 }
@@ -37,7 +44,6 @@
 pub struct Server {
     pub id: String,
     address: String,
-    service: String,
     zone: String,
     slots: u32,
     work: Work,
@@ -48,17 +54,25 @@
 
 impl Server {
     /// Starts to listen and to announce itself at one of these addresses after the other.
-    pub fn start(ip: &str, id: &str, service: &str, zone: &str, slots: u32, work: Work, controls: Vec<String>) -> io::Result<Self> {
+    pub fn start(
+        ip: &str,
+        id: &str,
+        zone: &str,
+        slots: u32,
+        work: Work,
+        controls: Vec<String>,
+    ) -> io::Result<Self> {
         let address = format!("{ip}:{PORT}");
         let listener = TcpListener::bind(&address)?;
         let server = Self {
             id: id.to_owned(),
             address,
-            service: service.to_owned(),
             zone: zone.to_owned(),
             slots,
             work,
-            born: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis()),
+            born: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |time| time.as_millis()),
             runs: Arc::default(),
             running: Arc::default(),
         };
@@ -89,10 +103,14 @@
     }
 
     fn announcement(&self, sequence: usize) -> String {
-        let Self { address, service, zone, slots, born, .. } = self;
-        format!(
-            r#"{{"service":"{service}","addr":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"ready","cold-left-ms":0,"born":{born},"seq":{sequence}}}"#
-        )
+        let announcement = ANNOUNCEMENT
+            .trim()
+            .replace("@address", &self.address)
+            .replace("@zone", &self.zone);
+        let announcement = announcement
+            .replace("@slots", &self.slots.to_string())
+            .replace("@born", &self.born.to_string());
+        announcement.replace("@sequence", &sequence.to_string())
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
@@ -105,7 +123,9 @@
             };
             http::read_body(&mut reader, &headers)?;
             let find = |wanted: &str| {
-                let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(wanted));
+                let found = headers
+                    .iter()
+                    .find(|(known, _)| known.eq_ignore_ascii_case(wanted));
                 found.map(|(_, value)| value.clone())
             };
             let request = find(name("request")).unwrap_or_default();
@@ -119,14 +139,19 @@
                 "200 OK"
             };
             let is_run = status.starts_with("200");
+            let mut length = 0;
             if is_run {
                 if let Ok(mut runs) = self.runs.lock() {
                     *runs.begun.entry(request.clone()).or_default() += 1;
                 }
                 match self.work {
-                    Work::Whole(time) => thread::sleep(time),
+                    Work::Whole(time, bytes) => {
+                        thread::sleep(time);
+                        length = bytes;
+                    }
                     Work::Events(count, pause) => {
-                        let written = self.write_events(&mut writer, &request, count, pause);
+                        let after = find(name("last")).and_then(|last| last.parse().ok()).unwrap_or(0);
+                        let written = self.write_events(&mut writer, &request, after + 1..=count, pause);
                         self.running.fetch_sub(1, Ordering::SeqCst);
                         written?;
                         if let Ok(mut runs) = self.runs.lock() {
@@ -137,8 +162,12 @@
                 }
             }
             let now = self.running.fetch_sub(1, Ordering::SeqCst) - 1;
-            let refusal = if is_run { String::new() } else { format!("{}: 1\r\n", name("refusal")) };
-            let body = if is_run { format!("run {request} at {}\n", self.id) } else { String::new() };
+            let refusal = if is_run {
+                String::new()
+            } else {
+                format!("{}: 1\r\n", name("refusal"))
+            };
+            let body = "x".repeat(length);
             let answer = format!(
                 "HTTP/1.1 {status}\r\n{}: {request}\r\n{}: {}.{request}\r\n{}: {now},0,{}\r\n{refusal}Content-Length: {}\r\n\r\n{body}",
                 name("request"),
@@ -155,7 +184,13 @@
         }
     }
 
-    fn write_events(&self, writer: &mut TcpStream, request: &str, count: u32, pause: Duration) -> io::Result<()> {
+    fn write_events(
+        &self,
+        writer: &mut TcpStream,
+        request: &str,
+        events: RangeInclusive<u32>,
+        pause: Duration,
+    ) -> io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {}.{request}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             name("request"),
@@ -168,9 +203,11 @@
             thread::sleep(pause);
             Ok::<_, io::Error>(())
         };
-        for number in 1..=count {
+        for number in events {
             let words = "word ".repeat(WORDS);
-            chunk(&format!("id: {number}\ndata: event {number} of {request}: {words}\n"))?;
+            chunk(&format!(
+                "id: {number}\ndata: event {number} of {request}: {words}\n"
+            ))?;
             chunk("\n")?;
         }
         writer.write_all(b"0\r\n\r\n")
--- a/review/standin-4/src/streams.rs
+++ b/review/standin-4/src/streams.rs
@@ -5,19 +5,20 @@
     io::{BufReader, ErrorKind, Read, Write},
     net::TcpStream,
     path::Path,
-    sync::{Arc, Mutex, atomic::{AtomicBool, AtomicU64, Ordering}},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     thread::{self, sleep},
     time::{Duration, Instant},
 };
 
 use crate::{
     Verdict, http,
-    lab::{Lab, Record, Role, name},
+    lab::{Lab, Record, config, name, route},
     server::{Server, Work},
 };
 
-const DOCUMENT: &str = r#"{"version":1,"routes":[{"name":"r","host":"a.example","path-prefix":"/p/","route-kind":"streaming","timeout-ms":12000,"target-latency-ms":300,"target-gap-ms":150,"priority":1,"service":"s","max-attempts":1,"resumable":false},{"name":"q","host":"a.example","path-prefix":"/q/","route-kind":"idempotent","timeout-ms":20000,"target-latency-ms":3000,"priority":1,"service":"s","max-attempts":2}],"services":[{"name":"s","health-path":"/healthz","max-conns":400,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#;
-
 const CLIENTS: usize = 150;
 const EVENTS: u32 = 40;
 const PAUSE: Duration = Duration::from_millis(15);
@@ -35,7 +36,13 @@
     broken_new: Vec<String>,
 }
 
-fn client(index: usize, address: String, stop: Arc<AtomicBool>, tally: Arc<Mutex<Tally>>, record: Arc<Record>) {
+fn client(
+    index: usize,
+    address: String,
+    stop: Arc<AtomicBool>,
+    tally: Arc<Mutex<Tally>>,
+    record: Arc<Record>,
+) {
     let mut number = 0;
     while !stop.load(Ordering::Relaxed) {
         let Ok(stream) = http::connect(&address, Duration::from_secs(12)) else {
@@ -65,7 +72,10 @@
                         tally.refused += 1;
                     }
                     drop(tally);
-                    if answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+                    if answer
+                        .header("connection")
+                        .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+                    {
                         break;
                     }
                     if answer.status != 200 {
@@ -77,7 +87,11 @@
                     let after = sent_at.elapsed().as_millis();
                     let kind = if is_kept { "kept" } else { "new" };
                     record.line(&format!("{id}, sent on a {kind} connection, ended after {after} ms without a whole answer: {error}"));
-                    let broken = if is_kept { &mut tally.broken_kept } else { &mut tally.broken_new };
+                    let broken = if is_kept {
+                        &mut tally.broken_kept
+                    } else {
+                        &mut tally.broken_new
+                    };
                     broken.push(id);
                     break;
                 }
@@ -130,26 +144,29 @@
     }
 }
 
-pub fn run(root: &Path, record: &Arc<Record>, has_trouble: bool) -> Result<Verdict, Box<dyn std::error::Error>> {
+pub fn run(
+    root: &Path,
+    record: &Arc<Record>,
+    has_trouble: bool,
+) -> Result<Verdict, Box<dyn std::error::Error>> {
     let mut lab = Lab::new(root)?;
-    let zones = ["z1", "z2", "z3"];
-    let cores: Vec<usize> = zones.iter().map(|zone| lab.add(Role::Core, zone, true)).collect();
-    lab.set_seeds(&cores);
-    let entry = lab.add(Role::Entry, "z1", true);
-    for node in cores.iter().chain([&entry]) {
-        lab.start(*node)?;
-    }
-    let started = Instant::now();
-    while !http::call(&lab.nodes[cores[0]].control(), "PUT", "/config", DOCUMENT).is_ok_and(|answer| answer.status == 200) {
-        if started.elapsed() > Duration::from_secs(15) {
-            return Err("the config was not acknowledged".into());
-        }
-        sleep(Duration::from_millis(100));
-    }
+    let document = config(&[
+        route("p", "streaming", 12_000, false),
+        route("q", "idempotent", 20_000, false),
+    ]);
+    let (_, entries) = lab.begin(1, &document)?;
+    let entry = entries[0];
     let mut servers = Vec::new();
     for number in 1..=2 {
         let ip = lab.next_ip();
-        servers.push(Server::start(&ip, &format!("i-{number}"), "s", "z1", 150, Work::Events(EVENTS, PAUSE), lab.controls())?);
+        servers.push(Server::start(
+            &ip,
+            &format!("i-{number}"),
+            "z1",
+            150,
+            Work::Events(EVENTS, PAUSE),
+            lab.controls(),
+        )?);
     }
     sleep(Duration::from_secs(3));
     let address = lab.nodes[entry].callers();
@@ -157,7 +174,12 @@
     let tally: Arc<Mutex<Tally>> = Arc::default();
     let mut threads = Vec::new();
     for index in 0..CLIENTS {
-        let (address, stop, tally, record) = (address.clone(), Arc::clone(&stop), Arc::clone(&tally), Arc::clone(record));
+        let (address, stop, tally, record) = (
+            address.clone(),
+            Arc::clone(&stop),
+            Arc::clone(&tally),
+            Arc::clone(record),
+        );
         threads.push(thread::spawn(move || client(index, address, stop, tally, record)));
         sleep(Duration::from_millis(10));
     }
@@ -173,7 +195,11 @@
         let tally = tally.lock().map_err(|_| "a client has panicked")?;
         record.line(&format!(
             "answered {}, refused {}, broken: {} on kept connections, {} on new ones; crowd has opened {}",
-            tally.answered, tally.refused, tally.broken_kept.len(), tally.broken_new.len(), opened.load(Ordering::Relaxed)
+            tally.answered,
+            tally.refused,
+            tally.broken_kept.len(),
+            tally.broken_new.len(),
+            opened.load(Ordering::Relaxed)
         ));
     }
     let (kept, new) = {
@@ -195,5 +221,9 @@
     record.say(&format!(
         "{lost} streams on kept connections were begun at a server and closed before their end ({EXCUSED} excused), and {lost_new} on new ones; the entry process has ended: {has_ended}"
     ));
-    Ok(if lost > EXCUSED || has_ended { Verdict::Broken } else { Verdict::Held })
+    Ok(if lost > EXCUSED || has_ended {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
