Show that answers without a length are lost at a machine that is cut off

Cause: an answer that has no length and ends with its connection is given up if it came through another machine, after its request was run, since the end of the answer can't be told from that of the tunnel.

--- a/review/standin-4/src/lab.rs
+++ b/review/standin-4/src/lab.rs
@@ -104,6 +104,7 @@
     zone: String,
     folder: PathBuf,
     is_first_start: bool,
+    source: Option<&'static str>,
     child: Option<Child>,
 }
 
@@ -150,6 +151,9 @@
             }
         };
         let seeds: Vec<String> = seeds.iter().map(|ip| format!("{ip}:{CONTROL}")).collect();
+        if let Some(source) = self.source {
+            text += &format!("source = {source}\n");
+        }
         text += &format!(
             "metrics = {ip}:{METRICS}\n\n[seeds]\ncontrol = {}\nport = {PEERS}\n",
             seeds.join(",")
@@ -171,11 +175,17 @@
         text
     }
 
-    /// Starts the process with the command of the deploy file.
-    pub fn start(&mut self, root: &Path, seeds: &[String]) -> io::Result<()> {
+    /// Writes the settings file. A process that runs reads it again within a second.
+    fn write_settings(&self, seeds: &[String]) -> io::Result<PathBuf> {
         fs::create_dir_all(&self.folder)?;
         let file = self.folder.join("boot.ini");
         fs::write(&file, self.settings(seeds))?;
+        Ok(file)
+    }
+
+    /// Starts the process with the command of the deploy file.
+    pub fn start(&mut self, root: &Path, seeds: &[String]) -> io::Result<()> {
+        let file = self.write_settings(seeds)?;
         let log = File::options()
             .create(true)
             .append(true)
@@ -256,6 +266,7 @@
             role,
             zone: zone.to_owned(),
             is_first_start,
+            source: None,
             child: None,
         });
         self.nodes.len() - 1
@@ -270,6 +281,12 @@
         self.nodes[index].start(&self.root, &self.seeds)
     }
 
+    /// Cuts an entry machine off from all servers: it opens connections to them from an address that reaches none.
+    pub fn cut(&mut self, index: usize) -> io::Result<()> {
+        self.nodes[index].source = Some("::1");
+        self.nodes[index].write_settings(&self.seeds).map(drop)
+    }
+
     /// Returns the control addresses of the machines of the core that run.
     pub fn controls(&self) -> Vec<String> {
         let running = self
--- a/review/standin-4/src/main.rs
+++ b/review/standin-4/src/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the review that need real processes. Exits with 1 if the rule of the case was broken, with 0 if it held, and with 2
 //! if the case couldn't run.
 
+mod around;
 mod first;
 mod http;
 mod lab;
@@ -29,6 +30,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     record.say(&format!("case {case}, disruption: {has_trouble}"));
     match case.as_str() {
+        "around" => around::run(&root, &record, has_trouble),
         "first" => first::run(&root, &record, has_trouble),
         "slow" => slow::run(&root, &record, has_trouble),
         "resume" => resume::run(&root, &record, has_trouble),
--- a/review/standin-4/src/server.rs
+++ b/review/standin-4/src/server.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     io::{self, BufReader, Write},
-    net::{TcpListener, TcpStream},
+    net::{Shutdown, TcpListener, TcpStream},
     ops::RangeInclusive,
     sync::{
         Arc, Mutex,
@@ -37,6 +37,8 @@
     Whole(Duration, usize),
     /// Answers with this number of events, each of which it writes in two pieces with a pause after each piece.
     Events(u32, Duration),
+    /// Works for a time, and answers with so many bytes without a length, and with the end of the connection.
+    Unframed(Duration, usize),
 }
 
 /// Server.
@@ -149,6 +151,15 @@
                         thread::sleep(time);
                         length = bytes;
                     }
+                    Work::Unframed(time, bytes) => {
+                        thread::sleep(time);
+                        self.running.fetch_sub(1, Ordering::SeqCst);
+                        self.write_unframed(&mut writer, &request, bytes)?;
+                        if let Ok(mut runs) = self.runs.lock() {
+                            *runs.answered.entry(request).or_default() += 1;
+                        }
+                        return writer.shutdown(Shutdown::Write);
+                    }
                     Work::Events(count, pause) => {
                         let after = find(name("last")).and_then(|last| last.parse().ok()).unwrap_or(0);
                         let written = self.write_events(&mut writer, &request, after + 1..=count, pause);
@@ -184,6 +195,17 @@
         }
     }
 
+    fn write_unframed(&self, writer: &mut TcpStream, request: &str, bytes: usize) -> io::Result<()> {
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\n{}: {request}\r\n{}: {}.{request}\r\nConnection: close\r\n\r\n{}",
+            name("request"),
+            name("stamp"),
+            self.id,
+            "x".repeat(bytes)
+        );
+        writer.write_all(answer.as_bytes())
+    }
+
     fn write_events(
         &self,
         writer: &mut TcpStream,
