End all processes of a review script that is ended from outside

Cause: a node of standin-4 has a process group of its own, and the player ends its nodes only when it ends by itself. A script that got SIGTERM left five nodes and its temporary folder behind.

The cases and their checks are as they were.

--- a/review/standin-4/src/lab.rs
+++ b/review/standin-4/src/lab.rs
@@ -80,6 +80,22 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: std::ffi::c_ulong = 9;
+
+/// Lets the kernel kill this process when the thread that started it ends. Nodes are started by the main thread alone.
+fn die_with_player() -> io::Result<()> {
+    if unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } == 0 {
+        Ok(())
+    } else {
+        Err(io::Error::last_os_error())
+    }
+}
+
 /// Role of a node.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -190,7 +206,10 @@
             .create(true)
             .append(true)
             .open(self.folder.join("log"))?;
-        let child = Command::new(root.join("target/release/buckthornmast-node"))
+        let mut command = Command::new(root.join("target/release/buckthornmast-node"));
+        // A player that is ended from outside leaves no process behind.
+        unsafe { command.pre_exec(die_with_player) };
+        let child = command
             .current_dir(root)
             .env_clear()
             .env("BUCKTHORNMAST_NODE_FILE", &file)
