Carry attestations over the loss of a disk of the core

Cause: an instance of the core promises on its own disk only that it has told of no other version. With the disk the promise is gone, and nobody else can say that it was kept, so the new instance proves nothing and all have to answer.

Change: origin::lease. Each instance keeps copies of what the others attest, each counted for 5 s from the question by the boot clock of its keeper. The instance that grants a copy is bound for 5.5 s: before it tells of a version that contradicts it, the copy is withdrawn, or has expired. An instance with an empty disk takes over the copies in its name if it started while they counted.

Why it works: the question comes before the grant, so a copy ends before what it binds; and a new process at the same address started after the end of its predecessor.

--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -5,6 +5,7 @@
 mod credit;
 mod departures;
 mod dialing;
+mod leases;
 mod origins;
 mod quarantine;
 mod updates;
@@ -24,10 +25,12 @@
     announcement::Announcement,
     registry::{Entry, Merge, Registry, Update},
 };
+use buckthornmast_forward::access::boot_time;
 use buckthornmast_link::{Link, Outbox, Timing};
 use buckthornmast_origin::{
     attestation::{Register, Variant},
     history::History,
+    lease::{grantor::Grantor, keeper::Keeper},
     record as origin,
 };
 use buckthornmast_quarantine::ledger::Ledger;
@@ -43,6 +46,7 @@
 };
 
 use self::{
+    attestations::Clearing,
     confirmations::Inquiries,
     origins::{Streams, variant_of},
     updates::{Unsent, for_entry},
@@ -52,8 +56,9 @@
     controller::{Controller, Leadership, permits::Requester},
     departure::{Departure, Departures},
     dial::Connections,
+    lease,
     memory::{Content, Store},
-    message::{Downstream, Liveness, UNDERSTANDS_CREDIT, Upstream},
+    message::{Downstream, Liveness, UNDERSTANDS_LEASES, Upstream},
     observe::ReplicaGauge,
     platform::{Fence, Platform},
     replica::{self, Outboxes, Replica},
@@ -110,7 +115,6 @@
 /// Term of the very first leader; no orders were sent before it.
 const FIRST_TERM: id::Term = id::Term(1);
 
-#[derive(Default)]
 struct State {
     roster: Roster,
     registry: Registry,
@@ -140,8 +144,14 @@
     longest_timeout: Option<Duration>,
     // Version of the routes under which they were attested.
     attested_routes: Revision,
-    // Versions whose withdrawal waits for the disk.
-    clearing: BTreeSet<Variant>,
+    // Versions that wait until nothing speaks against them.
+    clearing: BTreeMap<Variant, Clearing>,
+    withdrawals: u64,
+    // Copies of what this instance attests, and of what others do.
+    grantor: Grantor,
+    keeper: Keeper,
+    // What the other instances of the core state that they understand.
+    features: BTreeMap<id::Instance, u8>,
     // Number of trials of quarantined parts that this instance has permitted.
     trials: usize,
 }
@@ -166,6 +176,7 @@
     // Targets that leave.
     departures_file: Store,
     attestations_file: attestation::Store,
+    leases_file: lease::Store,
     monitor: Monitor,
     gauge: ReplicaGauge,
     inquiries: Inquiries,
@@ -208,6 +219,18 @@
         let found = attestations_file.read();
         let mut attestations = Register::default();
         attestations.restore(found.attested);
+        let leases_file = lease::Store::new(&data);
+        let leases = leases_file.read();
+        let now = boot_time();
+        let mut keeper = Keeper::default();
+        let copies = leases.copies.into_iter();
+        keeper.restore(
+            copies.map(|(instance, (until, content))| (instance, until, content)),
+            now,
+        );
+        let is_founding = is_first_start && !replica::is_founder(&data);
+        let offered = leases.offered.or(is_founding.then(BTreeSet::new));
+        let grantor = Grantor::new(offered, now);
         let monitor = Monitor::new(data.clone());
         let config = replica::Config {
             member,
@@ -239,14 +262,35 @@
             targets_file,
             departures_file,
             attestations_file,
+            leases_file,
             monitor,
             gauge: ReplicaGauge::default(),
             inquiries: Inquiries::default(),
             state: RefCell::new(State {
+                roster: Roster::default(),
                 registry,
+                last_contact: BTreeMap::new(),
+                departures: Departures::default(),
+                has_peer_targets: false,
+                routes_version: None,
+                services: None,
+                leading_term: None,
+                entry_count: 0,
+                is_roster_published: false,
+                unsent: BTreeMap::new(),
+                crashes: Ledger::default(),
+                origins: origin::Memory::default(),
+                history: History::default(),
+                streams: Streams::default(),
                 attestations,
+                longest_timeout: None,
                 attested_routes: found.routes,
-                ..State::default()
+                clearing: BTreeMap::new(),
+                withdrawals: 0,
+                grantor,
+                keeper,
+                features: BTreeMap::new(),
+                trials: 0,
             }),
             settings: RefCell::new(settings),
         }))
@@ -259,6 +303,8 @@
 
     /// Runs the main loop, and never returns.
     pub async fn run(self: Rc<Self>) {
+        // The addresses of this instance are its own by now, so that its predecessor has ended.
+        self.state.borrow_mut().grantor.start(boot_time());
         for tick in 0u64.. {
             self.tick(tick);
             sleep(TICK_INTERVAL).await;
@@ -286,6 +332,7 @@
             self.gauge.publish(&self.replica.status(), leads);
         }
         self.publish_routes();
+        self.tell_all_released();
         self.answer_inquiries();
         self.tick_quarantines(now);
         if tick.is_multiple_of(LIVENESS_INTERVAL_TICKS) {
@@ -293,6 +340,7 @@
             self.controller.publish_credit(now);
             self.see_versions(now);
             self.tick_attestations(now);
+            self.tick_leases();
             let mut state = self.state.borrow_mut();
             state.registry.prune(now);
             let State {
@@ -340,7 +388,7 @@
         if state.entry_count != entry_count {
             state.entry_count = entry_count;
             self.subscribers
-                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_CREDIT));
+                .send_entries(&Downstream::EntryCount(entry_count, UNDERSTANDS_LEASES));
         }
         drop(state);
         if tick.is_multiple_of(WAYS_INTERVAL_TICKS) {
@@ -619,7 +667,7 @@
         }
         let mut messages = vec![
             Downstream::Roster(state.roster.sightings(now)),
-            Downstream::EntryCount(state.entry_count, UNDERSTANDS_CREDIT),
+            Downstream::EntryCount(state.entry_count, UNDERSTANDS_LEASES),
             Downstream::targets(updates),
             Downstream::Leadership(state.leading_term),
             Downstream::Placements(self.controller.placements()),
@@ -712,6 +760,21 @@
                 self.inquiries.add(subscriber, number, outbox.clone());
             }
             Upstream::Credit(claim) => self.answer_claim(subscriber, &claim, outbox),
+            Upstream::LeaseRequest { asked_at } => {
+                if let Some(from) = from {
+                    self.answer_lease(from, asked_at, outbox);
+                }
+            }
+            Upstream::Withdrawal { number, variant } => {
+                if let Some(from) = from {
+                    self.withdraw_copy(from, number, variant, outbox);
+                }
+            }
+            Upstream::Recovery { age } => {
+                if let Some(from) = from {
+                    self.answer_recovery(from, age, outbox);
+                }
+            }
             Upstream::CancelPermit { number } => self.controller.cancel_permit(subscriber, number),
             Upstream::Core(member) => {
                 let now = self.clock.now();
--- a/crates/buckthornmast_node/src/core/dialing.rs
+++ b/crates/buckthornmast_node/src/core/dialing.rs
@@ -75,9 +75,28 @@
             Downstream::Ordered(target, term, strays) => {
                 self.controller.record_ordered(target, term, strays);
             }
+            Downstream::EntryCount(_, features) => {
+                if let Some(instance) = self.instance_at(peer) {
+                    self.record_features(instance, features);
+                }
+            }
+            Downstream::Lease { asked_at, content } => {
+                if let Some(instance) = self.instance_at(peer) {
+                    self.renew_copy(&instance, asked_at, content);
+                }
+            }
+            Downstream::Withdrawn { number } => {
+                if let Some(instance) = self.instance_at(peer) {
+                    self.record_withdrawn(&instance, number);
+                }
+            }
+            Downstream::Recovered(content) => {
+                if let Some(instance) = self.instance_at(peer) {
+                    self.recover(instance, content);
+                }
+            }
             // Routes arrive through the log, and only entry instances need the rest.
             Downstream::Routes(_)
-            | Downstream::EntryCount(..)
             | Downstream::Origin { .. }
             | Downstream::Placements(_)
             | Downstream::Leadership(_)
@@ -95,6 +114,7 @@
 
     fn closed(&self, peer: SocketAddr) {
         if let Some(instance) = self.instance_at(peer) {
+            self.state.borrow_mut().features.remove(&instance);
             self.outboxes.set(instance, None);
         }
     }
--- a/crates/buckthornmast_node/src/entry.rs
+++ b/crates/buckthornmast_node/src/entry.rs
@@ -428,7 +428,10 @@
                 }
             }
             // For instances of the core only.
-            Downstream::Ordered(..) => {}
+            Downstream::Ordered(..)
+            | Downstream::Lease { .. }
+            | Downstream::Withdrawn { .. }
+            | Downstream::Recovered(_) => {}
             Downstream::Leadership(leading_term) => {
                 self.supplier.0.set_leading_term(peer, leading_term);
                 self.set_lender(&state);
--- a/crates/buckthornmast_node/src/lib.rs
+++ b/crates/buckthornmast_node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod entry;
 pub mod explain;
 pub mod http;
+pub mod lease;
 pub mod memory;
 pub mod message;
 pub mod observe;
--- a/crates/buckthornmast_node/src/message.rs
+++ b/crates/buckthornmast_node/src/message.rs
@@ -17,7 +17,9 @@
     statement,
 };
 use buckthornmast_origin::{
+    attestation::Variant,
     history::Sole,
+    lease::Content,
     record::{self, Key, Mark, Record},
 };
 use buckthornmast_quarantine::{
@@ -32,7 +34,7 @@
     permits::{Permit, Request},
     stray::Stray,
 };
-use buckthornmast_types::id;
+use buckthornmast_types::{id, time::Point};
 use buckthornmast_way::way::Way;
 use serde::{Deserialize, Serialize};
 
@@ -127,6 +129,24 @@
     },
     /// Claims credit from the leader.
     Credit(credit::Claim),
+    /// Asks for a copy of what the receiver attests. This and the following are only sent to instances that have stated
+    /// [`UNDERSTANDS_LEASES`].
+    LeaseRequest {
+        /// Time by the clock of the sender, for the answer.
+        asked_at: Point,
+    },
+    /// Withdraws what contradicts a version from the copy that the receiver keeps of the sender.
+    Withdrawal {
+        /// Number of the withdrawal.
+        number: u64,
+        /// Version.
+        variant: Variant,
+    },
+    /// Asks for the copy that the receiver keeps of the sender, whose disk is empty.
+    Recovery {
+        /// Time since the sender started.
+        age: Duration,
+    },
 }
 
 /// Models and adapters of a target that requests may use.
@@ -175,6 +195,10 @@
 /// States that an instance of the core understands [`Upstream::Credit`], and all that lower numbers stand for.
 pub const UNDERSTANDS_CREDIT: u8 = 3;
 
+/// States that an instance of the core understands [`Upstream::LeaseRequest`], [`Upstream::Withdrawal`] and
+/// [`Upstream::Recovery`], and all that lower numbers stand for.
+pub const UNDERSTANDS_LEASES: u8 = 4;
+
 /// Message from an instance of the core, to the instance that opened the connection.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Downstream {
@@ -183,7 +207,7 @@
     /// Number of entry instances.
     ///
     /// At the end, what the sender understands: [`UNDERSTANDS_ORIGINS`], [`UNDERSTANDS_CONFIRMATIONS`],
-    /// [`UNDERSTANDS_CREDIT`] or nothing.
+    /// [`UNDERSTANDS_CREDIT`], [`UNDERSTANDS_LEASES`] or nothing.
     #[serde(rename = "Entries")]
     EntryCount(u32, u8),
     /// Routes in force.
@@ -265,6 +289,20 @@
     },
     /// Answers a claim for credit.
     Credit(credit::Grant),
+    /// Grants a copy of what the sender attests.
+    Lease {
+        /// Time of the question by the clock of the receiver.
+        asked_at: Point,
+        /// What the sender attests.
+        content: Content,
+    },
+    /// States that the disk of the sender has nothing any more that contradicts a version.
+    Withdrawn {
+        /// Number of the withdrawal.
+        number: u64,
+    },
+    /// Answers what the sender keeps of the receiver. Empty if the receiver started too late.
+    Recovered(Content),
 }
 
 impl Downstream {
--- a/crates/buckthornmast_node/src/replica.rs
+++ b/crates/buckthornmast_node/src/replica.rs
@@ -12,7 +12,7 @@
     collections::HashMap,
     fs::{self, File, OpenOptions},
     io,
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -33,7 +33,7 @@
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
 use self::recovery::{Action, Recovery};
-use crate::{attestation, memory::Content, message::Upstream, space::Space};
+use crate::{attestation, lease, memory::Content, message::Upstream, space::Space};
 
 /// Intervals of the log, for a latency of 0.5 ms between instances. One lost packet delays a heartbeat by about 200 ms,
 /// which must not cause an election.
@@ -46,6 +46,11 @@
 /// Name of the file that marks a disk that took part in the first start of the whole system.
 const FOUNDER_FILE: &str = "founder";
 
+/// Returns whether the disk of a data folder took part in the first start of the whole system.
+pub fn is_founder(data: &Path) -> bool {
+    data.join(FOUNDER_FILE).exists()
+}
+
 /// Largest document of routes in bytes. One of 700 routes has some 210 KB. Each instance of the core sends it to every
 /// entry instance, which has to receive it within the time limit of a frame.
 pub const MAX_DOCUMENT_BYTES: u32 = 256 << 10;
@@ -64,7 +69,9 @@
 pub fn max_folder_bytes() -> Bytes {
     let log = Bytes(LIMITS.folder_bytes(u64::from(LIMITS.command)));
     let targets = [Content::Ready, Content::Leaving].map(Content::max_bytes);
-    let files = targets.into_iter().chain([attestation::MAX_BYTES]);
+    let files = targets
+        .into_iter()
+        .chain([attestation::MAX_BYTES, lease::MAX_BYTES]);
     // The file, and the one that replaces it.
     let files = files.map(|bytes| Bytes(2 * bytes as u64));
     files.chain([log]).sum()
@@ -146,7 +153,7 @@
     /// marker.
     fn can_bootstrap(&self) -> bool {
         if !self.config.is_first_start {
-            return self.config.data.join(FOUNDER_FILE).exists();
+            return is_founder(&self.config.data);
         }
         match self.mark_founder() {
             Ok(()) => self.has_mark_failed.store(false, Ordering::Release),
--- a/crates/buckthornmast_origin/src/attestation.rs
+++ b/crates/buckthornmast_origin/src/attestation.rs
@@ -3,8 +3,9 @@
 //! What an instance of the core has seen in its own time is forgotten when it starts anew. So it stores on its disk which
 //! version of a service is the only one that it has seen for longer than any stream lives. While that stands, it tells entry
 //! instances of no target of another version. Before it does, it withdraws what it attests, and waits until its disk has
-//! that. So if requests can have reached another version, the instance that told of it knows that after a restart, and one
-//! whose disk is new proves nothing. Since all instances have to answer, it doesn't matter what the others attest.
+//! that. So if requests can have reached another version, the instance that told of it knows that after a restart. One
+//! whose disk is new proves nothing but what the others keep for it, see [`crate::lease`]. Since all instances have to answer,
+//! it doesn't matter what the others attest.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -41,6 +42,32 @@
         self.attested.extend(attested);
     }
 
+    /// Takes over what the predecessor of this instance attested, as far as nothing that this instance has seen or used speaks
+    /// against it. Returns the number of services.
+    pub fn adopt(
+        &mut self,
+        attested: impl IntoIterator<Item = (Service, Sole)>,
+        history: &History,
+    ) -> usize {
+        let mut adopted = 0;
+        for (service, sole) in attested {
+            let mut cleared = self.cleared.iter();
+            let is_contradicted = cleared
+                .any(|variant| variant.service == service && variant.mark != Some(sole.mark));
+            if !is_contradicted && history.permits(service, sole.mark) {
+                self.attested.entry(service).or_insert(sole);
+                adopted += 1;
+            }
+        }
+        adopted
+    }
+
+    /// Returns whether a version is the one that this instance attests.
+    pub fn attests(&self, variant: Variant) -> bool {
+        let attested = self.attested.get(&variant.service);
+        attested.is_some_and(|sole| variant.mark == Some(sole.mark))
+    }
+
     /// Returns what this instance attests.
     pub fn attested(&self) -> impl Iterator<Item = (Service, Sole)> + '_ {
         let attested = self.attested.iter();
--- a/crates/buckthornmast_origin/src/history.rs
+++ b/crates/buckthornmast_origin/src/history.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Returns whether no other version of a service was seen.
+    pub fn permits(&self, service: Service, mark: Mark) -> bool {
+        let latest = self.services.get(&service);
+        latest.is_none_or(|latest| latest.mark == Some(mark) && !latest.has_changed)
+    }
+
     /// Begins the time of a service anew.
     pub fn renew(&mut self, service: Service, now: Point) {
         if let Some(latest) = self.services.get_mut(&service) {
--- a/crates/buckthornmast_origin/tests/model.rs
+++ b/crates/buckthornmast_origin/tests/model.rs
@@ -2,9 +2,13 @@
 //! forgotten, messages are late, connections and records are lost, and instances freeze or start anew, one or all of them.
 #![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
+#[path = "support/leases.rs"]
+mod leases;
 #[path = "support/world.rs"]
 mod world;
 
+use std::time::Duration;
+
 use buckthornmast_origin::{inquiry::MARGIN, prelude::*};
 
 use crate::world::{CORES, ENTRIES, LIFE, Model, Mutation, Random};
@@ -129,9 +133,72 @@
         Ok(())
     }
 
+    /// A version comes at one instance of the core after there has been one only for long, while others may stand still. That
+    /// instance ends, soon or late, and its disk is lost. Then streams are taken up.
+    fn come_alone(&mut self, core: usize, random: &mut Random) -> Result<(), String> {
+        self.cores[core].leases.is_stuck = random.below(4) == 0;
+        self.settle(random);
+        let version = world::mark(self.versions);
+        self.versions += 1;
+        self.running.push(version);
+        (0..random.below(40)).for_each(|_| self.deliver_lease(core, random));
+        let rest: Vec<usize> = (0..CORES).filter(|other| *other != core).collect();
+        random
+            .some_of(&rest)
+            .iter()
+            .for_each(|other| self.freeze(*other));
+        self.announce(core, version);
+        if random.below(2) == 0 {
+            self.deliver_leases(random);
+        }
+        for _ in 0..random.few(9) {
+            self.pass_second(random);
+        }
+        if random.below(2) == 0 {
+            self.restart_core(core);
+            self.announce(core, version);
+        }
+        let first = self.streams.len();
+        for entry in 0..ENTRIES {
+            while !self.entries[entry].links[core].down.is_empty() {
+                self.deliver_down(entry, core);
+            }
+            for _ in 0..3 {
+                self.begin(entry, random);
+            }
+        }
+        self.running.retain(|running| *running != version);
+        self.freeze(core);
+        for _ in 0..random.few(5) {
+            self.pass_second(random);
+        }
+        random
+            .some_of(&rest)
+            .iter()
+            .for_each(|other| self.lose_withdrawals(*other));
+        random
+            .some_of(&rest)
+            .iter()
+            .for_each(|other| self.restart_core(*other));
+        rest.iter().for_each(|other| self.thaw(*other));
+        self.wipe_core(core);
+        (0..CORES).for_each(|core| self.forget(core % ENTRIES, core));
+        self.deliver_leases(random);
+        // Those that stood still go on from what they attested.
+        self.pass_second(random);
+        self.deliver_leases(random);
+        (0..ENTRIES).for_each(|entry| self.restart_entry(entry));
+        for stream in first..self.streams.len() {
+            for entry in 0..ENTRIES {
+                self.check(entry, stream)?;
+            }
+        }
+        Ok(())
+    }
+
     fn step(&mut self, random: &mut Random) -> Result<(), String> {
         let (entry, core) = (random.below(ENTRIES), random.below(CORES));
-        let event = random.below(40);
+        let event = random.below(44);
         if (23..=29).contains(&event) && random.below(4) < self.calm {
             return Ok(());
         }
@@ -158,6 +225,9 @@
             34 if random.below(4) == 0 => self.wipe_core(core),
             35 if random.below(4) == 0 => self.come_and_go(core, random)?,
             33 if random.below(4) == 0 => self.come_settled(entry, core, random),
+            36..=37 => (0..=random.below(16)).for_each(|_| self.deliver_lease(core, random)),
+            38 => self.now = self.now + Duration::from_millis(250),
+            39 if random.below(4) == 0 => self.come_alone(core, random)?,
             _ if !self.streams.is_empty() => {
                 let recent = self.streams.len().min(6);
                 let stream = self.streams.len() - 1 - random.below(recent);
@@ -181,11 +251,21 @@
         self.check_lasting(random)
     }
 
-    /// The same right after a restart of all.
+    /// The same right after a restart of all, also if a disk was lost.
     fn check_lasting(&mut self, random: &mut Random) -> Result<(), String> {
         self.pass_second(random);
-        self.restart_all();
+        self.deliver_leases(random);
+        self.store_leases();
+        let replaced = random.below(CORES + 1);
+        if replaced < CORES {
+            self.wipe_core(replaced);
+        }
+        if replaced == CORES || random.below(2) == 0 {
+            self.restart_all();
+        }
         self.deliver_peers();
+        self.pass_second(random);
+        self.deliver_leases(random);
         for entry in 0..ENTRIES {
             (0..CORES).for_each(|core| self.connect(entry, core));
             let version = self.resume(entry, Some(Key::new("unknown")));
@@ -277,6 +357,14 @@
         Mutation::SkipState,
         Mutation::KeepPermission,
         Mutation::KeepAttested,
+        Mutation::SkipRelease,
+        Mutation::GrantUnstored,
+        Mutation::ForgetOffered,
+        Mutation::TrustEmptyDisk,
+        Mutation::LongCopy,
+        Mutation::CountFromAnswer,
+        Mutation::StoppedClock,
+        Mutation::AnswerUnstored,
     ];
     for mutation in mutations {
         let is_found = (0..SEEDS).any(|seed| play(seed, mutation).is_err());
--- a/crates/buckthornmast_origin/tests/support/world.rs
+++ b/crates/buckthornmast_origin/tests/support/world.rs
@@ -5,6 +5,8 @@
 use buckthornmast_origin::{inquiry::MARGIN, origin::only_version, prelude::*};
 use buckthornmast_types::{id, time::Point};
 
+use crate::leases::Leases;
+
 pub(crate) const ENTRIES: usize = 3;
 pub(crate) const CORES: usize = 3;
 /// Instances of the core that are told of a stream.
@@ -14,6 +16,12 @@
 /// Time between two announcements of the same version.
 pub(crate) const ANNOUNCE_INTERVAL_SECONDS: u64 = 4;
 
+/// Messages about leases that arrive within a second at most; most of those that are sent.
+const LEASE_MESSAGES: usize = 60;
+
+/// Time at which the search starts.
+const START: Point = Point::from_millis(1000);
+
 /// Fault planted in the specification, which the search must find.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Mutation {
@@ -38,6 +46,22 @@
     KeepPermission,
     /// A withdrawal isn't stored.
     KeepAttested,
+    /// Entry instances are told of a version while copies that contradict it count.
+    SkipRelease,
+    /// Copies are granted before the disk shows that.
+    GrantUnstored,
+    /// An instance that starts doesn't know of which services copies may have been granted, and takes that for none.
+    ForgetOffered,
+    /// The same where the disk is empty.
+    TrustEmptyDisk,
+    /// A copy counts for longer than its grant binds.
+    LongCopy,
+    /// A copy counts from when the answer arrives, however late that is.
+    CountFromAnswer,
+    /// The clock by which copies count stands while their keeper does.
+    StoppedClock,
+    /// A keeper answers a withdrawal before its disk has it.
+    AnswerUnstored,
 }
 
 /// Random numbers (splitmix64).
@@ -53,6 +77,29 @@
     }
 }
 
+impl Random {
+    /// Returns a number below a bound that is often zero.
+    pub(crate) fn few(&mut self, bound: usize) -> usize {
+        if self.below(2) == 0 {
+            0
+        } else {
+            self.below(bound)
+        }
+    }
+
+    /// Returns all, none or some of these.
+    pub(crate) fn some_of(&mut self, all: &[usize]) -> Vec<usize> {
+        match self.below(4) {
+            0 => Vec::new(),
+            1 => all.to_vec(),
+            _ => {
+                let chosen = all.iter().copied();
+                chosen.filter(|_| self.below(2) == 0).collect()
+            }
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Link {
     pub(crate) is_down: bool,
@@ -67,7 +114,6 @@
     pub(crate) links: Vec<Link>,
 }
 
-#[derive(Default)]
 pub(crate) struct Core {
     pub(crate) memory: Memory,
     pub(crate) history: History,
@@ -80,7 +126,26 @@
     /// What is attested, and stored.
     pub(crate) register: Register,
     pub(crate) disk: Vec<(Service, Sole)>,
+    pub(crate) leases: Leases,
     pub(crate) is_frozen: bool,
+    frozen_at: Point,
+}
+
+impl Core {
+    fn new(leases: Leases) -> Self {
+        Self {
+            memory: Memory::default(),
+            history: History::default(),
+            versions: Vec::new(),
+            file: Vec::new(),
+            inbox: VecDeque::new(),
+            register: Register::default(),
+            disk: Vec::new(),
+            leases,
+            is_frozen: false,
+            frozen_at: START,
+        }
+    }
 }
 
 pub(crate) struct Model {
@@ -115,11 +180,13 @@
             mutation,
             service: "s".parse().unwrap(),
             entries: (0..ENTRIES).map(|_| entry()).collect(),
-            cores: (0..CORES).map(|_| Core::default()).collect(),
+            cores: (0..CORES)
+                .map(|_| Core::new(Leases::founding(START)))
+                .collect(),
             streams: Vec::new(),
             running: vec![mark(0)],
             versions: 1,
-            now: Point::from_millis(1000),
+            now: START,
             cut_off: None,
             calm,
         };
@@ -141,7 +208,7 @@
         }
     }
 
-    /// An instance of the core hears of a version, and tells entry instances if it is new.
+    /// An instance of the core hears of a version. Entry instances are told once nothing speaks against it.
     pub(crate) fn learn(&mut self, index: usize, version: Mark) -> bool {
         let core = &mut self.cores[index];
         core.history
@@ -150,30 +217,55 @@
             return false;
         }
         core.versions.push(version);
+        let variant = self.variant(version);
+        let is_told = self.cores[index].register.is_cleared(variant);
         self.clear(index, version);
+        if is_told {
+            self.send_version(index, version);
+        }
+        true
+    }
+
+    pub(crate) fn variant(&self, version: Mark) -> Variant {
+        Variant {
+            service: Service::new(&self.service),
+            mark: Some(version),
+        }
+    }
+
+    fn send_version(&mut self, index: usize, version: Mark) {
         for entry in &mut self.entries {
             if !entry.links[index].is_down {
                 entry.links[index].down.push_back(version);
             }
         }
-        true
     }
 
     /// Withdraws what an instance of the core attests against a version, unless it has done so before.
     fn clear(&mut self, index: usize, version: Mark) {
-        let variant = Variant {
-            service: Service::new(&self.service),
-            mark: Some(version),
-        };
+        let variant = self.variant(version);
+        let is_clearing = self.is_clearing(index, variant);
         let core = &mut self.cores[index];
-        if core.register.is_cleared(variant) {
+        if is_clearing || core.register.is_cleared(variant) {
             return;
         }
         core.register.withdraw(variant);
         if self.mutation != Mutation::KeepAttested {
             core.disk = core.register.attested().collect();
         }
-        assert!(core.register.clear(variant));
+        self.withdraw_copies(index, variant);
+    }
+
+    /// Tells entry instances of a version, if its targets are still known.
+    pub(crate) fn tell(&mut self, index: usize, variant: Variant) {
+        let core = &mut self.cores[index];
+        if !core.register.clear(variant) {
+            return;
+        }
+        let mut versions = core.versions.iter().copied();
+        if let Some(version) = versions.find(|version| variant.mark == Some(*version)) {
+            self.send_version(index, version);
+        }
     }
 
     pub(crate) fn come(&mut self, core: usize) {
@@ -336,7 +428,12 @@
         let recent = self.entries[entry]
             .own
             .recent(Duration::from_secs(60), self.now);
-        let versions = self.cores[core].versions.iter().copied().collect();
+        let versions = self.cores[core].versions.iter().copied();
+        let told = |version: &Mark| {
+            let variant = self.variant(*version);
+            self.cores[core].register.is_cleared(variant)
+        };
+        let versions = versions.filter(told).collect();
         let link = &mut self.entries[entry].links[core];
         *link = Link::default();
         link.down = versions;
@@ -378,7 +475,10 @@
 
     /// Ends an instance of the core, which starts with what its disk has.
     fn end_core(&mut self, index: usize) {
-        let core = std::mem::take(&mut self.cores[index]);
+        let mut leases = Leases::empty(self.now);
+        std::mem::swap(&mut self.cores[index].leases, &mut leases);
+        let core = std::mem::replace(&mut self.cores[index], Core::new(Leases::empty(self.now)));
+        leases.restart(self.mutation, self.now);
         let mut register = Register::default();
         register.restore(core.disk.iter().copied());
         let mut history = History::default();
@@ -389,7 +489,7 @@
             register,
             history,
             disk: core.disk,
-            ..Core::default()
+            ..Core::new(leases)
         };
         for version in core.file {
             self.learn(index, version);
@@ -403,7 +503,8 @@
 
     /// Replaces the disk of an instance of the core.
     pub(crate) fn wipe_core(&mut self, index: usize) {
-        self.cores[index] = Core::default();
+        let run = self.cores[index].leases.run();
+        self.cores[index] = Core::new(Leases::empty(self.now).after(run));
         self.restart_core(index);
     }
 
@@ -420,6 +521,9 @@
 
     pub(crate) fn freeze(&mut self, index: usize) {
         let core = &mut self.cores[index];
+        if !core.is_frozen {
+            core.frozen_at = self.now;
+        }
         core.is_frozen = true;
         core.inbox.clear();
         for entry in &mut self.entries {
@@ -432,6 +536,8 @@
 
     pub(crate) fn thaw(&mut self, index: usize) {
         if std::mem::replace(&mut self.cores[index].is_frozen, false) {
+            let core = &mut self.cores[index];
+            core.leases.stopped += self.now.since(core.frozen_at);
             self.connect_core(index);
         }
     }
@@ -440,6 +546,13 @@
     pub(crate) fn pass_second(&mut self, random: &mut Random) {
         self.now = self.now + Duration::from_secs(1);
         let service = Service::new(&self.service);
+        for index in 0..CORES {
+            for version in self.cores[index].versions.clone() {
+                if !self.cores[index].is_frozen {
+                    self.clear(index, version);
+                }
+            }
+        }
         for core in self.cores.iter_mut().filter(|core| !core.is_frozen) {
             if core.history.keep(self.now) {
                 core.history.credit(core.register.attested(), self.now);
@@ -461,6 +574,17 @@
                 .filter(|version| self.running.contains(version))
                 .collect();
         }
+        for index in 0..CORES {
+            if !self.cores[index].is_frozen {
+                self.tick_leases(index, random);
+            }
+        }
+        if let Some((core, _)) = self.cut_off {
+            (0..CORES).for_each(|other| self.drop_leases(other, core));
+        }
+        for _ in 0..random.below(LEASE_MESSAGES) {
+            self.deliver_lease(random.below(CORES), random);
+        }
         if (self.now.0 / 1_000_000).is_multiple_of(ANNOUNCE_INTERVAL_SECONDS) {
             for version in self.running.clone() {
                 let core = match self.cut_off {
