Write the leases once a second, and restore them in one place

Cause: each answer about a copy wrote the file of leases, up to three times a second with two other instances, where the design says once. The constructor of Core had grown by the restoring of leases, and State had lost its Default.

Change: the answers are stored together 200 ms after the questions. leases::restore holds the restoring.

--- a/crates/buckthornmast_node/src/core.rs
+++ b/crates/buckthornmast_node/src/core.rs
@@ -115,6 +115,7 @@
 /// Term of the very first leader; no orders were sent before it.
 const FIRST_TERM: id::Term = id::Term(1);
 
+#[derive(Default)]
 struct State {
     roster: Roster,
     registry: Registry,
@@ -146,6 +147,7 @@
     attested_routes: Revision,
     // Versions that wait until nothing speaks against them.
     clearing: BTreeMap<Variant, Clearing>,
+    // Number of withdrawals that other instances were asked for.
     withdrawals: u64,
     // Copies of what this instance attests, and of what others do.
     grantor: Grantor,
@@ -220,17 +222,8 @@
         let mut attestations = Register::default();
         attestations.restore(found.attested);
         let leases_file = lease::Store::new(&data);
-        let leases = leases_file.read();
-        let now = boot_time();
-        let mut keeper = Keeper::default();
-        let copies = leases.copies.into_iter();
-        keeper.restore(
-            copies.map(|(instance, (until, content))| (instance, until, content)),
-            now,
-        );
         let is_founding = is_first_start && !replica::is_founder(&data);
-        let offered = leases.offered.or(is_founding.then(BTreeSet::new));
-        let grantor = Grantor::new(offered, now);
+        let (grantor, keeper) = leases::restore(leases_file.read(), is_founding);
         let monitor = Monitor::new(data.clone());
         let config = replica::Config {
             member,
@@ -267,30 +260,12 @@
             gauge: ReplicaGauge::default(),
             inquiries: Inquiries::default(),
             state: RefCell::new(State {
-                roster: Roster::default(),
                 registry,
-                last_contact: BTreeMap::new(),
-                departures: Departures::default(),
-                has_peer_targets: false,
-                routes_version: None,
-                services: None,
-                leading_term: None,
-                entry_count: 0,
-                is_roster_published: false,
-                unsent: BTreeMap::new(),
-                crashes: Ledger::default(),
-                origins: origin::Memory::default(),
-                history: History::default(),
-                streams: Streams::default(),
                 attestations,
-                longest_timeout: None,
                 attested_routes: found.routes,
-                clearing: BTreeMap::new(),
-                withdrawals: 0,
                 grantor,
                 keeper,
-                features: BTreeMap::new(),
-                trials: 0,
+                ..State::default()
             }),
             settings: RefCell::new(settings),
         }))
@@ -331,6 +306,9 @@
             let leads = self.state.borrow().leading_term.is_some();
             self.gauge.publish(&self.replica.status(), leads);
         }
+        if tick % LIVENESS_INTERVAL_TICKS == leases::SAVE_TICK {
+            self.save_leases(&self.state.borrow());
+        }
         self.publish_routes();
         self.tell_all_released();
         self.answer_inquiries();
--- a/crates/buckthornmast_node/src/core/leases.rs
+++ b/crates/buckthornmast_node/src/core/leases.rs
@@ -10,7 +10,7 @@
 use buckthornmast_origin::{
     attestation::Variant,
     history::Sole,
-    lease::{Content, Edition},
+    lease::{Content, Edition, grantor::Grantor, keeper::Keeper},
     record::Service,
 };
 use buckthornmast_types::{
@@ -22,6 +22,7 @@
 use super::attestations::{Clearing, STORE_TIMEOUT};
 use crate::{
     core::{Core, State},
+    lease::Found,
     message::{Downstream, UNDERSTANDS_LEASES, Upstream},
     platform::Platform,
     settings::Settings,
@@ -30,6 +31,20 @@
 /// Time after which an expired copy is forgotten. An instance that starts later than this looks for none.
 const EXPIRED_RETENTION: Duration = Duration::from_secs(60);
 
+/// Ticks after the questions for copies after which the answers are stored. A later one is stored with the next questions.
+pub(super) const SAVE_TICK: u64 = 2;
+
+/// Restores grants and copies. `is_founding` is whether the whole system has never run, so that there can't be any.
+pub(super) fn restore(found: Found, is_founding: bool) -> (Grantor, Keeper) {
+    let now = boot_time();
+    let offered = found.offered.or(is_founding.then(BTreeSet::new));
+    let copies = found.copies.into_iter();
+    let copies = copies.map(|(instance, (until, content))| (instance, until, content));
+    let mut keeper = Keeper::default();
+    keeper.restore(copies, now);
+    (Grantor::new(offered, now), keeper)
+}
+
 impl State {
     /// Returns what this instance attests.
     fn content(&self, attested: BTreeMap<Service, Sole>) -> Content {
@@ -61,6 +76,10 @@
 
     /// Takes over what the predecessor of this instance attested.
     fn adopt(&mut self, content: Content, now: Point) {
+        if content.attested.is_empty() {
+            log::info!(step = "origin"; "the others keep no attestations of the predecessor that count");
+            return;
+        }
         let is_before_routes = self.longest_timeout.is_none();
         if !is_before_routes && content.routes.0 != self.attested_routes.0 {
             log::info!(step = "origin", routes = content.routes.0; "routes have changed since the copies of attestations were made; not using them");
@@ -92,6 +111,7 @@
             .collect()
     }
 
+    /// Writes the leases if they have changed.
     pub(super) fn save_leases(&self, state: &State) {
         self.leases_file
             .save(&state.grantor, &state.keeper, boot_time());
@@ -185,11 +205,10 @@
         }
     }
 
-    /// Stores a copy.
+    /// Replaces a copy.
     pub(super) fn renew_copy(&self, from: &id::Instance, asked_at: Point, content: Content) {
         let mut state = self.state.borrow_mut();
         state.keeper.renew(from, asked_at, content, boot_time());
-        self.save_leases(&state);
     }
 
     /// Withdraws what contradicts a version from a copy, and answers once the disk has that.
--- a/crates/buckthornmast_origin/src/lease/grantor.rs
+++ b/crates/buckthornmast_origin/src/lease/grantor.rs
@@ -22,6 +22,13 @@
     found: Option<BTreeMap<id::Instance, Content>>,
 }
 
+/// Grantor of an instance about whose disk nothing is known.
+impl Default for Grantor {
+    fn default() -> Self {
+        Self::new(None, Point::ZERO)
+    }
+}
+
 impl Grantor {
     /// Creates a grantor from the services on its disk, or from nothing if the disk doesn't show of which services copies were
     /// granted.
